--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,3 @@
+//! Clients for upstreams: model engines and plain services.
+
+pub mod wire;
--- /dev/null
+++ b/crates/kernel/src/close_signal.rs
@@ -0,0 +1,31 @@
+//! The signal that a process is closing.
+
+use tokio_util::sync::CancellationToken;
+
+/// Tells every part that the process is closing. Clones share one signal.
+#[derive(Clone, Debug, Default)]
+pub struct CloseSignal {
+    token: CancellationToken,
+}
+
+impl CloseSignal {
+    /// Whether the signal was raised.
+    pub fn is_raised(&self) -> bool {
+        self.token.is_cancelled()
+    }
+
+    /// A signal that is not raised.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Raises the signal for all clones.
+    pub fn raise(&self) {
+        self.token.cancel();
+    }
+
+    /// Waits until the signal is raised.
+    pub async fn raised(&self) {
+        self.token.cancelled().await;
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,22 @@
+//! What every part of the process shares: ids, result codes, plug-ins, ranked locks, the order of closing.
+
+pub mod close_signal;
+pub mod ids;
+pub mod plugin_entry;
+pub mod ranked_lock;
+pub mod result_code;
+pub mod seeded_rng;
+pub mod state_map;
+pub mod unix_time;
+pub mod worker_pool;
+
+pub use {
+    close_signal::CloseSignal,
+    ids::*,
+    inventory,
+    plugin_entry::PluginEntry,
+    ranked_lock::{LockRank, RankedLock},
+    result_code::ResultCode,
+    state_map::StateMap,
+    worker_pool::WorkerPool,
+};
--- /dev/null
+++ b/crates/kernel/src/ranked_lock.rs
@@ -0,0 +1,109 @@
+//! Locks with a stated order, asserted in debug builds. `docs/LOCKS.md` lists the ranks.
+
+#[cfg(debug_assertions)]
+use std::cell::RefCell;
+use std::{
+    ops::{Deref, DerefMut},
+    sync::{Mutex, MutexGuard},
+};
+
+/// The place of a lock in the order: a thread takes locks by rising rank.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[repr(u8)]
+pub enum LockRank {
+    /// The members that this instance knows.
+    Members = 10,
+    /// The table in force.
+    Table = 20,
+    /// The allocators that this instance runs.
+    Allocator = 30,
+    /// The requests that this instance holds.
+    Requests = 40,
+    /// The tickets and claims.
+    Claims = 50,
+    /// The view of upstreams: marks, load, prefixes.
+    Upstreams = 60,
+    /// Counters and samples.
+    Samples = 70,
+}
+
+#[cfg(debug_assertions)]
+thread_local! {
+  static HELD_RANKS: RefCell<Vec<LockRank>> = const { RefCell::new(Vec::new()) };
+}
+
+/// A mutex that asserts the lock order in debug builds. Never held across an await.
+#[derive(Debug)]
+pub struct RankedLock<T> {
+    mutex: Mutex<T>,
+    rank: LockRank,
+}
+
+/// The guard of a [`RankedLock`].
+pub struct RankedGuard<'a, T> {
+    guard: MutexGuard<'a, T>,
+    #[cfg(debug_assertions)]
+    rank: LockRank,
+}
+
+impl<T> RankedLock<T> {
+    /// Takes the lock.
+    ///
+    /// # Panics
+    ///
+    /// In debug builds, when the thread already holds a lock of the same or a greater rank.
+    pub fn lock(&self) -> RankedGuard<'_, T> {
+        #[cfg(debug_assertions)]
+        HELD_RANKS.with_borrow_mut(|held| {
+            let top = held.iter().max().copied();
+            assert!(
+                top < Some(self.rank),
+                "lock order: {:?} taken while holding {top:?}",
+                self.rank
+            );
+            held.push(self.rank);
+        });
+        RankedGuard {
+            guard: self
+                .mutex
+                .lock()
+                .unwrap_or_else(|poison| poison.into_inner()),
+            #[cfg(debug_assertions)]
+            rank: self.rank,
+        }
+    }
+
+    /// A lock of the given rank around a value.
+    pub fn new(rank: LockRank, value: T) -> Self {
+        Self {
+            mutex: Mutex::new(value),
+            rank,
+        }
+    }
+}
+
+impl<T> Deref for RankedGuard<'_, T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.guard
+    }
+}
+
+impl<T> DerefMut for RankedGuard<'_, T> {
+    fn deref_mut(&mut self) -> &mut T {
+        &mut self.guard
+    }
+}
+
+#[cfg(debug_assertions)]
+impl<T> Drop for RankedGuard<'_, T> {
+    fn drop(&mut self) {
+        HELD_RANKS.with_borrow_mut(|held| {
+            let Some(index) = held.iter().rposition(|rank| *rank == self.rank) else {
+                return;
+            };
+            held.remove(index);
+        });
+    }
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/plat/src/object_store.rs
@@ -0,0 +1,18 @@
+//! The platform's object store.
+
+use {crate::plat_error::PlatError, bytes::Bytes, std::future::Future};
+
+/// Whole objects by key.
+pub trait ObjectStore: Send + Sync {
+    /// Reads one object.
+    fn get_object(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<Bytes>, PlatError>> + Send;
+    /// Writes one object whole.
+    fn put_object(
+        &self,
+        key: &str,
+        content: Bytes,
+    ) -> impl Future<Output = Result<(), PlatError>> + Send;
+}
--- /dev/null
+++ b/crates/trestlewalk/src/main.rs
@@ -0,0 +1,3 @@
+//! The `trestlewalk` binary.
+
+fn main() {}
