Clients for model engines

The request path needs to tell a call that was never written from one that may have run. A general client retries by itself on a connection that closed while idle; here the pool uses hyper's connections, which hand an unsent request back. Chunks may carry their token's offset, so that repeats are dropped and gaps seen.

--- /dev/null
+++ b/crates/engine/src/completion_engine.rs
@@ -0,0 +1,247 @@
+//! Engines that speak the completions protocol of [`crate::wire`].
+
+use {
+    crate::{
+        call_error::{CallCause, CallError},
+        http_pool::HttpPool,
+        model_engine::{ModelEngine, PrefillReply},
+        pooled_body::PooledBody,
+        token_stream::TokenStream,
+        wire::{
+            CacheEvents, CompletionCall, CompletionChunk, EngineError, EngineLoad, EngineOrder,
+            REQUEST_ID_HEADER, StreamRecord,
+        },
+    },
+    bytes::Bytes,
+    http::{Method, Request, Response, StatusCode, header},
+    http_body_util::{BodyExt, Full, Limited},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time,
+};
+
+/// The most bytes that an answer other than a stream may have.
+const REPLY_LIMIT: usize = 16 << 20;
+
+type EngineBody = PooledBody<Full<Bytes>>;
+
+/// The client of engines that speak the completions protocol. Clones share their connections.
+#[derive(Clone, Debug)]
+pub struct CompletionEngine {
+    control_timeout: Duration,
+    idle_timeout: Duration,
+    pool: HttpPool<Full<Bytes>>,
+    prefill_timeout: Duration,
+}
+
+#[bon::bon]
+impl CompletionEngine {
+    /// A client with its timeouts: `connect` for a connection, `control` for a short call, `idle` from one token to the
+    /// next, `prefill` for reading a prompt.
+    #[builder]
+    pub fn new(connect: Duration, control: Duration, idle: Duration, prefill: Duration) -> Self {
+        Self {
+            control_timeout: control,
+            idle_timeout: idle,
+            pool: HttpPool::new(connect),
+            prefill_timeout: prefill,
+        }
+    }
+}
+
+impl CompletionEngine {
+    async fn control<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, CallError> {
+        let request = build(Method::GET, address, path, None, Bytes::new())?;
+        let call = async {
+            let response = self.pool.send(address, request, false).await?;
+            read_json(accept(response).await?).await
+        };
+        within(self.control_timeout, call).await
+    }
+
+    async fn post<T: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        stream: &str,
+        body: &T,
+    ) -> Result<Response<EngineBody>, CallError> {
+        let body = serde_json::to_vec(body)
+            .map_err(|error| CallError::not_run(CallCause::Refused, error))?;
+        let request = build(Method::POST, address, path, Some(stream), body.into())?;
+        let response = self.pool.send(address, request, false).await?;
+        accept(response).await
+    }
+}
+
+impl ModelEngine for CompletionEngine {
+    type Tokens = TokenStream;
+
+    async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+    ) -> Result<CacheEvents, CallError> {
+        self.control(address, &format!("/cache/events?after={after}"))
+            .await
+    }
+
+    async fn cancel(&self, address: SocketAddr, stream: &str) -> Result<(), CallError> {
+        let request = build(
+            Method::DELETE,
+            address,
+            &format!("/streams/{stream}"),
+            None,
+            Bytes::new(),
+        )?;
+        let call = async {
+            let response = self.pool.send(address, request, false).await?;
+            let status = response.status();
+            let _ = read_body(response).await;
+            if status.is_success() || status == StatusCode::NOT_FOUND {
+                return Ok(());
+            }
+            Err(CallError::not_run(CallCause::Refused, status))
+        };
+        within(self.control_timeout, call).await
+    }
+
+    async fn decode(
+        &self,
+        address: SocketAddr,
+        stream: &str,
+        call: &CompletionCall,
+    ) -> Result<TokenStream, CallError> {
+        let posting = self.post(address, "/v1/completions", stream, call);
+        let response = within(self.idle_timeout, posting).await?;
+        Ok(TokenStream::new(response.into_body(), self.idle_timeout, 0))
+    }
+
+    async fn load(&self, address: SocketAddr) -> Result<EngineLoad, CallError> {
+        self.control(address, "/load").await
+    }
+
+    async fn order(&self, address: SocketAddr, order: &EngineOrder) -> Result<(), CallError> {
+        let ordering = async {
+            let response = self.post(address, "/orders", "order", order).await?;
+            read_body(response).await.map(|_| ())
+        };
+        within(self.control_timeout, ordering).await
+    }
+
+    async fn prefill(
+        &self,
+        address: SocketAddr,
+        stream: &str,
+        call: &CompletionCall,
+    ) -> Result<PrefillReply, CallError> {
+        let reading = async {
+            let response = self.post(address, "/v1/completions", stream, call).await?;
+            read_json::<CompletionChunk>(response).await
+        };
+        let chunk = within(self.prefill_timeout, reading).await?;
+        match chunk.kv_transfer_params {
+            Some(params) => Ok(PrefillReply { params }),
+            None => Err(CallError::unknown(
+                CallCause::Garbled,
+                "no kv_transfer_params in the answer",
+            )),
+        }
+    }
+
+    async fn resume(
+        &self,
+        address: SocketAddr,
+        stream: &str,
+        offset: u32,
+    ) -> Result<TokenStream, CallError> {
+        let path = format!("/streams/{stream}?offset={offset}");
+        let request = build(Method::GET, address, &path, None, Bytes::new())?;
+        let call = async { accept(self.pool.send(address, request, false).await?).await };
+        let response = within(self.control_timeout, call).await?;
+        Ok(TokenStream::new(
+            response.into_body(),
+            self.idle_timeout,
+            offset,
+        ))
+    }
+
+    async fn streams(&self, address: SocketAddr) -> Result<Vec<StreamRecord>, CallError> {
+        self.control(address, "/streams").await
+    }
+}
+
+/// What an engine's own error means. An engine's word counts only until it gave a token.
+pub(crate) fn engine_failure(failure: &EngineError, has_tokens: bool) -> CallError {
+    let cause = match &*failure.error {
+        "evicted" => CallCause::Evicted,
+        "full" => CallCause::Full,
+        "leaving" => CallCause::Leaving,
+        _ => CallCause::Refused,
+    };
+    let may_have_run = failure.ran || has_tokens;
+    CallError {
+        cause,
+        detail: failure.error.to_string(),
+        may_have_run,
+    }
+}
+
+async fn accept(response: Response<EngineBody>) -> Result<Response<EngineBody>, CallError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let body = read_body(response).await?;
+    match serde_json::from_slice::<EngineError>(&body) {
+        Ok(failure) => Err(engine_failure(&failure, false)),
+        Err(_) => Err(CallError::unknown(CallCause::Refused, status)),
+    }
+}
+
+fn build(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    stream: Option<&str>,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, CallError> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(stream) = stream {
+        builder = builder.header(REQUEST_ID_HEADER, stream);
+    }
+    builder
+        .body(Full::new(body))
+        .map_err(|error| CallError::not_run(CallCause::Refused, error))
+}
+
+async fn read_body(response: Response<EngineBody>) -> Result<Bytes, CallError> {
+    let limited = Limited::new(response.into_body(), REPLY_LIMIT);
+    match limited.collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) => Err(CallError::unknown(CallCause::Lost, error)),
+    }
+}
+
+async fn read_json<T: DeserializeOwned>(response: Response<EngineBody>) -> Result<T, CallError> {
+    let body = read_body(response).await?;
+    serde_json::from_slice(&body).map_err(|error| CallError::unknown(CallCause::Garbled, error))
+}
+
+async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    match time::timeout(limit, call).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(CallError::unknown(CallCause::Silent, "no answer in time")),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/pooled_body.rs
@@ -0,0 +1,74 @@
+//! The body of an answer, which gives its connection back when it was read to its end.
+
+use {
+    crate::http_pool::{IdleTable, keep_idle},
+    bytes::Bytes,
+    hyper::{
+        body::{Body, Frame, Incoming, SizeHint},
+        client::conn::http1::SendRequest,
+    },
+    std::{
+        net::SocketAddr,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+};
+
+/// A body whose connection goes back to the pool. Dropped before its end, the connection is closed.
+pub struct PooledBody<B> {
+    address: SocketAddr,
+    body: Incoming,
+    idle: Arc<IdleTable<B>>,
+    sender: Option<SendRequest<B>>,
+}
+
+impl<B> PooledBody<B> {
+    pub(crate) fn new(
+        address: SocketAddr,
+        body: Incoming,
+        sender: SendRequest<B>,
+        idle: Arc<IdleTable<B>>,
+    ) -> Self {
+        Self {
+            address,
+            body,
+            idle,
+            sender: Some(sender),
+        }
+    }
+
+    fn give_back(&mut self) {
+        let Some(sender) = self.sender.take() else {
+            return;
+        };
+        keep_idle(&self.idle, self.address, sender);
+    }
+}
+
+impl<B> Body for PooledBody<B>
+where
+    Self: Unpin,
+{
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(None) = polled {
+            self.give_back();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/engine/src/sse_reader.rs
@@ -0,0 +1,80 @@
+//! Splits a stream of bytes into the data of server-sent events.
+
+use bytes::{Bytes, BytesMut};
+
+/// The most bytes that one event may have.
+pub const EVENT_LIMIT: usize = 1 << 20;
+
+const DATA_FIELD: &[u8] = b"data:";
+
+/// Takes chunks of bytes and gives the data of whole events.
+#[derive(Debug, Default)]
+pub struct SseReader {
+    buffer: BytesMut,
+    data: Option<BytesMut>,
+    scanned: usize,
+}
+
+impl SseReader {
+    /// Whether bytes of an unfinished event are left.
+    pub fn is_partial(&self) -> bool {
+        !self.buffer.is_empty() || self.data.is_some()
+    }
+
+    /// Whether the event being read is larger than [`EVENT_LIMIT`].
+    pub fn is_too_large(&self) -> bool {
+        self.buffer.len() + self.data.as_ref().map_or(0, BytesMut::len) > EVENT_LIMIT
+    }
+
+    /// An empty reader.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The data of the next whole event.
+    pub fn next_event(&mut self) -> Option<Bytes> {
+        while let Some(line) = self.next_line() {
+            if line.is_empty() {
+                let Some(data) = self.data.take() else {
+                    continue;
+                };
+                return Some(data.freeze());
+            }
+            let Some(value) = line.strip_prefix(DATA_FIELD) else {
+                continue;
+            };
+            let value = value.strip_prefix(b" ").unwrap_or(value);
+            match &mut self.data {
+                None => self.data = Some(BytesMut::from(value)),
+                Some(data) => {
+                    data.extend_from_slice(b"\n");
+                    data.extend_from_slice(value);
+                }
+            }
+        }
+        None
+    }
+
+    /// Takes a chunk.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.buffer.extend_from_slice(chunk);
+    }
+
+    fn next_line(&mut self) -> Option<Bytes> {
+        let found = self.buffer[self.scanned..]
+            .iter()
+            .position(|byte| *byte == b'\n');
+        let Some(offset) = found else {
+            self.scanned = self.buffer.len();
+            return None;
+        };
+        let end = self.scanned + offset;
+        let mut line = self.buffer.split_to(end + 1).freeze();
+        self.scanned = 0;
+        line.truncate(end);
+        if line.ends_with(b"\r") {
+            line.truncate(end - 1);
+        }
+        Some(line)
+    }
+}
--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -128,6 +128,10 @@
     /// `text_completion`.
     #[serde(default)]
     pub object: Arc<str>,
+    /// The offset of the chunk's token in the answer. Engines that resume streams give it; a reader drops repeats by it
+    /// and sees gaps.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_index: Option<u32>,
     /// Set on the last chunk and on whole answers.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage: Option<TokenUsage>,
