The steps of one request, and the tasks that drive them

The request path needs one place that decides which final answer is true. FlowCore is a pure state machine; the driver makes the calls. Cells, seats and frames are written so that an allocator may be this instance or another one.

--- a/crates/engine/src/completion_engine.rs
+++ b/crates/engine/src/completion_engine.rs
@@ -90,7 +90,7 @@
             .await
     }
 
-    async fn cancel(&self, address: SocketAddr, stream: &str) -> Result<(), CallError> {
+    async fn cancel(&self, address: SocketAddr, stream: &str) -> Result<bool, CallError> {
         let request = build(
             Method::DELETE,
             address,
@@ -103,7 +103,7 @@
             let status = response.status();
             let _ = read_body(response).await;
             if status.is_success() || status == StatusCode::NOT_FOUND {
-                return Ok(());
+                return Ok(status != StatusCode::NOT_FOUND);
             }
             Err(CallError::not_run(CallCause::Refused, status))
         };
--- a/crates/engine/src/model_engine.rs
+++ b/crates/engine/src/model_engine.rs
@@ -36,12 +36,12 @@
         after: u64,
     ) -> impl Future<Output = Result<CacheEvents, CallError>> + Send;
 
-    /// Cancels a stream at any phase; a stream that the engine doesn't hold counts as cancelled.
+    /// Cancels a stream at any phase; `false` when the engine doesn't hold it, or not yet.
     fn cancel(
         &self,
         address: SocketAddr,
         stream: &str,
-    ) -> impl Future<Output = Result<(), CallError>> + Send;
+    ) -> impl Future<Output = Result<bool, CallError>> + Send;
 
     /// Starts the transfer of the KV cache and the generation.
     fn decode(
--- /dev/null
+++ b/crates/flow/src/cell_driver.rs
@@ -0,0 +1,116 @@
+//! Drives the allocator of one cell: gives it events and carries its decisions to whoever holds the requests.
+
+use {
+    crate::cell_notice::CellGrant,
+    admit::{AdmitAction, AdmitEvent, AdmitPolicy, RequestKey},
+    kernel::{CloseSignal, LockRank, ModelId, RankedLock},
+    std::{sync::Arc, time::Instant},
+    tokio::{sync::Notify, time},
+};
+
+/// Carries a decision to the entry instance that holds the request.
+pub trait GrantSink: Send + Sync + 'static {
+    /// Delivers one grant; a request that is no longer held is dropped.
+    fn deliver(&self, model: &ModelId, key: RequestKey, grant: CellGrant);
+}
+
+/// One cell's allocator with its timer.
+pub struct CellDriver<P, S> {
+    model: ModelId,
+    sink: Arc<S>,
+    state: RankedLock<CellState<P>>,
+    timer: Notify,
+}
+
+struct CellState<P> {
+    policy: P,
+    wake_at: Option<Instant>,
+}
+
+impl<P, S> CellDriver<P, S>
+where
+    P: AdmitPolicy + Send + 'static,
+    S: GrantSink,
+{
+    /// A driver around the allocator of one model's cell.
+    pub fn new(model: ModelId, policy: P, sink: Arc<S>) -> Self {
+        Self {
+            model,
+            sink,
+            state: RankedLock::new(
+                LockRank::Allocator,
+                CellState {
+                    policy,
+                    wake_at: None,
+                },
+            ),
+            timer: Notify::new(),
+        }
+    }
+
+    /// Reads the allocator's state.
+    pub fn inspect<T>(&self, read: impl FnOnce(&P) -> T) -> T {
+        read(&self.state.lock().policy)
+    }
+
+    /// Gives one event to the allocator and delivers what it decides.
+    pub fn on_event(&self, event: AdmitEvent) {
+        let mut actions = Vec::new();
+        {
+            let mut state = self.state.lock();
+            state.policy.on_event(Instant::now(), event, &mut actions);
+            self.keep_wake(&mut state, &actions);
+        }
+        for action in actions {
+            self.deliver(action);
+        }
+    }
+
+    /// Wakes the allocator when it asked for it, until the signal.
+    pub async fn run_timer(&self, signal: CloseSignal) {
+        loop {
+            let wake_at = self.state.lock().wake_at;
+            tokio::select! {
+                () = signal.raised() => return,
+                () = self.timer.notified() => continue,
+                () = sleep_until(wake_at) => {}
+            }
+            self.state.lock().wake_at = None;
+            self.on_event(AdmitEvent::Tick);
+        }
+    }
+
+    fn deliver(&self, action: AdmitAction) {
+        let (key, grant) = match action {
+            AdmitAction::GrantDecode { decode, key } => (key, CellGrant::Decode(decode)),
+            AdmitAction::GrantPrefill { key, prefill } => (key, CellGrant::Prefill(prefill)),
+            AdmitAction::Refuse {
+                code,
+                key,
+                retry_after,
+            } => (key, CellGrant::Refuse { code, retry_after }),
+            AdmitAction::WakeAt(_) => return,
+        };
+        self.sink.deliver(&self.model, key, grant);
+    }
+
+    fn keep_wake(&self, state: &mut CellState<P>, actions: &[AdmitAction]) {
+        for action in actions {
+            let AdmitAction::WakeAt(at) = action else {
+                continue;
+            };
+            if state.wake_at.is_some_and(|earlier| earlier <= *at) {
+                continue;
+            }
+            state.wake_at = Some(*at);
+            self.timer.notify_one();
+        }
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/flow/src/cell_frame.rs
@@ -0,0 +1,169 @@
+//! The messages of a session between an entry instance and the allocator of a cell.
+
+use {
+    crate::cell_notice::{CellGrant, CellNotice},
+    admit::{AdmitEvent, AdmitRequest, HoldPhase, RequestKey},
+    kernel::{BlockHash, ModelId, UpstreamId, WorkId},
+    serde::{Deserialize, Serialize},
+    std::time::{Duration, Instant},
+};
+
+/// A request as it is told to an allocator. Clocks differ between instances, so that times travel as ages.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CellSubmit {
+    /// How long ago the caller's request arrived.
+    pub age: Duration,
+    /// The request.
+    pub key: RequestKey,
+    /// The most tokens that the caller takes.
+    pub max_tokens: u32,
+    /// The model: it names the cell.
+    pub model: ModelId,
+    /// The chained hashes of the prompt's blocks.
+    pub prefix: Vec<BlockHash>,
+    /// The prompt's length in tokens.
+    pub prompt_tokens: u32,
+    /// The row of the table.
+    pub work: WorkId,
+}
+
+/// How far a held request has come.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum HeldPhase {
+    /// It generates tokens.
+    Decoding {
+        /// The decode engine.
+        decode: UpstreamId,
+        /// The tokens so far, as last noted.
+        tokens: u32,
+    },
+    /// A prefill engine reads the prompt.
+    Prefilling {
+        /// The prefill engine.
+        prefill: UpstreamId,
+        /// For how long.
+        age: Duration,
+    },
+    /// It waits for a prefill engine.
+    Queued,
+    /// Its KV cache waits for its transfer.
+    Read {
+        /// The prefill engine.
+        prefill: UpstreamId,
+        /// For how long.
+        age: Duration,
+    },
+    /// Its KV cache crosses the link.
+    Transferring {
+        /// The decode engine.
+        decode: UpstreamId,
+        /// The prefill engine.
+        prefill: UpstreamId,
+        /// For how long.
+        age: Duration,
+    },
+}
+
+/// What an entry instance sends to an allocator.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum CellFrame {
+    /// What a request holds that another allocator granted.
+    Announce {
+        /// How far it has come.
+        phase: HeldPhase,
+        /// The request.
+        submit: CellSubmit,
+    },
+    /// What happened to a request.
+    Notice {
+        /// The request.
+        key: RequestKey,
+        /// The cell.
+        model: ModelId,
+        /// What happened.
+        notice: CellNotice,
+    },
+    /// A new attempt.
+    Submit(CellSubmit),
+}
+
+/// What an allocator sends to an entry instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct GrantFrame {
+    /// The decision.
+    pub grant: CellGrant,
+    /// The request.
+    pub key: RequestKey,
+    /// The cell.
+    pub model: ModelId,
+}
+
+impl CellFrame {
+    /// The cell that the frame is for.
+    pub fn model(&self) -> &ModelId {
+        match self {
+            Self::Announce { submit, .. } | Self::Submit(submit) => &submit.model,
+            Self::Notice { model, .. } => model,
+        }
+    }
+
+    /// The request that the frame is of.
+    pub fn key(&self) -> &RequestKey {
+        match self {
+            Self::Announce { submit, .. } | Self::Submit(submit) => &submit.key,
+            Self::Notice { key, .. } => key,
+        }
+    }
+
+    /// The allocator's event, by this process's clock.
+    pub fn into_event(self, now: Instant) -> AdmitEvent {
+        match self {
+            Self::Announce { phase, submit } => announce_event(phase, submit, now),
+            Self::Notice { key, notice, .. } => notice.into_event(key),
+            Self::Submit(submit) => AdmitEvent::Submit(submit.into_request(now)),
+        }
+    }
+}
+
+impl CellSubmit {
+    fn into_request(self, now: Instant) -> AdmitRequest {
+        AdmitRequest {
+            arrived: before(now, self.age),
+            key: self.key,
+            max_tokens: self.max_tokens,
+            prefix: self.prefix,
+            prompt_tokens: self.prompt_tokens,
+            work: self.work,
+        }
+    }
+}
+
+fn announce_event(phase: HeldPhase, submit: CellSubmit, now: Instant) -> AdmitEvent {
+    let request = submit.into_request(now);
+    let phase = match phase {
+        HeldPhase::Queued => return AdmitEvent::Submit(request),
+        HeldPhase::Decoding { decode, tokens } => HoldPhase::Decoding { decode, tokens },
+        HeldPhase::Prefilling { prefill, age } => HoldPhase::Prefilling {
+            prefill,
+            since: before(now, age),
+        },
+        HeldPhase::Read { prefill, age } => HoldPhase::Read {
+            prefill,
+            since: before(now, age),
+        },
+        HeldPhase::Transferring {
+            decode,
+            prefill,
+            age,
+        } => HoldPhase::Transferring {
+            decode,
+            prefill,
+            since: before(now, age),
+        },
+    };
+    AdmitEvent::Announce { phase, request }
+}
+
+fn before(now: Instant, age: Duration) -> Instant {
+    now.checked_sub(age).unwrap_or(now)
+}
--- /dev/null
+++ b/crates/flow/src/cell_table.rs
@@ -0,0 +1,125 @@
+//! The cells whose allocator this instance is.
+
+use {
+    crate::{
+        cell_driver::{CellDriver, GrantSink},
+        cell_frame::CellFrame,
+        table_board::TableBoard,
+    },
+    admit::{AdmitEvent, AdmitPolicy},
+    kernel::{CloseSignal, LockRank, ModelId, RankedLock, WorkerPool},
+    std::{collections::BTreeMap, sync::Arc, time::Instant},
+};
+
+/// Makes the allocator of a cell.
+pub trait PolicyMaker: Send + Sync + 'static {
+    /// The kind of allocator.
+    type Policy: AdmitPolicy + Send + 'static;
+
+    /// A fresh allocator for one model's cell.
+    fn make(&self, model: &ModelId) -> Self::Policy;
+
+    /// This cell's share of every row's limit.
+    fn share(&self, model: &ModelId) -> f64;
+}
+
+/// One running cell.
+type CellHandle<M, S> = Arc<CellDriver<<M as PolicyMaker>::Policy, S>>;
+
+/// A cell with the signal that ends its timer.
+struct CellSeat<M: PolicyMaker, S> {
+    driver: CellHandle<M, S>,
+    signal: CloseSignal,
+}
+
+/// The cells whose allocator this instance is, by model.
+pub struct CellTable<M: PolicyMaker, S> {
+    board: Arc<TableBoard>,
+    cells: RankedLock<BTreeMap<ModelId, CellSeat<M, S>>>,
+    maker: M,
+    pool: WorkerPool,
+    sink: Arc<S>,
+}
+
+impl<M: PolicyMaker, S: GrantSink> CellTable<M, S> {
+    /// The driver of a model's cell, made when it is not there yet.
+    pub fn cell(&self, model: &ModelId) -> CellHandle<M, S> {
+        let mut cells = self.cells.lock();
+        if let Some(seat) = cells.get(model) {
+            return seat.driver.clone();
+        }
+        let driver = Arc::new(CellDriver::new(
+            model.clone(),
+            self.maker.make(model),
+            self.sink.clone(),
+        ));
+        let signal = CloseSignal::new();
+        let timer = (driver.clone(), signal.clone());
+        self.pool
+            .spawn(async move { timer.0.run_timer(timer.1).await });
+        cells.insert(
+            model.clone(),
+            CellSeat {
+                driver: driver.clone(),
+                signal,
+            },
+        );
+        drop(cells);
+        self.put_table(model, &driver);
+        driver
+    }
+
+    /// Drops the cell of a model whose allocator is now another instance.
+    pub fn leave(&self, model: &ModelId) {
+        let Some(seat) = self.cells.lock().remove(model) else {
+            return;
+        };
+        seat.signal.raise();
+    }
+
+    /// The running cells.
+    pub fn list(&self) -> Vec<(ModelId, CellHandle<M, S>)> {
+        let cells = self.cells.lock();
+        cells
+            .iter()
+            .map(|(model, seat)| (model.clone(), seat.driver.clone()))
+            .collect()
+    }
+
+    /// An empty table of cells. Timers run in `pool`, decisions go to `sink`.
+    pub fn new(board: Arc<TableBoard>, maker: M, pool: WorkerPool, sink: Arc<S>) -> Self {
+        Self {
+            board,
+            cells: RankedLock::new(LockRank::Cells, BTreeMap::new()),
+            maker,
+            pool,
+            sink,
+        }
+    }
+
+    /// Gives a frame of an entry instance to its cell.
+    pub fn on_frame(&self, frame: CellFrame) {
+        let driver = self.cell(&frame.model().clone());
+        driver.on_event(frame.into_event(Instant::now()));
+    }
+
+    /// Gives the table in force to every cell, whenever it changes.
+    pub async fn run_tables(&self) {
+        let mut changes = self.board.changes();
+        while changes.changed().await.is_ok() {
+            for (model, driver) in self.list() {
+                self.put_table(&model, &driver);
+            }
+        }
+    }
+
+    fn put_table(&self, model: &ModelId, driver: &CellHandle<M, S>) {
+        let Some(table) = self.board.table() else {
+            return;
+        };
+        driver.on_event(AdmitEvent::Table {
+            share: self.maker.share(model),
+            table,
+        });
+    }
+}
--- /dev/null
+++ b/crates/flow/src/flow_core.rs
@@ -0,0 +1,344 @@
+//! The steps of one request as a pure state machine. It alone decides which final answer is true.
+
+use {
+    crate::{
+        cell_notice::CellNotice,
+        flow_action::FlowAction,
+        flow_event::{CallFailure, FlowEvent},
+        flow_failure::FlowFailure,
+    },
+    engine::CallCause,
+    kernel::{ResultCode, UpstreamId},
+    std::time::Duration,
+};
+
+/// How often a prompt is read again because its KV cache was evicted. Such a try is not one of the row's retries: the
+/// eviction is this system's own doing.
+const EVICTION_LIMIT: u8 = 8;
+/// How often a broken stream is taken up again.
+const RESUME_LIMIT: u8 = 3;
+/// When to come back after a failure that says nothing of load.
+const FAILURE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How far a request has come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FlowPhase {
+    /// It holds a decode place, or its KV cache is on the way there.
+    Decoding {
+        /// The decode engine.
+        decode: UpstreamId,
+        /// The prefill engine that read the prompt.
+        prefill: UpstreamId,
+    },
+    /// The final answer was given.
+    Ended,
+    /// A prefill engine reads the prompt.
+    Prefilling {
+        /// The prefill engine.
+        prefill: UpstreamId,
+    },
+    /// It waits for a prefill engine.
+    Queued,
+    /// Its KV cache waits for its transfer.
+    Read {
+        /// The prefill engine.
+        prefill: UpstreamId,
+    },
+}
+
+/// The state of one request.
+#[derive(Clone, Debug)]
+pub struct FlowCore {
+    attempt: u32,
+    evictions: u8,
+    may_have_run: bool,
+    max_tokens: u32,
+    phase: FlowPhase,
+    repeat: bool,
+    resumes: u8,
+    retries: u8,
+    stream: bool,
+    tokens: u32,
+}
+
+#[bon::bon]
+impl FlowCore {
+    /// A request in the queue. `repeat` and `retries` are its row's, `stream` tells whether the caller reads token by
+    /// token.
+    #[builder]
+    pub fn new(max_tokens: u32, repeat: bool, retries: u8, stream: bool) -> Self {
+        Self {
+            attempt: 0,
+            evictions: 0,
+            may_have_run: false,
+            max_tokens,
+            phase: FlowPhase::Queued,
+            repeat,
+            resumes: 0,
+            retries,
+            stream,
+            tokens: 0,
+        }
+    }
+}
+
+impl FlowCore {
+    /// The number of the running attempt.
+    pub fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
+    /// Whether any engine may have done any of the request's work.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Takes one event and says what to do. Events that come too late are dropped.
+    pub fn on_event(&mut self, event: FlowEvent) -> Vec<FlowAction> {
+        if self.phase == FlowPhase::Ended {
+            return Vec::new();
+        }
+        match event {
+            FlowEvent::CallerGone => self.give_up(ResultCode::CallerGone),
+            FlowEvent::CloseLimit => self.give_up(ResultCode::CutByClose),
+            FlowEvent::DecodeFailed(failure) => self.on_decode_failed(failure),
+            FlowEvent::GrantDecode(decode) => self.on_grant_decode(decode),
+            FlowEvent::GrantPrefill(prefill) => self.on_grant_prefill(prefill),
+            FlowEvent::PrefillDone => self.on_prefill_done(),
+            FlowEvent::PrefillFailed(failure) => self.on_prefill_failed(failure),
+            FlowEvent::Refused { code, retry_after } => self.on_refused(code, retry_after),
+            FlowEvent::ResumeFailed(failure) => self.on_stream_lost(failure),
+            FlowEvent::StreamDone => self.on_stream_done(),
+            FlowEvent::Token => self.on_token(),
+        }
+    }
+
+    /// How far the request has come.
+    pub fn phase(&self) -> &FlowPhase {
+        &self.phase
+    }
+
+    /// The tokens so far.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Ends the request; the code becomes one that is true if any engine may have done work.
+    fn end(&mut self, code: ResultCode, retry_after: Option<Duration>) -> FlowAction {
+        self.phase = FlowPhase::Ended;
+        let code = match code {
+            ResultCode::CallerGone => code,
+            code if self.may_have_run && code.not_run() => ResultCode::PrefillWasted,
+            code => code,
+        };
+        FlowAction::Fail(FlowFailure { code, retry_after })
+    }
+
+    fn cancel(&self, upstream: &UpstreamId) -> FlowAction {
+        FlowAction::Cancel {
+            attempt: self.attempt,
+            upstream: upstream.clone(),
+        }
+    }
+
+    /// Cancels what the attempt holds at engines.
+    fn free(&self) -> Option<FlowAction> {
+        match &self.phase {
+            FlowPhase::Decoding { decode, .. } => Some(self.cancel(decode)),
+            FlowPhase::Prefilling { prefill } | FlowPhase::Read { prefill } => {
+                Some(self.cancel(prefill))
+            }
+            FlowPhase::Ended | FlowPhase::Queued => None,
+        }
+    }
+
+    fn free_all(&self) -> Vec<FlowAction> {
+        let mut actions: Vec<FlowAction> = self.free().into_iter().collect();
+        if let FlowPhase::Decoding { prefill, .. } = &self.phase
+            && self.tokens == 0
+        {
+            actions.push(self.cancel(prefill));
+        }
+        actions
+    }
+
+    fn give_up(&mut self, code: ResultCode) -> Vec<FlowAction> {
+        let mut actions = self.free_all();
+        actions.push(FlowAction::Notify(CellNotice::Cancel));
+        let code = match code {
+            ResultCode::CutByClose if !self.may_have_run => ResultCode::Closing,
+            code => code,
+        };
+        actions.push(self.end(code, Some(FAILURE_RETRY_AFTER)));
+        actions
+    }
+
+    fn on_decode_failed(&mut self, failure: CallFailure) -> Vec<FlowAction> {
+        let FlowPhase::Decoding { decode, prefill } = self.phase.clone() else {
+            return Vec::new();
+        };
+        if failure.cause == CallCause::Evicted && self.tokens == 0 {
+            return self.on_evicted();
+        }
+        if !failure.may_have_run && self.tokens == 0 {
+            self.phase = FlowPhase::Read { prefill };
+            return vec![FlowAction::Notify(CellNotice::DecodeRefused)];
+        }
+        if failure.cause != CallCause::Garbled && self.resumes < RESUME_LIMIT {
+            self.resumes += 1;
+            return vec![FlowAction::Resume {
+                decode,
+                offset: self.tokens,
+            }];
+        }
+        self.on_stream_lost(failure)
+    }
+
+    fn on_evicted(&mut self) -> Vec<FlowAction> {
+        if !self.repeat || self.evictions == EVICTION_LIMIT {
+            return self.give_up(ResultCode::PrefillWasted);
+        }
+        self.evictions += 1;
+        let mut actions = self.free_all();
+        self.phase = FlowPhase::Queued;
+        self.attempt += 1;
+        actions.push(FlowAction::Notify(CellNotice::KvEvicted));
+        actions
+    }
+
+    fn on_grant_decode(&mut self, decode: UpstreamId) -> Vec<FlowAction> {
+        let FlowPhase::Read { prefill } = self.phase.clone() else {
+            return Vec::new();
+        };
+        self.phase = FlowPhase::Decoding {
+            decode: decode.clone(),
+            prefill,
+        };
+        self.resumes = 0;
+        vec![FlowAction::Decode(decode)]
+    }
+
+    fn on_grant_prefill(&mut self, prefill: UpstreamId) -> Vec<FlowAction> {
+        if self.phase != FlowPhase::Queued {
+            return Vec::new();
+        }
+        self.phase = FlowPhase::Prefilling {
+            prefill: prefill.clone(),
+        };
+        vec![FlowAction::Prefill(prefill)]
+    }
+
+    fn on_prefill_done(&mut self) -> Vec<FlowAction> {
+        let FlowPhase::Prefilling { prefill } = self.phase.clone() else {
+            return Vec::new();
+        };
+        self.may_have_run = true;
+        self.phase = FlowPhase::Read { prefill };
+        vec![FlowAction::Notify(CellNotice::PrefillDone)]
+    }
+
+    fn on_prefill_failed(&mut self, failure: CallFailure) -> Vec<FlowAction> {
+        if !matches!(self.phase, FlowPhase::Prefilling { .. }) {
+            return Vec::new();
+        }
+        self.may_have_run |= failure.may_have_run;
+        let retried = self.may_retry(failure) && self.take_one_retry();
+        if !retried {
+            return self.give_up(failure_code(failure));
+        }
+        let mut actions: Vec<FlowAction> = Vec::new();
+        if failure.may_have_run {
+            actions.extend(self.free());
+        }
+        self.phase = FlowPhase::Queued;
+        self.attempt += 1;
+        actions.push(FlowAction::Notify(CellNotice::PrefillFailed));
+        actions
+    }
+
+    fn on_refused(&mut self, code: ResultCode, retry_after: Duration) -> Vec<FlowAction> {
+        let mut actions = self.free_all();
+        actions.push(self.end(code, Some(retry_after)));
+        actions
+    }
+
+    fn on_stream_done(&mut self) -> Vec<FlowAction> {
+        if !matches!(self.phase, FlowPhase::Decoding { .. }) {
+            return Vec::new();
+        }
+        let output_tokens = self.tokens;
+        self.phase = FlowPhase::Ended;
+        vec![
+            FlowAction::Notify(CellNotice::Finished { output_tokens }),
+            FlowAction::Finish,
+        ]
+    }
+
+    /// The stream is gone for good: run again if that is allowed, or say that the outcome is unknown.
+    fn on_stream_lost(&mut self, failure: CallFailure) -> Vec<FlowAction> {
+        if !matches!(self.phase, FlowPhase::Decoding { .. }) {
+            return Vec::new();
+        }
+        let is_delivered = self.stream && self.tokens > 0;
+        if is_delivered || !self.take_retry() {
+            let code = if self.tokens > 0 {
+                ResultCode::StreamCut
+            } else {
+                failure_code(failure)
+            };
+            return self.give_up(code);
+        }
+        let mut actions = self.free_all();
+        self.attempt += 1;
+        self.phase = FlowPhase::Queued;
+        self.tokens = 0;
+        actions.push(FlowAction::Notify(CellNotice::DecodeLost));
+        actions.push(FlowAction::Restart);
+        actions.push(FlowAction::Submit);
+        actions
+    }
+
+    fn on_token(&mut self) -> Vec<FlowAction> {
+        if !matches!(self.phase, FlowPhase::Decoding { .. }) {
+            return Vec::new();
+        }
+        self.tokens += 1;
+        if self.tokens > self.max_tokens {
+            return self.give_up(ResultCode::UpstreamGarbled);
+        }
+        if self.tokens > 1 {
+            return Vec::new();
+        }
+        vec![FlowAction::Notify(CellNotice::FirstToken)]
+    }
+
+    /// Whether a further attempt after this failure can't run the request twice against its row's word.
+    fn may_retry(&self, failure: CallFailure) -> bool {
+        self.repeat || !failure.may_have_run
+    }
+
+    /// Takes a retry for a request that has run in part.
+    fn take_retry(&mut self) -> bool {
+        self.repeat && self.take_one_retry()
+    }
+
+    fn take_one_retry(&mut self) -> bool {
+        if self.retries == 0 {
+            return false;
+        }
+        self.retries -= 1;
+        true
+    }
+}
+
+/// The final code of a call that failed for good.
+fn failure_code(failure: CallFailure) -> ResultCode {
+    if !failure.may_have_run {
+        return ResultCode::UpstreamRefused;
+    }
+    match failure.cause {
+        CallCause::Garbled => ResultCode::UpstreamGarbled,
+        CallCause::Silent => ResultCode::UpstreamSilent,
+        _ => ResultCode::UpstreamLost,
+    }
+}
--- /dev/null
+++ b/crates/flow/src/flow_metrics.rs
@@ -0,0 +1,108 @@
+//! The counters of the request path.
+
+use {
+    kernel::ResultCode,
+    prometheus::{
+        Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        exponential_buckets,
+    },
+    std::time::Duration,
+};
+
+/// Counters and histograms of the request path.
+#[derive(Debug)]
+pub struct FlowMetrics {
+    /// Seconds from one token to the next.
+    pub between_tokens: Histogram,
+    /// Streams cancelled at engines.
+    pub cancels: IntCounter,
+    /// Final answers by result code and kind of work.
+    pub ended: IntCounterVec,
+    /// Seconds from a request's arrival to its first token.
+    pub first_token: Histogram,
+    /// Requests that have no final answer yet.
+    pub open: IntGauge,
+    /// Prompt tokens read.
+    pub prefill_tokens: IntCounter,
+    /// Tokens relayed.
+    pub tokens: IntCounter,
+    /// Prompt tokens read that led to no delivered answer, by cause.
+    pub wasted_tokens: IntCounterVec,
+}
+
+impl FlowMetrics {
+    /// Counts one final answer.
+    pub fn count_end(&self, code: ResultCode, work: &str) {
+        self.ended
+            .with_label_values(&[&code.number().to_string(), work])
+            .inc();
+    }
+
+    /// Notes the time to the first token.
+    pub fn note_first_token(&self, elapsed: Duration) {
+        self.first_token.observe(elapsed.as_secs_f64());
+    }
+
+    /// Fresh counters.
+    ///
+    /// # Errors
+    ///
+    /// Those of the metrics library, for names that it doesn't take.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let first_buckets = exponential_buckets(0.005, 1.6, 18)?;
+        let between_buckets = exponential_buckets(0.001, 1.5, 16)?;
+        Ok(Self {
+            between_tokens: histogram(
+                "trestlewalk_between_tokens_seconds",
+                "Seconds from one token to the next.",
+                between_buckets,
+            )?,
+            cancels: IntCounter::new("trestlewalk_cancels_total", "Streams cancelled at engines.")?,
+            ended: IntCounterVec::new(
+                Opts::new("trestlewalk_requests_total", "Final answers."),
+                &["code", "work"],
+            )?,
+            first_token: histogram(
+                "trestlewalk_first_token_seconds",
+                "Seconds from arrival to first token.",
+                first_buckets,
+            )?,
+            open: IntGauge::new(
+                "trestlewalk_open_requests",
+                "Requests without a final answer.",
+            )?,
+            prefill_tokens: IntCounter::new(
+                "trestlewalk_prefill_tokens_total",
+                "Prompt tokens read.",
+            )?,
+            tokens: IntCounter::new("trestlewalk_tokens_total", "Tokens relayed.")?,
+            wasted_tokens: IntCounterVec::new(
+                Opts::new(
+                    "trestlewalk_wasted_prefill_tokens_total",
+                    "Prompt tokens read in vain.",
+                ),
+                &["cause"],
+            )?,
+        })
+    }
+
+    /// Registers all of them.
+    ///
+    /// # Errors
+    ///
+    /// Those of the metrics library, for a name that is registered already.
+    pub fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        registry.register(Box::new(self.between_tokens.clone()))?;
+        registry.register(Box::new(self.cancels.clone()))?;
+        registry.register(Box::new(self.ended.clone()))?;
+        registry.register(Box::new(self.first_token.clone()))?;
+        registry.register(Box::new(self.open.clone()))?;
+        registry.register(Box::new(self.prefill_tokens.clone()))?;
+        registry.register(Box::new(self.tokens.clone()))?;
+        registry.register(Box::new(self.wasted_tokens.clone()))
+    }
+}
+
+fn histogram(name: &str, help: &str, buckets: Vec<f64>) -> Result<Histogram, prometheus::Error> {
+    Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,1 +1,50 @@
-//! Placeholder.
+//! One request from the door to its last byte: the pure steps, and the tasks that drive them.
+
+pub mod answer_event;
+pub mod cell_driver;
+pub mod cell_frame;
+pub mod cell_hub;
+pub mod cell_notice;
+pub mod cell_table;
+pub mod engine_watch;
+pub mod flow_action;
+pub mod flow_core;
+pub mod flow_event;
+pub mod flow_failure;
+pub mod flow_metrics;
+pub mod grant_router;
+pub mod load_poller;
+pub mod model_request;
+pub mod prefix_hashes;
+pub mod request_driver;
+pub mod request_table;
+pub mod stream_canceller;
+pub mod stream_name;
+pub mod stream_sweeper;
+pub mod table_board;
+pub mod upstream_board;
+
+pub use {
+    answer_event::AnswerEvent,
+    cell_driver::CellDriver,
+    cell_frame::{CellFrame, CellSubmit, GrantFrame, HeldPhase},
+    cell_hub::CellHub,
+    cell_notice::{CellGrant, CellNotice},
+    cell_table::CellTable,
+    engine_watch::EngineWatch,
+    flow_action::FlowAction,
+    flow_core::FlowCore,
+    flow_event::FlowEvent,
+    flow_failure::FlowFailure,
+    flow_metrics::FlowMetrics,
+    grant_router::GrantRouter,
+    load_poller::LoadPoller,
+    model_request::ModelRequest,
+    request_driver::{FlowShared, RequestDriver},
+    request_table::RequestTable,
+    stream_canceller::StreamCanceller,
+    stream_name::StreamName,
+    stream_sweeper::StreamSweeper,
+    table_board::TableBoard,
+    upstream_board::{UpstreamBoard, UpstreamEntry},
+};
--- /dev/null
+++ b/crates/flow/src/load_poller.rs
@@ -0,0 +1,134 @@
+//! Asks the engines of this instance's cells for their load, and tells the allocators.
+
+use {
+    crate::{
+        cell_driver::{CellDriver, GrantSink},
+        cell_table::{CellTable, PolicyMaker},
+        engine_watch::EngineWatch,
+        upstream_board::{UpstreamBoard, UpstreamEntry},
+    },
+    admit::AdmitEvent,
+    engine::ModelEngine,
+    futures_util::future::join_all,
+    kernel::{ModelId, UpstreamId, ZoneId},
+    plat::InstanceKind,
+    route::load_report::LeavingCause,
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::{self, MissedTickBehavior},
+};
+
+/// The engines of one cell, by name.
+type WatchMap = BTreeMap<UpstreamId, EngineWatch>;
+
+/// Polls load reports.
+pub struct LoadPoller<E, M: PolicyMaker, S> {
+    board: Arc<UpstreamBoard>,
+    cells: Arc<CellTable<M, S>>,
+    engine: E,
+    interval: Duration,
+    watches: BTreeMap<ModelId, WatchMap>,
+    zone: ZoneId,
+}
+
+#[bon::bon]
+impl<E: ModelEngine, M: PolicyMaker, S: GrantSink> LoadPoller<E, M, S> {
+    /// A poller of the cells in `cells`, whose engines are those of `zone` on the board.
+    #[builder]
+    pub fn new(
+        board: Arc<UpstreamBoard>,
+        cells: Arc<CellTable<M, S>>,
+        engine: E,
+        interval: Duration,
+        zone: ZoneId,
+    ) -> Self {
+        Self {
+            board,
+            cells,
+            engine,
+            interval,
+            watches: BTreeMap::new(),
+            zone,
+        }
+    }
+}
+
+impl<E: ModelEngine, M: PolicyMaker, S: GrantSink> LoadPoller<E, M, S> {
+    /// Polls for as long as it is driven.
+    pub async fn run(mut self) {
+        let mut ticks = time::interval(self.interval);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let cells = self.cells.list();
+            self.watches
+                .retain(|model, _| cells.iter().any(|(running, _)| running == model));
+            for (model, driver) in cells {
+                self.poll_cell(&model, &driver).await;
+            }
+        }
+    }
+
+    async fn poll_cell(&mut self, model: &ModelId, driver: &Arc<CellDriver<M::Policy, S>>) {
+        let entries = cell_engines(&self.board, &self.zone, model);
+        let watches = self.watches.entry(model.clone()).or_default();
+        for gone in drop_unlisted(watches, &entries) {
+            driver.on_event(AdmitEvent::UpstreamGone(gone));
+        }
+        let polls = entries.iter().map(|entry| self.engine.load(entry.address));
+        let loads = join_all(polls).await;
+        for (entry, load) in entries.iter().zip(loads) {
+            let name = &entry.record.name;
+            let watch = watches.entry(name.clone()).or_default();
+            let events = match load {
+                Ok(load) => {
+                    note_word(&self.board, name, load.leaving);
+                    let mark = entry
+                        .marks
+                        .iter()
+                        .find(|cause| **cause != LeavingCause::Said);
+                    watch.on_load(Instant::now(), &entry.record, &load, mark.copied())
+                }
+                Err(_) => watch.on_failure(name),
+            };
+            for event in events {
+                driver.on_event(event);
+            }
+        }
+    }
+}
+
+/// The engines of a zone that serve a model.
+pub fn cell_engines(board: &UpstreamBoard, zone: &str, model: &ModelId) -> Vec<UpstreamEntry> {
+    let map = board.snapshot();
+    let entries = map.values().filter(|entry| {
+        entry.record.kind != InstanceKind::Plain
+            && *entry.record.zone == *zone
+            && entry.record.model.as_ref() == Some(model)
+    });
+    entries.cloned().collect()
+}
+
+fn drop_unlisted(watches: &mut WatchMap, entries: &[UpstreamEntry]) -> Vec<UpstreamId> {
+    let is_listed = |name: &UpstreamId| entries.iter().any(|entry| entry.record.name == *name);
+    let gone: Vec<UpstreamId> = watches
+        .keys()
+        .filter(|name| !is_listed(name))
+        .cloned()
+        .collect();
+    watches.retain(|name, _| is_listed(name));
+    gone
+}
+
+/// Keeps the engine's own word as a mark, so that it spreads to the other instances.
+fn note_word(board: &UpstreamBoard, name: &UpstreamId, leaving: bool) {
+    match leaving {
+        true => {
+            board.mark(name, LeavingCause::Said);
+        }
+        false => board.clear(name, LeavingCause::Said),
+    }
+}
--- /dev/null
+++ b/crates/flow/src/request_table.rs
@@ -0,0 +1,243 @@
+//! The requests that this instance holds: what has to be announced when a cell gets another allocator.
+
+use {
+    crate::{
+        cell_frame::{CellFrame, CellSubmit, HeldPhase},
+        cell_notice::{CellGrant, CellNotice},
+    },
+    admit::RequestKey,
+    kernel::{LockRank, ModelId, RankedLock},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tokio::sync::mpsc::UnboundedSender,
+};
+
+/// One request that this instance holds.
+#[derive(Debug)]
+struct HeldRequest {
+    arrived: Instant,
+    grants: UnboundedSender<CellGrant>,
+    phase: HeldPhase,
+    since: Instant,
+    submit: CellSubmit,
+}
+
+/// The requests that this instance holds, by their serial.
+#[derive(Debug)]
+pub struct RequestTable {
+    requests: RankedLock<BTreeMap<u64, HeldRequest>>,
+}
+
+impl Default for RequestTable {
+    fn default() -> Self {
+        Self {
+            requests: RankedLock::new(LockRank::Requests, BTreeMap::new()),
+        }
+    }
+}
+
+impl RequestTable {
+    /// What every held request of a cell has to tell a new allocator.
+    pub fn announcements(&self, model: &ModelId) -> Vec<CellFrame> {
+        let requests = self.requests.lock();
+        let held = requests.values().filter(|held| held.submit.model == *model);
+        held.map(HeldRequest::announcement).collect()
+    }
+
+    /// Hands a grant to its request. A grant that doesn't fit how far the request has come is dropped; what the request
+    /// holds is then given back, to be announced.
+    pub fn deliver(&self, key: &RequestKey, grant: CellGrant) -> Option<CellFrame> {
+        let mut requests = self.requests.lock();
+        let Some(held) = requests.get_mut(&key.serial) else {
+            return Some(cancel_frame(key));
+        };
+        if held.submit.key != *key {
+            return None;
+        }
+        if !held.take_grant(&grant) {
+            return Some(held.announcement());
+        }
+        // The request may have ended; its end was notified then.
+        let _ = held.grants.send(grant);
+        None
+    }
+
+    /// Puts a request in.
+    pub fn insert(&self, submit: CellSubmit, arrived: Instant, grants: UnboundedSender<CellGrant>) {
+        let serial = submit.key.serial;
+        let held = HeldRequest {
+            arrived,
+            grants,
+            phase: HeldPhase::Queued,
+            since: Instant::now(),
+            submit,
+        };
+        self.requests.lock().insert(serial, held);
+    }
+
+    /// Whether no request is held.
+    pub fn is_empty(&self) -> bool {
+        self.requests.lock().is_empty()
+    }
+
+    /// How many requests are held.
+    pub fn len(&self) -> usize {
+        self.requests.lock().len()
+    }
+
+    /// An empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes what happened to a request. Its cell, or `None` when it is not held.
+    pub fn note(&self, serial: u64, notice: &CellNotice) -> Option<ModelId> {
+        let mut requests = self.requests.lock();
+        let held = requests.get_mut(&serial)?;
+        let model = held.submit.model.clone();
+        match notice {
+            CellNotice::Cancel | CellNotice::Finished { .. } => {
+                requests.remove(&serial);
+            }
+            notice => held.note(notice),
+        }
+        Some(model)
+    }
+
+    /// Phases by name, for the dump.
+    pub fn phase_counts(&self) -> BTreeMap<&'static str, usize> {
+        let mut counts = BTreeMap::new();
+        for held in self.requests.lock().values() {
+            *counts.entry(held.phase.name()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Takes a request back to the queue for a further attempt: what to tell the allocator.
+    pub fn requeue(&self, serial: u64) -> Option<CellFrame> {
+        let mut requests = self.requests.lock();
+        let held = requests.get_mut(&serial)?;
+        held.enter(HeldPhase::Queued);
+        Some(held.announcement())
+    }
+
+    /// Takes a request out without a word to the allocator: the allocator refused it.
+    pub fn remove(&self, serial: u64) {
+        self.requests.lock().remove(&serial);
+    }
+}
+
+impl HeldRequest {
+    fn announcement(&self) -> CellFrame {
+        let mut submit = self.submit.clone();
+        submit.age = self.arrived.elapsed();
+        if self.phase == HeldPhase::Queued {
+            return CellFrame::Submit(submit);
+        }
+        CellFrame::Announce {
+            phase: self.phase.clone().aged(self.since.elapsed()),
+            submit,
+        }
+    }
+
+    fn enter(&mut self, phase: HeldPhase) {
+        self.phase = phase;
+        self.since = Instant::now();
+    }
+
+    fn note(&mut self, notice: &CellNotice) {
+        match (notice, &self.phase) {
+            (CellNotice::PrefillDone, HeldPhase::Prefilling { prefill, .. }) => {
+                let prefill = prefill.clone();
+                self.enter(HeldPhase::Read {
+                    prefill,
+                    age: Duration::ZERO,
+                });
+            }
+            (CellNotice::FirstToken, HeldPhase::Transferring { decode, .. }) => {
+                let decode = decode.clone();
+                self.enter(HeldPhase::Decoding { decode, tokens: 1 });
+            }
+            (CellNotice::DecodeRefused, HeldPhase::Transferring { prefill, .. }) => {
+                let prefill = prefill.clone();
+                self.enter(HeldPhase::Read {
+                    prefill,
+                    age: Duration::ZERO,
+                });
+            }
+            (CellNotice::DecodeLost | CellNotice::KvEvicted | CellNotice::PrefillFailed, _) => {
+                self.enter(HeldPhase::Queued);
+            }
+            _ => {}
+        }
+    }
+
+    fn take_grant(&mut self, grant: &CellGrant) -> bool {
+        match (grant, &self.phase) {
+            (CellGrant::Prefill(prefill), HeldPhase::Queued) => {
+                let prefill = prefill.clone();
+                self.enter(HeldPhase::Prefilling {
+                    prefill,
+                    age: Duration::ZERO,
+                });
+                true
+            }
+            (CellGrant::Decode(decode), HeldPhase::Read { prefill, .. }) => {
+                let (decode, prefill) = (decode.clone(), prefill.clone());
+                self.enter(HeldPhase::Transferring {
+                    decode,
+                    prefill,
+                    age: Duration::ZERO,
+                });
+                true
+            }
+            (CellGrant::Refuse { .. }, HeldPhase::Queued | HeldPhase::Read { .. }) => true,
+            _ => false,
+        }
+    }
+}
+
+impl HeldPhase {
+    fn aged(self, elapsed: Duration) -> Self {
+        match self {
+            Self::Prefilling { prefill, .. } => Self::Prefilling {
+                prefill,
+                age: elapsed,
+            },
+            Self::Read { prefill, .. } => Self::Read {
+                prefill,
+                age: elapsed,
+            },
+            Self::Transferring {
+                decode, prefill, ..
+            } => Self::Transferring {
+                decode,
+                prefill,
+                age: elapsed,
+            },
+            phase => phase,
+        }
+    }
+
+    /// The phase's name in the dump.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Decoding { .. } => "decoding",
+            Self::Prefilling { .. } => "prefilling",
+            Self::Queued => "queued",
+            Self::Read { .. } => "read",
+            Self::Transferring { .. } => "transferring",
+        }
+    }
+}
+
+/// Tells an allocator that a request it granted something to is over. The cell is filled in by whoever sends it.
+fn cancel_frame(key: &RequestKey) -> CellFrame {
+    CellFrame::Notice {
+        key: key.clone(),
+        model: "".into(),
+        notice: CellNotice::Cancel,
+    }
+}
--- /dev/null
+++ b/crates/flow/src/upstream_board.rs
@@ -0,0 +1,136 @@
+//! The upstreams that this instance knows, and which of them take no new work.
+
+use {
+    arc_swap::ArcSwap,
+    kernel::{LockRank, RankedLock, UpstreamId},
+    plat::{InstanceKind, InstanceRecord, InstanceState},
+    route::load_report::LeavingCause,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+/// One upstream with its address.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Why it takes no new work; empty while it does.
+    pub marks: BTreeSet<LeavingCause>,
+    /// What the platform or the settings say of it.
+    pub record: InstanceRecord,
+}
+
+/// All upstreams by name.
+pub type UpstreamMap = BTreeMap<UpstreamId, UpstreamEntry>;
+
+/// Shows the known upstreams to every part.
+#[derive(Debug)]
+pub struct UpstreamBoard {
+    current: ArcSwap<UpstreamMap>,
+    fixed: Vec<InstanceRecord>,
+    writer: RankedLock<()>,
+}
+
+impl UpstreamBoard {
+    /// The address of an upstream.
+    pub fn address(&self, upstream: &str) -> Option<SocketAddr> {
+        self.current.load().get(upstream).map(|entry| entry.address)
+    }
+
+    /// Takes a mark off an upstream.
+    pub fn clear(&self, upstream: &str, cause: LeavingCause) {
+        if !self.is_marked(upstream, cause) {
+            return;
+        }
+        self.change(|map| {
+            let Some(entry) = map.get_mut(upstream) else {
+                return;
+            };
+            entry.marks.remove(&cause);
+        });
+    }
+
+    /// Whether an upstream has a mark.
+    pub fn is_marked(&self, upstream: &str, cause: LeavingCause) -> bool {
+        self.current
+            .load()
+            .get(upstream)
+            .is_some_and(|entry| entry.marks.contains(&cause))
+    }
+
+    /// Puts a mark on an upstream; `true` when it had none of the kind.
+    pub fn mark(&self, upstream: &str, cause: LeavingCause) -> bool {
+        if self.is_marked(upstream, cause) {
+            return false;
+        }
+        let mut is_new = false;
+        self.change(|map| {
+            let Some(entry) = map.get_mut(upstream) else {
+                return;
+            };
+            is_new = entry.marks.insert(cause);
+        });
+        is_new
+    }
+
+    /// A board with the upstreams that the settings name.
+    pub fn new(fixed: Vec<InstanceRecord>) -> Self {
+        let board = Self {
+            current: ArcSwap::default(),
+            fixed,
+            writer: RankedLock::new(LockRank::Upstreams, ()),
+        };
+        board.put_list(&[]);
+        board
+    }
+
+    /// Takes the platform's list in place of the one before. Upstreams of the settings stay.
+    pub fn put_list(&self, list: &[InstanceRecord]) {
+        self.change(|map| {
+            let mut next = UpstreamMap::new();
+            for record in self.fixed.iter().chain(list) {
+                let Some(entry) = make_entry(record, map) else {
+                    continue;
+                };
+                next.insert(record.name.clone(), entry);
+            }
+            *map = next;
+        });
+    }
+
+    /// All upstreams as they are now.
+    pub fn snapshot(&self) -> Arc<UpstreamMap> {
+        self.current.load_full()
+    }
+
+    fn change(&self, edit: impl FnOnce(&mut UpstreamMap)) {
+        let _guard = self.writer.lock();
+        let mut map = UpstreamMap::clone(&self.current.load());
+        edit(&mut map);
+        self.current.store(Arc::new(map));
+    }
+}
+
+/// The entry of a record, with the marks that the upstream had; `None` for entry instances and unreadable addresses.
+fn make_entry(record: &InstanceRecord, earlier: &UpstreamMap) -> Option<UpstreamEntry> {
+    if record.kind == InstanceKind::Entry {
+        return None;
+    }
+    let address = record.address.parse().ok()?;
+    let mut marks = earlier
+        .get(&record.name)
+        .map(|entry| entry.marks.clone())
+        .unwrap_or_default();
+    match record.state {
+        InstanceState::Leaving => marks.insert(LeavingCause::Listed),
+        InstanceState::Live => marks.remove(&LeavingCause::Listed),
+    };
+    Some(UpstreamEntry {
+        address,
+        marks,
+        record: record.clone(),
+    })
+}
--- a/crates/kernel/src/ranked_lock.rs
+++ b/crates/kernel/src/ranked_lock.rs
@@ -15,8 +15,14 @@
     Members = 10,
     /// The table in force.
     Table = 20,
+    /// The list of cells whose allocator this instance is.
+    Cells = 25,
     /// The allocators that this instance runs.
     Allocator = 30,
+    /// Where the frames of each cell go.
+    Seats = 35,
+    /// The sessions of other instances with the allocators here.
+    Sessions = 37,
     /// The requests that this instance holds.
     Requests = 40,
     /// The tickets and claims.
