table: CSV in and out, every fault numbered, diff and three-way merge

Cause: operators edit the table in spreadsheets, which add byte order marks, trailing empty columns, CRLF, semicolons and decimal commas.

--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -1,7 +1,37 @@
 //! The operators' table: rows, columns, checks, merges and versions. Pure: no I/O, no clock.
 
+pub mod cell_parse;
+pub mod cell_text;
+pub mod csv_read;
+pub mod csv_write;
+pub mod fault_code;
+pub mod file_base;
 pub mod rank;
+pub mod row_cells;
+pub mod row_change;
+pub mod table_diff;
+pub mod table_error;
+pub mod table_fault;
+pub mod table_file;
+pub mod table_merge;
+pub mod work_column;
 pub mod work_row;
 pub mod work_table;
 
-pub use {rank::Rank, work_row::WorkRow, work_table::WorkTable};
+pub use {
+    cell_text::{cell_text, duration_text},
+    csv_read::read_csv,
+    csv_write::write_csv,
+    fault_code::FaultCode,
+    file_base::FileBase,
+    rank::Rank,
+    row_change::{CellChange, RowChange, changed_cells},
+    table_diff::diff_rows,
+    table_error::TableError,
+    table_fault::TableFault,
+    table_file::TableFile,
+    table_merge::{RowConflict, TableMerge, merge_rows},
+    work_column::WorkColumn,
+    work_row::WorkRow,
+    work_table::WorkTable,
+};
--- /dev/null
+++ b/crates/table/src/row_change.rs
@@ -0,0 +1,58 @@
+//! What one edit does to one row.
+
+use {
+    crate::{cell_text::cell_text, work_column::WorkColumn, work_row::WorkRow},
+    kernel::WorkId,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// One row before and after; none stands for a row that is not there.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RowChange {
+    /// The row after.
+    pub after: Option<WorkRow>,
+    /// The row before.
+    pub before: Option<WorkRow>,
+    /// The key of the row.
+    pub work: WorkId,
+}
+
+/// One cell before and after, as the file shows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CellChange {
+    /// The cell after.
+    pub after: Arc<str>,
+    /// The cell before.
+    pub before: Arc<str>,
+    /// The column.
+    pub column: WorkColumn,
+}
+
+impl RowChange {
+    /// The cells that differ, in the order of the columns; none when a row is added or removed whole.
+    pub fn cells(&self) -> Vec<CellChange> {
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => changed_cells(before, after),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// The cells in which two rows differ, in the order of the columns.
+pub fn changed_cells(before: &WorkRow, after: &WorkRow) -> Vec<CellChange> {
+    let mut changes = Vec::new();
+    for column in WorkColumn::ALL {
+        let old = cell_text(before, column);
+        let new = cell_text(after, column);
+        if old == new {
+            continue;
+        }
+        changes.push(CellChange {
+            after: new.into(),
+            before: old.into(),
+            column,
+        });
+    }
+    changes
+}
