admit: a first allocator: rank order, place reserved, link one at a time

What it does: queue by rank, then least service over weight, then deadline; reading starts only when a decode place is free now and not claimed by earlier reading; one transfer at a time on the link by its predicted end; unknown work, missing upstreams, late first tokens and ended patience are refused at once; cancel and gone holders free everything. Ruled out for now: reserve-ahead by expected ends, load reports, prefix affinity: next.

--- /dev/null
+++ b/crates/admit/src/held_request.rs
@@ -0,0 +1,28 @@
+//! One request that the allocator knows.
+
+use {
+    crate::{admit_request::AdmitRequest, queue_place::QueuePlace, request_phase::RequestPhase},
+    kernel::UpstreamId,
+    std::time::Instant,
+};
+
+/// A request, its phase and its place in the queue.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldRequest {
+    /// The first-token target as a time; none for patient rows.
+    pub(crate) deadline: Option<Instant>,
+    /// When the allocator stops waiting for news and takes the request as lost.
+    pub(crate) expires: Instant,
+    /// Where its KV cache lies while it is in transfer, and until when.
+    pub(crate) kv: Option<(UpstreamId, Instant)>,
+    /// The end of its patience.
+    pub(crate) patience: Instant,
+    /// What it holds.
+    pub(crate) phase: RequestPhase,
+    /// Where it stands in the queue of its row while it is queued.
+    pub(crate) place: QueuePlace,
+    /// What was asked.
+    pub(crate) request: AdmitRequest,
+    /// How many tries failed.
+    pub(crate) tries: u8,
+}
