--- /dev/null
+++ b/crates/route/src/pair_draws.rs
@@ -0,0 +1,32 @@
+//! Seeded draws of two positions.
+
+use kernel::seeded_rng;
+
+/// A sequence of draws that a seed fixes.
+#[derive(Clone, Debug)]
+pub(crate) struct PairDraws {
+    count: u64,
+    seed: u64,
+}
+
+impl PairDraws {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self { count: 0, seed }
+    }
+
+    /// Two positions below `length`, different ones when there are two.
+    pub(crate) fn pair(&mut self, length: usize) -> (usize, usize) {
+        if length < 2 {
+            return (0, 0);
+        }
+        let first = self.draw(length);
+        let step = 1 + self.draw(length - 1);
+        (first, (first + step) % length)
+    }
+
+    fn draw(&mut self, bound: usize) -> usize {
+        self.count += 1;
+        let number = seeded_rng::mix(self.seed, &self.count.to_le_bytes());
+        (number % bound as u64) as usize
+    }
+}
