Tickets, and requests that know whether they were sent

A request has to run at most once, and "not run" has to be true. Until now nothing held either.

A ticket names its origin's life and an expiry counted from the start of that life, so that only the origin's monotonic clock judges it. A ticket has no record until it is used; used ones are sealed: running, answered, refused, unknown. `Unsent` is the only way to the answer "not run"; dispatching consumes it, and the doc tests show by compile errors that it can't be copied, forged or used after.

Ruled out: an expiry in wall-clock time (a step of the clock would revive or end tickets), and "expired, not run" for a ticket whose record is swept (it may have run). For the latter the shared table of codes gets one more, `TicketForgotten` (3007, outcome unknown).

Hand-over: the message names the one life that may take it, and a repeated copy changes nothing. The closer gives out no permit afterwards, and denies an unused ticket only after a refusal for good.

--- /dev/null
+++ b/crates/claim/src/kept_answers.rs
@@ -0,0 +1,77 @@
+//! Answers kept for replays, within a limit.
+
+use {
+    crate::{answer_size::AnswerSize, life_key::LifeKey, ticket::TicketSerial},
+    std::collections::BTreeMap,
+};
+
+/// Names a ticket among all lives that an instance holds.
+pub type TicketPlace = (LifeKey, TicketSerial);
+
+#[derive(Debug)]
+struct KeptAnswer<A> {
+    answer: A,
+    order: u64,
+}
+
+/// Answers by ticket. The oldest goes first when the limit is reached.
+#[derive(Debug)]
+pub struct KeptAnswers<A> {
+    answers: BTreeMap<TicketPlace, KeptAnswer<A>>,
+    bytes: usize,
+    limit: usize,
+    next_order: u64,
+    order: BTreeMap<u64, TicketPlace>,
+}
+
+impl<A: AnswerSize> KeptAnswers<A> {
+    /// The bytes of all answers.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// The answer of a ticket.
+    pub fn get(&self, place: &TicketPlace) -> Option<&A> {
+        self.answers.get(place).map(|kept| &kept.answer)
+    }
+
+    /// Keeps an answer, and drops the oldest ones while all are larger than the limit.
+    pub fn insert(&mut self, place: TicketPlace, answer: A) {
+        self.remove(&place);
+        self.bytes += answer.size();
+        let order = self.next_order;
+        self.next_order += 1;
+        self.order.insert(order, place.clone());
+        self.answers.insert(place, KeptAnswer { answer, order });
+        self.shrink();
+    }
+
+    /// No answers, and the most bytes of all.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            answers: BTreeMap::new(),
+            bytes: 0,
+            limit,
+            next_order: 0,
+            order: BTreeMap::new(),
+        }
+    }
+
+    /// Drops a ticket's answer, if there is one.
+    pub fn remove(&mut self, place: &TicketPlace) {
+        let Some(kept) = self.answers.remove(place) else {
+            return;
+        };
+        self.bytes -= kept.answer.size();
+        self.order.remove(&kept.order);
+    }
+
+    fn shrink(&mut self) {
+        while self.bytes > self.limit {
+            let Some((_, place)) = self.order.pop_first() else {
+                return;
+            };
+            self.remove(&place);
+        }
+    }
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,1 +1,44 @@
-//! Placeholder.
+//! At most once: tickets, keyed claims, and requests that know whether they were sent.
+//!
+//! The decisions are pure: time comes in as an argument, nothing here waits, and the drivers alone do I/O.
+
+pub mod answer_size;
+pub mod claim_error;
+pub mod closed_table;
+pub mod forward_table;
+pub mod hand_over;
+pub mod kept_answers;
+pub mod life_key;
+pub mod not_run;
+mod outstanding_count;
+pub mod request_outcome;
+pub mod run_permit;
+pub mod sent;
+pub mod submit_verdict;
+pub mod ticket;
+pub mod ticket_life;
+pub mod ticket_settings;
+pub mod ticket_state;
+pub mod ticket_table;
+pub mod undone_dispatch;
+pub mod unsent;
+
+pub use {
+    answer_size::AnswerSize,
+    claim_error::ClaimError,
+    closed_table::ClosedTable,
+    forward_table::{ForwardCourse, ForwardTable},
+    hand_over::{HandOver, HandOverReply},
+    life_key::LifeKey,
+    not_run::NotRun,
+    request_outcome::{OriginReply, RequestOutcome},
+    run_permit::{PermitDispatch, RunPermit, RunTicket},
+    sent::Sent,
+    submit_verdict::SubmitVerdict,
+    ticket::{Ticket, TicketSerial},
+    ticket_settings::TicketSettings,
+    ticket_state::{RequestDigest, TicketState},
+    ticket_table::{TicketCounts, TicketTable},
+    undone_dispatch::UndoneDispatch,
+    unsent::Unsent,
+};
--- /dev/null
+++ b/crates/claim/src/not_run.rs
@@ -0,0 +1,35 @@
+//! The answer that a request did not run.
+
+use {kernel::ResultCode, serde::Serialize};
+
+/// The promise that a request did not run. Only [`Unsent::into_not_run`](crate::Unsent::into_not_run) and the
+/// origin of a ticket give it.
+///
+/// It can't be made up, since its field is private:
+///
+/// ```compile_fail,E0451
+/// let forged = claim::NotRun { code: kernel::ResultCode::Closing };
+/// ```
+///
+/// nor read from text:
+///
+/// ```compile_fail,E0277
+/// let forged: claim::NotRun = serde_json::from_str("{}").unwrap();
+/// ```
+#[derive(Debug, Eq, PartialEq, Serialize)]
+pub struct NotRun {
+    code: ResultCode,
+}
+
+impl NotRun {
+    /// Why it did not run; a code for which [`ResultCode::not_run`] holds.
+    pub fn code(&self) -> ResultCode {
+        self.code
+    }
+
+    /// The caller of this function vouches that the request did not run and never will.
+    pub(crate) fn vouched(code: ResultCode) -> Self {
+        debug_assert!(code.not_run(), "{code:?} does not say that nothing ran");
+        Self { code }
+    }
+}
--- /dev/null
+++ b/crates/claim/src/ticket_table.rs
@@ -0,0 +1,247 @@
+//! The tickets that one entry instance is the origin of.
+
+use {
+    crate::{
+        answer_size::AnswerSize,
+        claim_error::{ClaimError, MintLimitSnafu},
+        kept_answers::KeptAnswers,
+        life_key::LifeKey,
+        not_run::NotRun,
+        outstanding_count::OutstandingCount,
+        request_outcome::RequestOutcome,
+        run_permit::{RunPermit, RunTicket},
+        sent::Sent,
+        submit_verdict::SubmitVerdict,
+        ticket::{Ticket, checked_name, millis},
+        ticket_life::{TicketLife, UnusedTicket},
+        ticket_settings::TicketSettings,
+        ticket_state::{RequestDigest, TicketRecord, TicketState},
+        unsent::Unsent,
+    },
+    kernel::{ResultCode, ZoneId, seeded_rng},
+    snafu::ensure,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// The tickets of this life, and of those that were handed over to it.
+///
+/// A minted ticket costs no record until it is used, since its text says all; a used one is remembered until its
+/// expiry and the retention have passed. The number of both is bounded where tickets are minted.
+#[derive(Debug)]
+pub struct TicketTable<A> {
+    pub(crate) kept: KeptAnswers<A>,
+    pub(crate) life: LifeKey,
+    pub(crate) lives: BTreeMap<LifeKey, TicketLife>,
+    minted: u64,
+    outstanding: OutstandingCount,
+    pub(crate) settings: TicketSettings,
+    zone: ZoneId,
+}
+
+/// How much a table holds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TicketCounts {
+    /// Bytes of kept answers.
+    pub kept_bytes: usize,
+    /// Lives, with this one.
+    pub lives: usize,
+    /// Tickets minted, and not yet past expiry and retention.
+    pub outstanding: usize,
+    /// Used tickets.
+    pub records: usize,
+}
+
+impl<A: AnswerSize> TicketTable<A> {
+    /// How much the table holds.
+    pub fn counts(&self) -> TicketCounts {
+        TicketCounts {
+            kept_bytes: self.kept.bytes(),
+            lives: self.lives.len(),
+            outstanding: self.outstanding.total,
+            records: self.lives.values().map(|life| life.records.len()).sum(),
+        }
+    }
+
+    /// Records the whole answer of a run, and keeps it for replays if it is small enough.
+    pub fn finish(&mut self, run: RunTicket, sent: Sent, answer: A) -> RequestOutcome<A> {
+        let known = self.set_state(&run, TicketState::Answered);
+        let small = answer.size() <= self.settings.answer_limit;
+        if known && small {
+            let (life, serial) = run.place();
+            self.kept.insert((life.clone(), serial), answer.clone());
+        }
+        sent.answered(answer)
+    }
+
+    /// Whether this instance holds the tickets of a life.
+    pub fn holds(&self, life: &LifeKey) -> bool {
+        self.lives.contains_key(life)
+    }
+
+    /// This instance's own life.
+    pub fn life(&self) -> &LifeKey {
+        &self.life
+    }
+
+    /// Records that nobody knows what became of a run.
+    pub fn lose(&mut self, run: RunTicket, sent: Sent, code: ResultCode) -> RequestOutcome<A> {
+        self.set_state(&run, TicketState::Unknown(code));
+        sent.unknown(code)
+    }
+
+    /// Mints a ticket that is good for `lifetime`, or the longest that the settings allow.
+    ///
+    /// # Errors
+    ///
+    /// [`ClaimError::MintLimit`] when as many are outstanding as the settings allow.
+    pub fn mint(&mut self, now: Instant, lifetime: Duration) -> Result<Ticket, ClaimError> {
+        self.sweep(now);
+        let limit = self.settings.ticket_limit;
+        ensure!(self.outstanding.total < limit, MintLimitSnafu { limit });
+        let own = &self.lives[&self.life];
+        let lifetime = lifetime.min(self.settings.longest_expiry);
+        let expiry = Duration::from_millis(millis(own.age(now) + lifetime));
+        self.minted += 1;
+        let mut ticket = Ticket {
+            check: 0,
+            expiry,
+            life: self.life.clone(),
+            random: seeded_rng::mix(own.check_key, &self.minted.to_le_bytes()),
+            zone: self.zone.clone(),
+        };
+        ticket.check = ticket.expected_check(own.check_key);
+        self.outstanding.add(expiry);
+        Ok(ticket)
+    }
+
+    /// A table of a life that starts now.
+    ///
+    /// # Errors
+    ///
+    /// [`ClaimError::NameInvalid`] when a ticket can't carry the names.
+    pub fn new(
+        now: Instant,
+        life: LifeKey,
+        zone: ZoneId,
+        settings: TicketSettings,
+    ) -> Result<Self, ClaimError> {
+        checked_name("instance", &life.instance)?;
+        checked_name("zone", &zone)?;
+        let seed = seeded_rng::mix(settings.secret, life.instance.as_bytes());
+        let check_key = seeded_rng::mix(seed, &life.incarnation.to_le_bytes());
+        let own = TicketLife::new(now, Duration::ZERO, check_key, 0);
+        Ok(Self {
+            kept: KeptAnswers::new(settings.kept_limit),
+            lives: BTreeMap::from([(life.clone(), own)]),
+            life,
+            minted: 0,
+            outstanding: OutstandingCount::default(),
+            settings,
+            zone,
+        })
+    }
+
+    /// Seals a ticket as refused, and gives the answer that its request did not run.
+    pub fn refuse<T>(&mut self, permit: RunPermit, unsent: Unsent<T>, code: ResultCode) -> NotRun {
+        if let Some(record) = self.record_mut(&permit) {
+            record.state = TicketState::Refused(code);
+        }
+        unsent.into_not_run(code)
+    }
+
+    /// Decides on a request that comes with a ticket.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        ticket: &Ticket,
+        digest: RequestDigest,
+    ) -> SubmitVerdict<A> {
+        self.sweep(now);
+        let Some(life) = self.lives.get_mut(&ticket.life) else {
+            return SubmitVerdict::Elsewhere;
+        };
+        if ticket.check != ticket.expected_check(life.check_key) {
+            return refused(ResultCode::TicketUnknown);
+        }
+        let serial = ticket.serial();
+        if let Some(record) = life.records.get(&serial) {
+            let kept = self.kept.get(&(ticket.life.clone(), serial));
+            return repeated(record, digest, kept);
+        }
+        match life.unused(now, ticket) {
+            UnusedTicket::Expired => refused(ResultCode::TicketExpired),
+            UnusedTicket::Forgotten => forgotten(),
+            UnusedTicket::Usable => {
+                let state = TicketState::Running;
+                life.records.insert(serial, TicketRecord { digest, state });
+                SubmitVerdict::Run(RunPermit {
+                    deadline: life.deadline(ticket),
+                    life: ticket.life.clone(),
+                    serial,
+                })
+            }
+        }
+    }
+
+    /// Drops what is past its expiry and the retention. Minting and submitting do it too.
+    pub fn sweep(&mut self, now: Instant) {
+        let retention = self.settings.retention;
+        for (key, life) in &mut self.lives {
+            for serial in life.sweep(now, retention) {
+                self.kept.remove(&(key.clone(), serial));
+            }
+        }
+        let swept_ms = self.lives[&self.life].swept_ms();
+        self.outstanding.sweep(swept_ms);
+    }
+
+    fn record_mut(&mut self, permit: &RunPermit) -> Option<&mut TicketRecord> {
+        self.lives
+            .get_mut(&permit.life)?
+            .records
+            .get_mut(&permit.serial)
+    }
+
+    /// Whether the record was still there.
+    fn set_state(&mut self, run: &RunTicket, state: TicketState) -> bool {
+        let (life, serial) = run.place();
+        let records = self.lives.get_mut(life).map(|life| &mut life.records);
+        let Some(record) = records.and_then(|records| records.get_mut(&serial)) else {
+            return false;
+        };
+        record.state = state;
+        true
+    }
+}
+
+/// The verdict on a ticket that was used before.
+pub(crate) fn repeated<A: AnswerSize>(
+    record: &TicketRecord,
+    digest: RequestDigest,
+    kept: Option<&A>,
+) -> SubmitVerdict<A> {
+    if record.digest != digest {
+        return SubmitVerdict::Decided(RequestOutcome::Used);
+    }
+    match record.state {
+        TicketState::Answered => SubmitVerdict::Decided(match kept {
+            Some(answer) => RequestOutcome::Answered(answer.clone()),
+            None => RequestOutcome::Used,
+        }),
+        TicketState::Refused(code) => refused(code),
+        TicketState::Running => SubmitVerdict::Attach,
+        TicketState::Unknown(code) => SubmitVerdict::Decided(RequestOutcome::Unknown(code)),
+    }
+}
+
+/// The verdict on a ticket that did not run, and never will.
+pub(crate) fn refused<A>(code: ResultCode) -> SubmitVerdict<A> {
+    SubmitVerdict::Decided(RequestOutcome::NotRun(NotRun::vouched(code)))
+}
+
+fn forgotten<A>() -> SubmitVerdict<A> {
+    SubmitVerdict::Decided(RequestOutcome::Unknown(ResultCode::TicketForgotten))
+}
--- /dev/null
+++ b/crates/claim/src/undone_dispatch.rs
@@ -0,0 +1,28 @@
+//! The evidence that a dispatched request did not run after all.
+
+/// Evidence that nothing of a dispatched request ran: the upstream's own word, or a connection that never was.
+///
+/// It can't be made up without either:
+///
+/// ```compile_fail,E0423
+/// let forged = claim::UndoneDispatch(());
+/// ```
+#[derive(Debug)]
+pub struct UndoneDispatch(());
+
+/// The status of an upstream that refuses before it runs anything.
+const REFUSAL_STATUSES: [u16; 2] = [429, 503];
+
+impl UndoneDispatch {
+    /// The upstream's whole refusal: evidence when its status is 429 or 503 and its body says that it did not run.
+    pub fn from_refusal(status: u16, ran: Option<bool>) -> Option<Self> {
+        let said = ran == Some(false);
+        let refused = REFUSAL_STATUSES.contains(&status);
+        (said && refused).then_some(Self(()))
+    }
+
+    /// The connection was never established, so that no byte of the request left this instance.
+    pub fn not_connected() -> Self {
+        Self(())
+    }
+}
--- a/crates/kernel/src/result_code.rs
+++ b/crates/kernel/src/result_code.rs
@@ -63,6 +63,7 @@
   OriginGone = 3004, 502, "outcome unknown: the instance that ran the request is gone";
   UpstreamSilent = 3005, 504, "outcome unknown: the upstream fell silent";
   CutByClose = 3006, 503, "outcome unknown: the close limit of this instance ended the request";
+  TicketForgotten = 3007, 410, "outcome unknown: the ticket ended long ago and its record is no longer kept";
   TicketExpired = 4001, 410, "not run: the ticket has expired";
   TicketUnknown = 4002, 404, "not run: the ticket was not minted here";
   TicketUsed = 4003, 409, "not run again: the ticket was used before";
