Command line and settings of the binary

Cause: the other crates need the settings type and the place where they are wired. main.rs calls run(); a subcommand has its own file.

--- a/crates/trestlewalk/src/lib.rs
+++ b/crates/trestlewalk/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! The one binary: its command line, its settings, its admin server, and the entry instance that `serve` runs.
+
+pub mod arguments;
+pub mod exit_code;
+pub mod run;
+pub mod run_error;
+pub mod settings;
+pub mod subcommand;
+
+pub use {arguments::CliArguments, run::run, run_error::RunError, settings::EntrySettings};
--- a/crates/trestlewalk/src/main.rs
+++ b/crates/trestlewalk/src/main.rs
@@ -1,3 +1,7 @@
 //! The `trestlewalk` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    trestlewalk::run()
+}
--- /dev/null
+++ b/crates/trestlewalk/src/run.rs
@@ -0,0 +1,20 @@
+//! The entry point of the binary.
+
+use {
+    crate::{CliArguments, exit_code},
+    clap::Parser,
+    kernel::ResultCode,
+    std::process::ExitCode,
+};
+
+/// Runs the command line and gives the exit code that `docs/CODES.md` lists.
+pub fn run() -> ExitCode {
+    let arguments = CliArguments::parse();
+    match arguments.subcommand.run() {
+        Ok(()) => ExitCode::from(exit_code::of(ResultCode::Answered)),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlewalk/src/subcommand.rs
@@ -0,0 +1,49 @@
+//! What the binary can do, a subcommand a file.
+
+pub mod check;
+pub mod dump;
+pub mod fake;
+pub mod serve;
+pub mod ticket;
+
+use {
+    self::{
+        check::CheckCommand, dump::DumpCommand, fake::FakeCommand, serve::ServeCommand,
+        ticket::TicketCommand,
+    },
+    crate::RunError,
+};
+
+/// One subcommand with its arguments.
+#[derive(Debug, clap::Subcommand)]
+pub enum Subcommand {
+    /// Check a settings file or a table, and print every fault.
+    Check(CheckCommand),
+    /// Print the whole state of a running instance as JSON.
+    Dump(DumpCommand),
+    /// Run a stand-in of the platform, an engine or a plain service.
+    #[command(subcommand)]
+    Fake(FakeCommand),
+    /// Run an entry instance until it is told to close.
+    Serve(ServeCommand),
+    /// Mint or use a ticket that makes a request run at most once.
+    #[command(subcommand)]
+    Ticket(TicketCommand),
+}
+
+impl Subcommand {
+    /// Runs the subcommand.
+    ///
+    /// # Errors
+    ///
+    /// Whatever stopped it, with the exit code that `docs/CODES.md` lists.
+    pub fn run(self) -> Result<(), RunError> {
+        match self {
+            Self::Check(command) => command.run(),
+            Self::Dump(command) => command.run(),
+            Self::Fake(command) => command.run(),
+            Self::Serve(command) => command.run(),
+            Self::Ticket(command) => command.run(),
+        }
+    }
+}
