Stand-ins for the platform and for plain services

Cause: the other crates need something to talk to before the outside systems can be had.

Both run on one small HTTP server that can close a connection before, instead of, or in the middle of an answer; axum's own server can't do that, so hyper's connections are served directly. A body that ends in an error loses what hyper has not flushed yet, so a cut yields once before it.

--- /dev/null
+++ b/crates/fake/src/expected_answer.rs
@@ -0,0 +1,82 @@
+//! What an engine answers: a function of the request alone, so that a checker can verify every byte.
+
+use {
+    engine::wire::BYTES_PER_TOKEN,
+    kernel::{BlockHash, seeded_rng::mix},
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Prompt tokens of one cache block.
+pub const BLOCK_TOKENS: usize = 64;
+/// Tokens generated when the call sets no limit.
+pub const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// How the lengths of answers spread below the call's limit.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LengthSpread {
+    /// The shortest answer as a share of the limit, 0 to 1; at 1 every answer has the limit's length.
+    pub least_share: f64,
+}
+
+impl Default for LengthSpread {
+    fn default() -> Self {
+        Self { least_share: 1.0 }
+    }
+}
+
+/// The chained hashes of a prompt's whole blocks, first block first.
+pub fn block_hashes(prompt: &str) -> Vec<BlockHash> {
+    let mut hashes = Vec::new();
+    let mut hash = 0;
+    for block in prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_TOKENS * BYTES_PER_TOKEN)
+    {
+        hash = mix(hash, block);
+        hashes.push(hash);
+    }
+    hashes
+}
+
+/// The length of the answer in tokens: at least 1, at most `max_tokens`, even in between by the prompt's hash.
+pub fn expected_length(prompt: &str, max_tokens: u32, spread: LengthSpread) -> u32 {
+    let share = spread.least_share.clamp(0.0, 1.0);
+    let limit = f64::from(max_tokens);
+    let least = (limit * share).ceil();
+    let draw = f64::from(length_draw(prompt)) / f64::from(u32::MAX);
+    let length = least + (limit - least) * draw;
+    (length.round() as u32).clamp(1, max_tokens.max(1))
+}
+
+/// The token at `index` of the answer: 8 digits of the prompt's hash, a dash, the index, and a space.
+pub fn expected_token(prompt: &str, index: u32) -> Arc<str> {
+    Arc::from(format!("{}-{index} ", prompt_digits(prompt)))
+}
+
+/// The first `length` tokens of the answer.
+pub fn expected_text(prompt: &str, length: u32) -> String {
+    let digits = prompt_digits(prompt);
+    let mut text = String::new();
+    for index in 0..length {
+        text.push_str(&format!("{digits}-{index} "));
+    }
+    text
+}
+
+/// 8 hexadecimal digits that tell the prompt.
+pub fn prompt_digits(prompt: &str) -> String {
+    let hash = mix(0, prompt.as_bytes());
+    format!("{:08x}", hash >> u32::BITS)
+}
+
+/// The length of a prompt in tokens, rounded up; at least 1.
+pub fn prompt_tokens(prompt: &str) -> u32 {
+    let tokens = prompt.len().div_ceil(BYTES_PER_TOKEN).max(1);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
+fn length_draw(prompt: &str) -> u32 {
+    (mix(1, prompt.as_bytes()) >> u32::BITS) as u32
+}
--- /dev/null
+++ b/crates/fake/src/net/cut_mark.rs
@@ -0,0 +1,29 @@
+//! Answers that end in a closed connection.
+
+use {
+    axum::response::{IntoResponse, Response},
+    std::{error::Error, fmt},
+};
+
+/// Marks an answer that is never sent: the connection is closed in its place.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CutMark;
+
+/// The error that ends a connection in the middle of a body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CutBody;
+
+impl fmt::Display for CutBody {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the connection is cut on purpose")
+    }
+}
+
+impl Error for CutBody {}
+
+/// An answer that closes the connection without a byte.
+pub(crate) fn cut_answer() -> Response {
+    let mut response = ().into_response();
+    response.extensions_mut().insert(CutMark);
+    response
+}
--- /dev/null
+++ b/crates/fake/src/service/mod.rs
@@ -0,0 +1,20 @@
+//! The stand-in of a plain service.
+
+pub mod expected_body;
+pub mod service_answer;
+pub mod service_counters;
+pub mod service_faults;
+pub mod service_headers;
+mod service_routes;
+pub mod service_settings;
+mod service_state;
+pub mod stand_in_service;
+
+pub use {
+    expected_body::{BodyStream, expected_body},
+    service_answer::ServiceAnswer,
+    service_counters::ServiceCounters,
+    service_faults::ServiceFaults,
+    service_settings::ServiceSettings,
+    stand_in_service::{StandInService, run_service},
+};
--- /dev/null
+++ b/crates/fake/src/service/service_routes.rs
@@ -0,0 +1,132 @@
+//! A plain service's HTTP interface: any method and any path.
+
+use {
+    super::{
+        expected_body::BodyStream,
+        service_answer::ServiceAnswer,
+        service_headers::{ANSWER_SIZE_HEADER, ECHO_HEADER, RAN_HEADER, RUN_KEY_HEADER},
+        service_state::{RunGuard, ServiceState},
+    },
+    crate::net::{CutBody, cut_answer},
+    axum::{
+        Router,
+        body::Body,
+        extract::{Request, State},
+        response::{IntoResponse, Response},
+    },
+    bytes::Bytes,
+    futures_util::{Stream, StreamExt, stream},
+    http::{HeaderMap, StatusCode, header::CONTENT_TYPE, request::Parts},
+    xxhash_rust::xxh3::Xxh3,
+};
+
+/// Answers that nothing can read.
+const GARBAGE: &str = "{\"body_bytes\": \u{1}<<<";
+
+/// The routes of the service's own address.
+pub(super) fn routes(state: ServiceState) -> Router {
+    Router::new().fallback(run).with_state(state)
+}
+
+async fn run(State(state): State<ServiceState>, request: Request) -> Response {
+    let faults = state.with(|book| book.faults.clone());
+    if faults.refuse {
+        state.with(|book| book.counters.refused += 1);
+        return (StatusCode::SERVICE_UNAVAILABLE, [(RAN_HEADER, "no")]).into_response();
+    }
+    let (parts, body) = request.into_parts();
+    let key = run_key(&parts.headers);
+    let guard = state.start_run(&key);
+    let delay = state.delay();
+    if parts.headers.contains_key(ECHO_HEADER) && !faults.close_after_read {
+        tokio::time::sleep(delay).await;
+        return stream_answer(guard, body.into_data_stream(), faults.cut_after_bytes);
+    }
+    let Some((bytes, hash)) = read_body(body).await else {
+        return cut_answer();
+    };
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+    if faults.close_after_read {
+        state.with(|book| book.counters.closed_after_read += 1);
+        return cut_answer();
+    }
+    if faults.garbage {
+        return stream_answer(guard, once(GARBAGE), faults.cut_after_bytes);
+    }
+    if let Some(size) = answer_size(&parts.headers) {
+        let pieces = BodyStream::new(path_of(&parts), &key, size).map(Ok::<_, CutBody>);
+        return stream_answer(guard, stream::iter(pieces), faults.cut_after_bytes);
+    }
+    let answer =
+        ServiceAnswer::from_hash(parts.method.as_str(), path_of(&parts), &key, bytes, hash);
+    let text = serde_json::to_string(&answer).unwrap_or_default();
+    let mut response = stream_answer(guard, once(text), faults.cut_after_bytes);
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn answer_size(headers: &HeaderMap) -> Option<usize> {
+    headers.get(ANSWER_SIZE_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+fn once(text: impl Into<Bytes>) -> impl Stream<Item = Result<Bytes, CutBody>> + Send + 'static {
+    let piece = text.into();
+    stream::iter([Ok(piece)])
+}
+
+fn path_of(parts: &Parts) -> &str {
+    parts.uri.path_and_query().map_or("/", |path| path.as_str())
+}
+
+async fn read_body(body: Body) -> Option<(u64, u64)> {
+    let mut pieces = body.into_data_stream();
+    let mut hasher = Xxh3::with_seed(0);
+    let mut bytes = 0;
+    while let Some(piece) = pieces.next().await {
+        let piece = piece.ok()?;
+        bytes += piece.len() as u64;
+        hasher.update(&piece);
+    }
+    Some((bytes, hasher.digest()))
+}
+
+fn run_key(headers: &HeaderMap) -> String {
+    for name in [RUN_KEY_HEADER, engine::wire::REQUEST_ID_HEADER] {
+        let Some(value) = headers.get(name) else {
+            continue;
+        };
+        return String::from_utf8_lossy(value.as_bytes()).into_owned();
+    }
+    String::new()
+}
+
+/// Sends the pieces as they come; cuts the connection after `limit` bytes. The guard goes when the body does.
+fn stream_answer<E: Send + 'static>(
+    guard: RunGuard,
+    pieces: impl Stream<Item = Result<Bytes, E>> + Send + 'static,
+    limit: Option<u64>,
+) -> Response {
+    let left = limit.unwrap_or(u64::MAX);
+    let state = (guard, Box::pin(pieces), left);
+    let body = stream::unfold(state, |(mut guard, mut pieces, left)| async move {
+        if left == 0 {
+            // Lets the server flush what came before the cut.
+            tokio::task::yield_now().await;
+            return Some((Err(CutBody), (guard, pieces, left)));
+        }
+        let Some(piece) = pieces.next().await else {
+            guard.finish();
+            return None;
+        };
+        let Ok(mut piece) = piece else {
+            return Some((Err(CutBody), (guard, pieces, 0)));
+        };
+        piece.truncate(usize::try_from(left).unwrap_or(usize::MAX));
+        let left = left - piece.len() as u64;
+        Some((Ok(piece), (guard, pieces, left)))
+    });
+    Body::from_stream(body).into_response()
+}
--- /dev/null
+++ b/crates/fake/src/service/service_state.rs
@@ -0,0 +1,100 @@
+//! A service's faults and counters behind their lock.
+
+use {
+    super::{service_counters::ServiceCounters, service_faults::ServiceFaults},
+    crate::net::ConnectionGate,
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+};
+
+/// What the requests of one service share.
+#[derive(Debug, Default)]
+pub(super) struct ServiceBook {
+    pub(super) counters: ServiceCounters,
+    pub(super) faults: ServiceFaults,
+}
+
+/// The book behind its lock, which is never held across an await.
+#[derive(Clone, Debug)]
+pub(super) struct ServiceState {
+    book: Arc<Mutex<ServiceBook>>,
+    delay: Duration,
+}
+
+impl ServiceState {
+    /// How long a request runs.
+    pub(super) fn delay(&self) -> Duration {
+        self.delay + self.with(|book| book.faults.delay)
+    }
+
+    /// A state without faults.
+    pub(super) fn new(delay: Duration) -> Self {
+        Self {
+            book: Arc::default(),
+            delay,
+        }
+    }
+
+    /// Counts the start of a run, until the guard is gone.
+    pub(super) fn start_run(&self, key: &str) -> RunGuard {
+        self.with(|book| {
+            let counters = &mut book.counters;
+            counters.runs += 1;
+            counters.in_progress += 1;
+            counters.peak_in_progress = counters.peak_in_progress.max(counters.in_progress);
+            *counters.runs_by_key.entry(Arc::from(key)).or_default() += 1;
+        });
+        RunGuard {
+            finished: false,
+            state: self.clone(),
+        }
+    }
+
+    /// Does something with the book.
+    pub(super) fn with<T>(&self, work: impl FnOnce(&mut ServiceBook) -> T) -> T {
+        let mut book = self
+            .book
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        work(&mut book)
+    }
+}
+
+impl ConnectionGate for ServiceState {
+    fn admits(&self) -> bool {
+        self.with(|book| !book.faults.drop_connections)
+    }
+
+    fn serves(&self, earlier: u64) -> bool {
+        self.with(|book| {
+            let reused = earlier > 0 && book.faults.drop_on_reuse;
+            !reused && !book.faults.drop_connections
+        })
+    }
+}
+
+/// One request that runs.
+#[derive(Debug)]
+pub(super) struct RunGuard {
+    finished: bool,
+    state: ServiceState,
+}
+
+impl RunGuard {
+    /// Marks the answer as sent whole.
+    pub(super) fn finish(&mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let finished = self.finished;
+        self.state.with(|book| {
+            book.counters.in_progress -= 1;
+            book.counters.unfinished += u64::from(!finished);
+        });
+    }
+}
--- /dev/null
+++ b/crates/fake/src/service/stand_in_service.rs
@@ -0,0 +1,122 @@
+//! A plain service's stand-in on its sockets.
+
+use {
+    super::{
+        service_counters::ServiceCounters, service_faults::ServiceFaults, service_routes,
+        service_settings::ServiceSettings, service_state::ServiceState,
+    },
+    crate::{
+        fake_error::FakeError,
+        net::{OpenGate, StandInServer},
+        ready_line::{ReadyLine, wait_for_end},
+    },
+    axum::{
+        Json, Router,
+        extract::State,
+        routing::{get, post},
+    },
+    http::StatusCode,
+    std::net::SocketAddr,
+};
+
+/// A running service; clones share it.
+#[derive(Clone, Debug)]
+pub struct StandInService {
+    admin: StandInServer,
+    server: StandInServer,
+    state: ServiceState,
+}
+
+impl StandInService {
+    /// Where it answers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Where it takes faults and shows counters.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Stops it; open connections are closed.
+    pub async fn close(self) {
+        self.server.close().await;
+        self.admin.close().await;
+    }
+
+    /// The counters.
+    pub fn counters(&self) -> ServiceCounters {
+        self.state.with(|book| book.counters.clone())
+    }
+
+    /// What its process says when it is ready.
+    pub fn ready_line(&self) -> ReadyLine {
+        ReadyLine {
+            address: self.address(),
+            admin: self.admin_address(),
+        }
+    }
+
+    /// Puts faults in place of the old ones.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        let drops = faults.drop_connections;
+        self.state.with(|book| book.faults = faults);
+        if drops {
+            self.server.drop_connections();
+        }
+    }
+
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// [`FakeError::Bind`] when an address can't be listened on.
+    pub async fn start(settings: ServiceSettings) -> Result<Self, FakeError> {
+        let (server, listener) = StandInServer::bind(settings.address).await?;
+        let (admin, admin_listener) = StandInServer::bind(settings.admin).await?;
+        let service = Self {
+            admin,
+            server,
+            state: ServiceState::new(settings.delay),
+        };
+        let router = service_routes::routes(service.state.clone());
+        service
+            .server
+            .serve(listener, router, service.state.clone());
+        let admin_router = admin_routes(service.clone());
+        service.admin.serve(admin_listener, admin_router, OpenGate);
+        Ok(service)
+    }
+}
+
+/// Runs a service's stand-in as this process, until it is told to end.
+///
+/// # Errors
+///
+/// [`FakeError::Bind`] and [`FakeError::Signal`].
+pub async fn run_service(settings: ServiceSettings) -> Result<(), FakeError> {
+    let service = StandInService::start(settings).await?;
+    service.ready_line().print();
+    wait_for_end().await?;
+    service.close().await;
+    Ok(())
+}
+
+fn admin_routes(service: StandInService) -> Router {
+    Router::new()
+        .route("/admin/counters", get(counters))
+        .route("/admin/faults", post(set_faults))
+        .with_state(service)
+}
+
+async fn counters(State(service): State<StandInService>) -> Json<ServiceCounters> {
+    Json(service.counters())
+}
+
+async fn set_faults(
+    State(service): State<StandInService>,
+    Json(faults): Json<ServiceFaults>,
+) -> StatusCode {
+    service.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
