Settings with every fault, admin server and serve

Cause: an operator who fixes one fault a run needs as many runs as there are faults, and the YAML reader stops at the first. The file is read to a tree that knows its lines; a value that does not fit is noted, taken out and read as its default, until the rest fits. Ruled out: a second set of structs with spans on each field (every field stands twice).

--- /dev/null
+++ b/crates/trestlewalk/src/admin/admin_state.rs
@@ -0,0 +1,32 @@
+//! What the admin server answers from.
+
+use {
+    crate::admin::{ReadyBoard, TableSource},
+    kernel::StateMap,
+    prometheus::Registry,
+    std::sync::Arc,
+};
+
+/// The shared state behind the admin server. Clones share it.
+#[derive(bon::Builder)]
+pub struct AdminState<S> {
+    /// Whether the instance is ready.
+    pub board: Arc<ReadyBoard>,
+    /// What plug-ins dump.
+    pub map: StateMap,
+    /// The metrics.
+    pub registry: Registry,
+    /// Which table is in force.
+    pub source: Arc<S>,
+}
+
+impl<S: TableSource> Clone for AdminState<S> {
+    fn clone(&self) -> Self {
+        Self {
+            board: self.board.clone(),
+            map: self.map.clone(),
+            registry: self.registry.clone(),
+            source: self.source.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlewalk/src/admin/table_status.rs
@@ -0,0 +1,30 @@
+//! Which table is in force.
+
+use {
+    kernel::{InstanceId, TableDigest, TableVersion, ZoneId},
+    serde::{Deserialize, Serialize},
+    serde_with::{DisplayFromStr, serde_as},
+};
+
+/// What `/table` answers.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableStatus {
+    /// The hash of the table's content; a string, since JSON readers round numbers of 64 bits.
+    #[serde_as(as = "DisplayFromStr")]
+    pub digest: TableDigest,
+    /// The instance that answers.
+    pub instance: InstanceId,
+    /// When the version came into force at this instance, milliseconds since the Unix epoch; 0 without a table.
+    pub since: u64,
+    /// The version in force; 0 without a table.
+    pub version: TableVersion,
+    /// The availability zone of the instance.
+    pub zone: ZoneId,
+}
+
+/// Whoever knows which table is in force.
+pub trait TableSource: Send + Sync + 'static {
+    /// The table in force now.
+    fn table_status(&self) -> TableStatus;
+}
--- /dev/null
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -0,0 +1,109 @@
+//! One entry instance from start to close.
+//!
+//! The order of closing:
+//!
+//! 1. `/ready` answers 503, so that the balancer sends no new requests.
+//! 2. The request path takes no new requests; queued and running ones end, for at most the close limit.
+//! 3. Background work ends.
+//! 4. The admin server ends, last.
+
+use {
+    crate::{
+        RunError,
+        admin::{AdminServer, AdminState},
+        entry::{CloseReport, CloseSteps, EntryParts, EntrySockets, ProcessSignals, RequestPath},
+        run_error::CutByCloseSnafu,
+        settings::{EntrySettings, SecondSignal},
+    },
+    kernel::PluginEntry,
+    std::time::{Duration, SystemTime},
+};
+
+const ADMIN_CLOSE_LIMIT: Duration = Duration::from_secs(1);
+const CLOSING_CONDITION: &str = "closing";
+const POOL_CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// A running entry instance.
+pub struct EntryProcess {
+    admin: AdminServer,
+    parts: EntryParts,
+    path: RequestPath,
+}
+
+impl EntryProcess {
+    /// Closes the parts in the order that the module states.
+    pub async fn close(self) -> CloseReport {
+        let steps = CloseSteps::new(self.parts.settings.limits.close);
+        self.parts
+            .board
+            .block(CLOSING_CONDITION, "this instance is closing");
+        let report = steps
+            .run("request path", self.path.close(steps.left()))
+            .await;
+        let ended = steps
+            .run("background work", self.parts.pool.close(POOL_CLOSE_LIMIT))
+            .await;
+        if !ended {
+            tracing::warn!("background work did not end in time");
+        }
+        steps
+            .run("admin server", self.admin.close(ADMIN_CLOSE_LIMIT))
+            .await;
+        report
+    }
+
+    /// Runs an instance until a signal tells it to close.
+    ///
+    /// # Errors
+    ///
+    /// A socket can't be opened, or the close cut requests off.
+    pub async fn run(settings: EntrySettings) -> Result<(), RunError> {
+        let mut signals = ProcessSignals::new()?;
+        let second_signal = settings.limits.second_signal;
+        let process = Self::start(settings).await?;
+        signals.next().await;
+        tracing::info!("closing");
+        let report = tokio::select! {
+            report = process.close() => report,
+            () = second_signal_heard(&mut signals, second_signal) => {
+                return CutByCloseSnafu { cause: "a second signal" }.fail();
+            }
+        };
+        if report.cut > 0 {
+            return CutByCloseSnafu {
+                cause: "the close limit",
+            }
+            .fail();
+        }
+        Ok(())
+    }
+
+    /// Opens the sockets, starts the parts and prints the ready line.
+    ///
+    /// # Errors
+    ///
+    /// A socket can't be opened.
+    pub async fn start(settings: EntrySettings) -> Result<Self, RunError> {
+        let sockets = EntrySockets::bind(&settings.listen).await?;
+        let line = sockets.ready_line(settings.instance.clone())?;
+        let parts = EntryParts::new(settings, SystemTime::now());
+        let path = RequestPath::start(sockets.callers, sockets.peers, &parts);
+        PluginEntry::register_metrics(&parts.map, &parts.registry);
+        let state = AdminState::builder()
+            .board(parts.board.clone())
+            .map(parts.map.clone())
+            .registry(parts.registry.clone())
+            .source(RequestPath::source(&parts))
+            .build();
+        let admin = AdminServer::start(sockets.admin, state);
+        line.print();
+        Ok(Self { admin, parts, path })
+    }
+}
+
+async fn second_signal_heard(signals: &mut ProcessSignals, second_signal: SecondSignal) {
+    match second_signal {
+        SecondSignal::Ignored => std::future::pending().await,
+        SecondSignal::Immediate => signals.next().await,
+    }
+}
--- a/crates/trestlewalk/src/lib.rs
+++ b/crates/trestlewalk/src/lib.rs
@@ -1,6 +1,8 @@
 //! The one binary: its command line, its settings, its admin server, and the entry instance that `serve` runs.
 
+pub mod admin;
 pub mod arguments;
+pub mod entry;
 pub mod exit_code;
 pub mod run;
 pub mod run_error;
--- a/crates/trestlewalk/src/run.rs
+++ b/crates/trestlewalk/src/run.rs
@@ -14,6 +14,9 @@
         Ok(()) => ExitCode::from(exit_code::of(ResultCode::Answered)),
         Err(error) => {
             eprintln!("{error}");
+            if let Some(code) = error.code() {
+                eprintln!("error {}: {}", code.number(), code.text());
+            }
             ExitCode::from(error.exit_code())
         }
     }
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -1,16 +1,40 @@
 //! Why a subcommand failed.
 
 use {
-    crate::exit_code,
+    crate::{exit_code, settings::SettingsFault},
     kernel::ResultCode,
     snafu::Snafu,
-    std::{io, path::PathBuf},
+    std::{io, net::SocketAddr, path::PathBuf},
 };
 
 /// The error of the binary.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
 pub enum RunError {
+    /// A socket can't be opened.
+    #[snafu(display("{field}: can't listen at {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The field of the settings.
+        field: &'static str,
+        /// Why.
+        source: io::Error,
+    },
+    /// A close ended requests before their answers were whole.
+    #[snafu(display("{cause} cut requests off"))]
+    CutByClose {
+        /// What ended them.
+        cause: &'static str,
+    },
+    /// An instance gave no dump.
+    #[snafu(display("{address} gave no dump: {detail}"))]
+    DumpFailed {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        detail: String,
+    },
     /// A file can't be read.
     #[snafu(display("{}: can't read the file: {source}", path.display()))]
     ReadFile {
@@ -19,11 +43,25 @@
         /// Why.
         source: io::Error,
     },
-    /// The settings have faults, one a line.
-    #[snafu(display("{text}"))]
+    /// A request was answered with another code than 1000.
+    #[snafu(display("{detail}"))]
+    RequestFailed {
+        /// The result code.
+        code: ResultCode,
+        /// What came back.
+        detail: String,
+    },
+    /// The process can't run its tasks or hear its signals.
+    #[snafu(display("the process can't start: {source}"))]
+    Runtime {
+        /// Why.
+        source: io::Error,
+    },
+    /// The settings have faults.
+    #[snafu(display("{}", fault_lines(faults)))]
     SettingsInvalid {
-        /// The faults.
-        text: String,
+        /// The faults, by line.
+        faults: Vec<SettingsFault>,
     },
     /// Not built yet.
     #[snafu(display("`{subcommand}` is not wired in this build"))]
@@ -31,16 +69,30 @@
         /// The subcommand.
         subcommand: &'static str,
     },
+    /// A file can't be written.
+    #[snafu(display("{}: can't write the file: {source}", path.display()))]
+    WriteFile {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
 }
 
 impl RunError {
     /// The result code, where there is one.
     pub fn code(&self) -> Option<ResultCode> {
         match self {
+            Self::CutByClose { .. } => Some(ResultCode::CutByClose),
+            Self::DumpFailed { .. } => Some(ResultCode::DumpFailed),
             Self::ReadFile { .. } | Self::SettingsInvalid { .. } => {
                 Some(ResultCode::SettingsInvalid)
             }
-            Self::Unwired { .. } => None,
+            Self::RequestFailed { code, .. } => Some(*code),
+            Self::Bind { .. }
+            | Self::Runtime { .. }
+            | Self::Unwired { .. }
+            | Self::WriteFile { .. } => None,
         }
     }
 
@@ -49,3 +101,8 @@
         self.code().map_or(exit_code::OTHER_FAULT, exit_code::of)
     }
 }
+
+fn fault_lines(faults: &[SettingsFault]) -> String {
+    let lines: Vec<String> = faults.iter().map(SettingsFault::to_string).collect();
+    lines.join("\n")
+}
--- a/crates/trestlewalk/src/settings/human_duration.rs
+++ b/crates/trestlewalk/src/settings/human_duration.rs
@@ -1,9 +1,12 @@
 //! Durations with units.
 
 use {
-    serde::{Deserialize, Deserializer, Serializer, de::Error},
+    serde::{
+        Deserializer, Serializer,
+        de::{Error, Unexpected, Visitor},
+    },
     serde_with::{DeserializeAs, SerializeAs},
-    std::time::Duration,
+    std::{fmt, time::Duration},
 };
 
 /// Reads and writes a duration with its unit, such as `500ms`, `2s` or `5min`.
@@ -12,10 +15,7 @@
 
 impl<'de> DeserializeAs<'de, Duration> for HumanDuration {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        humantime::parse_duration(&text).map_err(|error| {
-            D::Error::custom(format!("`{text}` is no duration such as `500ms`: {error}"))
-        })
+        deserializer.deserialize_str(DurationVisitor)
     }
 }
 
@@ -24,3 +24,18 @@
         serializer.collect_str(&humantime::format_duration(*duration))
     }
 }
+
+struct DurationVisitor;
+
+impl Visitor<'_> for DurationVisitor {
+    type Value = Duration;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a duration such as `500ms`")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Duration, E> {
+        humantime::parse_duration(text)
+            .map_err(|_error| E::invalid_value(Unexpected::Str(text), &self))
+    }
+}
--- a/crates/trestlewalk/src/settings/human_size.rs
+++ b/crates/trestlewalk/src/settings/human_size.rs
@@ -1,8 +1,12 @@
 //! Sizes with units.
 
 use {
-    serde::{Deserialize, Deserializer, Serializer, de::Error},
+    serde::{
+        Deserializer, Serializer,
+        de::{Error, Unexpected, Visitor},
+    },
     serde_with::{DeserializeAs, SerializeAs},
+    std::fmt,
 };
 
 const SIZE_UNITS: [(&str, u64); 4] = [
@@ -18,9 +22,7 @@
 
 impl<'de> DeserializeAs<'de, u64> for HumanSize {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        parse_size(&text)
-            .ok_or_else(|| D::Error::custom(format!("`{text}` is no size such as `1MiB`")))
+        deserializer.deserialize_str(SizeVisitor)
     }
 }
 
@@ -49,3 +51,17 @@
     }
     None
 }
+
+struct SizeVisitor;
+
+impl Visitor<'_> for SizeVisitor {
+    type Value = u64;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a size such as `1MiB`")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<u64, E> {
+        parse_size(text).ok_or_else(|| E::invalid_value(Unexpected::Str(text), &self))
+    }
+}
--- /dev/null
+++ b/crates/trestlewalk/src/settings/name_check.rs
@@ -0,0 +1,24 @@
+//! What a name may look like.
+
+/// The longest name, in bytes.
+pub const LONGEST_NAME: usize = 63;
+
+/// Says what is wrong with a name, if anything is. Names stand in headers, paths, tickets and certificates.
+pub fn name_fault(name: &str) -> Option<String> {
+    if name.is_empty() {
+        return Some("missing".to_owned());
+    }
+    if name.len() > LONGEST_NAME {
+        return Some(format!("longer than {LONGEST_NAME} bytes"));
+    }
+    if !name.chars().all(is_name_char) {
+        return Some(format!(
+            "`{name}` may have letters, digits, `-`, `_` and `.` only"
+        ));
+    }
+    None
+}
+
+fn is_name_char(char: char) -> bool {
+    char.is_ascii_alphanumeric() || matches!(char, '-' | '_' | '.')
+}
--- /dev/null
+++ b/crates/trestlewalk/src/settings/node_error.rs
@@ -0,0 +1,48 @@
+//! Why a value of the settings can't be read.
+
+use {
+    crate::settings::field_path::{FieldPath, PathStep},
+    std::fmt,
+};
+
+/// An error with the path at which it came up.
+#[derive(Debug)]
+pub struct NodeError {
+    /// The steps from the innermost field to the root.
+    steps: Vec<PathStep>,
+    /// What is wrong.
+    text: String,
+}
+
+impl NodeError {
+    /// The path from the root.
+    pub fn path(&self) -> FieldPath {
+        FieldPath {
+            steps: self.steps.iter().rev().cloned().collect(),
+        }
+    }
+
+    /// The same error, seen from one step further out.
+    #[must_use]
+    pub fn within(mut self, step: PathStep) -> Self {
+        self.steps.push(step);
+        self
+    }
+}
+
+impl fmt::Display for NodeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.text)
+    }
+}
+
+impl serde::de::Error for NodeError {
+    fn custom<T: fmt::Display>(text: T) -> Self {
+        Self {
+            steps: Vec::new(),
+            text: text.to_string(),
+        }
+    }
+}
+
+impl std::error::Error for NodeError {}
--- /dev/null
+++ b/crates/trestlewalk/src/settings/settings_file.rs
@@ -0,0 +1,153 @@
+//! Reads settings from a file, and finds every fault in one go.
+
+use {
+    crate::{
+        RunError,
+        run_error::{ReadFileSnafu, SettingsInvalidSnafu},
+        settings::{
+            EntrySettings, SettingOverride, SettingsFault,
+            fault_list::FaultList,
+            field_path::FieldPath,
+            node_error::NodeError,
+            node_reader::NodeReader,
+            settings_check,
+            settings_fault::FaultPlace,
+            settings_node::{NodeEntry, NodeValue, SettingsNode},
+        },
+    },
+    serde::Deserialize,
+    snafu::ResultExt,
+    std::{fs, path::Path, sync::Arc},
+};
+
+/// Reads a settings file and the overrides of the command line.
+///
+/// # Errors
+///
+/// The file can't be read, or the settings have faults; the error lists them all, one a line.
+pub fn load_settings(
+    path: &Path,
+    overrides: Vec<SettingOverride>,
+) -> Result<EntrySettings, RunError> {
+    let content = fs::read(path).context(ReadFileSnafu { path })?;
+    let file = path.display().to_string();
+    parse_settings(&file, &content, overrides)
+        .map_err(|faults| SettingsInvalidSnafu { faults }.build())
+}
+
+/// Reads settings out of the content of a file.
+///
+/// # Errors
+///
+/// Every fault, by line.
+pub fn parse_settings(
+    file: &str,
+    content: &[u8],
+    overrides: Vec<SettingOverride>,
+) -> Result<EntrySettings, Vec<SettingsFault>> {
+    let text = std::str::from_utf8(content).map_err(|error| {
+        let before = &content[..error.valid_up_to()];
+        vec![utf8_fault(file, before)]
+    })?;
+    let mut tree = SettingsNode::parse(text).map_err(|error| vec![yaml_fault(file, &error)])?;
+    if tree.value == NodeValue::Null && overrides.is_empty() {
+        return Err(vec![whole_fault(file, "the file is empty")]);
+    }
+    let mut broken = Vec::new();
+    for setting in overrides {
+        let text = format!("`{}` is no section", setting.path);
+        if let Err(path) = setting.apply(&mut tree) {
+            broken.push((path, text));
+        }
+    }
+    let mut list = FaultList::new(file, tree.clone());
+    for (path, text) in broken {
+        list.push(&path, text);
+    }
+    drop_repeated_fields(&FieldPath::default(), &mut tree, &mut list);
+    let settings = read_tree(tree, &mut list);
+    settings_check::check_settings(&settings, &mut list);
+    let faults = list.into_faults();
+    match faults.is_empty() {
+        true => Ok(settings),
+        false => Err(faults),
+    }
+}
+
+/// Reads the tree; each value that does not fit is noted, taken out and read as its default.
+fn read_tree(mut tree: SettingsNode, list: &mut FaultList) -> EntrySettings {
+    let mut removed: Vec<FieldPath> = Vec::new();
+    loop {
+        let error: NodeError = match EntrySettings::deserialize(NodeReader::new(&tree)) {
+            Ok(settings) => return settings,
+            Err(error) => error,
+        };
+        let path = error.path();
+        list.push_always(&path, error.to_string());
+        if path.steps.is_empty() || removed.contains(&path) {
+            return EntrySettings::default();
+        }
+        tree.remove(&path);
+        removed.push(path);
+    }
+}
+
+fn drop_repeated_fields(path: &FieldPath, node: &mut SettingsNode, list: &mut FaultList) {
+    match &mut node.value {
+        NodeValue::List(nodes) => {
+            for (index, node) in nodes.iter_mut().enumerate() {
+                drop_repeated_fields(&path.index(index), node, list);
+            }
+        }
+        NodeValue::Map(entries) => {
+            drop_repeated_entries(path, entries, list);
+            for entry in entries {
+                drop_repeated_fields(&path.key(&entry.key), &mut entry.node, list);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn drop_repeated_entries(path: &FieldPath, entries: &mut Vec<NodeEntry>, list: &mut FaultList) {
+    let mut kept: Vec<NodeEntry> = Vec::new();
+    for entry in entries.drain(..) {
+        let Some(first) = kept.iter().find(|first| first.key == entry.key) else {
+            kept.push(entry);
+            continue;
+        };
+        let text = format!("given twice, first on line {}", first.line);
+        list.push_at(entry.line, &path.key(&entry.key), text);
+    }
+    *entries = kept;
+}
+
+fn utf8_fault(file: &str, before: &[u8]) -> SettingsFault {
+    let breaks = before.iter().filter(|byte| **byte == b'\n').count();
+    let line = u64::try_from(breaks).map_or(u64::MAX, |breaks| breaks + 1);
+    SettingsFault {
+        place: FaultPlace::Line(line),
+        ..whole_fault(file, "the text is not UTF-8")
+    }
+}
+
+fn whole_fault(file: &str, text: &str) -> SettingsFault {
+    SettingsFault {
+        field: Arc::default(),
+        file: Arc::from(file),
+        place: FaultPlace::File,
+        text: Arc::from(text),
+    }
+}
+
+fn yaml_fault(file: &str, error: &serde_saphyr::Error) -> SettingsFault {
+    let text = error.without_snippet().to_string();
+    let place = match error.location() {
+        Some(location) => FaultPlace::Line(location.line()),
+        None => FaultPlace::File,
+    };
+    SettingsFault {
+        place,
+        ..whole_fault(file, &format!("not YAML: {text}"))
+    }
+}
--- a/crates/trestlewalk/src/subcommand/serve.rs
+++ b/crates/trestlewalk/src/subcommand/serve.rs
@@ -1,31 +1,41 @@
 //! `trestlewalk serve`.
 
 use {
-    crate::{RunError, run_error::UnwiredSnafu},
+    crate::{
+        RunError,
+        entry::{EntryProcess, log_setup},
+        run_error::RuntimeSnafu,
+        settings::{SettingOverride, load_settings},
+    },
     clap::Args,
+    snafu::ResultExt,
+    std::path::PathBuf,
+    tokio::runtime::Runtime,
 };
 
 /// The arguments of `serve`.
 #[derive(Args, Debug)]
 pub struct ServeCommand {
-    /// Overrides one setting, such as `--set limits.body=2MiB`.
+    /// Overrides one setting, such as `--set limits.body=2MiB`; may be given more than once.
     #[arg(long, value_name = "FIELD=VALUE")]
-    pub set: Vec<String>,
-    /// The settings file.
+    pub set: Vec<SettingOverride>,
+    /// The settings file; docs/SETTINGS.md describes it.
     #[arg(long, value_name = "FILE")]
-    pub settings: std::path::PathBuf,
+    pub settings: PathBuf,
 }
 
 impl ServeCommand {
-    /// Runs the subcommand.
+    /// Runs an entry instance until SIGTERM or SIGINT.
     ///
     /// # Errors
     ///
-    /// Always, until it is wired.
+    /// The settings have faults, a socket can't be opened, or the close cut requests off.
     pub fn run(self) -> Result<(), RunError> {
-        UnwiredSnafu {
-            subcommand: "serve",
-        }
-        .fail()
+        let settings = load_settings(&self.settings, self.set)?;
+        log_setup::start_log(&settings.log);
+        let runtime = Runtime::new().context(RuntimeSnafu)?;
+        let outcome = runtime.block_on(EntryProcess::run(settings));
+        runtime.shutdown_background();
+        outcome
     }
 }
