Test keys, and the stand-ins as processes

Cause: trials with separate processes need keys that trust each other, and a platform and services to talk to. fake engine still says that it is not wired.

--- a/crates/trestlewalk/src/admin.rs
+++ b/crates/trestlewalk/src/admin.rs
@@ -11,5 +11,5 @@
     admin_server::AdminServer,
     admin_state::AdminState,
     ready_board::ReadyBoard,
-    table_status::{TableSource, TableStatus},
+    table_status::{StatusSource, TableStatus},
 };
--- a/crates/trestlewalk/src/admin/admin_server.rs
+++ b/crates/trestlewalk/src/admin/admin_server.rs
@@ -1,7 +1,7 @@
 //! The admin server. It is the last part to close, so that operators can watch the others go.
 
 use {
-    crate::admin::{AdminState, ReadyReply, TableSource, TableStatus},
+    crate::admin::{AdminState, ReadyReply, StatusSource, TableStatus},
     axum::{
         Json, Router,
         extract::State,
@@ -36,7 +36,7 @@
     }
 
     /// Starts to answer at `listener`.
-    pub fn start<S: TableSource>(listener: TcpListener, state: AdminState<S>) -> Self {
+    pub fn start<S: StatusSource>(listener: TcpListener, state: AdminState<S>) -> Self {
         let signal = CloseSignal::new();
         let raised = signal.clone();
         let server = axum::serve(listener, admin_router(state))
@@ -50,7 +50,7 @@
     }
 }
 
-fn admin_router<S: TableSource>(state: AdminState<S>) -> Router {
+fn admin_router<S: StatusSource>(state: AdminState<S>) -> Router {
     Router::new()
         .route("/dump", get(dump_state::<S>))
         .route("/live", get(tell_live))
@@ -60,11 +60,11 @@
         .with_state(state)
 }
 
-async fn dump_state<S: TableSource>(State(state): State<AdminState<S>>) -> Json<Value> {
+async fn dump_state<S: StatusSource>(State(state): State<AdminState<S>>) -> Json<Value> {
     Json(PluginEntry::dump_all(&state.map))
 }
 
-async fn show_metrics<S: TableSource>(State(state): State<AdminState<S>>) -> Response {
+async fn show_metrics<S: StatusSource>(State(state): State<AdminState<S>>) -> Response {
     match TextEncoder::new().encode_to_string(&state.registry.gather()) {
         Ok(text) => ([(CONTENT_TYPE, METRICS_TYPE)], text).into_response(),
         Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
@@ -75,7 +75,7 @@
     Json(json!({ "live": true }))
 }
 
-async fn tell_ready<S: TableSource>(State(state): State<AdminState<S>>) -> Response {
+async fn tell_ready<S: StatusSource>(State(state): State<AdminState<S>>) -> Response {
     let reasons: BTreeMap<Arc<str>, Arc<str>> = state
         .board
         .reasons()
@@ -90,6 +90,6 @@
     (status, Json(ReadyReply { ready, reasons })).into_response()
 }
 
-async fn tell_table<S: TableSource>(State(state): State<AdminState<S>>) -> Json<TableStatus> {
+async fn tell_table<S: StatusSource>(State(state): State<AdminState<S>>) -> Json<TableStatus> {
     Json(state.source.table_status())
 }
--- a/crates/trestlewalk/src/admin/admin_state.rs
+++ b/crates/trestlewalk/src/admin/admin_state.rs
@@ -1,7 +1,7 @@
 //! What the admin server answers from.
 
 use {
-    crate::admin::{ReadyBoard, TableSource},
+    crate::admin::{ReadyBoard, StatusSource},
     kernel::StateMap,
     prometheus::Registry,
     std::sync::Arc,
@@ -20,7 +20,7 @@
     pub source: Arc<S>,
 }
 
-impl<S: TableSource> Clone for AdminState<S> {
+impl<S: StatusSource> Clone for AdminState<S> {
     fn clone(&self) -> Self {
         Self {
             board: self.board.clone(),
--- a/crates/trestlewalk/src/admin/table_status.rs
+++ b/crates/trestlewalk/src/admin/table_status.rs
@@ -24,7 +24,7 @@
 }
 
 /// Whoever knows which table is in force.
-pub trait TableSource: Send + Sync + 'static {
+pub trait StatusSource: Send + Sync + 'static {
     /// The table in force now.
     fn table_status(&self) -> TableStatus;
 }
--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -11,11 +11,15 @@
     crate::{
         RunError,
         admin::{AdminServer, AdminState},
-        entry::{CloseReport, CloseSteps, EntryParts, EntrySockets, ProcessSignals, RequestPath},
-        run_error::CutByCloseSnafu,
+        entry::{
+            CloseReport, CloseSteps, EntryParts, EntrySockets, ProcessSignals, ReadyLine,
+            RequestPath,
+        },
+        run_error::{CutByCloseSnafu, RuntimeSnafu},
         settings::{EntrySettings, SecondSignal},
     },
     kernel::PluginEntry,
+    snafu::ResultExt,
     std::time::{Duration, SystemTime},
 };
 
@@ -85,9 +89,16 @@
     /// A socket can't be opened.
     pub async fn start(settings: EntrySettings) -> Result<Self, RunError> {
         let sockets = EntrySockets::bind(&settings.listen).await?;
-        let line = sockets.ready_line(settings.instance.clone())?;
+        let admin_address = sockets.admin.local_addr().context(RuntimeSnafu)?;
+        let callers_address = sockets.callers.local_addr().context(RuntimeSnafu)?;
         let parts = EntryParts::new(settings, SystemTime::now());
-        let path = RequestPath::start(sockets.callers, sockets.peers, &parts);
+        let path = RequestPath::start(sockets.callers, &parts)?;
+        let line = ReadyLine {
+            admin: admin_address,
+            callers: callers_address,
+            instance: parts.identity.instance.clone(),
+            peers: path.peers_address()?,
+        };
         PluginEntry::register_metrics(&parts.map, &parts.registry);
         let state = AdminState::builder()
             .board(parts.board.clone())
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
-        admin::{TableSource, TableStatus},
+        RunError,
+        admin::{StatusSource, TableStatus},
         entry::{CloseReport, EntryParts},
+        run_error::{BindSnafu, RuntimeSnafu},
     },
     axum::{
         Json, Router,
@@ -12,7 +14,12 @@
     },
     kernel::{CloseSignal, ResultCode},
     serde_json::json,
-    std::{net::UdpSocket, sync::Arc, time::Duration},
+    snafu::ResultExt,
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{net::TcpListener, task::JoinHandle},
 };
 
@@ -23,7 +30,7 @@
 /// Everything between the callers' socket and the upstreams.
 #[derive(Debug)]
 pub struct RequestPath {
-    _peers: UdpSocket,
+    peers: UdpSocket,
     signal: CloseSignal,
     task: JoinHandle<()>,
 }
@@ -40,15 +47,33 @@
         CloseReport { cut: 1 }
     }
 
+    /// Where other instances send messages.
+    ///
+    /// # Errors
+    ///
+    /// The system does not know the socket's address.
+    pub fn peers_address(&self) -> Result<SocketAddr, RunError> {
+        self.peers.local_addr().context(RuntimeSnafu)
+    }
+
     /// Which table is in force.
-    pub fn source(parts: &EntryParts) -> Arc<impl TableSource + use<>> {
+    pub fn source(parts: &EntryParts) -> Arc<impl StatusSource + use<>> {
         Arc::new(NoTable {
             parts: parts.clone(),
         })
     }
 
-    /// Starts to answer callers.
-    pub fn start(callers: TcpListener, peers: UdpSocket, parts: &EntryParts) -> Self {
+    /// Starts to answer callers and peers.
+    ///
+    /// # Errors
+    ///
+    /// The address for peers is taken or not of this host.
+    pub fn start(callers: TcpListener, parts: &EntryParts) -> Result<Self, RunError> {
+        let address = parts.settings.listen.peers;
+        let peers = UdpSocket::bind(address).context(BindSnafu {
+            address,
+            field: "listen.peers",
+        })?;
         parts.board.block(TABLE_CONDITION, "no table yet");
         let signal = CloseSignal::new();
         let raised = signal.clone();
@@ -59,11 +84,11 @@
                 tracing::error!(%error, "the callers' server ended");
             }
         });
-        Self {
-            _peers: peers,
+        Ok(Self {
+            peers,
             signal,
             task,
-        }
+        })
     }
 }
 
@@ -71,7 +96,7 @@
     parts: EntryParts,
 }
 
-impl TableSource for NoTable {
+impl StatusSource for NoTable {
     fn table_status(&self) -> TableStatus {
         TableStatus {
             digest: 0,
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -35,6 +35,18 @@
         /// Why.
         detail: String,
     },
+    /// A stand-in can't run.
+    #[snafu(display("the stand-in can't run: {source}"))]
+    Fake {
+        /// Why.
+        source: fake::FakeError,
+    },
+    /// Keys can't be made.
+    #[snafu(display("keys can't be made: {source}"))]
+    Keys {
+        /// Why.
+        source: peer::PeerError,
+    },
     /// A file can't be read.
     #[snafu(display("{}: can't read the file: {source}", path.display()))]
     ReadFile {
@@ -90,6 +102,8 @@
             }
             Self::RequestFailed { code, .. } => Some(*code),
             Self::Bind { .. }
+            | Self::Fake { .. }
+            | Self::Keys { .. }
             | Self::Runtime { .. }
             | Self::Unwired { .. }
             | Self::WriteFile { .. } => None,
--- a/crates/trestlewalk/src/settings/settings_file.rs
+++ b/crates/trestlewalk/src/settings/settings_file.rs
@@ -15,12 +15,12 @@
             settings_node::{NodeEntry, NodeValue, SettingsNode},
         },
     },
-    serde::Deserialize,
+    serde::de::DeserializeOwned,
     snafu::ResultExt,
     std::{fs, path::Path, sync::Arc},
 };
 
-/// Reads a settings file and the overrides of the command line.
+/// Reads the settings of an entry instance from a file and from the overrides of the command line.
 ///
 /// # Errors
 ///
@@ -35,7 +35,7 @@
         .map_err(|faults| SettingsInvalidSnafu { faults }.build())
 }
 
-/// Reads settings out of the content of a file.
+/// Reads the settings of an entry instance out of the content of a file.
 ///
 /// # Errors
 ///
@@ -45,28 +45,45 @@
     content: &[u8],
     overrides: Vec<SettingOverride>,
 ) -> Result<EntrySettings, Vec<SettingsFault>> {
+    let tree = parse_tree(file, content)?;
+    if tree.value == NodeValue::Null && overrides.is_empty() {
+        return Err(vec![whole_fault(file, "the file is empty")]);
+    }
+    read_settings(file, tree, overrides, settings_check::check_settings)
+}
+
+/// Reads the content of a file to a tree.
+///
+/// # Errors
+///
+/// The one place where the content is not UTF-8 or not YAML.
+pub fn parse_tree(file: &str, content: &[u8]) -> Result<SettingsNode, Vec<SettingsFault>> {
     let text = std::str::from_utf8(content).map_err(|error| {
         let before = &content[..error.valid_up_to()];
         vec![utf8_fault(file, before)]
     })?;
-    let mut tree = SettingsNode::parse(text).map_err(|error| vec![yaml_fault(file, &error)])?;
-    if tree.value == NodeValue::Null && overrides.is_empty() {
-        return Err(vec![whole_fault(file, "the file is empty")]);
-    }
-    let mut broken = Vec::new();
-    for setting in overrides {
-        let text = format!("`{}` is no section", setting.path);
-        if let Err(path) = setting.apply(&mut tree) {
-            broken.push((path, text));
-        }
-    }
+    SettingsNode::parse(text).map_err(|error| vec![yaml_fault(file, &error)])
+}
+
+/// Reads settings of any type out of a tree; `check` notes what is wrong beyond the form of each field.
+///
+/// # Errors
+///
+/// Every fault, by line.
+pub fn read_settings<T: Default + DeserializeOwned>(
+    file: &str,
+    mut tree: SettingsNode,
+    overrides: Vec<SettingOverride>,
+    check: impl FnOnce(&T, &mut FaultList),
+) -> Result<T, Vec<SettingsFault>> {
+    let broken = apply_overrides(&mut tree, overrides);
     let mut list = FaultList::new(file, tree.clone());
     for (path, text) in broken {
         list.push(&path, text);
     }
     drop_repeated_fields(&FieldPath::default(), &mut tree, &mut list);
     let settings = read_tree(tree, &mut list);
-    settings_check::check_settings(&settings, &mut list);
+    check(&settings, &mut list);
     let faults = list.into_faults();
     match faults.is_empty() {
         true => Ok(settings),
@@ -74,18 +91,32 @@
     }
 }
 
+fn apply_overrides(
+    tree: &mut SettingsNode,
+    overrides: Vec<SettingOverride>,
+) -> Vec<(FieldPath, String)> {
+    let mut broken = Vec::new();
+    for setting in overrides {
+        let text = format!("`{}` needs a section here", setting.path);
+        if let Err(path) = setting.apply(tree) {
+            broken.push((path, text));
+        }
+    }
+    broken
+}
+
 /// Reads the tree; each value that does not fit is noted, taken out and read as its default.
-fn read_tree(mut tree: SettingsNode, list: &mut FaultList) -> EntrySettings {
+fn read_tree<T: Default + DeserializeOwned>(mut tree: SettingsNode, list: &mut FaultList) -> T {
     let mut removed: Vec<FieldPath> = Vec::new();
     loop {
-        let error: NodeError = match EntrySettings::deserialize(NodeReader::new(&tree)) {
+        let error: NodeError = match T::deserialize(NodeReader::new(&tree)) {
             Ok(settings) => return settings,
             Err(error) => error,
         };
         let path = error.path();
         list.push_always(&path, error.to_string());
         if path.steps.is_empty() || removed.contains(&path) {
-            return EntrySettings::default();
+            return T::default();
         }
         tree.remove(&path);
         removed.push(path);
--- a/crates/trestlewalk/src/subcommand.rs
+++ b/crates/trestlewalk/src/subcommand.rs
@@ -3,13 +3,14 @@
 pub mod check;
 pub mod dump;
 pub mod fake;
+pub mod keys;
 pub mod serve;
 pub mod ticket;
 
 use {
     self::{
-        check::CheckCommand, dump::DumpCommand, fake::FakeCommand, serve::ServeCommand,
-        ticket::TicketCommand,
+        check::CheckCommand, dump::DumpCommand, fake::FakeCommand, keys::KeysCommand,
+        serve::ServeCommand, ticket::TicketCommand,
     },
     crate::RunError,
 };
@@ -24,6 +25,8 @@
     /// Run a stand-in of the platform, an engine or a plain service.
     #[command(subcommand)]
     Fake(FakeCommand),
+    /// Make keys that instances trust each other by, for trials.
+    Keys(KeysCommand),
     /// Run an entry instance until it is told to close.
     Serve(ServeCommand),
     /// Mint or use a ticket that makes a request run at most once.
@@ -42,6 +45,7 @@
             Self::Check(command) => command.run(),
             Self::Dump(command) => command.run(),
             Self::Fake(command) => command.run(),
+            Self::Keys(command) => command.run(),
             Self::Serve(command) => command.run(),
             Self::Ticket(command) => command.run(),
         }
