The door: completions, chat and plain services

Callers get OpenAI-style answers as JSON or server-sent events; an answer that isn't whole never looks whole. Plain services stream both ways. Errors carry a numbered result and, where it helps, when to come back.

--- /dev/null
+++ b/crates/door/src/chat_handler.rs
@@ -0,0 +1,47 @@
+//! `POST /v1/chat/completions`.
+
+use {
+    crate::{
+        answer_body::AnswerStyle,
+        caller_api::ChatBody,
+        completion_handler::{ModelAsk, read_json, run},
+        door_shared::DoorShared,
+        error_answer::ErrorAnswer,
+        work_header::work_of,
+    },
+    axum::{
+        body::Body,
+        extract::State,
+        response::{IntoResponse, Response},
+    },
+    engine::ModelEngine,
+    http::Request,
+    kernel::ResultCode,
+    std::{sync::Arc, time::Instant},
+};
+
+/// Handles `POST /v1/chat/completions`.
+pub async fn handle<E: ModelEngine>(
+    State(shared): State<Arc<DoorShared<E>>>,
+    request: Request<Body>,
+) -> Response {
+    let arrived = Instant::now();
+    let work = work_of(request.headers(), shared.defaults.chat.as_ref());
+    let body: ChatBody = match read_json(request, shared.limits.body).await {
+        Ok(body) => body,
+        Err(answer) => return answer.into_response(),
+    };
+    if body.messages.is_empty() {
+        let answer = ErrorAnswer::of(ResultCode::RequestInvalid);
+        return answer.with_detail("there are no messages").into_response();
+    }
+    let ask = ModelAsk {
+        max_tokens: body.max_completion_tokens.or(body.max_tokens),
+        prompt: body.prompt(),
+        model: body.model,
+        stream: body.stream,
+        style: AnswerStyle::Chat,
+        work,
+    };
+    run(shared, ask, arrived).await
+}
--- /dev/null
+++ b/crates/door/src/door_server.rs
@@ -0,0 +1,100 @@
+//! Listens for callers.
+
+use {
+    crate::{
+        chat_handler, completion_handler, door_shared::DoorShared, error_answer::ErrorAnswer,
+        service_handler,
+    },
+    axum::{Router, routing},
+    engine::ModelEngine,
+    hyper::server::conn::http1,
+    hyper_util::{
+        rt::{TokioIo, TokioTimer},
+        server::graceful::GracefulShutdown,
+        service::TowerToHyperService,
+    },
+    kernel::{CloseSignal, ResultCode},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, time},
+};
+
+/// The wait after a connection that could not be taken, such as for want of file handles.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves callers until it is closed.
+pub struct DoorServer<E> {
+    listener: TcpListener,
+    shared: Arc<DoorShared<E>>,
+}
+
+impl<E: ModelEngine> DoorServer<E> {
+    /// Binds the callers' address.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub async fn bind(address: SocketAddr, shared: Arc<DoorShared<E>>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Self { listener, shared })
+    }
+
+    /// The address, with the port that the system chose.
+    ///
+    /// # Errors
+    ///
+    /// When the socket is gone.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until the signal; then takes no connection, and waits up to `limit` for those under way. `false` when the
+    /// limit ended some.
+    pub async fn run(self, signal: CloseSignal, limit: Duration) -> bool {
+        let graceful = GracefulShutdown::new();
+        let router = routes(self.shared.clone());
+        loop {
+            let accepted = tokio::select! {
+                () = signal.raised() => break,
+                accepted = self.listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            // A socket that refuses the option still serves.
+            let _ = stream.set_nodelay(true);
+            let service = TowerToHyperService::new(router.clone());
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(self.shared.limits.header_timeout)
+                .max_buf_size(self.shared.limits.headers)
+                .serve_connection(TokioIo::new(stream), service);
+            let watched = graceful.watch(connection);
+            tokio::spawn(async move {
+                // The caller sees the error on its own side.
+                let _ = watched.await;
+            });
+        }
+        time::timeout(limit, graceful.shutdown()).await.is_ok()
+    }
+}
+
+fn routes<E: ModelEngine>(shared: Arc<DoorShared<E>>) -> Router {
+    Router::new()
+        .route(
+            "/services/{service}/{*path}",
+            routing::any(service_handler::handle::<E>),
+        )
+        .route(
+            "/v1/chat/completions",
+            routing::post(chat_handler::handle::<E>),
+        )
+        .route(
+            "/v1/completions",
+            routing::post(completion_handler::handle::<E>),
+        )
+        .fallback(async || {
+            ErrorAnswer::of(ResultCode::RequestInvalid).with_detail("there is nothing at this path")
+        })
+        .with_state(shared)
+}
--- /dev/null
+++ b/crates/door/src/model_answer.rs
@@ -0,0 +1,176 @@
+//! Turns the events of one request into the caller's answer.
+
+use {
+    crate::{
+        admission_gate::GatePass,
+        answer_body::AnswerHead,
+        error_answer::{ErrorAnswer, RESULT_HEADER},
+    },
+    axum::{
+        body::Body,
+        response::{IntoResponse, Response},
+    },
+    bytes::{Bytes, BytesMut},
+    engine::wire::DONE_MARKER,
+    flow::{AnswerEvent, FlowFailure},
+    futures_util::stream,
+    http::{HeaderValue, header},
+    kernel::ResultCode,
+    std::convert::Infallible,
+    tokio::sync::mpsc::UnboundedReceiver,
+};
+
+/// How many events one write to the caller carries at most.
+const BATCH_LIMIT: usize = 32;
+
+/// The events of one request on their way to its caller.
+pub struct ModelAnswer {
+    /// The events.
+    pub events: UnboundedReceiver<AnswerEvent>,
+    /// What every body repeats.
+    pub head: AnswerHead,
+    /// Held until the answer is out.
+    pub pass: GatePass,
+}
+
+/// A stream under way.
+struct StreamState {
+    answer: ModelAnswer,
+    held: Option<AnswerEvent>,
+    is_ended: bool,
+    is_first: bool,
+}
+
+impl ModelAnswer {
+    /// The answer as server-sent events. Before its first token it can still be an error with a status of its own.
+    pub async fn stream(mut self) -> Response {
+        let first = self.events.recv().await;
+        let first = match first {
+            Some(AnswerEvent::Failed(failure)) => {
+                return ErrorAnswer::from(failure).into_response();
+            }
+            None => return ErrorAnswer::of(ResultCode::CutByClose).into_response(),
+            Some(event) => event,
+        };
+        let state = StreamState {
+            answer: self,
+            held: Some(first),
+            is_ended: false,
+            is_first: true,
+        };
+        let body = Body::from_stream(stream::unfold(state, |mut state| async move {
+            let chunk = state.next_chunk().await?;
+            Some((Ok::<Bytes, Infallible>(chunk), state))
+        }));
+        let mut response = Response::new(body);
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("text/event-stream"),
+        );
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        headers.insert(
+            RESULT_HEADER,
+            HeaderValue::from(ResultCode::Answered.number()),
+        );
+        response
+    }
+
+    /// The answer as one JSON body, sent only when it is whole.
+    pub async fn whole(mut self) -> Response {
+        let mut text = String::new();
+        let mut reason = None;
+        while let Some(event) = self.events.recv().await {
+            match event {
+                AnswerEvent::Done { usage } => {
+                    let usage = usage.as_ref().map(Into::into);
+                    let body = self.head.whole(&text, reason.as_deref(), usage);
+                    return json_response(body);
+                }
+                AnswerEvent::Failed(failure) => return ErrorAnswer::from(failure).into_response(),
+                AnswerEvent::Restarted => text.clear(),
+                AnswerEvent::Token {
+                    finish_reason,
+                    text: token,
+                } => {
+                    text.push_str(&token);
+                    reason = finish_reason;
+                }
+            }
+        }
+        ErrorAnswer::of(ResultCode::CutByClose).into_response()
+    }
+}
+
+impl StreamState {
+    /// The events that are there, as bytes; `None` after the last one.
+    async fn next_chunk(&mut self) -> Option<Bytes> {
+        if self.is_ended {
+            return None;
+        }
+        let mut chunk = BytesMut::new();
+        let first = match self.held.take() {
+            Some(event) => Some(event),
+            None => self.answer.events.recv().await,
+        };
+        // A driver that ends without a last event was cut off.
+        let cut = AnswerEvent::Failed(FlowFailure::new(ResultCode::CutByClose));
+        self.write(&mut chunk, first.unwrap_or(cut));
+        for _ in 1..BATCH_LIMIT {
+            if self.is_ended {
+                break;
+            }
+            let Ok(event) = self.answer.events.try_recv() else {
+                break;
+            };
+            self.write(&mut chunk, event);
+        }
+        Some(chunk.freeze())
+    }
+
+    fn write(&mut self, chunk: &mut BytesMut, event: AnswerEvent) {
+        match event {
+            AnswerEvent::Done { .. } => {
+                write_event(chunk, DONE_MARKER.as_bytes());
+                self.is_ended = true;
+            }
+            AnswerEvent::Failed(failure) => {
+                let body = ErrorAnswer::from(failure).body();
+                write_event(chunk, &serde_json::to_vec(&body).unwrap_or_default());
+                self.is_ended = true;
+            }
+            AnswerEvent::Restarted => {}
+            AnswerEvent::Token {
+                finish_reason,
+                text,
+            } => {
+                let body = self
+                    .answer
+                    .head
+                    .chunk(&text, finish_reason.as_deref(), self.is_first);
+                self.is_first = false;
+                write_event(chunk, &body);
+            }
+        }
+    }
+}
+
+fn json_response(body: Vec<u8>) -> Response {
+    let mut response = Response::new(Body::from(body));
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    headers.insert(
+        RESULT_HEADER,
+        HeaderValue::from(ResultCode::Answered.number()),
+    );
+    response
+}
+
+fn write_event(chunk: &mut BytesMut, data: &[u8]) {
+    chunk.extend_from_slice(b"data: ");
+    chunk.extend_from_slice(data);
+    chunk.extend_from_slice(b"\n\n");
+}
--- a/crates/engine/src/http_pool.rs
+++ b/crates/engine/src/http_pool.rs
@@ -69,6 +69,21 @@
         request: Request<B>,
         fresh: bool,
     ) -> Result<Response<PooledBody<B>>, CallError> {
+        let sending = self.try_send(address, request, fresh).await;
+        sending.map_err(|failure| failure.error)
+    }
+
+    /// As [`HttpPool::send`], giving a request back that was never written.
+    ///
+    /// # Errors
+    ///
+    /// A failure whose `unsent` is there exactly when the request was never written.
+    pub async fn try_send(
+        &self,
+        address: SocketAddr,
+        request: Request<B>,
+        fresh: bool,
+    ) -> Result<Response<PooledBody<B>>, SendFailure<B>> {
         let mut request = request;
         for _ in 0..REUSE_TRIES {
             if fresh {
@@ -79,14 +94,19 @@
             };
             match self.send_on(address, sender, request).await {
                 Ok(response) => return Ok(response),
-                Err((_, Some(unsent))) => request = unsent,
-                Err((error, None)) => return Err(error),
+                Err(SendFailure {
+                    unsent: Some(unsent),
+                    ..
+                }) => request = unsent,
+                Err(failure) => return Err(failure),
             }
         }
-        let sender = self.connect(address).await?;
-        match self.send_on(address, sender, request).await {
-            Ok(response) => Ok(response),
-            Err((error, _)) => Err(error),
+        match self.connect(address).await {
+            Ok(sender) => self.send_on(address, sender, request).await,
+            Err(error) => Err(SendFailure {
+                error,
+                unsent: Some(request),
+            }),
         }
     }
 
@@ -119,7 +139,7 @@
         address: SocketAddr,
         mut sender: SendRequest<B>,
         request: Request<B>,
-    ) -> Result<Response<PooledBody<B>>, (CallError, Option<Request<B>>)> {
+    ) -> Result<Response<PooledBody<B>>, SendFailure<B>> {
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.pool_body(address, sender, response)),
             Err(mut refusal) => {
@@ -129,7 +149,7 @@
                     Some(_) => CallError::not_run(CallCause::Lost, detail),
                     None => CallError::unknown(CallCause::Lost, detail),
                 };
-                Err((error, unsent))
+                Err(SendFailure { error, unsent })
             }
         }
     }
@@ -155,6 +175,15 @@
     }
 }
 
+/// A request that got no answer.
+#[derive(Debug)]
+pub struct SendFailure<B> {
+    /// What went wrong.
+    pub error: CallError,
+    /// The request, when it was never written.
+    pub unsent: Option<Request<B>>,
+}
+
 /// Keeps a connection whose answer was read to its end.
 pub(crate) fn keep_idle<B>(idle: &IdleTable<B>, address: SocketAddr, sender: SendRequest<B>) {
     if sender.is_closed() {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,7 +12,7 @@
 pub use {
     call_error::{CallCause, CallError},
     completion_engine::CompletionEngine,
-    http_pool::HttpPool,
+    http_pool::{HttpPool, SendFailure},
     model_engine::{ModelEngine, PrefillReply, TokenSource},
     pooled_body::PooledBody,
     sse_reader::SseReader,
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod grant_router;
 pub mod load_poller;
 pub mod model_request;
+pub mod plain_caller;
 pub mod prefix_hashes;
 pub mod request_driver;
 pub mod request_table;
@@ -40,6 +41,7 @@
     grant_router::GrantRouter,
     load_poller::LoadPoller,
     model_request::ModelRequest,
+    plain_caller::PlainCaller,
     request_driver::{FlowShared, RequestDriver},
     request_table::RequestTable,
     stream_canceller::StreamCanceller,
--- /dev/null
+++ b/crates/flow/src/plain_caller.rs
@@ -0,0 +1,319 @@
+//! Calls to plain services: which replica, whether again, and what is true when no answer came.
+
+use {
+    crate::{flow_failure::FlowFailure, upstream_board::UpstreamBoard},
+    bytes::Bytes,
+    engine::{CallCause, CallError, HttpPool, PooledBody, SendFailure},
+    http::{HeaderName, Request, Response, StatusCode},
+    hyper::body::Body,
+    kernel::{LockRank, RankedLock, ResultCode, ServiceId, UpstreamId, ZoneId},
+    plat::InstanceKind,
+    route::{PlainChoice, RetryBudget},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        error::Error,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    table::WorkRow,
+    tokio::time,
+};
+
+/// The header by which a plain service says that it refused a request without running it.
+pub const RAN_HEADER: HeaderName = HeaderName::from_static("x-ran");
+/// The value of [`RAN_HEADER`] on a request that did not run.
+pub const RAN_NO: &str = "no";
+
+const BACK_OFF: Duration = Duration::from_millis(500);
+const RETRY_RATIO: f64 = 0.1;
+const RETRIES_SAVED: u32 = 20;
+const FAILURE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The replicas of one service as this instance sees them.
+struct ServiceState {
+    choice: PlainChoice,
+    known: BTreeSet<UpstreamId>,
+}
+
+/// Calls plain services. The counts of calls under way are this instance's own.
+pub struct PlainCaller<B> {
+    board: Arc<UpstreamBoard>,
+    budget: RankedLock<RetryBudget>,
+    first_byte: Duration,
+    pool: HttpPool<B>,
+    seed: u64,
+    services: RankedLock<BTreeMap<ServiceId, ServiceState>>,
+    zone: ZoneId,
+}
+
+/// What became of one try.
+enum TryOutcome<B> {
+    Again(Request<B>, FlowFailure),
+    Answer(Response<PooledBody<B>>),
+    Final(FlowFailure),
+}
+
+#[bon::bon]
+impl<B> PlainCaller<B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    /// A caller of the services in `zone`; other zones' replicas are used when the own zone has none.
+    #[builder]
+    pub fn new(
+        board: Arc<UpstreamBoard>,
+        connect: Duration,
+        first_byte: Duration,
+        seed: u64,
+        zone: ZoneId,
+    ) -> Self {
+        let budget = RetryBudget::new(RETRY_RATIO, RETRIES_SAVED);
+        Self {
+            board,
+            budget: RankedLock::new(LockRank::Samples, budget),
+            first_byte,
+            pool: HttpPool::new(connect),
+            seed,
+            services: RankedLock::new(LockRank::Services, BTreeMap::new()),
+            zone,
+        }
+    }
+}
+
+impl<B> PlainCaller<B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    /// Sends a request to a replica of the row's service. The answer's body streams.
+    ///
+    /// A request that was never written goes to another replica; one that may have run is not sent again, since its
+    /// body is gone.
+    ///
+    /// # Errors
+    ///
+    /// The final answer for the caller.
+    pub async fn call(
+        &self,
+        row: &WorkRow,
+        request: Request<B>,
+    ) -> Result<(UpstreamId, Response<PooledBody<B>>), FlowFailure> {
+        let mut request = request;
+        let mut tried = Vec::new();
+        for turn in 0..=row.retries {
+            if turn > 0 && !self.budget.lock().take() {
+                return Err(retry_later(ResultCode::RetryBudgetSpent));
+            }
+            let Some(upstream) = self.pick(&row.service, &tried) else {
+                return Err(retry_later(ResultCode::UpstreamMissing));
+            };
+            match self.try_once(row, &upstream, request).await {
+                TryOutcome::Answer(response) => {
+                    self.budget.lock().succeeded();
+                    return Ok((upstream, response));
+                }
+                TryOutcome::Final(failure) => return Err(failure),
+                TryOutcome::Again(unsent, failure) if turn < row.retries => {
+                    let _ = failure;
+                    request = unsent;
+                    tried.push(upstream);
+                }
+                TryOutcome::Again(_, failure) => return Err(failure),
+            }
+        }
+        Err(retry_later(ResultCode::UpstreamRefused))
+    }
+
+    /// Ends the count of a call whose answer was delivered, or given up.
+    pub fn end(&self, service: &ServiceId, upstream: &UpstreamId) {
+        self.with_choice(service, |choice| choice.answered(upstream));
+    }
+
+    /// Calls under way by replica, for the dump.
+    pub fn outstanding(&self) -> BTreeMap<UpstreamId, u32> {
+        let services = self.services.lock();
+        let mut counts = BTreeMap::new();
+        for state in services.values() {
+            for upstream in &state.known {
+                counts.insert(upstream.clone(), state.choice.outstanding(upstream));
+            }
+        }
+        counts
+    }
+
+    fn pick(&self, service: &ServiceId, tried: &[UpstreamId]) -> Option<UpstreamId> {
+        let live = self.live_replicas(service);
+        let mut services = self.services.lock();
+        let state = services
+            .entry(service.clone())
+            .or_insert_with(|| ServiceState {
+                choice: PlainChoice::builder()
+                    .back_off(BACK_OFF)
+                    .seed(self.seed)
+                    .build(),
+                known: BTreeSet::new(),
+            });
+        state.follow(&live);
+        state.choice.pick_except(Instant::now(), tried)
+    }
+
+    /// The replicas that take work: those of the own zone, or all when it has none.
+    fn live_replicas(&self, service: &ServiceId) -> BTreeSet<UpstreamId> {
+        let map = self.board.snapshot();
+        let mut near = BTreeSet::new();
+        let mut far = BTreeSet::new();
+        for (name, entry) in map.iter() {
+            let record = &entry.record;
+            let is_replica =
+                record.kind == InstanceKind::Plain && record.service.as_ref() == Some(service);
+            if !is_replica || !entry.marks.is_empty() {
+                continue;
+            }
+            if record.zone == self.zone {
+                near.insert(name.clone());
+                continue;
+            }
+            far.insert(name.clone());
+        }
+        if near.is_empty() { far } else { near }
+    }
+
+    async fn try_once(
+        &self,
+        row: &WorkRow,
+        upstream: &UpstreamId,
+        request: Request<B>,
+    ) -> TryOutcome<B> {
+        let Some(address) = self.board.address(upstream) else {
+            self.with_choice(&row.service, |choice| choice.cancelled(upstream));
+            return TryOutcome::Again(request, retry_later(ResultCode::UpstreamMissing));
+        };
+        let guard = CallGuard {
+            caller: self,
+            service: &row.service,
+            upstream: Some(upstream),
+        };
+        // A connection that closed while idle can't make a request unknown that is written on a fresh one.
+        let sending = self.pool.try_send(address, request, !row.repeat);
+        let outcome = time::timeout(self.first_byte, sending).await;
+        guard.disarm();
+        match outcome {
+            Ok(Ok(response)) => self.take_response(row, upstream, response),
+            Ok(Err(failure)) => self.take_failure(&row.service, upstream, failure),
+            Err(_) => {
+                self.fail(&row.service, upstream);
+                TryOutcome::Final(FlowFailure::new(ResultCode::UpstreamSilent))
+            }
+        }
+    }
+
+    fn take_failure(
+        &self,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        failure: SendFailure<B>,
+    ) -> TryOutcome<B> {
+        self.fail(service, upstream);
+        match failure.unsent {
+            Some(unsent) => TryOutcome::Again(unsent, retry_later(ResultCode::UpstreamRefused)),
+            None => TryOutcome::Final(FlowFailure::new(unknown_code(&failure.error))),
+        }
+    }
+
+    fn take_response(
+        &self,
+        row: &WorkRow,
+        upstream: &UpstreamId,
+        response: Response<PooledBody<B>>,
+    ) -> TryOutcome<B> {
+        let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE
+            && response
+                .headers()
+                .get(RAN_HEADER)
+                .is_some_and(|value| value == RAN_NO);
+        if !is_refusal {
+            return TryOutcome::Answer(response);
+        }
+        self.fail(&row.service, upstream);
+        TryOutcome::Final(retry_later(ResultCode::UpstreamRefused))
+    }
+
+    fn fail(&self, service: &ServiceId, upstream: &UpstreamId) {
+        self.with_choice(service, |choice| choice.failed(Instant::now(), upstream));
+    }
+
+    fn with_choice(&self, service: &ServiceId, edit: impl FnOnce(&mut PlainChoice)) {
+        let mut services = self.services.lock();
+        let Some(state) = services.get_mut(service) else {
+            return;
+        };
+        edit(&mut state.choice);
+    }
+}
+
+impl ServiceState {
+    /// Brings the choice up to what the board shows.
+    fn follow(&mut self, live: &BTreeSet<UpstreamId>) {
+        if self.known == *live {
+            return;
+        }
+        for upstream in live.difference(&self.known) {
+            self.choice.up(upstream.clone());
+        }
+        for upstream in self.known.difference(live) {
+            self.choice.leaving(upstream);
+        }
+        self.known = live.clone();
+    }
+}
+
+/// Ends the count of a call whose caller goes away before the answer's head.
+struct CallGuard<'a, B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    caller: &'a PlainCaller<B>,
+    service: &'a ServiceId,
+    upstream: Option<&'a UpstreamId>,
+}
+
+impl<B> CallGuard<'_, B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    fn disarm(mut self) {
+        self.upstream = None;
+    }
+}
+
+impl<B> Drop for CallGuard<'_, B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    fn drop(&mut self) {
+        let Some(upstream) = self.upstream else {
+            return;
+        };
+        self.caller
+            .with_choice(self.service, |choice| choice.cancelled(upstream));
+    }
+}
+
+fn retry_later(code: ResultCode) -> FlowFailure {
+    FlowFailure {
+        code,
+        retry_after: Some(FAILURE_RETRY_AFTER),
+    }
+}
+
+fn unknown_code(error: &CallError) -> ResultCode {
+    match error.cause {
+        CallCause::Garbled => ResultCode::UpstreamGarbled,
+        CallCause::Silent => ResultCode::UpstreamSilent,
+        _ => ResultCode::UpstreamLost,
+    }
+}
--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -65,7 +65,7 @@
         shared: Arc<FlowShared<E>>,
         request: ModelRequest,
         row: &WorkRow,
-    ) -> UnboundedReceiver<AnswerEvent> {
+    ) -> (RequestKey, UnboundedReceiver<AnswerEvent>) {
         let (answers, receiver) = mpsc::unbounded_channel();
         let key = shared.hub.next_key();
         let grants = shared.hub.submit(&key, &request);
@@ -79,7 +79,7 @@
             answers,
             core,
             grants,
-            key,
+            key: key.clone(),
             last_token: None,
             params: KvTransferParams::default(),
             priority: i32::from(row.rank),
@@ -88,7 +88,7 @@
             usage: None,
         };
         tokio::spawn(driver.run());
-        receiver
+        (key, receiver)
     }
 
     async fn run(mut self) {
--- a/crates/kernel/src/ranked_lock.rs
+++ b/crates/kernel/src/ranked_lock.rs
@@ -27,6 +27,8 @@
     Requests = 40,
     /// The tickets and claims.
     Claims = 50,
+    /// The choices among replicas of plain services.
+    Services = 55,
     /// The view of upstreams: marks, load, prefixes.
     Upstreams = 60,
     /// Counters and samples.
