table: stamped rows and the keeper of the spread of versions

Cause: a version never goes down, and an accepted edit never reverts, also when the platform is restored from an old copy and edited again. Each row carries the version of its last edit, so two tables join row by row.

--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -6,14 +6,22 @@
 pub mod csv_write;
 pub mod fault_code;
 pub mod file_base;
+pub mod keeper_action;
+pub mod keeper_event;
 pub mod rank;
 pub mod row_cells;
 pub mod row_change;
+pub mod stamped_row;
+pub mod stamped_table;
 pub mod table_diff;
 pub mod table_error;
 pub mod table_fault;
 pub mod table_file;
+pub mod table_head;
+pub mod table_keeper;
 pub mod table_merge;
+pub mod table_patch;
+pub mod table_source;
 pub mod work_column;
 pub mod work_row;
 pub mod work_table;
@@ -24,13 +32,21 @@
     csv_write::write_csv,
     fault_code::FaultCode,
     file_base::FileBase,
+    keeper_action::KeeperAction,
+    keeper_event::KeeperEvent,
     rank::Rank,
     row_change::{CellChange, RowChange, changed_cells},
+    stamped_row::StampedRow,
+    stamped_table::StampedTable,
     table_diff::diff_rows,
     table_error::TableError,
     table_fault::TableFault,
     table_file::TableFile,
+    table_head::TableHead,
+    table_keeper::TableKeeper,
     table_merge::{RowConflict, TableMerge, merge_rows},
+    table_patch::TablePatch,
+    table_source::TableSource,
     work_column::WorkColumn,
     work_row::WorkRow,
     work_table::WorkTable,
--- /dev/null
+++ b/crates/table/src/stamped_table.rs
@@ -0,0 +1,128 @@
+//! The table as instances and the platform hold it: each row with its stamp.
+
+use {
+    crate::{
+        row_change::RowChange, stamped_row::StampedRow, table_head::TableHead,
+        table_patch::TablePatch, work_row::WorkRow, work_table::WorkTable,
+    },
+    kernel::{TableDigest, TableVersion, WorkId},
+    std::collections::BTreeMap,
+};
+
+/// All rows with their stamps, removed rows as well. Two tables join row by row: whichever order joins come in, the same
+/// table results, and no row goes back to an earlier stamp.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StampedTable {
+    digest: TableDigest,
+    rows: BTreeMap<WorkId, StampedRow>,
+    version: TableVersion,
+}
+
+impl StampedTable {
+    /// The hash of rows, removals and stamps; the version does not count.
+    pub fn digest(&self) -> TableDigest {
+        self.digest
+    }
+
+    /// Applies an edit that makes `version`.
+    pub fn edit(&mut self, version: TableVersion, changes: &[RowChange]) {
+        for change in changes {
+            let stamped = StampedRow {
+                row: change.after.clone(),
+                stamp: version,
+            };
+            self.put(change.work.clone(), stamped);
+        }
+        self.version = self.version.max(version);
+    }
+
+    /// A table of rows as they were stored.
+    pub fn from_rows(version: TableVersion, rows: BTreeMap<WorkId, StampedRow>) -> Self {
+        let mut table = Self {
+            version,
+            ..Self::default()
+        };
+        for (work, stamped) in rows {
+            table.put(work, stamped);
+        }
+        table
+    }
+
+    /// The version and the digest.
+    pub fn head(&self) -> TableHead {
+        TableHead {
+            digest: self.digest,
+            version: self.version,
+        }
+    }
+
+    /// Takes whatever of a patch is later than what is here; whether anything changed.
+    pub fn join(&mut self, patch: &TablePatch) -> bool {
+        let before = self.head();
+        for (work, stamped) in &patch.rows {
+            if self.takes(work, stamped) {
+                self.put(work.clone(), stamped.clone());
+            }
+        }
+        self.version = self.version.max(patch.version);
+        self.head() != before
+    }
+
+    /// The rows that are not removed, by key.
+    pub fn live_rows(&self) -> BTreeMap<WorkId, WorkRow> {
+        let live = self.rows.iter();
+        live.filter_map(|(work, stamped)| Some((work.clone(), stamped.row.clone()?)))
+            .collect()
+    }
+
+    /// The rows changed after a version; all for version 0.
+    pub fn patch_since(&self, since: TableVersion) -> TablePatch {
+        let mut rows = BTreeMap::new();
+        for (work, stamped) in &self.rows {
+            if stamped.stamp > since {
+                rows.insert(work.clone(), stamped.clone());
+            }
+        }
+        TablePatch {
+            digest: self.digest,
+            rows,
+            since,
+            version: self.version,
+        }
+    }
+
+    /// The rows with their stamps, removed rows as well.
+    pub fn rows(&self) -> &BTreeMap<WorkId, StampedRow> {
+        &self.rows
+    }
+
+    /// The table that admission and routing read.
+    pub fn to_table(&self) -> WorkTable {
+        WorkTable {
+            rows: self.live_rows(),
+            version: self.version,
+        }
+    }
+
+    /// The version; 0 before the first edit.
+    pub fn version(&self) -> TableVersion {
+        self.version
+    }
+
+    // The digest is a sum over rows, so that a change of one row costs one row.
+    fn put(&mut self, work: WorkId, stamped: StampedRow) {
+        let added = stamped.hash(&work);
+        let removed = match self.rows.insert(work.clone(), stamped) {
+            Some(earlier) => earlier.hash(&work),
+            None => 0,
+        };
+        self.digest = self.digest.wrapping_sub(removed).wrapping_add(added);
+    }
+
+    fn takes(&self, work: &WorkId, stamped: &StampedRow) -> bool {
+        match self.rows.get(work) {
+            Some(held) => stamped.wins_over(held, work),
+            None => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/table/src/table_head.rs
@@ -0,0 +1,15 @@
+//! The head of a table: what heartbeats carry.
+
+use {
+    kernel::{TableDigest, TableVersion},
+    serde::{Deserialize, Serialize},
+};
+
+/// The version and the digest of a whole table.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableHead {
+    /// The hash of rows, removals and stamps: [`StampedTable::digest`](crate::StampedTable::digest).
+    pub digest: TableDigest,
+    /// The version; 0 is no table.
+    pub version: TableVersion,
+}
--- /dev/null
+++ b/crates/table/src/table_keeper.rs
@@ -0,0 +1,289 @@
+//! The spread of versions: which table is in force here, whom to pull from, what is wrong elsewhere.
+
+use {
+    crate::{
+        keeper_action::KeeperAction, keeper_event::KeeperEvent, stamped_table::StampedTable,
+        table_head::TableHead, table_patch::TablePatch, table_source::TableSource,
+    },
+    kernel::{ResultCode, TableVersion},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// How long the platform may be silent before the instance counts as cut off.
+pub const CUT_OFF_AFTER: Duration = Duration::from_secs(10);
+/// How long a pull may take before another source is asked.
+pub const PULL_LIMIT: Duration = Duration::from_secs(2);
+/// The least time between two write-backs.
+pub const RESTORE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Keeps the table in force on one instance. The version never goes down, and no row goes back to an earlier edit,
+/// whatever the platform or a peer offers.
+#[derive(Clone, Debug)]
+pub struct TableKeeper {
+    alarms: BTreeSet<(ResultCode, TableSource)>,
+    heads: BTreeMap<TableSource, TableHead>,
+    in_force_since: Instant,
+    platform_seen: Instant,
+    pull: Option<(TableSource, Instant)>,
+    restored_at: Option<Instant>,
+    /// The heads that were pulled whole, beside the head here at that time: pulling them again brings nothing.
+    settled: BTreeMap<TableSource, (TableHead, TableHead)>,
+    table: Arc<StampedTable>,
+}
+
+impl TableKeeper {
+    /// The alarms that stand.
+    pub fn alarms(&self) -> &BTreeSet<(ResultCode, TableSource)> {
+        &self.alarms
+    }
+
+    /// Since when neither this instance nor a peer has heard from the platform, when that is long ago.
+    pub fn cut_off_since(&self, now: Instant) -> Option<Instant> {
+        let silence = now.saturating_duration_since(self.platform_seen);
+        (silence > CUT_OFF_AFTER).then_some(self.platform_seen)
+    }
+
+    /// The head to announce in heartbeats.
+    pub fn head(&self) -> TableHead {
+        self.table.head()
+    }
+
+    /// Since when the table is in force here.
+    pub fn in_force_since(&self) -> Instant {
+        self.in_force_since
+    }
+
+    /// Whether there is a table to serve by.
+    pub fn is_ready(&self) -> bool {
+        self.table.version() > 0
+    }
+
+    /// A keeper without a table.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            alarms: BTreeSet::new(),
+            heads: BTreeMap::new(),
+            in_force_since: now,
+            platform_seen: now,
+            pull: None,
+            restored_at: None,
+            settled: BTreeMap::new(),
+            table: Arc::default(),
+        }
+    }
+
+    /// Takes one event and appends what it decides to `actions`. `now` never goes down.
+    pub fn on_event(&mut self, now: Instant, event: KeeperEvent, actions: &mut Vec<KeeperAction>) {
+        match event {
+            KeeperEvent::Head {
+                asked,
+                head,
+                source,
+            } => self.on_head(now, asked, head, source, actions),
+            KeeperEvent::PeerGone(instance) => self.on_gone(TableSource::Peer(instance), actions),
+            KeeperEvent::PlatformSeen { at } => self.see_platform(at),
+            KeeperEvent::PullFailed { source } => {
+                // Its head comes again with its next heartbeat; until then others are asked.
+                self.heads.remove(&source);
+                self.end_pull(&source);
+            }
+            KeeperEvent::Pulled { patch, source } => self.on_pulled(now, &patch, source, actions),
+            KeeperEvent::Restored { version } => self.on_restored(version),
+            KeeperEvent::Tick => {}
+        }
+        self.pull_next(now, actions);
+    }
+
+    /// What a peer or a new instance asks for.
+    pub fn patch_since(&self, since: TableVersion) -> TablePatch {
+        self.table.patch_since(since)
+    }
+
+    /// The table in force; empty before the first one.
+    pub fn table(&self) -> &Arc<StampedTable> {
+        &self.table
+    }
+
+    fn alarm(
+        &mut self,
+        code: ResultCode,
+        head: TableHead,
+        source: &TableSource,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        if !self.alarms.insert((code, source.clone())) {
+            return;
+        }
+        actions.push(KeeperAction::Alarm {
+            code,
+            head,
+            source: source.clone(),
+        });
+    }
+
+    fn alarm_over(
+        &mut self,
+        code: ResultCode,
+        source: &TableSource,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        if !self.alarms.remove(&(code, source.clone())) {
+            return;
+        }
+        actions.push(KeeperAction::AlarmOver {
+            code,
+            source: source.clone(),
+        });
+    }
+
+    fn on_gone(&mut self, source: TableSource, actions: &mut Vec<KeeperAction>) {
+        for code in [
+            ResultCode::DigestDiffers,
+            ResultCode::PeerRefused,
+            ResultCode::VersionFell,
+        ] {
+            self.alarm_over(code, &source, actions);
+        }
+        self.heads.remove(&source);
+        self.settled.remove(&source);
+        self.end_pull(&source);
+    }
+
+    fn on_head(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        head: TableHead,
+        source: TableSource,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let own = self.head();
+        // A poll that was under way while a newer table came says nothing about the platform now.
+        let is_stale = asked < self.in_force_since && head.version <= own.version;
+        if source == TableSource::Platform {
+            self.see_platform(asked);
+            if is_stale {
+                return;
+            }
+        }
+        self.heads.insert(source.clone(), head);
+        let differs = head.version == own.version && head.digest != own.digest;
+        let fell = head.version < own.version && source == TableSource::Platform;
+        match differs {
+            true => self.alarm(ResultCode::DigestDiffers, head, &source, actions),
+            false => self.alarm_over(ResultCode::DigestDiffers, &source, actions),
+        }
+        match fell {
+            true => self.alarm(ResultCode::VersionFell, head, &source, actions),
+            false => self.alarm_over(ResultCode::VersionFell, &source, actions),
+        }
+        let is_settled = self.settled.get(&source) == Some(&(head, own));
+        if fell || (differs && is_settled && source == TableSource::Platform) {
+            self.restore(now, actions);
+        }
+    }
+
+    fn on_pulled(
+        &mut self,
+        now: Instant,
+        patch: &TablePatch,
+        source: TableSource,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        self.end_pull(&source);
+        let head = TableHead {
+            digest: patch.digest,
+            version: patch.version,
+        };
+        if !patch.is_sound() {
+            self.heads.remove(&source);
+            return self.alarm(ResultCode::PeerRefused, head, &source, actions);
+        }
+        self.alarm_over(ResultCode::PeerRefused, &source, actions);
+        if Arc::make_mut(&mut self.table).join(patch) {
+            self.in_force_since = now;
+            actions.push(KeeperAction::InForce(self.table.clone()));
+        }
+        let own = self.head();
+        self.heads.insert(source.clone(), head);
+        if !patch.is_whole() {
+            return;
+        }
+        self.settled.insert(source.clone(), (head, own));
+        if head != own && source == TableSource::Platform {
+            let code = match head.version < own.version {
+                true => ResultCode::VersionFell,
+                false => ResultCode::DigestDiffers,
+            };
+            self.alarm(code, head, &source, actions);
+            self.restore(now, actions);
+        }
+    }
+
+    fn on_restored(&mut self, version: TableVersion) {
+        // The head is read again by the next poll; until then nothing is wrong with the platform.
+        if version >= self.table.version() {
+            self.heads.remove(&TableSource::Platform);
+        }
+    }
+
+    fn end_pull(&mut self, source: &TableSource) {
+        if self.pull.as_ref().is_some_and(|(asked, _)| asked == source) {
+            self.pull = None;
+        }
+    }
+
+    /// The best source to pull from, and from which version on: peers before the platform, whose reads are limited.
+    fn best_source(&self) -> Option<(TableSource, TableVersion)> {
+        let own = self.head();
+        let mut best: Option<(TableVersion, &TableSource)> = None;
+        for (source, head) in &self.heads {
+            let is_settled = self.settled.get(source) == Some(&(*head, own));
+            if head.version < own.version || *head == own || is_settled {
+                continue;
+            }
+            if best.is_none_or(|(version, _)| head.version > version) {
+                best = Some((head.version, source));
+            }
+        }
+        let (version, source) = best?;
+        // With the same version, or after rows that did not add up to the digest, only the whole table helps.
+        let since = match version > own.version {
+            true => own.version,
+            false => 0,
+        };
+        Some((source.clone(), since))
+    }
+
+    fn pull_next(&mut self, now: Instant, actions: &mut Vec<KeeperAction>) {
+        if let Some((source, asked)) = self.pull.clone() {
+            if now.saturating_duration_since(asked) < PULL_LIMIT {
+                return;
+            }
+            self.heads.remove(&source);
+            self.pull = None;
+        }
+        let Some((source, since)) = self.best_source() else {
+            return;
+        };
+        self.pull = Some((source.clone(), now));
+        actions.push(KeeperAction::Pull { since, source });
+    }
+
+    fn restore(&mut self, now: Instant, actions: &mut Vec<KeeperAction>) {
+        let pause_over = |at: Instant| now.saturating_duration_since(at) >= RESTORE_PAUSE;
+        if !self.restored_at.is_none_or(pause_over) {
+            return;
+        }
+        self.restored_at = Some(now);
+        actions.push(KeeperAction::Restore(self.table.clone()));
+    }
+
+    fn see_platform(&mut self, at: Instant) {
+        self.platform_seen = self.platform_seen.max(at);
+    }
+}
