Idempotency keys become tickets by a conditional insert

A caller's own key has to give one run, wherever its retries arrive. The platform's row for the key now holds the ticket that the key stands for, and the request's digest; the ticket's permit is out before the row is written, so whoever finds the row attaches to that run. A lost reply is recognised by the ticket in the row.

Ruled out: judging a claim's end by the wall clock in the row (a reader whose clock is ahead would start a second run; the row's time now only starts a watch of one full life by the reader's monotonic clock), and removing rows when a claim is refused (versions start again after a removal, so a late conditional write could hit the next claim). A claim whose origin refused it as not run is replaced instead.

--- /dev/null
+++ b/crates/claim/src/claim_keeper.rs
@@ -0,0 +1,98 @@
+//! The driver of keyed claims: it talks to the platform for them.
+
+use {
+    crate::{
+        claim_key::CLAIM_PREFIX,
+        claim_sweep::due_removals,
+        claim_watch::{ClaimWatch, ClockReading},
+        keyed_claim::{ClaimAction, ClaimEvent, KeyedClaim},
+        ticket::Ticket,
+    },
+    kernel::{LockRank, RankedLock, ResultCode},
+    plat::{PlatError, RowStore},
+    std::{
+        sync::Arc,
+        time::{Instant, SystemTime},
+    },
+};
+
+/// Rows watched for their end by requests, and by the sweep.
+const WATCH_LIMIT: usize = 4096;
+
+/// What a submission with a key has to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimVerdict {
+    /// Pass it on to the origin of this ticket.
+    Forward(Ticket),
+    /// Refuse it as not run.
+    Refuse(ResultCode),
+    /// Run it under the claim's own permit.
+    Run,
+}
+
+/// Settles keyed claims at the platform.
+#[derive(Debug)]
+pub struct ClaimKeeper<S> {
+    store: Arc<S>,
+    sweep_watch: RankedLock<ClaimWatch>,
+    watch: RankedLock<ClaimWatch>,
+}
+
+impl<S: RowStore> ClaimKeeper<S> {
+    /// A keeper of claims in `store`.
+    pub fn new(store: Arc<S>) -> Self {
+        let watch = || RankedLock::new(LockRank::Claims, ClaimWatch::new(WATCH_LIMIT));
+        Self {
+            store,
+            sweep_watch: watch(),
+            watch: watch(),
+        }
+    }
+
+    /// Settles a claim, from [`ClaimEvent::Start`], or from [`ClaimEvent::OriginRefused`] after a forward that was
+    /// refused as not run. It ends after a bounded number of calls to the platform.
+    pub async fn settle(&self, claim: &mut KeyedClaim, first: ClaimEvent) -> ClaimVerdict {
+        let mut event = first;
+        loop {
+            event = match self.step(claim, event) {
+                ClaimAction::Commit(transaction) => {
+                    let reply = self.store.commit(&transaction).await;
+                    reply.map_or(ClaimEvent::NoAnswer, ClaimEvent::Reply)
+                }
+                ClaimAction::Forward(ticket) => return ClaimVerdict::Forward(ticket),
+                ClaimAction::Get(key) => {
+                    let row = self.store.get(&key).await;
+                    row.map_or(ClaimEvent::NoAnswer, ClaimEvent::Read)
+                }
+                ClaimAction::Refuse(code) => return ClaimVerdict::Refuse(code),
+                ClaimAction::Run => return ClaimVerdict::Run,
+            };
+        }
+    }
+
+    /// Removes claims that have ended; the number of removals sent. Only the instance that
+    /// [`is_sweeper`](crate::claim_sweep::is_sweeper) names does this, at a slow beat.
+    ///
+    /// # Errors
+    ///
+    /// The platform's, when it gave no answer. The next sweep goes on from there.
+    pub async fn sweep(&self) -> Result<usize, PlatError> {
+        let rows = self.store.scan(CLAIM_PREFIX).await?;
+        let removals = due_removals(clock(), &mut self.sweep_watch.lock(), &rows);
+        for transaction in &removals {
+            self.store.commit(transaction).await?;
+        }
+        Ok(removals.len())
+    }
+
+    fn step(&self, claim: &mut KeyedClaim, event: ClaimEvent) -> ClaimAction {
+        claim.on_event(clock(), &mut self.watch.lock(), event)
+    }
+}
+
+fn clock() -> ClockReading {
+    ClockReading {
+        now: Instant::now(),
+        wall: SystemTime::now(),
+    }
+}
--- /dev/null
+++ b/crates/claim/src/claim_key.rs
@@ -0,0 +1,20 @@
+//! Where a caller's idempotency key is kept.
+
+use {kernel::seeded_rng, std::sync::Arc};
+
+/// The prefix of all claims' rows.
+pub const CLAIM_PREFIX: &str = "claims/";
+
+/// The platform row of a caller's key: `claims/{work}/{hash}`.
+///
+/// The hash has 128 bits over the caller's scope and the key, so that one caller's key says nothing of another's.
+/// All instances need the same secret.
+pub fn claim_key(secret: u64, work: &str, scope: &str, key: &str) -> Arc<str> {
+    let high = hash(seeded_rng::mix(secret, b"high"), scope, key);
+    let low = hash(seeded_rng::mix(secret, b"low"), scope, key);
+    Arc::from(format!("{CLAIM_PREFIX}{work}/{high:016x}{low:016x}"))
+}
+
+fn hash(seed: u64, scope: &str, key: &str) -> u64 {
+    seeded_rng::mix(seeded_rng::mix(seed, scope.as_bytes()), key.as_bytes())
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -4,10 +4,16 @@
 
 pub mod answer_size;
 pub mod claim_error;
+pub mod claim_keeper;
+pub mod claim_key;
+pub mod claim_record;
+pub mod claim_sweep;
+pub mod claim_watch;
 pub mod closed_table;
 pub mod forward_table;
 pub mod hand_over;
 pub mod kept_answers;
+pub mod keyed_claim;
 pub mod life_key;
 pub mod not_run;
 mod outstanding_count;
@@ -26,9 +32,14 @@
 pub use {
     answer_size::AnswerSize,
     claim_error::ClaimError,
+    claim_keeper::{ClaimKeeper, ClaimVerdict},
+    claim_key::claim_key,
+    claim_record::ClaimRecord,
+    claim_watch::{ClaimWatch, ClockReading},
     closed_table::ClosedTable,
     forward_table::{ForwardCourse, ForwardTable},
     hand_over::{HandOver, HandOverReply},
+    keyed_claim::{ClaimAction, ClaimEvent, KeyedClaim},
     life_key::LifeKey,
     not_run::NotRun,
     request_outcome::{OriginReply, RequestOutcome},
--- a/crates/claim/src/ticket_table.rs
+++ b/crates/claim/src/ticket_table.rs
@@ -146,10 +146,15 @@
 
     /// Seals a ticket as refused, and gives the answer that its request did not run.
     pub fn refuse<T>(&mut self, permit: RunPermit, unsent: Unsent<T>, code: ResultCode) -> NotRun {
+        self.seal(permit, code);
+        unsent.into_not_run(code)
+    }
+
+    /// Seals a ticket as refused, when its request goes on by another ticket: its caller's key stands for that one.
+    pub fn seal(&mut self, permit: RunPermit, code: ResultCode) {
         if let Some(record) = self.record_mut(&permit) {
             record.state = TicketState::Refused(code);
         }
-        unsent.into_not_run(code)
     }
 
     /// Decides on a request that comes with a ticket.
