Sessions with allocators, and seats that follow the members

Events that reach an allocator before it knows its engines wait for the first poll. Not run yet between processes.

--- /dev/null
+++ b/crates/flow/src/allocator_seats.rs
@@ -0,0 +1,200 @@
+//! Which instance is the allocator of each cell, followed as members come and go.
+
+use {
+    crate::{
+        cell_hub::{CellHub, CellSeat},
+        cell_session::run_session,
+        cell_table::{CellTable, PolicyMaker},
+        grant_router::GrantRouter,
+        upstream_board::UpstreamBoard,
+    },
+    kernel::{InstanceId, ModelId, WorkerPool, ZoneId, seeded_rng},
+    peer::PeerEndpoint,
+    plat::InstanceKind,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::mpsc::{self, UnboundedReceiver},
+        time::{self, MissedTickBehavior},
+    },
+};
+
+/// How often the seats are compared with the members.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a cell that another instance allocates is kept here, for sessions that have not moved yet.
+const LEAVE_AFTER: Duration = Duration::from_secs(5);
+/// The shortest time between two sessions to one allocator.
+const SESSION_PAUSE: Duration = Duration::from_millis(200);
+
+/// Knows the instances that may be allocators.
+pub trait MemberView: Send + Sync + 'static {
+    /// The live instances of the own availability zone that take work, the own one included while it takes work.
+    fn zone_members(&self) -> Vec<InstanceId>;
+}
+
+/// One seat as it was set last.
+struct SetSeat {
+    allocator: InstanceId,
+    frames: mpsc::WeakUnboundedSender<crate::cell_frame::CellFrame>,
+    since: Instant,
+}
+
+/// Follows the members and gives every cell its allocator.
+pub struct AllocatorSeats<M: PolicyMaker, V> {
+    board: Arc<UpstreamBoard>,
+    cells: Arc<CellTable<M, GrantRouter>>,
+    endpoint: PeerEndpoint,
+    hub: Arc<CellHub>,
+    instance: InstanceId,
+    left: BTreeMap<ModelId, Instant>,
+    members: Arc<V>,
+    pool: WorkerPool,
+    seats: BTreeMap<ModelId, SetSeat>,
+    zone: ZoneId,
+}
+
+#[bon::bon]
+impl<M: PolicyMaker, V: MemberView> AllocatorSeats<M, V> {
+    /// Seats for the cells of `zone`, of this `instance`'s side; its sessions run in `pool`.
+    #[builder]
+    pub fn new(
+        board: Arc<UpstreamBoard>,
+        cells: Arc<CellTable<M, GrantRouter>>,
+        endpoint: PeerEndpoint,
+        hub: Arc<CellHub>,
+        instance: InstanceId,
+        members: Arc<V>,
+        pool: WorkerPool,
+        zone: ZoneId,
+    ) -> Self {
+        Self {
+            board,
+            cells,
+            endpoint,
+            hub,
+            instance,
+            left: BTreeMap::new(),
+            members,
+            pool,
+            seats: BTreeMap::new(),
+            zone,
+        }
+    }
+}
+
+impl<M: PolicyMaker, V: MemberView> AllocatorSeats<M, V> {
+    /// Follows the members for as long as it is driven.
+    pub async fn run(mut self) {
+        let mut ticks = time::interval(CHECK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.check(Instant::now());
+        }
+    }
+
+    fn check(&mut self, now: Instant) {
+        let members = self.members.zone_members();
+        for model in zone_models(&self.board, &self.zone) {
+            let Some(allocator) = allocator_of(&self.zone, &model, &members) else {
+                continue;
+            };
+            if self.needs_seat(now, &model, &allocator) {
+                self.set_seat(now, &model, allocator);
+            }
+        }
+        self.leave_cells(now);
+    }
+
+    fn needs_seat(&self, now: Instant, model: &ModelId, allocator: &InstanceId) -> bool {
+        let Some(seat) = self.seats.get(model) else {
+            return true;
+        };
+        if seat.allocator != *allocator {
+            return true;
+        }
+        let is_lost = seat
+            .frames
+            .upgrade()
+            .is_none_or(|frames| frames.is_closed());
+        is_lost && now.saturating_duration_since(seat.since) >= SESSION_PAUSE
+    }
+
+    fn set_seat(&mut self, now: Instant, model: &ModelId, allocator: InstanceId) {
+        let (frames, outbox) = mpsc::unbounded_channel();
+        let seat = SetSeat {
+            allocator: allocator.clone(),
+            frames: frames.downgrade(),
+            since: now,
+        };
+        let is_moved = self
+            .seats
+            .insert(model.clone(), seat)
+            .is_none_or(|old| old.allocator != allocator);
+        if is_moved {
+            tracing::info!(%model, %allocator, "the cell has an allocator");
+        }
+        if allocator == self.instance {
+            self.left.remove(model);
+            self.cells.cell(model);
+            self.pool.spawn(feed_cells(self.cells.clone(), outbox));
+        } else {
+            self.left.entry(model.clone()).or_insert(now);
+            let session = run_session(
+                self.endpoint.clone(),
+                allocator.clone(),
+                self.hub.clone(),
+                outbox,
+            );
+            self.pool.spawn(session);
+        }
+        self.hub.seat(model, CellSeat { allocator, frames });
+    }
+
+    /// Drops the cells that others have allocated for long enough. A session that moves here late makes its cell anew.
+    fn leave_cells(&mut self, now: Instant) {
+        for (model, _) in self.cells.list() {
+            let is_own = self
+                .seats
+                .get(&model)
+                .is_some_and(|seat| seat.allocator == self.instance);
+            if is_own {
+                continue;
+            }
+            let since = *self.left.entry(model.clone()).or_insert(now);
+            if now.saturating_duration_since(since) < LEAVE_AFTER {
+                continue;
+            }
+            self.cells.leave(&model);
+            self.left.remove(&model);
+        }
+    }
+}
+
+/// The allocator of a model's cell among the members of its availability zone.
+pub fn allocator_of(zone: &str, model: &str, members: &[InstanceId]) -> Option<InstanceId> {
+    seeded_rng::rendezvous(&format!("{zone}/{model}"), members).cloned()
+}
+
+/// The models that the engines of a zone serve.
+fn zone_models(board: &UpstreamBoard, zone: &str) -> BTreeSet<ModelId> {
+    let map = board.snapshot();
+    let entries = map
+        .values()
+        .filter(|entry| entry.record.kind != InstanceKind::Plain && *entry.record.zone == *zone);
+    entries
+        .filter_map(|entry| entry.record.model.clone())
+        .collect()
+}
+
+async fn feed_cells<M: PolicyMaker>(
+    cells: Arc<CellTable<M, GrantRouter>>,
+    mut frames: UnboundedReceiver<crate::cell_frame::CellFrame>,
+) {
+    while let Some(frame) = frames.recv().await {
+        cells.on_frame(frame);
+    }
+}
--- a/crates/flow/src/cell_driver.rs
+++ b/crates/flow/src/cell_driver.rs
@@ -23,6 +23,8 @@
 }
 
 struct CellState<P> {
+    /// Events of requests that came before the allocator knew its engines; `None` once it does.
+    early: Option<Vec<AdmitEvent>>,
     policy: P,
     wake_at: Option<Instant>,
 }
@@ -40,6 +42,7 @@
             state: RankedLock::new(
                 LockRank::Allocator,
                 CellState {
+                    early: Some(Vec::new()),
                     policy,
                     wake_at: None,
                 },
@@ -66,6 +69,27 @@
         }
     }
 
+    /// Gives one event of a request to the allocator. Before [`CellDriver::open`] it is kept: an allocator that knows no
+    /// engine yet would refuse what it could serve a moment later.
+    pub fn on_request(&self, event: AdmitEvent) {
+        {
+            let mut state = self.state.lock();
+            if let Some(early) = &mut state.early {
+                early.push(event);
+                return;
+            }
+        }
+        self.on_event(event);
+    }
+
+    /// Says that the allocator was told of the engines that answer.
+    pub fn open(&self) {
+        let early = self.state.lock().early.take();
+        for event in early.unwrap_or_default() {
+            self.on_event(event);
+        }
+    }
+
     /// Wakes the allocator when it asked for it, until the signal.
     pub async fn run_timer(&self, signal: CloseSignal) {
         loop {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,10 +1,12 @@
 //! One request from the door to its last byte: the pure steps, and the tasks that drive them.
 
+pub mod allocator_seats;
 pub mod answer_event;
 pub mod cell_driver;
 pub mod cell_frame;
 pub mod cell_hub;
 pub mod cell_notice;
+pub mod cell_session;
 pub mod cell_table;
 pub mod engine_watch;
 pub mod flow_action;
@@ -26,12 +28,14 @@
 pub mod upstream_board;
 
 pub use {
+    allocator_seats::{AllocatorSeats, MemberView},
     answer_event::AnswerEvent,
-    cell_driver::CellDriver,
+    cell_driver::{CellDriver, GrantSink},
     cell_frame::{CellFrame, CellSubmit, GrantFrame, HeldPhase},
-    cell_hub::CellHub,
+    cell_hub::{CellHub, CellSeat},
     cell_notice::{CellGrant, CellNotice},
-    cell_table::CellTable,
+    cell_session::{CELL_TAG, SessionHost},
+    cell_table::{CellTable, PolicyMaker},
     engine_watch::EngineWatch,
     flow_action::FlowAction,
     flow_core::FlowCore,
@@ -46,7 +50,7 @@
     request_table::RequestTable,
     stream_canceller::StreamCanceller,
     stream_name::StreamName,
-    stream_sweeper::StreamSweeper,
+    stream_sweeper::{LifeView, StreamSweeper},
     table_board::TableBoard,
     upstream_board::{UpstreamBoard, UpstreamEntry},
 };
--- a/crates/flow/src/load_poller.rs
+++ b/crates/flow/src/load_poller.rs
@@ -98,6 +98,7 @@
                 driver.on_event(event);
             }
         }
+        driver.open();
     }
 }
 
