--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -3,11 +3,13 @@
 use {
     crate::{
         admit_action::AdmitAction, admit_event::AdmitEvent, admit_policy::AdmitPolicy,
-        decode_engine::DecodeEngine, held_request::HeldRequest, link_info::LinkInfo,
-        prefill_engine::PrefillEngine, request_key::RequestKey, row_state::RowState,
+        admit_request::AdmitRequest, cell_tuning::CellTuning, ended_keys::EndedKeys,
+        engine_pool::EnginePool, held_request::HeldRequest, link_turns::LinkTurns,
+        pool_key::PoolKey, request_key::RequestKey, row_state::RowState,
     },
     bon::bon,
-    kernel::{Incarnation, InstanceId, UpstreamId, WorkId},
+    kernel::{Incarnation, InstanceId, WorkId},
+    route::{PrefixTable, ReplicaChoice},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -18,25 +20,35 @@
 
 /// Orders the queue of one cell and grants prefill engines, link turns and decode places.
 ///
-/// Pure: the same seed and the same events give the same decisions.
+/// Pure: the same seed and the same events give the same decisions. Every request that was submitted gets exactly one
+/// of: a refusal, a chain of grants, or nothing more after its cancellation. Events of unknown requests, doubled ones and
+/// late ones change nothing.
+///
+/// A key that ended by `Finished`, `Cancel` or `HolderGone` can't be submitted again; one that was refused or ended by
+/// `DecodeLost` can. An upstream that is gone requeues what it was reading; the grant that follows takes the place of
+/// the earlier one.
 #[derive(Clone, Debug)]
 pub struct CellAllocator {
-    pub(crate) decodes: BTreeMap<UpstreamId, DecodeEngine>,
-    pub(crate) expiries: BTreeSet<(Instant, RequestKey)>,
-    pub(crate) full_backoff: Duration,
+    pub(crate) choice: ReplicaChoice,
+    pub(crate) ended: EndedKeys,
+    /// Announced requests whose row no table had yet.
+    pub(crate) early: Vec<(crate::admit_event::HoldPhase, AdmitRequest)>,
     pub(crate) lives: BTreeMap<InstanceId, Incarnation>,
-    pub(crate) link: Option<LinkInfo>,
-    pub(crate) link_free_at: Option<Instant>,
-    pub(crate) prefills: BTreeMap<UpstreamId, PrefillEngine>,
+    pub(crate) link: LinkTurns,
+    pub(crate) pools: BTreeMap<PoolKey, EnginePool>,
+    pub(crate) prefixes: PrefixTable,
+    /// Requests whose KV cache waits for a place and a link turn, most pressing first.
     pub(crate) read: BTreeSet<(Instant, RequestKey)>,
-    pub(crate) reading: u32,
     pub(crate) requests: BTreeMap<RequestKey, HeldRequest>,
-    pub(crate) rows: BTreeMap<WorkId, RowState>,
-    #[expect(dead_code, reason = "the forecast of free places is to read it")]
-    pub(crate) seed: u64,
+    pub(crate) row_ids: BTreeMap<WorkId, usize>,
+    pub(crate) rows: Vec<RowState>,
     pub(crate) serial: u64,
     pub(crate) share: f64,
+    pub(crate) swept: Option<Instant>,
     pub(crate) table: Arc<WorkTable>,
+    pub(crate) timers: BTreeSet<(Instant, RequestKey)>,
+    pub(crate) tuning: CellTuning,
+    pub(crate) woken: Option<Instant>,
 }
 
 #[bon]
@@ -44,29 +56,58 @@
     /// An allocator that knows no table, no upstream and no request yet.
     #[builder]
     pub fn new(
+        /// The share of the eviction time within which a decode place has to be expected: 0 to 1.
+        #[builder(default = 0.6)]
+        eviction_share: f64,
         /// How long a decode engine that refused is taken as full, unless a later load report says otherwise.
         #[builder(default = Duration::from_millis(200))]
         full_backoff: Duration,
+        /// How many standard deviations of urgent demand patient work leaves room for.
+        #[builder(default = 1.5)]
+        headroom: f64,
+        /// How early before an engine or the link is free the next grant goes out; the time that a grant travels.
+        #[builder(default)]
+        lookahead: Duration,
+        /// One turn in this many goes to work that waited half its patience, whatever its rank.
+        #[builder(default = 20)]
+        patient_turn: u32,
+        /// How many blocks of prompt prefixes are remembered for each prefill engine.
+        #[builder(default = 4096)]
+        prefix_blocks: usize,
+        /// How long a queue for the sake of a cached prefix may be.
+        #[builder(default = Duration::from_millis(300))]
+        prefix_queue: Duration,
         /// Settles ties between equal engines.
         #[builder(default)]
         seed: u64,
     ) -> Self {
-        Self {
-            decodes: BTreeMap::new(),
-            expiries: BTreeSet::new(),
+        let tuning = CellTuning {
+            eviction_share,
             full_backoff,
+            headroom,
+            lookahead,
+            patient_turn,
+            prefix_queue,
+        };
+        Self {
+            choice: ReplicaChoice::new(seed),
+            early: Vec::new(),
+            ended: EndedKeys::default(),
+            link: LinkTurns::default(),
             lives: BTreeMap::new(),
-            link: None,
-            link_free_at: None,
-            prefills: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            prefixes: PrefixTable::new(prefix_blocks),
             read: BTreeSet::new(),
-            reading: 0,
             requests: BTreeMap::new(),
-            rows: BTreeMap::new(),
-            seed,
+            row_ids: BTreeMap::new(),
+            rows: Vec::new(),
             serial: 0,
             share: 1.0,
+            swept: None,
             table: Arc::default(),
+            timers: BTreeSet::new(),
+            tuning,
+            woken: None,
         }
     }
 }
@@ -82,20 +123,27 @@
     fn take(&mut self, now: Instant, event: AdmitEvent, actions: &mut Vec<AdmitAction>) {
         match event {
             AdmitEvent::Announce { phase, request } => self.announce(now, phase, request),
-            AdmitEvent::CacheEvents { .. } | AdmitEvent::Tick => {}
-            AdmitEvent::Cancel { key } => self.end(&key),
-            AdmitEvent::DecodeLost { key } => self.end_after_transfer(&key),
+            AdmitEvent::CacheEvents {
+                evicted,
+                stored,
+                upstream,
+            } => self.cache_events(&upstream, &stored, &evicted),
+            AdmitEvent::Cancel { key } => self.cancel(now, &key),
+            AdmitEvent::DecodeLost { key } => self.decode_lost(now, &key),
             AdmitEvent::DecodeRefused { key } => self.decode_refused(now, &key, actions),
-            AdmitEvent::Finished { key, .. } => self.end_after_transfer(&key),
+            AdmitEvent::Finished { key, output_tokens } => self.finished(now, &key, output_tokens),
             AdmitEvent::FirstToken { key } => self.first_token(now, &key),
-            AdmitEvent::HolderGone { before, instance } => self.holder_gone(before, instance),
+            AdmitEvent::HolderGone { before, instance } => {
+                self.holder_gone(now, before, instance);
+            }
             AdmitEvent::KvEvicted { key } => self.kv_evicted(now, &key, actions),
-            AdmitEvent::Link(info) => self.link = Some(info),
+            AdmitEvent::Link(info) => self.link.set_info(info),
             AdmitEvent::Load(report) => self.load(&report),
             AdmitEvent::PrefillDone { key } => self.prefill_done(now, &key),
             AdmitEvent::PrefillFailed { key } => self.prefill_failed(now, &key, actions),
             AdmitEvent::Submit(request) => self.submit(now, request, actions),
-            AdmitEvent::Table { share, table } => self.set_table(share, table, actions),
+            AdmitEvent::Table { share, table } => self.set_table(now, share, table, actions),
+            AdmitEvent::Tick => {}
             AdmitEvent::UpstreamGone(upstream) => self.upstream_gone(now, &upstream, actions),
             AdmitEvent::UpstreamLeaving(upstream, _) => self.upstream_leaving(&upstream),
             AdmitEvent::UpstreamUp(info) => self.upstream_up(now, info),
--- /dev/null
+++ b/crates/admit/src/cell_books.rs
@@ -0,0 +1,178 @@
+//! The books of an allocator: every index changes here, and only here.
+
+use {
+    crate::{
+        cell_allocator::CellAllocator, decode_stream::DecodeStream, held_request::HeldRequest,
+        request_key::RequestKey, request_phase::RequestPhase,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// How long news of a request may be overdue before it is taken as lost.
+const LOST_AFTER: Duration = Duration::from_secs(10);
+/// How many times the expected time news may take before that.
+const LOST_FACTOR: f64 = 4.0;
+/// The bound of any wait, so that sums of times stay in range.
+pub(crate) const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
+
+impl CellAllocator {
+    /// Enters a request in every index that its phase names.
+    pub(crate) fn put(&mut self, now: Instant, key: RequestKey, mut held: HeldRequest) {
+        held.timer = self.timer_of(now, &held);
+        self.timers.insert((held.timer, key.clone()));
+        let row = &mut self.rows[held.row];
+        let tokens = held.request.prompt_tokens;
+        if let RequestPhase::Queued = held.phase {
+            row.queue.insert(held.place, key.clone());
+            row.queued_tokens += u64::from(tokens);
+        } else {
+            row.running += 1;
+        }
+        if held.phase.is_claim() {
+            self.link.claim(tokens);
+        }
+        self.put_in_pool(now, &key, &held);
+        if let RequestPhase::Read { evicts, .. } = held.phase {
+            let due = held.deadline.unwrap_or(evicts).min(evicts);
+            self.read.insert((due, key.clone()));
+        }
+        self.requests.insert(key, held);
+    }
+
+    fn put_in_pool(&mut self, now: Instant, key: &RequestKey, held: &HeldRequest) {
+        let pool = self.pools.entry(held.pool.clone()).or_default();
+        pool.claims += u32::from(held.phase.is_claim());
+        match &held.phase {
+            RequestPhase::Decoding { decode, tokens } => {
+                let Some(engine) = pool.decodes.get_mut(decode) else {
+                    return;
+                };
+                let started = engine.started(now, *tokens);
+                let stream = self.rows[held.row].stream(held, Some(started));
+                engine.add(now, key.clone(), stream);
+            }
+            RequestPhase::Prefilling { prefill, tokens } => {
+                if let Some(engine) = pool.prefills.get_mut(prefill) {
+                    engine.add(now, key.clone(), *tokens);
+                }
+            }
+            RequestPhase::Queued => {}
+            RequestPhase::Read { prefill, .. } => {
+                if let Some(engine) = pool.prefills.get_mut(prefill) {
+                    engine.kept.insert(key.clone());
+                }
+            }
+            RequestPhase::Transferring { decode } => {
+                let Some(engine) = pool.decodes.get_mut(decode) else {
+                    return;
+                };
+                let stream = self.rows[held.row].stream(held, None);
+                engine.add(now, key.clone(), stream);
+            }
+        }
+    }
+
+    /// Takes a request out of every index; all that it held is free.
+    pub(crate) fn remove(&mut self, now: Instant, key: &RequestKey) -> Option<HeldRequest> {
+        let held = self.requests.remove(key)?;
+        self.timers.remove(&(held.timer, key.clone()));
+        let row = &mut self.rows[held.row];
+        let tokens = held.request.prompt_tokens;
+        if let RequestPhase::Queued = held.phase {
+            row.queue.remove(&held.place);
+            row.queued_tokens -= u64::from(tokens);
+        } else {
+            row.running -= 1;
+        }
+        if held.phase.is_claim() {
+            self.link.unclaim(tokens);
+        }
+        if let RequestPhase::Read { evicts, .. } = held.phase {
+            let due = held.deadline.unwrap_or(evicts).min(evicts);
+            self.read.remove(&(due, key.clone()));
+        }
+        self.remove_from_pool(now, key, &held);
+        Some(held)
+    }
+
+    fn remove_from_pool(&mut self, now: Instant, key: &RequestKey, held: &HeldRequest) {
+        let Some(pool) = self.pools.get_mut(&held.pool) else {
+            return;
+        };
+        pool.claims -= u32::from(held.phase.is_claim());
+        match &held.phase {
+            RequestPhase::Decoding { decode, .. } | RequestPhase::Transferring { decode } => {
+                if let Some(engine) = pool.decodes.get_mut(decode) {
+                    engine.remove(now, key);
+                }
+                pool.forecast.spoil();
+            }
+            RequestPhase::Prefilling { prefill, .. } => {
+                if let Some(engine) = pool.prefills.get_mut(prefill) {
+                    engine.remove(now, key);
+                }
+            }
+            RequestPhase::Queued => {}
+            RequestPhase::Read { prefill, .. } => {
+                if let Some(engine) = pool.prefills.get_mut(prefill) {
+                    engine.kept.remove(key);
+                }
+            }
+        }
+    }
+
+    /// When the allocator has to look at a request again if it hears nothing.
+    fn timer_of(&self, now: Instant, held: &HeldRequest) -> Instant {
+        let tokens = held.request.prompt_tokens;
+        let transfer = self.link.seconds(tokens);
+        let Some(pool) = self.pools.get(&held.pool) else {
+            return held.patience;
+        };
+        match &held.phase {
+            RequestPhase::Decoding { decode, tokens } => {
+                let engine = pool.decodes.get(decode);
+                let step = engine.map_or(1.0, |engine| {
+                    let info = &engine.info;
+                    info.decode_base_seconds
+                        + info.decode_slope_seconds * f64::from(info.decode_places)
+                });
+                let left = held.request.max_tokens.saturating_sub(*tokens);
+                lost_after(now, step * f64::from(left))
+            }
+            RequestPhase::Prefilling { prefill, tokens } => {
+                let engine = pool.prefills.get(prefill);
+                let read = engine.map_or(0.0, |engine| {
+                    engine.queue_seconds(now) + engine.read_seconds(*tokens)
+                });
+                lost_after(now, read)
+            }
+            RequestPhase::Queued => {
+                let Some(deadline) = held.deadline else {
+                    return held.patience;
+                };
+                let least = pool.least_read_seconds(f64::from(tokens)) + transfer;
+                let least = Duration::try_from_secs_f64(least + pool.step_seconds());
+                let latest = deadline.checked_sub(least.unwrap_or_default());
+                held.patience.min(latest.unwrap_or(deadline))
+            }
+            RequestPhase::Read { evicts, .. } => *evicts + LOST_AFTER,
+            RequestPhase::Transferring { .. } => lost_after(now, transfer),
+        }
+    }
+}
+
+fn lost_after(now: Instant, seconds: f64) -> Instant {
+    let time = Duration::try_from_secs_f64(seconds * LOST_FACTOR).unwrap_or(FOREVER);
+    now + time.min(FOREVER) + LOST_AFTER
+}
+
+impl crate::row_state::RowState {
+    fn stream(&self, held: &HeldRequest, started: Option<f64>) -> DecodeStream {
+        DecodeStream {
+            max_tokens: held.request.max_tokens,
+            row: held.row,
+            started,
+            target: self.row.between_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/cell_estimates.rs
@@ -0,0 +1,123 @@
+//! When a first token is to be expected.
+
+use {
+    crate::{
+        admit_request::AdmitRequest, cell_allocator::CellAllocator, cell_refusals::seconds,
+        engine_pool::EnginePool, queue_ahead::QueueAhead,
+    },
+    kernel::UpstreamId,
+    std::time::{Duration, Instant},
+};
+
+/// Up to this many requests ahead are placed on engines one by one; more count as a fluid.
+const PLACED_LIMIT: f64 = 64.0;
+
+impl CellAllocator {
+    /// What a new request of a row finds before it: better ranks, its own row, and the other rows of its rank by weight.
+    pub(crate) fn queue_ahead(&self, row: usize) -> QueueAhead {
+        let own = &self.rows[row];
+        let mut ahead = QueueAhead::default();
+        for (index, state) in self.rows.iter().enumerate() {
+            if state.queue.is_empty() || state.pool != own.pool || state.row.rank > own.row.rank {
+                continue;
+            }
+            if index != row && !state.under_limit() {
+                continue;
+            }
+            let queued = state.queue.len() as f64;
+            let mut share = 1.0;
+            if index != row && state.row.rank == own.row.rank {
+                let turns = (own.queue.len() + 1) as f64 * state.row.weight;
+                share = (turns / own.row.weight.max(f64::MIN_POSITIVE) / queued).min(1.0);
+            }
+            ahead.requests += queued * share;
+            ahead.tokens += state.queued_tokens as f64 * share;
+        }
+        ahead
+    }
+
+    /// How long from now until the first token of a request, with some requests before it.
+    pub(crate) fn first_token_after(
+        &mut self,
+        now: Instant,
+        row: usize,
+        request: &AdmitRequest,
+        ahead: QueueAhead,
+    ) -> Duration {
+        let state = &self.rows[row];
+        let Some(pool) = self.pools.get_mut(&state.pool) else {
+            return Self::UNKNOWN_WAIT;
+        };
+        pool.look_ahead(now, &self.rows);
+        let state = &self.rows[row];
+        let Some(pool) = self.pools.get(&state.pool) else {
+            return Self::UNKNOWN_WAIT;
+        };
+        let free = f64::from(pool.free(now, state.row.between_tokens));
+        let ends = f64::from(pool.claims) + ahead.requests + 1.0 - free;
+        let place = pool.forecast.seconds_until(ends);
+        let start = pool.start_seconds(now, ahead);
+        let start = match state.row.waste <= 0.0 {
+            true => start.max(place),
+            false => start,
+        };
+        let read = self.read_end_seconds(now, pool, request, start);
+        let ready = read.max(place);
+        let wait = self.link.wait_seconds(now, ready);
+        let transfer = self.link.seconds(request.prompt_tokens);
+        seconds(ready + wait + transfer + pool.step_seconds())
+    }
+
+    /// Seconds until a prompt is read whose turn comes in `start` seconds.
+    fn read_end_seconds(
+        &self,
+        now: Instant,
+        pool: &EnginePool,
+        request: &AdmitRequest,
+        start: f64,
+    ) -> f64 {
+        let mut best = f64::INFINITY;
+        for (upstream, engine) in &pool.prefills {
+            if engine.leaving {
+                continue;
+            }
+            let tokens = f64::from(request.prompt_tokens) - self.cached(upstream, request);
+            let from = engine.queue_seconds(now).max(start);
+            best = best.min(from + engine.read_seconds(tokens.max(1.0)));
+        }
+        best
+    }
+
+    /// The tokens of a prompt that an engine is thought to hold; the last one is always read.
+    pub(crate) fn cached(&self, upstream: &UpstreamId, request: &AdmitRequest) -> f64 {
+        if request.prefix.is_empty() {
+            return 0.0;
+        }
+        let matched = self.prefixes.matched(upstream, &request.prefix) as f64;
+        let tokens = f64::from(request.prompt_tokens);
+        (tokens * matched / request.prefix.len() as f64).min(tokens - 1.0)
+    }
+}
+
+impl EnginePool {
+    /// Seconds until the next prompt can be read once those before it were given out.
+    fn start_seconds(&self, now: Instant, ahead: QueueAhead) -> f64 {
+        let open = self.prefills.values().filter(|engine| !engine.leaving);
+        let mut queues: Vec<f64> = open.map(|engine| engine.queue_seconds(now)).collect();
+        let engines = queues.len().max(1) as f64;
+        let each = ahead.tokens / self.prefill_rate().max(f64::MIN_POSITIVE) * engines;
+        let each = each / ahead.requests.max(1.0);
+        let placed = ahead.requests.min(PLACED_LIMIT).round() as usize;
+        let fluid = (ahead.requests - PLACED_LIMIT).max(0.0) * each / engines;
+        for _ in 0..placed {
+            if let Some(least) = queues
+                .iter_mut()
+                .min_by(|left, right| left.total_cmp(right))
+            {
+                *least += each;
+            }
+        }
+        let least = queues.into_iter().reduce(f64::min);
+        least.unwrap_or(0.0) + fluid
+    }
+}
--- /dev/null
+++ b/crates/admit/src/cell_refusals.rs
@@ -0,0 +1,165 @@
+//! When an allocator gives a request up, and when the caller may come back.
+
+use {
+    crate::{
+        admit_action::AdmitAction, admit_request::AdmitRequest, cell_allocator::CellAllocator,
+        request_key::RequestKey, request_phase::RequestPhase,
+    },
+    kernel::ResultCode,
+    std::time::{Duration, Instant},
+};
+
+/// The longest wait that a caller is told.
+const RETRY_CEILING: Duration = Duration::from_secs(600);
+/// The shortest wait that a caller is told.
+const RETRY_FLOOR: Duration = Duration::from_millis(100);
+/// How often the urgent queue is looked through for requests that became late.
+const SWEEP_PERIOD: Duration = Duration::from_millis(20);
+
+impl CellAllocator {
+    /// The wait that a caller is told when no queue gives a better figure.
+    pub(crate) const UNKNOWN_WAIT: Duration = Duration::from_secs(1);
+
+    pub(crate) fn refuse(key: RequestKey, code: ResultCode, wait: Duration) -> AdmitAction {
+        AdmitAction::Refuse {
+            code,
+            key,
+            retry_after: wait.clamp(RETRY_FLOOR, RETRY_CEILING),
+        }
+    }
+
+    /// Why a new request can't be served, and when it might be.
+    pub(crate) fn refusal(
+        &mut self,
+        now: Instant,
+        row: usize,
+        request: &AdmitRequest,
+    ) -> Option<(ResultCode, Duration)> {
+        let state = &self.rows[row];
+        let pool = self.pools.get(&state.pool);
+        if !pool.is_some_and(|pool| pool.is_open()) {
+            return Some((ResultCode::UpstreamMissing, Self::UNKNOWN_WAIT));
+        }
+        if state.limit == 0 {
+            return Some((ResultCode::LimitReached, Self::UNKNOWN_WAIT));
+        }
+        let target = state.row.first_token?;
+        let left = (request.arrived + target).saturating_duration_since(now);
+        let turn = self.limit_wait(row);
+        if turn > left {
+            return Some((ResultCode::LimitReached, turn));
+        }
+        let ahead = self.queue_ahead(row);
+        let wait = self.first_token_after(now, row, request, ahead);
+        if wait > left {
+            return Some((ResultCode::FirstTokenLate, wait - left));
+        }
+        None
+    }
+
+    /// How long a new request of a row waits until the row is under its limit.
+    fn limit_wait(&self, row: usize) -> Duration {
+        let state = &self.rows[row];
+        if state.under_limit() {
+            return Duration::ZERO;
+        }
+        let residence = state.residence.unwrap_or_default();
+        let turns = (state.queue.len() + 1) as f64 / f64::from(state.limit.max(1));
+        seconds(residence * turns)
+    }
+
+    /// How long a request of a row would wait in the queue as it stands.
+    pub(crate) fn queue_wait(&mut self, now: Instant, row: usize) -> Duration {
+        let state = &self.rows[row];
+        let Some(pool) = self.pools.get_mut(&state.pool) else {
+            return Self::UNKNOWN_WAIT;
+        };
+        pool.look_ahead(now, &self.rows);
+        let ahead = self.queue_ahead(row);
+        let state = &self.rows[row];
+        let Some(pool) = self.pools.get(&state.pool) else {
+            return Self::UNKNOWN_WAIT;
+        };
+        let read = ahead.tokens / pool.prefill_rate().max(f64::MIN_POSITIVE);
+        let free = f64::from(pool.free(now, state.row.between_tokens));
+        let ends = f64::from(pool.claims) + ahead.requests + 1.0 - free;
+        let place = pool.forecast.seconds_until(ends);
+        seconds(read.max(place)).max(self.limit_wait(row))
+    }
+
+    /// Looks at the requests whose time has come.
+    pub(crate) fn run_timers(&mut self, now: Instant, actions: &mut Vec<AdmitAction>) {
+        while let Some((time, key)) = self.timers.first().cloned() {
+            if time > now {
+                return;
+            }
+            let Some(held) = self.remove(now, &key) else {
+                self.timers.pop_first();
+                continue;
+            };
+            match held.phase {
+                // Its end was not heard of for very long: the place is taken as free.
+                RequestPhase::Decoding { .. } | RequestPhase::Transferring { .. } => {}
+                RequestPhase::Prefilling { .. } | RequestPhase::Read { .. } => {
+                    self.retry(now, held, actions);
+                }
+                RequestPhase::Queued => {
+                    let code = match held.deadline {
+                        Some(_) => ResultCode::FirstTokenLate,
+                        None => ResultCode::PatienceEnded,
+                    };
+                    let wait = self.queue_wait(now, held.row);
+                    actions.push(Self::refuse(key, code, wait));
+                }
+            }
+        }
+    }
+
+    /// Refuses urgent requests that are known to be late by now, though their own time has not come.
+    pub(crate) fn sweep_urgent(&mut self, now: Instant, actions: &mut Vec<AdmitAction>) {
+        let since = self.swept.map(|swept| now.saturating_duration_since(swept));
+        if since.is_some_and(|since| since < SWEEP_PERIOD) {
+            return;
+        }
+        self.swept = Some(now);
+        for row in 0..self.rows.len() {
+            if self.rows[row].row.first_token.is_some() {
+                self.sweep_row(now, row, actions);
+            }
+        }
+    }
+
+    fn sweep_row(&mut self, now: Instant, row: usize, actions: &mut Vec<AdmitAction>) {
+        if self.rows[row].queue.is_empty() {
+            return;
+        }
+        let mut ahead = self.queue_ahead(row);
+        ahead.requests -= self.rows[row].queue.len() as f64;
+        ahead.tokens -= self.rows[row].queued_tokens as f64;
+        let keys: Vec<RequestKey> = self.rows[row].queue.values().cloned().collect();
+        for key in keys {
+            let Some(held) = self.requests.get(&key) else {
+                continue;
+            };
+            let request = held.request.clone();
+            let deadline = held.deadline.unwrap_or(held.patience);
+            let left = deadline.saturating_duration_since(now);
+            let wait = self.first_token_after(now, row, &request, ahead);
+            if wait > left {
+                self.remove(now, &key);
+                let code = ResultCode::FirstTokenLate;
+                actions.push(Self::refuse(key, code, wait - left));
+                continue;
+            }
+            ahead.requests += 1.0;
+            ahead.tokens += f64::from(request.prompt_tokens);
+        }
+    }
+}
+
+/// A duration of some seconds, within bounds.
+pub(crate) fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value.max(0.0))
+        .unwrap_or(RETRY_CEILING)
+        .min(RETRY_CEILING)
+}
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -3,46 +3,70 @@
 use {
     crate::{
         admit_action::AdmitAction, admit_event::HoldPhase, admit_request::AdmitRequest,
-        cell_allocator::CellAllocator, held_request::HeldRequest, queue_place::QueuePlace,
-        request_key::RequestKey, request_phase::RequestPhase,
+        cell_allocator::CellAllocator, cell_books::FOREVER, held_request::HeldRequest,
+        queue_place::QueuePlace, request_key::RequestKey, request_phase::RequestPhase,
     },
-    kernel::{Incarnation, InstanceId, ResultCode},
-    std::time::{Duration, Instant},
+    kernel::{Incarnation, InstanceId, ResultCode, UpstreamId},
+    std::time::Instant,
 };
 
-/// Stands for no bound in time.
-const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
-/// How long the KV cache is kept when nothing is known of the link.
-const EVICTION_UNKNOWN: Duration = Duration::from_millis(500);
-/// The shortest time after which a refused caller is asked to come back.
-const RETRY_FLOOR: Duration = Duration::from_millis(100);
+/// How many announced requests are kept until a table comes.
+const EARLY_LIMIT: usize = 65_536;
 
 impl CellAllocator {
     pub(crate) fn announce(&mut self, now: Instant, phase: HoldPhase, request: AdmitRequest) {
-        if self.is_stale(&request.key) || self.requests.contains_key(&request.key) {
+        if self.is_over(&request.key) {
             return;
         }
+        let known = self.phase(&request.key);
+        if known.is_some_and(|phase| !matches!(phase, RequestPhase::Queued)) {
+            return;
+        }
+        let Some(row) = self.row_ids.get(&request.work).copied() else {
+            if self.table.version == 0 && self.early.len() < EARLY_LIMIT {
+                self.early.push((phase, request));
+            }
+            return;
+        };
         let key = request.key.clone();
-        let mut held = self.hold(now, request);
-        held.phase = match phase {
-            HoldPhase::Decoding { decode, tokens } => RequestPhase::Decoding {
-                decode,
-                since: now,
-                tokens,
-            },
-            HoldPhase::Prefilling { prefill, since } => RequestPhase::Prefilling {
+        self.remove(now, &key);
+        let mut held = self.hold(now, row, request);
+        held.granted = Some(now);
+        held.phase = self.announced(phase, &held);
+        self.put(now, key, held);
+    }
+
+    fn announced(&self, phase: HoldPhase, held: &HeldRequest) -> RequestPhase {
+        match phase {
+            HoldPhase::Decoding { decode, tokens } => RequestPhase::Decoding { decode, tokens },
+            HoldPhase::Prefilling { prefill, .. } => RequestPhase::Prefilling {
                 prefill,
-                until: since,
+                tokens: f64::from(held.request.prompt_tokens),
             },
             HoldPhase::Read { prefill, since } => RequestPhase::Read {
-                evicts: since + self.eviction(),
+                evicts: since + self.link.eviction(),
                 prefill,
             },
-            HoldPhase::Transferring { decode, .. } => {
-                RequestPhase::Transferring { decode, until: now }
-            }
-        };
-        self.put(key, held);
+            HoldPhase::Transferring { decode, .. } => RequestPhase::Transferring { decode },
+        }
+    }
+
+    pub(crate) fn cache_events(&mut self, upstream: &UpstreamId, stored: &[u64], evicted: &[u64]) {
+        self.prefixes.evicted(upstream, evicted);
+        self.prefixes.stored(upstream, stored);
+    }
+
+    pub(crate) fn cancel(&mut self, now: Instant, key: &RequestKey) {
+        self.remove(now, key);
+        self.ended.insert(key.clone());
+    }
+
+    pub(crate) fn decode_lost(&mut self, now: Instant, key: &RequestKey) {
+        if let Some(RequestPhase::Transferring { .. } | RequestPhase::Decoding { .. }) =
+            self.phase(key)
+        {
+            self.remove(now, key);
+        }
     }
 
     pub(crate) fn decode_refused(
@@ -51,68 +75,61 @@
         key: &RequestKey,
         actions: &mut Vec<AdmitAction>,
     ) {
-        let Some(RequestPhase::Transferring { decode, .. }) = self.phase(key) else {
+        let Some(RequestPhase::Transferring { decode }) = self.phase(key) else {
             return;
         };
         let decode = decode.clone();
-        if let Some(engine) = self.decodes.get_mut(&decode) {
-            engine.full_until = Some(now + self.full_backoff);
-        }
-        let Some(mut held) = self.remove(key) else {
+        let Some(mut held) = self.remove(now, key) else {
             return;
         };
+        let pool = self.pools.get_mut(&held.pool);
+        if let Some(engine) = pool.and_then(|pool| pool.decodes.get_mut(&decode)) {
+            engine.full = Some((now, now + self.tuning.full_backoff));
+        }
         let Some((prefill, evicts)) = held.kv.take() else {
             self.retry(now, held, actions);
             return;
         };
         held.phase = RequestPhase::Read { evicts, prefill };
-        self.put(key.clone(), held);
+        self.put(now, key.clone(), held);
     }
 
-    pub(crate) fn end(&mut self, key: &RequestKey) {
-        self.remove(key);
-    }
-
-    pub(crate) fn end_after_transfer(&mut self, key: &RequestKey) {
-        if let Some(RequestPhase::Transferring { .. } | RequestPhase::Decoding { .. }) =
+    pub(crate) fn finished(&mut self, now: Instant, key: &RequestKey, output_tokens: u32) {
+        let Some(RequestPhase::Transferring { .. } | RequestPhase::Decoding { .. }) =
             self.phase(key)
-        {
-            self.remove(key);
+        else {
+            return;
+        };
+        let Some(held) = self.remove(now, key) else {
+            return;
+        };
+        let row = &mut self.rows[held.row];
+        row.sketch.note(output_tokens);
+        if let Some(granted) = held.granted {
+            row.note_residence(now.saturating_duration_since(granted));
         }
-    }
-
-    /// How long a prefill engine keeps a KV cache.
-    pub(crate) fn eviction(&self) -> Duration {
-        self.link
-            .as_ref()
-            .map_or(EVICTION_UNKNOWN, |link| link.eviction)
+        self.ended.insert(key.clone());
     }
 
     pub(crate) fn first_token(&mut self, now: Instant, key: &RequestKey) {
-        let Some(RequestPhase::Transferring { decode, .. }) = self.phase(key) else {
+        let Some(RequestPhase::Transferring { decode }) = self.phase(key) else {
             return;
         };
         let decode = decode.clone();
-        let Some(mut held) = self.remove(key) else {
-            return;
-        };
-        held.phase = RequestPhase::Decoding {
-            decode,
-            since: now,
-            tokens: 1,
-        };
-        self.put(key.clone(), held);
+        self.move_to(now, key, RequestPhase::Decoding { decode, tokens: 1 });
     }
 
-    fn hold(&mut self, now: Instant, request: AdmitRequest) -> HeldRequest {
-        let row = self.table.row(&request.work);
+    /// A request as it is before it holds anything.
+    pub(crate) fn hold(&mut self, now: Instant, row: usize, request: AdmitRequest) -> HeldRequest {
+        let state = &self.rows[row];
         let arrived = request.arrived;
-        let deadline = row.and_then(|row| Some(arrived + row.first_token?.min(FOREVER)));
-        let patience = arrived + row.map_or(FOREVER, |row| row.patience.min(FOREVER));
+        let first_token = state.row.first_token;
+        let deadline = first_token.map(|target| arrived + target.min(FOREVER));
+        let patience = arrived + state.row.patience.min(FOREVER);
         self.serial += 1;
         HeldRequest {
             deadline,
-            expires: now + FOREVER,
+            granted: None,
             kv: None,
             patience,
             phase: RequestPhase::Queued,
@@ -121,12 +138,15 @@
                 deadline: deadline.unwrap_or(patience),
                 serial: self.serial,
             },
+            pool: state.pool.clone(),
             request,
+            row,
+            timer: now,
             tries: 0,
         }
     }
 
-    pub(crate) fn holder_gone(&mut self, before: Incarnation, instance: InstanceId) {
+    pub(crate) fn holder_gone(&mut self, now: Instant, before: Incarnation, instance: InstanceId) {
         let mut gone = Vec::new();
         for key in self.requests.keys() {
             if key.instance == instance && key.incarnation < before {
@@ -134,17 +154,16 @@
             }
         }
         for key in gone {
-            self.remove(&key);
+            self.remove(now, &key);
         }
         let life = self.lives.entry(instance).or_default();
         *life = before.max(*life);
     }
 
-    /// Whether the request belongs to an earlier life of its entry instance.
-    fn is_stale(&self, key: &RequestKey) -> bool {
-        self.lives
-            .get(&key.instance)
-            .is_some_and(|life| key.incarnation < *life && *life != Incarnation::MAX)
+    /// Whether the request ended, or its entry instance's life did.
+    fn is_over(&self, key: &RequestKey) -> bool {
+        let life = self.lives.get(&key.instance).copied().unwrap_or_default();
+        key.incarnation < life || self.ended.contains(key)
     }
 
     pub(crate) fn kv_evicted(
@@ -157,12 +176,21 @@
         else {
             return;
         };
-        let Some(held) = self.remove(key) else {
+        let Some(held) = self.remove(now, key) else {
             return;
         };
         self.retry(now, held, actions);
     }
 
+    /// Moves a request to another phase.
+    pub(crate) fn move_to(&mut self, now: Instant, key: &RequestKey, phase: RequestPhase) {
+        let Some(mut held) = self.remove(now, key) else {
+            return;
+        };
+        held.phase = phase;
+        self.put(now, key.clone(), held);
+    }
+
     pub(crate) fn phase(&self, key: &RequestKey) -> Option<&RequestPhase> {
         self.requests.get(key).map(|held| &held.phase)
     }
@@ -172,14 +200,8 @@
             return;
         };
         let prefill = prefill.clone();
-        let Some(mut held) = self.remove(key) else {
-            return;
-        };
-        held.phase = RequestPhase::Read {
-            evicts: now + self.eviction(),
-            prefill,
-        };
-        self.put(key.clone(), held);
+        let evicts = now + self.link.eviction();
+        self.move_to(now, key, RequestPhase::Read { evicts, prefill });
     }
 
     pub(crate) fn prefill_failed(
@@ -191,20 +213,12 @@
         let Some(RequestPhase::Prefilling { .. }) = self.phase(key) else {
             return;
         };
-        let Some(held) = self.remove(key) else {
+        let Some(held) = self.remove(now, key) else {
             return;
         };
         self.retry(now, held, actions);
     }
 
-    pub(crate) fn refuse(key: RequestKey, code: ResultCode, wait: Duration) -> AdmitAction {
-        AdmitAction::Refuse {
-            code,
-            key,
-            retry_after: wait.max(RETRY_FLOOR),
-        }
-    }
-
     /// Puts a request whose try failed back to the front of its row's queue, or refuses it.
     pub(crate) fn retry(
         &mut self,
@@ -213,12 +227,8 @@
         actions: &mut Vec<AdmitAction>,
     ) {
         let key = held.request.key.clone();
-        let retries = self
-            .table
-            .row(&held.request.work)
-            .map_or(0, |row| row.retries);
-        if held.tries >= retries {
-            let wait = self.queue_wait(now);
+        if held.tries >= self.rows[held.row].row.retries {
+            let wait = self.queue_wait(now, held.row);
             actions.push(Self::refuse(key, ResultCode::UpstreamRefused, wait));
             return;
         }
@@ -226,7 +236,7 @@
         held.kv = None;
         held.phase = RequestPhase::Queued;
         held.place.fresh = false;
-        self.put(key, held);
+        self.put(now, key, held);
     }
 
     pub(crate) fn submit(
@@ -235,20 +245,26 @@
         request: AdmitRequest,
         actions: &mut Vec<AdmitAction>,
     ) {
-        if self.is_stale(&request.key) || self.requests.contains_key(&request.key) {
+        if self.is_over(&request.key) || self.requests.contains_key(&request.key) {
             return;
         }
-        let key = request.key.clone();
-        let wait = self.queue_wait(now);
-        if self.table.row(&request.work).is_none() {
-            actions.push(Self::refuse(key, ResultCode::WorkUnknown, wait));
+        let row = self.row_ids.get(&request.work).copied();
+        let Some(row) = row.filter(|row| self.rows[*row].known) else {
+            actions.push(Self::refuse(
+                request.key,
+                ResultCode::WorkUnknown,
+                Self::UNKNOWN_WAIT,
+            ));
             return;
-        }
-        let held = self.hold(now, request);
-        if !self.is_served(&held.request.work) {
-            actions.push(Self::refuse(key, ResultCode::UpstreamMissing, wait));
+        };
+        self.rows[row].arrivals.hit(now);
+        if let Some((code, wait)) = self.refusal(now, row, &request) {
+            actions.push(Self::refuse(request.key, code, wait));
             return;
         }
-        self.put(key, held);
+        let key = request.key.clone();
+        self.join_turns(row);
+        let held = self.hold(now, row, request);
+        self.put(now, key, held);
     }
 }
--- /dev/null
+++ b/crates/admit/src/cell_turns.rs
@@ -0,0 +1,179 @@
+//! In which order an allocator lets requests be read, and when reading may start.
+
+use {
+    crate::{
+        cell_allocator::CellAllocator, engine_pool::EnginePool, normal_quantile::normal_quantile,
+        pool_key::PoolKey, row_turn::RowTurn,
+    },
+    kernel::UpstreamId,
+    std::time::{Duration, Instant},
+    table::Rank,
+};
+
+/// The part of the first-token target that urgent work may wait for a place that patient work holds.
+const SLACK_SHARE: f64 = 0.5;
+/// The part of its patience after which a request may go before its rank.
+const AGED_SHARE: f64 = 0.5;
+
+impl CellAllocator {
+    /// The request whose turn it is: by rank, then the row with the least service over its weight, then its first.
+    pub(crate) fn next_turn(&self, now: Instant, pool: &PoolKey) -> Option<RowTurn> {
+        if let Some(turn) = self.aged_turn(now, pool) {
+            return Some(turn);
+        }
+        let mut best: Option<(Rank, f64, usize)> = None;
+        for (index, state) in self.rows.iter().enumerate() {
+            if state.queue.is_empty() || state.pool != *pool || !state.under_limit() {
+                continue;
+            }
+            let order = (state.row.rank, state.pass);
+            if best.is_none_or(|(rank, pass, _)| order < (rank, pass)) {
+                best = Some((order.0, order.1, index));
+            }
+        }
+        let (_, _, row) = best?;
+        let key = self.rows[row].queue.values().next()?.clone();
+        Some(RowTurn {
+            aged: false,
+            key,
+            row,
+        })
+    }
+
+    /// A request that waited long, when its turn before its rank has come.
+    fn aged_turn(&self, now: Instant, pool: &PoolKey) -> Option<RowTurn> {
+        if self.pools.get(pool)?.turns_since_aged < self.tuning.patient_turn {
+            return None;
+        }
+        for (index, state) in self.rows.iter().enumerate() {
+            if state.pool != *pool || state.row.first_token.is_some() || !state.under_limit() {
+                continue;
+            }
+            let Some(key) = state.queue.values().next() else {
+                continue;
+            };
+            let Some(held) = self.requests.get(key) else {
+                continue;
+            };
+            let waited = now.saturating_duration_since(held.request.arrived);
+            if waited >= state.row.patience.mul_f64(AGED_SHARE) {
+                return Some(RowTurn {
+                    aged: true,
+                    key: key.clone(),
+                    row: index,
+                });
+            }
+        }
+        None
+    }
+
+    /// A row that had nothing queued starts level with the row that went last in its rank.
+    pub(crate) fn join_turns(&mut self, row: usize) {
+        let state = &self.rows[row];
+        if !state.queue.is_empty() {
+            return;
+        }
+        let Some(pool) = self.pools.get(&state.pool) else {
+            return;
+        };
+        let level = pool.levels.get(&state.row.rank).copied();
+        let state = &mut self.rows[row];
+        state.pass = state.pass.max(level.unwrap_or_default());
+    }
+
+    /// Charges a row for its turn by the scarcer of reading time and decode places.
+    pub(crate) fn take_turn(&mut self, pool: &PoolKey, turn: &RowTurn, tokens: f64) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        pool.turns_since_aged = match turn.aged {
+            true => 0,
+            false => pool.turns_since_aged.saturating_add(1),
+        };
+        let read = tokens / pool.prefill_rate().max(f64::MIN_POSITIVE);
+        let places = f64::from(pool.places().max(1));
+        let state = &mut self.rows[turn.row];
+        let max_tokens = self.requests.get(&turn.key);
+        let max_tokens = max_tokens.map_or(0.0, |held| f64::from(held.request.max_tokens));
+        let held = state.sketch.mean(max_tokens) * pool.step_seconds() / places;
+        pool.levels.insert(state.row.rank, state.pass);
+        state.pass += read.max(held) / state.row.weight.max(f64::MIN_POSITIVE);
+    }
+
+    /// Whether a decode place and the link are expected to be free by the time that the reading ends.
+    pub(crate) fn may_read(
+        &mut self,
+        now: Instant,
+        pool: &PoolKey,
+        turn: &RowTurn,
+        prefill: &UpstreamId,
+        tokens: f64,
+    ) -> bool {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.look_ahead(now, &self.rows);
+        }
+        let Some(pool) = self.pools.get(pool) else {
+            return false;
+        };
+        let Some(held) = self.requests.get(&turn.key) else {
+            return false;
+        };
+        let Some(engine) = pool.prefills.get(prefill) else {
+            return false;
+        };
+        let row = &self.rows[turn.row].row;
+        let ready = engine.queue_seconds(now) + engine.read_seconds(tokens);
+        let kept = self.link.eviction().as_secs_f64() * self.tuning.eviction_share;
+        if self.link.wait_seconds(now, ready) > kept {
+            return false;
+        }
+        let free = f64::from(pool.free(now, row.between_tokens));
+        let spare = free - f64::from(pool.claims) - 1.0;
+        let mut horizon = ready + kept;
+        if let Some(deadline) = held.deadline {
+            let left = deadline.saturating_duration_since(now).as_secs_f64();
+            let rest = self.link.seconds(held.request.prompt_tokens) + pool.step_seconds();
+            horizon = horizon.min(left - rest).max(ready);
+        }
+        if !turn.aged && !self.leaves_room(now, pool, turn.row, spare) {
+            return false;
+        }
+        if spare >= 0.0 || row.waste >= 1.0 {
+            return true;
+        }
+        if row.waste <= 0.0 {
+            return false;
+        }
+        let (mean, variance) = pool.forecast.ends_within(horizon);
+        let margin = normal_quantile(1.0 - row.waste) * variance.sqrt();
+        spare + mean - margin >= 0.0
+    }
+
+    /// Whether urgent work of a better rank still finds a place in time after one more of this row.
+    fn leaves_room(&self, now: Instant, pool: &EnginePool, row: usize, spare: f64) -> bool {
+        let row = &self.rows[row];
+        let mut rate = 0.0;
+        let mut slack = Duration::MAX;
+        for state in &self.rows {
+            let Some(target) = state.row.first_token else {
+                continue;
+            };
+            if state.pool != row.pool || state.row.rank >= row.row.rank {
+                continue;
+            }
+            rate += state.arrivals.per_second(now);
+            slack = slack.min(target);
+        }
+        if rate < RATE_FLOOR {
+            return true;
+        }
+        let slack = slack.as_secs_f64() * SLACK_SHARE;
+        let demand = rate * slack;
+        let (mean, variance) = pool.forecast.ends_within(slack);
+        let margin = self.tuning.headroom * (demand + variance).sqrt();
+        spare + mean >= demand + margin
+    }
+}
+
+/// Urgent work that comes less often than this, a second, gets no room kept.
+const RATE_FLOOR: f64 = 0.01;
--- a/crates/admit/src/cell_upstreams.rs
+++ b/crates/admit/src/cell_upstreams.rs
@@ -3,54 +3,80 @@
 use {
     crate::{
         admit_action::AdmitAction, cell_allocator::CellAllocator, decode_engine::DecodeEngine,
-        prefill_engine::PrefillEngine, request_key::RequestKey, request_phase::RequestPhase,
+        pool_key::PoolKey, prefill_engine::PrefillEngine, request_key::RequestKey,
+        request_phase::RequestPhase, row_limit::cell_limit, row_state::RowState,
     },
     kernel::{ResultCode, UpstreamId},
     route::{LoadReport, UpstreamInfo, UpstreamRole},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Instant},
     table::WorkTable,
 };
 
 impl CellAllocator {
-    /// Whether some prefill and some decode engine take the work of a row.
-    pub(crate) fn is_served(&self, work: &str) -> bool {
-        let Some(row) = self.table.row(work) else {
-            return false;
-        };
-        let fits = |info: &UpstreamInfo| info.service == row.service && info.model == row.model;
-        let read = self.prefills.values();
-        let mut read = read.filter(|engine| !engine.leaving && fits(&engine.info));
-        let decode = self.decodes.values();
-        let mut decode = decode.filter(|engine| !engine.leaving && fits(&engine.info));
-        read.next().is_some() && decode.next().is_some()
-    }
-
     pub(crate) fn load(&mut self, report: &LoadReport) {
         if report.leaving {
             self.upstream_leaving(&report.upstream);
         }
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.decodes.get_mut(&report.upstream) {
+                engine.report(report);
+            }
+            if let Some(engine) = pool.prefills.get_mut(&report.upstream) {
+                engine.load.report(report.taken, report.prefill_tokens);
+            }
+        }
     }
 
     pub(crate) fn set_table(
         &mut self,
+        now: Instant,
         share: f64,
         table: Arc<WorkTable>,
         actions: &mut Vec<AdmitAction>,
     ) {
         self.share = share;
-        self.table = table;
-        let mut unknown: Vec<RequestKey> = Vec::new();
-        for (work, row) in &self.rows {
-            if self.table.row(work).is_none() {
-                unknown.extend(row.queue.values().cloned());
+        self.table = table.clone();
+        for state in &mut self.rows {
+            state.known = false;
+        }
+        for (work, row) in &table.rows {
+            let index = *self.row_ids.entry(work.clone()).or_insert(self.rows.len());
+            if index == self.rows.len() {
+                self.rows.push(RowState::new(row.clone()));
             }
+            let state = &mut self.rows[index];
+            state.known = true;
+            state.limit = row.limit.map_or(u32::MAX, |limit| cell_limit(limit, share));
+            state.pool = PoolKey::of_row(row);
+            state.row = row.clone();
+        }
+        self.requeue_all(now, actions);
+        for (phase, request) in std::mem::take(&mut self.early) {
+            self.announce(now, phase, request);
+        }
+    }
+
+    /// Enters the queued requests anew, so that an edit of their row counts for them too.
+    fn requeue_all(&mut self, now: Instant, actions: &mut Vec<AdmitAction>) {
+        let mut queued: Vec<RequestKey> = Vec::new();
+        for state in &self.rows {
+            queued.extend(state.queue.values().cloned());
         }
-        for key in unknown {
-            self.remove(&key);
-            actions.push(Self::refuse(key, ResultCode::WorkUnknown, Duration::ZERO));
+        for key in queued {
+            let Some(held) = self.remove(now, &key) else {
+                continue;
+            };
+            if !self.rows[held.row].known {
+                let code = ResultCode::WorkUnknown;
+                actions.push(Self::refuse(key, code, Self::UNKNOWN_WAIT));
+                continue;
+            }
+            let mut fresh = self.hold(now, held.row, held.request);
+            fresh.granted = held.granted;
+            fresh.place.fresh = held.place.fresh;
+            fresh.place.serial = held.place.serial;
+            fresh.tries = held.tries;
+            self.put(now, key, fresh);
         }
     }
 
@@ -60,86 +86,100 @@
         upstream: &UpstreamId,
         actions: &mut Vec<AdmitAction>,
     ) {
-        self.decodes.remove(upstream);
-        self.prefills.remove(upstream);
-        let mut decoding = Vec::new();
-        let mut read = Vec::new();
-        for (key, held) in &self.requests {
-            match &held.phase {
-                RequestPhase::Decoding { decode, .. }
-                | RequestPhase::Transferring { decode, .. }
-                    if decode == upstream =>
-                {
-                    decoding.push(key.clone());
-                }
-                RequestPhase::Prefilling { prefill, .. } | RequestPhase::Read { prefill, .. }
-                    if prefill == upstream =>
-                {
-                    read.push(key.clone());
-                }
-                _ => {}
+        self.prefixes.forget(upstream);
+        for key in self.held_at(upstream) {
+            let Some(held) = self.remove(now, &key) else {
+                continue;
+            };
+            if held.phase.is_claim() {
+                self.retry(now, held, actions);
             }
         }
-        for key in decoding {
-            self.remove(&key);
+        for pool in self.pools.values_mut() {
+            pool.decodes.remove(upstream);
+            pool.prefills.remove(upstream);
+            pool.forecast.spoil();
         }
-        for key in read {
-            let Some(held) = self.remove(&key) else {
-                continue;
-            };
-            self.retry(now, held, actions);
+    }
+
+    /// The requests that hold something at an upstream.
+    fn held_at(&self, upstream: &UpstreamId) -> Vec<RequestKey> {
+        let mut keys = Vec::new();
+        for (key, held) in &self.requests {
+            let at =
+                match &held.phase {
+                    RequestPhase::Decoding { decode, .. }
+                    | RequestPhase::Transferring { decode } => decode,
+                    RequestPhase::Prefilling { prefill, .. }
+                    | RequestPhase::Read { prefill, .. } => prefill,
+                    RequestPhase::Queued => continue,
+                };
+            if at == upstream {
+                keys.push(key.clone());
+            }
         }
+        keys
     }
 
     pub(crate) fn upstream_leaving(&mut self, upstream: &UpstreamId) {
-        if let Some(engine) = self.decodes.get_mut(upstream) {
-            engine.leaving = true;
-        }
-        if let Some(engine) = self.prefills.get_mut(upstream) {
-            engine.leaving = true;
+        for pool in self.pools.values_mut() {
+            if let Some(engine) = pool.decodes.get_mut(upstream) {
+                engine.leaving = true;
+                pool.forecast.spoil();
+            }
+            if let Some(engine) = pool.prefills.get_mut(upstream) {
+                engine.leaving = true;
+            }
         }
     }
 
+    /// An upstream is there. What it holds in another role or pool goes on there and gets no new work.
     pub(crate) fn upstream_up(&mut self, now: Instant, info: UpstreamInfo) {
         self.upstream_leaving(&info.upstream);
         let upstream = info.upstream.clone();
-        match info.role {
-            UpstreamRole::Decode => {
-                let fresh = DecodeEngine::new(info.clone());
-                let engine = self.decodes.entry(upstream.clone()).or_insert(fresh);
-                engine.info = info;
-                engine.leaving = false;
-            }
+        let key = PoolKey::of_upstream(&info);
+        let pool = self.pools.entry(key).or_default();
+        let known = match info.role {
+            UpstreamRole::Decode => match pool.decodes.get_mut(&upstream) {
+                Some(engine) => {
+                    engine.count_tokens(now);
+                    engine.info = info;
+                    engine.leaving = false;
+                    true
+                }
+                None => {
+                    let engine = DecodeEngine::new(now, info);
+                    pool.decodes.insert(upstream.clone(), engine);
+                    false
+                }
+            },
             UpstreamRole::Plain => return,
-            UpstreamRole::Prefill => {
-                let fresh = PrefillEngine::new(now, info.clone());
-                let engine = self.prefills.entry(upstream.clone()).or_insert(fresh);
-                engine.info = info;
-                engine.leaving = false;
-            }
+            UpstreamRole::Prefill => match pool.prefills.get_mut(&upstream) {
+                Some(engine) => {
+                    engine.info = info;
+                    engine.leaving = false;
+                    true
+                }
+                None => {
+                    let engine = PrefillEngine::new(now, info);
+                    pool.prefills.insert(upstream.clone(), engine);
+                    false
+                }
+            },
+        };
+        pool.forecast.spoil();
+        if !known {
+            self.adopt(now, &upstream);
         }
-        self.adopt(&upstream);
     }
 
     /// Enters the requests that were announced before their engine was known.
-    fn adopt(&mut self, upstream: &UpstreamId) {
-        for (key, held) in &self.requests {
-            match &held.phase {
-                RequestPhase::Decoding { decode, .. }
-                | RequestPhase::Transferring { decode, .. }
-                    if decode == upstream =>
-                {
-                    if let Some(engine) = self.decodes.get_mut(upstream) {
-                        engine.streams.insert(key.clone());
-                    }
-                }
-                RequestPhase::Prefilling { prefill, .. } if prefill == upstream => {
-                    if let Some(engine) = self.prefills.get_mut(upstream) {
-                        engine.reading.insert(key.clone());
-                    }
-                }
-                _ => {}
-            }
+    fn adopt(&mut self, now: Instant, upstream: &UpstreamId) {
+        for key in self.held_at(upstream) {
+            let Some(held) = self.remove(now, &key) else {
+                continue;
+            };
+            self.put(now, key, held);
         }
     }
 }
--- a/crates/admit/src/decode_engine.rs
+++ b/crates/admit/src/decode_engine.rs
@@ -1,40 +1,147 @@
 //! A decode engine as the allocator sees it.
 
 use {
-    crate::request_key::RequestKey,
-    route::UpstreamInfo,
-    std::{collections::BTreeSet, time::Instant},
+    crate::{decode_stream::DecodeStream, request_key::RequestKey},
+    route::{LaggedLoad, LoadReport, UpstreamInfo},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
+/// Keeps a batch that just meets a target from being rounded down.
+const ROUNDING: f64 = 1e-6;
+
 /// Who holds its places and whether it takes more.
 #[derive(Clone, Debug)]
 pub(crate) struct DecodeEngine {
-    /// Until when it is taken as full, after it refused.
-    pub(crate) full_until: Option<Instant>,
+    /// When it refused, and until when it is taken as full.
+    pub(crate) full: Option<(Instant, Instant)>,
     /// What is known of it.
     pub(crate) info: UpstreamInfo,
     /// Whether it takes no new work.
     pub(crate) leaving: bool,
+    /// What is held there.
+    pub(crate) load: LaggedLoad,
     /// Requests that hold a place: in transfer or decoding.
-    pub(crate) streams: BTreeSet<RequestKey>,
+    pub(crate) streams: BTreeMap<RequestKey, DecodeStream>,
+    decoding: u32,
+    /// How many streams want each between-token target.
+    targets: BTreeMap<Duration, u32>,
+    /// How many tokens a stream would have got since the engine is known, up to a time.
+    tokens: f64,
+    tokens_at: Instant,
 }
 
 impl DecodeEngine {
-    /// How many more requests it takes now.
-    pub(crate) fn free(&self, now: Instant) -> u32 {
-        if self.leaving || self.full_until.is_some_and(|until| now < until) {
+    pub(crate) fn add(&mut self, now: Instant, key: RequestKey, stream: DecodeStream) {
+        self.count_tokens(now);
+        if let Some(target) = stream.target {
+            *self.targets.entry(target).or_default() += 1;
+        }
+        self.decoding += u32::from(stream.started.is_some());
+        if self.streams.insert(key, stream).is_none() {
+            self.load.add(now, 1);
+        }
+    }
+
+    /// The most streams that keep the target and those of the streams there.
+    fn batch_limit(&self, target: Option<Duration>) -> u32 {
+        let strictest = self.targets.keys().next().copied();
+        let target = match (strictest, target) {
+            (Some(left), Some(right)) => left.min(right),
+            (left, right) => match left.or(right) {
+                Some(target) => target,
+                None => return self.info.decode_places,
+            },
+        };
+        let spare = target.as_secs_f64() - self.info.decode_base_seconds;
+        if self.info.decode_slope_seconds <= 0.0 {
+            return self.info.decode_places;
+        }
+        let more = (spare / self.info.decode_slope_seconds + ROUNDING).floor();
+        (more.max(0.0) as u32)
+            .saturating_add(1)
+            .min(self.info.decode_places)
+    }
+
+    /// Brings the token count up to a time.
+    pub(crate) fn count_tokens(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.tokens_at).as_secs_f64();
+        self.tokens += passed / self.step_seconds();
+        self.tokens_at = self.tokens_at.max(now);
+    }
+
+    /// How many more requests with this between-token target it takes now.
+    pub(crate) fn free(&self, now: Instant, target: Option<Duration>) -> u32 {
+        if self.leaving || self.full.is_some_and(|(_, until)| now < until) {
             return 0;
         }
-        let used = u32::try_from(self.streams.len()).unwrap_or(u32::MAX);
-        self.info.decode_places.saturating_sub(used)
+        self.batch_limit(target).saturating_sub(self.used())
     }
 
-    pub(crate) fn new(info: UpstreamInfo) -> Self {
+    pub(crate) fn new(now: Instant, info: UpstreamInfo) -> Self {
         Self {
-            full_until: None,
+            decoding: 0,
+            full: None,
             info,
             leaving: false,
-            streams: BTreeSet::new(),
+            load: LaggedLoad::default(),
+            streams: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            tokens: 0.0,
+            tokens_at: now,
+        }
+    }
+
+    pub(crate) fn remove(&mut self, now: Instant, key: &RequestKey) {
+        let Some(stream) = self.streams.remove(key) else {
+            return;
+        };
+        self.count_tokens(now);
+        self.load.sub(now, 1);
+        self.decoding -= u32::from(stream.started.is_some());
+        let Some(target) = stream.target else {
+            return;
+        };
+        let count = self.targets.entry(target).or_default();
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.targets.remove(&target);
+        }
+    }
+
+    pub(crate) fn report(&mut self, report: &LoadReport) {
+        let news = self
+            .load
+            .report(report.taken, u64::from(report.decode_used));
+        if news && self.full.is_some_and(|(since, _)| since < report.taken) {
+            self.full = None;
         }
     }
+
+    /// The between-token time now, seconds.
+    pub(crate) fn step_seconds(&self) -> f64 {
+        let others = u64::from(self.decoding) + self.load.foreign();
+        let more = others.saturating_sub(1) as f64;
+        let step = self.info.decode_base_seconds + self.info.decode_slope_seconds * more;
+        step.max(f64::EPSILON)
+    }
+
+    /// The token count that a stream with `tokens` tokens started at.
+    pub(crate) fn started(&mut self, now: Instant, tokens: u32) -> f64 {
+        self.count_tokens(now);
+        self.tokens - f64::from(tokens)
+    }
+
+    /// How many tokens a stream has got; none when it is in transfer.
+    pub(crate) fn produced(&self, stream: &DecodeStream) -> f64 {
+        let started = stream.started.unwrap_or(self.tokens);
+        (self.tokens - started).max(0.0)
+    }
+
+    /// Places in use.
+    pub(crate) fn used(&self) -> u32 {
+        u32::try_from(self.load.used()).unwrap_or(u32::MAX)
+    }
 }
--- /dev/null
+++ b/crates/admit/src/ended_keys.rs
@@ -0,0 +1,35 @@
+//! Requests that ended a short while ago.
+
+use {
+    crate::request_key::RequestKey,
+    std::collections::{BTreeSet, VecDeque},
+};
+
+/// How many ended requests are remembered.
+const LIMIT: usize = 4096;
+
+/// Remembers the last requests that ended, so that a late or doubled event does not start them again.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndedKeys {
+    keys: BTreeSet<RequestKey>,
+    order: VecDeque<RequestKey>,
+}
+
+impl EndedKeys {
+    pub(crate) fn contains(&self, key: &RequestKey) -> bool {
+        self.keys.contains(key)
+    }
+
+    pub(crate) fn insert(&mut self, key: RequestKey) {
+        if !self.keys.insert(key.clone()) {
+            return;
+        }
+        self.order.push_back(key);
+        if self.order.len() <= LIMIT {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.keys.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admit/src/engine_pool.rs
@@ -0,0 +1,98 @@
+//! The engines of one service and model.
+
+use {
+    crate::{
+        decode_engine::DecodeEngine, free_forecast::FreeForecast, prefill_engine::PrefillEngine,
+        row_state::RowState,
+    },
+    kernel::UpstreamId,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    table::Rank,
+};
+
+/// Prefill and decode engines, and how many requests were or are being read for them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EnginePool {
+    /// Requests that are read or being read and hold no decode place yet.
+    pub(crate) claims: u32,
+    pub(crate) decodes: BTreeMap<UpstreamId, DecodeEngine>,
+    pub(crate) forecast: FreeForecast,
+    /// The service over the weight that the last row of each rank had when its turn came.
+    pub(crate) levels: BTreeMap<Rank, f64>,
+    pub(crate) prefills: BTreeMap<UpstreamId, PrefillEngine>,
+    /// How many turns were taken by rank since the last one that went before its rank.
+    pub(crate) turns_since_aged: u32,
+}
+
+impl EnginePool {
+    /// Decode places that are free now for a between-token target.
+    pub(crate) fn free(&self, now: Instant, target: Option<Duration>) -> u32 {
+        let mut free = 0;
+        for engine in self.decodes.values() {
+            free += engine.free(now, target);
+        }
+        free
+    }
+
+    /// Works the forecast out anew when it is old.
+    pub(crate) fn look_ahead(&mut self, now: Instant, rows: &[RowState]) {
+        if !self.forecast.is_old(now) {
+            return;
+        }
+        self.forecast.clear(now);
+        for engine in self.decodes.values_mut() {
+            if engine.leaving {
+                continue;
+            }
+            engine.count_tokens(now);
+            let step = engine.step_seconds();
+            for stream in engine.streams.values() {
+                let sketch = &rows[stream.row].sketch;
+                let produced = engine.produced(stream);
+                let bound = f64::from(stream.max_tokens);
+                let outlook = sketch.outlook(produced, bound);
+                self.forecast
+                    .add(|seconds| outlook.ended_by(seconds / step));
+            }
+        }
+    }
+
+    /// The between-token time that one more stream would see at the least loaded decode engine, seconds.
+    pub(crate) fn step_seconds(&self) -> f64 {
+        let steps = self.decodes.values().map(DecodeEngine::step_seconds);
+        steps.reduce(f64::min).unwrap_or_default()
+    }
+
+    /// Whether some prefill and some decode engine take new work.
+    pub(crate) fn is_open(&self) -> bool {
+        let read = self.prefills.values().any(|engine| !engine.leaving);
+        let decode = self.decodes.values().any(|engine| !engine.leaving);
+        read && decode
+    }
+
+    /// The least time that reading so many tokens takes, seconds.
+    pub(crate) fn least_read_seconds(&self, tokens: f64) -> f64 {
+        let rates = self
+            .prefills
+            .values()
+            .map(|engine| engine.info.prefill_rate);
+        tokens / rates.reduce(f64::max).unwrap_or(f64::INFINITY)
+    }
+
+    /// All decode places.
+    pub(crate) fn places(&self) -> u32 {
+        self.decodes
+            .values()
+            .map(|engine| engine.info.decode_places)
+            .sum()
+    }
+
+    /// Prompt tokens that the pool reads a second.
+    pub(crate) fn prefill_rate(&self) -> f64 {
+        let open = self.prefills.values().filter(|engine| !engine.leaving);
+        open.map(|engine| engine.info.prefill_rate).sum()
+    }
+}
--- a/crates/admit/src/held_request.rs
+++ b/crates/admit/src/held_request.rs
@@ -1,7 +1,10 @@
 //! One request that the allocator knows.
 
 use {
-    crate::{admit_request::AdmitRequest, queue_place::QueuePlace, request_phase::RequestPhase},
+    crate::{
+        admit_request::AdmitRequest, pool_key::PoolKey, queue_place::QueuePlace,
+        request_phase::RequestPhase,
+    },
     kernel::UpstreamId,
     std::time::Instant,
 };
@@ -11,8 +14,8 @@
 pub(crate) struct HeldRequest {
     /// The first-token target as a time; none for patient rows.
     pub(crate) deadline: Option<Instant>,
-    /// When the allocator stops waiting for news and takes the request as lost.
-    pub(crate) expires: Instant,
+    /// When it was first granted something.
+    pub(crate) granted: Option<Instant>,
     /// Where its KV cache lies while it is in transfer, and until when.
     pub(crate) kv: Option<(UpstreamId, Instant)>,
     /// The end of its patience.
@@ -21,8 +24,14 @@
     pub(crate) phase: RequestPhase,
     /// Where it stands in the queue of its row while it is queued.
     pub(crate) place: QueuePlace,
+    /// The engines that serve it.
+    pub(crate) pool: PoolKey,
     /// What was asked.
     pub(crate) request: AdmitRequest,
+    /// The index of its row.
+    pub(crate) row: usize,
+    /// When the allocator has to look at it again, whatever happens.
+    pub(crate) timer: Instant,
     /// How many tries failed.
     pub(crate) tries: u8,
 }
--- /dev/null
+++ b/crates/admit/src/length_sketch.rs
@@ -0,0 +1,108 @@
+//! The output lengths seen for one row.
+
+/// Buckets for each doubling of the length.
+const PER_OCTAVE: f64 = 8.0;
+/// Up to 2^17 tokens.
+const BUCKETS: usize = 17 * 8 + 1;
+/// Once this many lengths were seen, older ones count half.
+const FADE_AT: f64 = 1024.0;
+/// How many lengths at the caller's bound are assumed before any was seen.
+const PRIOR: f64 = 4.0;
+
+/// A histogram over geometric buckets; small, deterministic, and fading so that it follows a drift.
+#[derive(Clone, Debug)]
+pub(crate) struct LengthSketch {
+    counts: Vec<f64>,
+    /// How many lengths lie above the lower edge of each bucket.
+    tails: Vec<f64>,
+    total: f64,
+}
+
+impl Default for LengthSketch {
+    fn default() -> Self {
+        Self {
+            counts: vec![0.0; BUCKETS],
+            tails: vec![0.0; BUCKETS + 1],
+            total: 0.0,
+        }
+    }
+}
+
+impl LengthSketch {
+    /// The expected length of an answer of at most `bound` tokens.
+    pub(crate) fn mean(&self, bound: f64) -> f64 {
+        let mut sum = PRIOR * bound;
+        for (bucket, count) in self.counts.iter().enumerate() {
+            sum += count * edge(bucket as f64 + 0.5).min(bound);
+        }
+        sum / (PRIOR + self.total)
+    }
+
+    /// Notes the length of an answer.
+    pub(crate) fn note(&mut self, tokens: u32) {
+        if self.total >= FADE_AT {
+            self.fade();
+        }
+        let bucket = position(f64::from(tokens)) as usize;
+        self.counts[bucket.min(BUCKETS - 1)] += 1.0;
+        self.total += 1.0;
+        for tail in &mut self.tails[..=bucket.min(BUCKETS - 1)] {
+            *tail += 1.0;
+        }
+    }
+
+    /// What is to be expected of an answer which has `tokens` already, of at most `bound`.
+    pub(crate) fn outlook(&self, tokens: f64, bound: f64) -> LengthOutlook<'_> {
+        LengthOutlook {
+            bound,
+            sketch: self,
+            survivors: self.survivors(tokens),
+            tokens,
+        }
+    }
+
+    fn fade(&mut self) {
+        for count in self.counts.iter_mut().chain(&mut self.tails) {
+            *count /= 2.0;
+        }
+        self.total /= 2.0;
+    }
+
+    /// How many of the lengths seen and assumed are greater.
+    fn survivors(&self, tokens: f64) -> f64 {
+        let position = position(tokens).min(BUCKETS as f64 - 1.0);
+        let bucket = position as usize;
+        let part = position - bucket as f64;
+        let (upper, lower) = (self.tails[bucket], self.tails[bucket + 1]);
+        PRIOR + upper + (lower - upper) * part
+    }
+}
+
+/// How an answer that has got so far goes on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LengthOutlook<'a> {
+    bound: f64,
+    sketch: &'a LengthSketch,
+    survivors: f64,
+    tokens: f64,
+}
+
+impl LengthOutlook<'_> {
+    /// The chance that the answer is at most `more` tokens longer.
+    pub(crate) fn ended_by(&self, more: f64) -> f64 {
+        if self.tokens + more >= self.bound {
+            return 1.0;
+        }
+        1.0 - self.sketch.survivors(self.tokens + more) / self.survivors
+    }
+}
+
+/// The length at a position.
+fn edge(position: f64) -> f64 {
+    (position / PER_OCTAVE).exp2() - 1.0
+}
+
+/// Where a length lies among the buckets.
+fn position(tokens: f64) -> f64 {
+    (tokens.max(0.0) + 1.0).log2() * PER_OCTAVE
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -6,18 +6,34 @@
 pub mod admit_policy;
 pub mod admit_request;
 pub mod cell_allocator;
-mod cell_holds;
+mod cell_books;
+mod cell_estimates;
+mod cell_grants;
+mod cell_refusals;
 mod cell_requests;
-mod cell_schedule;
+mod cell_tuning;
+mod cell_turns;
 mod cell_upstreams;
 mod decode_engine;
+mod decode_stream;
+mod ended_keys;
+mod engine_pool;
+mod free_forecast;
 mod held_request;
+mod length_sketch;
 pub mod link_info;
+mod link_turns;
+mod normal_quantile;
+mod pool_key;
 mod prefill_engine;
+mod queue_ahead;
 mod queue_place;
+mod rate_meter;
 pub mod request_key;
 mod request_phase;
+mod row_limit;
 mod row_state;
+mod row_turn;
 
 pub use {
     admit_action::AdmitAction,
--- /dev/null
+++ b/crates/admit/src/link_turns.rs
@@ -0,0 +1,77 @@
+//! Whose turn the link is.
+
+use {
+    crate::link_info::LinkInfo,
+    std::time::{Duration, Instant},
+};
+
+/// How long the KV cache is kept when nothing is known of the link.
+const EVICTION_UNKNOWN: Duration = Duration::from_millis(500);
+
+/// The link by its rate: when it will be free, and what still has to cross it.
+///
+/// Transfers take turns: on a shared link the mean of the ends is the least when one follows the other. A turn ends by
+/// the link's rate and not by the first token, which comes a decode step later.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LinkTurns {
+    /// Seconds of transfer that requests which were or are being read will need.
+    claimed: f64,
+    free_at: Option<Instant>,
+    info: Option<LinkInfo>,
+}
+
+impl LinkTurns {
+    pub(crate) fn claim(&mut self, tokens: u32) {
+        self.claimed += self.seconds(tokens);
+    }
+
+    /// How long a prefill engine keeps an exported KV cache.
+    pub(crate) fn eviction(&self) -> Duration {
+        self.info
+            .as_ref()
+            .map_or(EVICTION_UNKNOWN, |info| info.eviction)
+    }
+
+    /// When the link is free again, if that lies ahead.
+    pub(crate) fn free_at(&self, now: Instant) -> Option<Instant> {
+        self.free_at.filter(|free| now < *free)
+    }
+
+    /// Seconds that a transfer which is ready in `ready` seconds waits for its turn.
+    pub(crate) fn wait_seconds(&self, now: Instant, ready: f64) -> f64 {
+        let busy = self.free_at(now).map_or(0.0, |free| {
+            free.saturating_duration_since(now).as_secs_f64()
+        });
+        (busy + self.claimed - ready).max(0.0)
+    }
+
+    /// Seconds that the KV cache of a prompt needs on the link alone.
+    pub(crate) fn seconds(&self, tokens: u32) -> f64 {
+        let Some(info) = &self.info else {
+            return 0.0;
+        };
+        f64::from(tokens) * info.kv_bytes_per_token / info.bytes_per_second.max(1.0)
+    }
+
+    /// Takes new information; what was claimed counts by the new rate.
+    pub(crate) fn set_info(&mut self, info: LinkInfo) {
+        let before = self.seconds(1);
+        self.info = Some(info);
+        let after = self.seconds(1);
+        self.claimed = if before > 0.0 {
+            self.claimed * after / before
+        } else {
+            0.0
+        };
+    }
+
+    /// A transfer starts.
+    pub(crate) fn start(&mut self, now: Instant, tokens: u32) {
+        let time = Duration::try_from_secs_f64(self.seconds(tokens)).unwrap_or_default();
+        self.free_at = Some(self.free_at.map_or(now, |free| free.max(now)) + time);
+    }
+
+    pub(crate) fn unclaim(&mut self, tokens: u32) {
+        self.claimed = (self.claimed - self.seconds(tokens)).max(0.0);
+    }
+}
--- a/crates/admit/src/request_phase.rs
+++ b/crates/admit/src/request_phase.rs
@@ -6,19 +6,9 @@
 #[derive(Clone, Debug)]
 pub(crate) enum RequestPhase {
     /// It generates tokens.
-    Decoding {
-        decode: UpstreamId,
-        #[expect(dead_code, reason = "the forecast of free places is to read it")]
-        since: Instant,
-        #[expect(dead_code, reason = "the forecast of free places is to read it")]
-        tokens: u32,
-    },
-    /// A prefill engine reads the prompt; `until` is the expected end.
-    Prefilling {
-        prefill: UpstreamId,
-        #[expect(dead_code, reason = "the forecast of free places is to read it")]
-        until: Instant,
-    },
+    Decoding { decode: UpstreamId, tokens: u32 },
+    /// A prefill engine reads this many tokens of the prompt.
+    Prefilling { prefill: UpstreamId, tokens: f64 },
     /// It waits for its turn and holds nothing.
     Queued,
     /// Its KV cache lies at the prefill engine until `evicts`.
@@ -26,10 +16,13 @@
         evicts: Instant,
         prefill: UpstreamId,
     },
-    /// Its KV cache crosses the link; `until` is the expected end.
-    Transferring {
-        decode: UpstreamId,
-        #[expect(dead_code, reason = "the forecast of free places is to read it")]
-        until: Instant,
-    },
+    /// Its KV cache crosses the link.
+    Transferring { decode: UpstreamId },
+}
+
+impl RequestPhase {
+    /// Whether the request was or is being read and holds no decode place yet.
+    pub(crate) fn is_claim(&self) -> bool {
+        matches!(self, Self::Prefilling { .. } | Self::Read { .. })
+    }
 }
--- a/crates/route/src/prefix_table.rs
+++ b/crates/route/src/prefix_table.rs
@@ -77,18 +77,21 @@
     }
 
     /// How many leading blocks of a prompt the engine is thought to hold.
+    ///
+    /// The hashes are chained, so a block that is held tells that those before it were: the end is searched by halves.
     pub fn matched(&self, upstream: &UpstreamId, prefix: &[BlockHash]) -> usize {
         let Some(cache) = self.caches.get(upstream) else {
             return 0;
         };
-        let mut matched = 0;
-        for index in looked_at(prefix.len()) {
-            if !cache.by_hash.contains_key(&prefix[index]) {
-                break;
-            }
-            matched = index + 1;
+        let Some(first) = prefix.first() else {
+            return 0;
+        };
+        if !cache.by_hash.contains_key(first) {
+            return 0;
         }
-        matched
+        let positions: Vec<usize> = looked_at(prefix.len()).collect();
+        let held = positions.partition_point(|index| cache.by_hash.contains_key(&prefix[*index]));
+        held.checked_sub(1).map_or(0, |last| positions[last] + 1)
     }
 
     /// A table that keeps at most `block_limit` blocks an engine.
