A stand-in for model engines

Cause: the request path needs an engine that is full, evicts, lags, stalls and answers in a way that a checker can verify byte by byte.

The core is pure: time comes in with each event, transfers and weight loads go out as actions. Readings, transfers and weight loads are one kind of thing, jobs that share a rate, so they share one table. A claim of a KV cache names the digits of its prompt, so that an answer built from another caller's cache can't go unnoticed. Ruled out: a shared clock task for each link; the waiters keep its time themselves.

Core tests in virtual time are not there yet.

--- /dev/null
+++ b/crates/fake/src/model/cache_log.rs
@@ -0,0 +1,95 @@
+//! The cache events that an engine publishes: late, and not all of them.
+
+use {
+    super::prefix_cache::CacheChange,
+    engine::wire::CacheEvents,
+    kernel::BlockHash,
+    rand::{RngExt, SeedableRng},
+    rand_pcg::Pcg64Mcg,
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// How many events are kept.
+const LOG_LENGTH: usize = 65_536;
+
+#[derive(Clone, Debug)]
+struct CacheEntry {
+    block: BlockHash,
+    happened: Instant,
+    sequence: u64,
+    stored: bool,
+}
+
+/// Events by sequence number.
+#[derive(Clone, Debug)]
+pub(super) struct CacheLog {
+    delay: Duration,
+    entries: VecDeque<CacheEntry>,
+    gap_probability: f64,
+    rng: Pcg64Mcg,
+    sequence: u64,
+}
+
+impl CacheLog {
+    /// The events after a sequence number that are old enough to show.
+    pub(super) fn events(&self, now: Instant, after: u64) -> CacheEvents {
+        let mut events = CacheEvents {
+            next: after,
+            ..CacheEvents::default()
+        };
+        for entry in &self.entries {
+            if entry.sequence <= after {
+                continue;
+            }
+            if entry.happened + self.delay > now {
+                break;
+            }
+            events.next = entry.sequence;
+            match entry.stored {
+                false => events.evicted.push(entry.block),
+                true => events.stored.push(entry.block),
+            }
+        }
+        events
+    }
+
+    /// An empty log whose events show after `delay`, each lost with a probability.
+    pub(super) fn new(delay: Duration, gap_probability: f64, seed: u64) -> Self {
+        Self {
+            delay,
+            entries: VecDeque::new(),
+            gap_probability: gap_probability.clamp(0.0, 1.0),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            sequence: 0,
+        }
+    }
+
+    /// Takes down what came and went.
+    pub(super) fn record(&mut self, now: Instant, change: &CacheChange) {
+        for block in &change.evicted {
+            self.push(now, *block, false);
+        }
+        for block in &change.stored {
+            self.push(now, *block, true);
+        }
+    }
+
+    fn push(&mut self, happened: Instant, block: BlockHash, stored: bool) {
+        self.sequence += 1;
+        if self.rng.random_bool(self.gap_probability) {
+            return;
+        }
+        self.entries.push_back(CacheEntry {
+            block,
+            happened,
+            sequence: self.sequence,
+            stored,
+        });
+        if self.entries.len() > LOG_LENGTH {
+            self.entries.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/model/core_prefill.rs
@@ -0,0 +1,163 @@
+//! The reading of prompts, and the KV caches that wait for a decode engine.
+
+use {
+    super::{
+        engine_core::EngineCore,
+        engine_event::{EngineAction, KvRecord},
+        engine_run::{EngineRun, KvHandle, RunEnd, RunId, RunPhase},
+    },
+    crate::expected_answer::{BLOCK_TOKENS, block_hashes},
+    std::time::Instant,
+};
+
+impl EngineCore {
+    /// An exported KV cache, if it is there and belongs to the prompt whose digits are given.
+    ///
+    /// # Errors
+    ///
+    /// [`ExportMiss`]; a claim of a KV cache that belongs to another prompt is counted.
+    pub fn find_export(&mut self, handle: KvHandle, digits: &str) -> Result<KvRecord, ExportMiss> {
+        let run = self.exports.get(&handle).and_then(|run| self.runs.get(run));
+        let run = run.ok_or(ExportMiss::Evicted)?;
+        if crate::expected_answer::prompt_digits(&run.call.prompt) != digits {
+            self.counters.kv_mismatches += 1;
+            return Err(ExportMiss::Mismatch);
+        }
+        Ok(KvRecord {
+            bytes: f64::from(run.prompt_tokens) * self.settings.kv_bytes_per_token,
+            tokens: run.prompt_tokens,
+        })
+    }
+
+    /// Keeps an exported KV cache for a transfer that begins.
+    pub(super) fn claim_export(&mut self, now: Instant, handle: KvHandle) {
+        let limit = now + self.settings.claim_limit;
+        let Some(run) = self.exports.get(&handle) else {
+            return;
+        };
+        let Some(run) = self.runs.get_mut(run) else {
+            return;
+        };
+        run.phase = RunPhase::Exported {
+            claimed: true,
+            handle,
+            until: limit,
+        };
+    }
+
+    /// Ends the readings that are done by `now`.
+    pub(super) fn finish_readings(&mut self, now: Instant, actions: &mut Vec<EngineAction>) {
+        for run in self.reader.advance(now) {
+            self.finish_reading(now, run, actions);
+        }
+    }
+
+    /// Frees an exported KV cache.
+    pub(super) fn release_export(&mut self, handle: KvHandle, used: bool) {
+        let Some(run) = self.exports.remove(&handle) else {
+            return;
+        };
+        let Some(released) = self.runs.remove(&run) else {
+            return;
+        };
+        if self.ids.get(&released.call.id) == Some(&run) {
+            self.ids.remove(&released.call.id);
+        }
+        if !used {
+            self.counters.prompt_tokens_wasted += u64::from(released.read_tokens);
+        }
+    }
+
+    /// Begins to read as many prompts as there are readers, by priority and age.
+    pub(super) fn start_readings(&mut self, now: Instant, actions: &mut Vec<EngineAction>) {
+        while self.reader.len() < self.settings.readers {
+            let Some((_, run)) = self.waiting.pop_first() else {
+                break;
+            };
+            self.start_reading(now, run, actions);
+        }
+    }
+
+    /// Prompt tokens that wait or are being read.
+    pub(super) fn tokens_to_read(&self) -> u64 {
+        let mut tokens = 0;
+        for (_, run) in &self.waiting {
+            tokens += self
+                .runs
+                .get(run)
+                .map_or(0, |run| u64::from(run.prompt_tokens));
+        }
+        for (run, state) in &self.runs {
+            if state.phase != RunPhase::Prefilling {
+                continue;
+            }
+            tokens += self.reader.left(run).unwrap_or_default().ceil() as u64;
+        }
+        tokens
+    }
+
+    /// Counts a reading that ended with `left` tokens to go.
+    pub(super) fn waste_partial_reading(&mut self, run: &EngineRun, left: f64) {
+        let read = (f64::from(run.read_tokens) - left).max(0.0).round() as u64;
+        self.counters.prompt_tokens_read += read;
+        self.counters.prompt_tokens_wasted += read;
+    }
+
+    fn export(&mut self, now: Instant, run: RunId, actions: &mut Vec<EngineAction>) {
+        let handle = self.next_handle;
+        self.next_handle += 1;
+        let Some(exported) = self.runs.get_mut(&run) else {
+            return;
+        };
+        exported.phase = RunPhase::Exported {
+            claimed: false,
+            handle,
+            until: now + self.settings.eviction,
+        };
+        self.exports.insert(handle, run);
+        let view = exported.view_at_end(RunEnd::Exported(handle));
+        actions.push(EngineAction::Update { run, view });
+    }
+
+    fn finish_reading(&mut self, now: Instant, run: RunId, actions: &mut Vec<EngineAction>) {
+        let Some(read) = self.runs.get_mut(&run) else {
+            return;
+        };
+        self.counters.prompt_tokens_read += u64::from(read.read_tokens);
+        let change = self.cache.store(&block_hashes(&read.call.prompt));
+        self.log.record(now, &change);
+        if read.call.keep_kv {
+            self.export(now, run, actions);
+            return;
+        }
+        read.phase = RunPhase::Decoding;
+    }
+
+    fn start_reading(&mut self, now: Instant, run: RunId, actions: &mut Vec<EngineAction>) {
+        let Some(read) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let cached = self.cache.cached_blocks(&block_hashes(&read.call.prompt));
+        let cached_tokens = u32::try_from(cached * BLOCK_TOKENS).unwrap_or(u32::MAX);
+        read.phase = RunPhase::Prefilling;
+        read.read_tokens = read.prompt_tokens.saturating_sub(cached_tokens).max(1);
+        self.reader.start(now, run, f64::from(read.read_tokens));
+        let id = read.call.id.clone();
+        let decodes = !read.call.keep_kv;
+        let view = read.view();
+        *self.counters.prefill_runs.entry(id).or_default() += 1;
+        actions.push(EngineAction::Update { run, view });
+        if decodes {
+            self.count_decode_run(run);
+        }
+    }
+}
+
+/// Why an exported KV cache can't be had.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExportMiss {
+    /// It is not there.
+    Evicted,
+    /// It belongs to another prompt.
+    Mismatch,
+}
--- /dev/null
+++ b/crates/fake/src/model/engine_admin.rs
@@ -0,0 +1,34 @@
+//! An engine's admin interface.
+
+use {
+    super::{
+        engine_counters::EngineCounters, engine_faults::EngineFaults,
+        stand_in_engine::StandInEngine,
+    },
+    axum::{
+        Json, Router,
+        extract::State,
+        routing::{get, post},
+    },
+    http::StatusCode,
+};
+
+/// The routes of the admin address.
+pub(super) fn routes(engine: StandInEngine) -> Router {
+    Router::new()
+        .route("/admin/counters", get(counters))
+        .route("/admin/faults", post(set_faults))
+        .with_state(engine)
+}
+
+async fn counters(State(engine): State<StandInEngine>) -> Json<EngineCounters> {
+    Json(engine.counters())
+}
+
+async fn set_faults(
+    State(engine): State<StandInEngine>,
+    Json(faults): Json<EngineFaults>,
+) -> StatusCode {
+    engine.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
--- /dev/null
+++ b/crates/fake/src/model/engine_core.rs
@@ -0,0 +1,462 @@
+//! An engine without its sockets: queue, reading, exported KV caches, imports, batch, orders.
+
+use {
+    super::{
+        cache_log::CacheLog,
+        engine_counters::EngineCounters,
+        engine_event::{EngineAction, EngineCall, EngineEvent, KvImport},
+        engine_faults::EngineFaults,
+        engine_run::{EngineRun, KvHandle, RunEnd, RunId, RunPhase, RunView},
+        engine_settings::EngineSettings,
+        load_history::{LoadHistory, LoadMoment},
+        prefix_cache::PrefixCache,
+    },
+    crate::{
+        expected_answer::{expected_length, prompt_tokens},
+        share_table::ShareTable,
+    },
+    engine::wire::{CacheEvents, EngineError, EngineLoad, StreamRecord, route_role::EngineRole},
+    kernel::{FenceNumber, ModelId},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Instant,
+    },
+};
+
+/// One engine. Time and seed are passed in; the same events at the same times give the same actions.
+#[derive(Debug)]
+pub struct EngineCore {
+    pub(super) cache: PrefixCache,
+    pub(super) counters: EngineCounters,
+    pub(super) exports: BTreeMap<KvHandle, RunId>,
+    pub(super) faults: EngineFaults,
+    pub(super) fence_seen: FenceNumber,
+    pub(super) history: LoadHistory,
+    pub(super) ids: BTreeMap<Arc<str>, RunId>,
+    pub(super) loading: BTreeSet<ModelId>,
+    pub(super) log: CacheLog,
+    pub(super) models: Vec<ModelId>,
+    pub(super) next_handle: KvHandle,
+    pub(super) next_role: Option<(Instant, EngineRole)>,
+    pub(super) reader: ShareTable<RunId>,
+    pub(super) role: EngineRole,
+    pub(super) runs: BTreeMap<RunId, EngineRun>,
+    pub(super) settings: EngineSettings,
+    pub(super) stalled: BTreeSet<RunId>,
+    pub(super) started: Instant,
+    pub(super) step_batch: Vec<RunId>,
+    pub(super) step_end: Option<Instant>,
+    pub(super) waiting: BTreeSet<(i32, RunId)>,
+}
+
+impl EngineCore {
+    /// The cache events after a sequence number, as far as they show.
+    pub fn cache_events(&self, now: Instant, after: u64) -> CacheEvents {
+        self.log.events(now, after)
+    }
+
+    /// The counters.
+    pub fn counters(&self) -> EngineCounters {
+        let mut counters = self.counters.clone();
+        counters.places_used = self.places_used();
+        counters.places_without_connection = self.places_without_connection();
+        counters
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> &EngineFaults {
+        &self.faults
+    }
+
+    /// The load report, as it was a while ago.
+    pub fn load(&self, now: Instant) -> EngineLoad {
+        let moment = self.history.lagging(now).cloned();
+        let moment = moment.unwrap_or_else(|| self.load_moment());
+        let settings = &self.settings;
+        EngineLoad {
+            decode_base_seconds: settings.decode_base.as_secs_f64(),
+            decode_places: settings.decode_places,
+            decode_slope_seconds: settings.decode_slope.as_secs_f64(),
+            decode_used: moment.decode_used,
+            eviction_ms: u64::try_from(settings.eviction.as_millis()).unwrap_or(u64::MAX),
+            kv_bytes_per_token: settings.kv_bytes_per_token,
+            leaving: moment.leaving,
+            link_bytes_per_second: settings.link_bytes_per_second,
+            models: moment.models,
+            prefill_rate: settings.prefill_rate,
+            prefill_tokens: moment.prefill_tokens,
+            role: moment.role,
+            taken_ms_ago: u64::try_from(settings.load_lag.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// An engine that starts `now`. `first_handle` has to differ between lives, so that no handle names two KV caches.
+    pub fn new(settings: EngineSettings, now: Instant, first_handle: KvHandle) -> Self {
+        let mut core = Self {
+            cache: PrefixCache::new(settings.cache_blocks),
+            counters: EngineCounters::default(),
+            exports: BTreeMap::new(),
+            faults: EngineFaults::default(),
+            fence_seen: 0,
+            history: LoadHistory::new(settings.load_lag),
+            ids: BTreeMap::new(),
+            loading: BTreeSet::new(),
+            log: CacheLog::new(
+                settings.cache_event_delay,
+                settings.cache_gap_probability,
+                settings.seed,
+            ),
+            models: settings.models.clone(),
+            next_handle: first_handle,
+            next_role: None,
+            reader: ShareTable::new(settings.prefill_rate),
+            role: settings.role,
+            runs: BTreeMap::new(),
+            settings,
+            stalled: BTreeSet::new(),
+            started: now,
+            step_batch: Vec::new(),
+            step_end: None,
+            waiting: BTreeSet::new(),
+        };
+        core.record_load(now);
+        core
+    }
+
+    /// When [`EngineEvent::Tick`] is due.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let timers = self.runs.values().filter_map(|run| self.run_timer(run));
+        let others = [
+            self.next_role.map(|(due, _)| due),
+            self.reader.next_end(),
+            self.step_end,
+        ];
+        timers.chain(others.into_iter().flatten()).min()
+    }
+
+    /// Takes one event and appends what has to be done to `actions`. `now` never goes down.
+    pub fn on_event(&mut self, now: Instant, event: EngineEvent, actions: &mut Vec<EngineAction>) {
+        self.advance(now, actions);
+        match event {
+            EngineEvent::Cancel(run) => self.cancel(now, run, actions),
+            EngineEvent::Disconnected(run) => self.disconnect(now, run, actions),
+            EngineEvent::Faults(faults) => self.set_faults(now, faults, actions),
+            EngineEvent::KvAnswered { answer, run } => {
+                self.take_kv_answer(now, run, answer, actions);
+            }
+            EngineEvent::KvClaimed(handle) => self.claim_export(now, handle),
+            EngineEvent::KvReleased { handle, used } => self.release_export(handle, used),
+            EngineEvent::ModelLoaded(model) => self.add_model(model),
+            EngineEvent::Order(order) => self.carry_out(now, order, actions),
+            EngineEvent::Reconnected(run) => self.reconnect(run),
+            EngineEvent::Submit { call, run } => self.submit(now, run, call, actions),
+            EngineEvent::Tick => {}
+            EngineEvent::TransferEnded(run) => self.end_transfer(now, run, actions),
+        }
+        self.start_readings(now, actions);
+        self.start_step(now);
+        self.record_load(now);
+    }
+
+    /// The call of a run.
+    pub fn call(&self, run: RunId) -> Option<&EngineCall> {
+        Some(&self.runs.get(&run)?.call)
+    }
+
+    /// The run of a request id, if the engine holds it or can resume it.
+    pub fn run_of(&self, id: &str) -> Option<RunId> {
+        self.ids.get(id).copied()
+    }
+
+    /// Whether a run holds anything.
+    pub fn is_held(&self, run: RunId) -> bool {
+        let run = self.runs.get(&run);
+        run.is_some_and(|run| run.phase.state().is_some())
+    }
+
+    /// The streams that hold something, by age.
+    pub fn streams(&self) -> Vec<StreamRecord> {
+        let mut records = Vec::new();
+        for run in self.runs.values() {
+            let Some(state) = run.phase.state() else {
+                continue;
+            };
+            records.push(StreamRecord {
+                id: run.call.id.clone(),
+                state,
+                tokens: run.tokens,
+            });
+        }
+        records
+    }
+
+    /// What the caller of a run sees.
+    pub fn view(&self, run: RunId) -> Option<RunView> {
+        let run = self.runs.get(&run)?;
+        match run.phase {
+            RunPhase::Finished { .. } => Some(run.view_at_end(RunEnd::Finished)),
+            _ => Some(run.view()),
+        }
+    }
+
+    fn advance(&mut self, now: Instant, actions: &mut Vec<EngineAction>) {
+        while let Some(due) = self.next_wake() {
+            if due > now {
+                break;
+            }
+            self.finish_readings(due, actions);
+            self.finish_step(due, actions);
+            self.expire_runs(due, actions);
+            self.finish_role_change(due);
+            self.start_readings(due, actions);
+            self.start_step(due);
+        }
+        self.finish_readings(now, actions);
+    }
+
+    /// Ends a run before its end and frees all that it holds.
+    pub(super) fn cancel(&mut self, now: Instant, run: RunId, actions: &mut Vec<EngineAction>) {
+        let Some(ended) = self.remove(now, run) else {
+            return;
+        };
+        if ended.phase.state().is_none() {
+            actions.push(EngineAction::Forget(run));
+            return;
+        }
+        self.counters.cancelled += 1;
+        if let RunPhase::Claiming(import) | RunPhase::Transferring(import) = &ended.phase {
+            actions.push(EngineAction::StopTransfer(run));
+            actions.push(release(import, false));
+        }
+        if let RunPhase::Exported { .. } = ended.phase {
+            self.counters.prompt_tokens_wasted += u64::from(ended.read_tokens);
+            return;
+        }
+        let view = ended.view_at_end(RunEnd::Cancelled);
+        actions.push(EngineAction::Update { run, view });
+    }
+
+    fn disconnect(&mut self, now: Instant, run: RunId, actions: &mut Vec<EngineAction>) {
+        let Some(left) = self.runs.get_mut(&run) else {
+            return;
+        };
+        left.connections = left.connections.saturating_sub(1);
+        if left.connections > 0 || left.phase.state().is_none() {
+            return;
+        }
+        left.disconnected = Some(now);
+        if !self.settings.keep_on_disconnect {
+            self.cancel(now, run, actions);
+        }
+    }
+
+    fn evict(&mut self, now: Instant, run: RunId) {
+        let Some(evicted) = self.remove(now, run) else {
+            return;
+        };
+        self.counters.evicted += 1;
+        self.counters.prompt_tokens_wasted += u64::from(evicted.read_tokens);
+    }
+
+    fn expire_runs(&mut self, now: Instant, actions: &mut Vec<EngineAction>) {
+        let mut expired = Vec::new();
+        for (id, run) in &self.runs {
+            if self.run_timer(run).is_some_and(|due| due <= now) {
+                expired.push(*id);
+            }
+        }
+        for run in expired {
+            if let Some(RunPhase::Exported { .. }) = self.phase(run) {
+                self.evict(now, run);
+                continue;
+            }
+            self.cancel(now, run, actions);
+        }
+    }
+
+    fn load_moment(&self) -> LoadMoment {
+        LoadMoment {
+            decode_used: self.places_used(),
+            leaving: self.faults.leaving,
+            models: self.models.clone(),
+            prefill_tokens: self.tokens_to_read(),
+            role: self.role,
+        }
+    }
+
+    pub(super) fn phase(&self, run: RunId) -> Option<&RunPhase> {
+        Some(&self.runs.get(&run)?.phase)
+    }
+
+    pub(super) fn places_used(&self) -> u32 {
+        let holders = self.runs.values().filter(|run| run.holds_place);
+        u32::try_from(holders.count()).unwrap_or(u32::MAX)
+    }
+
+    fn places_without_connection(&self) -> u32 {
+        let left = |run: &&EngineRun| run.holds_place && run.disconnected.is_some();
+        u32::try_from(self.runs.values().filter(left).count()).unwrap_or(u32::MAX)
+    }
+
+    fn reconnect(&mut self, run: RunId) {
+        let Some(run) = self.runs.get_mut(&run) else {
+            return;
+        };
+        run.connections += 1;
+        run.disconnected = None;
+    }
+
+    fn record_load(&mut self, now: Instant) {
+        let moment = self.load_moment();
+        self.history.record(now, moment);
+    }
+
+    pub(super) fn refuse(&mut self, run: RunId, error: &str, actions: &mut Vec<EngineAction>) {
+        let error: Arc<str> = Arc::from(error);
+        *self.counters.refused.entry(error.clone()).or_default() += 1;
+        let view = RunView {
+            end: Some(RunEnd::Refused(EngineError { error, ran: false })),
+            ..RunView::default()
+        };
+        actions.push(EngineAction::Update { run, view });
+    }
+
+    /// Takes a run out of all tables; its reading ends where it stands.
+    pub(super) fn remove(&mut self, now: Instant, run: RunId) -> Option<EngineRun> {
+        let removed = self.runs.remove(&run)?;
+        if self.ids.get(&removed.call.id) == Some(&run) {
+            self.ids.remove(&removed.call.id);
+        }
+        self.stalled.remove(&run);
+        self.waiting.remove(&(removed.call.priority, run));
+        if let RunPhase::Exported { handle, .. } = removed.phase {
+            self.exports.remove(&handle);
+        }
+        if let Some(left) = self.reader.stop(&run) {
+            self.waste_partial_reading(&removed, left);
+        }
+        self.note_hold(now, &removed);
+        Some(removed)
+    }
+
+    /// Notes how long a place was held after its stream's last connection was gone.
+    pub(super) fn note_hold(&mut self, now: Instant, run: &EngineRun) {
+        let Some(since) = run.disconnected else {
+            return;
+        };
+        if !run.holds_place {
+            return;
+        }
+        let hold = now.saturating_duration_since(since);
+        let longest = &mut self.counters.longest_hold_after_disconnect;
+        *longest = hold.max(*longest);
+    }
+
+    /// When a run has to be evicted, forgotten or cancelled by itself.
+    fn run_timer(&self, run: &EngineRun) -> Option<Instant> {
+        if let RunPhase::Exported { until, .. } | RunPhase::Finished { until } = run.phase {
+            return Some(until);
+        }
+        Some(run.disconnected? + self.settings.disconnect_grace?)
+    }
+
+    fn set_faults(&mut self, now: Instant, faults: EngineFaults, actions: &mut Vec<EngineAction>) {
+        self.faults = faults;
+        if self.faults.stall_transfers {
+            return;
+        }
+        for run in std::mem::take(&mut self.stalled) {
+            self.end_transfer(now, run, actions);
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        call: EngineCall,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        if let Some(error) = self.refusal(&call) {
+            self.refuse(run, error, actions);
+            return;
+        }
+        if let Some(old) = self.run_of(&call.id) {
+            self.cancel(now, old, actions);
+        }
+        let new = EngineRun {
+            connections: 1,
+            disconnected: None,
+            holds_place: !call.keep_kv,
+            phase: RunPhase::Waiting,
+            prompt_tokens: prompt_tokens(&call.prompt),
+            read_tokens: 0,
+            target: self.target(&call),
+            tokens: 0,
+            call,
+        };
+        self.ids.insert(new.call.id.clone(), run);
+        self.enter(run, new, actions);
+    }
+
+    fn enter(&mut self, run: RunId, mut new: EngineRun, actions: &mut Vec<EngineAction>) {
+        match new.call.import.clone() {
+            None => {
+                self.waiting.insert((new.call.priority, run));
+            }
+            Some(import) => {
+                new.phase = RunPhase::Claiming(import.clone());
+                actions.push(EngineAction::ClaimKv {
+                    import,
+                    prompt: new.call.prompt.clone(),
+                    run,
+                });
+            }
+        }
+        actions.push(EngineAction::Update {
+            run,
+            view: new.view(),
+        });
+        self.runs.insert(run, new);
+        self.counters.peak_places = self.counters.peak_places.max(self.places_used());
+    }
+
+    fn refusal(&self, call: &EngineCall) -> Option<&'static str> {
+        let wanted = match call.keep_kv {
+            false => EngineRole::Decode,
+            true => EngineRole::Prefill,
+        };
+        let held = self.run_of(&call.id).is_some_and(|run| self.is_held(run));
+        if held {
+            return Some("duplicate");
+        }
+        if self.faults.leaving {
+            return Some("leaving");
+        }
+        if self.next_role.is_some() || wanted != self.role {
+            return Some("wrong_role");
+        }
+        if !self.models.is_empty() && !self.models.contains(&call.model) {
+            return Some("model_missing");
+        }
+        let full = match call.keep_kv {
+            false => self.places_used() >= self.settings.decode_places,
+            true => self.waiting.len() >= self.settings.queue_limit,
+        };
+        (full || self.faults.refuse).then_some("full")
+    }
+
+    fn target(&self, call: &EngineCall) -> u32 {
+        let length = expected_length(&call.prompt, call.max_tokens, self.settings.length_spread);
+        length + self.faults.extra_tokens
+    }
+}
+
+/// The action that lets go of an import.
+pub(super) fn release(import: &KvImport, used: bool) -> EngineAction {
+    EngineAction::ReleaseKv {
+        import: import.clone(),
+        used,
+    }
+}
--- /dev/null
+++ b/crates/fake/src/model/engine_routes.rs
@@ -0,0 +1,312 @@
+//! An engine's HTTP interface.
+
+use {
+    super::{
+        core_prefill::ExportMiss,
+        engine_driver::{EngineDriver, RunReader},
+        engine_event::{EngineCall, EngineEvent, KvImport},
+        engine_faults::EngineFaults,
+        engine_run::{KvHandle, RunEnd, RunView},
+        token_body::{COMPLETION_OBJECT, TokenBody, usage},
+    },
+    crate::{
+        expected_answer::{DEFAULT_MAX_TOKENS, expected_text},
+        net::cut_answer,
+    },
+    axum::{
+        Json, Router,
+        extract::{DefaultBodyLimit, Path, Query, State},
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    engine::wire::{
+        CacheEvents, CompletionCall, CompletionChoice, CompletionChunk, EngineError, EngineLoad,
+        EngineOrder, KvTransferParams, REQUEST_ID_HEADER, StreamRecord,
+    },
+    http::{HeaderMap, StatusCode, header::CONTENT_TYPE},
+    serde::Deserialize,
+    std::{
+        net::{IpAddr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Instant,
+    },
+};
+
+/// Answers that nothing can read.
+const GARBAGE: &str = "{\"choices\": \u{1}<<<";
+
+/// What the routes of one engine share.
+#[derive(Clone, Debug)]
+pub(super) struct EngineState {
+    pub(super) driver: EngineDriver,
+    pub(super) name: Arc<str>,
+    unnamed: Arc<AtomicU64>,
+}
+
+impl EngineState {
+    /// The state of an engine's routes.
+    pub(super) fn new(driver: EngineDriver, name: Arc<str>) -> Self {
+        Self {
+            driver,
+            name,
+            unnamed: Arc::default(),
+        }
+    }
+
+    fn faults(&self) -> EngineFaults {
+        self.driver.with(|core| core.faults().clone())
+    }
+
+    fn request_id(&self, headers: &HeaderMap) -> Arc<str> {
+        let named = headers.get(REQUEST_ID_HEADER);
+        if let Some(id) = named.and_then(|id| id.to_str().ok()) {
+            return Arc::from(id);
+        }
+        let number = self.unnamed.fetch_add(1, Ordering::Relaxed);
+        Arc::from(format!("unnamed-{number}"))
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ClaimQuery {
+    prompt: Arc<str>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EventsQuery {
+    #[serde(default)]
+    after: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct ReleaseQuery {
+    #[serde(default)]
+    used: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ResumeQuery {
+    #[serde(default)]
+    offset: u32,
+}
+
+/// The routes of the engine's own address.
+pub(super) fn routes(state: EngineState) -> Router {
+    Router::new()
+        .route("/cache/events", get(cache_events))
+        .route("/kv/{handle}", get(claim_kv).delete(release_kv))
+        .route("/load", get(load))
+        .route("/orders", post(order))
+        .route("/streams", get(streams))
+        .route("/streams/{id}", get(resume).delete(cancel))
+        .route("/v1/completions", post(complete))
+        .layer(DefaultBodyLimit::disable())
+        .with_state(state)
+}
+
+async fn cache_events(
+    State(state): State<EngineState>,
+    Query(query): Query<EventsQuery>,
+) -> Json<CacheEvents> {
+    let events = |core: &mut super::EngineCore| core.cache_events(Instant::now(), query.after);
+    Json(state.driver.with(events))
+}
+
+async fn cancel(State(state): State<EngineState>, Path(id): Path<Arc<str>>) -> StatusCode {
+    match state.driver.cancel(&id) {
+        false => StatusCode::NOT_FOUND,
+        true => StatusCode::NO_CONTENT,
+    }
+}
+
+async fn claim_kv(
+    State(state): State<EngineState>,
+    Path(handle): Path<KvHandle>,
+    Query(query): Query<ClaimQuery>,
+) -> Response {
+    match state.driver.claim_export(handle, &query.prompt) {
+        Err(ExportMiss::Evicted) => StatusCode::GONE.into_response(),
+        Err(ExportMiss::Mismatch) => StatusCode::CONFLICT.into_response(),
+        Ok(record) => Json(record).into_response(),
+    }
+}
+
+async fn complete(
+    State(state): State<EngineState>,
+    headers: HeaderMap,
+    Json(call): Json<CompletionCall>,
+) -> Response {
+    let faults = state.faults();
+    if !faults.slow_accept.is_zero() {
+        tokio::time::sleep(faults.slow_accept).await;
+    }
+    let id = state.request_id(&headers);
+    let Some(engine_call) = read_call(&id, &call) else {
+        return refuse(&EngineError {
+            error: Arc::from("bad_request"),
+            ran: false,
+        });
+    };
+    let mut reader = state.driver.submit(engine_call);
+    if faults.close_after_read {
+        return cut_answer();
+    }
+    let wants_stream = call.stream;
+    let Some(view) = wait_for_answer(&mut reader, wants_stream).await else {
+        return cut_answer();
+    };
+    match &view.end {
+        Some(RunEnd::Cancelled) => refuse(&EngineError {
+            error: Arc::from("cancelled"),
+            ran: true,
+        }),
+        Some(RunEnd::Refused(error)) => refuse(error),
+        _ if faults.garbage && !wants_stream => GARBAGE.into_response(),
+        Some(RunEnd::Exported(handle)) => {
+            Json(state.prefill_answer(&reader.call, *handle)).into_response()
+        }
+        Some(RunEnd::Finished) if !wants_stream => {
+            Json(whole_answer(&reader, &view)).into_response()
+        }
+        _ => stream_answer(TokenBody {
+            faults,
+            next: 0,
+            reader,
+            sent: 0,
+        }),
+    }
+}
+
+async fn load(State(state): State<EngineState>) -> Json<EngineLoad> {
+    Json(state.driver.with(|core| core.load(Instant::now())))
+}
+
+async fn order(State(state): State<EngineState>, Json(order): Json<EngineOrder>) -> Response {
+    match state.driver.order(order) {
+        Err(refusal) => (StatusCode::CONFLICT, Json(refusal)).into_response(),
+        Ok(()) => StatusCode::ACCEPTED.into_response(),
+    }
+}
+
+async fn release_kv(
+    State(state): State<EngineState>,
+    Path(handle): Path<KvHandle>,
+    Query(query): Query<ReleaseQuery>,
+) -> StatusCode {
+    let used = query.used;
+    state
+        .driver
+        .handle(EngineEvent::KvReleased { handle, used });
+    StatusCode::NO_CONTENT
+}
+
+async fn resume(
+    State(state): State<EngineState>,
+    Path(id): Path<Arc<str>>,
+    Query(query): Query<ResumeQuery>,
+) -> Response {
+    let Some(reader) = state.driver.resume(&id) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    stream_answer(TokenBody {
+        faults: state.faults(),
+        next: query.offset,
+        reader,
+        sent: 0,
+    })
+}
+
+async fn streams(State(state): State<EngineState>) -> Json<Vec<StreamRecord>> {
+    Json(state.driver.with(|core| core.streams()))
+}
+
+impl EngineState {
+    fn prefill_answer(&self, call: &EngineCall, handle: KvHandle) -> CompletionChunk {
+        let address = self.driver.address();
+        let params = KvTransferParams {
+            do_remote_decode: false,
+            do_remote_prefill: true,
+            remote_block_ids: Some(vec![handle]),
+            remote_engine_id: Some(self.name.clone()),
+            remote_host: Some(Arc::from(address.ip().to_string())),
+            remote_port: Some(address.port()),
+        };
+        CompletionChunk {
+            choices: vec![CompletionChoice::default()],
+            kv_transfer_params: Some(params),
+            usage: Some(usage(&call.prompt, &RunView::default())),
+            ..answer_head(call)
+        }
+    }
+}
+
+fn answer_head(call: &EngineCall) -> CompletionChunk {
+    CompletionChunk {
+        id: call.id.clone(),
+        model: call.model.clone(),
+        object: Arc::from(COMPLETION_OBJECT),
+        ..CompletionChunk::default()
+    }
+}
+
+fn read_call(id: &Arc<str>, call: &CompletionCall) -> Option<EngineCall> {
+    let params = call.kv_transfer_params.clone().unwrap_or_default();
+    let import = match params.do_remote_prefill {
+        false => None,
+        true => Some(read_import(&params)?),
+    };
+    Some(EngineCall {
+        id: id.clone(),
+        import,
+        keep_kv: params.do_remote_decode,
+        max_tokens: call.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        model: call.model.clone(),
+        priority: call.priority,
+        prompt: call.prompt.clone(),
+    })
+}
+
+fn read_import(params: &KvTransferParams) -> Option<KvImport> {
+    let host: IpAddr = params.remote_host.as_ref()?.parse().ok()?;
+    Some(KvImport {
+        address: SocketAddr::new(host, params.remote_port?),
+        handle: *params.remote_block_ids.as_ref()?.first()?,
+    })
+}
+
+fn refuse(error: &EngineError) -> Response {
+    let status = match &*error.error {
+        "bad_request" => StatusCode::BAD_REQUEST,
+        "duplicate" => StatusCode::CONFLICT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    (status, Json(error)).into_response()
+}
+
+fn stream_answer(body: TokenBody) -> Response {
+    let headers = [(CONTENT_TYPE, "text/event-stream")];
+    (headers, body.into_body()).into_response()
+}
+
+/// Waits until a run has an end, or can be streamed; nothing when the engine stops first.
+async fn wait_for_answer(reader: &mut RunReader, wants_stream: bool) -> Option<RunView> {
+    let ready = |view: &RunView| view.end.is_some() || (wants_stream && view.accepted);
+    let view = reader.views.wait_for(ready).await.ok()?;
+    Some(view.clone())
+}
+
+fn whole_answer(reader: &RunReader, view: &RunView) -> CompletionChunk {
+    let call = &reader.call;
+    CompletionChunk {
+        choices: vec![CompletionChoice {
+            finish_reason: Some(reader.finish_reason(view.target)),
+            index: 0,
+            text: Arc::from(expected_text(&call.prompt, view.target)),
+        }],
+        usage: Some(usage(&call.prompt, view)),
+        ..answer_head(call)
+    }
+}
--- /dev/null
+++ b/crates/fake/src/model/rate_link.rs
@@ -0,0 +1,116 @@
+//! A link of limited rate that many transfers share.
+
+use {
+    crate::share_table::ShareTable,
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Instant,
+    },
+    tokio::{sync::Notify, time},
+};
+
+type TransferKey = u64;
+
+#[derive(Debug)]
+struct LinkState {
+    ended: BTreeSet<TransferKey>,
+    next_key: TransferKey,
+    table: ShareTable<TransferKey>,
+}
+
+#[derive(Debug)]
+struct LinkShared {
+    changed: Notify,
+    state: Mutex<LinkState>,
+}
+
+/// A link, or a weight store; clones share its rate.
+#[derive(Clone, Debug)]
+pub struct RateLink {
+    shared: Arc<LinkShared>,
+}
+
+impl RateLink {
+    /// Carries so many units; the call ends when they are over. Dropping it gives the transfer up.
+    pub async fn carry(&self, units: f64) {
+        let transfer = self.start(units);
+        loop {
+            let changed = self.shared.changed.notified();
+            let Some(next_end) = transfer.next_end() else {
+                return;
+            };
+            tokio::select! {
+                () = changed => {}
+                () = time::sleep_until(next_end.into()) => {}
+            }
+        }
+    }
+
+    /// A link of so many units a second; zero or less for one without a limit.
+    pub fn new(rate: f64) -> Self {
+        let state = LinkState {
+            ended: BTreeSet::new(),
+            next_key: 0,
+            table: ShareTable::new(rate),
+        };
+        Self {
+            shared: Arc::new(LinkShared {
+                changed: Notify::new(),
+                state: Mutex::new(state),
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    fn start(&self, units: f64) -> TransferGuard<'_> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        self.advance(now, &mut state);
+        let key = state.next_key;
+        state.next_key += 1;
+        state.table.start(now, key, units);
+        TransferGuard { key, link: self }
+    }
+
+    fn advance(&self, now: Instant, state: &mut LinkState) {
+        let ended = state.table.advance(now);
+        if ended.is_empty() {
+            return;
+        }
+        state.ended.extend(ended);
+        self.shared.changed.notify_waiters();
+    }
+}
+
+struct TransferGuard<'a> {
+    key: TransferKey,
+    link: &'a RateLink,
+}
+
+impl TransferGuard<'_> {
+    /// When the next transfer of the link ends; nothing once this one has.
+    fn next_end(&self) -> Option<Instant> {
+        let mut state = self.link.lock();
+        self.link.advance(Instant::now(), &mut state);
+        if state.ended.contains(&self.key) {
+            return None;
+        }
+        state.table.next_end()
+    }
+}
+
+impl Drop for TransferGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.link.lock();
+        self.link.advance(Instant::now(), &mut state);
+        state.ended.remove(&self.key);
+        if state.table.stop(&self.key).is_some() {
+            self.link.shared.changed.notify_waiters();
+        }
+    }
+}
