--- a/crates/door/src/door_server.rs
+++ b/crates/door/src/door_server.rs
@@ -14,7 +14,7 @@
         service::TowerToHyperService,
     },
     kernel::{CloseSignal, ResultCode},
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{net::TcpListener, time},
 };
 
@@ -28,23 +28,9 @@
 }
 
 impl<E: ModelEngine> DoorServer<E> {
-    /// Binds the callers' address.
-    ///
-    /// # Errors
-    ///
-    /// When the address can't be bound.
-    pub async fn bind(address: SocketAddr, shared: Arc<DoorShared<E>>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        Ok(Self { listener, shared })
-    }
-
-    /// The address, with the port that the system chose.
-    ///
-    /// # Errors
-    ///
-    /// When the socket is gone.
-    pub fn local_address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+    /// A server of the callers that connect to `listener`.
+    pub fn new(listener: TcpListener, shared: Arc<DoorShared<E>>) -> Self {
+        Self { listener, shared }
     }
 
     /// Serves until the signal; then takes no connection, and waits up to `limit` for those under way. `false` when the
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry instance: what `serve` runs, from the first socket to the last step of closing.
 
+pub mod allocator_maker;
 pub mod close_report;
 pub mod close_steps;
 pub mod entry_identity;
@@ -7,15 +8,28 @@
 pub mod entry_process;
 pub mod entry_sockets;
 pub mod key_files;
+pub mod list_poller;
 pub mod log_setup;
 pub mod process_plugin;
 pub mod process_signals;
 pub mod ready_line;
 pub mod request_path;
+pub mod solo_members;
+pub mod table_driver;
 
 pub use {
-    close_report::CloseReport, close_steps::CloseSteps, entry_identity::EntryIdentity,
-    entry_parts::EntryParts, entry_process::EntryProcess, entry_sockets::EntrySockets,
-    key_files::load_keys, process_signals::ProcessSignals, ready_line::ReadyLine,
+    allocator_maker::AllocatorMaker,
+    close_report::CloseReport,
+    close_steps::CloseSteps,
+    entry_identity::EntryIdentity,
+    entry_parts::EntryParts,
+    entry_process::EntryProcess,
+    entry_sockets::EntrySockets,
+    key_files::load_keys,
+    list_poller::ListPoller,
+    process_signals::ProcessSignals,
+    ready_line::ReadyLine,
     request_path::RequestPath,
+    solo_members::SoloMembers,
+    table_driver::{BoardStatus, TableDriver},
 };
--- /dev/null
+++ b/crates/trestlewalk/src/entry/table_driver.rs
@@ -0,0 +1,277 @@
+//! Drives the keeper of the table: polls the platform, pulls from peers, puts tables in force.
+
+use {
+    crate::admin::{ReadyBoard, StatusSource, TableStatus},
+    bytes::Bytes,
+    flow::TableBoard,
+    kernel::{InstanceId, LockRank, RankedLock, TableVersion, WorkerPool, ZoneId, unix_time},
+    peer::{PeerEndpoint, PeerIncoming, ProtocolTag},
+    plat::{EditOrigin, PollAction, PollEvent, PollPlan, RowStore, TableRepository},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant, SystemTime},
+    },
+    table::{
+        KeeperAction, KeeperEvent, StampedTable, TableHead, TableKeeper, TablePatch, TableSource,
+    },
+    tokio::{
+        sync::{Notify, mpsc},
+        time,
+    },
+};
+
+/// The condition that keeps an instance without a table from being ready.
+pub const TABLE_CONDITION: &str = "table";
+/// The tag of pulls of the table.
+pub const TABLE_TAG: ProtocolTag = 0x21;
+
+/// How often the keeper and the plan hear that time passes.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the keeper and the plan decide from.
+struct DriverState {
+    keeper: TableKeeper,
+    plan: PollPlan,
+    platform_head: Option<TableHead>,
+}
+
+/// Keeps the table in force.
+pub struct TableDriver<S> {
+    board: Arc<TableBoard>,
+    endpoint: PeerEndpoint,
+    head_changed: Notify,
+    instance: InstanceId,
+    pool: WorkerPool,
+    ready: Arc<ReadyBoard>,
+    repository: TableRepository<S>,
+    state: RankedLock<DriverState>,
+}
+
+#[bon::bon]
+impl<S: RowStore + 'static> TableDriver<S> {
+    /// A driver without a table, which blocks `ready` until it has one.
+    #[builder]
+    pub fn new(
+        board: Arc<TableBoard>,
+        endpoint: PeerEndpoint,
+        instance: InstanceId,
+        plan: PollPlan,
+        pool: WorkerPool,
+        ready: Arc<ReadyBoard>,
+        repository: TableRepository<S>,
+    ) -> Self {
+        ready.block(TABLE_CONDITION, "no table yet");
+        let state = DriverState {
+            keeper: TableKeeper::new(Instant::now()),
+            plan,
+            platform_head: None,
+        };
+        Self {
+            board,
+            endpoint,
+            head_changed: Notify::new(),
+            instance,
+            pool,
+            ready,
+            repository,
+            state: RankedLock::new(LockRank::Table, state),
+        }
+    }
+}
+
+impl<S: RowStore + 'static> TableDriver<S> {
+    /// Since when this instance and its peers have not heard from the platform.
+    pub fn cut_off_since(&self) -> Option<Duration> {
+        let now = Instant::now();
+        let since = self.state.lock().keeper.cut_off_since(now)?;
+        Some(now - since)
+    }
+
+    /// The head to announce.
+    pub fn head(&self) -> TableHead {
+        self.state.lock().keeper.head()
+    }
+
+    /// Waits until the head to announce has changed.
+    pub async fn head_changed(&self) {
+        self.head_changed.notified().await;
+    }
+
+    /// Gives one event to the keeper.
+    pub fn on_event(self: &Arc<Self>, event: KeeperEvent) {
+        let mut actions = Vec::new();
+        self.state
+            .lock()
+            .keeper
+            .on_event(Instant::now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    /// Tells the plan which instances of the own availability zone live.
+    pub fn on_members(self: &Arc<Self>, members: Vec<InstanceId>) {
+        self.step_plan(PollEvent::Members(members));
+    }
+
+    /// Answers peers' pulls for as long as it is driven.
+    pub async fn run_pulls(self: Arc<Self>, mut incoming: mpsc::Receiver<PeerIncoming>) {
+        while let Some(call) = incoming.recv().await {
+            let PeerIncoming::Call { body, reply, .. } = call else {
+                continue;
+            };
+            let Ok(since) = postcard::from_bytes::<TableVersion>(&body) else {
+                continue;
+            };
+            let patch = self.state.lock().keeper.patch_since(since);
+            let Ok(body) = postcard::to_stdvec(&patch) else {
+                continue;
+            };
+            reply.send(Bytes::from(body));
+        }
+    }
+
+    /// Drives time for as long as it is driven.
+    pub async fn run_ticks(self: Arc<Self>) {
+        let mut ticks = time::interval(TICK);
+        loop {
+            ticks.tick().await;
+            self.on_event(KeeperEvent::Tick);
+            self.step_plan(PollEvent::Tick);
+        }
+    }
+
+    fn act(self: &Arc<Self>, action: KeeperAction) {
+        match action {
+            KeeperAction::Alarm { code, head, source } => {
+                let number = code.number();
+                tracing::error!(code = number, version = head.version, %source, "{}", code.text());
+            }
+            KeeperAction::AlarmOver { code, source } => {
+                tracing::info!(code = code.number(), %source, "the alarm is over");
+            }
+            KeeperAction::InForce(table) => self.put_in_force(&table),
+            KeeperAction::Pull { since, source } => {
+                let driver = self.clone();
+                self.pool
+                    .spawn(async move { driver.pull(since, source).await });
+            }
+            KeeperAction::Restore(table) => {
+                let driver = self.clone();
+                self.pool.spawn(async move { driver.restore(table).await });
+            }
+        }
+    }
+
+    async fn poll(self: Arc<Self>) {
+        let asked = Instant::now();
+        let head = self.repository.head().await;
+        let answered = head.is_ok();
+        if let Ok(head) = head {
+            let head = head.map(|row| row.head()).unwrap_or_default();
+            self.state.lock().platform_head = Some(head);
+            self.on_event(KeeperEvent::PlatformSeen { at: asked });
+            self.on_event(KeeperEvent::Head {
+                asked,
+                head,
+                source: TableSource::Platform,
+            });
+        }
+        self.step_plan(PollEvent::Done { answered });
+    }
+
+    async fn pull(self: Arc<Self>, since: TableVersion, source: TableSource) {
+        let patch = match &source {
+            TableSource::Peer(instance) => self.pull_peer(instance, since).await,
+            TableSource::Platform => self.pull_platform(since).await,
+        };
+        self.on_event(match patch {
+            Some(patch) => KeeperEvent::Pulled { patch, source },
+            None => KeeperEvent::PullFailed { source },
+        });
+    }
+
+    async fn pull_peer(&self, instance: &InstanceId, since: TableVersion) -> Option<TablePatch> {
+        let body = postcard::to_stdvec(&since).ok()?;
+        let reply = self.endpoint.call(instance, TABLE_TAG, &body).await.ok()?;
+        postcard::from_bytes(&reply).ok()
+    }
+
+    async fn pull_platform(&self, since: TableVersion) -> Option<TablePatch> {
+        let snapshot = self.repository.snapshot().await.ok()?;
+        Some(snapshot.table.patch_since(since))
+    }
+
+    fn put_in_force(&self, table: &StampedTable) {
+        let table = Arc::new(table.to_table());
+        tracing::info!(
+            version = table.version,
+            rows = table.rows.len(),
+            "a table is in force"
+        );
+        self.board.put(table);
+        self.ready.clear(TABLE_CONDITION);
+        self.head_changed.notify_one();
+    }
+
+    async fn restore(self: Arc<Self>, table: Arc<StampedTable>) {
+        let at = unix_time::since_epoch(SystemTime::now());
+        let origin = EditOrigin {
+            at,
+            author: format!("instance {}", self.instance).into(),
+            floor: table.version() + 1,
+            id: format!("restore-{}-{}", self.instance, at.as_micros()).into(),
+        };
+        match self.repository.restore(&table, &origin).await {
+            Ok(version) => {
+                tracing::warn!(
+                    version,
+                    "accepted edits that the platform lacked are written back"
+                );
+                self.on_event(KeeperEvent::Restored { version });
+            }
+            Err(error) => tracing::warn!(%error, "accepted edits could not be written back"),
+        }
+    }
+
+    fn step_plan(self: &Arc<Self>, event: PollEvent) {
+        let mut actions = Vec::new();
+        self.state
+            .lock()
+            .plan
+            .on_event(Instant::now(), event, &mut actions);
+        for action in actions {
+            if action != PollAction::Poll {
+                continue;
+            }
+            let driver = self.clone();
+            self.pool.spawn(async move { driver.poll().await });
+        }
+    }
+}
+
+/// Answers the admin server.
+pub struct BoardStatus {
+    /// The table in force.
+    pub board: Arc<TableBoard>,
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+}
+
+impl StatusSource for BoardStatus {
+    fn table_status(&self) -> TableStatus {
+        let entry = self.board.entry();
+        let digest = entry.as_ref().map_or(0, |entry| entry.table.digest());
+        TableStatus {
+            digest,
+            instance: self.instance.clone(),
+            since: entry
+                .as_ref()
+                .map_or(0, |entry| unix_time::millis(entry.since_wall)),
+            version: entry.as_ref().map_or(0, |entry| entry.table.version),
+            zone: self.zone.clone(),
+        }
+    }
+}
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -47,6 +47,18 @@
         /// Why.
         source: peer::PeerError,
     },
+    /// The metrics can't be made.
+    #[snafu(display("the metrics can't be made: {source}"))]
+    Metrics {
+        /// Why.
+        source: prometheus::Error,
+    },
+    /// The platform's address can't be used.
+    #[snafu(display("platform.address: {source}"))]
+    Platform {
+        /// Why.
+        source: plat::PlatError,
+    },
     /// A file can't be read.
     #[snafu(display("{}: can't read the file: {source}", path.display()))]
     ReadFile {
@@ -104,6 +116,8 @@
             Self::Bind { .. }
             | Self::Fake { .. }
             | Self::Keys { .. }
+            | Self::Metrics { .. }
+            | Self::Platform { .. }
             | Self::Runtime { .. }
             | Self::Unwired { .. }
             | Self::WriteFile { .. } => None,
