Test builder: one run of the binary, and a fleet of processes

Cause: failure tests need separate processes that can be killed, paused and cut off from each other.

--- /dev/null
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -0,0 +1,59 @@
+//! What the tests of the real binary are built from.
+//!
+//! [`Test`] runs the binary once:
+//!
+//! ```ignore
+//! Test::new().file("a.yaml", "zone: 7").args(["check", "a.yaml"]).stderr_has("a.yaml:1: zone").status(51).run();
+//! ```
+//!
+//! [`FleetPlan`] starts separate processes on free loopback ports: the platform, engines, plain services and entry
+//! instances, each in front of a relay that a test can cut or slow. All are killed when the [`Fleet`] is dropped, and a
+//! test that panics prints the end of their logs.
+//!
+//! ```ignore
+//! let mut fleet = FleetPlan::new().zones(&["gijon", "ferrol"]).entries(2).plain(1).start().await;
+//! fleet.wait_ready("gijon-1").await;
+//! let reply = fleet.entry("gijon-1").get("/services/carta/tile").send().await;
+//! fleet.pause("gijon-1").await;                // SIGSTOP; resume, terminate and kill are there too.
+//! fleet.cut_zones("gijon", "ferrol");          // mend_zones joins them again.
+//! fleet.platform_relay("gijon-1").set(RelayMode::Silent);
+//! fleet.upstream_relay("gijon-plain-1").set(RelayMode::Slow(Duration::from_millis(50)));
+//! wait_until("ferrol-1 answers", async || fleet.entry("ferrol-1").get("/x").try_send().await.is_ok()).await;
+//! ```
+//!
+//! Names: entry instances are `{zone}-{n}`, upstreams `{zone}-prefill-{n}`, `{zone}-decode-{n}` and `{zone}-plain-{n}`,
+//! counted from 1. Waits poll a condition and panic after [`DEADLINE`](wait::DEADLINE), which is no measure of speed.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    unused_imports,
+    reason = "each test file uses its own part of the support module"
+)]
+
+pub mod cli_test;
+pub mod fleet;
+pub mod fleet_plan;
+pub mod fleet_process;
+pub mod http_call;
+pub mod relay_mode;
+pub mod sse_reply;
+pub mod tcp_relay;
+pub mod udp_relay;
+pub mod wait;
+
+pub use {
+    cli_test::{CliOutput, Test},
+    fleet::Fleet,
+    fleet_plan::FleetPlan,
+    fleet_process::FleetProcess,
+    http_call::{CallReply, HttpCall},
+    relay_mode::{RelayMode, RelaySwitch},
+    sse_reply::SseReply,
+    tcp_relay::TcpRelay,
+    udp_relay::UdpRelay,
+    wait::wait_until,
+};
+
+/// The binary under test.
+pub const BINARY: &str = env!("CARGO_BIN_EXE_trestlewalk");
--- /dev/null
+++ b/crates/trestlewalk/tests/support/udp_relay.rs
@@ -0,0 +1,133 @@
+//! Passes datagrams on, until it is told not to.
+
+use {
+    super::relay_mode::{RelayMode, RelaySwitch},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+    },
+    tokio::{net::UdpSocket, task::JoinSet},
+};
+
+const DATAGRAM_BYTES: usize = 64 << 10;
+
+/// A way to one process, for whoever sends to its address. It ends when it is dropped.
+#[derive(Debug)]
+pub struct UdpRelay {
+    address: SocketAddr,
+    blocked: Arc<Mutex<BTreeSet<SocketAddr>>>,
+    switch: RelaySwitch,
+    target: Arc<Mutex<SocketAddr>>,
+    _tasks: JoinSet<()>,
+}
+
+impl UdpRelay {
+    /// The address to send to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Lets nothing pass between `sender` and the target.
+    pub fn block(&self, sender: SocketAddr) {
+        self.blocked.lock().unwrap().insert(sender);
+    }
+
+    /// Passes datagrams on to another address.
+    pub fn retarget(&self, target: SocketAddr) {
+        *self.target.lock().unwrap() = target;
+    }
+
+    /// Switches the way for all senders.
+    pub fn set(&self, mode: RelayMode) {
+        self.switch.set(mode);
+    }
+
+    /// Starts to pass datagrams on to `target`.
+    pub async fn start(target: SocketAddr) -> Self {
+        let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+        let address = socket.local_addr().unwrap();
+        let way = RelayWay {
+            blocked: Arc::default(),
+            socket,
+            switch: RelaySwitch::new(),
+            target: Arc::new(Mutex::new(target)),
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(pass_there(way.clone()));
+        Self {
+            address,
+            blocked: way.blocked,
+            switch: way.switch,
+            target: way.target,
+            _tasks: tasks,
+        }
+    }
+
+    /// Lets datagrams of `sender` pass again.
+    pub fn unblock(&self, sender: SocketAddr) {
+        self.blocked.lock().unwrap().remove(&sender);
+    }
+}
+
+#[derive(Clone)]
+struct RelayWay {
+    blocked: Arc<Mutex<BTreeSet<SocketAddr>>>,
+    socket: Arc<UdpSocket>,
+    switch: RelaySwitch,
+    target: Arc<Mutex<SocketAddr>>,
+}
+
+impl RelayWay {
+    /// Sends one datagram, or drops it; a slow one is sent later.
+    async fn send(&self, socket: &Arc<UdpSocket>, sender: SocketAddr, to: SocketAddr, data: &[u8]) {
+        if self.blocked.lock().unwrap().contains(&sender) {
+            return;
+        }
+        match self.switch.mode() {
+            RelayMode::Open => {
+                let _ = socket.send_to(data, to).await;
+            }
+            RelayMode::Reset | RelayMode::Silent => {}
+            RelayMode::Slow(delay) => {
+                let (socket, data) = (socket.clone(), data.to_vec());
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    let _ = socket.send_to(&data, to).await;
+                });
+            }
+        }
+    }
+}
+
+async fn pass_back(way: RelayWay, onward: Arc<UdpSocket>, sender: SocketAddr) {
+    let mut data = vec![0; DATAGRAM_BYTES];
+    loop {
+        let Ok((length, _)) = onward.recv_from(&mut data).await else {
+            continue;
+        };
+        way.send(&way.socket, sender, sender, &data[..length]).await;
+    }
+}
+
+async fn pass_there(way: RelayWay) {
+    let mut data = vec![0; DATAGRAM_BYTES];
+    let mut sockets: BTreeMap<SocketAddr, Arc<UdpSocket>> = BTreeMap::new();
+    let mut tasks = JoinSet::new();
+    loop {
+        let Ok((length, sender)) = way.socket.recv_from(&mut data).await else {
+            continue;
+        };
+        let onward = match sockets.get(&sender) {
+            Some(onward) => onward.clone(),
+            None => {
+                let onward = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+                sockets.insert(sender, onward.clone());
+                tasks.spawn(pass_back(way.clone(), onward.clone(), sender));
+                onward
+            }
+        };
+        let target = *way.target.lock().unwrap();
+        way.send(&onward, sender, target, &data[..length]).await;
+    }
+}
