plat: HTTP client, table repository, poll plan, call budget, keyed rows

Cause: the table, the claims and the list of instances live in the platform, whose replies get lost and which may come back as an old copy. Each edit is one conditional transaction of head, touched rows and log entry; a lost reply is recognised by the log entry of the version that the try would have made. Ruled out: scanning the log for the edit's id, as the log grows with every edit.

--- /dev/null
+++ b/crates/plat/src/http_platform.rs
@@ -0,0 +1,229 @@
+//! The platform over HTTP.
+
+use {
+    crate::{
+        instance_record::InstanceRecord,
+        object_store::ObjectStore,
+        plat_error::PlatError,
+        row_store::{InstanceList, RowStore, StoredRow, Transaction, TransactionReply},
+    },
+    bytes::Bytes,
+    http::{Method, Request, StatusCode, Uri, header},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
+    serde::de::DeserializeOwned,
+    std::{error::Error, sync::Arc, time::Duration},
+};
+
+/// The largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 64 << 20;
+/// How long a call may take, connecting included, unless the builder says otherwise.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection is kept for the next call.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The characters of a key that stand for themselves in a path or a query.
+const KEY_MARKS: AsciiSet = NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
+/// A client of the platform's table service, object store and instance list. Clones share their connections.
+/// Every call has a timeout. A write is sent once: what becomes of a lost reply is the caller's decision.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    address: Arc<str>,
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+#[bon::bon]
+impl HttpPlatform {
+    /// A client of the platform at `address`, such as `http://127.0.0.1:7000`.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatError::AddressInvalid`] when the address is no HTTP URL.
+    #[builder]
+    pub fn new(
+        #[builder(into)] address: Arc<str>,
+        #[builder(default = IDLE_TIMEOUT)] idle_timeout: Duration,
+        #[builder(default = CALL_TIMEOUT)] timeout: Duration,
+    ) -> Result<Self, PlatError> {
+        let address: Arc<str> = address.trim_end_matches('/').into();
+        check_address(&address)?;
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeout));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(idle_timeout)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Ok(Self {
+            address,
+            client,
+            timeout,
+        })
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Answer, PlatError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.address))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body));
+        let request = request.map_err(|error| unreachable(&error))?;
+        let answer = tokio::time::timeout(self.timeout, self.exchange(request)).await;
+        let Ok(answer) = answer else {
+            let detail = format!("no answer within {:?}", self.timeout);
+            return Err(PlatError::Unreachable { detail });
+        };
+        answer
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, PlatError> {
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| unreachable(&error))?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT);
+        let body = body.collect().await;
+        let body = body.map_err(|error| unreachable(&*error))?;
+        Ok(Answer {
+            body: body.to_bytes(),
+            status,
+        })
+    }
+
+    /// A read is sent once more when the connection that it was sent on had been closed meanwhile.
+    async fn read(&self, path: &str) -> Result<Option<Bytes>, PlatError> {
+        let mut answer = self.call(Method::GET, path, Bytes::new()).await;
+        if matches!(answer, Err(PlatError::Unreachable { .. })) {
+            answer = self.call(Method::GET, path, Bytes::new()).await;
+        }
+        let answer = answer?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => Ok(Some(answer.body)),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn read_json<T: DeserializeOwned>(&self, path: &str) -> Result<Option<T>, PlatError> {
+        match self.read(path).await? {
+            Some(body) => decode(&body).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    async fn read_list<T: DeserializeOwned>(&self, path: &str) -> Result<Vec<T>, PlatError> {
+        let list = self.read_json(path).await?;
+        list.ok_or(PlatError::Refused {
+            status: StatusCode::NOT_FOUND.as_u16(),
+        })
+    }
+}
+
+impl InstanceList for HttpPlatform {
+    async fn instances(&self) -> Result<Vec<InstanceRecord>, PlatError> {
+        self.read_list("/instances").await
+    }
+}
+
+impl ObjectStore for HttpPlatform {
+    async fn get_object(&self, key: &str) -> Result<Option<Bytes>, PlatError> {
+        self.read(&format!("/objects/{}", encode(key))).await
+    }
+
+    async fn put_object(&self, key: &str, content: Bytes) -> Result<(), PlatError> {
+        let path = format!("/objects/{}", encode(key));
+        let answer = self.call(Method::PUT, &path, content).await?;
+        match answer.status.is_success() {
+            true => Ok(()),
+            false => Err(refusal(answer.status)),
+        }
+    }
+}
+
+impl RowStore for HttpPlatform {
+    async fn commit(&self, transaction: &Transaction) -> Result<TransactionReply, PlatError> {
+        let body = serde_json::to_vec(transaction).map_err(|error| garbled(&error))?;
+        let answer = self.call(Method::POST, "/tx", body.into()).await?;
+        match answer.status {
+            StatusCode::OK => decode(&answer.body),
+            status => Err(refusal(status)),
+        }
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<StoredRow>, PlatError> {
+        self.read_json(&format!("/rows/{}", encode(key))).await
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<StoredRow>, PlatError> {
+        self.read_list(&format!("/rows?prefix={}", encode(prefix)))
+            .await
+    }
+}
+
+struct Answer {
+    body: Bytes,
+    status: StatusCode,
+}
+
+fn check_address(address: &str) -> Result<(), PlatError> {
+    let invalid = |detail: &str| PlatError::AddressInvalid {
+        address: address.to_owned(),
+        detail: detail.to_owned(),
+    };
+    let uri: Uri = address
+        .parse()
+        .map_err(|error: http::uri::InvalidUri| invalid(&error.to_string()))?;
+    if uri.scheme_str() != Some("http") || uri.host().is_none() {
+        return Err(invalid("it is not of the form http://IP:port"));
+    }
+    if uri.path() != "/" || uri.query().is_some() {
+        return Err(invalid("it has a path"));
+    }
+    Ok(())
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatError> {
+    serde_json::from_slice(body).map_err(|error| garbled(&error))
+}
+
+fn encode(key: &str) -> String {
+    utf8_percent_encode(key, &KEY_MARKS).to_string()
+}
+
+fn garbled(error: &dyn Error) -> PlatError {
+    PlatError::Garbled {
+        detail: error.to_string(),
+    }
+}
+
+/// A server error says nothing about what was done before it.
+fn refusal(status: StatusCode) -> PlatError {
+    if status.is_server_error() {
+        let detail = format!("it answered with status {}", status.as_u16());
+        return PlatError::Unreachable { detail };
+    }
+    PlatError::Refused {
+        status: status.as_u16(),
+    }
+}
+
+/// The whole chain of causes in one line: the connector's own message names no cause.
+fn unreachable(error: &dyn Error) -> PlatError {
+    let mut detail = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        detail.push_str(": ");
+        detail.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    PlatError::Unreachable { detail }
+}
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -1,15 +1,38 @@
-//! The platform: its transactional table service, its object store and its list of instances, as traits and over HTTP.
+//! The platform: its transactional table service, its object store and its list of instances, as traits and over HTTP;
+//! above them the operators' table and keyed rows.
 
+pub mod call_budget;
+pub mod edit_origin;
+pub mod edit_record;
+pub mod edit_request;
+pub mod head_row;
+pub mod http_platform;
 pub mod instance_record;
+pub mod keyed_rows;
 pub mod object_store;
 pub mod plat_error;
+pub mod poll_plan;
 pub mod row_store;
+pub mod table_keys;
+pub mod table_repository;
+pub mod table_snapshot;
+mod table_transaction;
 
 pub use {
+    call_budget::{CallBudget, CallKind, CallRate},
+    edit_origin::EditOrigin,
+    edit_record::{EditId, EditRecord},
+    edit_request::{EditOutcome, EditRequest},
+    head_row::HeadRow,
+    http_platform::HttpPlatform,
     instance_record::{InstanceKind, InstanceRecord, InstanceState},
+    keyed_rows::{InsertOutcome, insert_once},
     object_store::ObjectStore,
     plat_error::PlatError,
+    poll_plan::{PollAction, PollEvent, PollPlan, PollSettings},
     row_store::{
         InstanceList, RowCondition, RowStore, RowWrite, StoredRow, Transaction, TransactionReply,
     },
+    table_repository::{TableRepository, content_digest},
+    table_snapshot::TableSnapshot,
 };
--- /dev/null
+++ b/crates/plat/src/table_repository.rs
@@ -0,0 +1,372 @@
+//! The operators' table in the platform's table service: a row a kind of work, a head row, a log of edits.
+
+use {
+    crate::{
+        edit_origin::EditOrigin,
+        edit_record::EditRecord,
+        edit_request::{EditOutcome, EditRequest},
+        head_row::HeadRow,
+        plat_error::PlatError,
+        row_store::{RowStore, StoredRow, Transaction, TransactionReply},
+        table_keys::{HEAD_KEY, ROW_PREFIX, edit_key},
+        table_snapshot::TableSnapshot,
+        table_transaction::TableTransaction,
+    },
+    kernel::{TableDigest, TableVersion, WorkId},
+    serde::de::DeserializeOwned,
+    std::{collections::BTreeMap, time::Duration},
+    table::{FileBase, StampedTable, TableMerge, WorkRow, WorkTable, merge_rows},
+};
+
+/// How often a snapshot is read again when an edit came between its two reads.
+const SNAPSHOT_TRIES: u32 = 8;
+/// How often a write is tried when others come first or replies are lost.
+const WRITE_TRIES: u32 = 8;
+/// The most edits that a file may be behind.
+const HISTORY_LIMIT: usize = 10_000;
+/// The pause after a lost reply; the n-th pause is n times as long.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Reads and edits the table through any [`RowStore`].
+#[derive(Clone, Debug)]
+pub struct TableRepository<S> {
+    pause: Duration,
+    store: S,
+}
+
+impl<S: RowStore> TableRepository<S> {
+    /// Merges a file into the table: one conditional transaction of the touched rows, the head and the log. A try whose
+    /// reply was lost is recognised by its edit id and never done twice.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatError::OutcomeUnknown`] when the last reply was lost and the platform can't be read: applying the same file
+    /// again is safe. [`PlatError::BaseUnknown`] and its kin when the file's version can't be found. Any other error
+    /// says that nothing was done.
+    pub async fn commit_edit(&self, edit: &EditRequest) -> Result<EditOutcome, PlatError> {
+        let mut open = OpenTries::default();
+        for attempt in 0..WRITE_TRIES {
+            self.pause_after(&open, attempt).await;
+            match self.try_edit(edit, &mut open).await {
+                Ok(Some(outcome)) => return Ok(outcome),
+                Ok(None) => {}
+                Err(error) if error.leaves_open() => open.last_error = Some(error.to_string()),
+                Err(error) => return Err(open.close(error, &edit.origin)),
+            }
+        }
+        Err(open.into_error(&edit.origin))
+    }
+
+    /// The head row; none before the first edit.
+    ///
+    /// # Errors
+    ///
+    /// When the platform can't be reached or its answer can't be read.
+    pub async fn head(&self) -> Result<Option<HeadRow>, PlatError> {
+        let row = self.store.get(HEAD_KEY).await?;
+        row.as_ref().map(decode_row).transpose()
+    }
+
+    /// The latest edits, newest first; at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatError::HistoryGap`] when the log lacks an entry, or a read's own error.
+    pub async fn history(&self, limit: usize) -> Result<Vec<EditRecord>, PlatError> {
+        let mut version = self.head().await?.map_or(0, |head| head.version);
+        let mut records = Vec::new();
+        while version > 0 && records.len() < limit {
+            let record = self.record(version).await?;
+            version = record.parent;
+            records.push(record);
+        }
+        Ok(records)
+    }
+
+    /// A repository over a store.
+    pub fn new(store: S) -> Self {
+        Self {
+            pause: RETRY_PAUSE,
+            store,
+        }
+    }
+
+    /// The log entry of a version.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatError::HistoryGap`] when there is none, or a read's own error.
+    pub async fn record(&self, version: TableVersion) -> Result<EditRecord, PlatError> {
+        let record = self.find_record(version).await?;
+        record.ok_or(PlatError::HistoryGap { version })
+    }
+
+    /// Writes back the accepted edits that the platform lacks, such as after it was restored from an old copy. Rows keep
+    /// their stamps; the version that this makes is greater than both. Returns the platform's version after it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`TableRepository::commit_edit`].
+    pub async fn restore(
+        &self,
+        held: &StampedTable,
+        origin: &EditOrigin,
+    ) -> Result<TableVersion, PlatError> {
+        let mut open = OpenTries::default();
+        for attempt in 0..WRITE_TRIES {
+            self.pause_after(&open, attempt).await;
+            match self.try_restore(held, origin, &mut open).await {
+                Ok(Some(version)) => return Ok(version),
+                Ok(None) => {}
+                Err(error) if error.leaves_open() => open.last_error = Some(error.to_string()),
+                Err(error) => return Err(open.close(error, origin)),
+            }
+        }
+        Err(open.into_error(origin))
+    }
+
+    /// The rows at the version that a file was taken from, by undoing the edits since.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatError::BaseUnknown`] when the version is not among the edits, [`PlatError::BaseDiffers`] when it had
+    /// another content than the file says.
+    pub async fn rows_at(
+        &self,
+        snapshot: &TableSnapshot,
+        base: FileBase,
+    ) -> Result<BTreeMap<WorkId, WorkRow>, PlatError> {
+        let mut rows = snapshot.table.live_rows();
+        let mut version = snapshot.version();
+        for _ in 0..HISTORY_LIMIT {
+            if matches(base, version, &rows) {
+                return Ok(rows);
+            }
+            if version == base.version {
+                return Err(PlatError::BaseDiffers { version });
+            }
+            if version < base.version && base.digest.is_none() || version == 0 {
+                break;
+            }
+            let record = self.record(version).await?;
+            undo(&mut rows, &record);
+            version = record.parent;
+        }
+        Err(PlatError::BaseUnknown {
+            version: base.version,
+        })
+    }
+
+    /// Rows and head of one version: read again until the rows add up to the head's digest.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatError::Inconsistent`] when they never do, or a read's own error.
+    pub async fn snapshot(&self) -> Result<TableSnapshot, PlatError> {
+        let mut version = 0;
+        for _ in 0..SNAPSHOT_TRIES {
+            let head_row = self.store.get(HEAD_KEY).await?;
+            let rows = self.store.scan(ROW_PREFIX).await?;
+            let snapshot = read_snapshot(head_row.as_ref(), &rows)?;
+            let digest = snapshot.head.as_ref().map_or(0, |head| head.digest);
+            if snapshot.table.digest() == digest {
+                return Ok(snapshot);
+            }
+            version = snapshot.version();
+        }
+        Err(PlatError::Inconsistent { version })
+    }
+
+    /// The store.
+    pub fn store(&self) -> &S {
+        &self.store
+    }
+
+    /// The same repository with another pause after a lost reply.
+    pub fn with_pause(self, pause: Duration) -> Self {
+        Self { pause, ..self }
+    }
+
+    async fn find_record(&self, version: TableVersion) -> Result<Option<EditRecord>, PlatError> {
+        let row = self.store.get(&edit_key(version)).await?;
+        row.as_ref().map(decode_row).transpose()
+    }
+
+    /// The version that an earlier try of this edit made after all.
+    async fn find_done(
+        &self,
+        origin: &EditOrigin,
+        open: &OpenTries,
+    ) -> Result<Option<TableVersion>, PlatError> {
+        for version in &open.versions {
+            let record = self.find_record(*version).await?;
+            if record.is_some_and(|record| record.id == origin.id) {
+                return Ok(Some(*version));
+            }
+        }
+        Ok(None)
+    }
+
+    async fn pause_after(&self, open: &OpenTries, attempt: u32) {
+        if open.last_error.is_some() {
+            tokio::time::sleep(self.pause * attempt).await;
+        }
+    }
+
+    /// Whether the transaction was committed.
+    async fn send(
+        &self,
+        transaction: &Transaction,
+        version: TableVersion,
+        open: &mut OpenTries,
+    ) -> Result<bool, PlatError> {
+        match self.store.commit(transaction).await {
+            Ok(TransactionReply::Committed) => Ok(true),
+            Ok(TransactionReply::Conflict { .. }) => Ok(false),
+            Err(error) => {
+                if error.leaves_open() {
+                    open.versions.push(version);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    async fn try_edit(
+        &self,
+        edit: &EditRequest,
+        open: &mut OpenTries,
+    ) -> Result<Option<EditOutcome>, PlatError> {
+        if let Some(version) = self.find_done(&edit.origin, open).await? {
+            let merge = open.merge.take().unwrap_or_default();
+            return Ok(Some(EditOutcome::Committed { merge, version }));
+        }
+        let snapshot = self.snapshot().await?;
+        let base = self.rows_at(&snapshot, edit.base).await?;
+        let merge = merge_rows(&base, &edit.rows, &snapshot.table.live_rows());
+        let version = snapshot.version();
+        if !merge.conflicts.is_empty() {
+            let conflicts = merge.conflicts;
+            return Ok(Some(EditOutcome::Conflict { conflicts, version }));
+        }
+        if merge.changes.is_empty() {
+            return Ok(Some(EditOutcome::Unchanged { version }));
+        }
+        let version = edit.origin.next_version(snapshot.version());
+        let mut table = snapshot.table.clone();
+        table.edit(version, &merge.changes);
+        let transaction = TableTransaction::new(&snapshot, &table, version);
+        let transaction = transaction.build(&edit.origin, &merge.changes)?;
+        open.merge = Some(merge.clone());
+        let is_done = self.send(&transaction, version, open).await?;
+        Ok(is_done.then_some(EditOutcome::Committed { merge, version }))
+    }
+
+    async fn try_restore(
+        &self,
+        held: &StampedTable,
+        origin: &EditOrigin,
+        open: &mut OpenTries,
+    ) -> Result<Option<TableVersion>, PlatError> {
+        if let Some(version) = self.find_done(origin, open).await? {
+            return Ok(Some(version));
+        }
+        let snapshot = self.snapshot().await?;
+        let mut table = snapshot.table.clone();
+        if !table.join(&held.patch_since(0)) {
+            return Ok(Some(snapshot.version()));
+        }
+        let version = origin.next_version(table.version());
+        let changes = table::diff_rows(&snapshot.table.live_rows(), &table.live_rows());
+        let transaction = TableTransaction::new(&snapshot, &table, version);
+        let transaction = transaction.build(origin, &changes)?;
+        let is_done = self.send(&transaction, version, open).await?;
+        Ok(is_done.then_some(version))
+    }
+}
+
+/// The tries of one edit whose replies were lost.
+#[derive(Default)]
+struct OpenTries {
+    last_error: Option<String>,
+    merge: Option<TableMerge>,
+    versions: Vec<TableVersion>,
+}
+
+impl OpenTries {
+    /// The error to report: a plain one says that nothing was done, which open tries can't promise.
+    fn close(self, error: PlatError, origin: &EditOrigin) -> PlatError {
+        if self.versions.is_empty() {
+            return error;
+        }
+        PlatError::OutcomeUnknown {
+            detail: error.to_string(),
+            edit: origin.id.clone(),
+        }
+    }
+
+    fn into_error(mut self, origin: &EditOrigin) -> PlatError {
+        let error = match self.last_error.take() {
+            Some(detail) => PlatError::Unreachable { detail },
+            None => PlatError::Overtaken {
+                edit: origin.id.clone(),
+                tries: WRITE_TRIES,
+            },
+        };
+        self.close(error, origin)
+    }
+}
+
+fn decode_row<T: DeserializeOwned>(row: &StoredRow) -> Result<T, PlatError> {
+    serde_json::from_str(&row.value).map_err(|error| PlatError::Garbled {
+        detail: format!("row {}: {error}", row.key),
+    })
+}
+
+/// Whether these rows are what a file was taken from. A restored platform may have the same content under a later
+/// version, so the digest counts before the version.
+fn matches(base: FileBase, version: TableVersion, rows: &BTreeMap<WorkId, WorkRow>) -> bool {
+    match base.digest {
+        Some(digest) => content_digest(rows) == digest,
+        None => base.version == version,
+    }
+}
+
+/// The digest that a file's version line has: of the live rows alone.
+pub fn content_digest(rows: &BTreeMap<WorkId, WorkRow>) -> TableDigest {
+    let table = WorkTable {
+        rows: rows.clone(),
+        version: 0,
+    };
+    table.digest()
+}
+
+fn read_snapshot(
+    head_row: Option<&StoredRow>,
+    rows: &[StoredRow],
+) -> Result<TableSnapshot, PlatError> {
+    let head: Option<HeadRow> = head_row.map(decode_row).transpose()?;
+    let mut row_counts = BTreeMap::new();
+    let mut stamped = BTreeMap::new();
+    for row in rows {
+        let work: WorkId = row.key.trim_start_matches(ROW_PREFIX).into();
+        row_counts.insert(work.clone(), row.version);
+        stamped.insert(work, decode_row(row)?);
+    }
+    let version = head.as_ref().map_or(0, |head| head.version);
+    Ok(TableSnapshot {
+        head,
+        head_count: head_row.map_or(0, |row| row.version),
+        row_counts,
+        table: StampedTable::from_rows(version, stamped),
+    })
+}
+
+fn undo(rows: &mut BTreeMap<WorkId, WorkRow>, record: &EditRecord) {
+    for change in &record.changes {
+        match &change.before {
+            Some(row) => rows.insert(change.work.clone(), row.clone()),
+            None => rows.remove(&change.work),
+        };
+    }
+}
--- /dev/null
+++ b/crates/plat/src/table_transaction.rs
@@ -0,0 +1,86 @@
+//! The transaction that brings the platform's table to another content.
+
+use {
+    crate::{
+        edit_origin::EditOrigin,
+        edit_record::EditRecord,
+        head_row::HeadRow,
+        plat_error::PlatError,
+        row_store::{RowCondition, RowWrite, Transaction},
+        table_keys::{HEAD_KEY, edit_key, row_key},
+        table_snapshot::TableSnapshot,
+    },
+    kernel::TableVersion,
+    serde::Serialize,
+    table::{RowChange, StampedTable},
+};
+
+/// From a snapshot to a table at a version.
+pub(crate) struct TableTransaction<'a> {
+    snapshot: &'a TableSnapshot,
+    table: &'a StampedTable,
+    transaction: Transaction,
+    version: TableVersion,
+}
+
+impl<'a> TableTransaction<'a> {
+    /// The transaction: touched rows, log entry and head, each under the condition that it is as the snapshot has it.
+    pub(crate) fn build(
+        mut self,
+        origin: &EditOrigin,
+        changes: &[RowChange],
+    ) -> Result<Transaction, PlatError> {
+        let record = EditRecord {
+            at: origin.at,
+            author: origin.author.clone(),
+            changes: changes.to_vec(),
+            id: origin.id.clone(),
+            parent: self.snapshot.version(),
+            version: self.version,
+        };
+        let head = HeadRow {
+            digest: self.table.digest(),
+            edit: origin.id.clone(),
+            version: self.version,
+        };
+        self.put(HEAD_KEY, self.snapshot.head_count, &head)?;
+        self.put(&edit_key(self.version), 0, &record)?;
+        for (work, stamped) in self.table.rows() {
+            if self.snapshot.table.rows().get(work) == Some(stamped) {
+                continue;
+            }
+            let counts = &self.snapshot.row_counts;
+            let count = counts.get(work).copied().unwrap_or_default();
+            self.put(&row_key(work), count, stamped)?;
+        }
+        Ok(self.transaction)
+    }
+
+    pub(crate) fn new(
+        snapshot: &'a TableSnapshot,
+        table: &'a StampedTable,
+        version: TableVersion,
+    ) -> Self {
+        Self {
+            snapshot,
+            table,
+            transaction: Transaction::default(),
+            version,
+        }
+    }
+
+    fn put<T: Serialize>(&mut self, key: &str, count: u64, value: &T) -> Result<(), PlatError> {
+        let text = serde_json::to_string(value).map_err(|error| PlatError::Garbled {
+            detail: format!("row {key}: {error}"),
+        })?;
+        self.transaction.conditions.push(RowCondition {
+            key: key.into(),
+            version: count,
+        });
+        self.transaction.writes.push(RowWrite {
+            key: key.into(),
+            value: Some(text.into()),
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/plat/tests/operators_fuzz.rs
@@ -0,0 +1,539 @@
+//! Racing operators, stale files, lost replies, outages, restarted instances and a platform restored from old copies,
+//! against an oracle of a few lines: who holds which accepted edit of a row.
+
+mod common;
+
+use {
+    common::{Fault, MemoryStore, Rows as StoredRows, origin, row},
+    kernel::ResultCode,
+    plat::{EditOutcome, EditRequest, content_digest},
+    proptest::{prelude::*, test_runner::RngSeed},
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Instant,
+    },
+    table::{
+        FileBase, KeeperAction, KeeperEvent, TableFile, TableKeeper, TableSource, read_csv,
+        write_csv,
+    },
+    tokio::runtime::Runtime,
+};
+
+const INSTANCES: usize = 3;
+const KEYS: [&str; 4] = ["confirm", "draft", "notes", "tiles"];
+const OPERATORS: usize = 2;
+
+/// What goes wrong with one apply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Trouble {
+    /// The platform is down from before the first call.
+    Down,
+    /// The write takes effect, its reply is lost, and the platform is down from then on.
+    DownAfterWrite,
+    None,
+    /// The write takes effect and its reply is lost.
+    Reply,
+    /// The write is lost, the next one's reply as well.
+    RequestThenReply,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Applies the operator's file; the other one's may be applied between its reading and its writing.
+    Apply {
+        operator: usize,
+        raced: bool,
+        /// The operator's clock is slow and entry instances tell the greatest version.
+        slow_clock: bool,
+        trouble: Trouble,
+    },
+    /// Copies the platform.
+    Backup,
+    /// Changes a row of the operator's file; weight 0 removes it.
+    Change {
+        key: usize,
+        operator: usize,
+        weight: u8,
+    },
+    /// One instance hears another's heartbeat and pulls.
+    Heartbeat { from: usize, to: usize },
+    /// An instance polls the platform; its write-back may lose a reply.
+    Poll { instance: usize, lose_reply: bool },
+    /// Replaces an instance.
+    Restart { instance: usize },
+    /// Puts the last copy of the platform in place.
+    RestoreBackup,
+    /// The operator takes a fresh file.
+    Take { operator: usize },
+}
+
+/// The weight of each row; 0 is a row that is not there.
+type Weights = [u8; KEYS.len()];
+
+/// What a holder has of one row: which accepted edit, counted in their true order, and its weight.
+type Held = [(u64, u8); KEYS.len()];
+
+#[derive(Clone, Debug, Default)]
+struct Platform {
+    /// The contents that its log of edits leads back to.
+    past: Vec<Weights>,
+    rows: Held,
+}
+
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+enum Expected {
+    #[default]
+    Nothing,
+    BaseUnknown,
+    Committed,
+    Conflict,
+    Down,
+    Unchanged,
+    Unknown,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Oracle {
+    backup: Platform,
+    /// The accepted edits so far.
+    edits: u64,
+    expected: Expected,
+    /// Each operator's file: as taken, and as changed.
+    files: [(Weights, Weights); OPERATORS],
+    instances: [Held; INSTANCES],
+    platform: Platform,
+}
+
+impl Oracle {
+    /// What an apply of an operator's file does now.
+    fn judge(&self, operator: usize) -> Expected {
+        let (base, mine) = self.files[operator];
+        if !self.platform.past.contains(&base) && base != Weights::default() {
+            return Expected::BaseUnknown;
+        }
+        let now = self.platform.rows.map(|(_, weight)| weight);
+        let edits =
+            (0..KEYS.len()).filter(|key| mine[*key] != base[*key] && mine[*key] != now[*key]);
+        let mut outcome = Expected::Unchanged;
+        for key in edits {
+            if now[key] != base[key] {
+                return Expected::Conflict;
+            }
+            outcome = Expected::Committed;
+        }
+        outcome
+    }
+
+    /// Applies an operator's file.
+    fn apply(&mut self, operator: usize) -> Expected {
+        let outcome = self.judge(operator);
+        if outcome == Expected::Committed {
+            self.edits += 1;
+            let (base, mine) = self.files[operator];
+            for key in 0..KEYS.len() {
+                if mine[key] != base[key] && mine[key] != self.platform.rows[key].1 {
+                    self.platform.rows[key] = (self.edits, mine[key]);
+                }
+            }
+            self.log();
+        }
+        outcome
+    }
+
+    fn log(&mut self) {
+        let now = self.platform.rows.map(|(_, weight)| weight);
+        self.platform.past.push(now);
+    }
+
+    /// An instance and the platform tell each other all accepted edits.
+    fn poll(&mut self, instance: usize) {
+        let before = self.platform.rows;
+        let both = join(self.platform.rows, self.instances[instance]);
+        self.instances[instance] = both;
+        self.platform.rows = both;
+        if before != both {
+            self.log();
+        }
+    }
+}
+
+fn join(left: Held, right: Held) -> Held {
+    std::array::from_fn(|key| left[key].max(right[key]))
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Step> {
+        let operator = 0..OPERATORS;
+        let instance = 0..INSTANCES;
+        let trouble = prop_oneof![
+            4 => Just(Trouble::None),
+            1 => Just(Trouble::Down),
+            1 => Just(Trouble::DownAfterWrite),
+            1 => Just(Trouble::Reply),
+            1 => Just(Trouble::RequestThenReply),
+        ];
+        prop_oneof![
+            6 => (operator.clone(), any::<bool>(), any::<bool>(), trouble).prop_map(
+                |(operator, raced, slow_clock, trouble)| Step::Apply { operator, raced, slow_clock, trouble }
+            ),
+            1 => Just(Step::Backup),
+            8 => (0..KEYS.len(), operator.clone(), 0_u8..4).prop_map(
+                |(key, operator, weight)| Step::Change { key, operator, weight }
+            ),
+            4 => (instance.clone(), instance.clone()).prop_map(|(from, to)| Step::Heartbeat { from, to }),
+            4 => (instance.clone(), any::<bool>()).prop_map(
+                |(instance, lose_reply)| Step::Poll { instance, lose_reply }
+            ),
+            1 => instance.prop_map(|instance| Step::Restart { instance }),
+            1 => Just(Step::RestoreBackup),
+            3 => operator.prop_map(|operator| Step::Take { operator }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, step: &Step) -> Self {
+        state.expected = Expected::Nothing;
+        match *step {
+            Step::Apply {
+                operator,
+                raced,
+                trouble,
+                ..
+            } => {
+                if trouble == Trouble::Down {
+                    state.expected = Expected::Down;
+                    return state;
+                }
+                let writes = state.judge(operator) == Expected::Committed;
+                if writes && raced {
+                    state.apply(1 - operator);
+                }
+                state.expected = state.apply(operator);
+                if trouble == Trouble::DownAfterWrite && state.expected == Expected::Committed {
+                    state.expected = Expected::Unknown;
+                }
+            }
+            Step::Backup => state.backup = state.platform.clone(),
+            Step::Change {
+                key,
+                operator,
+                weight,
+            } => state.files[operator].1[key] = weight,
+            Step::Heartbeat { from, to } => {
+                state.instances[to] = join(state.instances[to], state.instances[from]);
+            }
+            Step::Poll { instance, .. } => state.poll(instance),
+            Step::Restart { instance } => state.instances[instance] = Held::default(),
+            Step::RestoreBackup => state.platform = state.backup.clone(),
+            Step::Take { operator } => {
+                let now = state.platform.rows.map(|(_, weight)| weight);
+                state.files[operator] = (now, now);
+            }
+        }
+        state
+    }
+
+    fn preconditions(state: &Self, step: &Step) -> bool {
+        match step {
+            // A write that was lost for good is no race; the trouble of a raced apply would hit the other one.
+            Step::Apply { raced, trouble, .. } => !raced || *trouble == Trouble::None,
+            // A copy of nothing is a platform whose table was lost whole: it has its own test.
+            Step::RestoreBackup => !state.backup.past.is_empty(),
+            _ => true,
+        }
+    }
+}
+
+struct World {
+    backup: StoredRows,
+    clock: u64,
+    files: [TableFile; OPERATORS],
+    keepers: Vec<TableKeeper>,
+    now: Instant,
+    runtime: Runtime,
+    store: MemoryStore,
+}
+
+impl World {
+    /// The request of an operator's file, as a spreadsheet would give it back.
+    fn request(&mut self, operator: usize, slow_clock: bool) -> EditRequest {
+        self.clock += 10;
+        let file = &self.files[operator];
+        let text = write_csv(file.base, file.rows.values());
+        let text = text.replace(',', ";").replace('\n', ";;\r\n");
+        let file = read_csv("work.csv", text.as_bytes()).unwrap_or_else(|error| panic!("{error}"));
+        let clock = if slow_clock {
+            self.clock / 2
+        } else {
+            self.clock
+        };
+        let mut origin = origin(&format!("edit-{}", self.clock), clock);
+        if slow_clock {
+            let versions = self.keepers.iter().map(|keeper| keeper.head().version);
+            origin.floor = versions.max().unwrap_or_default() + 1;
+        }
+        EditRequest {
+            base: file.base.expect("the version line crosses a spreadsheet"),
+            origin,
+            rows: file.rows,
+        }
+    }
+
+    fn apply(
+        &mut self,
+        operator: usize,
+        raced: bool,
+        slow_clock: bool,
+        trouble: Trouble,
+    ) -> Expected {
+        let edit = self.request(operator, slow_clock);
+        let other = self.request(1 - operator, slow_clock);
+        let repository = self.store.repository();
+        let intruder = self.store.repository();
+        {
+            let mut inside = self.store.inside();
+            inside.is_down = trouble == Trouble::Down;
+            inside.is_down_after_commit = trouble == Trouble::DownAfterWrite;
+            inside.commits = match trouble {
+                Trouble::DownAfterWrite | Trouble::Reply => vec![Fault::LoseReply],
+                Trouble::RequestThenReply => vec![Fault::LoseRequest, Fault::LoseReply],
+                Trouble::Down | Trouble::None => Vec::new(),
+            }
+            .into();
+            if raced {
+                inside.intruder = Some(Box::pin(async move {
+                    let _ = intruder.commit_edit(&other).await;
+                }));
+            }
+        }
+        let outcome = self.runtime.block_on(repository.commit_edit(&edit));
+        self.store.inside().intruder = None;
+        self.store.lose(&[]);
+        self.store.come_back();
+        match outcome {
+            Ok(EditOutcome::Committed { .. }) => Expected::Committed,
+            Ok(EditOutcome::Conflict { .. }) => Expected::Conflict,
+            Ok(EditOutcome::Unchanged { .. }) => Expected::Unchanged,
+            Err(error) => match error.result_code() {
+                ResultCode::DigestDiffers | ResultCode::VersionFell => Expected::BaseUnknown,
+                ResultCode::EditUnknown => Expected::Unknown,
+                ResultCode::PlatformUnreachable => Expected::Down,
+                code => panic!("{code:?}: {error}"),
+            },
+        }
+    }
+
+    fn change(&mut self, operator: usize, key: usize, weight: u8) {
+        let rows = &mut self.files[operator].rows;
+        match weight {
+            0 => rows.remove(KEYS[key]),
+            _ => rows.insert(KEYS[key].into(), row(KEYS[key], weight)),
+        };
+    }
+
+    /// Sends a head to a keeper and serves what it asks for until it asks for nothing.
+    fn tell(&mut self, to: usize, source: TableSource, head: table::TableHead) {
+        self.now += std::time::Duration::from_secs(10);
+        let asked = self.now;
+        let mut events = vec![KeeperEvent::Head {
+            asked,
+            head,
+            source,
+        }];
+        for _ in 0..8 {
+            let Some(event) = events.pop() else {
+                return;
+            };
+            let before = self.keepers[to].table().clone();
+            let mut actions = Vec::new();
+            self.keepers[to].on_event(self.now, event, &mut actions);
+            assert_never_down(&before, self.keepers[to].table());
+            for action in actions {
+                events.extend(self.serve(action));
+            }
+        }
+        panic!("keeper {to} asks without end");
+    }
+
+    fn serve(&mut self, action: KeeperAction) -> Option<KeeperEvent> {
+        match action {
+            KeeperAction::Pull { since, source } => {
+                let patch = match &source {
+                    TableSource::Peer(name) => {
+                        let index: usize = name.parse().expect("a keeper's index");
+                        self.keepers[index].patch_since(since)
+                    }
+                    TableSource::Platform => {
+                        let repository = self.store.repository();
+                        let snapshot = self.runtime.block_on(repository.snapshot());
+                        snapshot
+                            .expect("a consistent table")
+                            .table
+                            .patch_since(since)
+                    }
+                };
+                Some(KeeperEvent::Pulled { patch, source })
+            }
+            KeeperAction::Restore(held) => {
+                self.clock += 10;
+                let origin = origin(&format!("heal-{}", self.clock), self.clock / 2);
+                let repository = self.store.repository();
+                let version = self.runtime.block_on(repository.restore(&held, &origin));
+                let version = version.expect("the platform answers");
+                Some(KeeperEvent::Restored { version })
+            }
+            _ => None,
+        }
+    }
+
+    /// One poll of the platform, and a second one when the first wrote edits back.
+    fn poll(&mut self, instance: usize, lose_reply: bool) {
+        if lose_reply {
+            self.store.lose(&[Fault::LoseReply]);
+        }
+        for _ in 0..2 {
+            let head = self.runtime.block_on(self.store.repository().head());
+            let head = head.expect("the platform answers");
+            let head = head.map(|head| head.head()).unwrap_or_default();
+            self.tell(instance, TableSource::Platform, head);
+        }
+        self.store.lose(&[]);
+    }
+
+    fn take(&mut self, operator: usize) {
+        let snapshot = self.runtime.block_on(self.store.repository().snapshot());
+        let snapshot = snapshot.expect("a consistent table");
+        let rows = snapshot.table.live_rows();
+        let base = FileBase {
+            digest: Some(content_digest(&rows)),
+            version: snapshot.version(),
+        };
+        self.files[operator] = TableFile {
+            base: Some(base),
+            rows,
+        };
+    }
+
+    /// Every edit is in the log once.
+    fn assert_once(&self) {
+        let mut ids = BTreeSet::new();
+        for (key, row) in &self.store.inside().rows {
+            if !key.starts_with("table/edit/") {
+                continue;
+            }
+            let record: plat::EditRecord = serde_json::from_str(&row.value).expect("a log entry");
+            assert!(ids.insert(record.id.clone()), "{} is done twice", record.id);
+        }
+    }
+}
+
+fn assert_never_down(before: &table::StampedTable, after: &table::StampedTable) {
+    assert!(after.version() >= before.version(), "a version went down");
+    for (work, held) in before.rows() {
+        assert!(
+            after.rows()[work].stamp >= held.stamp,
+            "row {work} reverted"
+        );
+    }
+}
+
+fn weights(table: &table::StampedTable) -> Weights {
+    let rows = table.live_rows();
+    KEYS.map(|key| rows.get(key).map_or(0, |row| row.weight as u8))
+}
+
+struct OperatorsTest;
+
+impl StateMachineTest for OperatorsTest {
+    type Reference = Oracle;
+    type SystemUnderTest = World;
+
+    fn init_test(_: &Oracle) -> World {
+        let now = Instant::now();
+        let empty = TableFile {
+            base: Some(FileBase {
+                digest: Some(content_digest(&BTreeMap::new())),
+                version: 0,
+            }),
+            rows: BTreeMap::new(),
+        };
+        World {
+            backup: StoredRows::new(),
+            clock: 1000,
+            files: [empty.clone(), empty],
+            keepers: vec![TableKeeper::new(now); INSTANCES],
+            now,
+            runtime: tokio::runtime::Builder::new_current_thread()
+                .enable_time()
+                .build()
+                .expect("a runtime"),
+            store: MemoryStore::default(),
+        }
+    }
+
+    fn apply(mut world: World, oracle: &Oracle, step: Step) -> World {
+        match step {
+            Step::Apply {
+                operator,
+                raced,
+                slow_clock,
+                trouble,
+            } => {
+                let outcome = world.apply(operator, raced, slow_clock, trouble);
+                assert_eq!(outcome, oracle.expected, "{step:?}");
+            }
+            Step::Backup => world.backup = world.store.inside().rows.clone(),
+            Step::Change {
+                key,
+                operator,
+                weight,
+            } => world.change(operator, key, weight),
+            Step::Heartbeat { from, to } => {
+                let head = world.keepers[from].head();
+                let source = TableSource::Peer(from.to_string().into());
+                world.tell(to, source, head);
+            }
+            Step::Poll {
+                instance,
+                lose_reply,
+            } => world.poll(instance, lose_reply),
+            Step::Restart { instance } => world.keepers[instance] = TableKeeper::new(world.now),
+            Step::RestoreBackup => world.store.inside().rows = world.backup.clone(),
+            Step::Take { operator } => world.take(operator),
+        }
+        world.assert_once();
+        world
+    }
+
+    fn check_invariants(world: &World, oracle: &Oracle) {
+        let snapshot = world.runtime.block_on(world.store.repository().snapshot());
+        let snapshot = snapshot.expect("a consistent table");
+        let expected = oracle.platform.rows.map(|(_, weight)| weight);
+        assert_eq!(weights(&snapshot.table), expected, "the platform");
+        for (keeper, held) in world.keepers.iter().zip(&oracle.instances) {
+            let expected = held.map(|(_, weight)| weight);
+            assert_eq!(weights(keeper.table()), expected, "an instance");
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        max_shrink_iters: 4000,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn accepted_edits_stand_whatever_happens(sequential 1..60 => OperatorsTest);
+}
