The stand-ins take JSON bodies whatever their content type says

Cause: axum's extractor refuses a body without the JSON content type, which a hand-written client easily leaves out; a completion call that can't be read now gets the engine's own bad_request with ran false.

--- a/crates/fake/src/model/engine_admin.rs
+++ b/crates/fake/src/model/engine_admin.rs
@@ -5,6 +5,7 @@
         engine_counters::EngineCounters, engine_faults::EngineFaults,
         stand_in_engine::StandInEngine,
     },
+    crate::net::JsonBody,
     axum::{
         Json, Router,
         extract::State,
@@ -27,7 +28,7 @@
 
 async fn set_faults(
     State(engine): State<StandInEngine>,
-    Json(faults): Json<EngineFaults>,
+    JsonBody(faults): JsonBody<EngineFaults>,
 ) -> StatusCode {
     engine.set_faults(faults);
     StatusCode::NO_CONTENT
--- a/crates/fake/src/model/engine_routes.rs
+++ b/crates/fake/src/model/engine_routes.rs
@@ -11,7 +11,7 @@
     },
     crate::{
         expected_answer::{DEFAULT_MAX_TOKENS, expected_text},
-        net::cut_answer,
+        net::{JsonBody, cut_answer},
     },
     axum::{
         Json, Router,
@@ -19,6 +19,7 @@
         response::{IntoResponse, Response},
         routing::{get, post},
     },
+    bytes::Bytes,
     engine::wire::{
         CacheEvents, CompletionCall, CompletionChoice, CompletionChunk, EngineError, EngineLoad,
         EngineOrder, KvTransferParams, REQUEST_ID_HEADER, StreamRecord,
@@ -134,17 +135,13 @@
     }
 }
 
-async fn complete(
-    State(state): State<EngineState>,
-    headers: HeaderMap,
-    Json(call): Json<CompletionCall>,
-) -> Response {
+async fn complete(State(state): State<EngineState>, headers: HeaderMap, body: Bytes) -> Response {
     let faults = state.faults();
     if !faults.slow_accept.is_zero() {
         tokio::time::sleep(faults.slow_accept).await;
     }
     let id = state.request_id(&headers);
-    let Some(engine_call) = read_call(&id, &call) else {
+    let Some((engine_call, wants_stream)) = read_call(&id, &body) else {
         return refuse(&EngineError {
             error: Arc::from("bad_request"),
             ran: false,
@@ -154,7 +151,6 @@
     if faults.close_after_read {
         return cut_answer();
     }
-    let wants_stream = call.stream;
     let Some(view) = wait_for_answer(&mut reader, wants_stream).await else {
         return cut_answer();
     };
@@ -184,7 +180,10 @@
     Json(state.driver.with(|core| core.load(Instant::now())))
 }
 
-async fn order(State(state): State<EngineState>, Json(order): Json<EngineOrder>) -> Response {
+async fn order(
+    State(state): State<EngineState>,
+    JsonBody(order): JsonBody<EngineOrder>,
+) -> Response {
     match state.driver.order(order) {
         Err(refusal) => (StatusCode::CONFLICT, Json(refusal)).into_response(),
         Ok(()) => StatusCode::ACCEPTED.into_response(),
@@ -252,21 +251,24 @@
     }
 }
 
-fn read_call(id: &Arc<str>, call: &CompletionCall) -> Option<EngineCall> {
-    let params = call.kv_transfer_params.clone().unwrap_or_default();
+/// The call, and whether its answer is a stream.
+fn read_call(id: &Arc<str>, body: &[u8]) -> Option<(EngineCall, bool)> {
+    let call: CompletionCall = serde_json::from_slice(body).ok()?;
+    let params = call.kv_transfer_params.unwrap_or_default();
     let import = match params.do_remote_prefill {
         false => None,
         true => Some(read_import(&params)?),
     };
-    Some(EngineCall {
+    let engine_call = EngineCall {
         id: id.clone(),
         import,
         keep_kv: params.do_remote_decode,
         max_tokens: call.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
-        model: call.model.clone(),
+        model: call.model,
         priority: call.priority,
-        prompt: call.prompt.clone(),
-    })
+        prompt: call.prompt,
+    };
+    Some((engine_call, call.stream))
 }
 
 fn read_import(params: &KvTransferParams) -> Option<KvImport> {
--- /dev/null
+++ b/crates/fake/src/net/json_body.rs
@@ -0,0 +1,29 @@
+//! JSON request bodies, whatever their content type says.
+
+use {
+    axum::extract::{FromRequest, Request},
+    bytes::Bytes,
+    http::StatusCode,
+    serde::de::DeserializeOwned,
+};
+
+/// A request's body read as JSON; 400 with the reason if it can't be.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct JsonBody<T>(pub(crate) T);
+
+impl<T, S> FromRequest<S> for JsonBody<T>
+where
+    T: DeserializeOwned,
+    S: Send + Sync,
+{
+    type Rejection = (StatusCode, String);
+
+    async fn from_request(request: Request, state: &S) -> Result<Self, Self::Rejection> {
+        let bytes = Bytes::from_request(request, state).await;
+        let bytes = bytes.map_err(|error| (error.status(), error.body_text()))?;
+        match serde_json::from_slice(&bytes) {
+            Err(error) => Err((StatusCode::BAD_REQUEST, error.to_string())),
+            Ok(value) => Ok(Self(value)),
+        }
+    }
+}
--- a/crates/fake/src/platform/platform_admin.rs
+++ b/crates/fake/src/platform/platform_admin.rs
@@ -5,6 +5,7 @@
         platform_counters::PlatformCounters, platform_faults::PlatformFaults,
         stand_in_platform::StandInPlatform,
     },
+    crate::net::JsonBody,
     axum::{
         Json, Router,
         extract::State,
@@ -34,7 +35,7 @@
 
 async fn set_faults(
     State(platform): State<StandInPlatform>,
-    Json(faults): Json<PlatformFaults>,
+    JsonBody(faults): JsonBody<PlatformFaults>,
 ) -> StatusCode {
     platform.set_faults(faults);
     StatusCode::NO_CONTENT
--- a/crates/fake/src/platform/platform_routes.rs
+++ b/crates/fake/src/platform/platform_routes.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{platform_core::ReplyFate, stand_in_platform::PlatformState},
-    crate::net::cut_answer,
+    crate::net::{JsonBody, cut_answer},
     axum::{
         Json, Router,
         extract::{DefaultBodyLimit, Path, Query, Request, State},
@@ -53,7 +53,7 @@
 
 async fn commit(
     State(state): State<PlatformState>,
-    Json(transaction): Json<Transaction>,
+    JsonBody(transaction): JsonBody<Transaction>,
 ) -> Response {
     let (reply, fate) = state.with(|core| core.commit(Instant::now(), &transaction));
     answer(fate, Json(reply))
@@ -83,7 +83,7 @@
 async fn put_instance(
     State(state): State<PlatformState>,
     Path(name): Path<Arc<str>>,
-    Json(mut record): Json<InstanceRecord>,
+    JsonBody(mut record): JsonBody<InstanceRecord>,
 ) -> Response {
     record.name = name;
     let fate = state.with(|core| core.put_instance(Instant::now(), record));
--- a/crates/fake/src/service/stand_in_service.rs
+++ b/crates/fake/src/service/stand_in_service.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         fake_error::FakeError,
-        net::{OpenGate, StandInServer},
+        net::{JsonBody, OpenGate, StandInServer},
         ready_line::{ReadyLine, wait_for_end},
     },
     axum::{
@@ -115,7 +115,7 @@
 
 async fn set_faults(
     State(service): State<StandInService>,
-    Json(faults): Json<ServiceFaults>,
+    JsonBody(faults): JsonBody<ServiceFaults>,
 ) -> StatusCode {
     service.set_faults(faults);
     StatusCode::NO_CONTENT
