--- a/crates/fake/src/model/engine_run.rs
+++ b/crates/fake/src/model/engine_run.rs
@@ -91,6 +91,14 @@
 }
 
 impl EngineRun {
+    /// Whether its answer is not finished yet.
+    pub(super) fn needs_connection(&self) -> bool {
+        !matches!(
+            self.phase,
+            RunPhase::Exported { .. } | RunPhase::Finished { .. }
+        )
+    }
+
     /// What its caller sees while it goes on.
     pub(super) fn view(&self) -> RunView {
         RunView {
--- a/crates/fake/src/model/mod.rs
+++ b/crates/fake/src/model/mod.rs
@@ -2,6 +2,7 @@
 
 mod cache_log;
 mod core_decode;
+mod core_life;
 mod core_orders;
 pub mod core_prefill;
 mod engine_admin;
