admit: plan of cells, counts, and a stateful fuzz against an oracle

What was found: an announced transfer forgot where its KV cache lies, so that a refused decode was read again; it now goes back to the KV cache. Ruled out as faults of the allocator: two gaps of the oracle (a cancellation before its submission; earlier lives of a holder). Limits: parts by cell sum to the limit (largest remainder by rendezvous hashing on the row).

--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -2,10 +2,20 @@
 
 use {
     crate::{
-        admit_action::AdmitAction, admit_event::AdmitEvent, admit_policy::AdmitPolicy,
-        admit_request::AdmitRequest, cell_tuning::CellTuning, ended_keys::EndedKeys,
-        engine_pool::EnginePool, held_request::HeldRequest, link_turns::LinkTurns,
-        pool_key::PoolKey, request_key::RequestKey, row_state::RowState,
+        admit_action::AdmitAction,
+        admit_event::{AdmitEvent, HoldPhase},
+        admit_policy::AdmitPolicy,
+        admit_request::AdmitRequest,
+        cell_counts::CellCounts,
+        cell_tuning::CellTuning,
+        ended_keys::EndedKeys,
+        engine_pool::EnginePool,
+        held_request::HeldRequest,
+        link_turns::LinkTurns,
+        pool_key::PoolKey,
+        request_key::RequestKey,
+        request_phase::RequestPhase,
+        row_state::RowState,
     },
     bon::bon,
     kernel::{Incarnation, InstanceId, WorkId},
@@ -32,7 +42,7 @@
     pub(crate) choice: ReplicaChoice,
     pub(crate) ended: EndedKeys,
     /// Announced requests whose row no table had yet.
-    pub(crate) early: Vec<(crate::admit_event::HoldPhase, AdmitRequest)>,
+    pub(crate) early: Vec<(HoldPhase, AdmitRequest)>,
     pub(crate) lives: BTreeMap<InstanceId, Incarnation>,
     pub(crate) link: LinkTurns,
     pub(crate) pools: BTreeMap<PoolKey, EnginePool>,
@@ -150,3 +160,21 @@
         }
     }
 }
+
+impl CellAllocator {
+    /// How many requests are held, by phase. Takes time in proportion to them.
+    pub fn counts(&self) -> CellCounts {
+        let mut counts = CellCounts::default();
+        for held in self.requests.values() {
+            let count = match held.phase {
+                RequestPhase::Decoding { .. } => &mut counts.decoding,
+                RequestPhase::Prefilling { .. } => &mut counts.reading,
+                RequestPhase::Queued => &mut counts.queued,
+                RequestPhase::Read { .. } => &mut counts.read,
+                RequestPhase::Transferring { .. } => &mut counts.transferring,
+            };
+            *count += 1;
+        }
+        counts
+    }
+}
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -32,6 +32,9 @@
         self.remove(now, &key);
         let mut held = self.hold(now, row, request);
         held.granted = Some(now);
+        if let HoldPhase::Transferring { prefill, since, .. } = &phase {
+            held.kv = Some((prefill.clone(), *since + self.link.eviction()));
+        }
         held.phase = self.announced(phase, &held);
         self.put(now, key, held);
     }
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -7,8 +7,11 @@
 pub mod admit_request;
 pub mod cell_allocator;
 mod cell_books;
+pub mod cell_counts;
 mod cell_estimates;
 mod cell_grants;
+pub mod cell_key;
+pub mod cell_plan;
 mod cell_refusals;
 mod cell_requests;
 mod cell_tuning;
@@ -41,6 +44,9 @@
     admit_policy::AdmitPolicy,
     admit_request::AdmitRequest,
     cell_allocator::CellAllocator,
+    cell_counts::CellCounts,
+    cell_key::CellKey,
+    cell_plan::CellPlan,
     link_info::LinkInfo,
     request_key::RequestKey,
 };
--- a/crates/admit/tests/simple_chain.rs
+++ b/crates/admit/tests/cell/grant_chain.rs
@@ -1,11 +1,9 @@
 //! One request from the queue to its last token.
 
-mod support;
-
 use {
+    crate::small_cell::{Cell, key, refusals},
     admit::{AdmitAction, AdmitEvent},
     std::time::Duration,
-    support::{Cell, key},
 };
 
 #[test]
@@ -30,8 +28,5 @@
 fn unknown_work_is_refused_at_once() {
     let mut cell = Cell::small();
     let actions = cell.send(AdmitEvent::Submit(cell.request(1, "nothing")));
-    assert_eq!(
-        support::refusals(&actions),
-        [kernel::ResultCode::WorkUnknown]
-    );
+    assert_eq!(refusals(&actions), [kernel::ResultCode::WorkUnknown]);
 }
--- /dev/null
+++ b/crates/admit/tests/cell/grant_oracle.rs
@@ -0,0 +1,190 @@
+//! What an allocator may do, in a few lines: the phase of each request by what the allocator was told and said.
+
+use {
+    admit::{AdmitAction, AdmitEvent, HoldPhase, RequestKey},
+    kernel::{Incarnation, UpstreamId, WorkId},
+    route::UpstreamRole,
+    std::collections::BTreeMap,
+};
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum OraclePhase {
+    Over { again: bool },
+    Queued,
+    Read(UpstreamId),
+    Reading(UpstreamId),
+    Streaming(UpstreamId, Option<UpstreamId>),
+}
+
+/// The oracle.
+#[derive(Debug, Default)]
+pub(crate) struct GrantOracle {
+    pub(crate) life: Incarnation,
+    pub(crate) limit: u32,
+    pub(crate) phases: BTreeMap<RequestKey, (WorkId, OraclePhase)>,
+    pub(crate) places: u32,
+}
+
+impl GrantOracle {
+    /// Checks what the allocator says.
+    pub(crate) fn check(&mut self, action: &AdmitAction) {
+        use OraclePhase::*;
+        let key = match action {
+            AdmitAction::GrantDecode { key, .. }
+            | AdmitAction::GrantPrefill { key, .. }
+            | AdmitAction::Refuse { key, .. } => key.clone(),
+            AdmitAction::WakeAt(_) => return,
+        };
+        let (work, phase) = self.phases.get(&key).expect("the request is known").clone();
+        let next = match (action, phase) {
+            (AdmitAction::GrantDecode { decode, .. }, Read(prefill)) => {
+                assert!(
+                    self.streams(decode) < self.places,
+                    "{decode} is full: {action:?}"
+                );
+                Streaming(decode.clone(), Some(prefill))
+            }
+            (AdmitAction::GrantPrefill { prefill, .. }, Queued) => {
+                assert!(
+                    self.running(&work) < self.limit,
+                    "{work} is at its limit: {action:?}"
+                );
+                Reading(prefill.clone())
+            }
+            (AdmitAction::Refuse { retry_after, .. }, Queued | Read(_) | Reading(_)) => {
+                assert!(!retry_after.is_zero());
+                Over { again: true }
+            }
+            (action, phase) => panic!("{action:?} in {phase:?}"),
+        };
+        self.phases.insert(key, (work, next));
+    }
+
+    /// Takes note of what the allocator is told.
+    pub(crate) fn note(&mut self, event: &AdmitEvent) {
+        use OraclePhase::*;
+        match event {
+            AdmitEvent::Announce { phase, request } => {
+                let known = self.phases.get(&request.key).map(|(_, phase)| phase);
+                if request.key.incarnation < self.life
+                    || !matches!(known, None | Some(Queued | Over { again: true }))
+                {
+                    return;
+                }
+                let phase = match phase.clone() {
+                    HoldPhase::Decoding { decode, .. } => Streaming(decode, None),
+                    HoldPhase::Prefilling { prefill, .. } => Reading(prefill),
+                    HoldPhase::Read { prefill, .. } => Read(prefill),
+                    HoldPhase::Transferring {
+                        decode, prefill, ..
+                    } => Streaming(decode, Some(prefill)),
+                };
+                self.phases
+                    .insert(request.key.clone(), (request.work.clone(), phase));
+            }
+            AdmitEvent::Submit(request) => {
+                let known = self.phases.get(&request.key).map(|(_, phase)| phase);
+                if request.key.incarnation >= self.life
+                    && matches!(known, None | Some(Over { again: true }))
+                {
+                    self.phases
+                        .insert(request.key.clone(), (request.work.clone(), Queued));
+                }
+            }
+            AdmitEvent::Cancel { key } => {
+                let over = ("".into(), Over { again: false });
+                self.phases.insert(key.clone(), over);
+            }
+            AdmitEvent::HolderGone { before, instance } => {
+                self.life = self.life.max(*before);
+                for (key, (_, phase)) in &mut self.phases {
+                    if key.instance == *instance && key.incarnation < *before {
+                        *phase = Over { again: false };
+                    }
+                }
+            }
+            AdmitEvent::UpstreamGone(upstream) => {
+                for (_, phase) in self.phases.values_mut() {
+                    match phase {
+                        Read(at) | Reading(at) if at == upstream => *phase = Queued,
+                        Streaming(at, _) if at == upstream => *phase = Over { again: true },
+                        _ => {}
+                    }
+                }
+            }
+            AdmitEvent::DecodeLost { key } => {
+                self.change(
+                    key,
+                    |phase| matches!(phase, Streaming(..)),
+                    Over { again: true },
+                );
+            }
+            AdmitEvent::Finished { key, .. } => {
+                self.change(
+                    key,
+                    |phase| matches!(phase, Streaming(..)),
+                    Over { again: false },
+                );
+            }
+            AdmitEvent::KvEvicted { key } => {
+                self.change(
+                    key,
+                    |phase| matches!(phase, Read(_) | Streaming(_, Some(_))),
+                    Queued,
+                );
+            }
+            AdmitEvent::PrefillFailed { key } => {
+                self.change(key, |phase| matches!(phase, Reading(_)), Queued);
+            }
+            AdmitEvent::FirstToken { key } => {
+                if let Some((_, Streaming(_, kv))) = self.phases.get_mut(key) {
+                    *kv = None;
+                }
+            }
+            AdmitEvent::DecodeRefused { key } => {
+                if let Some((_, Streaming(_, Some(prefill)))) = self.phases.get(key) {
+                    let prefill = prefill.clone();
+                    self.change(key, |_| true, Read(prefill));
+                }
+            }
+            AdmitEvent::PrefillDone { key } => {
+                if let Some((_, Reading(prefill))) = self.phases.get(key) {
+                    let prefill = prefill.clone();
+                    self.change(key, |_| true, Read(prefill));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn change(&mut self, key: &RequestKey, from: fn(&OraclePhase) -> bool, to: OraclePhase) {
+        let Some((_, phase)) = self.phases.get_mut(key) else {
+            return;
+        };
+        if from(phase) {
+            *phase = to;
+        }
+    }
+
+    fn running(&self, work: &WorkId) -> u32 {
+        use OraclePhase::*;
+        let runs = |phase: &OraclePhase| matches!(phase, Read(_) | Reading(_) | Streaming(..));
+        let all = self.phases.values();
+        all.filter(|(row, phase)| row == work && runs(phase))
+            .count() as u32
+    }
+
+    fn streams(&self, decode: &UpstreamId) -> u32 {
+        let at =
+            |phase: &OraclePhase| matches!(phase, OraclePhase::Streaming(at, _) if at == decode);
+        self.phases.values().filter(|(_, phase)| at(phase)).count() as u32
+    }
+}
+
+/// The engines of the fuzz.
+pub(crate) const ENGINES: [(&str, UpstreamRole); 4] = [
+    ("d1", UpstreamRole::Decode),
+    ("d2", UpstreamRole::Decode),
+    ("p1", UpstreamRole::Prefill),
+    ("p2", UpstreamRole::Prefill),
+];
--- /dev/null
+++ b/crates/admit/tests/cell/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the allocator, of the plan of cells, and the stateful fuzz.
+
+mod fuzz_step;
+mod grant_chain;
+mod grant_oracle;
+mod row_plan;
+mod small_cell;
+mod stateful_fuzz;
