bench: admission policies in one availability zone of virtual time

A first world: entry instances, serial prefill engines with prefix caches, a shared link, decode engines that batch, late load reports and gappy cache events.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,17 @@
+//! Experiments and load: the pure cores in virtual time, and the real binary over loopback.
+
+use std::process::ExitCode;
+
+pub mod bench_command;
+pub mod bench_error;
+pub mod policies;
+pub mod policy_command;
+pub mod policy_run;
+pub mod report;
+pub mod scenario;
+pub mod world;
+
+/// Parses the command line and runs the subcommand that it names.
+pub fn run() -> ExitCode {
+    bench_command::run()
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,7 @@
-//! Experiments and load: the pure cores in virtual time, and the real binary over loopback.
+//! Runs the bench: see `docs/BENCH.md`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bench::run()
+}
--- /dev/null
+++ b/crates/bench/src/policies.rs
@@ -0,0 +1,15 @@
+//! The policies that the bench compares.
+
+mod bench_policy;
+mod clairvoyant_order;
+mod clairvoyant_policy;
+mod clairvoyant_view;
+mod naive_policy;
+mod pool_view;
+mod reserve_policy;
+
+pub use {
+    bench_policy::BenchPolicy, clairvoyant_order::ClairvoyantOrder,
+    clairvoyant_policy::ClairvoyantPolicy, naive_policy::NaivePolicy,
+    reserve_policy::ReservePolicy,
+};
--- /dev/null
+++ b/crates/bench/src/policies/clairvoyant_view.rs
@@ -0,0 +1,299 @@
+//! What the clairvoyant policy sees at one moment.
+
+use {
+    crate::{
+        policies::clairvoyant_order::ClairvoyantOrder,
+        scenario::{fault_event::FaultEvent, work_mix::WorkMix},
+        world::{CancelPlan, ReadingPhase, RequestPlan, WorldTruth},
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+type RequestIndex = usize;
+type EngineIndex = usize;
+
+/// The part of the eviction time that a read KV cache may wait for its place or the link.
+const EVICTION_PART: f64 = 0.6;
+
+/// The truth at `now`, and what follows from it.
+pub(crate) struct ClairvoyantView<'a> {
+    /// The most streams an engine is given.
+    cap: u32,
+    /// When streams end, the first one first.
+    ends: Vec<Instant>,
+    free: usize,
+    pub(crate) now: Instant,
+    pub(crate) truth: &'a WorldTruth,
+}
+
+impl<'a> ClairvoyantView<'a> {
+    pub(crate) fn new(now: Instant, truth: &'a WorldTruth, guards: bool) -> Self {
+        let cap = match guards {
+            true => guarded_cap(truth),
+            false => truth.file.engines.decode_places,
+        };
+        let mut free = 0;
+        let mut ends = Vec::new();
+        for engine in &truth.decodes {
+            if !engine.alive {
+                continue;
+            }
+            free += cap.saturating_sub(engine.held) as usize;
+            let step = engine.step_seconds(engine.running());
+            let behind = now.saturating_duration_since(engine.updated());
+            for tokens in engine.tokens_left() {
+                let left = Duration::from_secs_f64(tokens * step);
+                ends.push(now + left.saturating_sub(behind));
+            }
+        }
+        ends.sort();
+        Self {
+            cap,
+            ends,
+            free,
+            now,
+            truth,
+        }
+    }
+
+    fn mix(&self, request: RequestIndex) -> &WorkMix {
+        &self.truth.file.rows[self.plan(request).row]
+    }
+
+    fn plan(&self, request: RequestIndex) -> &RequestPlan {
+        &self.truth.plans[request]
+    }
+
+    pub(crate) fn bytes(&self, request: RequestIndex) -> f64 {
+        f64::from(self.plan(request).prompt_tokens) * self.truth.file.link.kv_bytes_per_token
+    }
+
+    fn link_time(&self, bytes: f64) -> Duration {
+        Duration::from_secs_f64(bytes / self.truth.file.link.bytes_per_second)
+    }
+
+    fn hop(&self) -> Duration {
+        self.truth.file.delays.engine
+    }
+
+    fn step(&self) -> Duration {
+        Duration::from_secs_f64(self.truth.file.engines.full_step())
+    }
+
+    /// When the caller's first token, or for patient work the last one, has to be there.
+    fn deadline(&self, request: RequestIndex) -> Instant {
+        let arrived = self.truth.started + self.plan(request).arrives;
+        let mix = self.mix(request);
+        match mix.first_token {
+            Some(target) => arrived + target,
+            None => arrived + mix.patience,
+        }
+    }
+
+    /// The time from the end of reading to the moment that the deadline counts, with a link of its own.
+    fn rest(&self, request: RequestIndex) -> Duration {
+        let plan = self.plan(request);
+        let steps = match self.mix(request).first_token {
+            Some(_) => 1,
+            None => plan.output_tokens,
+        };
+        self.hop() * 3 + self.link_time(self.bytes(request)) + self.step() * steps
+    }
+
+    fn reading_time(&self, request: RequestIndex, prefill: EngineIndex) -> Duration {
+        let tokens = self.truth.uncached_tokens(prefill, request);
+        self.truth.prefills[prefill].reading_time(tokens)
+    }
+
+    /// Whether an engine can start a prompt by the time that an order reaches it.
+    pub(crate) fn is_free(&self, prefill: EngineIndex) -> bool {
+        let engine = &self.truth.prefills[prefill];
+        let arrives = self.now + self.hop() * 2;
+        engine.alive
+            && engine.queue.is_empty()
+            && engine.turn.is_none_or(|turn| turn.ends <= arrives)
+    }
+
+    /// Class and score of a waiting request; the lowest goes first.
+    pub(crate) fn score(&self, request: RequestIndex, order: ClairvoyantOrder) -> (u8, f64) {
+        let latest = self.deadline(request) - self.rest(request);
+        let slack = match latest.checked_duration_since(self.now) {
+            Some(slack) => slack.as_secs_f64(),
+            None => 0.0,
+        };
+        match order {
+            ClairvoyantOrder::Cheapest => (0, self.cost(request)),
+            ClairvoyantOrder::Deadline => (0, slack),
+            ClairvoyantOrder::UrgentFirst => match self.mix(request).first_token {
+                Some(_) => (0, slack),
+                None => (1, self.cost(request)),
+            },
+        }
+    }
+
+    /// Seconds of the availability zone that a request takes of its scarcest resource.
+    fn cost(&self, request: RequestIndex) -> f64 {
+        let plan = self.plan(request);
+        let sizes = &self.truth.file.engines;
+        let places = f64::from(sizes.decode * sizes.decode_places);
+        let decode = f64::from(plan.output_tokens) * sizes.full_step() / places;
+        let mix = self.mix(request);
+        let shared = if mix.groups > 0 { mix.shared } else { 0.0 };
+        let tokens = f64::from(plan.prompt_tokens) * (1.0 - shared);
+        let prefill = tokens / sizes.prefill_rate / f64::from(sizes.prefill);
+        let link = self.bytes(request) / self.truth.file.link.bytes_per_second;
+        decode.max(prefill).max(link)
+    }
+
+    /// Whether reading may start now at `prefill`: it leads to an answer in time.
+    pub(crate) fn can_serve(
+        &self,
+        request: RequestIndex,
+        prefill: EngineIndex,
+        promised: usize,
+        queued_bytes: f64,
+    ) -> bool {
+        let turn = self.truth.prefills[prefill].turn;
+        let starts = turn
+            .map_or(self.now, |turn| turn.ends)
+            .max(self.now + self.hop());
+        let read = starts + self.reading_time(request, prefill);
+        let link_free = self.now + self.link_time(queued_bytes);
+        let slack = self.truth.file.link.eviction.mul_f64(EVICTION_PART);
+        if link_free > read + slack {
+            return false;
+        }
+        if self.places_by(read + slack) <= promised {
+            return false;
+        }
+        let moves = read.max(link_free);
+        if moves + self.rest(request) > self.deadline(request) {
+            return false;
+        }
+        let ends = moves + self.link_time(self.bytes(request)) + self.output_time(request);
+        self.stays(request, moves, ends) && !self.prefill_dies(prefill, moves)
+    }
+
+    fn output_time(&self, request: RequestIndex) -> Duration {
+        self.step() * self.plan(request).output_tokens
+    }
+
+    /// Places that are free by `at`, those held by readings not taken off.
+    fn places_by(&self, at: Instant) -> usize {
+        self.free + self.ends.partition_point(|end| *end <= at)
+    }
+
+    /// The living decode engine with the fewest places in use that outlives the request.
+    pub(crate) fn pick_decode(
+        &self,
+        request: RequestIndex,
+        moving: &BTreeMap<RequestIndex, EngineIndex>,
+    ) -> Option<EngineIndex> {
+        let ends = self.now + self.link_time(self.bytes(request)) + self.output_time(request);
+        let mut best: Option<(u32, EngineIndex)> = None;
+        for (index, engine) in self.truth.decodes.iter().enumerate() {
+            if !engine.alive || self.decode_dies(index, ends) {
+                continue;
+            }
+            let held = engine.held + self.asked(index, moving);
+            if held >= self.cap {
+                continue;
+            }
+            if best.is_none_or(|(least, _)| held < least) {
+                best = Some((held, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// Requests on their way to a decode engine, which holds no place for them yet.
+    fn asked(&self, decode: EngineIndex, moving: &BTreeMap<RequestIndex, EngineIndex>) -> u32 {
+        let mut count = 0;
+        for (request, engine) in moving {
+            let Some(reading) = self.truth.current[*request] else {
+                continue;
+            };
+            if *engine == decode && self.truth.readings[reading].phase == ReadingPhase::Kept {
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Whether a waiting request can't succeed any more, even alone.
+    pub(crate) fn is_hopeless(&self, request: RequestIndex) -> bool {
+        self.now + self.rest(request) > self.deadline(request)
+    }
+
+    /// Whether the caller and the entry instance outlive the answer.
+    fn stays(&self, request: RequestIndex, first: Instant, ends: Instant) -> bool {
+        let plan = self.plan(request);
+        let arrived = self.truth.started + plan.arrives;
+        let goes = match plan.cancel {
+            CancelPlan::After(time) => arrived + time,
+            CancelPlan::AfterFirstToken(time) => first + time,
+            CancelPlan::Stays => ends,
+        };
+        goes >= ends && !self.entry_dies(plan.entry, ends)
+    }
+
+    fn entry_dies(&self, planned: usize, by: Instant) -> bool {
+        self.dies(by, |fault| match fault {
+            FaultEvent::EntryDies { at, entry, .. } if *entry as usize == planned => Some(*at),
+            _ => None,
+        })
+    }
+
+    fn decode_dies(&self, decode: EngineIndex, by: Instant) -> bool {
+        self.engine_dies(&self.truth.decode_names[decode], by)
+    }
+
+    fn prefill_dies(&self, prefill: EngineIndex, by: Instant) -> bool {
+        self.engine_dies(&self.truth.prefill_names[prefill], by)
+    }
+
+    fn engine_dies(&self, name: &str, by: Instant) -> bool {
+        self.dies(by, |fault| match fault {
+            FaultEvent::EngineDies { at, engine, .. } if &**engine == name => Some(*at),
+            FaultEvent::EngineLeaves {
+                at,
+                engine,
+                gone_after,
+            } if &**engine == name => Some(*at + *gone_after),
+            _ => None,
+        })
+    }
+
+    fn dies(&self, by: Instant, time: impl Fn(&FaultEvent) -> Option<Duration>) -> bool {
+        for fault in &self.truth.file.faults {
+            let Some(at) = time(fault) else {
+                continue;
+            };
+            let at = self.truth.started + at;
+            if at >= self.now && at <= by {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// The largest batch at which the tightest row still meets its between-token target.
+pub(crate) fn guarded_cap(truth: &WorldTruth) -> u32 {
+    let sizes = &truth.file.engines;
+    let mut cap = sizes.decode_places;
+    for mix in &truth.file.rows {
+        let Some(target) = mix.between_tokens else {
+            continue;
+        };
+        let spare = target.saturating_sub(sizes.decode_base).as_secs_f64();
+        let slope = sizes.decode_slope.as_secs_f64();
+        if slope > 0.0 {
+            cap = cap.min((spare / slope) as u32 + 1);
+        }
+    }
+    cap.max(1)
+}
--- /dev/null
+++ b/crates/bench/src/policy_run.rs
@@ -0,0 +1,77 @@
+//! One run of one policy.
+
+use {
+    crate::{
+        policies::{BenchPolicy, ClairvoyantOrder, ClairvoyantPolicy, NaivePolicy, ReservePolicy},
+        scenario::scenario_file::ScenarioFile,
+        world::{RequestPlan, RunTally, VirtualWorld},
+    },
+    clap::ValueEnum,
+    serde::Serialize,
+    std::sync::Arc,
+};
+
+/// The policies by name.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, ValueEnum)]
+#[serde(rename_all = "lowercase")]
+pub enum PolicyName {
+    /// Reads at once, then tries any decode engine.
+    Naive,
+    /// Holds a decode place from the start of reading.
+    Reserve,
+    /// Knows everything: the upper bound.
+    Clairvoyant,
+}
+
+impl PolicyName {
+    /// Every policy, the floors first.
+    pub const ALL: [Self; 3] = [Self::Naive, Self::Reserve, Self::Clairvoyant];
+
+    /// The name as the command line has it.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Naive => "naive",
+            Self::Reserve => "reserve",
+            Self::Clairvoyant => "clairvoyant",
+        }
+    }
+}
+
+/// Runs one policy through a scenario.
+pub fn run_policy(
+    policy: PolicyName,
+    file: &Arc<ScenarioFile>,
+    plans: &Arc<Vec<RequestPlan>>,
+    seed: u64,
+) -> RunTally {
+    match policy {
+        PolicyName::Naive => run_one(file, plans, seed, NaivePolicy::default),
+        PolicyName::Reserve => run_one(file, plans, seed, ReservePolicy::default),
+        PolicyName::Clairvoyant => run_best(file, plans, seed),
+    }
+}
+
+fn run_one<P: BenchPolicy>(
+    file: &Arc<ScenarioFile>,
+    plans: &Arc<Vec<RequestPlan>>,
+    seed: u64,
+    make: impl FnMut() -> P,
+) -> RunTally {
+    VirtualWorld::new(file.clone(), plans.clone(), seed, make).run()
+}
+
+/// The clairvoyant policy with the order that gives the best goodput.
+fn run_best(file: &Arc<ScenarioFile>, plans: &Arc<Vec<RequestPlan>>, seed: u64) -> RunTally {
+    let mut best: Option<RunTally> = None;
+    for order in ClairvoyantOrder::ALL {
+        for guards in [false, true] {
+            let make = || ClairvoyantPolicy::new(order, guards);
+            let tally = run_one(file, plans, seed, make);
+            let good = tally.total().good;
+            if best.as_ref().is_none_or(|best| good > best.total().good) {
+                best = Some(tally);
+            }
+        }
+    }
+    best.unwrap_or_else(|| run_one(file, plans, seed, NaivePolicy::default))
+}
