Leases with fencing numbers, the order gate, and order choice

Orders change what engines are, and some upstreams don't check who gives them. One row a lease holds a fencing number that only grows. A holder counts from before its write, and a little short; the next waits a whole life, and a little more, from its own first look at the unchanged row, by monotonic clocks alone. For upstreams that ignore the number the gate waits for the longest order on top.

Ruled out: releasing a lease while an earlier holder's order may be at work (the next would not wait for it), and resetting the number after a fenced order (the next number is above what the upstream has seen).

--- a/crates/claim/src/undone_dispatch.rs
+++ b/crates/claim/src/undone_dispatch.rs
@@ -1,5 +1,7 @@
 //! The evidence that a dispatched request did not run after all.
 
+use crate::request_outcome::OriginReply;
+
 /// Evidence that nothing of a dispatched request ran: the upstream's own word, or a connection that never was.
 ///
 /// It can't be made up without either:
@@ -21,6 +23,14 @@
         (said && refused).then_some(Self(()))
     }
 
+    /// The origin of the request's ticket said that it did not run, and never will by that ticket.
+    pub fn from_origin<A>(reply: &OriginReply<A>) -> Option<Self> {
+        match reply {
+            OriginReply::NotRun(code) if code.not_run() => Some(Self(())),
+            _ => None,
+        }
+    }
+
     /// The connection was never established, so that no byte of the request left this instance.
     pub fn not_connected() -> Self {
         Self(())
--- a/crates/claim/tests/keyed_claim.rs
+++ b/crates/claim/tests/keyed_claim.rs
@@ -1,6 +1,7 @@
 //! Callers' idempotency keys.
 
-mod support;
+#[path = "support/flaky_rows.rs"]
+mod flaky_rows;
 
 use {
     claim::{
@@ -8,13 +9,13 @@
         LifeKey, SubmitVerdict, Ticket, TicketSettings, TicketTable, claim_key,
         claim_sweep::{due_removals, is_sweeper},
     },
+    flaky_rows::{CallFault, FlakyRows},
     kernel::ResultCode,
     plat::{StoredRow, Transaction},
     std::{
         sync::Arc,
         time::{Duration, Instant, SystemTime},
     },
-    support::{CallFault, FlakyRows},
 };
 
 const DIGEST: u64 = 5;
--- /dev/null
+++ b/crates/lease/src/clock_drift.rs
@@ -0,0 +1,21 @@
+//! Margins for monotonic clocks that run at different rates.
+
+use std::time::Duration;
+
+/// The most that a monotonic clock may run fast or slow, parts in a million.
+pub const DRIFT_PPM: u32 = 10_000;
+const MILLION: u32 = 1_000_000;
+
+/// What a holder may use of a duration: by any other clock it is then no longer than the [`stretched`] one.
+pub fn shortened(duration: Duration) -> Duration {
+    duration - margin(duration)
+}
+
+/// What whoever waits for the end of another's duration has to wait by its own clock.
+pub fn stretched(duration: Duration) -> Duration {
+    duration + margin(duration)
+}
+
+fn margin(duration: Duration) -> Duration {
+    duration * DRIFT_PPM / MILLION
+}
--- /dev/null
+++ b/crates/lease/src/lease_keeper.rs
@@ -0,0 +1,153 @@
+//! The driver of one lease: it talks to the platform and to upstreams.
+
+use {
+    crate::{
+        lease_core::{LeaseAction, LeaseCore, LeaseEvent},
+        lease_error::{
+            FenceRefusedSnafu, LeaseError, LeaseLostSnafu, OutcomeUnknownSnafu, TooEarlySnafu,
+        },
+        lease_hold::LeaseHold,
+        lease_settings::LeaseSettings,
+        order_gate::{GateVerdict, OrderGate},
+        order_sender::{OrderReply, OrderSender},
+    },
+    engine::wire::{EngineOrder, OrderKind},
+    kernel::{FenceNumber, LockRank, RankedLock, UpstreamId},
+    plat::RowStore,
+    std::{sync::Arc, time::Instant},
+};
+
+/// Calls to the platform in one beat: a read, a write, and once more of each after a conflict.
+const BEAT_CALLS: usize = 4;
+
+#[derive(Debug)]
+struct KeeperState {
+    core: LeaseCore,
+    gate: OrderGate,
+}
+
+/// Holds one lease, and sends orders under it. Call [`Self::beat`] from one task only.
+#[derive(Debug)]
+pub struct LeaseKeeper<S> {
+    state: RankedLock<KeeperState>,
+    store: Arc<S>,
+}
+
+impl<S: RowStore> LeaseKeeper<S> {
+    /// Acquires or renews the lease if it is due; call it a few times in each life.
+    pub async fn beat(&self) {
+        self.drive(LeaseEvent::Tick).await;
+    }
+
+    /// Releases the lease if no order can be at work; otherwise it lapses by itself.
+    pub async fn close(self) {
+        if self.state.lock().gate.is_quiet(Instant::now()) {
+            self.drive(LeaseEvent::Release).await;
+        }
+    }
+
+    /// What the lease allows now.
+    pub fn hold(&self) -> Option<LeaseHold> {
+        self.state.lock().core.hold(Instant::now())
+    }
+
+    /// A keeper that holds nothing yet.
+    pub fn new(store: Arc<S>, settings: LeaseSettings) -> Self {
+        let gate = OrderGate::new(settings.longest_order);
+        let core = LeaseCore::new(settings);
+        Self {
+            state: RankedLock::new(LockRank::Upstreams, KeeperState { core, gate }),
+            store,
+        }
+    }
+
+    /// Sends an order under the lease. `checks_fence` tells whether the upstream refuses old fencing numbers.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError`]: the lease is not held, an earlier order may be at work, the upstream refused the number, or
+    /// gave no answer. An order that the upstream refused for a reason of its own is `Ok(false)`.
+    pub async fn order<O: OrderSender>(
+        &self,
+        sender: &O,
+        upstream: &UpstreamId,
+        checks_fence: bool,
+        kind: OrderKind,
+    ) -> Result<bool, LeaseError> {
+        let fence = self.pass_gate(upstream, checks_fence)?;
+        let order = EngineOrder { fence, kind };
+        let reply = sender.send_order(upstream, &order).await;
+        let mut state = self.state.lock();
+        if reply != OrderReply::Unknown {
+            state.gate.on_answer(upstream);
+        }
+        match reply {
+            OrderReply::Done => Ok(true),
+            OrderReply::Fenced(seen) => {
+                let _wait = state
+                    .core
+                    .on_event(Instant::now(), LeaseEvent::FenceRefused(seen));
+                FenceRefusedSnafu {
+                    fence,
+                    seen,
+                    upstream: upstream.clone(),
+                }
+                .fail()
+            }
+            OrderReply::Refused => Ok(false),
+            OrderReply::Unknown => OutcomeUnknownSnafu {
+                upstream: upstream.clone(),
+            }
+            .fail(),
+        }
+    }
+
+    async fn drive(&self, first: LeaseEvent) {
+        let mut event = first;
+        for _ in 0..BEAT_CALLS {
+            let action = self.step(event);
+            event = match action {
+                LeaseAction::Commit(transaction) => {
+                    let reply = self.store.commit(&transaction).await;
+                    reply.map_or(LeaseEvent::NoAnswer, LeaseEvent::Reply)
+                }
+                LeaseAction::Get(key) => {
+                    let row = self.store.get(&key).await;
+                    row.map_or(LeaseEvent::NoAnswer, LeaseEvent::Read)
+                }
+                LeaseAction::Wait => return,
+            };
+        }
+        // The last answer has to be heard; what it asks for waits for the next beat.
+        if let LeaseAction::Commit(_) = self.step(event) {
+            let _wait = self.step(LeaseEvent::NoAnswer);
+        }
+    }
+
+    fn pass_gate(
+        &self,
+        upstream: &UpstreamId,
+        checks_fence: bool,
+    ) -> Result<FenceNumber, LeaseError> {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        let hold = state.core.hold(now);
+        match state.gate.decide(now, hold, upstream, checks_fence) {
+            GateVerdict::Lost => LeaseLostSnafu {
+                upstream: upstream.clone(),
+            }
+            .fail(),
+            GateVerdict::Send(fence) => Ok(fence),
+            GateVerdict::Wait(until) => TooEarlySnafu {
+                upstream: upstream.clone(),
+                wait: until.saturating_duration_since(now),
+            }
+            .fail(),
+        }
+    }
+
+    fn step(&self, event: LeaseEvent) -> LeaseAction {
+        let mut state = self.state.lock();
+        state.core.on_event(Instant::now(), event)
+    }
+}
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! Orders to engines: leases with fencing numbers, the gate before each order, and what decides on orders.
+//!
+//! The decisions are pure: time comes in as an argument. [`LeaseKeeper`] alone does I/O.
+
+pub mod clock_drift;
+pub mod lease_core;
+pub mod lease_error;
+pub mod lease_hold;
+pub mod lease_keeper;
+pub mod lease_record;
+pub mod lease_settings;
+pub mod order_gate;
+pub mod order_sender;
+pub mod role_balancer;
+pub mod role_report;
+pub mod weight_budget;
+
+pub use {
+    lease_core::{LeaseAction, LeaseCore, LeaseEvent},
+    lease_error::LeaseError,
+    lease_hold::LeaseHold,
+    lease_keeper::LeaseKeeper,
+    lease_record::LeaseRecord,
+    lease_settings::LeaseSettings,
+    order_gate::{GateVerdict, OrderGate},
+    order_sender::{OrderReply, OrderSender},
+    role_balancer::{RoleBalancer, RoleMove, RoleSettings},
+    role_report::{EngineReport, RoleReport},
+    weight_budget::WeightBudget,
+};
--- /dev/null
+++ b/crates/lease/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! What the tests of this crate share.
+
+pub(crate) mod lease_world;
--- a/justfile
+++ b/justfile
@@ -17,3 +17,7 @@
 # Run the tests.
 test:
     cargo test --workspace
+
+# Fuzz claims and leases for longer, with another seed: `just fuzz 20000 7`.
+fuzz cases="20000" seed="20":
+    PROPTEST_CASES={{ cases }} FUZZ_SEED={{ seed }} cargo test --release --package lease --test lease_fuzz
