peer: membership core and its driver

A pure core decides: records of all members with lives and revisions, suspicion and judgement inside a zone only and by at least half of it, marks on upstreams, summaries of cells, table versions, and the lowest version of a zone climbed from neighbours. The driver runs it over an endpoint, pulls tables through a small trait and shows a picture that never changes under its reader.

Heartbeats go to a bounded number of neighbours (ring with chords; everyone while all fit), a few links join each two zones, news goes in a few heartbeats and digests find what was lost.

No figures yet for bytes or processor time. Not yet: fuzz over partitions, pauses and losses.

--- /dev/null
+++ b/crates/peer/src/driver_task.rs
@@ -0,0 +1,238 @@
+//! The task that owns the membership core: it feeds events in and carries decisions out.
+
+use {
+    crate::{
+        heartbeat::MemberMessage,
+        member_action::MemberAction,
+        member_event::MemberEvent,
+        member_metrics::MemberMetrics,
+        member_news::MemberNews,
+        member_table::MemberTable,
+        member_view::MemberView,
+        peer_driver::{MEMBER_TAG, TABLE_TAG},
+        peer_endpoint::PeerEndpoint,
+        peer_identity::PeerIdentity,
+        peer_incoming::PeerIncoming,
+        peer_metrics::RefusedCause,
+        table_source::TableSource,
+        wire,
+    },
+    arc_swap::ArcSwap,
+    bytes::Bytes,
+    kernel::{CloseSignal, Incarnation, InstanceId, TableVersion, unix_time},
+    std::{
+        sync::Arc,
+        time::{Instant, SystemTime},
+    },
+    tokio::sync::{broadcast, mpsc},
+};
+
+/// All that the task holds.
+pub(crate) struct DriverTask<S> {
+    pub(crate) commands: mpsc::UnboundedReceiver<MemberEvent>,
+    pub(crate) endpoint: PeerEndpoint,
+    pub(crate) inbox: mpsc::Receiver<PeerIncoming>,
+    pub(crate) metrics: MemberMetrics,
+    pub(crate) news: broadcast::Sender<MemberNews>,
+    pub(crate) own_commands: mpsc::UnboundedSender<MemberEvent>,
+    pub(crate) signal: CloseSignal,
+    pub(crate) source: Arc<S>,
+    pub(crate) table: MemberTable,
+    pub(crate) view: Arc<ArcSwap<MemberView>>,
+}
+
+impl<S: TableSource> DriverTask<S> {
+    /// Runs until the close signal, and then tells the neighbours.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let wake = tokio::time::Instant::from_std(self.table.next_wake());
+            let event = tokio::select! {
+                () = self.signal.raised() => break,
+                Some(command) = self.commands.recv() => Some(command),
+                Some(incoming) = self.inbox.recv() => self.read(incoming),
+                () = tokio::time::sleep_until(wake) => Some(MemberEvent::Tick),
+            };
+            let Some(event) = event else {
+                continue;
+            };
+            self.take(event);
+        }
+        self.say_goodbye().await;
+    }
+
+    fn take(&mut self, event: MemberEvent) {
+        let now = Instant::now();
+        let shows = !matches!(event, MemberEvent::Message { .. });
+        let mut actions = Vec::new();
+        self.table.on_event(now, event, &mut actions);
+        let tells = actions
+            .iter()
+            .any(|action| matches!(action, MemberAction::News(_)));
+        self.carry_out(actions);
+        if shows || tells {
+            self.publish(now);
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<MemberAction>) {
+        for action in actions {
+            match action {
+                MemberAction::News(news) => self.tell(news),
+                MemberAction::Pull { from, version } => self.pull(from, version),
+                MemberAction::Refuse(cause) => self.endpoint.metrics().refuse(cause),
+                MemberAction::Renew { above } => self.renew(above),
+                MemberAction::Send { message, to } => self.send(&message, &to),
+            }
+        }
+    }
+
+    fn publish(&self, now: Instant) {
+        let view = MemberView::new(now, &self.table);
+        let cut = view.zones.iter().filter(|zone| zone.cut).count();
+        self.metrics.heard.set(as_gauge(view.heard.len()));
+        self.metrics.neighbours.set(as_gauge(view.neighbours.len()));
+        self.metrics.zones_cut.set(as_gauge(cut));
+        let version = i64::try_from(view.table.version).unwrap_or(i64::MAX);
+        self.metrics.table_version.set(version);
+        self.view.store(Arc::new(view));
+    }
+
+    fn tell(&self, news: MemberNews) {
+        match &news {
+            MemberNews::DigestDiffers { .. } => self.metrics.digest_differs.inc(),
+            MemberNews::MemberGone { instance, .. } => {
+                self.metrics.members_gone.inc();
+                self.endpoint.forget(instance);
+                tracing::info!(%instance, "a member is gone");
+            }
+            MemberNews::MemberUp(record) => {
+                let address = record.address;
+                let instance = record.instance.clone();
+                tracing::info!(%instance, "a member is up");
+                self.endpoint.book().set(instance, address);
+            }
+            MemberNews::Superseded { by } => {
+                tracing::error!(
+                    by,
+                    "another process has this instance's name and a later life"
+                );
+            }
+            MemberNews::ZoneBack { zone } => tracing::info!(%zone, "a zone is heard again"),
+            MemberNews::ZoneCut { zone } => tracing::warn!(%zone, "a zone is cut off"),
+            _ => {}
+        }
+        // Nobody has to listen.
+        let _ = self.news.send(news);
+    }
+
+    fn renew(&mut self, above: Incarnation) {
+        let incarnation = unix_time::micros(SystemTime::now()).max(above + 1);
+        self.metrics.renewals.inc();
+        self.endpoint.set_incarnation(incarnation);
+        tracing::warn!(incarnation, "the peers held this instance for gone");
+        let _ = self.own_commands.send(MemberEvent::Renewed(incarnation));
+    }
+
+    fn send(&self, message: &MemberMessage, to: &[InstanceId]) {
+        let Ok(body) = wire::encode(message) else {
+            return;
+        };
+        for instance in to {
+            let _ = self.endpoint.send(instance, MEMBER_TAG, &body);
+        }
+    }
+
+    fn read(&self, incoming: PeerIncoming) -> Option<MemberEvent> {
+        match incoming {
+            PeerIncoming::Call { body, from, reply } => {
+                reply.send(Bytes::new());
+                self.read_body(from, &body)
+            }
+            PeerIncoming::Message { body, from } => self.read_body(from, &body),
+            PeerIncoming::Session { .. } => None,
+        }
+    }
+
+    fn read_body(&self, from: PeerIdentity, body: &[u8]) -> Option<MemberEvent> {
+        match wire::decode(body) {
+            Ok(message) => Some(MemberEvent::Message { from, message }),
+            Err(_) => {
+                self.endpoint.metrics().refuse(RefusedCause::Garbled);
+                None
+            }
+        }
+    }
+
+    fn pull(&self, from: InstanceId, version: TableVersion) {
+        self.metrics.pulls.inc();
+        let commands = self.own_commands.clone();
+        let endpoint = self.endpoint.clone();
+        let failed = self.metrics.pulls_failed.clone();
+        let source = self.source.clone();
+        self.endpoint.spawn(async move {
+            let Some(event) = pull_table(&endpoint, &*source, &from).await else {
+                failed.inc();
+                tracing::debug!(%from, version, "a pull of the table failed");
+                return;
+            };
+            let _ = commands.send(event);
+        });
+    }
+
+    /// Tells each neighbour that this life is over, and waits for their answers for a while.
+    async fn say_goodbye(mut self) {
+        let mut actions = Vec::new();
+        let now = Instant::now();
+        self.table.on_event(now, MemberEvent::Close, &mut actions);
+        let mut calls = tokio::task::JoinSet::new();
+        for action in actions {
+            let MemberAction::Send { message, to } = action else {
+                continue;
+            };
+            let Ok(body) = wire::encode(&message) else {
+                continue;
+            };
+            for instance in to {
+                let body = body.clone();
+                let endpoint = self.endpoint.clone();
+                calls.spawn(async move { endpoint.call(&instance, MEMBER_TAG, &body).await });
+            }
+        }
+        while calls.join_next().await.is_some() {}
+    }
+}
+
+async fn pull_table<S: TableSource>(
+    endpoint: &PeerEndpoint,
+    source: &S,
+    from: &InstanceId,
+) -> Option<MemberEvent> {
+    let since = source.mark().version;
+    let request = wire::encode(&since).ok()?;
+    let content = endpoint.call(from, TABLE_TAG, &request).await.ok()?;
+    if content.is_empty() {
+        return None;
+    }
+    let mark = source.take(from, content).await.ok()?;
+    Some(MemberEvent::Table(mark))
+}
+
+fn as_gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// Answers the peers' pulls of the table.
+pub(crate) async fn serve_table<S: TableSource>(
+    source: Arc<S>,
+    mut inbox: mpsc::Receiver<PeerIncoming>,
+) {
+    while let Some(incoming) = inbox.recv().await {
+        let PeerIncoming::Call { body, reply, .. } = incoming else {
+            continue;
+        };
+        let Ok(since) = wire::decode(&body) else {
+            continue;
+        };
+        reply.send(source.changes(since).unwrap_or_default());
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,10 +1,27 @@
 //! Membership and messages between entry instances: mutually authenticated links over QUIC, and the pure core that
 //! tells which instances live, which table versions and marks they know, and how busy their cells are.
 
+pub mod cell_summary;
+pub mod cell_table;
+pub mod floor_ladder;
+pub mod heartbeat;
 pub mod keys;
 pub mod link_slot;
 pub mod link_table;
+pub mod mark_table;
+pub mod member_action;
+pub mod member_event;
+pub mod member_metrics;
+pub mod member_news;
+pub mod member_record;
+pub mod member_settings;
+pub mod member_state;
+pub mod member_table;
+pub mod member_view;
+pub mod member_watch;
+pub mod neighbour_ring;
 pub mod peer_book;
+pub mod peer_driver;
 pub mod peer_endpoint;
 pub mod peer_error;
 pub mod peer_identity;
@@ -12,24 +29,48 @@
 pub mod peer_metrics;
 pub mod peer_router;
 pub mod peer_settings;
+pub mod record_table;
+pub mod rumour_queue;
 pub mod session_receiver;
 pub mod session_sender;
+pub mod table_mark;
+pub mod table_source;
 pub mod tls_config;
+pub mod upstream_mark;
 pub mod wire;
+pub mod zone_brief;
+pub mod zone_table;
 
 mod accept_loop;
+mod driver_task;
+mod member_beat;
+mod member_merge;
 
 pub use {
+    cell_summary::{CellId, CellSummary},
+    heartbeat::{Heartbeat, MemberMessage, SyncReply, SyncRequest},
     keys::{PeerKeys, TestAuthority, make_test_keys},
+    member_action::MemberAction,
+    member_event::{ListedMember, MemberEvent},
+    member_news::MemberNews,
+    member_record::{MemberRecord, MemberStanding},
+    member_settings::MemberSettings,
+    member_state::MemberState,
+    member_table::MemberTable,
+    member_view::MemberView,
     peer_book::PeerBook,
+    peer_driver::PeerDriver,
     peer_endpoint::PeerEndpoint,
     peer_error::PeerError,
     peer_identity::PeerIdentity,
     peer_incoming::{CallReply, PeerIncoming},
-    peer_metrics::PeerMetrics,
+    peer_metrics::{PeerMetrics, RefusedCause},
     peer_settings::PeerSettings,
     session_receiver::SessionReceiver,
     session_sender::{SessionFrame, SessionSender},
+    table_mark::TableMark,
+    table_source::TableSource,
+    upstream_mark::UpstreamMark,
 };
 
 /// Names a protocol or a kind of frame between instances; each part of the system has its own tags.
--- /dev/null
+++ b/crates/peer/src/mark_table.rs
@@ -0,0 +1,111 @@
+//! The marks that an instance knows.
+
+use {
+    crate::upstream_mark::UpstreamMark,
+    kernel::{InstanceId, UpstreamId},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// An upstream and the instance that marked it.
+pub type MarkKey = (UpstreamId, InstanceId);
+
+#[derive(Clone, Debug)]
+struct HeldMark {
+    mark: UpstreamMark,
+    raised: Instant,
+}
+
+/// Holds the newest mark of each instance on each upstream until its lifetime ends. A mark that still holds is raised
+/// anew by its instance before that.
+#[derive(Clone, Debug)]
+pub struct MarkTable {
+    digest: u64,
+    lifetime: Duration,
+    limit: usize,
+    marks: BTreeMap<MarkKey, HeldMark>,
+}
+
+impl MarkTable {
+    /// The marks as they travel now.
+    pub fn all(&self, now: Instant) -> Vec<UpstreamMark> {
+        self.marks.values().map(|held| held.at(now)).collect()
+    }
+
+    /// A number that is equal for equal marks.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Drops the marks whose lifetime ended and gives their keys.
+    pub fn expire(&mut self, now: Instant) -> Vec<MarkKey> {
+        let mut expired = Vec::new();
+        for (key, held) in &self.marks {
+            if held.age(now) < self.lifetime {
+                continue;
+            }
+            expired.push(key.clone());
+        }
+        for key in &expired {
+            self.remove(key);
+        }
+        expired
+    }
+
+    /// One mark as it travels now.
+    pub fn get(&self, now: Instant, key: &MarkKey) -> Option<UpstreamMark> {
+        self.marks.get(key).map(|held| held.at(now))
+    }
+
+    /// An empty table.
+    pub fn new(lifetime: Duration, limit: usize) -> Self {
+        Self {
+            digest: 0,
+            lifetime,
+            limit,
+            marks: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a mark; `false` when it is old, expired, or over the limit.
+    pub fn put(&mut self, now: Instant, mark: UpstreamMark) -> bool {
+        let key = (mark.upstream.clone(), mark.by.clone());
+        let known = self.marks.get(&key);
+        if known.is_some_and(|known| !mark.supersedes(&known.mark)) {
+            return false;
+        }
+        if mark.age >= self.lifetime {
+            return false;
+        }
+        if known.is_none() && self.marks.len() >= self.limit {
+            return false;
+        }
+        self.remove(&key);
+        self.digest ^= mark.digest();
+        let raised = now.checked_sub(mark.age).unwrap_or(now);
+        self.marks.insert(key, HeldMark { mark, raised });
+        true
+    }
+
+    fn remove(&mut self, key: &MarkKey) {
+        let Some(held) = self.marks.remove(key) else {
+            return;
+        };
+        self.digest ^= held.mark.digest();
+    }
+}
+
+impl HeldMark {
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.raised)
+    }
+
+    fn at(&self, now: Instant) -> UpstreamMark {
+        UpstreamMark {
+            age: self.age(now),
+            ..self.mark.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/member_beat.rs
@@ -0,0 +1,317 @@
+//! What time brings: heartbeats, suspicions, judgements, probes.
+
+use {
+    crate::{
+        floor_ladder::{self, FloorLadder},
+        heartbeat::{Heartbeat, MemberMessage},
+        member_action::MemberAction,
+        member_news::MemberNews,
+        member_record::{MemberRecord, MemberStanding},
+        member_table::MemberTable,
+        member_watch::MemberWatch,
+        neighbour_ring::NeighbourRing,
+        zone_brief::ZoneBrief,
+    },
+    kernel::InstanceId,
+    std::time::{Duration, Instant},
+};
+
+/// How many other zones a heartbeat speaks of.
+const ZONES_PER_BEAT: usize = 4;
+
+impl MemberTable {
+    pub(crate) fn on_close(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        if self.stale.is_some() {
+            return;
+        }
+        self.refresh_ring(now);
+        self.change_own(now, |own| own.standing = MemberStanding::Gone);
+        self.send_beat(now, actions);
+        self.stale = Some(self.incarnation());
+    }
+
+    pub(crate) fn on_tick(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        if now < self.next_beat {
+            return;
+        }
+        self.notice_own_pause(now, actions);
+        self.expire(now);
+        self.refresh_ring(now);
+        self.suspect_silent(now, actions);
+        self.judge_suspects(now, actions);
+        self.note_silent_zones(now, actions);
+        self.refresh_ring(now);
+        self.climb_floors();
+        if self.stale.is_none() {
+            self.send_beat(now, actions);
+        }
+        self.probe(now, actions);
+        self.last_beat = now;
+        self.next_beat = now + self.settings.heartbeat_interval;
+    }
+
+    /// After a pause of this process the silence was its own: nobody is judged by it. After a pause as long as the
+    /// others take to declare a member gone, this life is over, told or not.
+    fn notice_own_pause(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        let pause = now.saturating_duration_since(self.next_beat);
+        if pause < self.settings.suspicion_timeout {
+            return;
+        }
+        for watch in self.watches.values_mut() {
+            watch.heard = now;
+            watch.suspected = watch.suspected.map(|_| now);
+        }
+        self.zones.shift(now);
+        if pause < self.gone_after() || self.stale.is_some() {
+            return;
+        }
+        let above = self.incarnation();
+        self.stale = Some(above);
+        actions.push(MemberAction::Renew { above });
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.cells.expire(now);
+        self.marks.expire(now);
+        let mut forgotten = Vec::new();
+        for (instance, watch) in &self.watches {
+            let Some(gone_at) = watch.gone_at else {
+                continue;
+            };
+            if now.saturating_duration_since(gone_at) < self.settings.forget_after {
+                continue;
+            }
+            forgotten.push(instance.clone());
+        }
+        for instance in forgotten {
+            self.contacts.remove(&instance);
+            self.records.remove(&instance);
+            self.watches.remove(&instance);
+        }
+    }
+
+    /// Works the neighbours out anew after a change of members. A new neighbour gets time to be heard.
+    fn refresh_ring(&mut self, now: Instant) {
+        if !self.ring_stale {
+            return;
+        }
+        self.ring_stale = false;
+        let mut ring = NeighbourRing::default();
+        for record in self.records.live() {
+            ring.add(record.zone.clone(), record.instance.clone());
+        }
+        let limits = self.settings.ring_limits();
+        let neighbours = ring.neighbours(&self.zone, &self.instance, limits);
+        for instance in &neighbours {
+            if self.neighbours.contains(instance) {
+                continue;
+            }
+            let incarnation = self.known_incarnation(instance);
+            let watch = self.watch(now, instance, incarnation);
+            watch.heard = now;
+        }
+        self.neighbours = neighbours;
+    }
+
+    fn suspect_silent(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        for instance in self.neighbours.clone() {
+            let Some(record) = self.records.get(&instance).cloned() else {
+                continue;
+            };
+            let Some(watch) = self.watches.get_mut(&instance) else {
+                continue;
+            };
+            let silence = now.saturating_duration_since(watch.heard);
+            if record.zone != self.zone {
+                let limit = self.settings.suspicion_timeout + self.settings.gone_timeout;
+                if silence > limit && !watch.cut {
+                    watch.cut = true;
+                    actions.push(MemberAction::News(MemberNews::MemberCut { instance }));
+                }
+                continue;
+            }
+            if silence <= self.settings.suspicion_timeout || record.is_suspect() {
+                continue;
+            }
+            let suspect = MemberRecord {
+                standing: MemberStanding::Suspect,
+                ..record
+            };
+            self.take_record(now, suspect, true, actions);
+        }
+    }
+
+    /// Suspects of the own zone that did not refute are declared gone, while at least half of the zone is heard;
+    /// else they are cut off from here and no more.
+    fn judge_suspects(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        let mut heard = 0;
+        let mut total = 0;
+        let mut due = Vec::new();
+        for record in self.records.live() {
+            if record.zone != self.zone {
+                continue;
+            }
+            total += 1;
+            if !record.is_suspect() {
+                heard += 1;
+                continue;
+            }
+            if self.is_due(now, &record.instance) {
+                due.push(record.clone());
+            }
+        }
+        let may_judge = heard * 2 >= total && self.stale.is_none();
+        for record in due {
+            if !may_judge {
+                self.cut_member(record.instance, actions);
+                continue;
+            }
+            let gone = MemberRecord {
+                standing: MemberStanding::Gone,
+                ..record
+            };
+            self.take_record(now, gone, true, actions);
+        }
+    }
+
+    fn is_due(&self, now: Instant, instance: &str) -> bool {
+        let Some(watch) = self.watches.get(instance) else {
+            return false;
+        };
+        let Some(suspected) = watch.suspected else {
+            return false;
+        };
+        now.saturating_duration_since(suspected) > self.settings.gone_timeout
+    }
+
+    fn cut_member(&mut self, instance: InstanceId, actions: &mut Vec<MemberAction>) {
+        let Some(watch) = self.watches.get_mut(&instance) else {
+            return;
+        };
+        if watch.cut {
+            return;
+        }
+        watch.cut = true;
+        actions.push(MemberAction::News(MemberNews::MemberCut { instance }));
+    }
+
+    fn note_silent_zones(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        for zone in self.zones.cut(now, self.settings.zone_timeout) {
+            actions.push(MemberAction::News(MemberNews::ZoneCut { zone }));
+        }
+    }
+
+    fn climb_floors(&mut self) {
+        let own = self.own_floor();
+        let neighbours = self
+            .neighbours
+            .iter()
+            .filter_map(|instance| self.neighbour_floors(instance));
+        self.floors = floor_ladder::climb(own, &self.floors, neighbours);
+    }
+
+    fn neighbour_floors(&self, instance: &str) -> Option<&FloorLadder> {
+        let record = self.records.get(instance)?;
+        if record.zone != self.zone || record.is_suspect() {
+            return None;
+        }
+        self.watches.get(instance)?.floors.as_ref()
+    }
+
+    pub(crate) fn send_beat(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        let to: Vec<InstanceId> = self.neighbours.iter().cloned().collect();
+        let beat = self.make_beat(now);
+        if to.is_empty() {
+            return;
+        }
+        let message = MemberMessage::Beat(Box::new(beat));
+        actions.push(MemberAction::Send { message, to });
+    }
+
+    pub(crate) fn make_beat(&mut self, now: Instant) -> Heartbeat {
+        self.sequence += 1;
+        let own_zone = ZoneBrief {
+            age: Duration::ZERO,
+            floor: self.zone_floor(),
+            zone: self.zone.clone(),
+        };
+        let mut zones = vec![own_zone];
+        zones.extend(self.zones.next(now, ZONES_PER_BEAT));
+        let cells = self.cell_rumours.take(self.settings.cells_per_beat);
+        let marks = self.mark_rumours.take(self.settings.marks_per_beat);
+        let records = self.record_rumours.take(self.settings.records_per_beat);
+        Heartbeat {
+            cells: cells
+                .iter()
+                .filter_map(|key| self.cells.get(key).cloned())
+                .collect(),
+            floors: self.floors,
+            marks: marks
+                .iter()
+                .filter_map(|key| self.marks.get(now, key))
+                .collect(),
+            marks_digest: self.marks.digest(),
+            member: self.own().clone(),
+            members_digest: self.records.digest(),
+            records: records
+                .iter()
+                .filter_map(|instance| self.records.get(instance).cloned())
+                .filter(|record| record.instance != self.instance)
+                .collect(),
+            sequence: self.sequence,
+            table: self.table,
+            zones,
+        }
+    }
+
+    /// Tries one instance that is known by name and not heard: that is how a new one finds the others, and how two
+    /// sides of a partition find each other again.
+    fn probe(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
+        let alone = self.neighbours.is_empty() || self.stale.is_some();
+        if (now < self.next_probe && !alone) || self.own().is_gone() {
+            return;
+        }
+        self.next_probe = now + self.settings.probe_interval;
+        let targets: Vec<&InstanceId> = self
+            .contacts
+            .iter()
+            .filter(|instance| self.is_unheard(instance))
+            .collect();
+        if targets.is_empty() {
+            return;
+        }
+        self.probe_cursor += 1;
+        let target = targets[self.probe_cursor % targets.len()].clone();
+        let message = MemberMessage::Beat(Box::new(self.make_beat(now)));
+        let to = vec![target];
+        actions.push(MemberAction::Send { message, to });
+    }
+
+    fn is_unheard(&self, instance: &str) -> bool {
+        if self.stale.is_some() {
+            return true;
+        }
+        let Some(record) = self.records.get(instance) else {
+            return true;
+        };
+        record.is_gone() || self.member_cut(instance)
+    }
+
+    /// What this instance heard from a member; made when it is new.
+    pub(crate) fn watch(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        incarnation: u64,
+    ) -> &mut MemberWatch {
+        self.watches
+            .entry(instance.clone())
+            .or_insert_with(|| MemberWatch::new(now, incarnation))
+    }
+
+    fn known_incarnation(&self, instance: &str) -> u64 {
+        self.records
+            .get(instance)
+            .map_or(0, |record| record.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/member_merge.rs
@@ -0,0 +1,405 @@
+//! What peers bring: heartbeats, whole lists, and the news in them.
+
+use {
+    crate::{
+        heartbeat::{Heartbeat, MemberMessage, SyncReply, SyncRequest},
+        member_action::MemberAction,
+        member_news::MemberNews,
+        member_record::{MemberRecord, MemberStanding},
+        member_state::MemberState,
+        member_table::{MemberTable, PendingPull},
+        peer_identity::PeerIdentity,
+        peer_metrics::RefusedCause,
+        upstream_mark::UpstreamMark,
+        zone_brief::ZoneBrief,
+    },
+    kernel::{Incarnation, InstanceId},
+    std::time::Instant,
+};
+
+/// Whole lists with more changes than this are not passed on as news: the neighbours compare digests themselves.
+const BULK_LIMIT: usize = 16;
+
+impl MemberTable {
+    pub(crate) fn on_message(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        message: MemberMessage,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if from.instance == self.instance {
+            return;
+        }
+        match message {
+            MemberMessage::Beat(beat) => self.on_beat(now, from, &beat, actions),
+            MemberMessage::Reply(reply) => self.on_reply(now, reply, actions),
+            MemberMessage::Request(request) => self.on_request(now, from, &request, actions),
+        }
+    }
+
+    fn on_beat(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        beat: &Heartbeat,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let names_itself = beat.member.instance == from.instance;
+        if !names_itself || beat.member.incarnation != from.incarnation || !beat.is_bounded() {
+            actions.push(MemberAction::Refuse(RefusedCause::Garbled));
+            return;
+        }
+        if self.tell_if_over(from, actions) {
+            return;
+        }
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        if !watch.take_sequence(from.incarnation, beat.sequence) {
+            actions.push(MemberAction::Refuse(RefusedCause::Replayed));
+            return;
+        }
+        watch.heard = now;
+        watch.floors = Some(beat.floors);
+        self.end_cut(&from.instance, actions);
+        self.take_record(now, beat.member.clone(), true, actions);
+        self.tell_if_suspect(now, from, actions);
+        self.take_news(now, beat, actions);
+        self.compare_tables(now, from, beat, actions);
+        self.compare_digests(now, from, beat, actions);
+    }
+
+    /// A sender whose life is over is told so and not believed.
+    fn tell_if_over(&self, from: &PeerIdentity, actions: &mut Vec<MemberAction>) -> bool {
+        let Some(known) = self.records.get(&from.instance) else {
+            return false;
+        };
+        let same_life = known.incarnation == from.incarnation;
+        let is_over = known.incarnation > from.incarnation || (same_life && known.is_gone());
+        if is_over {
+            actions.push(tell(from, known));
+        }
+        is_over
+    }
+
+    /// A sender that is heard and suspected is told, so that it refutes; the judgement waits for that.
+    fn tell_if_suspect(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(known) = self.records.get(&from.instance) else {
+            return;
+        };
+        if !known.is_suspect() {
+            return;
+        }
+        actions.push(tell(from, known));
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        watch.suspected = Some(now);
+    }
+
+    fn end_cut(&mut self, instance: &InstanceId, actions: &mut Vec<MemberAction>) {
+        let Some(watch) = self.watches.get_mut(instance) else {
+            return;
+        };
+        if !std::mem::take(&mut watch.cut) {
+            return;
+        }
+        let Some(record) = self.records.get(instance) else {
+            return;
+        };
+        let news = MemberNews::MemberUp(record.clone());
+        actions.push(MemberAction::News(news));
+    }
+
+    fn take_news(&mut self, now: Instant, beat: &Heartbeat, actions: &mut Vec<MemberAction>) {
+        for record in &beat.records {
+            self.take_record(now, record.clone(), true, actions);
+        }
+        for mark in &beat.marks {
+            self.take_mark(now, mark.clone(), true, actions);
+        }
+        for brief in &beat.zones {
+            self.take_brief(now, brief, actions);
+        }
+        for summary in &beat.cells {
+            let key = (summary.cell.clone(), summary.by.clone());
+            let is_near = summary.zone == self.zone;
+            if self.cells.put(now, summary.clone()) && is_near {
+                self.cell_rumours.push(key);
+            }
+        }
+    }
+
+    fn take_brief(&mut self, now: Instant, brief: &ZoneBrief, actions: &mut Vec<MemberAction>) {
+        if brief.zone == self.zone {
+            return;
+        }
+        let limit = self.settings.zone_timeout;
+        if !self.zones.put(now, brief.clone(), limit) {
+            return;
+        }
+        let zone = brief.zone.clone();
+        actions.push(MemberAction::News(MemberNews::ZoneBack { zone }));
+    }
+
+    pub(crate) fn take_mark(
+        &mut self,
+        now: Instant,
+        mark: UpstreamMark,
+        is_news: bool,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if !self.marks.put(now, mark.clone()) {
+            return;
+        }
+        if is_news {
+            let key = (mark.upstream.clone(), mark.by.clone());
+            self.mark_rumours.push(key);
+            self.flush_soon(now);
+        }
+        actions.push(MemberAction::News(MemberNews::Marked(mark)));
+    }
+
+    /// Keeps a record when it supersedes the known one. `is_news`: pass it on.
+    pub(crate) fn take_record(
+        &mut self,
+        now: Instant,
+        record: MemberRecord,
+        is_news: bool,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if record.instance == self.instance {
+            self.take_own_record(now, &record, actions);
+            return;
+        }
+        let known = self.records.get(&record.instance);
+        if known.is_some_and(|known| !record.supersedes(known)) {
+            return;
+        }
+        if known.is_none() && self.records.len() >= self.settings.member_limit {
+            return;
+        }
+        let old = self.records.put(record.clone());
+        self.ring_stale = true;
+        if is_refuted(old.as_ref(), &record) {
+            self.end_cut(&record.instance, actions);
+        }
+        self.note_record(now, &record);
+        tell_change(old.as_ref(), &record, actions);
+        if is_news {
+            self.record_rumours.push(record.instance);
+            self.flush_soon(now);
+        }
+    }
+
+    fn note_record(&mut self, now: Instant, record: &MemberRecord) {
+        let watch = self.watch(now, &record.instance, record.incarnation);
+        match record.standing {
+            MemberStanding::Alive => {
+                watch.gone_at = None;
+                watch.suspected = None;
+                watch.cut = false;
+            }
+            MemberStanding::Gone => watch.gone_at = Some(now),
+            MemberStanding::Suspect => {
+                watch.suspected.get_or_insert(now);
+            }
+        }
+    }
+
+    /// What the others say of this instance: a suspicion is refuted; a life that is over is left.
+    fn take_own_record(
+        &mut self,
+        now: Instant,
+        record: &MemberRecord,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let own = self.own();
+        if record.incarnation < own.incarnation || !record.supersedes(own) {
+            return;
+        }
+        if record.is_gone() {
+            self.leave_life(record.incarnation, actions);
+            return;
+        }
+        if record.incarnation > own.incarnation {
+            self.yield_name(record.incarnation, actions);
+            return;
+        }
+        let revision = record.revision;
+        self.change_own(now, |own| own.revision = revision + 1);
+    }
+
+    fn leave_life(&mut self, above: Incarnation, actions: &mut Vec<MemberAction>) {
+        if self.own().is_gone() || self.stale == Some(above) {
+            return;
+        }
+        self.stale = Some(above);
+        actions.push(MemberAction::Renew { above });
+    }
+
+    fn yield_name(&mut self, by: Incarnation, actions: &mut Vec<MemberAction>) {
+        if self.stale == Some(by) {
+            return;
+        }
+        // One below, so that the end of the later life still asks for a new one.
+        self.stale = Some(by - 1);
+        actions.push(MemberAction::News(MemberNews::Superseded { by }));
+    }
+
+    fn compare_tables(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        beat: &Heartbeat,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let theirs = beat.table;
+        if theirs.version == self.table.version {
+            if theirs.digest != self.table.digest {
+                actions.push(MemberAction::News(MemberNews::DigestDiffers {
+                    instance: from.instance.clone(),
+                    version: theirs.version,
+                }));
+            }
+            return;
+        }
+        if theirs.version < self.table.version {
+            return;
+        }
+        let is_pulled = self
+            .pull
+            .as_ref()
+            .is_some_and(|pull| pull.version >= theirs.version && now < pull.until);
+        if is_pulled {
+            return;
+        }
+        self.pull = Some(PendingPull {
+            until: now + self.settings.pull_timeout,
+            version: theirs.version,
+        });
+        actions.push(MemberAction::Pull {
+            from: from.instance.clone(),
+            version: theirs.version,
+        });
+    }
+
+    fn compare_digests(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        beat: &Heartbeat,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let equal = beat.members_digest == self.records.digest()
+            && beat.marks_digest == self.marks.digest();
+        let rounds = self.settings.sync_rounds;
+        let is_first = beat.sequence == 1;
+        let is_new = self.records.len() <= 2;
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        watch.differs = if equal {
+            0
+        } else {
+            watch.differs.saturating_add(1)
+        };
+        let due = watch.differs >= rounds || (!equal && (is_first || is_new));
+        if !due || now < self.next_sync {
+            return;
+        }
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        watch.differs = 0;
+        self.next_sync = now + self.settings.heartbeat_interval;
+        let request = SyncRequest {
+            marks_digest: self.marks.digest(),
+            zones: self.records.zone_digests(),
+        };
+        let message = MemberMessage::Request(request);
+        let to = vec![from.instance.clone()];
+        actions.push(MemberAction::Send { message, to });
+    }
+
+    fn on_request(
+        &self,
+        now: Instant,
+        from: &PeerIdentity,
+        request: &SyncRequest,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let mut reply = SyncReply::default();
+        for record in self.records.all() {
+            let ours = self.records.zone_digest(&record.zone);
+            let theirs = request.zones.iter().find(|(zone, _)| *zone == record.zone);
+            if theirs.is_some_and(|(_, theirs)| *theirs == ours) {
+                continue;
+            }
+            reply.records.push(record.clone());
+        }
+        if request.marks_digest != self.marks.digest() {
+            reply.marks = self.marks.all(now);
+        }
+        let message = MemberMessage::Reply(reply);
+        let to = vec![from.instance.clone()];
+        actions.push(MemberAction::Send { message, to });
+    }
+
+    fn on_reply(&mut self, now: Instant, reply: SyncReply, actions: &mut Vec<MemberAction>) {
+        let records_are_news = reply.records.len() <= BULK_LIMIT;
+        for record in reply.records {
+            self.take_record(now, record, records_are_news, actions);
+        }
+        let marks_are_news = reply.marks.len() <= BULK_LIMIT;
+        for mark in reply.marks {
+            self.take_mark(now, mark, marks_are_news, actions);
+        }
+    }
+}
+
+/// Whether the member itself answered since the old record.
+fn is_refuted(old: Option<&MemberRecord>, new: &MemberRecord) -> bool {
+    let is_alive = new.standing == MemberStanding::Alive;
+    is_alive && old.is_some_and(|old| old.incarnation == new.incarnation)
+}
+
+fn tell(to: &PeerIdentity, record: &MemberRecord) -> MemberAction {
+    let reply = SyncReply {
+        marks: Vec::new(),
+        records: vec![record.clone()],
+    };
+    MemberAction::Send {
+        message: MemberMessage::Reply(reply),
+        to: vec![to.instance.clone()],
+    }
+}
+
+/// What a change of a record means to the other parts of the process.
+fn tell_change(old: Option<&MemberRecord>, new: &MemberRecord, actions: &mut Vec<MemberAction>) {
+    let instance = new.instance.clone();
+    let old_life = old.filter(|old| !old.is_gone());
+    let same_life = old_life.filter(|old| old.incarnation == new.incarnation);
+    let mut tell = |news| actions.push(MemberAction::News(news));
+    if new.is_gone() {
+        let before = new.incarnation + 1;
+        if old_life.is_some() {
+            tell(MemberNews::MemberGone { before, instance });
+        }
+        return;
+    }
+    if old_life.is_some() && same_life.is_none() {
+        let before = new.incarnation;
+        let instance = instance.clone();
+        tell(MemberNews::MemberGone { before, instance });
+    }
+    if same_life.is_none() {
+        tell(MemberNews::MemberUp(new.clone()));
+    }
+    if same_life.is_some_and(|old| old.state == new.state) {
+        return;
+    }
+    match new.state {
+        MemberState::Leaving => tell(MemberNews::MemberLeaving { instance }),
+        MemberState::NotReady => {}
+        MemberState::Serving => tell(MemberNews::MemberReady { instance }),
+    }
+}
--- a/crates/peer/src/peer_book.rs
+++ b/crates/peer/src/peer_book.rs
@@ -2,23 +2,31 @@
 
 use {
     kernel::InstanceId,
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, sync::RwLock},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, PoisonError, RwLock},
+    },
 };
 
-/// The addresses of the peers, from the settings and from the platform's list. Clones share one book.
+#[derive(Clone, Copy, Debug)]
+struct BookEntry {
+    address: SocketAddr,
+    pinned: bool,
+}
+
+/// The addresses of the peers. What the settings pin stays; what the platform's list and the peers themselves say
+/// replaces what they said before. Clones share one book.
 #[derive(Clone, Debug, Default)]
 pub struct PeerBook {
-    addresses: Arc<RwLock<BTreeMap<InstanceId, SocketAddr>>>,
+    entries: Arc<RwLock<BTreeMap<InstanceId, BookEntry>>>,
 }
 
 impl PeerBook {
     /// Where a peer answers.
     pub fn address(&self, instance: &str) -> Option<SocketAddr> {
-        let addresses = self
-            .addresses
-            .read()
-            .unwrap_or_else(|poison| poison.into_inner());
-        addresses.get(instance).copied()
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        entries.get(instance).map(|entry| entry.address)
     }
 
     /// An empty book.
@@ -26,21 +34,30 @@
         Self::default()
     }
 
+    /// Sets a peer's address for good: [`PeerBook::set`] does not change it any more.
+    pub fn pin(&self, instance: InstanceId, address: SocketAddr) {
+        let pinned = true;
+        self.put(instance, BookEntry { address, pinned });
+    }
+
     /// Forgets a peer's address.
     pub fn remove(&self, instance: &str) {
-        let mut addresses = self
-            .addresses
-            .write()
-            .unwrap_or_else(|poison| poison.into_inner());
-        addresses.remove(instance);
+        let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
+        entries.remove(instance);
     }
 
-    /// Sets a peer's address, in place of an earlier one. The next message opens a new connection.
+    /// Sets a peer's address, in place of an earlier one that is not pinned. The next message opens a new connection.
     pub fn set(&self, instance: InstanceId, address: SocketAddr) {
-        let mut addresses = self
-            .addresses
-            .write()
-            .unwrap_or_else(|poison| poison.into_inner());
-        addresses.insert(instance, address);
+        let pinned = false;
+        self.put(instance, BookEntry { address, pinned });
+    }
+
+    fn put(&self, instance: InstanceId, entry: BookEntry) {
+        let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
+        let known = entries.get(&instance);
+        if !entry.pinned && known.is_some_and(|known| known.pinned) {
+            return;
+        }
+        entries.insert(instance, entry);
     }
 }
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -241,6 +241,11 @@
         self.incarnation.store(incarnation, Ordering::Release);
     }
 
+    /// Runs work that ends with this endpoint.
+    pub(crate) fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
+        self.pool.spawn(work);
+    }
+
     /// The UDP datagrams and bytes of the live connections, sent and received: for measurements.
     pub fn traffic(&self) -> LinkTraffic {
         let accepted = self
--- /dev/null
+++ b/crates/peer/src/table_mark.rs
@@ -0,0 +1,15 @@
+//! Which table an instance has in force.
+
+use {
+    kernel::{TableDigest, TableVersion},
+    serde::{Deserialize, Serialize},
+};
+
+/// The version and the digest of a table.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableMark {
+    /// The hash of the whole content.
+    pub digest: TableDigest,
+    /// The version; 0 before there is a table.
+    pub version: TableVersion,
+}
--- /dev/null
+++ b/crates/peer/src/table_source.rs
@@ -0,0 +1,28 @@
+//! Where the table comes from and goes to.
+
+use {
+    crate::{peer_error::PeerError, table_mark::TableMark},
+    bytes::Bytes,
+    kernel::{InstanceId, TableVersion},
+    std::future::Future,
+};
+
+/// The holder of the table in force, as the membership needs it. The content is opaque here.
+pub trait TableSource: Send + Sync + 'static {
+    /// What a peer that has `since` is missing; none when this instance has nothing newer.
+    fn changes(&self, since: TableVersion) -> Option<Bytes>;
+
+    /// The table in force.
+    fn mark(&self) -> TableMark;
+
+    /// Puts in force what a peer gave, and tells what is in force then.
+    ///
+    /// # Errors
+    ///
+    /// When the content can't be read or is refused.
+    fn take(
+        &self,
+        from: &InstanceId,
+        content: Bytes,
+    ) -> impl Future<Output = Result<TableMark, PeerError>> + Send;
+}
--- /dev/null
+++ b/crates/peer/tests/driver.rs
@@ -0,0 +1,173 @@
+//! The membership over real links on loopback.
+
+mod support;
+
+use {
+    bytes::Bytes,
+    kernel::{InstanceId, PluginEntry, StateMap, TableVersion},
+    peer::{
+        ListedMember, MemberNews, MemberSettings, MemberState, PeerBook, PeerDriver, PeerError,
+        PeerSettings, TableMark, TableSource, make_test_keys, wire,
+    },
+    route::load_report::LeavingCause,
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    support::{PATIENCE, make_endpoint, until},
+    tokio::sync::broadcast,
+};
+
+/// A table that is its version alone.
+#[derive(Default)]
+struct VersionSource {
+    version: Mutex<TableVersion>,
+}
+
+impl VersionSource {
+    fn set(&self, version: TableVersion) -> TableMark {
+        let mut known = self.version.lock().unwrap();
+        *known = version.max(*known);
+        mark(*known)
+    }
+}
+
+impl TableSource for VersionSource {
+    fn changes(&self, since: TableVersion) -> Option<Bytes> {
+        let version = self.mark().version;
+        if version <= since {
+            return None;
+        }
+        Some(wire::encode(&version).unwrap())
+    }
+
+    fn mark(&self) -> TableMark {
+        mark(*self.version.lock().unwrap())
+    }
+
+    async fn take(&self, _from: &InstanceId, content: Bytes) -> Result<TableMark, PeerError> {
+        Ok(self.set(wire::decode(&content)?))
+    }
+}
+
+fn mark(version: TableVersion) -> TableMark {
+    TableMark {
+        digest: version * 31,
+        version,
+    }
+}
+
+fn quick() -> MemberSettings {
+    MemberSettings::builder()
+        .flush_gap(Duration::from_millis(5))
+        .heartbeat_interval(Duration::from_millis(20))
+        .suspicion_timeout(Duration::from_secs(3))
+        .gone_timeout(Duration::from_secs(1))
+        .build()
+}
+
+/// Instances that know the first one only.
+fn start_fleet(count: usize) -> (Vec<PeerDriver>, Vec<Arc<VersionSource>>) {
+    let names: Vec<String> = (0..count).map(|index| format!("node-{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let (_, keys) = make_test_keys(&names).unwrap();
+    let mut drivers: Vec<PeerDriver> = Vec::new();
+    let mut sources = Vec::new();
+    for (name, keys) in names.iter().zip(&keys) {
+        let endpoint = make_endpoint(name, &PeerBook::new(), keys, PeerSettings::default());
+        let mut contacts = Vec::new();
+        if let Some(first) = drivers.first() {
+            contacts.push(ListedMember {
+                address: first.endpoint().local_address().unwrap(),
+                instance: first.endpoint().instance().clone(),
+                leaving: false,
+            });
+        }
+        let source = Arc::new(VersionSource::default());
+        let driver = PeerDriver::builder()
+            .contacts(contacts)
+            .endpoint(endpoint)
+            .settings(quick())
+            .source(source.clone())
+            .zone("riga-a".into())
+            .start()
+            .unwrap();
+        drivers.push(driver);
+        sources.push(source);
+    }
+    (drivers, sources)
+}
+
+async fn wait_for(
+    news: &mut broadcast::Receiver<MemberNews>,
+    wanted: impl Fn(&MemberNews) -> bool,
+) -> MemberNews {
+    let wait = async {
+        loop {
+            let item = news.recv().await.expect("the news are read in time");
+            if wanted(&item) {
+                return item;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("the news comes")
+}
+
+#[tokio::test]
+async fn a_closed_instance_is_gone_at_once_and_a_table_spreads() {
+    let (mut drivers, sources) = start_fleet(4);
+    for driver in &drivers {
+        driver.set_state(MemberState::Serving);
+    }
+    for driver in &drivers {
+        until(|| driver.view().serving_in("riga-a").count() == 4).await;
+    }
+    let version = sources[2].set(7);
+    drivers[2].set_table(version);
+    for (driver, source) in drivers.iter().zip(&sources) {
+        until(|| driver.view().table == mark(7)).await;
+        assert_eq!(source.mark(), mark(7));
+    }
+    until(|| drivers[0].view().zone_floor == 7).await;
+    let mut news = drivers[0].news();
+    let last = drivers.pop().unwrap();
+    let life = last.view().incarnation;
+    last.close().await;
+    let gone = wait_for(&mut news, |item| {
+        matches!(item, MemberNews::MemberGone { .. })
+    })
+    .await;
+    let instance = "node-3".into();
+    let before = life + 1;
+    assert_eq!(gone, MemberNews::MemberGone { before, instance });
+}
+
+#[tokio::test]
+async fn a_mark_reaches_every_instance_and_the_dump() {
+    let (drivers, _) = start_fleet(3);
+    for driver in &drivers {
+        until(|| driver.view().heard.len() == 3).await;
+    }
+    drivers[0].mark("engine-1".into(), Some(LeavingCause::Said));
+    for driver in &drivers {
+        until(|| driver.view().marks.len() == 1).await;
+    }
+    let map = StateMap::new();
+    map.insert(Arc::new(drivers[1].clone()));
+    let dump = PluginEntry::dump_all(&map);
+    assert_eq!(dump["peer"]["members"]["marks"][0]["upstream"], "engine-1");
+    let registry = prometheus::Registry::new();
+    PluginEntry::register_metrics(&map, &registry);
+    let names: Vec<String> = registry
+        .gather()
+        .iter()
+        .map(|family| family.name().to_owned())
+        .collect();
+    assert!(names.contains(&"member_heard".to_owned()), "{names:?}");
+    assert!(
+        names.contains(&"peer_refused_total".to_owned()),
+        "{names:?}"
+    );
+}
