Membership, table and allocators wired into serve

Members come from the settings, the platform's list and heartbeats; the table spreads over them; marks on upstreams travel with them.

--- a/crates/flow/src/cell_hub.rs
+++ b/crates/flow/src/cell_hub.rs
@@ -9,7 +9,7 @@
         request_table::RequestTable,
     },
     admit::RequestKey,
-    kernel::{Incarnation, InstanceId, LockRank, ModelId, RankedLock},
+    kernel::{Incarnation, InstanceId, LockRank, ModelId, RankedLock, ResultCode},
     std::{
         collections::BTreeMap,
         sync::{
@@ -21,6 +21,9 @@
     tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
 };
 
+/// When to come back after a request was refused because this instance was held for gone.
+const RENEWED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Where the frames of one cell go.
 #[derive(Clone, Debug)]
 pub struct CellSeat {
@@ -33,7 +36,7 @@
 /// This instance's side of all cells.
 #[derive(Debug)]
 pub struct CellHub {
-    incarnation: Incarnation,
+    incarnation: AtomicU64,
     instance: InstanceId,
     requests: Arc<RequestTable>,
     seats: RankedLock<BTreeMap<ModelId, CellSeat>>,
@@ -44,7 +47,7 @@
     /// A hub without seats: requests wait until their cell has one.
     pub fn new(instance: InstanceId, incarnation: Incarnation) -> Self {
         Self {
-            incarnation,
+            incarnation: AtomicU64::new(incarnation),
             instance,
             requests: Arc::new(RequestTable::new()),
             seats: RankedLock::new(LockRank::Seats, BTreeMap::new()),
@@ -55,7 +58,7 @@
     /// The name that the next request gets.
     pub fn next_key(&self) -> RequestKey {
         RequestKey {
-            incarnation: self.incarnation,
+            incarnation: self.incarnation.load(Ordering::Acquire),
             instance: self.instance.clone(),
             serial: self.serial.fetch_add(1, Ordering::Relaxed),
         }
@@ -100,6 +103,14 @@
         &self.requests
     }
 
+    /// Starts a new life: the allocators hold the requests of the earlier one for gone. Those that wait for a grant are
+    /// refused; the others end by themselves.
+    pub fn renew(&self, incarnation: Incarnation) {
+        self.incarnation.store(incarnation, Ordering::Release);
+        self.requests
+            .refuse_waiting(ResultCode::UpstreamMissing, RENEWED_RETRY_AFTER);
+    }
+
     /// Queues a further attempt of a request that is held.
     pub fn resubmit(&self, key: &RequestKey) {
         let Some(frame) = self.requests.requeue(key.serial) else {
--- a/crates/flow/src/cell_table.rs
+++ b/crates/flow/src/cell_table.rs
@@ -7,7 +7,7 @@
         table_board::TableBoard,
     },
     admit::{AdmitEvent, AdmitPolicy},
-    kernel::{CloseSignal, LockRank, ModelId, RankedLock, WorkerPool},
+    kernel::{CloseSignal, Incarnation, InstanceId, LockRank, ModelId, RankedLock, WorkerPool},
     std::{collections::BTreeMap, sync::Arc, time::Instant},
 };
 
@@ -103,6 +103,16 @@
         driver.on_request(frame.into_event(Instant::now()));
     }
 
+    /// Tells every cell that earlier lives of an entry instance are gone.
+    pub fn on_holder_gone(&self, instance: &InstanceId, before: Incarnation) {
+        for (_, driver) in self.list() {
+            driver.on_event(AdmitEvent::HolderGone {
+                before,
+                instance: instance.clone(),
+            });
+        }
+    }
+
     /// Gives the table in force to every cell, whenever it changes.
     pub async fn run_tables(&self) {
         let mut changes = self.board.changes();
--- a/crates/flow/src/load_poller.rs
+++ b/crates/flow/src/load_poller.rs
@@ -86,11 +86,8 @@
             let events = match load {
                 Ok(load) => {
                     note_word(&self.board, name, load.leaving);
-                    let mark = entry
-                        .marks
-                        .iter()
-                        .find(|cause| **cause != LeavingCause::Said);
-                    watch.on_load(Instant::now(), &entry.record, &load, mark.copied())
+                    let mark = outside_mark(entry);
+                    watch.on_load(Instant::now(), &entry.record, &load, mark)
                 }
                 Err(_) => watch.on_failure(name),
             };
@@ -124,6 +121,15 @@
     gone
 }
 
+/// Why an engine takes no new work, by any word but its own.
+fn outside_mark(entry: &UpstreamEntry) -> Option<LeavingCause> {
+    let own = entry
+        .marks
+        .iter()
+        .find(|cause| **cause != LeavingCause::Said);
+    own.copied().or(entry.peer_mark)
+}
+
 /// Keeps the engine's own word as a mark, so that it spreads to the other instances.
 fn note_word(board: &UpstreamBoard, name: &UpstreamId, leaving: bool) {
     match leaving {
--- a/crates/flow/src/plain_caller.rs
+++ b/crates/flow/src/plain_caller.rs
@@ -167,7 +167,7 @@
             let record = &entry.record;
             let is_replica =
                 record.kind == InstanceKind::Plain && record.service.as_ref() == Some(service);
-            if !is_replica || !entry.marks.is_empty() {
+            if !is_replica || entry.leaving().is_some() {
                 continue;
             }
             if record.zone == self.zone {
--- a/crates/flow/src/request_table.rs
+++ b/crates/flow/src/request_table.rs
@@ -6,7 +6,7 @@
         cell_notice::{CellGrant, CellNotice},
     },
     admit::RequestKey,
-    kernel::{LockRank, ModelId, RankedLock},
+    kernel::{LockRank, ModelId, RankedLock, ResultCode},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -115,6 +115,17 @@
         counts
     }
 
+    /// Refuses every request that waits for a grant.
+    pub fn refuse_waiting(&self, code: ResultCode, retry_after: Duration) {
+        for held in self.requests.lock().values() {
+            if !matches!(held.phase, HeldPhase::Queued | HeldPhase::Read { .. }) {
+                continue;
+            }
+            // The request may be ending by itself.
+            let _ = held.grants.send(CellGrant::Refuse { code, retry_after });
+        }
+    }
+
     /// Takes a request back to the queue for a further attempt: what to tell the allocator.
     pub fn requeue(&self, serial: u64) -> Option<CellFrame> {
         let mut requests = self.requests.lock();
--- a/crates/flow/src/upstream_board.rs
+++ b/crates/flow/src/upstream_board.rs
@@ -17,12 +17,21 @@
 pub struct UpstreamEntry {
     /// Where it answers.
     pub address: SocketAddr,
-    /// Why it takes no new work; empty while it does.
+    /// Why it takes no new work, as this instance sees it; empty while it does.
     pub marks: BTreeSet<LeavingCause>,
+    /// Why it takes no new work, as another instance sees it.
+    pub peer_mark: Option<LeavingCause>,
     /// What the platform or the settings say of it.
     pub record: InstanceRecord,
 }
 
+impl UpstreamEntry {
+    /// Why it takes no new work, by anyone's word.
+    pub fn leaving(&self) -> Option<LeavingCause> {
+        self.marks.first().copied().or(self.peer_mark)
+    }
+}
+
 /// All upstreams by name.
 pub type UpstreamMap = BTreeMap<UpstreamId, UpstreamEntry>;
 
@@ -87,6 +96,34 @@
         board
     }
 
+    /// The marks that this instance itself put on upstreams: one for each marked upstream.
+    pub fn own_marks(&self) -> BTreeMap<UpstreamId, LeavingCause> {
+        let mut marks = BTreeMap::new();
+        for (name, entry) in self.current.load().iter() {
+            let Some(cause) = entry.marks.last() else {
+                continue;
+            };
+            marks.insert(name.clone(), *cause);
+        }
+        marks
+    }
+
+    /// Takes the other instances' marks in place of the ones before.
+    pub fn put_peer_marks(&self, marks: &BTreeMap<UpstreamId, LeavingCause>) {
+        let current = self.current.load();
+        if current
+            .iter()
+            .all(|(name, entry)| entry.peer_mark == marks.get(name).copied())
+        {
+            return;
+        }
+        self.change(|map| {
+            for (name, entry) in map.iter_mut() {
+                entry.peer_mark = marks.get(name).copied();
+            }
+        });
+    }
+
     /// Takes the platform's list in place of the one before. Upstreams of the settings stay.
     pub fn put_list(&self, list: &[InstanceRecord]) {
         self.change(|map| {
@@ -120,10 +157,9 @@
         return None;
     }
     let address = record.address.parse().ok()?;
-    let mut marks = earlier
-        .get(&record.name)
-        .map(|entry| entry.marks.clone())
-        .unwrap_or_default();
+    let before = earlier.get(&record.name);
+    let mut marks = before.map(|entry| entry.marks.clone()).unwrap_or_default();
+    let peer_mark = before.and_then(|entry| entry.peer_mark);
     match record.state {
         InstanceState::Leaving => marks.insert(LeavingCause::Listed),
         InstanceState::Live => marks.remove(&LeavingCause::Listed),
@@ -131,6 +167,7 @@
     Some(UpstreamEntry {
         address,
         marks,
+        peer_mark,
         record: record.clone(),
     })
 }
--- a/crates/trestlewalk/src/admin/ready_board.rs
+++ b/crates/trestlewalk/src/admin/ready_board.rs
@@ -8,6 +8,9 @@
 /// Names one condition, such as `table`.
 pub type ReadyCondition = &'static str;
 
+/// The condition of an instance that closes.
+pub const CLOSING_CONDITION: ReadyCondition = "closing";
+
 /// The conditions that keep the instance from being ready. Each part sets its own by name.
 #[derive(Debug)]
 pub struct ReadyBoard {
@@ -37,6 +40,11 @@
         tracing::info!(condition, ready, "condition holds");
     }
 
+    /// Whether the instance is on its way out.
+    pub fn is_closing(&self) -> bool {
+        self.reasons.lock().contains_key(CLOSING_CONDITION)
+    }
+
     /// Whether all conditions hold.
     pub fn is_ready(&self) -> bool {
         self.reasons.lock().is_empty()
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -3,6 +3,7 @@
 pub mod allocator_maker;
 pub mod close_report;
 pub mod close_steps;
+pub mod control_work;
 pub mod entry_identity;
 pub mod entry_parts;
 pub mod entry_process;
@@ -10,26 +11,29 @@
 pub mod key_files;
 pub mod list_poller;
 pub mod log_setup;
+pub mod member_watch;
+pub mod path_base;
 pub mod process_plugin;
 pub mod process_signals;
 pub mod ready_line;
 pub mod request_path;
-pub mod solo_members;
 pub mod table_driver;
 
 pub use {
     allocator_maker::AllocatorMaker,
     close_report::CloseReport,
     close_steps::CloseSteps,
+    control_work::ControlWork,
     entry_identity::EntryIdentity,
     entry_parts::EntryParts,
     entry_process::EntryProcess,
     entry_sockets::EntrySockets,
     key_files::load_keys,
     list_poller::ListPoller,
+    member_watch::MemberWatch,
+    path_base::PathBase,
     process_signals::ProcessSignals,
     ready_line::ReadyLine,
     request_path::RequestPath,
-    solo_members::SoloMembers,
-    table_driver::{BoardStatus, TableDriver},
+    table_driver::{BoardStatus, TableDriver, TableShare},
 };
--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -10,7 +10,7 @@
 use {
     crate::{
         RunError,
-        admin::{AdminServer, AdminState},
+        admin::{AdminServer, AdminState, ready_board::CLOSING_CONDITION},
         entry::{
             CloseReport, CloseSteps, EntryParts, EntrySockets, ProcessSignals, ReadyLine,
             RequestPath,
@@ -24,7 +24,6 @@
 };
 
 const ADMIN_CLOSE_LIMIT: Duration = Duration::from_secs(1);
-const CLOSING_CONDITION: &str = "closing";
 const POOL_CLOSE_LIMIT: Duration = Duration::from_secs(5);
 
 /// A running entry instance.
--- /dev/null
+++ b/crates/trestlewalk/src/entry/path_base.rs
@@ -0,0 +1,190 @@
+//! The parts of the request path that several others are made from.
+
+use {
+    crate::{
+        RunError,
+        entry::{EntryParts, load_keys},
+        run_error::{KeysSnafu, MetricsSnafu, PlatformSnafu},
+        settings::{EntrySettings, UpstreamSettings},
+    },
+    door::{AdmissionGate, DoorDefaults, DoorLimits, DoorShared},
+    engine::CompletionEngine,
+    flow::{
+        CellHub, FlowMetrics, FlowShared, PlainCaller, StreamCanceller, TableBoard, UpstreamBoard,
+    },
+    kernel::{CloseSignal, WorkerPool},
+    peer::{PeerBook, PeerEndpoint},
+    plat::{HttpPlatform, InstanceKind, InstanceRecord, InstanceState},
+    route::UpstreamRole,
+    snafu::ResultExt,
+    std::{sync::Arc, time::Duration},
+};
+
+/// How long a connection to an upstream may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a short call to an engine may take.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Parts that are shared by the request path and the control work around it.
+pub struct PathBase {
+    /// The known upstreams.
+    pub board: Arc<UpstreamBoard>,
+    /// The links to other instances.
+    pub endpoint: PeerEndpoint,
+    /// The engines' client.
+    pub engine: CompletionEngine,
+    /// The way to the allocators.
+    pub hub: Arc<CellHub>,
+    /// The counters.
+    pub metrics: Arc<FlowMetrics>,
+    /// The platform's client.
+    pub platform: HttpPlatform,
+    /// The background work.
+    pub pool: WorkerPool,
+    /// The table in force.
+    pub tables: Arc<TableBoard>,
+}
+
+impl PathBase {
+    /// Makes the parts, and puts those that plug-ins dump into the state map.
+    ///
+    /// # Errors
+    ///
+    /// The address for peers can't be bound, the keys can't be used, or the platform's address is none.
+    pub fn new(parts: &EntryParts) -> Result<Self, RunError> {
+        let settings = &parts.settings;
+        let identity = &parts.identity;
+        let base = Self {
+            board: Arc::new(UpstreamBoard::new(fixed_upstreams(settings))),
+            endpoint: bind_endpoint(parts)?,
+            engine: make_engine(settings),
+            hub: Arc::new(CellHub::new(
+                identity.instance.clone(),
+                identity.incarnation,
+            )),
+            metrics: Arc::new(FlowMetrics::new().context(MetricsSnafu)?),
+            platform: make_platform(settings)?,
+            pool: parts.pool.clone(),
+            tables: Arc::new(TableBoard::new()),
+        };
+        parts.map.insert(base.board.clone());
+        parts.map.insert(base.hub.clone());
+        parts.map.insert(base.metrics.clone());
+        parts.map.insert(base.tables.clone());
+        Ok(base)
+    }
+
+    /// Cancels streams in the background.
+    pub fn canceller(&self) -> StreamCanceller<CompletionEngine> {
+        StreamCanceller::new(
+            self.board.clone(),
+            self.engine.clone(),
+            self.metrics.clone(),
+            self.pool.clone(),
+        )
+    }
+
+    /// What the handlers of callers' requests share.
+    pub fn door_shared(
+        &self,
+        parts: &EntryParts,
+        cut: CloseSignal,
+        gate: Arc<AdmissionGate>,
+    ) -> DoorShared<CompletionEngine> {
+        let settings = &parts.settings;
+        let plain = PlainCaller::builder()
+            .board(self.board.clone())
+            .connect(CONNECT_TIMEOUT)
+            .first_byte(settings.limits.first_byte)
+            .seed(parts.identity.incarnation)
+            .zone(parts.identity.zone.clone())
+            .build();
+        let flow = FlowShared {
+            board: self.board.clone(),
+            canceller: self.canceller(),
+            cut,
+            engine: self.engine.clone(),
+            hub: self.hub.clone(),
+            metrics: self.metrics.clone(),
+        };
+        DoorShared {
+            defaults: door_defaults(settings),
+            flow: Arc::new(flow),
+            gate,
+            limits: door_limits(settings),
+            plain: Arc::new(plain),
+            tables: self.tables.clone(),
+            zone: parts.identity.zone.clone(),
+        }
+    }
+}
+
+fn bind_endpoint(parts: &EntryParts) -> Result<PeerEndpoint, RunError> {
+    let keys = load_keys(&parts.settings.keys)?;
+    let book = PeerBook::new();
+    for peer in &parts.settings.peers {
+        book.set(peer.instance.clone(), peer.address);
+    }
+    PeerEndpoint::builder()
+        .address(parts.settings.listen.peers)
+        .book(book)
+        .incarnation(parts.identity.incarnation)
+        .instance(parts.identity.instance.clone())
+        .keys(&keys)
+        .build()
+        .context(KeysSnafu)
+}
+
+fn door_defaults(settings: &EntrySettings) -> DoorDefaults {
+    DoorDefaults {
+        chat: settings.defaults.chat.clone(),
+        completions: settings.defaults.completions.clone(),
+        services: settings.defaults.services.clone(),
+    }
+}
+
+fn door_limits(settings: &EntrySettings) -> DoorLimits {
+    DoorLimits::builder()
+        .body(settings.limits.body as usize)
+        .headers(settings.limits.headers as usize)
+        .open_requests(settings.limits.open_requests as usize)
+        .build()
+}
+
+fn fixed_upstreams(settings: &EntrySettings) -> Vec<InstanceRecord> {
+    settings.upstreams.iter().map(fixed_upstream).collect()
+}
+
+fn fixed_upstream(upstream: &UpstreamSettings) -> InstanceRecord {
+    InstanceRecord {
+        address: upstream.address.to_string().into(),
+        checks_fence: upstream.checks_fence,
+        kind: match upstream.role {
+            UpstreamRole::Decode => InstanceKind::Decode,
+            UpstreamRole::Plain => InstanceKind::Plain,
+            UpstreamRole::Prefill => InstanceKind::Prefill,
+        },
+        model: upstream.model.clone(),
+        name: upstream.name.clone(),
+        service: Some(upstream.service.clone()),
+        state: InstanceState::Live,
+        zone: upstream.zone.clone(),
+    }
+}
+
+fn make_engine(settings: &EntrySettings) -> CompletionEngine {
+    CompletionEngine::builder()
+        .connect(CONNECT_TIMEOUT)
+        .control(CONTROL_TIMEOUT)
+        .idle(settings.limits.idle)
+        .prefill(settings.limits.first_byte)
+        .build()
+}
+
+fn make_platform(settings: &EntrySettings) -> Result<HttpPlatform, RunError> {
+    HttpPlatform::builder()
+        .address(format!("http://{}", settings.platform.address))
+        .timeout(settings.platform.timeout)
+        .build()
+        .context(PlatformSnafu)
+}
--- a/crates/trestlewalk/src/entry/table_driver.rs
+++ b/crates/trestlewalk/src/entry/table_driver.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     flow::TableBoard,
     kernel::{InstanceId, LockRank, RankedLock, TableVersion, WorkerPool, ZoneId, unix_time},
-    peer::{PeerEndpoint, PeerIncoming, ProtocolTag},
+    peer::{PeerDriver, PeerError, TableMark, peer_error::GarbledSnafu},
     plat::{EditOrigin, PollAction, PollEvent, PollPlan, RowStore, TableRepository},
     std::{
         sync::Arc,
@@ -14,16 +14,11 @@
     table::{
         KeeperAction, KeeperEvent, StampedTable, TableHead, TableKeeper, TablePatch, TableSource,
     },
-    tokio::{
-        sync::{Notify, mpsc},
-        time,
-    },
+    tokio::{sync::Notify, time},
 };
 
 /// The condition that keeps an instance without a table from being ready.
 pub const TABLE_CONDITION: &str = "table";
-/// The tag of pulls of the table.
-pub const TABLE_TAG: ProtocolTag = 0x21;
 
 /// How often the keeper and the plan hear that time passes.
 const TICK: Duration = Duration::from_millis(100);
@@ -38,7 +33,6 @@
 /// Keeps the table in force.
 pub struct TableDriver<S> {
     board: Arc<TableBoard>,
-    endpoint: PeerEndpoint,
     head_changed: Notify,
     instance: InstanceId,
     pool: WorkerPool,
@@ -53,7 +47,6 @@
     #[builder]
     pub fn new(
         board: Arc<TableBoard>,
-        endpoint: PeerEndpoint,
         instance: InstanceId,
         plan: PollPlan,
         pool: WorkerPool,
@@ -68,7 +61,6 @@
         };
         Self {
             board,
-            endpoint,
             head_changed: Notify::new(),
             instance,
             pool,
@@ -87,16 +79,20 @@
         Some(now - since)
     }
 
+    /// The head, as the membership announces it.
+    pub fn mark(&self) -> TableMark {
+        let head = self.head();
+        TableMark {
+            digest: head.digest,
+            version: head.version,
+        }
+    }
+
     /// The head to announce.
     pub fn head(&self) -> TableHead {
         self.state.lock().keeper.head()
     }
 
-    /// Waits until the head to announce has changed.
-    pub async fn head_changed(&self) {
-        self.head_changed.notified().await;
-    }
-
     /// Gives one event to the keeper.
     pub fn on_event(self: &Arc<Self>, event: KeeperEvent) {
         let mut actions = Vec::new();
@@ -114,20 +110,11 @@
         self.step_plan(PollEvent::Members(members));
     }
 
-    /// Answers peers' pulls for as long as it is driven.
-    pub async fn run_pulls(self: Arc<Self>, mut incoming: mpsc::Receiver<PeerIncoming>) {
-        while let Some(call) = incoming.recv().await {
-            let PeerIncoming::Call { body, reply, .. } = call else {
-                continue;
-            };
-            let Ok(since) = postcard::from_bytes::<TableVersion>(&body) else {
-                continue;
-            };
-            let patch = self.state.lock().keeper.patch_since(since);
-            let Ok(body) = postcard::to_stdvec(&patch) else {
-                continue;
-            };
-            reply.send(Bytes::from(body));
+    /// Tells the membership of each table that comes into force, for as long as it is driven.
+    pub async fn run_heads(self: Arc<Self>, driver: Arc<PeerDriver>) {
+        loop {
+            self.head_changed.notified().await;
+            driver.set_table(self.mark());
         }
     }
 
@@ -180,9 +167,10 @@
         self.step_plan(PollEvent::Done { answered });
     }
 
+    /// Peers are pulled from by the membership, which knows who has what.
     async fn pull(self: Arc<Self>, since: TableVersion, source: TableSource) {
         let patch = match &source {
-            TableSource::Peer(instance) => self.pull_peer(instance, since).await,
+            TableSource::Peer(_) => None,
             TableSource::Platform => self.pull_platform(since).await,
         };
         self.on_event(match patch {
@@ -191,12 +179,6 @@
         });
     }
 
-    async fn pull_peer(&self, instance: &InstanceId, since: TableVersion) -> Option<TablePatch> {
-        let body = postcard::to_stdvec(&since).ok()?;
-        let reply = self.endpoint.call(instance, TABLE_TAG, &body).await.ok()?;
-        postcard::from_bytes(&reply).ok()
-    }
-
     async fn pull_platform(&self, since: TableVersion) -> Option<TablePatch> {
         let snapshot = self.repository.snapshot().await.ok()?;
         Some(snapshot.table.patch_since(since))
@@ -250,6 +232,39 @@
     }
 }
 
+/// What the membership asks when it spreads the table.
+pub struct TableShare<S> {
+    /// The driver.
+    pub driver: Arc<TableDriver<S>>,
+}
+
+impl<S: RowStore + 'static> peer::TableSource for TableShare<S> {
+    fn changes(&self, since: TableVersion) -> Option<Bytes> {
+        let patch = self.driver.state.lock().keeper.patch_since(since);
+        if patch.version <= since {
+            return None;
+        }
+        postcard::to_stdvec(&patch).ok().map(Bytes::from)
+    }
+
+    fn mark(&self) -> TableMark {
+        self.driver.mark()
+    }
+
+    async fn take(&self, from: &InstanceId, content: Bytes) -> Result<TableMark, PeerError> {
+        let patch = postcard::from_bytes::<TablePatch>(&content);
+        let Ok(patch) = patch else {
+            return GarbledSnafu {
+                detail: "the table can't be read",
+            }
+            .fail();
+        };
+        let source = TableSource::Peer(from.clone());
+        self.driver.on_event(KeeperEvent::Pulled { patch, source });
+        Ok(self.driver.mark())
+    }
+}
+
 /// Answers the admin server.
 pub struct BoardStatus {
     /// The table in force.
