--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -35,6 +35,7 @@
 pub mod fleet;
 pub mod fleet_plan;
 pub mod fleet_process;
+pub mod fleet_table;
 pub mod http_call;
 pub mod relay_mode;
 pub mod sse_reply;
@@ -47,6 +48,7 @@
     fleet::Fleet,
     fleet_plan::FleetPlan,
     fleet_process::FleetProcess,
+    fleet_table::TABLE,
     http_call::{CallReply, HttpCall},
     relay_mode::{RelayMode, RelaySwitch},
     sse_reply::SseReply,
