--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -1,50 +1,47 @@
-//! The request path, from the callers' socket to the upstreams. Until it is wired every request is refused as not run.
+//! The request path, from the callers' socket to the upstreams, with the control work around it.
 
 use {
     crate::{
         RunError,
-        admin::{StatusSource, TableStatus},
-        entry::{CloseReport, EntryParts},
-        run_error::{BindSnafu, RuntimeSnafu},
+        admin::StatusSource,
+        entry::{BoardStatus, CloseReport, ControlWork, EntryParts, PathBase},
+        run_error::KeysSnafu,
     },
-    axum::{
-        Json, Router,
-        http::StatusCode,
-        response::{IntoResponse, Response},
-    },
-    kernel::{CloseSignal, ResultCode},
-    serde_json::json,
+    door::{AdmissionGate, DoorServer},
+    flow::TableBoard,
+    kernel::CloseSignal,
+    peer::PeerEndpoint,
     snafu::ResultExt,
-    std::{
-        net::{SocketAddr, UdpSocket},
-        sync::Arc,
-        time::Duration,
-    },
-    tokio::{net::TcpListener, task::JoinHandle},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, task::JoinHandle, time},
 };
 
-/// The condition that keeps an instance without a table from being ready.
-pub const TABLE_CONDITION: &str = "table";
-const RESULT_HEADER: &str = "Trestlewalk-Result";
+/// The time after the last answer, or after a cut, in which what is written still goes out.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
 
 /// Everything between the callers' socket and the upstreams.
-#[derive(Debug)]
 pub struct RequestPath {
-    peers: UdpSocket,
+    control: ControlWork,
+    cut: CloseSignal,
+    endpoint: PeerEndpoint,
+    gate: Arc<AdmissionGate>,
+    server: JoinHandle<bool>,
     signal: CloseSignal,
-    task: JoinHandle<()>,
 }
 
 impl RequestPath {
-    /// Takes no new connection, lets queued and running requests end for at most `limit`, and stops.
+    /// Takes no new request, lets queued and running ones end for at most `limit`, and counts those that it cuts off.
+    /// Then the members are told, and the links close.
     pub async fn close(self, limit: Duration) -> CloseReport {
+        self.gate.shut();
+        let ended = time::timeout(limit, self.gate.empty()).await.is_ok();
+        let cut = if ended { 0 } else { self.gate.open() as u64 };
+        self.cut.raise();
         self.signal.raise();
-        let stop = self.task.abort_handle();
-        if tokio::time::timeout(limit, self.task).await.is_ok() {
-            return CloseReport::default();
-        }
-        stop.abort();
-        CloseReport { cut: 1 }
+        let _ = time::timeout(FLUSH_LIMIT, self.server).await;
+        self.control.close().await;
+        self.endpoint.close().await;
+        CloseReport { cut }
     }
 
     /// Where other instances send messages.
@@ -53,13 +50,17 @@
     ///
     /// The system does not know the socket's address.
     pub fn peers_address(&self) -> Result<SocketAddr, RunError> {
-        self.peers.local_addr().context(RuntimeSnafu)
+        self.endpoint.local_address().context(KeysSnafu)
     }
 
     /// Which table is in force.
     pub fn source(parts: &EntryParts) -> Arc<impl StatusSource + use<>> {
-        Arc::new(NoTable {
-            parts: parts.clone(),
+        let board = parts.map.get::<TableBoard>().unwrap_or_default();
+        let identity = &parts.identity;
+        Arc::new(BoardStatus {
+            board,
+            instance: identity.instance.clone(),
+            zone: identity.zone.clone(),
         })
     }
 
@@ -67,50 +68,25 @@
     ///
     /// # Errors
     ///
-    /// The address for peers is taken or not of this host.
+    /// The address for peers can't be bound, the keys can't be used, or the platform's address is none.
     pub fn start(callers: TcpListener, parts: &EntryParts) -> Result<Self, RunError> {
-        let address = parts.settings.listen.peers;
-        let peers = UdpSocket::bind(address).context(BindSnafu {
-            address,
-            field: "listen.peers",
-        })?;
-        parts.board.block(TABLE_CONDITION, "no table yet");
+        let base = PathBase::new(parts)?;
+        let control = ControlWork::start(&base, parts)?;
+        let cut = CloseSignal::new();
+        let gate = Arc::new(AdmissionGate::new(
+            parts.settings.limits.open_requests as usize,
+        ));
+        let shared = base.door_shared(parts, cut.clone(), gate.clone());
         let signal = CloseSignal::new();
-        let raised = signal.clone();
-        let server = axum::serve(callers, Router::new().fallback(refuse))
-            .with_graceful_shutdown(async move { raised.raised().await });
-        let task = tokio::spawn(async move {
-            if let Err(error) = server.await {
-                tracing::error!(%error, "the callers' server ended");
-            }
-        });
+        let server = DoorServer::new(callers, Arc::new(shared));
+        let server = tokio::spawn(server.run(signal.clone(), FLUSH_LIMIT));
         Ok(Self {
-            peers,
+            control,
+            cut,
+            endpoint: base.endpoint,
+            gate,
+            server,
             signal,
-            task,
         })
     }
 }
-
-struct NoTable {
-    parts: EntryParts,
-}
-
-impl StatusSource for NoTable {
-    fn table_status(&self) -> TableStatus {
-        TableStatus {
-            digest: 0,
-            instance: self.parts.identity.instance.clone(),
-            since: 0,
-            version: 0,
-            zone: self.parts.identity.zone.clone(),
-        }
-    }
-}
-
-async fn refuse() -> Response {
-    let code = ResultCode::NotReady;
-    let body = json!({ "code": code.number(), "text": code.text() });
-    let header = [(RESULT_HEADER, code.number().to_string())];
-    (StatusCode::SERVICE_UNAVAILABLE, header, Json(body)).into_response()
-}
