table CLI: show, check, diff, apply and history

Cause: operators drive the system only by the table. apply asks the entry instances first: a platform that is behind them was put back to an older copy, and an edit on it would be made on rows that nobody holds any more. It names the version that entry instances hold as the floor of the new one. Hooks outside the folder: the variants of Subcommand and RunError.

--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -1,7 +1,7 @@
 //! Why a subcommand failed.
 
 use {
-    crate::{exit_code, settings::SettingsFault},
+    crate::{exit_code, settings::SettingsFault, subcommand::table::TableCliError},
     kernel::ResultCode,
     snafu::Snafu,
     std::{io, net::SocketAddr, path::PathBuf},
@@ -75,6 +75,12 @@
         /// The faults, by line.
         faults: Vec<SettingsFault>,
     },
+    /// A verb of `table` failed.
+    #[snafu(display("{source}"))]
+    Table {
+        /// Why.
+        source: TableCliError,
+    },
     /// Not built yet.
     #[snafu(display("`{subcommand}` is not wired in this build"))]
     Unwired {
@@ -101,6 +107,7 @@
                 Some(ResultCode::SettingsInvalid)
             }
             Self::RequestFailed { code, .. } => Some(*code),
+            Self::Table { source } => source.result_code(),
             Self::Bind { .. }
             | Self::Fake { .. }
             | Self::Keys { .. }
--- a/crates/trestlewalk/src/subcommand.rs
+++ b/crates/trestlewalk/src/subcommand.rs
@@ -5,12 +5,13 @@
 pub mod fake;
 pub mod keys;
 pub mod serve;
+pub mod table;
 pub mod ticket;
 
 use {
     self::{
         check::CheckCommand, dump::DumpCommand, fake::FakeCommand, keys::KeysCommand,
-        serve::ServeCommand, ticket::TicketCommand,
+        serve::ServeCommand, table::TableCommand, ticket::TicketCommand,
     },
     crate::RunError,
 };
@@ -29,6 +30,9 @@
     Keys(KeysCommand),
     /// Run an entry instance until it is told to close.
     Serve(ServeCommand),
+    /// Read and edit the operators' table.
+    #[command(subcommand)]
+    Table(TableCommand),
     /// Mint or use a ticket that makes a request run at most once.
     #[command(subcommand)]
     Ticket(TicketCommand),
@@ -47,6 +51,7 @@
             Self::Fake(command) => command.run(),
             Self::Keys(command) => command.run(),
             Self::Serve(command) => command.run(),
+            Self::Table(command) => command.run(),
             Self::Ticket(command) => command.run(),
         }
     }
--- /dev/null
+++ b/crates/trestlewalk/src/subcommand/table/diff.rs
@@ -0,0 +1,48 @@
+//! `trestlewalk table diff`.
+
+use {
+    super::{
+        change_text::changes_text,
+        edit_plan::EditPlan,
+        file_arguments::{FileArguments, load_file},
+        operator_arguments::OperatorArguments,
+        table_cli_error::{PlatformSnafu, TableCliError},
+        text_output::print_text,
+    },
+    clap::Args,
+    snafu::ResultExt,
+    std::path::PathBuf,
+};
+
+/// The arguments of `table diff`.
+#[derive(Args, Debug)]
+pub struct DiffCommand {
+    /// The table file.
+    #[command(flatten)]
+    pub file: FileArguments,
+    /// Where the platform is.
+    #[command(flatten)]
+    pub operator: OperatorArguments,
+    /// A second file: compares the two files, and asks no platform.
+    pub other: Option<PathBuf>,
+}
+
+impl DiffCommand {
+    /// Prints what the file would change in the table, or how the second file differs from the first.
+    ///
+    /// # Errors
+    ///
+    /// When a file has faults, the platform gives no table, or the file conflicts with other edits.
+    pub async fn execute(self) -> Result<(), TableCliError> {
+        let file = self.file.load()?;
+        if let Some(other) = &self.other {
+            let other = load_file(other)?;
+            let changes = table::diff_rows(&file.rows, &other.rows);
+            return print_text(&changes_text(&changes));
+        }
+        let repository = self.operator.load()?.repository()?;
+        let snapshot = repository.snapshot().await.context(PlatformSnafu)?;
+        let plan = EditPlan::make(&repository, &snapshot, &self.file, &file).await?;
+        plan.print()
+    }
+}
--- /dev/null
+++ b/crates/trestlewalk/src/subcommand/table/edit_plan.rs
@@ -0,0 +1,81 @@
+//! What a file would do to the table now.
+
+use {
+    super::{
+        change_text::{changes_text, conflicts_text},
+        file_arguments::FileArguments,
+        table_cli_error::{ConflictSnafu, PlatformSnafu, TableCliError},
+        text_output::print_text,
+    },
+    kernel::TableVersion,
+    plat::{RowStore, TableRepository, TableSnapshot},
+    snafu::ResultExt,
+    table::{FileBase, RowConflict, TableFile, TableMerge, merge_rows},
+};
+
+/// A file merged into the table as it is now.
+#[derive(Clone, Debug)]
+pub struct EditPlan {
+    /// The version that the file was taken from.
+    pub base: FileBase,
+    /// What the file does.
+    pub merge: TableMerge,
+    /// The table's version now.
+    pub version: TableVersion,
+}
+
+impl EditPlan {
+    /// Merges a file into a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// When the version that the file was taken from can't be found.
+    pub async fn make<S: RowStore>(
+        repository: &TableRepository<S>,
+        snapshot: &TableSnapshot,
+        arguments: &FileArguments,
+        file: &TableFile,
+    ) -> Result<Self, TableCliError> {
+        let version = snapshot.version();
+        let base = arguments.base_of(file, version)?;
+        let rows = repository.rows_at(snapshot, base).await;
+        let rows = rows.context(PlatformSnafu)?;
+        let merge = merge_rows(&rows, &file.rows, &snapshot.table.live_rows());
+        Ok(Self {
+            base,
+            merge,
+            version,
+        })
+    }
+
+    /// Prints what the file does.
+    ///
+    /// # Errors
+    ///
+    /// When the output can't be written, or there are conflicts, after they are printed.
+    pub fn print(&self) -> Result<(), TableCliError> {
+        print_text(&changes_text(&self.merge.changes))?;
+        if !self.merge.settled.is_empty() {
+            let settled = self.merge.settled.join(" ");
+            print_text(&format!("already so: {settled}\n"))?;
+        }
+        match self.merge.conflicts.is_empty() {
+            true => Ok(()),
+            false => refuse_conflicts(&self.merge.conflicts, self.version),
+        }
+    }
+}
+
+/// Prints conflicts and makes the error of them.
+///
+/// # Errors
+///
+/// Always.
+pub fn refuse_conflicts(
+    conflicts: &[RowConflict],
+    version: TableVersion,
+) -> Result<(), TableCliError> {
+    print_text(&conflicts_text(conflicts))?;
+    let count = conflicts.len();
+    ConflictSnafu { count, version }.fail()
+}
--- /dev/null
+++ b/crates/trestlewalk/src/subcommand/table/zone_watch.rs
@@ -0,0 +1,159 @@
+//! Follows an edit until it is in force in every availability zone.
+
+use {
+    super::admin_probe::ProbeAnswers,
+    kernel::{TableDigest, TableVersion, ZoneId},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// What stands for the availability zone of an instance that never answered.
+const UNKNOWN_ZONE: &str = "(unknown availability zone)";
+
+/// The state of one availability zone.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ZoneState {
+    /// The instances that answered.
+    pub answered: usize,
+    /// How long after the edit all that answer had it in force.
+    pub in_force: Option<Duration>,
+    /// The instances that have the edit in force.
+    pub ready: usize,
+    /// The instances that gave no answer.
+    pub silent: BTreeSet<SocketAddr>,
+    /// The least version that an answer told.
+    pub version: TableVersion,
+}
+
+/// Gathers what instances answer. Pure: whoever asks them passes the answers in.
+#[derive(Clone, Debug)]
+pub struct ZoneWatch {
+    digests: BTreeSet<TableDigest>,
+    homes: BTreeMap<SocketAddr, ZoneId>,
+    states: BTreeMap<ZoneId, ZoneState>,
+    version: TableVersion,
+    zones: BTreeSet<ZoneId>,
+}
+
+impl ZoneWatch {
+    /// Takes a round of answers, `passed` after the edit; the zones that came into force with it, by name.
+    pub fn hear(&mut self, answers: &ProbeAnswers, passed: Duration) -> Vec<ZoneId> {
+        let mut states: BTreeMap<ZoneId, ZoneState> = BTreeMap::new();
+        for zone in &self.zones {
+            states.insert(zone.clone(), ZoneState::default());
+        }
+        for (address, answer) in answers {
+            if let Some(status) = answer {
+                self.homes.insert(*address, status.zone.clone());
+            }
+            let state = states.entry(self.home_of(*address)).or_default();
+            let Some(status) = answer else {
+                state.silent.insert(*address);
+                continue;
+            };
+            state.version = match state.answered {
+                0 => status.version,
+                _ => state.version.min(status.version),
+            };
+            state.answered += 1;
+            state.ready += usize::from(status.version >= self.version);
+            if status.version == self.version {
+                self.digests.insert(status.digest);
+            }
+        }
+        let mut fresh = Vec::new();
+        for (zone, state) in &mut states {
+            let earlier = self.states.get(zone).and_then(|earlier| earlier.in_force);
+            let is_ready = state.answered > 0 && state.ready == state.answered;
+            state.in_force = earlier.or(is_ready.then_some(passed));
+            if earlier.is_none() && is_ready {
+                fresh.push(zone.clone());
+            }
+        }
+        self.states = states;
+        fresh
+    }
+
+    /// Whether the edit is in force in every zone, at every instance.
+    pub fn is_done(&self) -> bool {
+        let states = self.states.values();
+        let mut states =
+            states.filter(|state| state.in_force.is_none() || !state.silent.is_empty());
+        !self.states.is_empty() && states.next().is_none()
+    }
+
+    /// Whether instances hold the edit's version with different content.
+    pub fn digests_differ(&self) -> bool {
+        self.digests.len() > 1
+    }
+
+    /// A watch of an edit that made `version`, over zones known beforehand and instances that answered before.
+    pub fn new(version: TableVersion, zones: BTreeSet<ZoneId>, before: &ProbeAnswers) -> Self {
+        let mut homes = BTreeMap::new();
+        for (address, answer) in before {
+            if let Some(status) = answer {
+                homes.insert(*address, status.zone.clone());
+            }
+        }
+        Self {
+            digests: BTreeSet::new(),
+            homes,
+            states: BTreeMap::new(),
+            version,
+            zones,
+        }
+    }
+
+    /// The zones where the edit is not in force.
+    pub fn open_zones(&self) -> Vec<ZoneId> {
+        let mut zones = Vec::new();
+        for (zone, state) in &self.states {
+            if state.in_force.is_none() {
+                zones.push(zone.clone());
+            }
+        }
+        zones
+    }
+
+    /// One line about a zone.
+    pub fn zone_text(&self, zone: &str) -> String {
+        let Some(state) = self.states.get(zone) else {
+            return format!("{zone}: nothing known");
+        };
+        let mut text = match state.in_force {
+            Some(passed) => format!(
+                "{zone}: in force after {:.1} s at {} of {} instances",
+                passed.as_secs_f64(),
+                state.ready,
+                state.answered + state.silent.len()
+            ),
+            None if state.answered == 0 => format!("{zone}: cut off: no entry instance answers"),
+            None => format!(
+                "{zone}: not in force: it still has version {}, in force at {} of {} instances",
+                state.version,
+                state.ready,
+                state.answered + state.silent.len()
+            ),
+        };
+        if !state.silent.is_empty() {
+            let silent: Vec<String> = state.silent.iter().map(ToString::to_string).collect();
+            text.push_str(&format!("; no answer from {}", silent.join(" ")));
+        }
+        text
+    }
+
+    /// The zones, by name.
+    pub fn zones(&self) -> Vec<ZoneId> {
+        self.states.keys().cloned().collect()
+    }
+
+    fn home_of(&self, address: SocketAddr) -> ZoneId {
+        match self.homes.get(&address) {
+            Some(zone) => zone.clone(),
+            None => UNKNOWN_ZONE.into(),
+        }
+    }
+}
