--- a/crates/plat/tests/operators_fuzz.rs
+++ b/crates/plat/tests/operators_fuzz.rs
@@ -56,8 +56,16 @@
         operator: usize,
         weight: u8,
     },
-    /// One instance hears another's heartbeat and pulls.
-    Heartbeat { from: usize, to: usize },
+    /// Takes a fresh file, changes a row and applies it.
+    Edit {
+        key: usize,
+        operator: usize,
+        slow_clock: bool,
+        weight: u8,
+    },
+    /// Two instances hear two rounds of each other's heartbeats and pull. One round is not enough after a fork: whoever
+    /// has the greater version asks nothing of the other, until that one has joined and differs in its digest.
+    Meet { left: usize, right: usize },
     /// An instance polls the platform; its write-back may lose a reply.
     Poll { instance: usize, lose_reply: bool },
     /// Replaces an instance.
@@ -146,6 +154,12 @@
         self.platform.past.push(now);
     }
 
+    /// Gives an operator a fresh file.
+    fn take(&mut self, operator: usize) {
+        let now = self.platform.rows.map(|(_, weight)| weight);
+        self.files[operator] = (now, now);
+    }
+
     /// An instance and the platform tell each other all accepted edits.
     fn poll(&mut self, instance: usize) {
         let before = self.platform.rows;
@@ -184,16 +198,19 @@
             6 => (operator.clone(), any::<bool>(), any::<bool>(), trouble).prop_map(
                 |(operator, raced, slow_clock, trouble)| Step::Apply { operator, raced, slow_clock, trouble }
             ),
-            1 => Just(Step::Backup),
+            2 => Just(Step::Backup),
             8 => (0..KEYS.len(), operator.clone(), 0_u8..4).prop_map(
                 |(key, operator, weight)| Step::Change { key, operator, weight }
             ),
-            4 => (instance.clone(), instance.clone()).prop_map(|(from, to)| Step::Heartbeat { from, to }),
+            6 => (0..KEYS.len(), operator.clone(), any::<bool>(), 0_u8..4).prop_map(
+                |(key, operator, slow_clock, weight)| Step::Edit { key, operator, slow_clock, weight }
+            ),
+            4 => (instance.clone(), instance.clone()).prop_map(|(left, right)| Step::Meet { left, right }),
             4 => (instance.clone(), any::<bool>()).prop_map(
                 |(instance, lose_reply)| Step::Poll { instance, lose_reply }
             ),
             1 => instance.prop_map(|instance| Step::Restart { instance }),
-            1 => Just(Step::RestoreBackup),
+            3 => Just(Step::RestoreBackup),
             3 => operator.prop_map(|operator| Step::Take { operator }),
         ]
         .boxed()
@@ -227,16 +244,25 @@
                 operator,
                 weight,
             } => state.files[operator].1[key] = weight,
-            Step::Heartbeat { from, to } => {
-                state.instances[to] = join(state.instances[to], state.instances[from]);
+            Step::Edit {
+                key,
+                operator,
+                weight,
+                ..
+            } => {
+                state.take(operator);
+                state.files[operator].1[key] = weight;
+                state.expected = state.apply(operator);
+            }
+            Step::Meet { left, right } => {
+                let both = join(state.instances[left], state.instances[right]);
+                state.instances[left] = both;
+                state.instances[right] = both;
             }
             Step::Poll { instance, .. } => state.poll(instance),
             Step::Restart { instance } => state.instances[instance] = Held::default(),
             Step::RestoreBackup => state.platform = state.backup.clone(),
-            Step::Take { operator } => {
-                let now = state.platform.rows.map(|(_, weight)| weight);
-                state.files[operator] = (now, now);
-            }
+            Step::Take { operator } => state.take(operator),
         }
         state
     }
@@ -260,6 +286,8 @@
     now: Instant,
     runtime: Runtime,
     store: MemoryStore,
+    /// Whether write-backs reach the platform.
+    writes_back: bool,
 }
 
 impl World {
@@ -382,7 +410,7 @@
                 };
                 Some(KeeperEvent::Pulled { patch, source })
             }
-            KeeperAction::Restore(held) => {
+            KeeperAction::Restore(held) if self.writes_back => {
                 self.clock += 10;
                 let origin = origin(&format!("heal-{}", self.clock), self.clock / 2);
                 let repository = self.store.repository();
@@ -476,6 +504,7 @@
                 .build()
                 .expect("a runtime"),
             store: MemoryStore::default(),
+            writes_back: true,
         }
     }
 
@@ -496,10 +525,26 @@
                 operator,
                 weight,
             } => world.change(operator, key, weight),
-            Step::Heartbeat { from, to } => {
-                let head = world.keepers[from].head();
-                let source = TableSource::Peer(from.to_string().into());
-                world.tell(to, source, head);
+            Step::Edit {
+                key,
+                operator,
+                slow_clock,
+                weight,
+            } => {
+                world.take(operator);
+                world.change(operator, key, weight);
+                let outcome = world.apply(operator, false, slow_clock, Trouble::None);
+                assert_eq!(outcome, oracle.expected, "{step:?}");
+            }
+            Step::Meet { left, right } => {
+                // What they learn reaches the platform with a later poll.
+                world.writes_back = false;
+                for (from, to) in [(left, right), (right, left), (left, right), (right, left)] {
+                    let head = world.keepers[from].head();
+                    let source = TableSource::Peer(from.to_string().into());
+                    world.tell(to, source, head);
+                }
+                world.writes_back = true;
             }
             Step::Poll {
                 instance,
