Stand-ins that fall silent: a stalled batch, a reply that comes late

Cause: an upstream that keeps its places and gives no token, and a write that took effect before its caller stopped waiting, could not be produced. A token's text no longer hashes the whole prompt again.

--- a/crates/fake/src/expected_answer.rs
+++ b/crates/fake/src/expected_answer.rs
@@ -52,7 +52,7 @@
 
 /// The token at `index` of the answer: 8 digits of the prompt's hash, a dash, the index, and a space.
 pub fn expected_token(prompt: &str, index: u32) -> Arc<str> {
-    Arc::from(format!("{}-{index} ", prompt_digits(prompt)))
+    token_text(&prompt_digits(prompt), index)
 }
 
 /// The first `length` tokens of the answer.
@@ -60,7 +60,7 @@
     let digits = prompt_digits(prompt);
     let mut text = String::new();
     for index in 0..length {
-        text.push_str(&format!("{digits}-{index} "));
+        text.push_str(&token_text(&digits, index));
     }
     text
 }
@@ -77,6 +77,11 @@
     u32::try_from(tokens).unwrap_or(u32::MAX)
 }
 
+/// The token at `index` of the answer to the prompt with these digits.
+pub(crate) fn token_text(digits: &str, index: u32) -> Arc<str> {
+    Arc::from(format!("{digits}-{index} "))
+}
+
 fn length_draw(prompt: &str) -> u32 {
     (mix(1, prompt.as_bytes()) >> u32::BITS) as u32
 }
--- a/crates/fake/src/model/core_decode.rs
+++ b/crates/fake/src/model/core_decode.rs
@@ -61,7 +61,7 @@
 
     /// Starts a step with all streams that decode, if none runs.
     pub(super) fn start_step(&mut self, now: Instant) {
-        if self.step_end.is_some() {
+        if self.step_end.is_some() || self.faults.stall_decoding {
             return;
         }
         let decoding = |run: &EngineRun| run.phase == RunPhase::Decoding;
--- a/crates/fake/src/model/engine_faults.rs
+++ b/crates/fake/src/model/engine_faults.rs
@@ -29,6 +29,8 @@
     #[serde(rename = "slow_accept_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub slow_accept: Duration,
+    /// No step of the batch starts while this is set: streams fall silent and keep their places.
+    pub stall_decoding: bool,
     /// Transfers never end while this is set.
     pub stall_transfers: bool,
     /// Cuts the connection of each stream after so many tokens; the stream goes on and can be resumed.
--- a/crates/fake/src/model/engine_routes.rs
+++ b/crates/fake/src/model/engine_routes.rs
@@ -167,12 +167,7 @@
         Some(RunEnd::Finished) if !wants_stream => {
             Json(whole_answer(&reader, &view)).into_response()
         }
-        _ => stream_answer(TokenBody {
-            faults,
-            next: 0,
-            reader,
-            sent: 0,
-        }),
+        _ => stream_answer(TokenBody::new(faults, reader, 0)),
     }
 }
 
@@ -210,12 +205,7 @@
     let Some(reader) = state.driver.resume(&id) else {
         return StatusCode::NOT_FOUND.into_response();
     };
-    stream_answer(TokenBody {
-        faults: state.faults(),
-        next: query.offset,
-        reader,
-        sent: 0,
-    })
+    stream_answer(TokenBody::new(state.faults(), reader, query.offset))
 }
 
 async fn streams(State(state): State<EngineState>) -> Json<Vec<StreamRecord>> {
--- a/crates/fake/src/model/token_body.rs
+++ b/crates/fake/src/model/token_body.rs
@@ -7,7 +7,7 @@
         engine_run::{RunEnd, RunView},
     },
     crate::{
-        expected_answer::{expected_token, prompt_tokens},
+        expected_answer::{prompt_digits, prompt_tokens, token_text},
         net::CutBody,
     },
     axum::body::Body,
@@ -26,10 +26,11 @@
 /// Writes a run's tokens as they come.
 #[derive(Debug)]
 pub(super) struct TokenBody {
-    pub(super) faults: EngineFaults,
-    pub(super) next: u32,
-    pub(super) reader: RunReader,
-    pub(super) sent: u32,
+    digits: String,
+    faults: EngineFaults,
+    next: u32,
+    reader: RunReader,
+    sent: u32,
 }
 
 enum BodyStep {
@@ -39,6 +40,17 @@
 }
 
 impl TokenBody {
+    /// Writes the tokens from `offset` on.
+    pub(super) fn new(faults: EngineFaults, reader: RunReader, offset: u32) -> Self {
+        Self {
+            digits: prompt_digits(&reader.call.prompt),
+            faults,
+            next: offset,
+            reader,
+            sent: 0,
+        }
+    }
+
     /// The body itself.
     pub(super) fn into_body(self) -> Body {
         let pieces = stream::unfold(Some((self, false)), |state| async move {
@@ -102,7 +114,7 @@
             choices: vec![CompletionChoice {
                 finish_reason: is_last.then(|| self.reader.finish_reason(view.target)),
                 index: 0,
-                text: expected_token(&call.prompt, self.next),
+                text: token_text(&self.digits, self.next),
             }],
             id: call.id.clone(),
             model: call.model.clone(),
--- a/crates/fake/src/platform/platform_faults.rs
+++ b/crates/fake/src/platform/platform_faults.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
-    /// Every call waits this long before it takes effect.
+    /// Every call waits this long before it takes effect; a caller that leaves meanwhile undoes the call.
     #[serde(rename = "delay_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub delay: Duration,
@@ -27,4 +27,8 @@
     pub lose_next_replies: u64,
     /// Each write takes effect and loses its reply with this probability, 0 to 1.
     pub lose_reply_probability: f64,
+    /// Every reply waits this long after its call took effect.
+    #[serde(rename = "reply_delay_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub reply_delay: Duration,
 }
--- a/crates/fake/src/platform/platform_routes.rs
+++ b/crates/fake/src/platform/platform_routes.rs
@@ -48,7 +48,12 @@
     if state.with(|core| core.faults().down) {
         return cut_answer();
     }
-    next.run(request).await
+    let reply = next.run(request).await;
+    let reply_delay = state.with(|core| core.faults().reply_delay);
+    if !reply_delay.is_zero() {
+        tokio::time::sleep(reply_delay).await;
+    }
+    reply
 }
 
 async fn commit(
--- a/crates/fake/tests/engine_decode.rs
+++ b/crates/fake/tests/engine_decode.rs
@@ -131,6 +131,23 @@
     assert_eq!(engine.end(run), Some(RunEnd::Finished));
 }
 
+#[test]
+fn a_batch_that_stalls_keeps_its_places_and_goes_on_later() {
+    let mut engine = engine_with(found(0.0));
+    let run = engine.submit(decode_call("a", "a"));
+    engine.advance(ms(21));
+    engine.event(EngineEvent::Faults(EngineFaults {
+        stall_decoding: true,
+        ..EngineFaults::default()
+    }));
+    engine.advance(ms(5000));
+    assert_eq!(engine.tokens(run), 3);
+    assert_eq!(engine.core.counters().places_used, 1);
+    engine.event(EngineEvent::Faults(EngineFaults::default()));
+    engine.advance(ms(11));
+    assert_eq!(engine.end(run), Some(RunEnd::Finished));
+}
+
 #[test]
 fn a_stream_without_a_connection_runs_on_and_its_hold_is_measured() {
     let mut engine = engine_with(found(0.0));
--- a/crates/fake/tests/engine_http.rs
+++ b/crates/fake/tests/engine_http.rs
@@ -333,3 +333,79 @@
     assert!(orders[0].accepted && !orders[1].accepted);
     engine.close().await;
 }
+
+#[tokio::test]
+async fn an_evicted_kv_cache_is_gone_for_the_decode_engine() {
+    let settings = EngineSettings::builder()
+        .eviction(Duration::ZERO)
+        .role(EngineRole::Prefill)
+        .build();
+    let (reader, read_client) = start_with(settings).await;
+    let (writer, write_client) = start(EngineRole::Decode).await;
+    let params = prefill(&read_client, "r1", PROMPT).await;
+    let (status, body) = complete(&write_client, "r1", &call(PROMPT, Some(params))).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    let error: EngineError = serde_json::from_slice(&body.unwrap()).unwrap();
+    assert_eq!(&*error.error, "evicted");
+    assert_eq!(reader.counters().evicted, 1);
+    reader.close().await;
+    writer.close().await;
+}
+
+#[tokio::test]
+async fn a_prefill_engine_that_is_gone_leaves_no_place_held() {
+    let (reader, read_client) = start(EngineRole::Prefill).await;
+    let (writer, write_client) = start(EngineRole::Decode).await;
+    let params = prefill(&read_client, "r1", PROMPT).await;
+    reader.close().await;
+    let (_, body) = complete(&write_client, "r1", &call(PROMPT, Some(params))).await;
+    let error: EngineError = serde_json::from_slice(&body.unwrap()).unwrap();
+    assert_eq!(&*error.error, "kv_unreachable");
+    assert!(!error.ran);
+    assert_eq!(writer.counters().places_used, 0);
+    writer.close().await;
+}
+
+#[tokio::test]
+async fn an_engine_starts_again_at_its_old_address_with_nothing_held() {
+    let settings = EngineSettings::builder().decode_base(LONG).build();
+    let (engine, client) = start_with(settings.clone()).await;
+    let body = serde_json::to_vec(&call(PROMPT, None)).unwrap();
+    let response = client
+        .send(Method::POST, "/v1/completions", &[], body)
+        .await
+        .unwrap();
+    let address = engine.address();
+    engine.close().await;
+    assert!(read_body(response).await.is_err());
+    let again = EngineSettings {
+        address,
+        ..settings
+    };
+    let (engine, client) = start_with(again).await;
+    assert_eq!(engine.address(), address);
+    let streams: Vec<StreamRecord> = client.get("/streams").await;
+    assert!(streams.is_empty());
+    engine.close().await;
+}
+
+#[tokio::test]
+async fn dropped_connections_leave_the_streams_running() {
+    let (engine, client) = start_with(EngineSettings::builder().decode_base(LONG).build()).await;
+    let body = serde_json::to_vec(&call(PROMPT, None)).unwrap();
+    let response = client
+        .send(Method::POST, "/v1/completions", &[], body)
+        .await
+        .unwrap();
+    engine.set_faults(EngineFaults {
+        drop_connections: true,
+        ..EngineFaults::default()
+    });
+    assert!(read_body(response).await.is_err());
+    let refused = client.send(Method::GET, "/streams", &[], "").await;
+    assert!(refused.is_err());
+    engine.set_faults(EngineFaults::default());
+    let streams: Vec<StreamRecord> = client.get("/streams").await;
+    assert_eq!(streams.len(), 1);
+    engine.close().await;
+}
--- a/crates/fake/tests/engine_prefill.rs
+++ b/crates/fake/tests/engine_prefill.rs
@@ -87,9 +87,12 @@
     };
     let mut engine = VirtualEngine::new(settings);
     engine.submit(prefill_call("a", &prompt_of("a", 100)));
-    engine.submit(prefill_call("b", &prompt_of("b", 100)));
+    let waiting = engine.submit(prefill_call("b", &prompt_of("b", 100)));
     let refused = engine.submit(prefill_call("c", &prompt_of("c", 100)));
     assert_eq!(engine.error(refused).as_deref(), Some("full"));
+    engine.event(EngineEvent::Cancel(waiting));
+    let taken = engine.submit(prefill_call("d", &prompt_of("d", 100)));
+    assert_eq!(engine.error(taken), None);
 }
 
 #[test]
--- a/crates/fake/tests/platform_http.rs
+++ b/crates/fake/tests/platform_http.rs
@@ -110,3 +110,22 @@
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
     platform.close().await;
 }
+
+#[tokio::test]
+async fn a_caller_that_leaves_before_the_reply_leaves_its_write_behind() {
+    let (platform, client) = start().await;
+    platform.set_faults(PlatformFaults {
+        reply_delay: Duration::from_secs(3600),
+        ..PlatformFaults::default()
+    });
+    let writer = client.clone();
+    let write = tokio::spawn(async move { writer.call(Method::POST, "/tx", PUT_TWO).await });
+    while platform.counters().writes == 0 {
+        tokio::task::yield_now().await;
+    }
+    write.abort();
+    platform.set_faults(PlatformFaults::default());
+    let row: StoredRow = client.get("/rows/work/a").await;
+    assert_eq!(row.version, 1);
+    platform.close().await;
+}
