--- a/crates/bench/src/policies.rs
+++ b/crates/bench/src/policies.rs
@@ -2,6 +2,7 @@
 
 mod bench_policy;
 mod clairvoyant_order;
+mod clairvoyant_plan;
 mod clairvoyant_policy;
 mod clairvoyant_view;
 mod naive_policy;
@@ -10,6 +11,6 @@
 
 pub use {
     bench_policy::BenchPolicy, clairvoyant_order::ClairvoyantOrder,
-    clairvoyant_policy::ClairvoyantPolicy, naive_policy::NaivePolicy,
-    reserve_policy::ReservePolicy,
+    clairvoyant_plan::ClairvoyantPlan, clairvoyant_policy::ClairvoyantPolicy,
+    naive_policy::NaivePolicy, reserve_policy::ReservePolicy,
 };
--- a/crates/bench/src/policies/bench_policy.rs
+++ b/crates/bench/src/policies/bench_policy.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::world::WorldTruth,
-    admit::{AdmitAction, AdmitEvent, AdmitPolicy},
+    admit::{AdmitAction, AdmitEvent, AdmitPolicy, CellAllocator},
     std::time::Instant,
 };
 
@@ -23,3 +23,5 @@
         self.on_event(now, event, actions);
     }
 }
+
+impl BenchPolicy for CellAllocator {}
--- a/crates/bench/src/policies/clairvoyant_order.rs
+++ b/crates/bench/src/policies/clairvoyant_order.rs
@@ -7,11 +7,18 @@
     Cheapest,
     /// The latest possible start first.
     Deadline,
+    /// Urgent work by its cost, then patient work by its latest start.
+    UrgentCheapest,
     /// Urgent work by its latest start, then patient work by its cost.
     UrgentFirst,
 }
 
 impl ClairvoyantOrder {
     /// Every order; the bench runs them all and takes the best.
-    pub const ALL: [Self; 3] = [Self::Cheapest, Self::Deadline, Self::UrgentFirst];
+    pub const ALL: [Self; 4] = [
+        Self::Cheapest,
+        Self::Deadline,
+        Self::UrgentCheapest,
+        Self::UrgentFirst,
+    ];
 }
--- a/crates/bench/src/policies/clairvoyant_policy.rs
+++ b/crates/bench/src/policies/clairvoyant_policy.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         policies::{
-            bench_policy::BenchPolicy, clairvoyant_order::ClairvoyantOrder,
+            bench_policy::BenchPolicy, clairvoyant_plan::ClairvoyantPlan,
             clairvoyant_view::ClairvoyantView,
         },
         world::{ReadingPhase, WorldTruth},
@@ -33,12 +33,10 @@
 /// What the clairvoyant policy keeps of its own decisions.
 #[derive(Clone, Debug)]
 pub struct ClairvoyantPolicy {
-    /// Whether engines are kept below the batch at which the tightest row's between-token target fails.
-    guards: bool,
     keys: BTreeMap<RequestIndex, RequestKey>,
     /// Granted a decode place, the first token not yet seen.
     moving: BTreeMap<RequestIndex, EngineIndex>,
-    order: ClairvoyantOrder,
+    plan: ClairvoyantPlan,
     /// Read, with the time of eviction.
     read: BTreeMap<RequestIndex, Instant>,
     /// Being read, or about to be.
@@ -60,7 +58,7 @@
         if !self.note(now, event, truth) {
             return;
         }
-        let view = ClairvoyantView::new(now, truth, self.guards);
+        let view = ClairvoyantView::new(now, truth, self.plan);
         self.grant_decodes(&view, actions);
         self.grant_prefills(&view, actions);
         self.refuse_hopeless(&view, actions);
@@ -74,13 +72,12 @@
 }
 
 impl ClairvoyantPolicy {
-    /// A policy that serves in `order`.
-    pub fn new(order: ClairvoyantOrder, guards: bool) -> Self {
+    /// A policy that serves by `plan`.
+    pub fn new(plan: ClairvoyantPlan) -> Self {
         Self {
-            guards,
             keys: BTreeMap::new(),
             moving: BTreeMap::new(),
-            order,
+            plan,
             read: BTreeMap::new(),
             reading: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -158,24 +155,31 @@
 
     /// Places that are promised to requests and not yet held in truth.
     fn promised(&self, truth: &WorldTruth) -> usize {
-        let asked = self
-            .moving
-            .keys()
-            .filter(|request| phase(truth, **request) == Some(ReadingPhase::Kept))
-            .count();
-        asked + self.read.len() + self.reading.len()
+        self.asked(truth) + self.read.len() + self.reading.len()
+    }
+
+    /// Requests on their way to a decode engine, which holds no place for them yet.
+    fn asked(&self, truth: &WorldTruth) -> usize {
+        let mut count = 0;
+        for request in self.moving.keys() {
+            if phase(truth, *request) == Some(ReadingPhase::Kept) {
+                count += 1;
+            }
+        }
+        count
     }
 
     fn grant_decodes(&mut self, view: &ClairvoyantView<'_>, actions: &mut Vec<AdmitAction>) {
         let mut order: Vec<(Instant, RequestIndex)> = Vec::new();
         for (request, evicts) in &self.read {
-            order.push((*evicts, *request));
+            order.push((view.transfer_by(*request, *evicts), *request));
         }
         order.sort();
-        for (evicts, request) in order {
-            let near = evicts.saturating_duration_since(view.now) < NEAR_EVICTION;
-            if self.moving.len() >= MOST_TRANSFERS && !near {
-                return;
+        for (_, request) in order {
+            let near = self.read[&request].saturating_duration_since(view.now) < NEAR_EVICTION;
+            let busy = view.truth.transfers + self.asked(view.truth) >= MOST_TRANSFERS;
+            if busy && !near && !view.is_small(request) {
+                continue;
             }
             let Some(decode) = view.pick_decode(request, &self.moving) else {
                 continue;
@@ -224,7 +228,7 @@
     ) -> Option<RequestIndex> {
         let mut order: Vec<(u8, f64, RequestIndex)> = Vec::new();
         for request in self.waiting.keys() {
-            let (class, score) = view.score(*request, self.order);
+            let (class, score) = view.score(*request);
             order.push((class, score, *request));
         }
         order.sort_by(|left, right| {
--- a/crates/bench/src/policies/clairvoyant_view.rs
+++ b/crates/bench/src/policies/clairvoyant_view.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        policies::clairvoyant_order::ClairvoyantOrder,
+        policies::{clairvoyant_order::ClairvoyantOrder, clairvoyant_plan::ClairvoyantPlan},
         scenario::{fault_event::FaultEvent, work_mix::WorkMix},
         world::{CancelPlan, ReadingPhase, RequestPlan, WorldTruth},
     },
@@ -18,6 +18,11 @@
 /// The part of the eviction time that a read KV cache may wait for its place or the link.
 const EVICTION_PART: f64 = 0.6;
 
+/// The part of the tightest first-token target within which a short prompt is read.
+const SHORT_PART: f64 = 0.25;
+/// A transfer under this needn't wait for its turn.
+const SMALL_TRANSFER: Duration = Duration::from_millis(20);
+
 /// The truth at `now`, and what follows from it.
 pub(crate) struct ClairvoyantView<'a> {
     /// The most streams an engine is given.
@@ -26,12 +31,13 @@
     ends: Vec<Instant>,
     free: usize,
     pub(crate) now: Instant,
+    plan: ClairvoyantPlan,
     pub(crate) truth: &'a WorldTruth,
 }
 
 impl<'a> ClairvoyantView<'a> {
-    pub(crate) fn new(now: Instant, truth: &'a WorldTruth, guards: bool) -> Self {
-        let cap = match guards {
+    pub(crate) fn new(now: Instant, truth: &'a WorldTruth, plan: ClairvoyantPlan) -> Self {
+        let cap = match plan.guards {
             true => guarded_cap(truth),
             false => truth.file.engines.decode_places,
         };
@@ -55,20 +61,21 @@
             ends,
             free,
             now,
+            plan,
             truth,
         }
     }
 
     fn mix(&self, request: RequestIndex) -> &WorkMix {
-        &self.truth.file.rows[self.plan(request).row]
+        &self.truth.file.rows[self.request(request).row]
     }
 
-    fn plan(&self, request: RequestIndex) -> &RequestPlan {
+    fn request(&self, request: RequestIndex) -> &RequestPlan {
         &self.truth.plans[request]
     }
 
     pub(crate) fn bytes(&self, request: RequestIndex) -> f64 {
-        f64::from(self.plan(request).prompt_tokens) * self.truth.file.link.kv_bytes_per_token
+        f64::from(self.request(request).prompt_tokens) * self.truth.file.link.kv_bytes_per_token
     }
 
     fn link_time(&self, bytes: f64) -> Duration {
@@ -85,7 +92,7 @@
 
     /// When the caller's first token, or for patient work the last one, has to be there.
     fn deadline(&self, request: RequestIndex) -> Instant {
-        let arrived = self.truth.started + self.plan(request).arrives;
+        let arrived = self.truth.started + self.request(request).arrives;
         let mix = self.mix(request);
         match mix.first_token {
             Some(target) => arrived + target,
@@ -95,7 +102,7 @@
 
     /// The time from the end of reading to the moment that the deadline counts, with a link of its own.
     fn rest(&self, request: RequestIndex) -> Duration {
-        let plan = self.plan(request);
+        let plan = self.request(request);
         let steps = match self.mix(request).first_token {
             Some(_) => 1,
             None => plan.output_tokens,
@@ -118,15 +125,19 @@
     }
 
     /// Class and score of a waiting request; the lowest goes first.
-    pub(crate) fn score(&self, request: RequestIndex, order: ClairvoyantOrder) -> (u8, f64) {
+    pub(crate) fn score(&self, request: RequestIndex) -> (u8, f64) {
         let latest = self.deadline(request) - self.rest(request);
         let slack = match latest.checked_duration_since(self.now) {
             Some(slack) => slack.as_secs_f64(),
             None => 0.0,
         };
-        match order {
+        match self.plan.order {
             ClairvoyantOrder::Cheapest => (0, self.cost(request)),
             ClairvoyantOrder::Deadline => (0, slack),
+            ClairvoyantOrder::UrgentCheapest => match self.mix(request).first_token {
+                Some(_) => (0, self.cost(request)),
+                None => (1, slack),
+            },
             ClairvoyantOrder::UrgentFirst => match self.mix(request).first_token {
                 Some(_) => (0, slack),
                 None => (1, self.cost(request)),
@@ -136,7 +147,7 @@
 
     /// Seconds of the availability zone that a request takes of its scarcest resource.
     fn cost(&self, request: RequestIndex) -> f64 {
-        let plan = self.plan(request);
+        let plan = self.request(request);
         let sizes = &self.truth.file.engines;
         let places = f64::from(sizes.decode * sizes.decode_places);
         let decode = f64::from(plan.output_tokens) * sizes.full_step() / places;
@@ -161,7 +172,14 @@
             .map_or(self.now, |turn| turn.ends)
             .max(self.now + self.hop());
         let read = starts + self.reading_time(request, prefill);
-        let link_free = self.now + self.link_time(queued_bytes);
+        if self.is_split(prefill) && !self.is_short(request) {
+            return false;
+        }
+        let queued = match self.is_small(request) {
+            true => self.bytes(request) * self.truth.transfers as f64,
+            false => queued_bytes,
+        };
+        let link_free = self.now + self.link_time(queued);
         let slack = self.truth.file.link.eviction.mul_f64(EVICTION_PART);
         if link_free > read + slack {
             return false;
@@ -177,8 +195,35 @@
         self.stays(request, moves, ends) && !self.prefill_dies(prefill, moves)
     }
 
+    /// Whether a prefill engine is kept for short prompts.
+    fn is_split(&self, prefill: EngineIndex) -> bool {
+        self.plan.splits && prefill == 0 && self.truth.prefills.len() > 1
+    }
+
+    /// Whether reading takes a small part of the tightest first-token target.
+    fn is_short(&self, request: RequestIndex) -> bool {
+        let mut least = Duration::MAX;
+        for mix in &self.truth.file.rows {
+            least = least.min(mix.first_token.unwrap_or(Duration::MAX));
+        }
+        let tokens = self.request(request).prompt_tokens;
+        let reads = self.truth.prefills[0].reading_time(tokens);
+        reads < least.mul_f64(SHORT_PART)
+    }
+
+    /// Whether a transfer is so short that it needn't wait for its turn.
+    pub(crate) fn is_small(&self, request: RequestIndex) -> bool {
+        self.link_time(self.bytes(request)) < SMALL_TRANSFER
+    }
+
+    /// When a transfer has to start: before the eviction, and in time for its target.
+    pub(crate) fn transfer_by(&self, request: RequestIndex, evicts: Instant) -> Instant {
+        let latest = self.deadline(request) - self.rest(request);
+        latest.min(evicts)
+    }
+
     fn output_time(&self, request: RequestIndex) -> Duration {
-        self.step() * self.plan(request).output_tokens
+        self.step() * self.request(request).output_tokens
     }
 
     /// Places that are free by `at`, those held by readings not taken off.
@@ -230,7 +275,7 @@
 
     /// Whether the caller and the entry instance outlive the answer.
     fn stays(&self, request: RequestIndex, first: Instant, ends: Instant) -> bool {
-        let plan = self.plan(request);
+        let plan = self.request(request);
         let arrived = self.truth.started + plan.arrives;
         let goes = match plan.cancel {
             CancelPlan::After(time) => arrived + time,
--- a/crates/bench/src/policy_run.rs
+++ b/crates/bench/src/policy_run.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        policies::{BenchPolicy, ClairvoyantOrder, ClairvoyantPolicy, NaivePolicy, ReservePolicy},
+        policies::{BenchPolicy, ClairvoyantPlan, ClairvoyantPolicy, NaivePolicy, ReservePolicy},
         scenario::scenario_file::ScenarioFile,
         world::{RequestPlan, RunTally, VirtualWorld},
     },
+    admit::CellAllocator,
     clap::ValueEnum,
     serde::Serialize,
     std::sync::Arc,
@@ -19,19 +20,22 @@
     Naive,
     /// Holds a decode place from the start of reading.
     Reserve,
+    /// The allocator that entry instances run.
+    Ours,
     /// Knows everything: the upper bound.
     Clairvoyant,
 }
 
 impl PolicyName {
     /// Every policy, the floors first.
-    pub const ALL: [Self; 3] = [Self::Naive, Self::Reserve, Self::Clairvoyant];
+    pub const ALL: [Self; 4] = [Self::Naive, Self::Reserve, Self::Ours, Self::Clairvoyant];
 
     /// The name as the command line has it.
     pub fn text(self) -> &'static str {
         match self {
             Self::Naive => "naive",
             Self::Reserve => "reserve",
+            Self::Ours => "ours",
             Self::Clairvoyant => "clairvoyant",
         }
     }
@@ -47,10 +51,20 @@
     match policy {
         PolicyName::Naive => run_one(file, plans, seed, NaivePolicy::default),
         PolicyName::Reserve => run_one(file, plans, seed, ReservePolicy::default),
+        PolicyName::Ours => run_one(file, plans, seed, || ours(file, seed)),
         PolicyName::Clairvoyant => run_best(file, plans, seed),
     }
 }
 
+/// The allocator as an entry instance of the scenario would build it.
+fn ours(file: &ScenarioFile, seed: u64) -> CellAllocator {
+    let lookahead = file.delays.allocator + file.delays.engine;
+    CellAllocator::builder()
+        .lookahead(lookahead)
+        .seed(seed)
+        .build()
+}
+
 fn run_one<P: BenchPolicy>(
     file: &Arc<ScenarioFile>,
     plans: &Arc<Vec<RequestPlan>>,
@@ -60,17 +74,14 @@
     VirtualWorld::new(file.clone(), plans.clone(), seed, make).run()
 }
 
-/// The clairvoyant policy with the order that gives the best goodput.
+/// The clairvoyant policy with the setting that gives the best goodput.
 fn run_best(file: &Arc<ScenarioFile>, plans: &Arc<Vec<RequestPlan>>, seed: u64) -> RunTally {
     let mut best: Option<RunTally> = None;
-    for order in ClairvoyantOrder::ALL {
-        for guards in [false, true] {
-            let make = || ClairvoyantPolicy::new(order, guards);
-            let tally = run_one(file, plans, seed, make);
-            let good = tally.total().good;
-            if best.as_ref().is_none_or(|best| good > best.total().good) {
-                best = Some(tally);
-            }
+    for plan in ClairvoyantPlan::all() {
+        let tally = run_one(file, plans, seed, || ClairvoyantPolicy::new(plan));
+        let good = tally.total().good;
+        if best.as_ref().is_none_or(|best| good > best.total().good) {
+            best = Some(tally);
         }
     }
     best.unwrap_or_else(|| run_one(file, plans, seed, NaivePolicy::default))
--- a/crates/bench/src/world/entry_side.rs
+++ b/crates/bench/src/world/entry_side.rs
@@ -136,8 +136,11 @@
     }
 
     fn ask_prefill(&mut self, request: RequestIndex, prefill: &str) {
-        if self.requests[request].phase != EntryPhase::Waiting {
-            return;
+        match self.requests[request].phase {
+            EntryPhase::Waiting => {}
+            // The allocator took the engine that reads as gone; the later grant counts.
+            EntryPhase::Prefilling { .. } => self.drop_reading(request, WasteCause::UpstreamDied),
+            _ => return,
         }
         let Some(EngineName::Prefill(prefill)) = self.truth.engine(prefill) else {
             let key = self.key(request);
