--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -30,7 +30,9 @@
 /// Everything between the callers' socket and the upstreams.
 #[derive(Debug)]
 pub struct RequestPath {
-    peers: UdpSocket,
+    callers_address: SocketAddr,
+    _peers: UdpSocket,
+    peers_address: SocketAddr,
     signal: CloseSignal,
     task: JoinHandle<()>,
 }
@@ -47,13 +49,14 @@
         CloseReport { cut: 1 }
     }
 
+    /// Where callers send requests.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
     /// Where other instances send messages.
-    ///
-    /// # Errors
-    ///
-    /// The system does not know the socket's address.
-    pub fn peers_address(&self) -> Result<SocketAddr, RunError> {
-        self.peers.local_addr().context(RuntimeSnafu)
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
     }
 
     /// Which table is in force.
@@ -67,13 +70,19 @@
     ///
     /// # Errors
     ///
-    /// The address for peers is taken or not of this host.
-    pub fn start(callers: TcpListener, parts: &EntryParts) -> Result<Self, RunError> {
-        let address = parts.settings.listen.peers;
-        let peers = UdpSocket::bind(address).context(BindSnafu {
-            address,
+    /// An address is taken or not of this host; the error names the field of the settings.
+    pub async fn start(parts: &EntryParts) -> Result<Self, RunError> {
+        let listen = &parts.settings.listen;
+        let callers = TcpListener::bind(listen.callers).await.context(BindSnafu {
+            address: listen.callers,
+            field: "listen.callers",
+        })?;
+        let peers = UdpSocket::bind(listen.peers).context(BindSnafu {
+            address: listen.peers,
             field: "listen.peers",
         })?;
+        let callers_address = callers.local_addr().context(RuntimeSnafu)?;
+        let peers_address = peers.local_addr().context(RuntimeSnafu)?;
         parts.board.block(TABLE_CONDITION, "no table yet");
         let signal = CloseSignal::new();
         let raised = signal.clone();
@@ -85,7 +94,9 @@
             }
         });
         Ok(Self {
-            peers,
+            callers_address,
+            _peers: peers,
+            peers_address,
             signal,
             task,
         })
--- a/crates/trestlewalk/src/lib.rs
+++ b/crates/trestlewalk/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod arguments;
+pub mod client;
 pub mod entry;
 pub mod exit_code;
 pub mod run;
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -75,12 +75,6 @@
         /// The faults, by line.
         faults: Vec<SettingsFault>,
     },
-    /// Not built yet.
-    #[snafu(display("`{subcommand}` is not wired in this build"))]
-    Unwired {
-        /// The subcommand.
-        subcommand: &'static str,
-    },
     /// A file can't be written.
     #[snafu(display("{}: can't write the file: {source}", path.display()))]
     WriteFile {
@@ -105,7 +99,6 @@
             | Self::Fake { .. }
             | Self::Keys { .. }
             | Self::Runtime { .. }
-            | Self::Unwired { .. }
             | Self::WriteFile { .. } => None,
         }
     }
--- a/crates/trestlewalk/src/subcommand/fake.rs
+++ b/crates/trestlewalk/src/subcommand/fake.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         RunError,
-        run_error::{FakeSnafu, ReadFileSnafu, RuntimeSnafu, SettingsInvalidSnafu, UnwiredSnafu},
+        run_error::{FakeSnafu, ReadFileSnafu, RuntimeSnafu, SettingsInvalidSnafu},
         settings::{
             SettingOverride,
             settings_file::{parse_tree, read_settings},
@@ -65,10 +65,7 @@
     /// Its settings have faults, or it can't listen.
     pub fn run(self) -> Result<(), RunError> {
         match self {
-            Self::Engine(_arguments) => UnwiredSnafu {
-                subcommand: "fake engine",
-            }
-            .fail(),
+            Self::Engine(arguments) => run_fake(fake::run_engine(arguments.load()?)),
             Self::Platform(arguments) => run_fake(fake::run_platform(arguments.load()?)),
             Self::Service(arguments) => run_fake(fake::run_service(arguments.load()?)),
         }
--- a/crates/trestlewalk/src/subcommand/ticket.rs
+++ b/crates/trestlewalk/src/subcommand/ticket.rs
@@ -1,14 +1,21 @@
 //! `trestlewalk ticket`.
 
-use crate::{RunError, run_error::UnwiredSnafu};
+pub mod mint;
+pub mod ticket_call;
+pub mod use_ticket;
+
+use {
+    self::{mint::MintCommand, use_ticket::UseCommand},
+    crate::RunError,
+};
 
 /// What `ticket` can do.
 #[derive(clap::Subcommand, Debug)]
 pub enum TicketCommand {
-    /// Mint a ticket.
-    Mint,
-    /// Send a request under a ticket.
-    Use,
+    /// Mint a ticket and print it.
+    Mint(MintCommand),
+    /// Send a request under a ticket and print its answer; the same ticket again runs nothing again.
+    Use(UseCommand),
 }
 
 impl TicketCommand {
@@ -16,11 +23,11 @@
     ///
     /// # Errors
     ///
-    /// Always, until it is wired.
+    /// No whole answer came, or one with another result code than 1000.
     pub fn run(self) -> Result<(), RunError> {
-        UnwiredSnafu {
-            subcommand: "ticket",
+        match self {
+            Self::Mint(command) => command.run(),
+            Self::Use(command) => command.run(),
         }
-        .fail()
     }
 }
--- /dev/null
+++ b/crates/trestlewalk/src/subcommand/ticket/ticket_call.rs
@@ -0,0 +1,50 @@
+//! Sends a call of `ticket`, and tells its outcome by the result code.
+
+use {
+    crate::{
+        RunError,
+        client::{ClientError, ClientReply, ClientRequest, HttpClient},
+        run_error::{RequestFailedSnafu, RuntimeSnafu},
+    },
+    kernel::ResultCode,
+    snafu::ResultExt,
+    tokio::runtime::Runtime,
+};
+
+/// Sends the call and gives the answer.
+///
+/// # Errors
+///
+/// No whole answer came, which leaves the outcome unknown; or the answer has another code than 1000.
+pub fn send_call(call: ClientRequest) -> Result<ClientReply, RunError> {
+    let runtime = Runtime::new().context(RuntimeSnafu)?;
+    let outcome = runtime.block_on(HttpClient::new().send(call));
+    let reply = outcome.map_err(|error| {
+        RequestFailedSnafu {
+            code: code_of(&error),
+            detail: error.to_string(),
+        }
+        .build()
+    })?;
+    let code = reply.code.unwrap_or(match reply.status.is_success() {
+        true => ResultCode::Answered,
+        false => ResultCode::UpstreamGarbled,
+    });
+    if code != ResultCode::Answered {
+        return RequestFailedSnafu {
+            code,
+            detail: reply.text(),
+        }
+        .fail();
+    }
+    Ok(reply)
+}
+
+fn code_of(error: &ClientError) -> ResultCode {
+    match error {
+        ClientError::AnswerCut { .. } => ResultCode::StreamCut,
+        ClientError::BadCall { .. } => ResultCode::RequestInvalid,
+        ClientError::TimedOut { .. } => ResultCode::UpstreamSilent,
+        ClientError::Unreachable { .. } => ResultCode::UpstreamLost,
+    }
+}
