check for tables, bad input tests, pages of settings, codes, locks and words

Cause: an operator has to see from the pages alone what a field, a number or an exit code means, so tests compare the pages with the code: every settings field with its default, every result code with its HTTP status and exit code, every lock rank.

--- a/crates/kernel/src/ranked_lock.rs
+++ b/crates/kernel/src/ranked_lock.rs
@@ -7,10 +7,35 @@
     sync::{Mutex, MutexGuard},
 };
 
-/// The place of a lock in the order: a thread takes locks by rising rank.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-#[repr(u8)]
-pub enum LockRank {
+macro_rules! lock_ranks {
+    ($(#[doc = $text:literal] $name:ident = $number:literal,)*) => {
+        /// The place of a lock in the order: a thread takes locks by rising rank.
+        #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+        #[repr(u8)]
+        pub enum LockRank {
+            $(#[doc = $text] $name = $number,)*
+        }
+
+        impl LockRank {
+            /// Every rank, in the order of their numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// The place in the order.
+            pub fn number(self) -> u8 {
+                self as u8
+            }
+
+            /// What locks of the rank guard, in one line.
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text.trim_ascii(),)*
+                }
+            }
+        }
+    };
+}
+
+lock_ranks! {
     /// The members that this instance knows.
     Members = 10,
     /// The table in force.
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -75,6 +75,12 @@
         /// The faults, by line.
         faults: Vec<SettingsFault>,
     },
+    /// A table has faults.
+    #[snafu(display("{source}"))]
+    TableInvalid {
+        /// The faults.
+        source: table::TableError,
+    },
     /// A file can't be written.
     #[snafu(display("{}: can't write the file: {source}", path.display()))]
     WriteFile {
@@ -95,6 +101,7 @@
                 Some(ResultCode::SettingsInvalid)
             }
             Self::RequestFailed { code, .. } => Some(*code),
+            Self::TableInvalid { source } => Some(source.result_code()),
             Self::Bind { .. }
             | Self::Fake { .. }
             | Self::Keys { .. }
--- a/crates/trestlewalk/src/subcommand/check.rs
+++ b/crates/trestlewalk/src/subcommand/check.rs
@@ -3,18 +3,35 @@
 use {
     crate::{
         RunError,
-        settings::{SettingOverride, load_settings},
+        run_error::{ReadFileSnafu, SettingsInvalidSnafu, TableInvalidSnafu},
+        settings::{
+            SettingOverride, parse_settings,
+            settings_node::{NodeValue, SettingsNode},
+        },
     },
     clap::Args,
-    std::path::PathBuf,
+    snafu::ResultExt,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
 };
 
+const SETTINGS_EXTENSIONS: [&str; 2] = ["yaml", "yml"];
+const TABLE_EXTENSIONS: [&str; 1] = ["csv"];
+
+/// What a file holds.
+enum FileKind {
+    Settings,
+    Table,
+}
+
 /// The arguments of `check`.
 #[derive(Args, Debug)]
 pub struct CheckCommand {
-    /// The settings (`.yaml`) or the table (`.csv`).
+    /// The settings (`.yaml`) or the table (`.csv`); of another file the content tells.
     pub file: PathBuf,
-    /// Overrides one setting, such as `--set limits.body=2MiB`.
+    /// Overrides one setting, such as `--set limits.body=2MiB`; may be given more than once.
     #[arg(long, value_name = "FIELD=VALUE")]
     pub set: Vec<SettingOverride>,
 }
@@ -26,13 +43,53 @@
     ///
     /// The file can't be read or has faults; the error lists them all.
     pub fn run(self) -> Result<(), RunError> {
-        let settings = load_settings(&self.file, self.set)?;
-        println!(
-            "{}: settings of instance {} in availability zone {}: no faults",
-            self.file.display(),
-            settings.instance,
-            settings.zone
-        );
-        Ok(())
+        let content = fs::read(&self.file).context(ReadFileSnafu { path: &self.file })?;
+        let file = self.file.display().to_string();
+        match file_kind(&self.file, &content) {
+            FileKind::Settings => check_settings(&file, &content, self.set),
+            FileKind::Table => check_table(&file, &content),
+        }
+    }
+}
+
+fn check_settings(
+    file: &str,
+    content: &[u8],
+    overrides: Vec<SettingOverride>,
+) -> Result<(), RunError> {
+    let settings = parse_settings(file, content, overrides)
+        .map_err(|faults| SettingsInvalidSnafu { faults }.build())?;
+    println!(
+        "{file}: no faults in the settings of instance {} in availability zone {}",
+        settings.instance, settings.zone
+    );
+    Ok(())
+}
+
+fn check_table(file: &str, content: &[u8]) -> Result<(), RunError> {
+    let table = table::read_csv(file, content).context(TableInvalidSnafu)?;
+    println!(
+        "{file}: no faults in the table of {} rows",
+        table.rows.len()
+    );
+    Ok(())
+}
+
+fn file_kind(path: &Path, content: &[u8]) -> FileKind {
+    let extension = path.extension().and_then(|extension| extension.to_str());
+    let extension = extension.unwrap_or_default();
+    if SETTINGS_EXTENSIONS.contains(&extension) {
+        return FileKind::Settings;
+    }
+    if TABLE_EXTENSIONS.contains(&extension) {
+        return FileKind::Table;
+    }
+    let text = String::from_utf8_lossy(content);
+    match SettingsNode::parse(&text) {
+        Ok(SettingsNode {
+            value: NodeValue::Map(_),
+            ..
+        }) => FileKind::Settings,
+        _ => FileKind::Table,
     }
 }
