--- a/crates/trestlewalk/src/client/client_error.rs
+++ b/crates/trestlewalk/src/client/client_error.rs
@@ -23,20 +23,28 @@
         /// Why.
         source: hyper::http::Error,
     },
-    /// No answer came in time.
-    #[snafu(display("{address} gave no answer within {}", humantime::format_duration(*limit)))]
-    TimedOut {
+    /// The connection was lost: the call may have arrived.
+    #[snafu(display("{address} closed the connection without an answer: {detail}"))]
+    ConnectionLost {
         /// The address.
         address: SocketAddr,
-        /// The time that the call might take.
-        limit: Duration,
+        /// Why, from the outermost cause to the innermost.
+        detail: String,
     },
-    /// No connection, or it was lost.
+    /// No connection came about: nothing was sent.
     #[snafu(display("{address} can't be reached: {detail}"))]
-    Unreachable {
+    NotConnected {
         /// The address.
         address: SocketAddr,
         /// Why, from the outermost cause to the innermost.
         detail: String,
     },
+    /// No answer came in time.
+    #[snafu(display("{address} gave no answer within {}", humantime::format_duration(*limit)))]
+    TimedOut {
+        /// The address.
+        address: SocketAddr,
+        /// The time that the call might take.
+        limit: Duration,
+    },
 }
--- a/crates/trestlewalk/src/client/http_client.rs
+++ b/crates/trestlewalk/src/client/http_client.rs
@@ -3,7 +3,9 @@
 use {
     crate::client::{
         ClientError, ClientReply, ClientRequest,
-        client_error::{AnswerCutSnafu, BadCallSnafu, TimedOutSnafu, UnreachableSnafu},
+        client_error::{
+            AnswerCutSnafu, BadCallSnafu, ConnectionLostSnafu, NotConnectedSnafu, TimedOutSnafu,
+        },
     },
     door::error_answer::RESULT_HEADER,
     http_body_util::{BodyExt, Full},
@@ -55,7 +57,10 @@
         let request = builder.body(Full::new(call.body)).context(BadCallSnafu)?;
         let response = self.client.request(request).await.map_err(|error| {
             let detail = error_chain(&error);
-            UnreachableSnafu { address, detail }.build()
+            match error.is_connect() {
+                true => NotConnectedSnafu { address, detail }.build(),
+                false => ConnectionLostSnafu { address, detail }.build(),
+            }
         })?;
         let (parts, body) = response.into_parts();
         let body = body.collect().await.context(AnswerCutSnafu { address })?;
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -4,7 +4,7 @@
     crate::{
         RunError,
         admin::{StatusSource, TableStatus},
-        entry::{CloseReport, EntryParts},
+        entry::{CloseReport, EntryParts, load_keys},
         run_error::{BindSnafu, RuntimeSnafu},
     },
     axum::{
@@ -70,8 +70,9 @@
     ///
     /// # Errors
     ///
-    /// An address is taken or not of this host; the error names the field of the settings.
+    /// A key can't be read; or an address is taken or not of this host, and the error names the field of the settings.
     pub async fn start(parts: &EntryParts) -> Result<Self, RunError> {
+        let _keys = load_keys(&parts.settings.keys)?;
         let listen = &parts.settings.listen;
         let callers = TcpListener::bind(listen.callers).await.context(BindSnafu {
             address: listen.callers,
--- a/crates/trestlewalk/src/subcommand/ticket/ticket_call.rs
+++ b/crates/trestlewalk/src/subcommand/ticket/ticket_call.rs
@@ -44,7 +44,8 @@
     match error {
         ClientError::AnswerCut { .. } => ResultCode::StreamCut,
         ClientError::BadCall { .. } => ResultCode::RequestInvalid,
+        ClientError::ConnectionLost { .. } => ResultCode::UpstreamLost,
+        ClientError::NotConnected { .. } => ResultCode::UpstreamMissing,
         ClientError::TimedOut { .. } => ResultCode::UpstreamSilent,
-        ClientError::Unreachable { .. } => ResultCode::UpstreamLost,
     }
 }
--- a/crates/trestlewalk/tests/support/cli_test.rs
+++ b/crates/trestlewalk/tests/support/cli_test.rs
@@ -9,6 +9,8 @@
 /// What a run printed, and how it ended.
 #[derive(Debug)]
 pub struct CliOutput {
+    /// The folder of the run, which goes with this; none for a run beside a fleet.
+    pub folder: Option<TempDir>,
     /// The exit code.
     pub status: i32,
     /// Standard error.
@@ -17,6 +19,14 @@
     pub stdout: String,
 }
 
+impl CliOutput {
+    /// The text of a file in the folder of the run.
+    pub fn read_file(&self, name: &str) -> String {
+        let folder = self.folder.as_ref().expect("the run has a folder");
+        fs::read_to_string(folder.path().join(name)).unwrap()
+    }
+}
+
 /// A run of the binary in a folder of its own, and what is expected of it.
 #[derive(Debug)]
 #[must_use]
@@ -65,12 +75,14 @@
             .current_dir(self.folder.path())
             .output()
             .unwrap();
-        let output = CliOutput {
+        let mut output = CliOutput {
+            folder: None,
             status: output.status.code().unwrap_or(-1),
             stderr: String::from_utf8(output.stderr).unwrap(),
             stdout: String::from_utf8(output.stdout).unwrap(),
         };
         self.compare(&output);
+        output.folder = Some(self.folder);
         output
     }
 
--- a/crates/trestlewalk/tests/support/fleet.rs
+++ b/crates/trestlewalk/tests/support/fleet.rs
@@ -179,6 +179,7 @@
         let output = wait_for("the end of a command", command.kill_on_drop(true).output());
         let output = output.await.unwrap();
         CliOutput {
+            folder: None,
             status: output.status.code().unwrap_or(-1),
             stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
             stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
--- a/crates/trestlewalk/tests/support/fleet_process.rs
+++ b/crates/trestlewalk/tests/support/fleet_process.rs
@@ -74,6 +74,11 @@
         HttpCall::new(Method::POST, self.address(field), path)
     }
 
+    /// The line that the process printed when it listened.
+    pub fn ready_line(&self) -> &Value {
+        &self.ready
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let id = self.child.id().expect("the process runs");
