--- a/crates/trestlewalk/src/admin/admin_server.rs
+++ b/crates/trestlewalk/src/admin/admin_server.rs
@@ -12,7 +12,7 @@
     kernel::{CloseSignal, PluginEntry},
     prometheus::TextEncoder,
     serde_json::{Value, json},
-    std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::JoinHandle},
 };
 
@@ -21,7 +21,6 @@
 /// The running admin server.
 #[derive(Debug)]
 pub struct AdminServer {
-    address: SocketAddr,
     signal: CloseSignal,
     task: JoinHandle<()>,
 }
@@ -36,22 +35,8 @@
         }
     }
 
-    /// The address, with the port that the system chose.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Starts to answer at `address`.
-    ///
-    /// # Errors
-    ///
-    /// The address is taken or not of this host.
-    pub async fn start<S: StatusSource>(
-        address: SocketAddr,
-        state: AdminState<S>,
-    ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+    /// Starts to answer at `listener`.
+    pub fn start<S: StatusSource>(listener: TcpListener, state: AdminState<S>) -> Self {
         let signal = CloseSignal::new();
         let raised = signal.clone();
         let server = axum::serve(listener, admin_router(state))
@@ -61,11 +46,7 @@
                 tracing::error!(%error, "the admin server ended");
             }
         });
-        Ok(Self {
-            address,
-            signal,
-            task,
-        })
+        Self { signal, task }
     }
 }
 
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -5,6 +5,7 @@
 pub mod entry_identity;
 pub mod entry_parts;
 pub mod entry_process;
+pub mod entry_sockets;
 pub mod key_files;
 pub mod log_setup;
 pub mod process_plugin;
@@ -14,6 +15,7 @@
 
 pub use {
     close_report::CloseReport, close_steps::CloseSteps, entry_identity::EntryIdentity,
-    entry_parts::EntryParts, entry_process::EntryProcess, key_files::load_keys,
-    process_signals::ProcessSignals, ready_line::ReadyLine, request_path::RequestPath,
+    entry_parts::EntryParts, entry_process::EntryProcess, entry_sockets::EntrySockets,
+    key_files::load_keys, process_signals::ProcessSignals, ready_line::ReadyLine,
+    request_path::RequestPath,
 };
--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -11,8 +11,11 @@
     crate::{
         RunError,
         admin::{AdminServer, AdminState},
-        entry::{CloseReport, CloseSteps, EntryParts, ProcessSignals, ReadyLine, RequestPath},
-        run_error::{BindSnafu, CutByCloseSnafu},
+        entry::{
+            CloseReport, CloseSteps, EntryParts, EntrySockets, ProcessSignals, ReadyLine,
+            RequestPath,
+        },
+        run_error::{CutByCloseSnafu, RuntimeSnafu},
         settings::{EntrySettings, SecondSignal},
     },
     kernel::PluginEntry,
@@ -85,16 +88,25 @@
     ///
     /// A socket can't be opened.
     pub async fn start(settings: EntrySettings) -> Result<Self, RunError> {
+        let sockets = EntrySockets::bind(&settings.listen).await?;
+        let admin_address = sockets.admin.local_addr().context(RuntimeSnafu)?;
+        let callers_address = sockets.callers.local_addr().context(RuntimeSnafu)?;
         let parts = EntryParts::new(settings, SystemTime::now());
-        let path = RequestPath::start(&parts).await?;
-        PluginEntry::register_metrics(&parts.map, &parts.registry);
-        let admin = start_admin(&parts).await?;
+        let path = RequestPath::start(sockets.callers, &parts)?;
         let line = ReadyLine {
-            admin: admin.address(),
-            callers: path.callers_address(),
+            admin: admin_address,
+            callers: callers_address,
             instance: parts.identity.instance.clone(),
-            peers: path.peers_address(),
+            peers: path.peers_address()?,
         };
+        PluginEntry::register_metrics(&parts.map, &parts.registry);
+        let state = AdminState::builder()
+            .board(parts.board.clone())
+            .map(parts.map.clone())
+            .registry(parts.registry.clone())
+            .source(RequestPath::source(&parts))
+            .build();
+        let admin = AdminServer::start(sockets.admin, state);
         line.print();
         Ok(Self { admin, parts, path })
     }
@@ -106,17 +118,3 @@
         SecondSignal::Immediate => signals.next().await,
     }
 }
-
-async fn start_admin(parts: &EntryParts) -> Result<AdminServer, RunError> {
-    let address = parts.settings.listen.admin;
-    let state = AdminState::builder()
-        .board(parts.board.clone())
-        .map(parts.map.clone())
-        .registry(parts.registry.clone())
-        .source(RequestPath::source(parts))
-        .build();
-    AdminServer::start(address, state).await.context(BindSnafu {
-        address,
-        field: "listen.admin",
-    })
-}
--- /dev/null
+++ b/crates/trestlewalk/src/entry/entry_sockets.rs
@@ -0,0 +1,36 @@
+//! The TCP sockets of an entry instance, opened before anything else starts.
+
+use {
+    crate::{RunError, run_error::BindSnafu, settings::ListenSettings},
+    snafu::ResultExt,
+    std::net::SocketAddr,
+    tokio::net::TcpListener,
+};
+
+/// The open sockets.
+#[derive(Debug)]
+pub struct EntrySockets {
+    /// For operators.
+    pub admin: TcpListener,
+    /// For callers.
+    pub callers: TcpListener,
+}
+
+impl EntrySockets {
+    /// Opens the sockets.
+    ///
+    /// # Errors
+    ///
+    /// An address is taken or not of this host; the error names the field of the settings.
+    pub async fn bind(listen: &ListenSettings) -> Result<Self, RunError> {
+        let admin = bind_tcp("listen.admin", listen.admin).await?;
+        let callers = bind_tcp("listen.callers", listen.callers).await?;
+        Ok(Self { admin, callers })
+    }
+}
+
+async fn bind_tcp(field: &'static str, address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address, field })
+}
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -4,7 +4,7 @@
     crate::{
         RunError,
         admin::{StatusSource, TableStatus},
-        entry::{CloseReport, EntryParts, load_keys},
+        entry::{CloseReport, EntryParts},
         run_error::{BindSnafu, RuntimeSnafu},
     },
     axum::{
@@ -30,9 +30,7 @@
 /// Everything between the callers' socket and the upstreams.
 #[derive(Debug)]
 pub struct RequestPath {
-    callers_address: SocketAddr,
-    _peers: UdpSocket,
-    peers_address: SocketAddr,
+    peers: UdpSocket,
     signal: CloseSignal,
     task: JoinHandle<()>,
 }
@@ -49,14 +47,13 @@
         CloseReport { cut: 1 }
     }
 
-    /// Where callers send requests.
-    pub fn callers_address(&self) -> SocketAddr {
-        self.callers_address
-    }
-
     /// Where other instances send messages.
-    pub fn peers_address(&self) -> SocketAddr {
-        self.peers_address
+    ///
+    /// # Errors
+    ///
+    /// The system does not know the socket's address.
+    pub fn peers_address(&self) -> Result<SocketAddr, RunError> {
+        self.peers.local_addr().context(RuntimeSnafu)
     }
 
     /// Which table is in force.
@@ -70,20 +67,13 @@
     ///
     /// # Errors
     ///
-    /// A key can't be read; or an address is taken or not of this host, and the error names the field of the settings.
-    pub async fn start(parts: &EntryParts) -> Result<Self, RunError> {
-        let _keys = load_keys(&parts.settings.keys)?;
-        let listen = &parts.settings.listen;
-        let callers = TcpListener::bind(listen.callers).await.context(BindSnafu {
-            address: listen.callers,
-            field: "listen.callers",
-        })?;
-        let peers = UdpSocket::bind(listen.peers).context(BindSnafu {
-            address: listen.peers,
+    /// The address for peers is taken or not of this host.
+    pub fn start(callers: TcpListener, parts: &EntryParts) -> Result<Self, RunError> {
+        let address = parts.settings.listen.peers;
+        let peers = UdpSocket::bind(address).context(BindSnafu {
+            address,
             field: "listen.peers",
         })?;
-        let callers_address = callers.local_addr().context(RuntimeSnafu)?;
-        let peers_address = peers.local_addr().context(RuntimeSnafu)?;
         parts.board.block(TABLE_CONDITION, "no table yet");
         let signal = CloseSignal::new();
         let raised = signal.clone();
@@ -95,9 +85,7 @@
             }
         });
         Ok(Self {
-            callers_address,
-            _peers: peers,
-            peers_address,
+            peers,
             signal,
             task,
         })
