--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -93,11 +93,11 @@
         /// Why.
         source: TableCliError,
     },
-    /// Not built yet.
-    #[snafu(display("`{subcommand}` is not wired in this build"))]
-    Unwired {
-        /// The subcommand.
-        subcommand: &'static str,
+    /// A table has faults.
+    #[snafu(display("{source}"))]
+    TableInvalid {
+        /// The faults.
+        source: table::TableError,
     },
     /// A file can't be written.
     #[snafu(display("{}: can't write the file: {source}", path.display()))]
@@ -120,13 +120,13 @@
             }
             Self::RequestFailed { code, .. } => Some(*code),
             Self::Table { source } => source.result_code(),
+            Self::TableInvalid { source } => Some(source.result_code()),
             Self::Bind { .. }
             | Self::Fake { .. }
             | Self::Keys { .. }
             | Self::Metrics { .. }
             | Self::Platform { .. }
             | Self::Runtime { .. }
-            | Self::Unwired { .. }
             | Self::WriteFile { .. } => None,
         }
     }
