Orders that take effect late or whose reply is lost

Cause: a lease that ends while an order is on its way could not be produced. Tests that wait for an effect now end when it never comes.

--- a/crates/fake/src/model/engine_core.rs
+++ b/crates/fake/src/model/engine_core.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// The models that are loaded now.
+    pub fn models(&self) -> &[ModelId] {
+        &self.models
+    }
+
     /// An engine that starts `now`. `first_handle` has to differ between lives, so that no handle names two KV caches.
     pub fn new(settings: EngineSettings, now: Instant, first_handle: KvHandle) -> Self {
         let mut core = Self {
--- a/crates/fake/src/model/engine_routes.rs
+++ b/crates/fake/src/model/engine_routes.rs
@@ -179,9 +179,17 @@
     State(state): State<EngineState>,
     JsonBody(order): JsonBody<EngineOrder>,
 ) -> Response {
-    match state.driver.order(order) {
-        Err(refusal) => (StatusCode::CONFLICT, Json(refusal)).into_response(),
-        Ok(()) => StatusCode::ACCEPTED.into_response(),
+    let faults = state.faults();
+    state.driver.with(|core| core.receive_order());
+    let outcome = match faults.order_delay.is_zero() {
+        false => state.driver.order_late(order, faults.order_delay).await,
+        true => Some(state.driver.order(order)),
+    };
+    match outcome {
+        Some(_) if faults.close_after_read => cut_answer(),
+        Some(Err(refusal)) => (StatusCode::CONFLICT, Json(refusal)).into_response(),
+        Some(Ok(())) => StatusCode::ACCEPTED.into_response(),
+        None => cut_answer(),
     }
 }
 
--- a/crates/fake/tests/support/mod.rs
+++ b/crates/fake/tests/support/mod.rs
@@ -15,9 +15,12 @@
         rt::TokioExecutor,
     },
     serde::de::DeserializeOwned,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
+/// After this long a test hangs; no test comes near it.
+const HANG_LIMIT: Duration = Duration::from_secs(60);
+
 /// One stand-in as a test sees it.
 #[derive(Clone)]
 pub(crate) struct TestClient {
@@ -80,6 +83,16 @@
     }
 }
 
+/// Waits until something holds; panics when it never does.
+pub(crate) async fn until(holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(HANG_LIMIT, waiting).await.unwrap();
+}
+
 /// Reads a body whole; an error if it is cut.
 pub(crate) async fn read_body(response: Response<Incoming>) -> Result<Bytes, hyper::Error> {
     Ok(response.into_body().collect().await?.to_bytes())
