--- a/crates/flow/src/flow_metrics.rs
+++ b/crates/flow/src/flow_metrics.rs
@@ -4,11 +4,13 @@
     kernel::ResultCode,
     prometheus::{
         Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-        exponential_buckets,
+        core::Collector, exponential_buckets,
     },
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
+const WORK_LABEL: &str = "work";
+
 /// Counters and histograms of the request path.
 #[derive(Debug)]
 pub struct FlowMetrics {
@@ -60,7 +62,7 @@
             cancels: IntCounter::new("trestlewalk_cancels_total", "Streams cancelled at engines.")?,
             ended: IntCounterVec::new(
                 Opts::new("trestlewalk_requests_total", "Final answers."),
-                &["code", "work"],
+                &["code", WORK_LABEL],
             )?,
             first_token: histogram(
                 "trestlewalk_first_token_seconds",
@@ -81,11 +83,27 @@
                     "trestlewalk_wasted_prefill_tokens_total",
                     "Prompt tokens read in vain.",
                 ),
-                &["cause"],
+                &["cause", WORK_LABEL],
             )?,
         })
     }
 
+    /// Prompt tokens read in vain, by kind of work.
+    pub fn wasted_by_work(&self) -> BTreeMap<String, u64> {
+        let mut sums = BTreeMap::new();
+        for family in self.wasted_tokens.collect() {
+            for metric in family.get_metric() {
+                let labels = metric.get_label().iter();
+                let Some(work) = labels.filter(|label| label.name() == WORK_LABEL).next() else {
+                    continue;
+                };
+                *sums.entry(work.value().to_owned()).or_default() +=
+                    metric.get_counter().get_value() as u64;
+            }
+        }
+        sums
+    }
+
     /// Registers all of them.
     ///
     /// # Errors
--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -315,7 +315,7 @@
             let cause = failure.code.number().to_string();
             metrics
                 .wasted_tokens
-                .with_label_values(&[&cause])
+                .with_label_values(&[&*cause, &*self.request.work])
                 .inc_by(tokens);
         }
         self.shared.hub.forget(&self.key);
--- a/crates/kernel/src/ranked_lock.rs
+++ b/crates/kernel/src/ranked_lock.rs
@@ -69,6 +69,7 @@
 #[derive(Debug)]
 pub struct RankedLock<T> {
     mutex: Mutex<T>,
+    #[cfg(debug_assertions)]
     rank: LockRank,
 }
 
@@ -108,8 +109,11 @@
 
     /// A lock of the given rank around a value.
     pub fn new(rank: LockRank, value: T) -> Self {
+        #[cfg(not(debug_assertions))]
+        let _ = rank;
         Self {
             mutex: Mutex::new(value),
+            #[cfg(debug_assertions)]
             rank,
         }
     }
--- /dev/null
+++ b/crates/trestlewalk/src/demo.rs
@@ -0,0 +1,16 @@
+//! The demonstration: a whole system in one process on loopback, and a small day of work for it.
+
+pub mod day_plan;
+pub mod day_report;
+pub mod day_run;
+pub mod demo_call;
+pub mod demo_world;
+pub mod world_plan;
+
+pub use {
+    day_plan::{DayArrival, DayPlan, DayWork},
+    day_report::{CallOutcome, DayReport},
+    day_run::run_day,
+    demo_call::DemoCaller,
+    demo_world::DemoWorld,
+};
--- /dev/null
+++ b/crates/trestlewalk/src/demo/day_run.rs
@@ -0,0 +1,135 @@
+//! Runs the day: sends the requests, edits the table at noon, ends an engine in the afternoon.
+
+use {
+    crate::{
+        RunError,
+        demo::{
+            day_plan::{DayArrival, DayPlan},
+            day_report::{CallOutcome, DayReport},
+            demo_call::DemoCaller,
+            demo_world::DemoWorld,
+            world_plan::{NOON_EDIT, TABLE},
+        },
+    },
+    flow::FlowMetrics,
+    std::time::{Duration, Instant},
+    tokio::{sync::mpsc, time},
+};
+
+/// The engine that ends in the afternoon.
+const LOST_ENGINE: &str = "santander-glaze-llm-decode-2";
+/// How often progress is shown.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(3);
+
+/// What happens beside the requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum DayMark {
+    Afternoon,
+    Noon,
+}
+
+/// Runs a day in a world.
+///
+/// # Errors
+///
+/// The edit at noon is refused.
+pub async fn run_day(world: &mut DemoWorld, plan: DayPlan) -> Result<DayReport, RunError> {
+    let total = plan.arrivals.len();
+    let length = plan.length;
+    let addresses: Vec<_> = world
+        .entries
+        .iter()
+        .map(|entry| entry.line.callers)
+        .collect();
+    let (outcomes, mut receiver) = mpsc::unbounded_channel();
+    let day = tokio::spawn(send_all(plan, addresses, outcomes));
+    let mut report = DayReport::default();
+    let mut marks = vec![
+        (length.mul_f64(0.7), DayMark::Afternoon),
+        (length.mul_f64(0.5), DayMark::Noon),
+    ];
+    let started = Instant::now();
+    let mut done = 0;
+    let mut progress = time::interval(PROGRESS_INTERVAL);
+    progress.tick().await;
+    loop {
+        let next_mark = marks.last().map_or(Duration::MAX, |mark| mark.0);
+        tokio::select! {
+            outcome = receiver.recv() => {
+                let Some((work, outcome)) = outcome else {
+                    break;
+                };
+                report.note(work, outcome);
+                done += 1;
+            }
+            _ = progress.tick() => println!("{:>3} s: {done} of {total} requests done", started.elapsed().as_secs()),
+            () = wait_until(started, next_mark) => {
+                if let Some((_, mark)) = marks.pop() {
+                    pass_mark(world, mark).await?;
+                }
+            }
+        }
+    }
+    let _ = day.await;
+    note_wasted(world, &mut report);
+    Ok(report)
+}
+
+fn note_wasted(world: &DemoWorld, report: &mut DayReport) {
+    for entry in &world.entries {
+        let Some(metrics) = entry.map.get::<FlowMetrics>() else {
+            continue;
+        };
+        for (work, tokens) in metrics.wasted_by_work() {
+            report.note_wasted(&work, tokens);
+        }
+    }
+}
+
+async fn pass_mark(world: &mut DemoWorld, mark: DayMark) -> Result<(), RunError> {
+    match mark {
+        DayMark::Afternoon => {
+            println!("afternoon: the engine {LOST_ENGINE} dies");
+            world.kill_engine(LOST_ENGINE).await;
+        }
+        DayMark::Noon => {
+            println!("noon: the operator gives kiln-log rank 9 and limit 12");
+            let times = world.edit(&TABLE.replace(NOON_EDIT.0, NOON_EDIT.1)).await?;
+            for (zone, elapsed) in times {
+                println!("  in force in {zone} after {} ms", elapsed.as_millis());
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn send_all(
+    plan: DayPlan,
+    addresses: Vec<std::net::SocketAddr>,
+    outcomes: mpsc::UnboundedSender<(&'static str, CallOutcome)>,
+) {
+    let started = Instant::now();
+    let caller = DemoCaller::default();
+    for arrival in plan.arrivals {
+        wait_until(started, arrival.at).await;
+        let address = addresses[arrival.number as usize % addresses.len()];
+        tokio::spawn(send_one(caller.clone(), address, arrival, outcomes.clone()));
+    }
+}
+
+async fn send_one(
+    caller: DemoCaller,
+    address: std::net::SocketAddr,
+    arrival: DayArrival,
+    outcomes: mpsc::UnboundedSender<(&'static str, CallOutcome)>,
+) {
+    let outcome = caller.call(address, &arrival).await;
+    let _ = outcomes.send((arrival.work.work, outcome));
+}
+
+async fn wait_until(started: Instant, at: Duration) {
+    match started.checked_add(at) {
+        Some(until) => time::sleep_until(until.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -18,7 +18,7 @@
         run_error::{CutByCloseSnafu, RuntimeSnafu},
         settings::{EntrySettings, SecondSignal},
     },
-    kernel::PluginEntry,
+    kernel::{PluginEntry, StateMap},
     snafu::ResultExt,
     std::time::{Duration, SystemTime},
 };
@@ -63,7 +63,8 @@
     pub async fn run(settings: EntrySettings) -> Result<(), RunError> {
         let mut signals = ProcessSignals::new()?;
         let second_signal = settings.limits.second_signal;
-        let process = Self::start(settings).await?;
+        let (process, line, _) = Self::start(settings).await?;
+        line.print();
         signals.next().await;
         tracing::info!("closing");
         let report = tokio::select! {
@@ -81,12 +82,12 @@
         Ok(())
     }
 
-    /// Opens the sockets, starts the parts and prints the ready line.
+    /// Opens the sockets and starts the parts. The addresses, and the state that plug-ins see, come with the process.
     ///
     /// # Errors
     ///
     /// A socket can't be opened.
-    pub async fn start(settings: EntrySettings) -> Result<Self, RunError> {
+    pub async fn start(settings: EntrySettings) -> Result<(Self, ReadyLine, StateMap), RunError> {
         let sockets = EntrySockets::bind(&settings.listen).await?;
         let admin_address = sockets.admin.local_addr().context(RuntimeSnafu)?;
         let callers_address = sockets.callers.local_addr().context(RuntimeSnafu)?;
@@ -106,8 +107,8 @@
             .source(RequestPath::source(&parts))
             .build();
         let admin = AdminServer::start(sockets.admin, state);
-        line.print();
-        Ok(Self { admin, parts, path })
+        let map = parts.map.clone();
+        Ok((Self { admin, parts, path }, line, map))
     }
 }
 
--- a/crates/trestlewalk/src/lib.rs
+++ b/crates/trestlewalk/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod arguments;
 pub mod client;
+pub mod demo;
 pub mod entry;
 pub mod exit_code;
 pub mod run;
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -27,6 +27,12 @@
         /// What ended them.
         cause: &'static str,
     },
+    /// The close of the demonstration cut requests off.
+    #[snafu(display("the demonstration cut {count} requests off"))]
+    DemoFailed {
+        /// How many.
+        count: u64,
+    },
     /// An instance gave no dump.
     #[snafu(display("{address} gave no dump: {detail}"))]
     DumpFailed {
@@ -113,7 +119,7 @@
     /// The result code, where there is one.
     pub fn code(&self) -> Option<ResultCode> {
         match self {
-            Self::CutByClose { .. } => Some(ResultCode::CutByClose),
+            Self::CutByClose { .. } | Self::DemoFailed { .. } => Some(ResultCode::CutByClose),
             Self::DumpFailed { .. } => Some(ResultCode::DumpFailed),
             Self::ReadFile { .. } | Self::SettingsInvalid { .. } => {
                 Some(ResultCode::SettingsInvalid)
--- a/crates/trestlewalk/src/subcommand.rs
+++ b/crates/trestlewalk/src/subcommand.rs
@@ -1,6 +1,7 @@
 //! What the binary can do, a subcommand a file.
 
 pub mod check;
+pub mod demo;
 pub mod dump;
 pub mod fake;
 pub mod keys;
@@ -10,8 +11,8 @@
 
 use {
     self::{
-        check::CheckCommand, dump::DumpCommand, fake::FakeCommand, keys::KeysCommand,
-        serve::ServeCommand, table::TableCommand, ticket::TicketCommand,
+        check::CheckCommand, demo::DemoCommand, dump::DumpCommand, fake::FakeCommand,
+        keys::KeysCommand, serve::ServeCommand, table::TableCommand, ticket::TicketCommand,
     },
     crate::RunError,
 };
@@ -21,6 +22,8 @@
 pub enum Subcommand {
     /// Check a settings file or a table, and print every fault.
     Check(CheckCommand),
+    /// Run a small day of work through a whole system in one process.
+    Demo(DemoCommand),
     /// Print the whole state of a running instance as JSON.
     Dump(DumpCommand),
     /// Run a stand-in of the platform, an engine or a plain service.
@@ -47,6 +50,7 @@
     pub fn run(self) -> Result<(), RunError> {
         match self {
             Self::Check(command) => command.run(),
+            Self::Demo(command) => command.run(),
             Self::Dump(command) => command.run(),
             Self::Fake(command) => command.run(),
             Self::Keys(command) => command.run(),
--- /dev/null
+++ b/crates/trestlewalk/src/subcommand/demo.rs
@@ -0,0 +1,90 @@
+//! `trestlewalk demo`.
+
+use {
+    crate::{
+        RunError,
+        demo::{DayPlan, DemoWorld, run_day},
+        run_error::{DemoFailedSnafu, RuntimeSnafu},
+    },
+    clap::Args,
+    snafu::ResultExt,
+    std::time::Duration,
+    tokio::{runtime::Runtime, signal},
+};
+
+/// Any number will do; the same one gives the same day.
+const DAY_SEED: u64 = 20_261_202;
+
+/// The arguments of `demo`.
+#[derive(Args, Debug)]
+pub struct DemoCommand {
+    /// How many seconds the day lasts.
+    #[arg(default_value_t = 24, long, value_name = "SECONDS")]
+    pub seconds: u64,
+    /// Keep the system up after the day, and print calls to try.
+    #[arg(long)]
+    pub serve: bool,
+}
+
+impl DemoCommand {
+    /// Runs a small day of work through a whole system in this process.
+    ///
+    /// # Errors
+    ///
+    /// A socket can't be opened, or a request failed.
+    pub fn run(self) -> Result<(), RunError> {
+        let runtime = Runtime::new().context(RuntimeSnafu)?;
+        runtime.block_on(self.run_world())
+    }
+
+    async fn run_world(self) -> Result<(), RunError> {
+        println!(
+            "starting the platform, 3 availability zones, 18 engines, 6 plain replicas, 3 entry instances"
+        );
+        let mut world = DemoWorld::start().await?;
+        let plan = DayPlan::new(Duration::from_secs(self.seconds), DAY_SEED);
+        println!(
+            "the day begins: {} requests in {} s",
+            plan.arrivals.len(),
+            self.seconds
+        );
+        let report = run_day(&mut world, plan).await?;
+        println!("\n{report}");
+        let (read, wasted) = world.wasted_tokens();
+        println!("prompt tokens read by the engines: {read}, of them wasted: {wasted}");
+        for (reason, count) in &report.failures {
+            println!("failed {count} times: {reason}");
+        }
+        if self.serve {
+            serve(&world).await;
+        }
+        let cut = world.close().await;
+        let (answered, refused, failed) = report.totals();
+        println!("{answered} answered, {refused} refused, {failed} failed");
+        if cut > 0 {
+            return DemoFailedSnafu { count: cut }.fail();
+        }
+        Ok(())
+    }
+}
+
+async fn serve(world: &DemoWorld) {
+    for entry in &world.entries {
+        let callers = entry.line.callers;
+        let admin = entry.line.admin;
+        println!("\n{}: callers {callers}, admin {admin}", entry.zone);
+        println!(
+            "  curl -N http://{callers}/v1/completions -H 'Trestlewalk-Work: slot-suggest' \
+             -d '{{\"prompt\": \"a free kiln?\", \"max_tokens\": 8, \"stream\": true}}'"
+        );
+        println!(
+            "  curl -i http://{callers}/services/carta/tiles/1/2/3 -H 'Trestlewalk-Work: chart-tile'"
+        );
+        println!(
+            "  curl http://{admin}/metrics; curl http://{admin}/dump; curl http://{admin}/table"
+        );
+    }
+    println!("\nCtrl-C ends it");
+    // Without a way to hear the signal the demonstration ends at once.
+    let _ = signal::ctrl_c().await;
+}
