table: written-back edits reach whoever has the fork by a small patch

Cause: a written-back row keeps its old stamp, so an instance that started on the fork and asks for rows after its own version was never told of it, unless it polls the platform. Each row now also has the version with which the platform got it; stamps decide which edit of a row is in force, this one what a patch sends. Ruled out: a new stamp for written-back rows; it would win over a later lost edit that another instance still holds. pull_since() says 0 as long as a patch did not add up to its sender's digest.

--- a/crates/plat/src/table_repository.rs
+++ b/crates/plat/src/table_repository.rs
@@ -277,6 +277,7 @@
             return Ok(Some(snapshot.version()));
         }
         let version = origin.next_version(table.version());
+        table.write_back(&snapshot.table, version);
         let changes = table::diff_rows(&snapshot.table.live_rows(), &table.live_rows());
         let transaction = TableTransaction::new(&snapshot, &table, version);
         let transaction = transaction.build(origin, &changes)?;
--- a/crates/plat/src/table_transaction.rs
+++ b/crates/plat/src/table_transaction.rs
@@ -46,7 +46,8 @@
         self.put(HEAD_KEY, self.snapshot.head_count, &head)?;
         self.put(&edit_key(self.version), 0, &record)?;
         for (work, stamped) in self.table.rows() {
-            if self.snapshot.table.rows().get(work) == Some(stamped) {
+            let stored = self.snapshot.table.rows().get(work);
+            if stored.is_some_and(|stored| stored.is_same_edit(stamped)) {
                 continue;
             }
             let counts = &self.snapshot.row_counts;
--- a/crates/plat/tests/repository.rs
+++ b/crates/plat/tests/repository.rs
@@ -226,6 +226,11 @@
     let table = repository.snapshot().await.unwrap().table;
     assert_eq!(table.live_rows(), rows(&[("draft", 5), ("notes", 9)]));
     assert_eq!(table.rows()["notes"].stamp, 2000);
+    let missing = table.patch_since(3000).rows;
+    assert_eq!(
+        missing.keys().map(|work| &**work).collect::<Vec<_>>(),
+        ["notes"]
+    );
     let again = repository
         .restore(&held, &origin("heal-2", 2600))
         .await
--- a/crates/table/src/stamped_table.rs
+++ b/crates/table/src/stamped_table.rs
@@ -30,6 +30,7 @@
             let stamped = StampedRow {
                 row: change.after.clone(),
                 stamp: version,
+                written: version,
             };
             self.put(change.work.clone(), stamped);
         }
@@ -75,11 +76,11 @@
             .collect()
     }
 
-    /// The rows changed after a version; all for version 0.
+    /// The rows that the platform got after a version; all for version 0.
     pub fn patch_since(&self, since: TableVersion) -> TablePatch {
         let mut rows = BTreeMap::new();
         for (work, stamped) in &self.rows {
-            if stamped.stamp > since {
+            if stamped.written > since {
                 rows.insert(work.clone(), stamped.clone());
             }
         }
@@ -109,6 +110,17 @@
         self.version
     }
 
+    /// Marks the edits that `stored` lacks as got by the platform with `version`, which becomes the table's.
+    pub fn write_back(&mut self, stored: &Self, version: TableVersion) {
+        for (work, stamped) in &mut self.rows {
+            let earlier = stored.rows.get(work);
+            if !earlier.is_some_and(|earlier| earlier.is_same_edit(stamped)) {
+                stamped.written = version;
+            }
+        }
+        self.version = version;
+    }
+
     // The digest is a sum over rows, so that a change of one row costs one row.
     fn put(&mut self, work: WorkId, stamped: StampedRow) {
         let added = stamped.hash(&work);
@@ -121,6 +133,8 @@
 
     fn takes(&self, work: &WorkId, stamped: &StampedRow) -> bool {
         match self.rows.get(work) {
+            // The same edit, got by the platform once more, is passed on once more.
+            Some(held) if held.is_same_edit(stamped) => stamped.written > held.written,
             Some(held) => stamped.wins_over(held, work),
             None => true,
         }
--- a/crates/table/src/table_keeper.rs
+++ b/crates/table/src/table_keeper.rs
@@ -24,6 +24,8 @@
 /// whatever the platform or a peer offers.
 #[derive(Clone, Debug)]
 pub struct TableKeeper {
+    /// Whether the last patch added up to its sender's digest.
+    adds_up: bool,
     alarms: BTreeSet<(ResultCode, TableSource)>,
     heads: BTreeMap<TableSource, TableHead>,
     in_force_since: Instant,
@@ -65,6 +67,7 @@
     /// A keeper without a table.
     pub fn new(now: Instant) -> Self {
         Self {
+            adds_up: true,
             alarms: BTreeSet::new(),
             heads: BTreeMap::new(),
             in_force_since: now,
@@ -103,6 +106,15 @@
         self.table.patch_since(since)
     }
 
+    /// The version after which to ask a holder of a greater version for rows: 0, which asks for all, as long as the last
+    /// patch did not add up to its sender's digest.
+    pub fn pull_since(&self) -> TableVersion {
+        match self.adds_up {
+            true => self.table.version(),
+            false => 0,
+        }
+    }
+
     /// The table in force; empty before the first one.
     pub fn table(&self) -> &Arc<StampedTable> {
         &self.table
@@ -210,6 +222,7 @@
         }
         let own = self.head();
         self.heads.insert(source.clone(), head);
+        self.adds_up = patch.is_whole() || head == own;
         if !patch.is_whole() {
             return;
         }
@@ -253,7 +266,7 @@
         let (version, source) = best?;
         // With the same version, or after rows that did not add up to the digest, only the whole table helps.
         let since = match version > own.version {
-            true => own.version,
+            true => self.pull_since(),
             false => 0,
         };
         Some((source.clone(), since))
--- a/crates/table/src/table_patch.rs
+++ b/crates/table/src/table_patch.rs
@@ -7,14 +7,14 @@
     std::collections::BTreeMap,
 };
 
-/// The rows changed after a version; after version 0, all of them.
+/// The rows that the platform got after a version; after version 0, all of them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TablePatch {
     /// The digest of the sender's whole table.
     pub digest: TableDigest,
     /// The rows by their key, removed ones as well.
     pub rows: BTreeMap<WorkId, StampedRow>,
-    /// The rows have greater stamps than this.
+    /// The platform got the rows after this version.
     pub since: TableVersion,
     /// The version of the sender's whole table.
     pub version: TableVersion,
@@ -30,7 +30,8 @@
     pub fn is_sound(&self) -> bool {
         self.rows.iter().all(|(work, stamped)| {
             let named = stamped.row.as_ref().is_none_or(|row| row.work == *work);
-            named && stamped.stamp > self.since && stamped.stamp <= self.version
+            let rises = self.since < stamped.written && stamped.stamp <= stamped.written;
+            named && rises && stamped.written <= self.version
         })
     }
 }
--- a/crates/table/tests/keeper.rs
+++ b/crates/table/tests/keeper.rs
@@ -215,6 +215,36 @@
     assert_eq!((rows["notes"].weight, rows["draft"].weight), (9.0, 2.0));
 }
 
+#[test]
+fn edits_that_were_written_back_reach_whoever_has_the_fork_by_a_small_patch() {
+    let base = edit(&StampedTable::default(), 17, "notes", 1.0);
+    let lost = edit(&base, 20, "notes", 9.0);
+    let forked = edit(&base, 30, "draft", 2.0);
+    let mut stored = forked.clone();
+    stored.join(&lost.patch_since(0));
+    stored.write_back(&forked, 31);
+    let mut bench = Bench::with(&forked);
+    assert_eq!(bench.keeper.pull_since(), 30);
+    let patch = stored.patch_since(30);
+    assert_eq!(patch.rows.len(), 1);
+    bench.pulled(peer(), patch);
+    assert_eq!(bench.keeper.head(), stored.head());
+    assert_eq!(bench.keeper.table().rows()["notes"].stamp, 20);
+}
+
+#[test]
+fn after_a_patch_that_does_not_add_up_all_rows_are_asked_for() {
+    let base = edit(&StampedTable::default(), 17, "notes", 1.0);
+    let mine = edit(&base, 20, "draft", 9.0);
+    let theirs = edit(&edit(&base, 19, "tiles", 2.0), 30, "confirm", 2.0);
+    let mut bench = Bench::with(&mine);
+    bench.pulled(peer(), theirs.patch_since(20));
+    assert_eq!(bench.keeper.pull_since(), 0);
+    bench.pulled(peer(), theirs.patch_since(0));
+    assert_eq!(bench.keeper.pull_since(), 30);
+    assert_eq!(bench.keeper.table().live_rows().len(), 4);
+}
+
 #[test]
 fn a_removed_row_does_not_come_back_from_an_older_copy() {
     let old = edit(&StampedTable::default(), 17, "notes", 1.0);
--- a/crates/table/tests/keeper_properties.rs
+++ b/crates/table/tests/keeper_properties.rs
@@ -49,7 +49,7 @@
         for (key, (weight, stamp)) in rows {
             version = version.max(stamp + ahead);
             let row = (weight > 0).then(|| row(key, weight));
-            stamped.insert(Arc::from(KEYS[key]), StampedRow { row, stamp });
+            stamped.insert(Arc::from(KEYS[key]), StampedRow { row, stamp, written: stamp });
         }
         StampedTable::from_rows(version, stamped)
     }
