--- a/crates/trestlewalk/src/subcommand/table/table_cli_error.rs
+++ b/crates/trestlewalk/src/subcommand/table/table_cli_error.rs
@@ -24,7 +24,7 @@
     },
     /// Someone else changed the same rows.
     #[snafu(display(
-        "{count} rows were changed by somebody else as well, up to version {version}; nothing is applied; take a \
+        "rows that somebody else changed as well, up to version {version}: {count}; nothing is applied; take a \
          fresh file with `table show` and make your changes there"
     ))]
     Conflict {
