--- a/crates/plat/src/edit_origin.rs
+++ b/crates/plat/src/edit_origin.rs
@@ -7,15 +7,18 @@
 };
 
 /// The origin of one edit; the same for every retry.
-#[derive(Clone, Debug)]
+#[derive(bon::Builder, Clone, Debug)]
 pub struct EditOrigin {
     /// The time since the Unix epoch, by the editor's clock.
     pub at: Duration,
     /// Who edits.
+    #[builder(into)]
     pub author: Arc<str>,
     /// The least version that the edit may make: one more than any that an entry instance is known to hold.
+    #[builder(default)]
     pub floor: TableVersion,
     /// Names the edit.
+    #[builder(into)]
     pub id: EditId,
 }
 
@@ -25,6 +28,6 @@
     /// known.
     pub fn next_version(&self, current: TableVersion) -> TableVersion {
         let by_clock = u64::try_from(self.at.as_millis()).unwrap_or_default();
-        by_clock.max(current + 1).max(self.floor)
+        by_clock.max(current.saturating_add(1)).max(self.floor)
     }
 }
--- a/crates/plat/tests/repository.rs
+++ b/crates/plat/tests/repository.rs
@@ -238,6 +238,20 @@
     assert_eq!(again, 3001);
 }
 
+#[tokio::test]
+async fn a_platform_that_lost_everything_gets_the_whole_table_back() {
+    let store = MemoryStore::default();
+    let repository = store.repository();
+    let base = edited(&repository).await;
+    let held = repository.snapshot().await.unwrap().table;
+    store.inside().rows.clear();
+    let origin = origin("heal", 500);
+    assert_eq!(repository.restore(&held, &origin).await.unwrap(), base + 1);
+    let table = repository.snapshot().await.unwrap().table;
+    assert_eq!(table.digest(), held.digest());
+    assert_eq!(repository.history(10).await.unwrap().len(), 1);
+}
+
 #[tokio::test]
 async fn a_file_of_a_version_that_came_back_under_another_number_counts_by_its_content() {
     let store = MemoryStore::default();
--- a/crates/trestlewalk/tests/table_cli.rs
+++ b/crates/trestlewalk/tests/table_cli.rs
@@ -78,6 +78,21 @@
     assert_eq!(test.version(), version);
 }
 
+#[test]
+fn a_row_removed_by_one_and_changed_by_the_other_is_a_conflict() {
+    let test = filled();
+    let notes = FIRST.lines().nth(1).unwrap();
+    test.take("ilze.csv", &format!("{notes}\n"), "");
+    test.take("juan.csv", "15min", "30min");
+    test.run(&["apply", "ilze.csv"])
+        .exit(0)
+        .output_has("- notes  service=redactor");
+    test.run(&["apply", "juan.csv"])
+        .exit(53)
+        .output_has("! notes  row: yours service=redactor")
+        .output_has("now removed");
+}
+
 #[test]
 fn applying_the_same_file_again_changes_nothing() {
     let test = filled();
