table: two tests for faults that passed all others when planted

Planted: a patch gathered over the log of a write-back, and a write-back that an instance which had the edit all along does not pass on. Neither test nor fuzz turned red; now a_restored_platform_gets... and whoever_had_a_lost_edit... do, and are green without them.

--- a/crates/plat/tests/repository.rs
+++ b/crates/plat/tests/repository.rs
@@ -231,6 +231,9 @@
         missing.keys().map(|work| &**work).collect::<Vec<_>>(),
         ["notes"]
     );
+    // The log of a write-back has no stamps, so a patch over it is whole.
+    let patch = repository.patch_since(3000).await.unwrap();
+    assert_eq!((patch.since, patch.rows["notes"].stamp), (0, 2000));
     let again = repository
         .restore(&held, &origin("heal-2", 2600))
         .await
--- a/crates/table/tests/keeper.rs
+++ b/crates/table/tests/keeper.rs
@@ -232,6 +232,22 @@
     assert_eq!(bench.keeper.table().rows()["notes"].stamp, 20);
 }
 
+#[test]
+fn whoever_had_a_lost_edit_passes_its_write_back_on() {
+    let base = edit(&StampedTable::default(), 17, "notes", 1.0);
+    let lost = edit(&base, 20, "notes", 9.0);
+    let forked = edit(&base, 30, "draft", 2.0);
+    let mut stored = forked.clone();
+    stored.join(&lost.patch_since(0));
+    stored.write_back(&forked, 31);
+    let mut bench = Bench::with(&lost);
+    bench.pulled(peer(), stored.patch_since(20));
+    assert_eq!(bench.keeper.head(), stored.head());
+    let mut other = Bench::with(&forked);
+    other.pulled(peer(), bench.keeper.patch_since(30));
+    assert_eq!(other.keeper.head(), stored.head());
+}
+
 #[test]
 fn after_a_patch_that_does_not_add_up_all_rows_are_asked_for() {
     let base = edit(&StampedTable::default(), 17, "notes", 1.0);
