admit: places by the time they are needed; short transfers beside long ones

The estimate counted every request being read as standing before a new one, for the place as for the link, though long histories need their place only when they are read, and much later. What changed: claims are kept by the time by which they need a place; a new reading is let in when it and every claim after it still finds one (earliest due first); a transfer of at most a quarter of what is left of another goes beside it. Ruled out: the headroom rule as cause (it only holds back worse ranks).

--- a/crates/admit/src/cell_books.rs
+++ b/crates/admit/src/cell_books.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        cell_allocator::CellAllocator, decode_stream::DecodeStream, held_request::HeldRequest,
-        request_key::RequestKey, request_phase::RequestPhase,
+        cell_allocator::CellAllocator, cell_refusals::seconds, decode_stream::DecodeStream,
+        held_request::HeldRequest, request_key::RequestKey, request_phase::RequestPhase,
     },
     std::time::{Duration, Instant},
 };
@@ -19,6 +19,7 @@
     /// Enters a request in every index that its phase names.
     pub(crate) fn put(&mut self, now: Instant, key: RequestKey, mut held: HeldRequest) {
         held.timer = self.timer_of(now, &held);
+        held.due = self.due_of(now, &held);
         self.timers.insert((held.timer, key.clone()));
         let row = &mut self.rows[held.row];
         let tokens = held.request.prompt_tokens;
@@ -32,16 +33,17 @@
             self.link.claim(tokens);
         }
         self.put_in_pool(now, &key, &held);
-        if let RequestPhase::Read { evicts, .. } = held.phase {
-            let due = held.deadline.unwrap_or(evicts).min(evicts);
-            self.read.insert((due, key.clone()));
+        if let RequestPhase::Read { .. } = held.phase {
+            self.read.insert((held.due, key.clone()));
         }
         self.requests.insert(key, held);
     }
 
     fn put_in_pool(&mut self, now: Instant, key: &RequestKey, held: &HeldRequest) {
         let pool = self.pools.entry(held.pool.clone()).or_default();
-        pool.claims += u32::from(held.phase.is_claim());
+        if held.phase.is_claim() {
+            pool.claims.insert((held.due, key.clone()));
+        }
         match &held.phase {
             RequestPhase::Decoding { decode, tokens } => {
                 let Some(engine) = pool.decodes.get_mut(decode) else {
@@ -87,9 +89,8 @@
         if held.phase.is_claim() {
             self.link.unclaim(tokens);
         }
-        if let RequestPhase::Read { evicts, .. } = held.phase {
-            let due = held.deadline.unwrap_or(evicts).min(evicts);
-            self.read.remove(&(due, key.clone()));
+        if let RequestPhase::Read { .. } = held.phase {
+            self.read.remove(&(held.due, key.clone()));
         }
         self.remove_from_pool(now, key, &held);
         Some(held)
@@ -99,7 +100,9 @@
         let Some(pool) = self.pools.get_mut(&held.pool) else {
             return;
         };
-        pool.claims -= u32::from(held.phase.is_claim());
+        if held.phase.is_claim() {
+            pool.claims.remove(&(held.due, key.clone()));
+        }
         match &held.phase {
             RequestPhase::Decoding { decode, .. } | RequestPhase::Transferring { decode } => {
                 if let Some(engine) = pool.decodes.get_mut(decode) {
@@ -121,6 +124,37 @@
         }
     }
 
+    /// By when a request needs a decode place: before its KV cache is evicted, and in time for its first token.
+    fn due_of(&self, now: Instant, held: &HeldRequest) -> Instant {
+        let eviction = self.link.eviction();
+        let kept = eviction.mul_f64(self.tuning.eviction_share);
+        let ready = match &held.phase {
+            RequestPhase::Prefilling { prefill, tokens } => {
+                let pool = self.pools.get(&held.pool);
+                let engine = pool.and_then(|pool| pool.prefills.get(prefill));
+                let read = engine.map_or(0.0, |engine| {
+                    engine.queue_seconds(now) + engine.read_seconds(*tokens)
+                });
+                now + seconds(read)
+            }
+            RequestPhase::Read { evicts, .. } => evicts.checked_sub(eviction).unwrap_or(now),
+            _ => return now,
+        };
+        self.place_due(held, ready, ready + kept)
+    }
+
+    /// The earlier of `due` and the time that lets the first token come by its target, but not before `ready`.
+    pub(crate) fn place_due(&self, held: &HeldRequest, ready: Instant, due: Instant) -> Instant {
+        let Some(deadline) = held.deadline else {
+            return due;
+        };
+        let pool = self.pools.get(&held.pool);
+        let step = pool.map_or(0.0, |pool| pool.step_seconds());
+        let rest = seconds(self.link.seconds(held.request.prompt_tokens) + step);
+        let latest = deadline.checked_sub(rest).unwrap_or(ready);
+        due.min(latest).max(ready)
+    }
+
     /// When the allocator has to look at a request again if it hears nothing.
     fn timer_of(&self, now: Instant, held: &HeldRequest) -> Instant {
         let tokens = held.request.prompt_tokens;
--- a/crates/admit/src/cell_estimates.rs
+++ b/crates/admit/src/cell_estimates.rs
@@ -54,7 +54,12 @@
             return Self::UNKNOWN_WAIT;
         };
         let free = f64::from(pool.free(now, state.row.between_tokens));
-        let ends = f64::from(pool.claims) + ahead.requests + 1.0 - free;
+        let transfer = self.link.seconds(request.prompt_tokens);
+        let target = state.row.first_token.unwrap_or_default();
+        let due = (request.arrived + target).checked_sub(seconds(transfer + pool.step_seconds()));
+        let due = due.unwrap_or(now);
+        let claims = pool.claims.iter().take_while(|(time, _)| *time < due);
+        let ends = claims.count() as f64 + ahead.requests + 1.0 - free;
         let place = pool.forecast.seconds_until(ends);
         let start = pool.start_seconds(now, ahead);
         let start = match state.row.waste <= 0.0 {
@@ -63,8 +68,7 @@
         };
         let read = self.read_end_seconds(now, pool, request, start);
         let ready = read.max(place);
-        let wait = self.link.wait_seconds(now, ready);
-        let transfer = self.link.seconds(request.prompt_tokens);
+        let wait = self.link.wait_seconds(now, ready, transfer);
         seconds(ready + wait + transfer + pool.step_seconds())
     }
 
--- a/crates/admit/src/cell_grants.rs
+++ b/crates/admit/src/cell_grants.rs
@@ -60,9 +60,11 @@
     fn grant_decodes(&mut self, now: Instant, actions: &mut Vec<AdmitAction>) {
         let waiting: Vec<RequestKey> = self.read.iter().map(|(_, key)| key.clone()).collect();
         for key in waiting {
-            let free = self.link.free_at(now);
-            if free.is_some_and(|free| self.tuning.lookahead <= free.duration_since(now)) {
-                return;
+            let held = self.requests.get(&key);
+            let tokens = held.map_or(0, |held| held.request.prompt_tokens);
+            let transfer = self.link.seconds(tokens);
+            if !self.link.may_start(now, transfer, self.tuning.lookahead) {
+                continue;
             }
             self.grant_decode(now, &key, actions);
         }
--- a/crates/admit/src/cell_refusals.rs
+++ b/crates/admit/src/cell_refusals.rs
@@ -82,7 +82,7 @@
         };
         let read = ahead.tokens / pool.prefill_rate().max(f64::MIN_POSITIVE);
         let free = f64::from(pool.free(now, state.row.between_tokens));
-        let ends = f64::from(pool.claims) + ahead.requests + 1.0 - free;
+        let ends = pool.claims.len() as f64 + ahead.requests + 1.0 - free;
         let place = pool.forecast.seconds_until(ends);
         seconds(read.max(place)).max(self.limit_wait(row))
     }
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -132,6 +132,7 @@
         self.serial += 1;
         HeldRequest {
             deadline,
+            due: now,
             granted: None,
             kv: None,
             patience,
--- a/crates/admit/src/cell_turns.rs
+++ b/crates/admit/src/cell_turns.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        cell_allocator::CellAllocator, engine_pool::EnginePool, normal_quantile::normal_quantile,
-        pool_key::PoolKey, row_turn::RowTurn,
+        cell_allocator::CellAllocator, cell_refusals::seconds, engine_pool::EnginePool,
+        normal_quantile::normal_quantile, pool_key::PoolKey, row_turn::RowTurn,
     },
     kernel::UpstreamId,
     std::time::{Duration, Instant},
@@ -123,18 +123,15 @@
         };
         let row = &self.rows[turn.row].row;
         let ready = engine.queue_seconds(now) + engine.read_seconds(tokens);
+        let transfer = self.link.seconds(held.request.prompt_tokens);
         let kept = self.link.eviction().as_secs_f64() * self.tuning.eviction_share;
-        if self.link.wait_seconds(now, ready) > kept {
+        if self.link.wait_seconds(now, ready, transfer) > kept {
             return false;
         }
         let free = f64::from(pool.free(now, row.between_tokens));
-        let spare = free - f64::from(pool.claims) - 1.0;
-        let mut horizon = ready + kept;
-        if let Some(deadline) = held.deadline {
-            let left = deadline.saturating_duration_since(now).as_secs_f64();
-            let rest = self.link.seconds(held.request.prompt_tokens) + pool.step_seconds();
-            horizon = horizon.min(left - rest).max(ready);
-        }
+        let spare = free - pool.claims.len() as f64 - 1.0;
+        let read_at = now + seconds(ready);
+        let due = self.place_due(held, read_at, read_at + seconds(kept));
         if !turn.aged && !self.leaves_room(now, pool, turn.row, spare) {
             return false;
         }
@@ -144,9 +141,7 @@
         if row.waste <= 0.0 {
             return false;
         }
-        let (mean, variance) = pool.forecast.ends_within(horizon);
-        let margin = normal_quantile(1.0 - row.waste) * variance.sqrt();
-        spare + mean - margin >= 0.0
+        pool.has_place(now, due, free, normal_quantile(1.0 - row.waste))
     }
 
     /// Whether urgent work of a better rank still finds a place in time after one more of this row.
--- a/crates/admit/src/engine_pool.rs
+++ b/crates/admit/src/engine_pool.rs
@@ -3,11 +3,11 @@
 use {
     crate::{
         decode_engine::DecodeEngine, free_forecast::FreeForecast, prefill_engine::PrefillEngine,
-        row_state::RowState,
+        request_key::RequestKey, row_state::RowState,
     },
     kernel::UpstreamId,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
     table::Rank,
@@ -16,8 +16,8 @@
 /// Prefill and decode engines, and how many requests were or are being read for them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EnginePool {
-    /// Requests that are read or being read and hold no decode place yet.
-    pub(crate) claims: u32,
+    /// Requests that were or are being read and hold no decode place yet, by when they need one.
+    pub(crate) claims: BTreeSet<(Instant, RequestKey)>,
     pub(crate) decodes: BTreeMap<UpstreamId, DecodeEngine>,
     pub(crate) forecast: FreeForecast,
     /// The service over the weight that the last row of each rank had when its turn came.
@@ -37,6 +37,26 @@
         free
     }
 
+    /// Whether one more request that needs a place by `due` finds one, and every claim after it still does. All in
+    /// the order of the times by which they need it, with `margin` deviations of the forecast to spare.
+    pub(crate) fn has_place(&self, now: Instant, due: Instant, free: f64, margin: f64) -> bool {
+        let earlier = self.claims.iter().take_while(|(time, _)| *time <= due);
+        let mut before = earlier.count() as f64;
+        let later = self.claims.iter().skip(before as usize);
+        for due in std::iter::once(due).chain(later.map(|(time, _)| *time)) {
+            before += 1.0;
+            if before <= free {
+                continue;
+            }
+            let seconds = due.saturating_duration_since(now).as_secs_f64();
+            let (mean, variance) = self.forecast.ends_within(seconds);
+            if free + mean - margin * variance.sqrt() < before {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Works the forecast out anew when it is old.
     pub(crate) fn look_ahead(&mut self, now: Instant, rows: &[RowState]) {
         if !self.forecast.is_old(now) {
--- a/crates/admit/src/held_request.rs
+++ b/crates/admit/src/held_request.rs
@@ -14,6 +14,8 @@
 pub(crate) struct HeldRequest {
     /// The first-token target as a time; none for patient rows.
     pub(crate) deadline: Option<Instant>,
+    /// By when it needs a decode place, once it is read or being read.
+    pub(crate) due: Instant,
     /// When it was first granted something.
     pub(crate) granted: Option<Instant>,
     /// Where its KV cache lies while it is in transfer, and until when.
--- a/crates/admit/src/link_turns.rs
+++ b/crates/admit/src/link_turns.rs
@@ -8,6 +8,9 @@
 /// How long the KV cache is kept when nothing is known of the link.
 const EVICTION_UNKNOWN: Duration = Duration::from_millis(500);
 
+/// A transfer that is at most this part of what is left of another goes beside it.
+const BESIDE_SHARE: f64 = 0.25;
+
 /// The link by its rate: when it will be free, and what still has to cross it.
 ///
 /// Transfers take turns: on a shared link the mean of the ends is the least when one follows the other. A turn ends by
@@ -37,12 +40,27 @@
         self.free_at.filter(|free| now < *free)
     }
 
-    /// Seconds that a transfer which is ready in `ready` seconds waits for its turn.
-    pub(crate) fn wait_seconds(&self, now: Instant, ready: f64) -> f64 {
-        let busy = self.free_at(now).map_or(0.0, |free| {
+    /// Whether a transfer of some seconds may start: the link is free, or will be within `lookahead`, or the transfer
+    /// is so short against the one under way that going beside it delays that one little.
+    pub(crate) fn may_start(&self, now: Instant, transfer: f64, lookahead: Duration) -> bool {
+        let busy = self.busy_seconds(now);
+        busy <= lookahead.as_secs_f64() || transfer <= busy * BESIDE_SHARE
+    }
+
+    /// Seconds that a transfer of `transfer` seconds which is ready in `ready` seconds waits for its turn.
+    pub(crate) fn wait_seconds(&self, now: Instant, ready: f64, transfer: f64) -> f64 {
+        let before = (self.busy_seconds(now) + self.claimed - ready).max(0.0);
+        if transfer <= before * BESIDE_SHARE {
+            return transfer;
+        }
+        before
+    }
+
+    fn busy_seconds(&self, now: Instant) -> f64 {
+        let free = self.free_at(now);
+        free.map_or(0.0, |free| {
             free.saturating_duration_since(now).as_secs_f64()
-        });
-        (busy + self.claimed - ready).max(0.0)
+        })
     }
 
     /// Seconds that the KV cache of a prompt needs on the link alone.
