--- /dev/null
+++ b/crates/bench/tests/policy/main.rs
@@ -0,0 +1,7 @@
+//! The policy bench: its world keeps its own rules, whatever a policy does.
+
+mod conservation;
+mod determinism;
+mod full_engines;
+mod scenario_faults;
+mod support;
