--- a/crates/lease/tests/lease_core.rs
+++ b/crates/lease/tests/lease_core.rs
@@ -88,6 +88,9 @@
     let mut gate = OrderGate::new(LONGEST_ORDER);
     let verdict = gate.decide(thawed, core.hold(thawed), &"checks".into(), true);
     assert_eq!(verdict, GateVerdict::Lost);
+    let stale = core.hold(now + SECOND);
+    let verdict = gate.decide(thawed, stale, &"checks".into(), true);
+    assert_eq!(verdict, GateVerdict::Lost);
 }
 
 #[test]
--- a/crates/lease/tests/support/lease_world.rs
+++ b/crates/lease/tests/support/lease_world.rs
@@ -11,8 +11,9 @@
 };
 
 const LIFE_MS: u64 = 1000;
-const ORDER_MS: u64 = 500;
+const ORDER_MS: u64 = 2500;
 const MILLION: u64 = 1_000_000;
+const BEAT_STEPS: usize = 3;
 /// Each process's clock: where it starts, milliseconds, and its rate.
 const CLOCKS: [(u64, u64); 3] = [(0, 991_000), (90_000, 1_000_000), (7, 1_009_000)];
 
@@ -29,6 +30,8 @@
 pub(crate) enum LeaseStep {
     /// Time passes; whoever is between two steps is frozen for it.
     Advance(u64),
+    /// The process ticks until it waits, and every call is answered.
+    Beat(usize),
     Crash(usize),
     /// A late write takes effect.
     Land(usize),
@@ -51,16 +54,22 @@
             1 => Just(CallFate::LostCall),
             1 => Just(CallFate::LostReply),
         ];
-        let order = (any::<bool>(), any::<bool>(), 0..3_usize, 1..=ORDER_MS);
+        let mostly = || prop_oneof![2 => Just(false), 1 => Just(true)];
+        let works_ms = prop_oneof![1 => 1..ORDER_MS, 2 => Just(ORDER_MS)];
+        let order = (mostly(), mostly(), 0..3_usize, works_ms);
+        // Near the ends of leases and orders is where faults show.
+        let pauses = [1_u64, 20, 335, 500, 950, 985, 1000, 1012, 1030, 2500];
+        let pause = prop_oneof![4 => proptest::sample::select(pauses.to_vec()), 1 => 0..1100_u64];
         prop_oneof![
-            3 => prop_oneof![0..60_u64, 300..1100_u64].prop_map(Self::Advance),
+            5 => pause.prop_map(Self::Advance),
+            6 => (0..3_usize).prop_map(Self::Beat),
             1 => (0..3_usize).prop_map(Self::Crash),
             1 => (0..4_usize).prop_map(Self::Land),
             5 => order.prop_map(|(answered, checks_fence, process, works_ms)| Self::Order {
                 answered, checks_fence, process, works_ms,
             }),
             1 => (0..3_usize).prop_map(Self::Release),
-            9 => (0..3_usize, fate).prop_map(|(process, fate)| Self::Step(process, fate)),
+            6 => (0..3_usize, fate).prop_map(|(process, fate)| Self::Step(process, fate)),
         ]
     }
 }
@@ -115,6 +124,11 @@
     pub(crate) fn apply(&mut self, step: LeaseStep) {
         match step {
             LeaseStep::Advance(ms) => self.now_ms += ms,
+            LeaseStep::Beat(process) => {
+                for _ in 0..BEAT_STEPS {
+                    self.apply(LeaseStep::Step(process, CallFate::Done));
+                }
+            }
             LeaseStep::Crash(process) => self.processes[process] = self.start(),
             LeaseStep::Land(index) => {
                 if index < self.late.len() {
@@ -139,6 +153,7 @@
                 self.hear(process, heard.unwrap_or(LeaseEvent::Tick), fate);
             }
         }
+        self.judge_holders();
     }
 
     fn call(&mut self, action: &LeaseAction) -> Option<LeaseEvent> {
@@ -214,6 +229,15 @@
         self.orders.push(order);
     }
 
+    /// The oracle: one process at a time takes itself for the holder.
+    fn judge_holders(&mut self) {
+        let holds = |at: &usize| self.processes[*at].core.hold(self.clock(*at)).is_some();
+        let holders: Vec<usize> = (0..CLOCKS.len()).filter(holds).collect();
+        if holders.len() > 1 {
+            self.fault = Some(format!("processes {holders:?} hold the lease"));
+        }
+    }
+
     fn order(&mut self, process: usize, checks_fence: bool, answered: bool, works_ms: u64) {
         let now = self.clock(process);
         let engine = UpstreamId::from(if checks_fence { "checks" } else { "ignores" });
