--- a/crates/peer/src/member_beat.rs
+++ b/crates/peer/src/member_beat.rs
@@ -24,7 +24,7 @@
         if self.stale.is_some() {
             return;
         }
-        self.refresh_ring(now);
+        self.refresh_ring(now, actions);
         self.change_own(now, |own| own.standing = MemberStanding::Gone);
         self.send_beat(now, actions);
         self.stale = Some(self.incarnation());
@@ -36,11 +36,11 @@
         }
         self.notice_own_pause(now, actions);
         self.expire(now);
-        self.refresh_ring(now);
+        self.refresh_ring(now, actions);
         self.suspect_silent(now, actions);
         self.judge_suspects(now, actions);
         self.note_silent_zones(now, actions);
-        self.refresh_ring(now);
+        self.refresh_ring(now, actions);
         self.climb_floors();
         if self.stale.is_none() {
             self.send_beat(now, actions);
@@ -91,7 +91,7 @@
     }
 
     /// Works the neighbours out anew after a change of members. A new neighbour gets time to be heard.
-    fn refresh_ring(&mut self, now: Instant) {
+    fn refresh_ring(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
         if !self.ring_stale {
             return;
         }
@@ -110,7 +110,21 @@
             let watch = self.watch(now, instance, incarnation);
             watch.heard = now;
         }
-        self.neighbours = neighbours;
+        let left = std::mem::replace(&mut self.neighbours, neighbours);
+        for instance in left {
+            if !self.neighbours.contains(&instance) {
+                self.end_foreign_cut(&instance, actions);
+            }
+        }
+    }
+
+    /// A member of another zone that is no neighbour any more is what its own zone says it is.
+    fn end_foreign_cut(&mut self, instance: &InstanceId, actions: &mut Vec<MemberAction>) {
+        let record = self.records.get(instance);
+        let is_foreign = record.is_some_and(|record| record.zone != self.zone);
+        if is_foreign {
+            self.end_cut(instance, actions);
+        }
     }
 
     fn suspect_silent(&mut self, now: Instant, actions: &mut Vec<MemberAction>) {
@@ -148,21 +162,21 @@
         let mut total = 0;
         let mut due = Vec::new();
         for record in self.records.live() {
-            if record.zone != self.zone {
-                continue;
-            }
-            total += 1;
-            if !record.is_suspect() {
-                heard += 1;
-                continue;
-            }
-            if self.is_due(now, &record.instance) {
+            let is_near = record.zone == self.zone;
+            total += usize::from(is_near);
+            heard += usize::from(is_near && !record.is_suspect());
+            if record.is_suspect() && self.is_due(now, &record.instance) {
                 due.push(record.clone());
             }
         }
         let may_judge = heard * 2 >= total && self.stale.is_none();
         for record in due {
+            if record.zone != self.zone {
+                self.ask_again(now, record.instance);
+                continue;
+            }
             if !may_judge {
+                self.ask_again(now, record.instance.clone());
                 self.cut_member(record.instance, actions);
                 continue;
             }
@@ -174,6 +188,14 @@
         }
     }
 
+    /// Passes a suspicion on once more, so that a suspect that lives hears of it and refutes.
+    fn ask_again(&mut self, now: Instant, instance: InstanceId) {
+        if let Some(watch) = self.watches.get_mut(&instance) {
+            watch.suspected = Some(now);
+        }
+        self.record_rumours.push(instance);
+    }
+
     fn is_due(&self, now: Instant, instance: &str) -> bool {
         let Some(watch) = self.watches.get(instance) else {
             return false;
--- a/crates/peer/src/member_merge.rs
+++ b/crates/peer/src/member_merge.rs
@@ -99,7 +99,7 @@
         watch.suspected = Some(now);
     }
 
-    fn end_cut(&mut self, instance: &InstanceId, actions: &mut Vec<MemberAction>) {
+    pub(crate) fn end_cut(&mut self, instance: &InstanceId, actions: &mut Vec<MemberAction>) {
         let Some(watch) = self.watches.get_mut(instance) else {
             return;
         };
@@ -225,7 +225,7 @@
             return;
         }
         if record.incarnation > own.incarnation {
-            self.yield_name(record.incarnation, actions);
+            self.yield_name(now, record, actions);
             return;
         }
         let revision = record.revision;
@@ -240,13 +240,25 @@
         actions.push(MemberAction::Renew { above });
     }
 
-    fn yield_name(&mut self, by: Incarnation, actions: &mut Vec<MemberAction>) {
-        if self.stale == Some(by) {
+    /// A later life has this name: either another process, or an earlier process of this one before its clock went
+    /// back. The first is heard by the others, the second is not.
+    fn yield_name(&mut self, now: Instant, by: &MemberRecord, actions: &mut Vec<MemberAction>) {
+        // One below, so that the end of the later life still asks for a new one.
+        let stale = Some(by.incarnation - 1);
+        if self.stale != stale {
+            self.stale = stale;
+            self.superseder_silent = None;
+            let by = by.incarnation;
+            actions.push(MemberAction::News(MemberNews::Superseded { by }));
+        }
+        if !by.is_suspect() {
+            self.superseder_silent = None;
             return;
         }
-        // One below, so that the end of the later life still asks for a new one.
-        self.stale = Some(by - 1);
-        actions.push(MemberAction::News(MemberNews::Superseded { by }));
+        let since = *self.superseder_silent.get_or_insert(now);
+        if now.saturating_duration_since(since) > self.gone_after() {
+            self.leave_life(by.incarnation, actions);
+        }
     }
 
     fn compare_tables(
--- a/crates/peer/src/member_table.rs
+++ b/crates/peer/src/member_table.rs
@@ -66,6 +66,7 @@
     pub(crate) sequence: u64,
     pub(crate) settings: MemberSettings,
     pub(crate) stale: Option<Incarnation>,
+    pub(crate) superseder_silent: Option<Instant>,
     pub(crate) table: TableMark,
     pub(crate) watches: BTreeMap<InstanceId, MemberWatch>,
     pub(crate) zone: ZoneId,
@@ -106,6 +107,7 @@
             sequence: 0,
             settings,
             stale: None,
+            superseder_silent: None,
             table: TableMark::default(),
             watches: BTreeMap::new(),
             zone,
@@ -304,6 +306,7 @@
             return;
         }
         self.stale = None;
+        self.superseder_silent = None;
         self.mark_serial = 0;
         self.sequence = 0;
         self.change_own(now, |own| {
--- /dev/null
+++ b/crates/peer/tests/members.rs
@@ -0,0 +1,332 @@
+//! The membership core in virtual time: one behaviour a test.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use {
+    fleet::{Fleet, mark},
+    kernel::{InstanceId, ZoneId},
+    peer::{
+        MemberAction, MemberEvent, MemberMessage, MemberNews, MemberSettings, MemberState,
+        MemberTable, PeerIdentity, RefusedCause,
+        floor_ladder::LADDER_STEPS,
+        neighbour_ring::{NeighbourRing, RingLimits},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::{Duration, Instant},
+    },
+};
+
+const SETTLE: Duration = Duration::from_secs(60);
+
+fn second(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn settled(count: usize, zones: usize) -> Fleet {
+    let mut fleet = Fleet::new(count, zones, MemberSettings::default(), 7);
+    fleet.edit(0);
+    fleet.run(SETTLE);
+    fleet.check_agreement();
+    fleet.news.clear();
+    fleet
+}
+
+fn gone(fleet: &Fleet) -> BTreeSet<InstanceId> {
+    let mut gone = BTreeSet::new();
+    for (_, _, news) in &fleet.news {
+        let MemberNews::MemberGone { instance, .. } = news else {
+            continue;
+        };
+        gone.insert(instance.clone());
+    }
+    gone
+}
+
+#[test]
+fn a_crashed_member_is_gone_everywhere_within_the_bound() {
+    let mut fleet = settled(9, 3);
+    fleet.crash(4);
+    fleet.run(second(5));
+    let hearers: BTreeSet<usize> = fleet.news.iter().map(|(hearer, ..)| *hearer).collect();
+    assert_eq!(gone(&fleet), BTreeSet::from([fleet.name(4)]));
+    assert_eq!(hearers.len(), 8);
+    fleet.check_agreement();
+}
+
+#[test]
+fn a_member_that_was_paused_takes_a_new_life() {
+    let mut fleet = settled(9, 3);
+    let life = fleet.nodes[4].table.as_ref().unwrap().incarnation();
+    fleet.nodes[4].frozen = true;
+    fleet.run(second(20));
+    fleet.thaw(4);
+    fleet.run(second(20));
+    assert!(fleet.nodes[4].table.as_ref().unwrap().incarnation() > life);
+    fleet.check_agreement();
+}
+
+#[test]
+fn a_restart_with_a_clock_that_went_back_takes_a_later_life() {
+    let mut fleet = settled(9, 3);
+    let life = fleet.nodes[4].table.as_ref().unwrap().incarnation();
+    fleet.crash(4);
+    fleet.start(4, 400_000_000);
+    assert!(fleet.nodes[4].table.as_ref().unwrap().incarnation() < life);
+    fleet.run(second(40));
+    assert!(fleet.nodes[4].table.as_ref().unwrap().incarnation() > life);
+    fleet.check_agreement();
+}
+
+#[test]
+fn a_lossy_network_makes_nobody_gone() {
+    let mut fleet = settled(30, 3);
+    fleet.loss = 0.2;
+    fleet.jitter = Duration::from_millis(80);
+    fleet.run(second(120));
+    assert_eq!(gone(&fleet), BTreeSet::new());
+}
+
+#[test]
+fn a_rack_that_is_cut_off_declares_nobody_gone() {
+    let mut fleet = settled(24, 2);
+    // Three members of one zone: they hear each other, and three of twelve are no half.
+    fleet.partition(0b1_0101);
+    fleet.run(second(30));
+    let rack = [fleet.name(0), fleet.name(2), fleet.name(4)];
+    let mut judged = BTreeMap::<InstanceId, BTreeSet<InstanceId>>::new();
+    for (hearer, _, news) in &fleet.news {
+        if let MemberNews::MemberGone { instance, .. } = news {
+            let hearer = fleet.name(*hearer);
+            judged.entry(hearer).or_default().insert(instance.clone());
+        }
+    }
+    for (hearer, members) in judged {
+        assert!(
+            !rack.contains(&hearer),
+            "{hearer} declared {members:?} gone"
+        );
+        assert_eq!(members, rack.iter().cloned().collect());
+    }
+    fleet.heal();
+    fleet.run(SETTLE);
+    fleet.check_agreement();
+}
+
+#[test]
+fn a_zone_that_is_cut_off_keeps_its_members_and_is_heard_again() {
+    let mut fleet = settled(45, 3);
+    let mut mask = 0;
+    for index in (0..45).step_by(3) {
+        mask |= 1 << index;
+    }
+    fleet.partition(mask);
+    fleet.run(second(30));
+    assert_eq!(gone(&fleet), BTreeSet::new());
+    let cut =
+        |news: &MemberNews| matches!(news, MemberNews::ZoneCut { zone } if &**zone == "zone-00");
+    let hearers: BTreeSet<usize> = fleet
+        .news
+        .iter()
+        .filter(|(.., news)| cut(news))
+        .map(|(hearer, ..)| *hearer)
+        .collect();
+    assert_eq!(hearers.len(), 30);
+    fleet.heal();
+    fleet.run(second(20));
+    let back = fleet
+        .news
+        .iter()
+        .filter(|(.., news)| matches!(news, MemberNews::ZoneBack { .. }));
+    assert!(back.count() >= 30);
+    fleet.check_agreement();
+}
+
+#[test]
+fn a_mark_and_a_version_spread_over_zones_within_two_seconds() {
+    let mut fleet = settled(120, 4);
+    fleet.loss = 0.05;
+    fleet.mark(17, "engine-1");
+    fleet.edit(33);
+    fleet.run(second(2));
+    let marked = fleet
+        .news
+        .iter()
+        .filter(|(.., news)| matches!(news, MemberNews::Marked(_)));
+    assert_eq!(marked.count(), 120);
+    fleet.check_agreement();
+}
+
+#[test]
+fn a_zone_floor_follows_its_slowest_member() {
+    let mut fleet = settled(40, 1);
+    fleet.nodes[11].frozen = true;
+    fleet.edit(0);
+    fleet.run(second(1));
+    let head = fleet.head;
+    let floor = |fleet: &Fleet| fleet.nodes[0].table.as_ref().unwrap().zone_floor();
+    assert_eq!(floor(&fleet), head - 1);
+    fleet.thaw(11);
+    fleet.run(second(10));
+    assert_eq!(floor(&fleet), head);
+}
+
+#[test]
+fn an_older_table_is_refused_and_told() {
+    let mut fleet = settled(3, 1);
+    fleet.feed(0, MemberEvent::Table(mark(1)));
+    let ours = fleet.head;
+    let told = MemberNews::VersionFell { ours, version: 1 };
+    assert_eq!(fleet.news.last().unwrap().2, told);
+    assert_eq!(fleet.nodes[0].table.as_ref().unwrap().table(), mark(ours));
+}
+
+#[test]
+fn one_version_with_two_contents_is_told() {
+    let mut fleet = settled(3, 1);
+    let mut other = mark(fleet.head);
+    other.digest += 1;
+    fleet.feed(0, MemberEvent::Table(other));
+    fleet.run(second(2));
+    let told = fleet
+        .news
+        .iter()
+        .filter(|(.., news)| matches!(news, MemberNews::DigestDiffers { .. }));
+    assert!(told.count() > 0);
+}
+
+/// A table with one peer, and the peer's first heartbeat.
+fn heartbeat() -> (MemberTable, PeerIdentity, MemberMessage, Instant) {
+    let now = Instant::now();
+    let address = ([127, 0, 0, 1], 1).into();
+    let make = |name: &str| {
+        let identity = MemberTable::identity(name.into(), 5, "a".into(), address);
+        let contacts = ["x".into(), "y".into()].into();
+        MemberTable::new(now, identity, contacts, MemberSettings::default())
+    };
+    let mut sender = make("x");
+    sender.on_event(
+        now,
+        MemberEvent::State(MemberState::Serving),
+        &mut Vec::new(),
+    );
+    let mut actions = Vec::new();
+    sender.on_event(now, MemberEvent::Tick, &mut actions);
+    let message = actions.into_iter().find_map(|action| match action {
+        MemberAction::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    let from = PeerIdentity {
+        incarnation: 5,
+        instance: "x".into(),
+    };
+    (make("y"), from, message.unwrap(), now)
+}
+
+#[test]
+fn a_replayed_heartbeat_is_refused() {
+    let (mut table, from, message, now) = heartbeat();
+    let mut actions = Vec::new();
+    for _ in 0..2 {
+        let event = MemberEvent::Message {
+            from: from.clone(),
+            message: message.clone(),
+        };
+        table.on_event(now, event, &mut actions);
+    }
+    let refused = MemberAction::Refuse(RefusedCause::Replayed);
+    assert_eq!(
+        actions.iter().filter(|action| **action == refused).count(),
+        1
+    );
+}
+
+#[test]
+fn a_heartbeat_for_another_member_is_refused() {
+    let (mut table, from, message, now) = heartbeat();
+    for from in [
+        PeerIdentity {
+            instance: "z".into(),
+            ..from.clone()
+        },
+        PeerIdentity {
+            incarnation: 6,
+            ..from
+        },
+    ] {
+        let mut actions = Vec::new();
+        let event = MemberEvent::Message {
+            from,
+            message: message.clone(),
+        };
+        table.on_event(now, event, &mut actions);
+        assert_eq!(actions, [MemberAction::Refuse(RefusedCause::Garbled)]);
+    }
+}
+
+fn ring(count: usize) -> (NeighbourRing, Vec<InstanceId>) {
+    let mut ring = NeighbourRing::default();
+    let names: Vec<InstanceId> = (0..count).map(|index| format!("n{index}").into()).collect();
+    for name in &names {
+        ring.add("a".into(), name.clone());
+    }
+    (ring, names)
+}
+
+const LIMITS: RingLimits = RingLimits {
+    neighbours: 8,
+    zone_links: 2,
+};
+
+#[test]
+fn links_in_a_zone_are_bounded_mutual_and_short() {
+    let zone: ZoneId = "a".into();
+    for count in [2, 9, 10, 11, 25, 60, 107, 214, 400] {
+        let (ring, names) = ring(count);
+        let links: BTreeMap<&InstanceId, BTreeSet<InstanceId>> = names
+            .iter()
+            .map(|name| (name, ring.neighbours(&zone, name, LIMITS)))
+            .collect();
+        let mut reached = BTreeSet::from([&names[0]]);
+        let mut steps = 0;
+        while reached.len() < count {
+            reached = reached
+                .iter()
+                .flat_map(|name| &links[*name])
+                .chain(reached.clone())
+                .collect();
+            steps += 1;
+            assert!(
+                steps <= LADDER_STEPS,
+                "{count} members take more than {steps} steps"
+            );
+        }
+        for (name, neighbours) in &links {
+            assert!(neighbours.len() <= 8);
+            assert!(neighbours.iter().all(|other| links[other].contains(*name)));
+        }
+    }
+}
+
+#[test]
+fn links_between_zones_are_few() {
+    let mut ring = NeighbourRing::default();
+    let mut members = Vec::new();
+    for index in 0..1_500 {
+        let zone: ZoneId = format!("zone-{:02}", index % 14).into();
+        let name: InstanceId = format!("node-{index:04}").into();
+        ring.add(zone.clone(), name.clone());
+        members.push((zone, name));
+    }
+    let mut links = 0;
+    let mut most = 0;
+    for (zone, name) in members.iter().take(140) {
+        let neighbours = ring.neighbours(zone, name, LIMITS);
+        let foreign = neighbours.len().saturating_sub(8);
+        links += foreign;
+        most = most.max(foreign);
+    }
+    assert!(most <= 8, "{most}");
+    assert!(links < 140, "{links}");
+}
