--- a/crates/peer/src/member_merge.rs
+++ b/crates/peer/src/member_merge.rs
@@ -33,11 +33,24 @@
         }
         match message {
             MemberMessage::Beat(beat) => self.on_beat(now, from, &beat, actions),
+            MemberMessage::Probe(beat) => {
+                self.on_beat(now, from, &beat, actions);
+                self.answer_probe(now, from, actions);
+            }
             MemberMessage::Reply(reply) => self.on_reply(now, reply, actions),
             MemberMessage::Request(request) => self.on_request(now, from, &request, actions),
         }
     }
 
+    fn answer_probe(&mut self, now: Instant, from: &PeerIdentity, actions: &mut Vec<MemberAction>) {
+        if self.stale.is_some() || self.neighbours.contains(&from.instance) {
+            return;
+        }
+        let message = MemberMessage::Beat(Box::new(self.make_beat(now)));
+        let to = vec![from.instance.clone()];
+        actions.push(MemberAction::Send { message, to });
+    }
+
     fn on_beat(
         &mut self,
         now: Instant,
@@ -99,16 +112,20 @@
         watch.suspected = Some(now);
     }
 
-    fn end_cut(&mut self, instance: &InstanceId, actions: &mut Vec<MemberAction>) {
+    pub(crate) fn end_cut(&mut self, instance: &InstanceId, actions: &mut Vec<MemberAction>) {
         let Some(watch) = self.watches.get_mut(instance) else {
             return;
         };
         if !std::mem::take(&mut watch.cut) {
             return;
         }
+        self.ring_stale = true;
         let Some(record) = self.records.get(instance) else {
             return;
         };
+        if record.is_gone() {
+            return;
+        }
         let news = MemberNews::MemberUp(record.clone());
         actions.push(MemberAction::News(news));
     }
@@ -225,7 +242,7 @@
             return;
         }
         if record.incarnation > own.incarnation {
-            self.yield_name(record.incarnation, actions);
+            self.yield_name(now, record, actions);
             return;
         }
         let revision = record.revision;
@@ -240,13 +257,31 @@
         actions.push(MemberAction::Renew { above });
     }
 
-    fn yield_name(&mut self, by: Incarnation, actions: &mut Vec<MemberAction>) {
-        if self.stale == Some(by) {
+    /// A later life has this name: either another process, or an earlier process of this one before its clock went
+    /// back. The first is heard by the others, the second is not.
+    fn yield_name(&mut self, now: Instant, by: &MemberRecord, actions: &mut Vec<MemberAction>) {
+        // One below, so that the end of the later life still asks for a new one.
+        let stale = Some(by.incarnation - 1);
+        if self.stale != stale {
+            self.stale = stale;
+            self.superseder_silent = None;
+            let by = by.incarnation;
+            actions.push(MemberAction::News(MemberNews::Superseded { by }));
+        }
+        if !by.is_suspect() && self.hears_zone() {
+            self.superseder_silent = None;
             return;
         }
-        // One below, so that the end of the later life still asks for a new one.
-        self.stale = Some(by - 1);
-        actions.push(MemberAction::News(MemberNews::Superseded { by }));
+        let since = *self.superseder_silent.get_or_insert(now);
+        if now.saturating_duration_since(since) > self.gone_after() {
+            self.leave_life(by.incarnation, actions);
+        }
+    }
+
+    /// Whether another member of the own zone is heard that could judge the zone's members.
+    fn hears_zone(&self) -> bool {
+        self.heard()
+            .any(|record| record.zone == self.zone && record.instance != self.instance)
     }
 
     fn compare_tables(
