Name listen.peers when its address is taken

Cause: the peer endpoint's bind fault was told as "keys can't be made", without the field; the test of taken addresses failed on it when the request path was wired.

--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -6,7 +6,7 @@
         entry::{
             AllocatorMaker, EntryParts, ListPoller, MemberWatch, PathBase, TableDriver, TableShare,
         },
-        run_error::KeysSnafu,
+        run_error::PeersSnafu,
     },
     flow::{
         AllocatorSeats, CELL_TAG, CellTable, GrantRouter, LoadPoller, SessionHost, StreamSweeper,
@@ -174,7 +174,7 @@
         }))
         .zone(parts.identity.zone.clone())
         .start()
-        .context(KeysSnafu)
+        .context(PeersSnafu)
 }
 
 /// Starts what brings the table here.
--- a/crates/trestlewalk/src/entry/path_base.rs
+++ b/crates/trestlewalk/src/entry/path_base.rs
@@ -4,7 +4,7 @@
     crate::{
         RunError,
         entry::{EntryParts, load_keys},
-        run_error::{KeysSnafu, MetricsSnafu, PlatformSnafu},
+        run_error::{MetricsSnafu, PlatformSnafu},
         settings::{EntrySettings, UpstreamSettings},
     },
     door::{AdmissionGate, DoorDefaults, DoorLimits, DoorShared},
@@ -13,7 +13,7 @@
         CellHub, FlowMetrics, FlowShared, PlainCaller, StreamCanceller, TableBoard, UpstreamBoard,
     },
     kernel::{CloseSignal, WorkerPool},
-    peer::{PeerBook, PeerEndpoint},
+    peer::{PeerBook, PeerEndpoint, PeerError},
     plat::{HttpPlatform, InstanceKind, InstanceRecord, InstanceState},
     route::UpstreamRole,
     snafu::ResultExt,
@@ -132,7 +132,19 @@
         .instance(parts.identity.instance.clone())
         .keys(&keys)
         .build()
-        .context(KeysSnafu)
+        .map_err(bind_error)
+}
+
+/// Names the field of the settings when the address is at fault.
+fn bind_error(error: PeerError) -> RunError {
+    match error {
+        PeerError::Bind { address, source } => RunError::Bind {
+            address,
+            field: "listen.peers",
+            source,
+        },
+        source => RunError::Peers { source },
+    }
 }
 
 fn door_defaults(settings: &EntrySettings) -> DoorDefaults {
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -5,7 +5,7 @@
         RunError,
         admin::StatusSource,
         entry::{BoardStatus, CloseReport, ControlWork, EntryParts, PathBase},
-        run_error::KeysSnafu,
+        run_error::PeersSnafu,
     },
     door::{AdmissionGate, DoorServer},
     flow::TableBoard,
@@ -50,7 +50,7 @@
     ///
     /// The system does not know the socket's address.
     pub fn peers_address(&self) -> Result<SocketAddr, RunError> {
-        self.endpoint.local_address().context(KeysSnafu)
+        self.endpoint.local_address().context(PeersSnafu)
     }
 
     /// Which table is in force.
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -3,6 +3,7 @@
 use {
     crate::{exit_code, settings::SettingsFault, subcommand::table::TableCliError},
     kernel::ResultCode,
+    peer::PeerError,
     snafu::Snafu,
     std::{io, net::SocketAddr, path::PathBuf},
 };
@@ -45,7 +46,7 @@
     #[snafu(display("keys can't be made: {source}"))]
     Keys {
         /// Why.
-        source: peer::PeerError,
+        source: PeerError,
     },
     /// The metrics can't be made.
     #[snafu(display("the metrics can't be made: {source}"))]
@@ -53,6 +54,12 @@
         /// Why.
         source: prometheus::Error,
     },
+    /// The links to other instances can't be opened.
+    #[snafu(display("the links to peers can't be opened: {source}"))]
+    Peers {
+        /// Why.
+        source: PeerError,
+    },
     /// The platform's address can't be used.
     #[snafu(display("platform.address: {source}"))]
     Platform {
@@ -115,9 +122,11 @@
         match self {
             Self::CutByClose { .. } => Some(ResultCode::CutByClose),
             Self::DumpFailed { .. } => Some(ResultCode::DumpFailed),
-            Self::ReadFile { .. } | Self::SettingsInvalid { .. } => {
-                Some(ResultCode::SettingsInvalid)
+            Self::Peers {
+                source: PeerError::Keys { .. },
             }
+            | Self::ReadFile { .. }
+            | Self::SettingsInvalid { .. } => Some(ResultCode::SettingsInvalid),
             Self::RequestFailed { code, .. } => Some(*code),
             Self::Table { source } => source.result_code(),
             Self::TableInvalid { source } => Some(source.result_code()),
@@ -125,6 +134,7 @@
             | Self::Fake { .. }
             | Self::Keys { .. }
             | Self::Metrics { .. }
+            | Self::Peers { .. }
             | Self::Platform { .. }
             | Self::Runtime { .. }
             | Self::WriteFile { .. } => None,
--- a/crates/trestlewalk/tests/serve.rs
+++ b/crates/trestlewalk/tests/serve.rs
@@ -120,6 +120,28 @@
     }
 }
 
+#[tokio::test]
+async fn a_key_file_that_is_not_there_is_named() {
+    let fleet = FleetPlan::new().start().await;
+    let keys = "keys={authority: nowhere.pem, certificate: c.pem, key: k.key}";
+    let args = ["serve", "--settings", "gijon-1.yaml", "--set", keys];
+    let output = fleet.run(&args).await;
+    let message = "nowhere.pem: can't read the file";
+    assert!(output.stderr.contains(message), "{}", output.stderr);
+    assert_eq!(output.status, 51);
+}
+
+#[tokio::test]
+async fn a_key_that_is_none_is_told() {
+    let fleet = FleetPlan::new().start().await;
+    let keys = "keys={test: {authority: a, certificate: c, key: k}}";
+    let args = ["serve", "--settings", "gijon-1.yaml", "--set", keys];
+    let output = fleet.run(&args).await;
+    let message = "the links to peers can't be opened: the peer keys can't be used: ";
+    assert!(output.stderr.contains(message), "{}", output.stderr);
+    assert_eq!(output.status, 51);
+}
+
 #[test]
 fn faulty_settings_start_nothing() {
     Test::new()
