--- a/crates/trestlewalk/src/settings/settings_check.rs
+++ b/crates/trestlewalk/src/settings/settings_check.rs
@@ -9,6 +9,10 @@
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
+const LARGEST_BODY: u64 = 1 << 30;
+const LARGEST_HEADERS: u64 = 1 << 20;
+/// Longer times are slips of the pen, and far longer ones have no end on the clock.
+const LONGEST_DURATION: Duration = Duration::from_secs(24 * 60 * 60);
 const SHORTEST_SECRET: usize = 16;
 const SMALLEST_HEADERS: u64 = 1 << 10;
 
@@ -59,11 +63,16 @@
     if duration.is_zero() {
         list.push(&FieldPath::dotted(path), "has to be longer than 0s");
     }
+    if duration > LONGEST_DURATION {
+        list.push(&FieldPath::dotted(path), "has to be at most 1day");
+    }
 }
 
 fn check_heartbeat(settings: &EntrySettings, list: &mut FaultList) {
     let heartbeat = &settings.heartbeat;
+    check_duration("heartbeat.dead_after", heartbeat.dead_after, list);
     check_duration("heartbeat.period", heartbeat.period, list);
+    check_duration("heartbeat.suspect_after", heartbeat.suspect_after, list);
     if heartbeat.fanout == 0 {
         list.push(
             &FieldPath::dotted("heartbeat.fanout"),
@@ -116,13 +125,16 @@
     check_duration("limits.close", limits.close, list);
     check_duration("limits.first_byte", limits.first_byte, list);
     check_duration("limits.idle", limits.idle, list);
-    if limits.body == 0 {
-        list.push(&FieldPath::dotted("limits.body"), "has to be at least 1B");
+    if !(1..=LARGEST_BODY).contains(&limits.body) {
+        list.push(
+            &FieldPath::dotted("limits.body"),
+            "has to be from 1B to 1GiB",
+        );
     }
-    if limits.headers < SMALLEST_HEADERS {
+    if !(SMALLEST_HEADERS..=LARGEST_HEADERS).contains(&limits.headers) {
         list.push(
             &FieldPath::dotted("limits.headers"),
-            "has to be at least 1KiB",
+            "has to be from 1KiB to 1MiB",
         );
     }
     if limits.open_requests == 0 {
--- a/crates/trestlewalk/tests/check.rs
+++ b/crates/trestlewalk/tests/check.rs
@@ -117,6 +117,25 @@
     );
 }
 
+#[test]
+fn a_duration_without_an_end_is_refused() {
+    fault(
+        &format!("{LEAST}limits: {{close: 10000000000years}}\n"),
+        "a.yaml:5: limits.close: has to be at most 1day\n",
+    );
+}
+
+#[test]
+fn sizes_out_of_range_are_refused() {
+    fault(
+        &format!("{LEAST}limits:\n  body: 2GiB\n  headers: 8B\n"),
+        concat!(
+            "a.yaml:6: limits.body: has to be from 1B to 1GiB\n",
+            "a.yaml:7: limits.headers: has to be from 1KiB to 1MiB\n",
+        ),
+    );
+}
+
 #[test]
 fn a_field_given_twice_is_refused_with_both_lines() {
     fault(
--- a/crates/trestlewalk/tests/support/fleet.rs
+++ b/crates/trestlewalk/tests/support/fleet.rs
@@ -2,50 +2,46 @@
 
 use {
     super::{
-        BINARY, FleetPlan, FleetProcess, HttpCall, RelayMode, TcpRelay, UdpRelay,
-        cli_test::CliOutput, wait::wait_for,
+        BINARY, FleetPlan, FleetProcess, HttpCall, TcpRelay, UdpRelay, cli_test::CliOutput,
+        wait::wait_for,
     },
     hyper::{Method, StatusCode},
     peer::TestAuthority,
     plat::{InstanceKind, InstanceRecord, InstanceState},
     rustix::process::Signal,
-    serde_json::{Value, json},
-    std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, process::ExitStatus},
+    serde_json::Value,
+    std::{collections::BTreeMap, net::SocketAddr, path::Path, process::ExitStatus},
     tempfile::TempDir,
     tokio::process::Command,
-    trestlewalk::{
-        EntrySettings,
-        settings::{KeySettings, TestKeys},
-    },
 };
 
 /// One entry instance and the ways to and from it.
 #[derive(Debug)]
-struct FleetEntry {
+pub(super) struct FleetEntry {
     /// Other instances reach it through this.
-    peers: UdpRelay,
+    pub(super) peers: UdpRelay,
     /// It reaches the platform through this.
-    platform: TcpRelay,
-    process: FleetProcess,
-    zone: String,
+    pub(super) platform: TcpRelay,
+    pub(super) process: FleetProcess,
+    pub(super) zone: String,
 }
 
 /// One upstream and the way to it.
 #[derive(Debug)]
-struct FleetUpstream {
-    process: FleetProcess,
-    record: InstanceRecord,
-    relay: TcpRelay,
+pub(super) struct FleetUpstream {
+    pub(super) process: FleetProcess,
+    pub(super) record: InstanceRecord,
+    pub(super) relay: TcpRelay,
 }
 
 /// The running processes. All are killed when it is dropped.
 pub struct Fleet {
-    authority: TestAuthority,
-    entries: BTreeMap<String, FleetEntry>,
-    folder: TempDir,
-    plan: FleetPlan,
+    pub(super) authority: TestAuthority,
+    pub(super) entries: BTreeMap<String, FleetEntry>,
+    pub(super) folder: TempDir,
+    pub(super) plan: FleetPlan,
     platform: FleetProcess,
-    upstreams: BTreeMap<String, FleetUpstream>,
+    pub(super) upstreams: BTreeMap<String, FleetUpstream>,
 }
 
 impl Fleet {
@@ -54,12 +50,6 @@
         self.process(entry).get("admin", path)
     }
 
-    /// Lets nothing pass between the entry instances of two availability zones.
-    pub fn cut_zones(&self, left: &str, right: &str) {
-        self.each_way(left, right, |relay, sender| relay.block(sender));
-        self.each_way(right, left, |relay, sender| relay.block(sender));
-    }
-
     /// What the plug-ins of an entry instance dump.
     pub async fn dump(&self, entry: &str) -> Value {
         self.admin(entry, "/dump").send().await.json()
@@ -96,14 +86,6 @@
         call.send().await.json()
     }
 
-    /// Cuts an availability zone off from all others and from the platform.
-    pub fn isolate_zone(&self, zone: &str) {
-        self.switch_platform(zone, RelayMode::Silent);
-        for other in self.other_zones(zone) {
-            self.cut_zones(zone, &other);
-        }
-    }
-
     /// Ends a process with SIGKILL.
     pub async fn kill(&mut self, name: &str) {
         self.process_mut(name).kill().await;
@@ -121,12 +103,6 @@
         self.process(name).log()
     }
 
-    /// Joins two availability zones again.
-    pub fn mend_zones(&self, left: &str, right: &str) {
-        self.each_way(left, right, |relay, sender| relay.unblock(sender));
-        self.each_way(right, left, |relay, sender| relay.unblock(sender));
-    }
-
     /// Stops a process with SIGSTOP, and waits until it stands still.
     pub async fn pause(&self, name: &str) {
         self.process(name).pause().await;
@@ -153,20 +129,6 @@
         &self.fleet_entry(name).process
     }
 
-    /// Joins an isolated availability zone to all others and to the platform.
-    pub fn rejoin_zone(&self, zone: &str) {
-        self.switch_platform(zone, RelayMode::Open);
-        for other in self.other_zones(zone) {
-            self.mend_zones(zone, &other);
-        }
-    }
-
-    /// Starts a new life of an entry instance that ended or was killed.
-    pub async fn restart_entry(&mut self, name: &str) {
-        let zone = self.fleet_entry(name).zone.clone();
-        self.start_entry(name, &zone).await;
-    }
-
     /// Lets a stopped process run again with SIGCONT.
     pub fn resume(&self, name: &str) {
         self.process(name).signal(Signal::CONT);
@@ -205,61 +167,6 @@
         fleet
     }
 
-    /// Starts an entry instance, or a new life of one, and puts it into the platform's list.
-    pub async fn start_entry(&mut self, name: &str, zone: &str) {
-        let platform = TcpRelay::start(self.platform_address()).await;
-        let file = format!("{name}.yaml");
-        let settings = self.entry_settings(name, zone, platform.address());
-        fs::write(
-            self.folder.path().join(&file),
-            serde_json::to_string(&settings).unwrap(),
-        )
-        .unwrap();
-        let mut args = vec!["serve".to_owned(), "--settings".to_owned(), file];
-        for setting in &self.plan.set {
-            args.extend(["--set".to_owned(), setting.clone()]);
-        }
-        let process = FleetProcess::start(name, &args, self.folder.path()).await;
-        let peers = UdpRelay::start(process.address("peers")).await;
-        let entry = FleetEntry {
-            peers,
-            platform,
-            process,
-            zone: zone.to_owned(),
-        };
-        self.entries.insert(name.to_owned(), entry);
-        self.list(&self.record(name)).await;
-    }
-
-    /// Starts an upstream, and puts it into the platform's list.
-    pub async fn start_upstream(&mut self, name: &str, zone: &str, kind: InstanceKind) {
-        let args = self.upstream_args(name, kind);
-        let process = FleetProcess::start(name, &args, self.folder.path()).await;
-        let relay = TcpRelay::start(process.address("address")).await;
-        let plain = kind == InstanceKind::Plain;
-        let service = match plain {
-            true => &self.plan.plain_service,
-            false => &self.plan.service,
-        };
-        let record = InstanceRecord {
-            address: relay.address().to_string().into(),
-            checks_fence: !plain,
-            kind,
-            model: (!plain).then(|| self.plan.model.as_str().into()),
-            name: name.into(),
-            service: Some(service.as_str().into()),
-            state: InstanceState::Live,
-            zone: zone.into(),
-        };
-        self.list(&record).await;
-        let upstream = FleetUpstream {
-            process,
-            record,
-            relay,
-        };
-        self.upstreams.insert(name.to_owned(), upstream);
-    }
-
     /// Tells a process to close with SIGTERM.
     pub fn terminate(&self, name: &str) {
         self.process(name).signal(Signal::TERM);
@@ -295,42 +202,14 @@
         self.folder.path()
     }
 
-    fn each_way(&self, to: &str, from: &str, act: impl Fn(&UdpRelay, SocketAddr)) {
-        for entry in self.entries.values().filter(|entry| entry.zone == to) {
-            for sender in self.entries.values().filter(|entry| entry.zone == from) {
-                act(&entry.peers, sender.process.address("peers"));
-            }
-        }
-    }
-
-    fn entry_settings(&self, name: &str, zone: &str, platform: SocketAddr) -> EntrySettings {
-        let keys = self.authority.issue(name).unwrap();
-        let mut settings = EntrySettings {
-            instance: name.into(),
-            keys: KeySettings {
-                test: Some(TestKeys {
-                    authority: keys.authorities,
-                    certificate: keys.certificate,
-                    key: keys.private_key,
-                }),
-                ..KeySettings::default()
-            },
-            secret: Some("a secret for tests only".into()),
-            zone: zone.into(),
-            ..EntrySettings::default()
-        };
-        settings.platform.address = platform;
-        settings
-    }
-
-    fn fleet_entry(&self, name: &str) -> &FleetEntry {
+    pub(super) fn fleet_entry(&self, name: &str) -> &FleetEntry {
         match self.entries.get(name) {
             Some(entry) => entry,
             None => panic!("no process `{name}`"),
         }
     }
 
-    async fn list(&self, record: &InstanceRecord) {
+    pub(super) async fn list(&self, record: &InstanceRecord) {
         let path = format!("/instances/{}", record.name);
         let call = HttpCall::new(Method::PUT, self.platform_address(), &path);
         let reply = call.json(record).send().await;
@@ -342,12 +221,6 @@
         );
     }
 
-    fn other_zones(&self, zone: &str) -> Vec<String> {
-        let mut zones = self.plan.zones.clone();
-        zones.retain(|other| other != zone);
-        zones
-    }
-
     fn process_mut(&mut self, name: &str) -> &mut FleetProcess {
         if name == "platform" {
             return &mut self.platform;
@@ -361,7 +234,7 @@
         }
     }
 
-    fn record(&self, name: &str) -> InstanceRecord {
+    pub(super) fn record(&self, name: &str) -> InstanceRecord {
         if let Some(upstream) = self.upstreams.get(name) {
             return upstream.record.clone();
         }
@@ -377,45 +250,6 @@
             zone: entry.zone.as_str().into(),
         }
     }
-
-    async fn start_zone(&mut self, zone: &str) {
-        let kinds = [
-            (InstanceKind::Decode, "decode", self.plan.decode),
-            (InstanceKind::Plain, "plain", self.plan.plain),
-            (InstanceKind::Prefill, "prefill", self.plan.prefill),
-        ];
-        for (kind, word, count) in kinds {
-            for number in 1..=count {
-                let name = format!("{zone}-{word}-{number}");
-                self.start_upstream(&name, zone, kind).await;
-            }
-        }
-        for number in 1..=self.plan.entries {
-            let name = format!("{zone}-{number}");
-            self.start_entry(&name, zone).await;
-        }
-    }
-
-    fn switch_platform(&self, zone: &str, mode: RelayMode) {
-        for entry in self.entries.values().filter(|entry| entry.zone == zone) {
-            entry.platform.set(mode);
-        }
-    }
-
-    fn upstream_args(&self, name: &str, kind: InstanceKind) -> Vec<String> {
-        let role = match kind {
-            InstanceKind::Plain => return fake_args("service", self.plan.plain_set.clone()),
-            InstanceKind::Prefill => "prefill",
-            _ => "decode",
-        };
-        let mut set = vec![
-            format!("name={name}"),
-            format!("role={role}"),
-            format!("models={}", json!([self.plan.model])),
-        ];
-        set.extend(self.plan.engine_set.clone());
-        fake_args("engine", set)
-    }
 }
 
 /// Calls of callers at one entry instance.
@@ -442,7 +276,7 @@
     }
 }
 
-fn fake_args(kind: &str, set: Vec<String>) -> Vec<String> {
+pub(super) fn fake_args(kind: &str, set: Vec<String>) -> Vec<String> {
     let mut args = vec!["fake".to_owned(), kind.to_owned()];
     for setting in set {
         args.extend(["--set".to_owned(), setting]);
--- /dev/null
+++ b/crates/trestlewalk/tests/support/fleet_zones.rs
@@ -0,0 +1,56 @@
+//! Partitions between availability zones, and between one and the platform.
+
+use {
+    super::{Fleet, RelayMode, UdpRelay},
+    std::net::SocketAddr,
+};
+
+impl Fleet {
+    /// Lets nothing pass between the entry instances of two availability zones.
+    pub fn cut_zones(&self, left: &str, right: &str) {
+        self.each_way(left, right, |relay, sender| relay.block(sender));
+        self.each_way(right, left, |relay, sender| relay.block(sender));
+    }
+
+    /// Cuts an availability zone off from all others and from the platform.
+    pub fn isolate_zone(&self, zone: &str) {
+        self.switch_platform(zone, RelayMode::Silent);
+        for other in self.other_zones(zone) {
+            self.cut_zones(zone, &other);
+        }
+    }
+
+    /// Joins two availability zones again.
+    pub fn mend_zones(&self, left: &str, right: &str) {
+        self.each_way(left, right, |relay, sender| relay.unblock(sender));
+        self.each_way(right, left, |relay, sender| relay.unblock(sender));
+    }
+
+    /// Joins an isolated availability zone to all others and to the platform.
+    pub fn rejoin_zone(&self, zone: &str) {
+        self.switch_platform(zone, RelayMode::Open);
+        for other in self.other_zones(zone) {
+            self.mend_zones(zone, &other);
+        }
+    }
+
+    fn each_way(&self, to: &str, from: &str, act: impl Fn(&UdpRelay, SocketAddr)) {
+        for entry in self.entries.values().filter(|entry| entry.zone == to) {
+            for sender in self.entries.values().filter(|entry| entry.zone == from) {
+                act(&entry.peers, sender.process.address("peers"));
+            }
+        }
+    }
+
+    fn other_zones(&self, zone: &str) -> Vec<String> {
+        let mut zones = self.plan.zones.clone();
+        zones.retain(|other| other != zone);
+        zones
+    }
+
+    fn switch_platform(&self, zone: &str, mode: RelayMode) {
+        for entry in self.entries.values().filter(|entry| entry.zone == zone) {
+            entry.platform.set(mode);
+        }
+    }
+}
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -27,7 +27,6 @@
 #![allow(
     dead_code,
     unreachable_pub,
-    unused_imports,
     reason = "each test file uses its own part of the support module"
 )]
 
@@ -35,7 +34,9 @@
 pub mod fleet;
 pub mod fleet_plan;
 pub mod fleet_process;
+pub mod fleet_start;
 pub mod fleet_table;
+pub mod fleet_zones;
 pub mod http_call;
 pub mod relay_mode;
 pub mod sse_reply;
@@ -43,6 +44,10 @@
 pub mod udp_relay;
 pub mod wait;
 
+#[allow(
+    unused_imports,
+    reason = "each test file uses its own part of the support module"
+)]
 pub use {
     cli_test::{CliOutput, Test},
     fleet::Fleet,
