--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -162,6 +162,7 @@
     let heartbeat = &parts.settings.heartbeat;
     let settings = MemberSettings::builder()
         .heartbeat_interval(heartbeat.period)
+        .neighbour_limit(heartbeat.neighbours as usize)
         .suspicion_timeout(heartbeat.suspect_after)
         .gone_timeout(heartbeat.dead_after.saturating_sub(heartbeat.suspect_after))
         .build();
--- a/crates/trestlewalk/src/settings/heartbeat_settings.rs
+++ b/crates/trestlewalk/src/settings/heartbeat_settings.rs
@@ -15,8 +15,8 @@
     /// How long after its last heartbeat a peer counts as dead.
     #[serde_as(as = "HumanDuration")]
     pub dead_after: Duration,
-    /// How many peers one heartbeat goes to.
-    pub fanout: u32,
+    /// How many instances an instance exchanges heartbeats with; while all fit, everyone hears everyone.
+    pub neighbours: u32,
     /// The time from one heartbeat to the next.
     #[serde_as(as = "HumanDuration")]
     pub period: Duration,
@@ -29,7 +29,7 @@
     fn default() -> Self {
         Self {
             dead_after: Duration::from_secs(5),
-            fanout: 3,
+            neighbours: 8,
             period: Duration::from_millis(500),
             suspect_after: Duration::from_millis(1500),
         }
--- a/crates/trestlewalk/src/settings/settings_check.rs
+++ b/crates/trestlewalk/src/settings/settings_check.rs
@@ -9,6 +9,8 @@
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
+/// With fewer, one failure splits the ring of instances.
+const FEWEST_NEIGHBOURS: u32 = 2;
 const LARGEST_BODY: u64 = 1 << 30;
 const LARGEST_HEADERS: u64 = 1 << 20;
 /// Longer times are slips of the pen, and far longer ones have no end on the clock.
@@ -73,10 +75,10 @@
     check_duration("heartbeat.dead_after", heartbeat.dead_after, list);
     check_duration("heartbeat.period", heartbeat.period, list);
     check_duration("heartbeat.suspect_after", heartbeat.suspect_after, list);
-    if heartbeat.fanout == 0 {
+    if heartbeat.neighbours < FEWEST_NEIGHBOURS {
         list.push(
-            &FieldPath::dotted("heartbeat.fanout"),
-            "has to be at least 1",
+            &FieldPath::dotted("heartbeat.neighbours"),
+            format!("has to be at least {FEWEST_NEIGHBOURS}"),
         );
     }
     if heartbeat.suspect_after <= heartbeat.period {
