door: a plain call that the close limit ends is answered with 3006

Cause: calls to plain services did not watch the cut, so their connections were closed without an answer; model calls were answered. Found by the close tests. The same wait now ends with outcome unknown, since the call may have reached the service.

--- a/crates/door/src/service_handler.rs
+++ b/crates/door/src/service_handler.rs
@@ -14,7 +14,7 @@
     },
     bytes::Bytes,
     engine::{ModelEngine, PooledBody},
-    flow::PlainCaller,
+    flow::{FlowFailure, PlainCaller},
     http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header},
     hyper::body::{Body as HttpBody, Frame, SizeHint},
     kernel::{ResultCode, ServiceId, UpstreamId},
@@ -80,7 +80,10 @@
     }
     let request = outgoing(request, &service)?;
     let metrics = &shared.flow.metrics;
-    let outcome = shared.plain.call(&row, request).await;
+    let outcome = tokio::select! {
+        outcome = shared.plain.call(&row, request) => outcome,
+        () = shared.flow.cut.raised() => Err(FlowFailure::new(ResultCode::CutByClose)),
+    };
     let (upstream, response) = outcome.map_err(|failure| {
         metrics.count_end(failure.code, &row.work);
         ErrorAnswer::from(failure)
