--- a/crates/trestlewalk/tests/support/relay_mode.rs
+++ b/crates/trestlewalk/tests/support/relay_mode.rs
@@ -1,6 +1,15 @@
 //! What a relay does with what passes through it.
 
-use {std::time::Duration, tokio::sync::watch};
+use {
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::watch,
+};
 
 /// The state of the way between two processes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,10 +27,16 @@
 /// Switches a relay while it runs. Clones share one switch.
 #[derive(Clone, Debug)]
 pub struct RelaySwitch {
+    held: Arc<AtomicUsize>,
     sender: watch::Sender<RelayMode>,
 }
 
 impl RelaySwitch {
+    /// How many connections or pieces a silent relay holds back now.
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::SeqCst)
+    }
+
     /// The mode now.
     pub fn mode(&self) -> RelayMode {
         *self.sender.borrow()
@@ -30,6 +45,7 @@
     /// A switch that lets all pass.
     pub fn new() -> Self {
         Self {
+            held: Arc::default(),
             sender: watch::Sender::new(RelayMode::Open),
         }
     }
@@ -37,8 +53,10 @@
     /// Waits until what came may pass; `false` when the connection is to be closed.
     pub async fn pass(&self) -> bool {
         let mut receiver = self.sender.subscribe();
+        self.held.fetch_add(1, Ordering::SeqCst);
         let mode = receiver.wait_for(|mode| *mode != RelayMode::Silent).await;
         let mode = mode.map_or(RelayMode::Reset, |mode| *mode);
+        self.held.fetch_sub(1, Ordering::SeqCst);
         if let RelayMode::Slow(delay) = mode {
             tokio::time::sleep(delay).await;
         }
--- a/crates/trestlewalk/tests/support/tcp_relay.rs
+++ b/crates/trestlewalk/tests/support/tcp_relay.rs
@@ -33,6 +33,11 @@
         self.address
     }
 
+    /// How many connections or pieces a silent relay holds back now.
+    pub fn held(&self) -> usize {
+        self.switch.held()
+    }
+
     /// Passes new connections on to another address.
     pub fn retarget(&self, target: SocketAddr) {
         *self.target.lock().unwrap() = target;
