listen.advertise: where other instances reach this one

Cause: an instance told its peers the address that it is bound to. A wildcard for listen.peers now needs listen.advertise. Ruled out: announcing the address in the list, which lags.

--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -169,6 +169,7 @@
     PeerDriver::builder()
         .contacts(contacts(parts))
         .endpoint(base.endpoint.clone())
+        .maybe_advertise(parts.settings.listen.advertise)
         .settings(settings)
         .source(Arc::new(TableShare {
             driver: table.clone(),
--- a/crates/trestlewalk/src/settings/listen_settings.rs
+++ b/crates/trestlewalk/src/settings/listen_settings.rs
@@ -13,6 +13,8 @@
 pub struct ListenSettings {
     /// Where operators ask for metrics, state and health, TCP.
     pub admin: SocketAddr,
+    /// Where other instances reach `peers`, when that is another address.
+    pub advertise: Option<SocketAddr>,
     /// Where callers send requests, TCP.
     pub callers: SocketAddr,
     /// Where other instances send messages, UDP.
@@ -23,6 +25,7 @@
     fn default() -> Self {
         Self {
             admin: ANY_LOOPBACK_PORT,
+            advertise: None,
             callers: ANY_LOOPBACK_PORT,
             peers: ANY_LOOPBACK_PORT,
         }
--- a/crates/trestlewalk/src/settings/settings_check.rs
+++ b/crates/trestlewalk/src/settings/settings_check.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::settings::{
-        EntrySettings, PeerSettings, UpstreamSettings, fault_list::FaultList,
+        EntrySettings, ListenSettings, PeerSettings, UpstreamSettings, fault_list::FaultList,
         field_path::FieldPath, name_check::name_fault, platform_settings::UNSET_ADDRESS,
     },
     route::UpstreamRole,
@@ -153,12 +153,26 @@
 
 fn check_listen(settings: &EntrySettings, list: &mut FaultList) {
     let listen = &settings.listen;
+    check_advertise(listen, list);
     if addresses_clash(listen.admin, listen.callers) {
         let path = FieldPath::dotted("listen.callers");
         list.push(&path, format!("`{}` is `listen.admin` too", listen.callers));
     }
 }
 
+fn check_advertise(listen: &ListenSettings, list: &mut FaultList) {
+    let path = FieldPath::dotted("listen.advertise");
+    let Some(address) = listen.advertise else {
+        if listen.peers.ip().is_unspecified() {
+            list.push(&path, "missing: `listen.peers` names no single address");
+        }
+        return;
+    };
+    if address.ip().is_unspecified() || address.port() == 0 {
+        list.push(&path, format!("`{address}` can't be reached"));
+    }
+}
+
 fn addresses_clash(left: SocketAddr, right: SocketAddr) -> bool {
     let same_ip =
         left.ip() == right.ip() || left.ip().is_unspecified() || right.ip().is_unspecified();
--- a/crates/trestlewalk/tests/check.rs
+++ b/crates/trestlewalk/tests/check.rs
@@ -193,6 +193,14 @@
     );
 }
 
+#[test]
+fn a_wildcard_for_peers_needs_an_address_to_advertise() {
+    fault(
+        &format!("{LEAST}listen: {{peers: \"0.0.0.0:7400\"}}\n"),
+        "a.yaml:5: listen.advertise: missing: `listen.peers` names no single address\n",
+    );
+}
+
 #[test]
 fn heartbeat_times_that_do_not_rise_are_refused() {
     fault(
--- a/crates/trestlewalk/tests/support/fleet_start.rs
+++ b/crates/trestlewalk/tests/support/fleet_start.rs
@@ -7,13 +7,19 @@
     },
     plat::{InstanceKind, InstanceRecord, InstanceState},
     serde_json::json,
-    std::{fs, net::SocketAddr},
+    std::{
+        fs,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+    },
     trestlewalk::{
         EntrySettings,
         settings::{KeySettings, TestKeys},
     },
 };
 
+/// The target of a relay until the process that it stands before is there.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
+
 impl Fleet {
     /// Starts a new life of an entry instance that ended or was killed.
     pub async fn restart_entry(&mut self, name: &str) {
@@ -24,8 +30,10 @@
     /// Starts an entry instance, or a new life of one, and puts it into the platform's list.
     pub async fn start_entry(&mut self, name: &str, zone: &str) {
         let platform = TcpRelay::start(self.platform_address()).await;
+        let peers = UdpRelay::start(NOWHERE).await;
         let file = format!("{name}.yaml");
-        let settings = self.entry_settings(name, zone, platform.address());
+        let mut settings = self.entry_settings(name, zone, platform.address());
+        settings.listen.advertise = Some(peers.address());
         fs::write(
             self.folder.path().join(&file),
             serde_json::to_string(&settings).unwrap(),
@@ -36,7 +44,7 @@
             args.extend(["--set".to_owned(), setting.clone()]);
         }
         let process = FleetProcess::start(name, &args, self.folder.path()).await;
-        let peers = UdpRelay::start(process.address("peers")).await;
+        peers.retarget(process.address("peers"));
         let entry = FleetEntry {
             peers,
             platform,
--- /dev/null
+++ b/crates/trestlewalk/tests/zones.rs
@@ -0,0 +1,80 @@
+//! Availability zones that are cut off from each other and from the platform.
+
+mod support;
+
+use support::{Fleet, FleetPlan, TABLE, wait_until};
+
+const ENTRIES: usize = 2;
+const ZONES: [&str; 2] = ["gijon", "ferrol"];
+
+#[tokio::test]
+async fn both_sides_of_a_cut_notice_it_and_its_end() {
+    let fleet = start().await;
+    fleet.cut_zones("gijon", "ferrol");
+    for entry in ["gijon-1", "ferrol-1"] {
+        wait_cut(&fleet, entry, true).await;
+    }
+    fleet.mend_zones("gijon", "ferrol");
+    for entry in ["gijon-1", "ferrol-1"] {
+        wait_cut(&fleet, entry, false).await;
+        wait_heard(&fleet, entry, ENTRIES * ZONES.len()).await;
+    }
+}
+
+#[tokio::test]
+async fn an_isolated_zone_serves_on_with_its_table_and_takes_the_next_when_it_is_back() {
+    let fleet = start().await;
+    let earlier = fleet.version("gijon-1").await;
+    fleet.isolate_zone("gijon");
+    let later = fleet.commit_table(&TABLE.replace("1s", "2s")).await;
+    for entry in ["ferrol-1", "ferrol-2"] {
+        wait_version(&fleet, entry, later).await;
+    }
+    assert_eq!(fleet.version("gijon-1").await, earlier);
+    let call = fleet.entry("gijon-1").get("/services/carta/tile");
+    assert_eq!(call.work("tile").send().await.code(), 1000);
+    fleet.rejoin_zone("gijon");
+    for entry in ["gijon-1", "gijon-2"] {
+        wait_version(&fleet, entry, later).await;
+    }
+}
+
+/// Two availability zones that hear each other, with a table in force everywhere.
+async fn start() -> Fleet {
+    let fleet = FleetPlan::new()
+        .zones(&ZONES)
+        .entries(ENTRIES)
+        .plain(1)
+        .start()
+        .await;
+    fleet.put_table(TABLE).await;
+    for entry in fleet.entry_names() {
+        fleet.wait_ready(&entry).await;
+        wait_heard(&fleet, &entry, ENTRIES * ZONES.len()).await;
+    }
+    fleet
+}
+
+async fn wait_cut(fleet: &Fleet, entry: &str, cut: bool) {
+    wait_until(&format!("{entry} tells of the cut: {cut}"), async || {
+        let dump = fleet.dump(entry).await;
+        dump["peer"]["members"]["zones"][0]["cut"] == cut
+    })
+    .await;
+}
+
+async fn wait_heard(fleet: &Fleet, entry: &str, count: usize) {
+    wait_until(&format!("{entry} hears {count}"), async || {
+        let dump = fleet.dump(entry).await;
+        let heard = dump["peer"]["members"]["heard"].as_array();
+        heard.is_some_and(|heard| heard.len() == count)
+    })
+    .await;
+}
+
+async fn wait_version(fleet: &Fleet, entry: &str, version: u64) {
+    wait_until(&format!("{entry} has version {version}"), async || {
+        fleet.version(entry).await == version
+    })
+    .await;
+}
