--- a/crates/bench/src/bench_command.rs
+++ b/crates/bench/src/bench_command.rs
@@ -1,7 +1,10 @@
 //! The command line.
 
 use {
-    crate::{bench_error::BenchError, policy_command::PolicyCommand},
+    crate::{
+        bench_error::BenchError, bounds_command::BoundsCommand, decide_command::DecideCommand,
+        policy_command::PolicyCommand,
+    },
     clap::{Parser, Subcommand},
     std::process::ExitCode,
 };
@@ -16,6 +19,10 @@
 /// Every subcommand; each has its own file.
 #[derive(Debug, Subcommand)]
 enum BenchCommand {
+    /// Holds every scenario against its regression bounds.
+    Bounds(BoundsCommand),
+    /// Measures what a decision of the allocator costs.
+    Decide(DecideCommand),
     /// Compares admission policies in virtual time.
     Policy(PolicyCommand),
 }
@@ -23,6 +30,8 @@
 impl BenchCommand {
     fn run(self) -> Result<ExitCode, BenchError> {
         match self {
+            Self::Bounds(command) => command.run(),
+            Self::Decide(command) => command.run(),
             Self::Policy(command) => command.run(),
         }
     }
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -9,34 +9,50 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum BenchError {
-    /// A report can't be written as JSON.
-    #[snafu(display("the report can't be written: {source}"))]
-    ReportWrite {
-        /// Why.
-        source: serde_json::Error,
-    },
-    /// A scenario has values that make no sense.
-    #[snafu(display("scenario {}: {}", path.display(), faults.join("; ")))]
-    ScenarioInvalid {
+    /// A file has values that make no sense.
+    #[snafu(display("{}: {}", path.display(), faults.join("; ")))]
+    FileInvalid {
         /// Each fault, with its field.
         faults: Vec<String>,
         /// The file.
         path: PathBuf,
     },
-    /// A scenario can't be read from its file.
-    #[snafu(display("scenario {}: can't be read: {source}", path.display()))]
-    ScenarioRead {
+    /// A file can't be read.
+    #[snafu(display("{}: can't be read: {source}", path.display()))]
+    FileRead {
         /// The file.
         path: PathBuf,
         /// Why.
         source: io::Error,
     },
-    /// A scenario has an unknown, missing or malformed field.
-    #[snafu(display("scenario {}: {fault}", path.display()))]
-    ScenarioSyntax {
+    /// A file has an unknown, missing or malformed field.
+    #[snafu(display("{}: {fault}", path.display()))]
+    FileSyntax {
         /// What and where.
         fault: String,
         /// The file.
         path: PathBuf,
     },
+    /// A file can't be written.
+    #[snafu(display("{}: can't be written: {source}", path.display()))]
+    FileWrite {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// A plot can't be drawn.
+    #[snafu(display("{}: can't be drawn: {fault}", path.display()))]
+    PlotDraw {
+        /// Why.
+        fault: String,
+        /// The file.
+        path: PathBuf,
+    },
+    /// A report can't be written as JSON.
+    #[snafu(display("the report can't be written: {source}"))]
+    ReportWrite {
+        /// Why.
+        source: serde_json::Error,
+    },
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,9 @@
 
 pub mod bench_command;
 pub mod bench_error;
+pub mod bounds;
+pub mod bounds_command;
+pub mod decide_command;
 pub mod parallel_map;
 pub mod policies;
 pub mod policy_command;
--- a/crates/bench/src/policy_run.rs
+++ b/crates/bench/src/policy_run.rs
@@ -11,12 +11,12 @@
     },
     admit::CellAllocator,
     clap::ValueEnum,
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
 
 /// The policies by name.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, ValueEnum)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize, ValueEnum)]
 #[serde(rename_all = "lowercase")]
 pub enum PolicyName {
     /// Reads at once, then tries any decode engine.
--- a/crates/bench/src/report/report_text.rs
+++ b/crates/bench/src/report/report_text.rs
@@ -21,7 +21,7 @@
         }
         for row in &report.rows {
             let name = format!("  {}", row.work);
-            lines.push(line(&name, &ReportFigures::mean(&row.runs), None));
+            lines.push(line(&name, &row.mean(), None));
         }
         lines.push(causes(&waste));
     }
--- a/crates/bench/src/report/row_report.rs
+++ b/crates/bench/src/report/row_report.rs
@@ -15,6 +15,13 @@
     pub work: WorkId,
 }
 
+impl RowReport {
+    /// The means over all runs.
+    pub fn mean(&self) -> ReportFigures {
+        ReportFigures::mean(&self.runs)
+    }
+}
+
 #[derive(Serialize)]
 struct RowObject<'a> {
     work: &'a str,
@@ -26,7 +33,7 @@
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let object = RowObject {
             work: &self.work,
-            figures: ReportFigures::mean(&self.runs),
+            figures: self.mean(),
         };
         object.serialize(serializer)
     }
--- a/crates/bench/src/scenario/scenario_file.rs
+++ b/crates/bench/src/scenario/scenario_file.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        bench_error::{BenchError, ScenarioInvalidSnafu, ScenarioReadSnafu, ScenarioSyntaxSnafu},
+        bench_error::{BenchError, FileInvalidSnafu, FileReadSnafu, FileSyntaxSnafu},
         scenario::{
             day_point::DayPoint, engine_sizes::EngineSizes, fault_event::FaultEvent,
             human_time::HumanTime, link_sizes::LinkSizes, load_burst::LoadBurst,
@@ -63,7 +63,7 @@
     /// The file can't be read, has unknown or missing fields, or a field has a value that makes no sense; the
     /// message names the file and the field.
     pub fn load(path: &Path) -> Result<Self, BenchError> {
-        let text = std::fs::read_to_string(path).context(ScenarioReadSnafu { path })?;
+        let text = std::fs::read_to_string(path).context(FileReadSnafu { path })?;
         Self::parse(path, &text)
     }
 
@@ -74,10 +74,10 @@
     pub fn parse(path: &Path, text: &str) -> Result<Self, BenchError> {
         let file: Self = serde_saphyr::from_str(text)
             .map_err(|fault| fault.to_string())
-            .map_err(|fault| ScenarioSyntaxSnafu { fault, path }.build())?;
+            .map_err(|fault| FileSyntaxSnafu { fault, path }.build())?;
         let faults = scenario_check::faults(&file);
         if !faults.is_empty() {
-            return ScenarioInvalidSnafu { faults, path }.fail();
+            return FileInvalidSnafu { faults, path }.fail();
         }
         Ok(file)
     }
--- a/crates/bench/src/world/virtual_world.rs
+++ b/crates/bench/src/world/virtual_world.rs
@@ -141,14 +141,8 @@
 
     /// Tells a new allocator the table, the link and the engines of the list.
     pub(crate) fn introduce(&mut self) {
-        let table = Arc::new(self.truth.file.table());
-        self.decide(AdmitEvent::Table { share: 1.0, table });
-        self.decide(AdmitEvent::Link(self.truth.file.link.info()));
-        for engine in self.truth.engines() {
-            if self.truth.is_alive(engine) {
-                let info = self.truth.upstream_info(engine);
-                self.decide(AdmitEvent::UpstreamUp(info));
-            }
+        for event in self.truth.introduction() {
+            self.decide(event);
         }
     }
 
--- a/crates/bench/src/world/world_truth.rs
+++ b/crates/bench/src/world/world_truth.rs
@@ -13,6 +13,7 @@
             world_event::EngineName,
         },
     },
+    admit::AdmitEvent,
     kernel::UpstreamId,
     route::{UpstreamInfo, UpstreamRole},
     std::{sync::Arc, time::Instant},
@@ -116,6 +117,21 @@
         }
     }
 
+    /// What a new allocator hears first: the table, the link, and the engines that live.
+    pub(crate) fn introduction(&self) -> Vec<AdmitEvent> {
+        let table = Arc::new(self.file.table());
+        let mut events = vec![
+            AdmitEvent::Table { share: 1.0, table },
+            AdmitEvent::Link(self.file.link.info()),
+        ];
+        for engine in self.engines() {
+            if self.is_alive(engine) {
+                events.push(AdmitEvent::UpstreamUp(self.upstream_info(engine)));
+            }
+        }
+        events
+    }
+
     pub(crate) fn is_alive(&self, engine: EngineName) -> bool {
         match engine {
             EngineName::Decode(index) => self.decodes[index].alive,
--- a/crates/bench/tests/policy/main.rs
+++ b/crates/bench/tests/policy/main.rs
@@ -3,5 +3,6 @@
 mod conservation;
 mod determinism;
 mod full_engines;
+mod regression_bounds;
 mod scenario_faults;
 mod support;
