No panic when nobody reads the standard output

Cause: dump | head and check > /dev/full ended with a panic (exit code 101) in the standard library's print. Now a reader that went away is no fault, and any other fault of the output is told, with exit code 1.

--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -64,7 +64,7 @@
         let mut signals = ProcessSignals::new()?;
         let second_signal = settings.limits.second_signal;
         let (process, line, _) = Self::start(settings).await?;
-        line.print();
+        line.print()?;
         signals.next().await;
         tracing::info!("closing");
         let report = tokio::select! {
--- a/crates/trestlewalk/src/entry/ready_line.rs
+++ b/crates/trestlewalk/src/entry/ready_line.rs
@@ -1,6 +1,7 @@
 //! What an entry instance says when it listens.
 
 use {
+    crate::{RunError, text_output::print_line},
     kernel::InstanceId,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -21,8 +22,11 @@
 
 impl ReadyLine {
     /// Prints the line.
-    pub fn print(&self) {
-        let line = serde_json::json!(self);
-        println!("{line}");
+    ///
+    /// # Errors
+    ///
+    /// The standard output can't be written; a reader that went away is no fault.
+    pub fn print(&self) -> Result<(), RunError> {
+        print_line(&serde_json::json!(self).to_string())
     }
 }
--- a/crates/trestlewalk/src/lib.rs
+++ b/crates/trestlewalk/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod run_error;
 pub mod settings;
 pub mod subcommand;
+pub mod text_output;
 
 pub use {arguments::CliArguments, run::run, run_error::RunError, settings::EntrySettings};
--- a/crates/trestlewalk/src/subcommand/check.rs
+++ b/crates/trestlewalk/src/subcommand/check.rs
@@ -8,6 +8,7 @@
             SettingOverride, parse_settings,
             settings_node::{NodeValue, SettingsNode},
         },
+        text_output::print_line,
     },
     clap::Args,
     snafu::ResultExt,
@@ -59,20 +60,18 @@
 ) -> Result<(), RunError> {
     let settings = parse_settings(file, content, overrides)
         .map_err(|faults| SettingsInvalidSnafu { faults }.build())?;
-    println!(
+    print_line(&format!(
         "{file}: no faults in the settings of instance {} in availability zone {}",
         settings.instance, settings.zone
-    );
-    Ok(())
+    ))
 }
 
 fn check_table(file: &str, content: &[u8]) -> Result<(), RunError> {
     let table = table::read_csv(file, content).context(TableInvalidSnafu)?;
-    println!(
+    print_line(&format!(
         "{file}: no faults in the table of {} rows",
         table.rows.len()
-    );
-    Ok(())
+    ))
 }
 
 fn file_kind(path: &Path, content: &[u8]) -> FileKind {
--- a/crates/trestlewalk/src/subcommand/dump.rs
+++ b/crates/trestlewalk/src/subcommand/dump.rs
@@ -5,6 +5,7 @@
         RunError,
         client::{ClientError, ClientReply, ClientRequest, HttpClient},
         run_error::{DumpFailedSnafu, RuntimeSnafu},
+        text_output::print_line,
     },
     clap::Args,
     serde_json::Value,
@@ -46,8 +47,7 @@
             }
             .build()
         })?;
-        println!("{dump:#}");
-        Ok(())
+        print_line(&format!("{dump:#}"))
     }
 }
 
--- a/crates/trestlewalk/src/subcommand/ticket/mint.rs
+++ b/crates/trestlewalk/src/subcommand/ticket/mint.rs
@@ -2,7 +2,9 @@
 
 use {
     super::ticket_call::send_call,
-    crate::{RunError, client::ClientRequest, run_error::RequestFailedSnafu},
+    crate::{
+        RunError, client::ClientRequest, run_error::RequestFailedSnafu, text_output::print_line,
+    },
     clap::Args,
     door::work_header::WORK_HEADER,
     hyper::Method,
@@ -55,7 +57,6 @@
             }
             .fail();
         };
-        println!("{}", minted.ticket);
-        Ok(())
+        print_line(&minted.ticket)
     }
 }
--- a/crates/trestlewalk/src/subcommand/ticket/use_ticket.rs
+++ b/crates/trestlewalk/src/subcommand/ticket/use_ticket.rs
@@ -2,11 +2,7 @@
 
 use {
     super::ticket_call::send_call,
-    crate::{
-        RunError,
-        client::ClientRequest,
-        run_error::{ReadFileSnafu, WriteFileSnafu},
-    },
+    crate::{RunError, client::ClientRequest, run_error::ReadFileSnafu, text_output::print_bytes},
     clap::Args,
     door::work_header::WORK_HEADER,
     hyper::{
@@ -17,7 +13,7 @@
     snafu::ResultExt,
     std::{
         fs,
-        io::{self, Read, Write},
+        io::{self, Read},
         net::SocketAddr,
         path::{Path, PathBuf},
         sync::Arc,
@@ -78,9 +74,7 @@
             .path(self.path)
             .build();
         let reply = send_call(call)?;
-        io::stdout().write_all(&reply.body).context(WriteFileSnafu {
-            path: STANDARD_STREAM,
-        })
+        print_bytes(&reply.body)
     }
 }
 
--- a/crates/trestlewalk/tests/command_line.rs
+++ b/crates/trestlewalk/tests/command_line.rs
@@ -4,11 +4,13 @@
 
 use {
     std::{
-        io::{Read, Write},
+        fs::File,
+        io::{self, Read, Write},
         net::{SocketAddr, TcpListener},
+        process::{Command, Output, Stdio},
         thread::{self, JoinHandle},
     },
-    support::Test,
+    support::{BINARY, Test},
 };
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -39,6 +41,25 @@
         .run();
 }
 
+#[test]
+fn a_standard_output_that_nobody_reads_is_no_fault() {
+    let (reader, writer) = io::pipe().unwrap();
+    drop(reader);
+    let output = check_example(writer.into());
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
+#[test]
+fn a_standard_output_that_takes_nothing_is_told() {
+    let output = check_example(File::create("/dev/full").unwrap().into());
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        stderr.starts_with("standard output: can't write the file: "),
+        "{stderr}"
+    );
+    assert_eq!(output.status.code(), Some(1));
+}
+
 #[test]
 fn keys_makes_a_certificate_and_a_key_for_each_instance() {
     let output = Test::new()
@@ -201,6 +222,15 @@
     (address, server)
 }
 
+fn check_example(stdout: Stdio) -> Output {
+    Command::new(BINARY)
+        .args(["check", "../../settings/gijon-1.yaml"])
+        .stdout(stdout)
+        .stderr(Stdio::piped())
+        .output()
+        .unwrap()
+}
+
 /// A loopback address at which nothing listens.
 fn dead_address() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
