--- a/crates/trestlewalk/tests/serve.rs
+++ b/crates/trestlewalk/tests/serve.rs
@@ -52,8 +52,11 @@
 #[tokio::test]
 async fn the_admin_server_shows_metrics_and_the_state_dump() {
     let fleet = FleetPlan::new().start().await;
-    let metrics = fleet.admin(ENTRY, "/metrics").send().await.text();
-    assert!(metrics.contains("trestlewalk_process_info{instance=\"gijon-1\""));
+    let labels = ["instance=\"gijon-1\"", "zone=\"gijon\""];
+    let info = fleet.metric(ENTRY, "trestlewalk_process_info", &labels);
+    assert_eq!(info.await, Some(1.0));
+    let missing = fleet.metric(ENTRY, "trestlewalk_process_info", &["zone=\"riga\""]);
+    assert_eq!(missing.await, None);
     let dump = fleet.dump(ENTRY).await;
     assert_eq!(dump["process"]["identity"]["instance"], ENTRY);
     assert!(!dump.to_string().contains("secret"), "{dump}");
--- a/crates/trestlewalk/tests/support/fleet.rs
+++ b/crates/trestlewalk/tests/support/fleet.rs
@@ -103,6 +103,25 @@
         self.process(name).log()
     }
 
+    /// The value of a metric of an entry instance, summed over the samples that have all of `labels`, each as
+    /// `name="value"`; none when there is no such sample.
+    pub async fn metric(&self, entry: &str, name: &str, labels: &[&str]) -> Option<f64> {
+        let text = self.admin(entry, "/metrics").send().await.text();
+        let mut sum = None;
+        for line in text.lines() {
+            let Some((sample, value)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            let (sample_name, sample_labels) = sample.split_once('{').unwrap_or((sample, ""));
+            if sample_name != name || !labels.iter().all(|label| sample_labels.contains(label)) {
+                continue;
+            }
+            let value: f64 = value.parse().unwrap();
+            sum = Some(sum.unwrap_or(0.0) + value);
+        }
+        sum
+    }
+
     /// Stops a process with SIGSTOP, and waits until it stands still.
     pub async fn pause(&self, name: &str) {
         self.process(name).pause().await;
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -18,6 +18,7 @@
 //! fleet.cut_zones("gijon", "ferrol");          // mend_zones joins them again.
 //! fleet.platform_relay("gijon-1").set(RelayMode::Silent);
 //! fleet.upstream_relay("gijon-plain-1").set(RelayMode::Slow(Duration::from_millis(50)));
+//! assert_eq!(fleet.metric("gijon-1", "peer_dropped_total", &[]).await, Some(0.0));
 //! wait_until("ferrol-1 answers", async || fleet.entry("ferrol-1").get("/x").try_send().await.is_ok()).await;
 //! ```
 //!
