The dump shows the settings in force

Cause: on call one has to see what a process runs with, overrides included. secret and keys are left out; the test looks for their text in the whole dump.

--- a/crates/trestlewalk/src/entry/process_plugin.rs
+++ b/crates/trestlewalk/src/entry/process_plugin.rs
@@ -1,4 +1,4 @@
-//! The plug-in of the process itself: its identity, its readiness, its limits.
+//! The plug-in of the process itself: its identity, its readiness, its settings.
 
 use {
     crate::{admin::ReadyBoard, entry::EntryIdentity, settings::EntrySettings},
@@ -7,6 +7,9 @@
     serde_json::{Value, json},
 };
 
+/// Fields that a dump does not show.
+const HIDDEN_FIELDS: [&str; 2] = ["keys", "secret"];
+
 kernel::inventory::submit! {
     PluginEntry {
         dump: dump_process,
@@ -21,12 +24,21 @@
     let settings = map.get::<EntrySettings>()?;
     Some(json!({
         "identity": *identity,
-        "limits": settings.limits,
         "not_ready": board.reasons(),
         "ready": board.is_ready(),
+        "settings": open_settings(&settings),
     }))
 }
 
+/// The settings in force, without what is not to be shown.
+fn open_settings(settings: &EntrySettings) -> Value {
+    let mut value = json!(settings);
+    if let Some(fields) = value.as_object_mut() {
+        fields.retain(|field, _| !HIDDEN_FIELDS.contains(&field.as_str()));
+    }
+    value
+}
+
 fn register_process(map: &StateMap, registry: &Registry) {
     let Some(identity) = map.get::<EntryIdentity>() else {
         return;
--- a/crates/trestlewalk/tests/serve.rs
+++ b/crates/trestlewalk/tests/serve.rs
@@ -59,7 +59,10 @@
     assert_eq!(missing.await, None);
     let dump = fleet.dump(ENTRY).await;
     assert_eq!(dump["process"]["identity"]["instance"], ENTRY);
-    assert!(!dump.to_string().contains("secret"), "{dump}");
+    assert_eq!(dump["process"]["settings"]["limits"]["body"], "4MiB");
+    for hidden in ["secret", "PRIVATE KEY"] {
+        assert!(!dump.to_string().contains(hidden), "{dump}");
+    }
 }
 
 #[tokio::test]
