--- a/crates/trestlewalk/src/subcommand/ticket/mint.rs
+++ b/crates/trestlewalk/src/subcommand/ticket/mint.rs
@@ -1,15 +1,16 @@
 //! `trestlewalk ticket mint`.
 
 use {
-    super::ticket_call::send_call,
+    super::ticket_call::{BODY_TYPE, send_call},
     crate::{
         RunError, client::ClientRequest, run_error::RequestFailedSnafu, text_output::print_line,
     },
     clap::Args,
-    door::work_header::WORK_HEADER,
-    hyper::Method,
-    kernel::{ResultCode, WorkId},
-    serde::Deserialize,
+    hyper::{Method, body::Bytes, header::CONTENT_TYPE},
+    kernel::ResultCode,
+    serde::{Deserialize, Serialize},
+    serde_json::json,
+    serde_with::{DurationMilliSeconds, serde_as},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -20,12 +21,21 @@
 pub struct MintCommand {
     /// The callers' address of any instance, `IP:port`.
     pub address: SocketAddr,
+    /// How long the ticket is good for; without it the instance decides.
+    #[arg(long, value_name = "DURATION", value_parser = humantime::parse_duration)]
+    pub expires: Option<Duration>,
     /// How long the answer may take.
     #[arg(default_value = "10s", long, value_name = "DURATION", value_parser = humantime::parse_duration)]
     pub timeout: Duration,
-    /// The kind of work that the ticket is for.
-    #[arg(long)]
-    pub work: Option<String>,
+}
+
+/// The body of `POST /v1/tickets`.
+#[serde_as]
+#[derive(Debug, Serialize)]
+struct MintBody {
+    #[serde(rename = "expires_in_ms", skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    expires: Option<Duration>,
 }
 
 /// What `POST /v1/tickets` answers.
@@ -41,10 +51,13 @@
     ///
     /// No instance answers with a ticket.
     pub fn run(self) -> Result<(), RunError> {
-        let work = self.work.map(WorkId::from);
+        let body = MintBody {
+            expires: self.expires,
+        };
         let call = ClientRequest::builder()
             .address(self.address)
-            .headers(work.map(|work| (WORK_HEADER, work)).into_iter().collect())
+            .body(Bytes::from(json!(body).to_string()))
+            .headers(vec![(CONTENT_TYPE, Arc::from(BODY_TYPE))])
             .limit(self.timeout)
             .method(Method::POST)
             .path(TICKETS_PATH)
--- a/crates/trestlewalk/src/subcommand/ticket/ticket_call.rs
+++ b/crates/trestlewalk/src/subcommand/ticket/ticket_call.rs
@@ -11,6 +11,9 @@
     tokio::runtime::Runtime,
 };
 
+/// The type of the bodies that are sent.
+pub const BODY_TYPE: &str = "application/json";
+
 /// Sends the call and gives the answer.
 ///
 /// # Errors
--- a/crates/trestlewalk/src/subcommand/ticket/use_ticket.rs
+++ b/crates/trestlewalk/src/subcommand/ticket/use_ticket.rs
@@ -1,7 +1,7 @@
 //! `trestlewalk ticket use`.
 
 use {
-    super::ticket_call::send_call,
+    super::ticket_call::{BODY_TYPE, send_call},
     crate::{RunError, client::ClientRequest, run_error::ReadFileSnafu, text_output::print_bytes},
     clap::Args,
     door::work_header::WORK_HEADER,
@@ -21,7 +21,6 @@
     },
 };
 
-const BODY_TYPE: &str = "application/json";
 const STANDARD_STREAM: &str = "-";
 const TICKET_HEADER: HeaderName = HeaderName::from_static("trestlewalk-ticket");
 
--- a/crates/trestlewalk/tests/command_line.rs
+++ b/crates/trestlewalk/tests/command_line.rs
@@ -115,7 +115,7 @@
     let body = r#"{"ticket": "t-1", "expires_in_ms": 1000}"#;
     let (address, server) = answer_once(&whole_answer("201 Created", 1000, body));
     Test::new()
-        .args(["ticket", "mint", &address, "--work", "confirm"])
+        .args(["ticket", "mint", &address, "--expires", "2min"])
         .stdout("t-1\n")
         .run();
     let request = server.join().unwrap();
@@ -123,7 +123,7 @@
         request.starts_with("POST /v1/tickets HTTP/1.1"),
         "{request}"
     );
-    assert!(request.contains("trestlewalk-work: confirm"), "{request}");
+    assert!(request.ends_with("{\"expires_in_ms\":120000}"), "{request}");
 }
 
 #[test]
@@ -204,24 +204,34 @@
         .run();
 }
 
-/// Takes one connection, reads the head of a request and answers; joining it gives that head.
+/// Takes one connection, reads a whole request and answers; joining it gives the request.
 fn answer_once(answer: &str) -> (String, JoinHandle<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let answer = answer.to_owned();
     let server = thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        let mut head = Vec::new();
+        let mut request = Vec::new();
         let mut byte = [0];
-        while !head.ends_with(HEAD_END) && stream.read(&mut byte).unwrap() == 1 {
-            head.push(byte[0]);
+        while !request.ends_with(HEAD_END) && stream.read(&mut byte).unwrap() == 1 {
+            request.push(byte[0]);
         }
+        let mut body = vec![0; body_length(&request)];
+        stream.read_exact(&mut body).unwrap();
         stream.write_all(answer.as_bytes()).unwrap();
-        String::from_utf8(head).unwrap()
+        request.extend(body);
+        String::from_utf8(request).unwrap()
     });
     (address, server)
 }
 
+fn body_length(head: &[u8]) -> usize {
+    let head = String::from_utf8_lossy(head).to_lowercase();
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length:"));
+    length.map_or(0, |length| length.trim().parse().unwrap())
+}
+
 fn check_example(stdout: Stdio) -> Output {
     Command::new(BINARY)
         .args(["check", "../../settings/gijon-1.yaml"])
