--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! ```ignore
 //! let mut fleet = FleetPlan::new().zones(&["gijon", "ferrol"]).entries(2).plain(1).start().await;
+//! fleet.put_table(TABLE).await;
 //! fleet.wait_ready("gijon-1").await;
 //! let reply = fleet.entry("gijon-1").get("/services/carta/tile").send().await;
 //! fleet.pause("gijon-1").await;                // SIGSTOP; resume, terminate and kill are there too.
