--- a/crates/trestlewalk/src/subcommand/ticket/use_ticket.rs
+++ b/crates/trestlewalk/src/subcommand/ticket/use_ticket.rs
@@ -1,12 +1,8 @@
 //! `trestlewalk ticket use`.
 
 use {
-    super::ticket_call::send_call,
-    crate::{
-        RunError,
-        client::ClientRequest,
-        run_error::{ReadFileSnafu, WriteFileSnafu},
-    },
+    super::ticket_call::{BODY_TYPE, send_call},
+    crate::{RunError, client::ClientRequest, run_error::ReadFileSnafu, text_output::print_bytes},
     clap::Args,
     door::work_header::WORK_HEADER,
     hyper::{
@@ -17,7 +13,7 @@
     snafu::ResultExt,
     std::{
         fs,
-        io::{self, Read, Write},
+        io::{self, Read},
         net::SocketAddr,
         path::{Path, PathBuf},
         sync::Arc,
@@ -25,7 +21,6 @@
     },
 };
 
-const BODY_TYPE: &str = "application/json";
 const STANDARD_STREAM: &str = "-";
 const TICKET_HEADER: HeaderName = HeaderName::from_static("trestlewalk-ticket");
 
@@ -78,9 +73,7 @@
             .path(self.path)
             .build();
         let reply = send_call(call)?;
-        io::stdout().write_all(&reply.body).context(WriteFileSnafu {
-            path: STANDARD_STREAM,
-        })
+        print_bytes(&reply.body)
     }
 }
 
--- a/crates/trestlewalk/tests/command_line.rs
+++ b/crates/trestlewalk/tests/command_line.rs
@@ -4,11 +4,13 @@
 
 use {
     std::{
-        io::{Read, Write},
+        fs::File,
+        io::{self, Read, Write},
         net::{SocketAddr, TcpListener},
+        process::{Command, Output, Stdio},
         thread::{self, JoinHandle},
     },
-    support::Test,
+    support::{BINARY, Test},
 };
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -39,6 +41,25 @@
         .run();
 }
 
+#[test]
+fn a_standard_output_that_nobody_reads_is_no_fault() {
+    let (reader, writer) = io::pipe().unwrap();
+    drop(reader);
+    let output = check_example(writer.into());
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
+#[test]
+fn a_standard_output_that_takes_nothing_is_told() {
+    let output = check_example(File::create("/dev/full").unwrap().into());
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        stderr.starts_with("standard output: can't write the file: "),
+        "{stderr}"
+    );
+    assert_eq!(output.status.code(), Some(1));
+}
+
 #[test]
 fn keys_makes_a_certificate_and_a_key_for_each_instance() {
     let output = Test::new()
@@ -94,7 +115,7 @@
     let body = r#"{"ticket": "t-1", "expires_in_ms": 1000}"#;
     let (address, server) = answer_once(&whole_answer("201 Created", 1000, body));
     Test::new()
-        .args(["ticket", "mint", &address, "--work", "confirm"])
+        .args(["ticket", "mint", &address, "--expires", "2min"])
         .stdout("t-1\n")
         .run();
     let request = server.join().unwrap();
@@ -102,7 +123,7 @@
         request.starts_with("POST /v1/tickets HTTP/1.1"),
         "{request}"
     );
-    assert!(request.contains("trestlewalk-work: confirm"), "{request}");
+    assert!(request.ends_with("{\"expires_in_ms\":120000}"), "{request}");
 }
 
 #[test]
@@ -183,24 +204,43 @@
         .run();
 }
 
-/// Takes one connection, reads the head of a request and answers; joining it gives that head.
+/// Takes one connection, reads a whole request and answers; joining it gives the request.
 fn answer_once(answer: &str) -> (String, JoinHandle<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let answer = answer.to_owned();
     let server = thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        let mut head = Vec::new();
+        let mut request = Vec::new();
         let mut byte = [0];
-        while !head.ends_with(HEAD_END) && stream.read(&mut byte).unwrap() == 1 {
-            head.push(byte[0]);
+        while !request.ends_with(HEAD_END) && stream.read(&mut byte).unwrap() == 1 {
+            request.push(byte[0]);
         }
+        let mut body = vec![0; body_length(&request)];
+        stream.read_exact(&mut body).unwrap();
         stream.write_all(answer.as_bytes()).unwrap();
-        String::from_utf8(head).unwrap()
+        request.extend(body);
+        String::from_utf8(request).unwrap()
     });
     (address, server)
 }
 
+fn body_length(head: &[u8]) -> usize {
+    let head = String::from_utf8_lossy(head).to_lowercase();
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length:"));
+    length.map_or(0, |length| length.trim().parse().unwrap())
+}
+
+fn check_example(stdout: Stdio) -> Output {
+    Command::new(BINARY)
+        .args(["check", "../../settings/gijon-1.yaml"])
+        .stdout(stdout)
+        .stderr(Stdio::piped())
+        .output()
+        .unwrap()
+}
+
 /// A loopback address at which nothing listens.
 fn dead_address() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -12,12 +12,14 @@
 //!
 //! ```ignore
 //! let mut fleet = FleetPlan::new().zones(&["gijon", "ferrol"]).entries(2).plain(1).start().await;
+//! fleet.put_table(TABLE).await;
 //! fleet.wait_ready("gijon-1").await;
 //! let reply = fleet.entry("gijon-1").get("/services/carta/tile").send().await;
 //! fleet.pause("gijon-1").await;                // SIGSTOP; resume, terminate and kill are there too.
 //! fleet.cut_zones("gijon", "ferrol");          // mend_zones joins them again.
 //! fleet.platform_relay("gijon-1").set(RelayMode::Silent);
 //! fleet.upstream_relay("gijon-plain-1").set(RelayMode::Slow(Duration::from_millis(50)));
+//! assert_eq!(fleet.metric("gijon-1", "peer_dropped_total", &[]).await, Some(0.0));
 //! wait_until("ferrol-1 answers", async || fleet.entry("ferrol-1").get("/x").try_send().await.is_ok()).await;
 //! ```
 //!
