--- a/crates/flow/src/flow_metrics.rs
+++ b/crates/flow/src/flow_metrics.rs
@@ -93,8 +93,8 @@
         let mut sums = BTreeMap::new();
         for family in self.wasted_tokens.collect() {
             for metric in family.get_metric() {
-                let labels = metric.get_label().iter();
-                let Some(work) = labels.filter(|label| label.name() == WORK_LABEL).next() else {
+                let mut labels = metric.get_label().iter();
+                let Some(work) = labels.find(|label| label.name() == WORK_LABEL) else {
                     continue;
                 };
                 *sums.entry(work.value().to_owned()).or_default() +=
