--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -6,7 +6,7 @@
         entry::{
             AllocatorMaker, EntryParts, ListPoller, MemberWatch, PathBase, TableDriver, TableShare,
         },
-        run_error::KeysSnafu,
+        run_error::PeersSnafu,
     },
     flow::{
         AllocatorSeats, CELL_TAG, CellTable, GrantRouter, LoadPoller, SessionHost, StreamSweeper,
@@ -162,19 +162,21 @@
     let heartbeat = &parts.settings.heartbeat;
     let settings = MemberSettings::builder()
         .heartbeat_interval(heartbeat.period)
+        .neighbour_limit(heartbeat.neighbours as usize)
         .suspicion_timeout(heartbeat.suspect_after)
         .gone_timeout(heartbeat.dead_after.saturating_sub(heartbeat.suspect_after))
         .build();
     PeerDriver::builder()
         .contacts(contacts(parts))
         .endpoint(base.endpoint.clone())
+        .maybe_advertise(parts.settings.listen.advertise)
         .settings(settings)
         .source(Arc::new(TableShare {
             driver: table.clone(),
         }))
         .zone(parts.identity.zone.clone())
         .start()
-        .context(KeysSnafu)
+        .context(PeersSnafu)
 }
 
 /// Starts what brings the table here.
--- a/crates/trestlewalk/src/settings/settings_check.rs
+++ b/crates/trestlewalk/src/settings/settings_check.rs
@@ -2,13 +2,19 @@
 
 use {
     crate::settings::{
-        EntrySettings, PeerSettings, UpstreamSettings, fault_list::FaultList,
+        EntrySettings, ListenSettings, PeerSettings, UpstreamSettings, fault_list::FaultList,
         field_path::FieldPath, name_check::name_fault, platform_settings::UNSET_ADDRESS,
     },
     route::UpstreamRole,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
+/// With fewer, one failure splits the ring of instances.
+const FEWEST_NEIGHBOURS: u32 = 2;
+const LARGEST_BODY: u64 = 1 << 30;
+const LARGEST_HEADERS: u64 = 1 << 20;
+/// Longer times are slips of the pen, and far longer ones have no end on the clock.
+const LONGEST_DURATION: Duration = Duration::from_secs(24 * 60 * 60);
 const SHORTEST_SECRET: usize = 16;
 const SMALLEST_HEADERS: u64 = 1 << 10;
 
@@ -59,15 +65,20 @@
     if duration.is_zero() {
         list.push(&FieldPath::dotted(path), "has to be longer than 0s");
     }
+    if duration > LONGEST_DURATION {
+        list.push(&FieldPath::dotted(path), "has to be at most 1day");
+    }
 }
 
 fn check_heartbeat(settings: &EntrySettings, list: &mut FaultList) {
     let heartbeat = &settings.heartbeat;
+    check_duration("heartbeat.dead_after", heartbeat.dead_after, list);
     check_duration("heartbeat.period", heartbeat.period, list);
-    if heartbeat.fanout == 0 {
+    check_duration("heartbeat.suspect_after", heartbeat.suspect_after, list);
+    if heartbeat.neighbours < FEWEST_NEIGHBOURS {
         list.push(
-            &FieldPath::dotted("heartbeat.fanout"),
-            "has to be at least 1",
+            &FieldPath::dotted("heartbeat.neighbours"),
+            format!("has to be at least {FEWEST_NEIGHBOURS}"),
         );
     }
     if heartbeat.suspect_after <= heartbeat.period {
@@ -116,13 +127,16 @@
     check_duration("limits.close", limits.close, list);
     check_duration("limits.first_byte", limits.first_byte, list);
     check_duration("limits.idle", limits.idle, list);
-    if limits.body == 0 {
-        list.push(&FieldPath::dotted("limits.body"), "has to be at least 1B");
+    if !(1..=LARGEST_BODY).contains(&limits.body) {
+        list.push(
+            &FieldPath::dotted("limits.body"),
+            "has to be from 1B to 1GiB",
+        );
     }
-    if limits.headers < SMALLEST_HEADERS {
+    if !(SMALLEST_HEADERS..=LARGEST_HEADERS).contains(&limits.headers) {
         list.push(
             &FieldPath::dotted("limits.headers"),
-            "has to be at least 1KiB",
+            "has to be from 1KiB to 1MiB",
         );
     }
     if limits.open_requests == 0 {
@@ -139,12 +153,26 @@
 
 fn check_listen(settings: &EntrySettings, list: &mut FaultList) {
     let listen = &settings.listen;
+    check_advertise(listen, list);
     if addresses_clash(listen.admin, listen.callers) {
         let path = FieldPath::dotted("listen.callers");
         list.push(&path, format!("`{}` is `listen.admin` too", listen.callers));
     }
 }
 
+fn check_advertise(listen: &ListenSettings, list: &mut FaultList) {
+    let path = FieldPath::dotted("listen.advertise");
+    let Some(address) = listen.advertise else {
+        if listen.peers.ip().is_unspecified() {
+            list.push(&path, "missing: `listen.peers` names no single address");
+        }
+        return;
+    };
+    if address.ip().is_unspecified() || address.port() == 0 {
+        list.push(&path, format!("`{address}` can't be reached"));
+    }
+}
+
 fn addresses_clash(left: SocketAddr, right: SocketAddr) -> bool {
     let same_ip =
         left.ip() == right.ip() || left.ip().is_unspecified() || right.ip().is_unspecified();
