bench path: what an entry instance adds to a request

Nothing measured the real path. The bench runs the stand-ins in its own process and one entry instance as a process of its own, so that processor time and memory are the instance's alone. Two closed loops take turns, straight to the engines and through the instance.

--- a/crates/bench/src/bench_command.rs
+++ b/crates/bench/src/bench_command.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        bench_error::BenchError, bounds_command::BoundsCommand, decide_command::DecideCommand,
+        bench_error::BenchError,
+        bounds_command::BoundsCommand,
+        decide_command::DecideCommand,
+        path::{EntryCommand, PathCommand},
         policy_command::PolicyCommand,
     },
     clap::{Parser, Subcommand},
@@ -23,6 +26,11 @@
     Bounds(BoundsCommand),
     /// Measures what a decision of the allocator costs.
     Decide(DecideCommand),
+    /// Runs an entry instance: the process that `path` measures.
+    #[command(hide = true)]
+    Entry(EntryCommand),
+    /// Measures what an entry instance adds to a request.
+    Path(PathCommand),
     /// Compares admission policies in virtual time.
     Policy(PolicyCommand),
 }
@@ -32,6 +40,8 @@
         match self {
             Self::Bounds(command) => command.run(),
             Self::Decide(command) => command.run(),
+            Self::Entry(command) => command.run(),
+            Self::Path(command) => command.run(),
             Self::Policy(command) => command.run(),
         }
     }
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -49,6 +49,42 @@
         /// The file.
         path: PathBuf,
     },
+    /// The entry instance ended with an error.
+    #[snafu(display("the entry instance: {source}"))]
+    EntryRun {
+        /// Why.
+        source: trestlewalk::RunError,
+    },
+    /// The entry instance can't be started.
+    #[snafu(display("the entry instance can't be started: {source}"))]
+    EntryStart {
+        /// Why.
+        source: io::Error,
+    },
+    /// A stand-in can't be started.
+    #[snafu(display("a stand-in can't be started: {source}"))]
+    FakeStart {
+        /// Why.
+        source: fake::FakeError,
+    },
+    /// Keys can't be made.
+    #[snafu(display("keys can't be made: {source}"))]
+    Keys {
+        /// Why.
+        source: peer::PeerError,
+    },
+    /// The stand-in platform takes no table.
+    #[snafu(display("the platform takes no table: {source}"))]
+    Platform {
+        /// Why.
+        source: plat::PlatError,
+    },
+    /// The program can't run tasks.
+    #[snafu(display("tasks can't be run: {source}"))]
+    Runtime {
+        /// Why.
+        source: io::Error,
+    },
     /// A report can't be written as JSON.
     #[snafu(display("the report can't be written: {source}"))]
     ReportWrite {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bounds_command;
 pub mod decide_command;
 pub mod parallel_map;
+pub mod path;
 pub mod policies;
 pub mod policy_command;
 pub mod policy_run;
