Frames to a new allocator keep their order; nobody waits for one that is not there

Cause, found by reading the seats against the request table: - `CellHub::seat` announced after it let go of the seats' lock: a notice could overtake the announcement that didn't tell of it, and the new allocator then kept the request in a phase it had left. The lock is now held across both, and across the delivery of a grant. - A session that was lost took notices with it; the allocator kept those requests for good. The first frame of each session now lists what is held, and the allocator ends what is not on the list (`OpenKeys`). - A request of an ended life (`Renewed`) that came to wait for a grant after the renewal waited for ever: allocators drop its key. It is refused when it starts to wait. - A request whose cell has no allocator, such as a model without engines in the zone, waited for ever. After one second without a session it is refused with Retry-After, later ones within a check of the seats.

The dump has a section `flow` (requests by phase, allocators, upstreams), and the path's metrics are registered; they were counted and shown nowhere.

--- a/crates/flow/src/allocator_seats.rs
+++ b/crates/flow/src/allocator_seats.rs
@@ -26,6 +26,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a cell that another instance allocates is kept here, for sessions that have not moved yet.
 const LEAVE_AFTER: Duration = Duration::from_secs(5);
+/// How long a request may wait for a cell that has no allocator.
+const UNSEATED_LIMIT: Duration = Duration::from_secs(1);
+/// When to come back after such a wait.
+const UNSEATED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// The shortest time between two sessions to one allocator.
 const SESSION_PAUSE: Duration = Duration::from_millis(200);
 
@@ -53,6 +57,7 @@
     members: Arc<V>,
     pool: WorkerPool,
     seats: BTreeMap<ModelId, SetSeat>,
+    unseated: BTreeMap<ModelId, Instant>,
     zone: ZoneId,
 }
 
@@ -80,6 +85,7 @@
             members,
             pool,
             seats: BTreeMap::new(),
+            unseated: BTreeMap::new(),
             zone,
         }
     }
@@ -107,6 +113,30 @@
             }
         }
         self.leave_cells(now);
+        self.refuse_unseated(now);
+    }
+
+    fn has_session(&self, model: &ModelId) -> bool {
+        let Some(seat) = self.seats.get(model) else {
+            return false;
+        };
+        let frames = seat.frames.upgrade();
+        frames.is_some_and(|frames| !frames.is_closed())
+    }
+
+    /// Refuses the requests whose cell has had no allocator for too long: for want of engines or of members.
+    fn refuse_unseated(&mut self, now: Instant) {
+        for model in self.hub.requests().models() {
+            if self.has_session(&model) {
+                self.unseated.remove(&model);
+                continue;
+            }
+            let since = *self.unseated.entry(model.clone()).or_insert(now);
+            if now.saturating_duration_since(since) < UNSEATED_LIMIT {
+                continue;
+            }
+            self.hub.refuse_cell(&model, UNSEATED_RETRY_AFTER);
+        }
     }
 
     fn needs_seat(&self, now: Instant, model: &ModelId, allocator: &InstanceId) -> bool {
@@ -116,11 +146,7 @@
         if seat.allocator != *allocator {
             return true;
         }
-        let is_lost = seat
-            .frames
-            .upgrade()
-            .is_none_or(|frames| frames.is_closed());
-        is_lost && now.saturating_duration_since(seat.since) >= SESSION_PAUSE
+        !self.has_session(model) && now.saturating_duration_since(seat.since) >= SESSION_PAUSE
     }
 
     fn set_seat(&mut self, now: Instant, model: &ModelId, allocator: InstanceId) {
--- a/crates/flow/src/cell_driver.rs
+++ b/crates/flow/src/cell_driver.rs
@@ -1,7 +1,7 @@
 //! Drives the allocator of one cell: gives it events and carries its decisions to whoever holds the requests.
 
 use {
-    crate::cell_notice::CellGrant,
+    crate::{cell_frame::CellFrame, cell_notice::CellGrant, open_keys::OpenKeys},
     admit::{AdmitAction, AdmitEvent, AdmitPolicy, RequestKey},
     kernel::{CloseSignal, LockRank, ModelId, RankedLock},
     std::{sync::Arc, time::Instant},
@@ -25,6 +25,7 @@
 struct CellState<P> {
     /// Events of requests that came before the allocator knew its engines; `None` once it does.
     early: Option<Vec<AdmitEvent>>,
+    open: OpenKeys,
     policy: P,
     wake_at: Option<Instant>,
 }
@@ -43,6 +44,7 @@
                 LockRank::Allocator,
                 CellState {
                     early: Some(Vec::new()),
+                    open: OpenKeys::default(),
                     policy,
                     wake_at: None,
                 },
@@ -61,7 +63,9 @@
         let mut actions = Vec::new();
         {
             let mut state = self.state.lock();
+            state.open.note(&event);
             state.policy.on_event(Instant::now(), event, &mut actions);
+            close_refused(&mut state.open, &actions);
             self.keep_wake(&mut state, &actions);
         }
         for action in actions {
@@ -69,12 +73,32 @@
         }
     }
 
+    /// Takes a frame of an entry instance.
+    pub fn on_frame(&self, now: Instant, frame: CellFrame) {
+        if let CellFrame::Holds {
+            instance, serials, ..
+        } = &frame
+        {
+            let missing = self.state.lock().open.missing(instance, serials);
+            for key in missing {
+                self.on_request(AdmitEvent::Cancel { key });
+            }
+            return;
+        }
+        let Some(event) = frame.into_event(now) else {
+            return;
+        };
+        self.on_request(event);
+    }
+
     /// Gives one event of a request to the allocator. Before [`CellDriver::open`] it is kept: an allocator that knows no
     /// engine yet would refuse what it could serve a moment later.
     pub fn on_request(&self, event: AdmitEvent) {
         {
             let mut state = self.state.lock();
-            if let Some(early) = &mut state.early {
+            let CellState { early, open, .. } = &mut *state;
+            if let Some(early) = early {
+                open.note(&event);
                 early.push(event);
                 return;
             }
@@ -132,6 +156,15 @@
     }
 }
 
+fn close_refused(open: &mut OpenKeys, actions: &[AdmitAction]) {
+    for action in actions {
+        let AdmitAction::Refuse { key, .. } = action else {
+            continue;
+        };
+        open.close(key);
+    }
+}
+
 async fn sleep_until(at: Option<Instant>) {
     match at {
         Some(at) => time::sleep_until(at.into()).await,
--- a/crates/flow/src/cell_frame.rs
+++ b/crates/flow/src/cell_frame.rs
@@ -3,9 +3,12 @@
 use {
     crate::cell_notice::{CellGrant, CellNotice},
     admit::{AdmitEvent, AdmitRequest, HoldPhase, RequestKey},
-    kernel::{BlockHash, ModelId, UpstreamId, WorkId},
+    kernel::{BlockHash, InstanceId, ModelId, UpstreamId, WorkId},
     serde::{Deserialize, Serialize},
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
 };
 
 /// A request as it is told to an allocator. Clocks differ between instances, so that times travel as ages.
@@ -74,6 +77,16 @@
         /// The request.
         submit: CellSubmit,
     },
+    /// The first frame for a cell: all that the instance holds there. Whatever else the allocator was told of by the
+    /// instance is over, and the word of it was lost.
+    Holds {
+        /// The entry instance.
+        instance: InstanceId,
+        /// The cell.
+        model: ModelId,
+        /// The serials of the requests.
+        serials: BTreeSet<u64>,
+    },
     /// What happened to a request.
     Notice {
         /// The request.
@@ -103,24 +116,26 @@
     pub fn model(&self) -> &ModelId {
         match self {
             Self::Announce { submit, .. } | Self::Submit(submit) => &submit.model,
-            Self::Notice { model, .. } => model,
+            Self::Holds { model, .. } | Self::Notice { model, .. } => model,
         }
     }
 
-    /// The request that the frame is of.
-    pub fn key(&self) -> &RequestKey {
+    /// The entry instance that the frame is of.
+    pub fn instance(&self) -> &InstanceId {
         match self {
-            Self::Announce { submit, .. } | Self::Submit(submit) => &submit.key,
-            Self::Notice { key, .. } => key,
+            Self::Announce { submit, .. } | Self::Submit(submit) => &submit.key.instance,
+            Self::Holds { instance, .. } => instance,
+            Self::Notice { key, .. } => &key.instance,
         }
     }
 
-    /// The allocator's event, by this process's clock.
-    pub fn into_event(self, now: Instant) -> AdmitEvent {
+    /// The allocator's event, by this process's clock; `None` for a frame that is of no single request.
+    pub fn into_event(self, now: Instant) -> Option<AdmitEvent> {
         match self {
-            Self::Announce { phase, submit } => announce_event(phase, submit, now),
-            Self::Notice { key, notice, .. } => notice.into_event(key),
-            Self::Submit(submit) => AdmitEvent::Submit(submit.into_request(now)),
+            Self::Announce { phase, submit } => Some(announce_event(phase, submit, now)),
+            Self::Holds { .. } => None,
+            Self::Notice { key, notice, .. } => Some(notice.into_event(key)),
+            Self::Submit(submit) => Some(AdmitEvent::Submit(submit.into_request(now))),
         }
     }
 }
--- a/crates/flow/src/cell_hub.rs
+++ b/crates/flow/src/cell_hub.rs
@@ -55,6 +55,15 @@
         }
     }
 
+    /// The allocator of each cell.
+    pub fn allocators(&self) -> BTreeMap<ModelId, InstanceId> {
+        let seats = self.seats.lock();
+        let named = seats.iter();
+        named
+            .map(|(model, seat)| (model.clone(), seat.allocator.clone()))
+            .collect()
+    }
+
     /// The name that the next request gets.
     pub fn next_key(&self) -> RequestKey {
         RequestKey {
@@ -74,23 +83,25 @@
             model,
             notice,
         });
+        self.refuse_ended_life(key);
     }
 
     /// Takes a grant of a cell's allocator. Grants of an instance that is not the cell's allocator any more are dropped.
     pub fn on_grant(&self, allocator: &InstanceId, frame: GrantFrame) {
         let model = &frame.model;
-        let is_seated = self
-            .seats
-            .lock()
-            .get(model)
-            .is_some_and(|seat| seat.allocator == *allocator);
-        if !is_seated {
+        // The cell keeps its allocator until the grant is noted: a new one is told of it then.
+        let seats = self.seats.lock();
+        let Some(seat) = seats.get(model) else {
+            return;
+        };
+        if seat.allocator != *allocator {
             return;
         }
         let Some(answer) = self.requests.deliver(&frame.key, frame.grant) else {
             return;
         };
-        self.send(with_model(answer, model));
+        // A closed session is followed by another seat, to which everything is announced.
+        let _ = seat.frames.send(with_model(answer, model));
     }
 
     /// Takes the request to the end of its time at the allocator, without a word: the allocator refused it.
@@ -103,12 +114,22 @@
         &self.requests
     }
 
+    /// Refuses the requests of a cell that wait for a grant.
+    pub fn refuse_cell(&self, model: &ModelId, retry_after: Duration) {
+        let is_meant = |submit: &CellSubmit| submit.model == *model;
+        self.requests
+            .refuse_waiting(is_meant, ResultCode::UpstreamMissing, retry_after);
+    }
+
     /// Starts a new life: the allocators hold the requests of the earlier one for gone. Those that wait for a grant are
-    /// refused; the others end by themselves.
+    /// refused, and the others as soon as they would wait for one.
     pub fn renew(&self, incarnation: Incarnation) {
         self.incarnation.store(incarnation, Ordering::Release);
-        self.requests
-            .refuse_waiting(ResultCode::UpstreamMissing, RENEWED_RETRY_AFTER);
+        self.requests.refuse_waiting(
+            |submit| submit.key.incarnation < incarnation,
+            ResultCode::UpstreamMissing,
+            RENEWED_RETRY_AFTER,
+        );
     }
 
     /// Queues a further attempt of a request that is held.
@@ -117,13 +138,16 @@
             return;
         };
         self.send(frame);
+        self.refuse_ended_life(key);
     }
 
     /// Gives a cell another allocator and announces to it what this instance holds.
     pub fn seat(&self, model: &ModelId, seat: CellSeat) {
         let frames = seat.frames.clone();
-        self.seats.lock().insert(model.clone(), seat);
-        for frame in self.requests.announcements(model) {
+        // What happens meanwhile is sent after the announcement that doesn't tell of it.
+        let mut seats = self.seats.lock();
+        seats.insert(model.clone(), seat);
+        for frame in self.requests.announcements(&self.instance, model) {
             // A closed session is followed by another seat.
             let _ = frames.send(frame);
         }
@@ -158,6 +182,18 @@
         receiver
     }
 
+    /// Refuses a request that waits for a grant and belongs to an ended life: no allocator takes it.
+    fn refuse_ended_life(&self, key: &RequestKey) {
+        if key.incarnation >= self.incarnation.load(Ordering::Acquire) {
+            return;
+        }
+        self.requests.refuse_waiting(
+            |submit| submit.key == *key,
+            ResultCode::UpstreamMissing,
+            RENEWED_RETRY_AFTER,
+        );
+    }
+
     fn send(&self, frame: CellFrame) {
         let seats = self.seats.lock();
         let Some(seat) = seats.get(frame.model()) else {
--- a/crates/flow/src/cell_session.rs
+++ b/crates/flow/src/cell_session.rs
@@ -98,7 +98,7 @@
             return;
         };
         // An instance speaks for its own requests only.
-        if frame.key().instance != from.instance {
+        if *frame.instance() != from.instance {
             continue;
         }
         cells.on_frame(frame);
--- a/crates/flow/src/cell_table.rs
+++ b/crates/flow/src/cell_table.rs
@@ -100,7 +100,7 @@
     /// Gives a frame of an entry instance to its cell.
     pub fn on_frame(&self, frame: CellFrame) {
         let driver = self.cell(&frame.model().clone());
-        driver.on_request(frame.into_event(Instant::now()));
+        driver.on_frame(Instant::now(), frame);
     }
 
     /// Tells every cell that earlier lives of an entry instance are gone.
--- /dev/null
+++ b/crates/flow/src/flow_plugin.rs
@@ -0,0 +1,41 @@
+//! The request path's part of the state dump.
+
+use {
+    crate::{cell_hub::CellHub, flow_metrics::FlowMetrics, upstream_board::UpstreamBoard},
+    kernel::{PluginEntry, StateMap},
+    prometheus::Registry,
+    serde_json::{Map, Value, json},
+};
+
+kernel::inventory::submit! {
+    PluginEntry {
+        dump: dump_flow,
+        metrics: register_flow,
+        name: "flow",
+    }
+}
+
+fn dump_flow(map: &StateMap) -> Option<Value> {
+    let hub = map.get::<CellHub>()?;
+    let board = map.get::<UpstreamBoard>()?;
+    let mut upstreams = Map::new();
+    for (name, entry) in board.snapshot().iter() {
+        let leaving = entry.leaving().map(|cause| format!("{cause:?}"));
+        let value = json!({ "address": entry.address, "leaving": leaving });
+        upstreams.insert(name.to_string(), value);
+    }
+    Some(json!({
+        "allocators": hub.allocators(),
+        "requests": hub.requests().phase_counts(),
+        "upstreams": upstreams,
+    }))
+}
+
+fn register_flow(map: &StateMap, registry: &Registry) {
+    let Some(metrics) = map.get::<FlowMetrics>() else {
+        return;
+    };
+    if let Err(error) = metrics.register(registry) {
+        tracing::debug!(%error, "the metrics were registered before");
+    }
+}
--- a/crates/flow/src/request_table.rs
+++ b/crates/flow/src/request_table.rs
@@ -6,9 +6,9 @@
         cell_notice::{CellGrant, CellNotice},
     },
     admit::RequestKey,
-    kernel::{LockRank, ModelId, RankedLock, ResultCode},
+    kernel::{InstanceId, LockRank, ModelId, RankedLock, ResultCode},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
     tokio::sync::mpsc::UnboundedSender,
@@ -39,11 +39,25 @@
 }
 
 impl RequestTable {
-    /// What every held request of a cell has to tell a new allocator.
-    pub fn announcements(&self, model: &ModelId) -> Vec<CellFrame> {
+    /// What a new allocator of a cell has to be told: which requests are held, then each of them.
+    pub fn announcements(&self, instance: &InstanceId, model: &ModelId) -> Vec<CellFrame> {
         let requests = self.requests.lock();
-        let held = requests.values().filter(|held| held.submit.model == *model);
-        held.map(HeldRequest::announcement).collect()
+        let held = requests
+            .iter()
+            .filter(|(_, held)| held.submit.model == *model);
+        let mut serials = BTreeSet::new();
+        let mut frames = Vec::new();
+        for (serial, held) in held {
+            serials.insert(*serial);
+            frames.push(held.announcement());
+        }
+        let holds = CellFrame::Holds {
+            instance: instance.clone(),
+            model: model.clone(),
+            serials,
+        };
+        frames.insert(0, holds);
+        frames
     }
 
     /// Hands a grant to its request. A grant that doesn't fit how far the request has come is dropped; what the request
@@ -92,6 +106,15 @@
         Self::default()
     }
 
+    /// The models of the held requests.
+    pub fn models(&self) -> BTreeSet<ModelId> {
+        let requests = self.requests.lock();
+        requests
+            .values()
+            .map(|held| held.submit.model.clone())
+            .collect()
+    }
+
     /// Notes what happened to a request. Its cell, or `None` when it is not held.
     pub fn note(&self, serial: u64, notice: &CellNotice) -> Option<ModelId> {
         let mut requests = self.requests.lock();
@@ -115,10 +138,16 @@
         counts
     }
 
-    /// Refuses every request that waits for a grant.
-    pub fn refuse_waiting(&self, code: ResultCode, retry_after: Duration) {
+    /// Refuses the requests that wait for a grant and are meant.
+    pub fn refuse_waiting(
+        &self,
+        is_meant: impl Fn(&CellSubmit) -> bool,
+        code: ResultCode,
+        retry_after: Duration,
+    ) {
         for held in self.requests.lock().values() {
-            if !matches!(held.phase, HeldPhase::Queued | HeldPhase::Read { .. }) {
+            let is_waiting = matches!(held.phase, HeldPhase::Queued | HeldPhase::Read { .. });
+            if !is_waiting || !is_meant(&held.submit) {
                 continue;
             }
             // The request may be ending by itself.
