Engine memory is freed when its caller, its entry instance or the allocator is gone

Found by tests over separate processes: - One instance of three that outlives the others can't declare them gone (half of the zone has to be heard), so that the dead ones' streams were held for more than 60 s, until the test gave up. A call that got no answer yet is now looked for during 30 s; one that was answered needs one answer. - What an engine held after the list lost it could not be cancelled, for want of its address. - A call cut short by the close limit or a caller counts as one that may have run.

Ruled out: shortening `dead_after`; it frees no earlier than a silent holder's missing connection does, and declares busy instances dead.

--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -165,6 +165,9 @@
 /// One stream that an engine holds.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamRecord {
+    /// Whether a connection waits for its answer; absent when the engine doesn't say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connected: Option<bool>,
     /// Its name.
     pub id: Arc<str>,
     /// What it is doing.
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -17,8 +17,8 @@
     expected_answer::{LengthSpread, block_hashes, expected_length, expected_token, prompt_tokens},
     fake_error::FakeError,
     model::{
-        EngineCore, EngineCounters, EngineFaults, EngineLinks, EngineSettings, RateLink,
-        StandInEngine, run_engine,
+        EngineCore, EngineCounters, EngineFaults, EngineSettings, RateLink, StandInEngine,
+        run_engine,
     },
     platform::{
         InstanceBoard, PlatformCore, PlatformCounters, PlatformFaults, PlatformSettings, RowTable,
--- a/crates/flow/src/flow_action.rs
+++ b/crates/flow/src/flow_action.rs
@@ -12,6 +12,8 @@
     Cancel {
         /// The attempt.
         attempt: u32,
+        /// Whether the call that starts the stream got no answer yet: it may reach the engine after the cancel.
+        in_flight: bool,
         /// The engine.
         upstream: UpstreamId,
     },
--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -134,9 +134,10 @@
         FlowAction::Fail(FlowFailure { code, retry_after })
     }
 
-    fn cancel(&self, upstream: &UpstreamId) -> FlowAction {
+    fn cancel(&self, upstream: &UpstreamId, in_flight: bool) -> FlowAction {
         FlowAction::Cancel {
             attempt: self.attempt,
+            in_flight,
             upstream: upstream.clone(),
         }
     }
@@ -144,10 +145,9 @@
     /// Cancels what the attempt holds at engines.
     fn free(&self) -> Option<FlowAction> {
         match &self.phase {
-            FlowPhase::Decoding { decode, .. } => Some(self.cancel(decode)),
-            FlowPhase::Prefilling { prefill } | FlowPhase::Read { prefill } => {
-                Some(self.cancel(prefill))
-            }
+            FlowPhase::Decoding { decode, .. } => Some(self.cancel(decode, self.tokens == 0)),
+            FlowPhase::Prefilling { prefill } => Some(self.cancel(prefill, true)),
+            FlowPhase::Read { prefill } => Some(self.cancel(prefill, false)),
             FlowPhase::Ended | FlowPhase::Queued => None,
         }
     }
@@ -157,12 +157,17 @@
         if let FlowPhase::Decoding { prefill, .. } = &self.phase
             && self.tokens == 0
         {
-            actions.push(self.cancel(prefill));
+            actions.push(self.cancel(prefill, false));
         }
         actions
     }
 
+    /// Gives the request up, whatever it is doing. A call that is cut short may have run.
     fn give_up(&mut self, code: ResultCode) -> Vec<FlowAction> {
+        self.may_have_run |= matches!(
+            self.phase,
+            FlowPhase::Decoding { .. } | FlowPhase::Prefilling { .. }
+        );
         let mut actions = self.free_all();
         actions.push(FlowAction::Notify(CellNotice::Cancel));
         let code = match code {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,5 +1,6 @@
 //! One request from the door to its last byte: the pure steps, and the tasks that drive them.
 
+pub mod abandoned_streams;
 pub mod allocator_seats;
 pub mod answer_event;
 pub mod cell_driver;
--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -278,12 +278,17 @@
 
     fn act(&mut self, action: FlowAction) -> Option<FlowStep<E::Tokens>> {
         match action {
-            FlowAction::Cancel { attempt, upstream } => {
+            FlowAction::Cancel {
+                attempt,
+                in_flight,
+                upstream,
+            } => {
                 let name = StreamName {
                     attempt,
                     key: self.key.clone(),
                 };
-                self.shared.canceller.cancel(upstream, name.to_string());
+                let canceller = &self.shared.canceller;
+                canceller.cancel(upstream, name.to_string(), in_flight);
                 None
             }
             FlowAction::Decode(decode) => Some(FlowStep::Decode(decode)),
--- a/crates/flow/src/stream_canceller.rs
+++ b/crates/flow/src/stream_canceller.rs
@@ -4,7 +4,10 @@
     crate::{flow_metrics::FlowMetrics, upstream_board::UpstreamBoard},
     engine::ModelEngine,
     kernel::{UpstreamId, WorkerPool},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time,
 };
 
@@ -12,11 +15,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 /// The longest wait between tries.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// How often an engine has to say that it doesn't hold the stream. The call that starts a stream may still be on its way
-/// when the first cancel is answered; the pauses between the tries add up to more than a second.
-const MISS_LIMIT: u32 = 7;
-/// How many tries a cancel gets; what is left then is found by the sweep of streams.
-const TRIES: u32 = 20;
+/// How long a stream is looked for whose starting call got no answer: the call may have been held up on its way, and
+/// then starts the stream after cancels were answered with "not here".
+const IN_FLIGHT_WATCH: Duration = Duration::from_secs(30);
+/// How long an engine that gives no answer is tried; what is left then is found by the sweep of streams.
+const TRY_LIMIT: Duration = Duration::from_secs(60);
 
 /// Cancels streams in the background.
 #[derive(Clone)]
@@ -28,12 +31,12 @@
 }
 
 impl<E: ModelEngine> StreamCanceller<E> {
-    /// Starts to cancel a stream.
-    pub fn cancel(&self, upstream: UpstreamId, stream: String) {
+    /// Starts to cancel a stream. `in_flight` says that the call which starts it got no answer yet.
+    pub fn cancel(&self, upstream: UpstreamId, stream: String, in_flight: bool) {
         self.metrics.cancels.inc();
         let canceller = self.clone();
         self.pool
-            .spawn_watching(async move { canceller.run(upstream, stream).await });
+            .spawn_watching(async move { canceller.run(upstream, stream, in_flight).await });
     }
 
     /// A canceller whose work is done in `pool`.
@@ -51,19 +54,20 @@
         }
     }
 
-    async fn run(self, upstream: UpstreamId, stream: String) {
+    async fn run(self, upstream: UpstreamId, stream: String, in_flight: bool) {
+        let started = Instant::now();
         let mut pause = FIRST_PAUSE;
-        let mut misses = 0;
-        for _ in 0..TRIES {
-            let Some(address) = self.board.address(&upstream) else {
+        while started.elapsed() < TRY_LIMIT {
+            let Some(address) = self.board.last_address(&upstream) else {
                 return;
             };
-            match self.engine.cancel(address, &stream).await {
-                Ok(true) => return,
-                Ok(false) => misses += 1,
-                Err(_) => {}
-            }
-            if misses == MISS_LIMIT || self.pool.signal().is_raised() {
+            let outcome = self.engine.cancel(address, &stream).await;
+            let is_over = match outcome {
+                Ok(true) => true,
+                Ok(false) => !in_flight || started.elapsed() > IN_FLIGHT_WATCH,
+                Err(_) => false,
+            };
+            if is_over || self.pool.signal().is_raised() {
                 return;
             }
             time::sleep(pause).await;
--- a/crates/flow/src/stream_sweeper.rs
+++ b/crates/flow/src/stream_sweeper.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        abandoned_streams::AbandonedStreams,
         cell_driver::GrantSink,
         cell_table::{CellTable, PolicyMaker},
         load_poller::cell_engines,
@@ -9,9 +10,14 @@
         stream_name::StreamName,
         upstream_board::UpstreamBoard,
     },
-    engine::ModelEngine,
-    kernel::{Incarnation, ZoneId},
-    std::{sync::Arc, time::Duration},
+    engine::{ModelEngine, wire::StreamRecord},
+    futures_util::future::join_all,
+    kernel::{Incarnation, ModelId, UpstreamId, ZoneId},
+    std::{
+        collections::BTreeSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time::{self, MissedTickBehavior},
 };
 
@@ -19,10 +25,18 @@
 pub trait LifeView: Send + Sync + 'static {
     /// Whether this life of the instance is known to be over.
     fn is_gone(&self, instance: &str, incarnation: Incarnation) -> bool;
+
+    /// Whether the instance is not heard now: it may be dead, frozen or cut off.
+    fn is_silent(&self, instance: &str) -> bool;
 }
 
 /// Compares the engines' lists of streams with the lives of entry instances. Runs at the allocator of a cell.
+///
+/// A stream is cancelled when its holder's life is known to be over, and also when its holder is merely silent but the
+/// engine says that nobody waits for the answer: one instance that outlives most others can't tell death from a
+/// partition, and the engine can.
 pub struct StreamSweeper<E, L, M: PolicyMaker, S> {
+    abandoned: AbandonedStreams,
     board: Arc<UpstreamBoard>,
     canceller: StreamCanceller<E>,
     cells: Arc<CellTable<M, S>>,
@@ -46,6 +60,7 @@
         zone: ZoneId,
     ) -> Self {
         Self {
+            abandoned: AbandonedStreams::default(),
             board,
             canceller,
             cells,
@@ -59,32 +74,54 @@
 
 impl<E: ModelEngine, L: LifeView, M: PolicyMaker, S: GrantSink> StreamSweeper<E, L, M, S> {
     /// Sweeps for as long as it is driven.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         let mut ticks = time::interval(self.interval);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
             for (model, _) in self.cells.list() {
-                for entry in cell_engines(&self.board, &self.zone, &model) {
-                    self.sweep(&entry.record.name, entry.address).await;
-                }
+                self.sweep_cell(&model).await;
             }
         }
     }
 
-    async fn sweep(&self, upstream: &kernel::UpstreamId, address: std::net::SocketAddr) {
-        let Ok(streams) = self.engine.streams(address).await else {
-            return;
-        };
+    /// Asks all engines of a cell at once, so that one that is silent holds up none of the others.
+    async fn sweep_cell(&mut self, model: &ModelId) {
+        let entries = cell_engines(&self.board, &self.zone, model);
+        let asked = entries
+            .iter()
+            .map(|entry| self.engine.streams(entry.address));
+        let lists = join_all(asked).await;
+        for (entry, list) in entries.iter().zip(lists) {
+            let Ok(streams) = list else {
+                continue;
+            };
+            self.sweep(&entry.record.name, streams);
+        }
+    }
+
+    fn sweep(&mut self, upstream: &UpstreamId, streams: Vec<StreamRecord>) {
+        let mut suspects = BTreeSet::new();
         for stream in streams {
             let Some(name) = StreamName::parse(&stream.id) else {
                 continue;
             };
-            if !self.lives.is_gone(&name.key.instance, name.key.incarnation) {
+            let key = &name.key;
+            if self.lives.is_gone(&key.instance, key.incarnation) {
+                self.cancel(upstream, &stream.id);
                 continue;
             }
-            self.canceller
-                .cancel(upstream.clone(), stream.id.to_string());
+            if stream.connected == Some(false) && self.lives.is_silent(&key.instance) {
+                suspects.insert(stream.id);
+            }
+        }
+        for stream in self.abandoned.note(Instant::now(), upstream, &suspects) {
+            self.cancel(upstream, &stream);
         }
     }
+
+    fn cancel(&self, upstream: &UpstreamId, stream: &str) {
+        self.canceller
+            .cancel(upstream.clone(), stream.to_owned(), false);
+    }
 }
--- a/crates/flow/src/upstream_board.rs
+++ b/crates/flow/src/upstream_board.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// How many addresses of upstreams are kept that are not listed any more.
+const DEPARTED_LIMIT: usize = 4096;
+
 /// One upstream with its address.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamEntry {
@@ -39,6 +42,7 @@
 #[derive(Debug)]
 pub struct UpstreamBoard {
     current: ArcSwap<UpstreamMap>,
+    departed: RankedLock<BTreeMap<UpstreamId, SocketAddr>>,
     fixed: Vec<InstanceRecord>,
     writer: RankedLock<()>,
 }
@@ -89,6 +93,7 @@
     pub fn new(fixed: Vec<InstanceRecord>) -> Self {
         let board = Self {
             current: ArcSwap::default(),
+            departed: RankedLock::new(LockRank::Samples, BTreeMap::new()),
             fixed,
             writer: RankedLock::new(LockRank::Upstreams, ()),
         };
@@ -96,6 +101,12 @@
         board
     }
 
+    /// Where an upstream answers, or answered when it was listed last: what it still holds has to be freed there.
+    pub fn last_address(&self, upstream: &str) -> Option<SocketAddr> {
+        let listed = self.address(upstream);
+        listed.or_else(|| self.departed.lock().get(upstream).copied())
+    }
+
     /// The marks that this instance itself put on upstreams: one for each marked upstream.
     pub fn own_marks(&self) -> BTreeMap<UpstreamId, LeavingCause> {
         let mut marks = BTreeMap::new();
@@ -134,6 +145,7 @@
                 };
                 next.insert(record.name.clone(), entry);
             }
+            self.note_departed(map, &next);
             *map = next;
         });
     }
@@ -143,6 +155,20 @@
         self.current.load_full()
     }
 
+    fn note_departed(&self, before: &UpstreamMap, now: &UpstreamMap) {
+        let mut departed = self.departed.lock();
+        departed.retain(|name, _| !now.contains_key(name));
+        for (name, entry) in before {
+            if now.contains_key(name) {
+                continue;
+            }
+            departed.insert(name.clone(), entry.address);
+            if departed.len() > DEPARTED_LIMIT {
+                departed.pop_first();
+            }
+        }
+    }
+
     fn change(&self, edit: impl FnOnce(&mut UpstreamMap)) {
         let _guard = self.writer.lock();
         let mut map = UpstreamMap::clone(&self.current.load());
--- a/crates/trestlewalk/src/entry/member_watch.rs
+++ b/crates/trestlewalk/src/entry/member_watch.rs
@@ -203,6 +203,14 @@
         let since = *lost.unknown.entry(key).or_insert_with(Instant::now);
         since.elapsed() > UNKNOWN_LIMIT
     }
+
+    fn is_silent(&self, instance: &str) -> bool {
+        let view = self.driver.view();
+        !view
+            .heard
+            .iter()
+            .any(|record| *record.instance == *instance)
+    }
 }
 
 impl MemberView for MemberWatch {
--- /dev/null
+++ b/crates/trestlewalk/tests/promise_memory.rs
@@ -0,0 +1,208 @@
+//! Engine memory is never held for a caller that is gone, however far its request has come.
+//!
+//! The stand-ins keep streams whose connection is gone, so that nothing but the router's own cancel frees them.
+
+mod support;
+
+use {
+    serde_json::json,
+    std::time::Duration,
+    support::{
+        Fleet, FleetPlan, RelayMode, SseReply,
+        model_work::{long_prompt, p50_and_worst},
+        wait_until,
+    },
+    tokio::task::JoinHandle,
+};
+
+const DECODE: &str = "gijon-decode-1";
+const ENGINES: [&str; 2] = [PREFILL, DECODE];
+const ENTRY: &str = "gijon-1";
+const PREFILL: &str = "gijon-prefill-1";
+const PATIENT: &str = "report";
+/// More tokens than any test waits for.
+const ENDLESS: u32 = 4000;
+const ROUNDS: usize = 8;
+
+fn plan() -> FleetPlan {
+    FleetPlan::new()
+        .entries(3)
+        .prefill(1)
+        .decode(1)
+        .engine_set("eviction_ms=60000")
+        .engine_set("claim_limit_ms=60000")
+        .engine_set("keep_on_disconnect=true")
+}
+
+/// A caller that waits for its answer; aborting it closes its connection.
+fn call(fleet: &Fleet, entry: &str, number: usize, tokens: usize) -> JoinHandle<()> {
+    let prompt = long_prompt(number, tokens);
+    let call = fleet
+        .entry(entry)
+        .completion(PATIENT, &prompt, ENDLESS, false);
+    tokio::spawn(async move {
+        let _ = call.try_send().await;
+    })
+}
+
+async fn open_stream(fleet: &Fleet, entry: &str, number: usize) -> SseReply {
+    let prompt = long_prompt(number, 50);
+    let call = fleet
+        .entry(entry)
+        .completion(PATIENT, &prompt, ENDLESS, true);
+    let mut reply = call.stream().await;
+    assert!(reply.next_event().await.is_some(), "a first token");
+    reply
+}
+
+async fn wait_phase(fleet: &Fleet, entry: &str, phase: &str, count: u64) {
+    let what = format!("{count} {phase} at {entry}");
+    wait_until(&what, async || fleet.in_phase(entry, phase).await == count).await;
+}
+
+/// Drops a caller that is in a phase, several times, and prints how long the engines held on.
+async fn measure_drops(fleet: &Fleet, phase: &str, tokens: usize) {
+    let mut samples = Vec::new();
+    for round in 0..ROUNDS {
+        let caller = call(fleet, ENTRY, round, tokens);
+        wait_phase(fleet, ENTRY, phase, 1).await;
+        caller.abort();
+        samples.push(fleet.wait_free(&ENGINES).await);
+        wait_phase(fleet, ENTRY, phase, 0).await;
+    }
+    report(phase, samples);
+}
+
+fn report(what: &str, samples: Vec<Duration>) {
+    let count = samples.len();
+    let (middle, worst) = p50_and_worst(samples);
+    println!("freed: {what}: n {count}, p50 {middle:?}, worst {worst:?}");
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_while_queued_is_never_read() {
+    let fleet = Fleet::serving(plan().engine_set("prefill_rate=100")).await;
+    let first = call(&fleet, ENTRY, 0, 1000);
+    wait_phase(&fleet, ENTRY, "prefilling", 1).await;
+    let second = call(&fleet, "gijon-2", 1, 1000);
+    wait_phase(&fleet, "gijon-2", "queued", 1).await;
+    second.abort();
+    wait_phase(&fleet, "gijon-2", "queued", 0).await;
+    first.abort();
+    fleet.wait_free(&ENGINES).await;
+    assert_eq!(fleet.total(PREFILL, "prefill_runs").await, 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_while_its_prompt_is_read_frees_the_prefill_engine() {
+    let fleet = Fleet::serving(plan().engine_set("prefill_rate=100")).await;
+    measure_drops(&fleet, "prefilling", 1000).await;
+    assert_eq!(fleet.total(DECODE, "decode_runs").await, 0);
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_while_its_kv_cache_waits_frees_the_prefill_engine() {
+    let fleet = Fleet::serving(plan()).await;
+    fleet.faults(DECODE, json!({ "refuse": true })).await;
+    let mut samples = Vec::new();
+    for round in 0..ROUNDS {
+        let caller = call(&fleet, ENTRY, round, 50);
+        let refused = fleet.counters(DECODE).await["refused"]["full"].as_u64();
+        wait_until("a refusal with the KV cache read", async || {
+            let now = fleet.counters(DECODE).await["refused"]["full"].as_u64();
+            now > refused && fleet.held(PREFILL).await == 1
+        })
+        .await;
+        caller.abort();
+        samples.push(fleet.wait_free(&ENGINES).await);
+    }
+    report("read and waiting", samples);
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_during_the_transfer_frees_both_engines() {
+    let fleet = Fleet::serving(plan()).await;
+    fleet
+        .faults(DECODE, json!({ "stall_transfers": true }))
+        .await;
+    fleet
+        .faults(PREFILL, json!({ "stall_transfers": true }))
+        .await;
+    measure_drops(&fleet, "transferring", 50).await;
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_during_decoding_frees_its_place() {
+    let fleet = Fleet::serving(plan()).await;
+    measure_drops(&fleet, "decoding", 50).await;
+    let mut samples = Vec::new();
+    for round in 0..ROUNDS {
+        let reply = open_stream(&fleet, ENTRY, 100 + round).await;
+        drop(reply);
+        samples.push(fleet.wait_free(&ENGINES).await);
+    }
+    report("streaming", samples);
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_while_an_engine_is_slow_to_accept_leaves_nothing_there() {
+    let fleet = Fleet::serving(plan()).await;
+    for engine in ENGINES {
+        fleet
+            .faults(engine, json!({ "slow_accept_ms": 3000 }))
+            .await;
+        let phase = match engine {
+            PREFILL => "prefilling",
+            _ => "transferring",
+        };
+        let caller = call(&fleet, ENTRY, 0, 50);
+        wait_phase(&fleet, ENTRY, phase, 1).await;
+        caller.abort();
+        wait_phase(&fleet, ENTRY, phase, 0).await;
+        // A decode call that comes late may find its KV cache cancelled already.
+        wait_until("the late call is taken, and ended", async || {
+            let counters = fleet.counters(engine).await;
+            counters["cancelled"] == 1 || counters["refused"]["evicted"] == 1
+        })
+        .await;
+        fleet.wait_free(&ENGINES).await;
+        fleet.faults(engine, json!({})).await;
+    }
+    finish_one(&fleet, ENTRY).await;
+}
+
+#[tokio::test]
+async fn a_call_that_was_held_up_on_its_way_is_cancelled_when_it_arrives() {
+    let fleet = Fleet::serving(plan()).await;
+    fleet.upstream_relay(DECODE).set(RelayMode::Silent);
+    let caller = call(&fleet, ENTRY, 0, 50);
+    wait_phase(&fleet, ENTRY, "transferring", 1).await;
+    caller.abort();
+    wait_phase(&fleet, ENTRY, "transferring", 0).await;
+    fleet.upstream_relay(DECODE).set(RelayMode::Open);
+    finish_one(&fleet, ENTRY).await;
+    fleet.wait_free(&ENGINES).await;
+}
+
+#[tokio::test]
+async fn what_an_upstream_holds_is_freed_after_the_list_lost_it() {
+    let fleet = Fleet::serving(plan()).await;
+    let reply = open_stream(&fleet, ENTRY, 0).await;
+    fleet.unlist(DECODE).await;
+    wait_until("the engine is not listed", async || {
+        let dump = fleet.dump(ENTRY).await;
+        dump["flow"]["upstreams"][DECODE].is_null()
+    })
+    .await;
+    drop(reply);
+    fleet.wait_free(&ENGINES).await;
+}
+
+/// A short request is answered whole: nothing is stuck.
+async fn finish_one(fleet: &Fleet, entry: &str) {
+    let call = fleet
+        .entry(entry)
+        .completion(PATIENT, "is it still well?", 4, false);
+    let reply = call.send().await;
+    assert_eq!(reply.code(), 1000, "{}", reply.text());
+}
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -37,6 +37,7 @@
 pub mod fleet_process;
 pub mod fleet_table;
 pub mod http_call;
+pub mod model_work;
 pub mod relay_mode;
 pub mod sse_reply;
 pub mod tcp_relay;
--- /dev/null
+++ b/crates/trestlewalk/tests/support/model_work.rs
@@ -0,0 +1,130 @@
+//! Model work at a fleet: prompts, the answers expected to them, and what engines hold.
+
+use {
+    super::{Fleet, FleetPlan, HttpCall, TABLE, fleet::CallerSide, wait_until},
+    fake::{LengthSpread, expected_length, expected_token},
+    serde_json::{Value, json},
+    std::time::{Duration, Instant},
+};
+
+/// The end marker of a streamed answer.
+pub const DONE: &str = "[DONE]";
+
+/// A prompt of so many tokens that no other number shares a beginning with.
+pub fn long_prompt(number: usize, tokens: usize) -> String {
+    let mut prompt = format!("log {number:06}: ");
+    let length = 4 * tokens;
+    while prompt.len() < length {
+        prompt.push_str("cone 6, held for ten minutes; ");
+    }
+    prompt.truncate(length);
+    prompt
+}
+
+/// The whole answer to a prompt.
+pub fn expected_text(prompt: &str, max_tokens: u32) -> String {
+    let length = expected_length(prompt, max_tokens, LengthSpread::default());
+    (0..length)
+        .map(|index| expected_token(prompt, index).to_string())
+        .collect()
+}
+
+/// The text of a streamed answer's chunks, completions and chat.
+pub fn streamed_text(events: &[String]) -> String {
+    let mut text = String::new();
+    for event in events.iter().filter(|event| *event != DONE) {
+        let chunk: Value = serde_json::from_str(event).unwrap();
+        let choice = &chunk["choices"][0];
+        let part = choice["text"]
+            .as_str()
+            .or(choice["delta"]["content"].as_str());
+        text.push_str(part.unwrap_or_default());
+    }
+    text
+}
+
+/// The error code of the last event, 0 when it is none.
+pub fn error_code(events: &[String]) -> u64 {
+    let Some(last) = events.last() else {
+        return 0;
+    };
+    let value: Value = serde_json::from_str(last).unwrap_or_default();
+    value["error"]["code"].as_u64().unwrap_or(0)
+}
+
+/// Durations with their middle and their worst, for the printed measurement.
+pub fn p50_and_worst(mut samples: Vec<Duration>) -> (Duration, Duration) {
+    samples.sort();
+    (samples[samples.len() / 2], samples[samples.len() - 1])
+}
+
+impl CallerSide {
+    /// A completion of a row.
+    pub fn completion(&self, work: &str, prompt: &str, max_tokens: u32, stream: bool) -> HttpCall {
+        let body = json!({ "max_tokens": max_tokens, "prompt": prompt, "stream": stream });
+        self.post("/v1/completions").work(work).json(&body)
+    }
+}
+
+impl Fleet {
+    /// The instance that allocates the plan's model, as an entry instance sees it.
+    pub async fn allocator(&self, entry: &str) -> String {
+        let dump = self.dump(entry).await;
+        let name = dump["flow"]["allocators"]["sondeo"].as_str();
+        name.unwrap_or_default().to_owned()
+    }
+
+    /// How many streams an engine holds, in any state.
+    pub async fn held(&self, engine: &str) -> usize {
+        let reply = self.process(engine).get("address", "/streams").send().await;
+        reply.json::<Vec<Value>>().len()
+    }
+
+    /// How many requests of an entry instance are in a phase.
+    pub async fn in_phase(&self, entry: &str, phase: &str) -> u64 {
+        let dump = self.dump(entry).await;
+        dump["flow"]["requests"][phase].as_u64().unwrap_or(0)
+    }
+
+    /// A fleet in one availability zone with its table, when all of its instances are ready and agree on the allocator.
+    pub async fn serving(plan: FleetPlan) -> Self {
+        let fleet = plan.start().await;
+        fleet.put_table(TABLE).await;
+        fleet.wait_agreed().await;
+        fleet
+    }
+
+    /// The sum of a counter that has one entry a request or prompt.
+    pub async fn total(&self, upstream: &str, counter: &str) -> u64 {
+        let counters = self.counters(upstream).await;
+        let map = counters[counter].as_object().unwrap();
+        map.values().filter_map(Value::as_u64).sum()
+    }
+
+    /// Waits until all entry instances are ready and name one allocator.
+    pub async fn wait_agreed(&self) {
+        let entries = self.entry_names();
+        for entry in &entries {
+            self.wait_ready(entry).await;
+        }
+        wait_until("one allocator", async || {
+            let mut names = Vec::new();
+            for entry in &entries {
+                names.push(self.allocator(entry).await);
+            }
+            names.dedup();
+            names.len() == 1 && !names[0].is_empty()
+        })
+        .await;
+    }
+
+    /// Waits until none of the engines holds a stream. How long that took.
+    pub async fn wait_free(&self, engines: &[&str]) -> Duration {
+        let started = Instant::now();
+        for engine in engines {
+            let what = format!("{engine} is free");
+            wait_until(&what, async || self.held(engine).await == 0).await;
+        }
+        started.elapsed()
+    }
+}
