--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,5 +1,6 @@
 //! One request from the door to its last byte: the pure steps, and the tasks that drive them.
 
+pub mod abandoned_streams;
 pub mod allocator_seats;
 pub mod answer_event;
 pub mod cell_driver;
@@ -14,9 +15,11 @@
 pub mod flow_event;
 pub mod flow_failure;
 pub mod flow_metrics;
+pub mod flow_plugin;
 pub mod grant_router;
 pub mod load_poller;
 pub mod model_request;
+pub mod open_keys;
 pub mod plain_caller;
 pub mod prefix_hashes;
 pub mod request_driver;
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -40,6 +40,7 @@
 pub mod fleet_table;
 pub mod fleet_zones;
 pub mod http_call;
+pub mod model_work;
 pub mod relay_mode;
 pub mod sse_reply;
 pub mod tcp_relay;
