admit: a KV cache about to be evicted does not wait for the link

What changed: within 60 ms of its eviction a transfer starts beside the others; only its start counts against the eviction. Ruled out: holding off more reading (it would cost goodput for a wait of milliseconds).

--- a/crates/admit/src/cell_grants.rs
+++ b/crates/admit/src/cell_grants.rs
@@ -2,14 +2,16 @@
 
 use {
     crate::{
-        admit_action::AdmitAction, cell_allocator::CellAllocator, pool_key::PoolKey,
-        request_key::RequestKey, request_phase::RequestPhase,
+        admit_action::AdmitAction, cell_allocator::CellAllocator, held_request::HeldRequest,
+        pool_key::PoolKey, request_key::RequestKey, request_phase::RequestPhase,
     },
     kernel::UpstreamId,
     route::{DecodeOption, PrefillOption},
     std::time::{Duration, Instant},
 };
 
+/// A KV cache that is evicted this soon is transferred beside whatever crosses the link.
+const PRESSING: Duration = Duration::from_millis(60);
 /// How soon a blocked queue is looked at again when no event comes.
 const BLOCKED_WAKE: Duration = Duration::from_millis(10);
 /// The most grants of reading after one event.
@@ -36,6 +38,13 @@
             if let Some(free) = free.and_then(|free| free.checked_sub(self.tuning.lookahead)) {
                 sooner(free.max(now));
             }
+            for (_, key) in &self.read {
+                let evicts = self.requests.get(key).and_then(HeldRequest::evicts);
+                let pressing = evicts.and_then(|evicts| evicts.checked_sub(PRESSING));
+                if let Some(pressing) = pressing.filter(|pressing| now < *pressing) {
+                    sooner(pressing);
+                }
+            }
             for pool in self.pools.values() {
                 for engine in pool.decodes.values() {
                     if let Some((_, until)) = engine.full.filter(|(_, until)| now < *until) {
@@ -63,7 +72,9 @@
             let held = self.requests.get(&key);
             let tokens = held.map_or(0, |held| held.request.prompt_tokens);
             let transfer = self.link.seconds(tokens);
-            if !self.link.may_start(now, transfer, self.tuning.lookahead) {
+            let evicts = held.and_then(HeldRequest::evicts);
+            let pressing = evicts.is_some_and(|evicts| evicts <= now + PRESSING);
+            if !pressing && !self.link.may_start(now, transfer, self.tuning.lookahead) {
                 continue;
             }
             self.grant_decode(now, &key, actions);
--- a/crates/admit/src/held_request.rs
+++ b/crates/admit/src/held_request.rs
@@ -37,3 +37,13 @@
     /// How many tries failed.
     pub(crate) tries: u8,
 }
+
+impl HeldRequest {
+    /// When its KV cache is evicted, if it lies at a prefill engine.
+    pub(crate) fn evicts(&self) -> Option<Instant> {
+        match &self.phase {
+            RequestPhase::Read { evicts, .. } => Some(*evicts),
+            _ => None,
+        }
+    }
+}
