admit: patient work that can still end in time goes before what can't

What changed: the deadline in the queue is the latest start from which the answer most probably ends within the patience; past it a request goes to the end of its row's queue and is served when nothing else waits. Ruled out: refusing it there and then: load may fall, and patient work is finished rather than dropped.

--- a/crates/admit/src/cell_books.rs
+++ b/crates/admit/src/cell_books.rs
@@ -182,7 +182,12 @@
             }
             RequestPhase::Queued => {
                 let Some(deadline) = held.deadline else {
-                    return held.patience;
+                    let next = if held.place.late {
+                        held.patience
+                    } else {
+                        held.latest
+                    };
+                    return next.min(held.patience);
                 };
                 let least = pool.least_read_seconds(f64::from(tokens)) + transfer;
                 let least = Duration::try_from_secs_f64(least + pool.step_seconds());
--- a/crates/admit/src/cell_estimates.rs
+++ b/crates/admit/src/cell_estimates.rs
@@ -9,6 +9,8 @@
     std::time::{Duration, Instant},
 };
 
+/// The share of answers that end within the time that counts as a request's service.
+const SERVICE_QUANTILE: f64 = 0.9;
 /// Up to this many requests ahead are placed on engines one by one; more count as a fluid.
 const PLACED_LIMIT: f64 = 64.0;
 
@@ -72,6 +74,19 @@
         seconds(ready + wait + transfer + pool.step_seconds())
     }
 
+    /// How long a request most probably takes from its reading to its last token, at full engines.
+    pub(crate) fn service_time(&self, row: usize, request: &AdmitRequest) -> Duration {
+        let state = &self.rows[row];
+        let Some(pool) = self.pools.get(&state.pool) else {
+            return Duration::ZERO;
+        };
+        let bound = f64::from(request.max_tokens);
+        let length = state.sketch.quantile(SERVICE_QUANTILE, bound);
+        let read = pool.least_read_seconds(f64::from(request.prompt_tokens));
+        let transfer = self.link.seconds(request.prompt_tokens);
+        seconds(read + transfer + length * pool.full_step_seconds())
+    }
+
     /// Seconds until a prompt is read whose turn comes in `start` seconds.
     fn read_end_seconds(
         &self,
--- a/crates/admit/src/cell_refusals.rs
+++ b/crates/admit/src/cell_refusals.rs
@@ -93,7 +93,7 @@
             if time > now {
                 return;
             }
-            let Some(held) = self.remove(now, &key) else {
+            let Some(mut held) = self.remove(now, &key) else {
                 self.timers.pop_first();
                 continue;
             };
@@ -103,6 +103,12 @@
                 RequestPhase::Prefilling { .. } | RequestPhase::Read { .. } => {
                     self.retry(now, held, actions);
                 }
+                RequestPhase::Queued
+                    if held.deadline.is_none() && !held.place.late && now < held.patience =>
+                {
+                    held.place.late = true;
+                    self.put(now, key, held);
+                }
                 RequestPhase::Queued => {
                     let code = match held.deadline {
                         Some(_) => ResultCode::FirstTokenLate,
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -129,17 +129,24 @@
         let first_token = state.row.first_token;
         let deadline = first_token.map(|target| arrived + target.min(FOREVER));
         let patience = arrived + state.row.patience.min(FOREVER);
+        let service = self.service_time(row, &request);
+        let latest = patience
+            .checked_sub(service)
+            .unwrap_or(arrived)
+            .max(arrived);
         self.serial += 1;
         HeldRequest {
             deadline,
             due: now,
             granted: None,
             kv: None,
+            latest,
             patience,
             phase: RequestPhase::Queued,
             place: QueuePlace {
+                late: false,
                 fresh: true,
-                deadline: deadline.unwrap_or(patience),
+                deadline: deadline.unwrap_or(latest),
                 serial: self.serial,
             },
             pool: state.pool.clone(),
--- a/crates/admit/src/engine_pool.rs
+++ b/crates/admit/src/engine_pool.rs
@@ -86,6 +86,16 @@
         steps.reduce(f64::min).unwrap_or_default()
     }
 
+    /// The between-token time of the slowest decode engine when it is full, seconds.
+    pub(crate) fn full_step_seconds(&self) -> f64 {
+        let engines = self.decodes.values().filter(|engine| !engine.leaving);
+        let steps = engines.map(|engine| {
+            let more = engine.info.decode_places.saturating_sub(1);
+            engine.info.decode_base_seconds + engine.info.decode_slope_seconds * f64::from(more)
+        });
+        steps.reduce(f64::max).unwrap_or_default()
+    }
+
     /// Whether some prefill and some decode engine take new work.
     pub(crate) fn is_open(&self) -> bool {
         let read = self.prefills.values().any(|engine| !engine.leaving);
--- a/crates/admit/src/held_request.rs
+++ b/crates/admit/src/held_request.rs
@@ -20,6 +20,8 @@
     pub(crate) granted: Option<Instant>,
     /// Where its KV cache lies while it is in transfer, and until when.
     pub(crate) kv: Option<(UpstreamId, Instant)>,
+    /// When it has to be read at the latest to end within its patience; patient rows.
+    pub(crate) latest: Instant,
     /// The end of its patience.
     pub(crate) patience: Instant,
     /// What it holds.
--- a/crates/admit/src/length_sketch.rs
+++ b/crates/admit/src/length_sketch.rs
@@ -61,6 +61,17 @@
         }
     }
 
+    /// The length that a share of the answers of at most `bound` tokens does not exceed.
+    pub(crate) fn quantile(&self, share: f64, bound: f64) -> f64 {
+        let above = (1.0 - share) * (PRIOR + self.total);
+        for bucket in 0..BUCKETS {
+            if PRIOR + self.tails[bucket + 1] <= above {
+                return edge(bucket as f64 + 1.0).min(bound);
+            }
+        }
+        bound
+    }
+
     fn fade(&mut self) {
         for count in self.counts.iter_mut().chain(&mut self.tails) {
             *count /= 2.0;
--- a/crates/admit/src/queue_place.rs
+++ b/crates/admit/src/queue_place.rs
@@ -2,9 +2,12 @@
 
 use std::time::Instant;
 
-/// The order within a row: requests that were read before go first, then the earlier deadline, then who came first.
+/// The order within a row: requests that can still end in time go first, of them those that were read before, then the
+/// earlier deadline, then who came first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct QueuePlace {
+    /// Whether it can't be expected to end within its patience any more; it is served when nothing else waits.
+    pub(crate) late: bool,
     /// Whether no try was made yet.
     pub(crate) fresh: bool,
     /// The first-token target or the end of the patience, as a time.
