table diff and apply note names that no listed instance has

Cause: a slip in an availability zone's name leaves a kind of work nowhere to run, and nothing said so. A note and no fault, since the list lags and an instance may be yet to come. Seen red with the notes on zones left out.

--- a/crates/trestlewalk/src/subcommand/table.rs
+++ b/crates/trestlewalk/src/subcommand/table.rs
@@ -8,6 +8,7 @@
 pub mod edit_plan;
 pub mod file_arguments;
 pub mod history;
+pub mod name_notes;
 pub mod operator_arguments;
 pub mod operator_settings;
 pub mod show;
--- a/crates/trestlewalk/src/subcommand/table/apply.rs
+++ b/crates/trestlewalk/src/subcommand/table/apply.rs
@@ -18,7 +18,7 @@
     kernel::{TableVersion, ZoneId, unix_time},
     plat::{
         EditId, EditOrigin, EditOutcome, EditRequest, HttpPlatform, InstanceKind, InstanceList,
-        TableRepository, TableSnapshot,
+        InstanceRecord, TableRepository, TableSnapshot,
     },
     snafu::ResultExt,
     std::{
@@ -70,7 +70,9 @@
         let held = greatest_version(&before);
         let snapshot = self.wait_for_platform(&repository, held).await?;
         let plan = EditPlan::make(&repository, &snapshot, &self.file, &file).await?;
-        plan.print()?;
+        // Without a list there are no notes, and only the instances' own word on zones.
+        let instances = repository.store().instances().await.unwrap_or_default();
+        plan.print(&instances)?;
         let version = self.commit(&repository, &plan, file, held).await?;
         if self.refresh {
             self.write_file(&repository).await?;
@@ -78,8 +80,7 @@
         if settings.instances.is_empty() {
             return print_text("no entry instances are named, so nothing is known of zones\n");
         }
-        let zones = entry_zones(repository.store()).await;
-        let watch = ZoneWatch::new(version, zones, &before);
+        let watch = ZoneWatch::new(version, entry_zones(instances), &before);
         self.follow(&probe, watch, version).await
     }
 
@@ -181,9 +182,8 @@
     }
 }
 
-/// The zones that have entry instances by the platform's list; none when it gives no list.
-async fn entry_zones(platform: &HttpPlatform) -> BTreeSet<ZoneId> {
-    let instances = platform.instances().await.unwrap_or_default();
+/// The zones that have entry instances by the platform's list.
+fn entry_zones(instances: Vec<InstanceRecord>) -> BTreeSet<ZoneId> {
     let entries = instances.into_iter();
     entries
         .filter(|instance| instance.kind == InstanceKind::Entry)
--- a/crates/trestlewalk/src/subcommand/table/diff.rs
+++ b/crates/trestlewalk/src/subcommand/table/diff.rs
@@ -10,6 +10,7 @@
         text_output::print_text,
     },
     clap::Args,
+    plat::InstanceList,
     snafu::ResultExt,
     std::path::PathBuf,
 };
@@ -43,6 +44,8 @@
         let repository = self.operator.load()?.repository()?;
         let snapshot = repository.snapshot().await.context(PlatformSnafu)?;
         let plan = EditPlan::make(&repository, &snapshot, &self.file, &file).await?;
-        plan.print()
+        // Without a list there are no notes.
+        let instances = repository.store().instances().await.unwrap_or_default();
+        plan.print(&instances)
     }
 }
--- a/crates/trestlewalk/src/subcommand/table/edit_plan.rs
+++ b/crates/trestlewalk/src/subcommand/table/edit_plan.rs
@@ -4,11 +4,12 @@
     super::{
         change_text::{changes_text, conflicts_text},
         file_arguments::FileArguments,
+        name_notes::name_notes,
         table_cli_error::{ConflictSnafu, PlatformSnafu, TableCliError},
         text_output::print_text,
     },
     kernel::TableVersion,
-    plat::{RowStore, TableRepository, TableSnapshot},
+    plat::{InstanceRecord, RowStore, TableRepository, TableSnapshot},
     snafu::ResultExt,
     table::{FileBase, RowConflict, TableFile, TableMerge, merge_rows},
 };
@@ -48,13 +49,14 @@
         })
     }
 
-    /// Prints what the file does.
+    /// Prints what the file does, with notes on names that no listed instance has.
     ///
     /// # Errors
     ///
     /// When the output can't be written, or there are conflicts, after they are printed.
-    pub fn print(&self) -> Result<(), TableCliError> {
+    pub fn print(&self, instances: &[InstanceRecord]) -> Result<(), TableCliError> {
         print_text(&changes_text(&self.merge.changes))?;
+        print_text(&name_notes(&self.merge.changes, instances).concat())?;
         if !self.merge.settled.is_empty() {
             let settled = self.merge.settled.join(" ");
             print_text(&format!("already so: {settled}\n"))?;
--- a/crates/trestlewalk/tests/table_cli.rs
+++ b/crates/trestlewalk/tests/table_cli.rs
@@ -93,6 +93,30 @@
         .output_has("now removed");
 }
 
+#[test]
+fn names_that_no_listed_instance_has_are_noted_and_no_fault() {
+    let test = filled()
+        .listed_upstream("gijon", "booking-app", None)
+        .listed_upstream("gijon", "redactor", Some("redactor-7b"));
+    let changed = test.take("work.csv", "200,,250ms", "200,gijon gijn,250ms");
+    test.write("work.csv", &changed.replace("15min", "20min"));
+    let output = test.run(&["diff", "work.csv"]).exit(0).output;
+    let notes: Vec<&str> = output
+        .lines()
+        .filter(|line| line.starts_with("note: "))
+        .collect();
+    assert_eq!(
+        notes,
+        [
+            "note: confirm: no instance in the platform's list has availability zone `gijn`",
+            "note: notes: no instance in the platform's list has model `redactor-13b`",
+        ]
+    );
+    test.run(&["apply", "work.csv"])
+        .exit(0)
+        .output_has(notes[0]);
+}
+
 #[test]
 fn applying_the_same_file_again_changes_nothing() {
     let test = filled();
--- a/crates/trestlewalk/tests/table_support/mod.rs
+++ b/crates/trestlewalk/tests/table_support/mod.rs
@@ -99,6 +99,25 @@
         self
     }
 
+    /// An upstream in the platform's list; nothing answers there.
+    pub(crate) fn listed_upstream(self, zone: &str, service: &str, model: Option<&str>) -> Self {
+        self.platform.put_instance(InstanceRecord {
+            address: "127.0.0.1:1".into(),
+            checks_fence: false,
+            kind: if model.is_some() {
+                InstanceKind::Decode
+            } else {
+                InstanceKind::Plain
+            },
+            model: model.map(Into::into),
+            name: format!("{zone}-{service}").into(),
+            service: Some(service.into()),
+            state: InstanceState::Live,
+            zone: zone.into(),
+        });
+        self
+    }
+
     pub(crate) fn lose_replies(&self, count: u64) {
         self.platform.set_faults(PlatformFaults {
             lose_next_replies: count,
