serve: one worker thread unless the settings say otherwise

Cause: a relayed token cost 20 us of processor time, twice the aim. With a worker for each of 12 cores every wake of a task may wake a parked worker, which searches for work and parks again. Conclusion: kept as `limits.workers`, 1 by default; the aim of 10 us is still missed.

--- a/crates/bench/src/path/path_command.rs
+++ b/crates/bench/src/path/path_command.rs
@@ -13,7 +13,10 @@
     snafu::ResultExt,
     std::{io, process::ExitCode, time::Duration},
     tokio::{runtime::Runtime, task::JoinSet, time},
-    trestlewalk::{EntrySettings, entry::EntryProcess},
+    trestlewalk::{
+        EntrySettings,
+        entry::{EntryProcess, entry_runtime},
+    },
 };
 
 /// The stand-in's time from one token to the next while times and processor time are measured.
@@ -72,7 +75,7 @@
         let settings: EntrySettings = serde_json::from_str(&self.settings)
             .map_err(io::Error::other)
             .context(EntryStartSnafu)?;
-        let runtime = Runtime::new().context(RuntimeSnafu)?;
+        let runtime = entry_runtime(settings.limits.workers).context(RuntimeSnafu)?;
         runtime
             .block_on(EntryProcess::run(settings))
             .context(EntryRunSnafu)?;
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -26,7 +26,7 @@
     control_work::ControlWork,
     entry_identity::EntryIdentity,
     entry_parts::EntryParts,
-    entry_process::EntryProcess,
+    entry_process::{EntryProcess, entry_runtime},
     entry_sockets::EntrySockets,
     key_files::load_keys,
     list_poller::ListPoller,
--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -20,7 +20,11 @@
     },
     kernel::{PluginEntry, StateMap},
     snafu::ResultExt,
-    std::time::{Duration, SystemTime},
+    std::{
+        io,
+        time::{Duration, SystemTime},
+    },
+    tokio::runtime::{Builder, Runtime},
 };
 
 const ADMIN_CLOSE_LIMIT: Duration = Duration::from_secs(1);
@@ -112,6 +116,19 @@
     }
 }
 
+/// The runtime of an entry instance, with so many threads.
+///
+/// # Errors
+///
+/// The system gives no threads.
+pub fn entry_runtime(workers: u32) -> io::Result<Runtime> {
+    let workers = usize::try_from(workers).unwrap_or(1).max(1);
+    Builder::new_multi_thread()
+        .enable_all()
+        .worker_threads(workers)
+        .build()
+}
+
 async fn second_signal_heard(signals: &mut ProcessSignals, second_signal: SecondSignal) {
     match second_signal {
         SecondSignal::Ignored => std::future::pending().await,
--- a/crates/trestlewalk/src/settings/limit_settings.rs
+++ b/crates/trestlewalk/src/settings/limit_settings.rs
@@ -44,6 +44,8 @@
     pub queue: u32,
     /// What a second SIGTERM does.
     pub second_signal: SecondSignal,
+    /// How many threads serve requests.
+    pub workers: u32,
 }
 
 impl Default for LimitSettings {
@@ -57,6 +59,7 @@
             open_requests: 4096,
             queue: 1024,
             second_signal: SecondSignal::Immediate,
+            workers: 1,
         }
     }
 }
--- a/crates/trestlewalk/src/settings/settings_check.rs
+++ b/crates/trestlewalk/src/settings/settings_check.rs
@@ -145,6 +145,9 @@
             "has to be at least 1",
         );
     }
+    if limits.workers == 0 {
+        list.push(&FieldPath::dotted("limits.workers"), "has to be at least 1");
+    }
     if limits.queue > limits.open_requests {
         let path = FieldPath::dotted("limits.queue");
         list.push(&path, "is greater than `limits.open_requests`");
--- a/crates/trestlewalk/src/subcommand/serve.rs
+++ b/crates/trestlewalk/src/subcommand/serve.rs
@@ -3,14 +3,13 @@
 use {
     crate::{
         RunError,
-        entry::{EntryProcess, log_setup},
+        entry::{EntryProcess, entry_runtime, log_setup},
         run_error::RuntimeSnafu,
         settings::{SettingOverride, load_settings},
     },
     clap::Args,
     snafu::ResultExt,
     std::path::PathBuf,
-    tokio::runtime::Runtime,
 };
 
 /// The arguments of `serve`.
@@ -33,7 +32,7 @@
     pub fn run(self) -> Result<(), RunError> {
         let settings = load_settings(&self.settings, self.set)?;
         log_setup::start_log(&settings.log);
-        let runtime = Runtime::new().context(RuntimeSnafu)?;
+        let runtime = entry_runtime(settings.limits.workers).context(RuntimeSnafu)?;
         let outcome = runtime.block_on(EntryProcess::run(settings));
         runtime.shutdown_background();
         outcome
