--- a/crates/bench/src/bench_command.rs
+++ b/crates/bench/src/bench_command.rs
@@ -5,6 +5,7 @@
         bench_error::BenchError,
         bounds_command::BoundsCommand,
         decide_command::DecideCommand,
+        once::OnceCommand,
         path::{EntryCommand, PathCommand},
         policy_command::PolicyCommand,
     },
@@ -29,6 +30,8 @@
     /// Runs an entry instance: the process that `path` measures.
     #[command(hide = true)]
     Entry(EntryCommand),
+    /// Measures what running a request at most once costs.
+    Once(OnceCommand),
     /// Measures what an entry instance adds to a request.
     Path(PathCommand),
     /// Compares admission policies in virtual time.
@@ -41,6 +44,7 @@
             Self::Bounds(command) => command.run(),
             Self::Decide(command) => command.run(),
             Self::Entry(command) => command.run(),
+            Self::Once(command) => command.run(),
             Self::Path(command) => command.run(),
             Self::Policy(command) => command.run(),
         }
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -73,6 +73,12 @@
         /// Why.
         source: peer::PeerError,
     },
+    /// A way to run a request once failed.
+    #[snafu(display("a request by one of the ways failed: {source}"))]
+    OnceWay {
+        /// Why.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
     /// The stand-in platform takes no table.
     #[snafu(display("the platform takes no table: {source}"))]
     Platform {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bounds;
 pub mod bounds_command;
 pub mod decide_command;
+pub mod once;
 pub mod parallel_map;
 pub mod path;
 pub mod policies;
--- a/justfile
+++ b/justfile
@@ -20,4 +20,4 @@
 
 # Fuzz claims and leases for longer, with another seed: `just fuzz 20000 7`.
 fuzz cases="20000" seed="20":
-    PROPTEST_CASES={{ cases }} FUZZ_SEED={{ seed }} cargo test --release --package lease --test lease_fuzz
+    PROPTEST_CASES={{ cases }} FUZZ_SEED={{ seed }} cargo test --release --package claim --test once_fuzz --package lease --test lease_fuzz
