bench node: what control costs a node, as slopes

Processor time, memory and bytes against members, neighbours, edits, marks and cells (membership cores in virtual time), rows (table), engines (allocator), prefix blocks (frames) and endpoints, neighbours and frames (real links).

--- a/crates/bench/src/bench_command.rs
+++ b/crates/bench/src/bench_command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use {
-    crate::{bench_error::BenchError, policy_command::PolicyCommand},
+    crate::{bench_error::BenchError, node_command::NodeCommand, policy_command::PolicyCommand},
     clap::{Parser, Subcommand},
     std::process::ExitCode,
 };
@@ -16,6 +16,8 @@
 /// Every subcommand; each has its own file.
 #[derive(Debug, Subcommand)]
 enum BenchCommand {
+    /// Measures what control costs a node.
+    Node(NodeCommand),
     /// Compares admission policies in virtual time.
     Policy(PolicyCommand),
 }
@@ -23,6 +25,7 @@
 impl BenchCommand {
     fn run(self) -> Result<ExitCode, BenchError> {
         match self {
+            Self::Node(command) => command.run(),
             Self::Policy(command) => command.run(),
         }
     }
--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -9,12 +9,24 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum BenchError {
+    /// A link between endpoints of the bench failed.
+    #[snafu(display("a link of the bench failed: {source}"))]
+    PeerLink {
+        /// Why.
+        source: peer::PeerError,
+    },
     /// A report can't be written as JSON.
     #[snafu(display("the report can't be written: {source}"))]
     ReportWrite {
         /// Why.
         source: serde_json::Error,
     },
+    /// The tasks of the bench can't be started.
+    #[snafu(display("the tasks of the bench can't be started: {source}"))]
+    Runtime {
+        /// Why.
+        source: io::Error,
+    },
     /// A scenario has values that make no sense.
     #[snafu(display("scenario {}: {}", path.display(), faults.join("; ")))]
     ScenarioInvalid {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod bench_command;
 pub mod bench_error;
+pub mod node;
+pub mod node_command;
 pub mod policies;
 pub mod policy_command;
 pub mod policy_run;
