--- a/crates/bench/src/bench_error.rs
+++ b/crates/bench/src/bench_error.rs
@@ -79,6 +79,12 @@
         /// Why.
         source: Box<dyn std::error::Error + Send + Sync>,
     },
+    /// A link between endpoints of the bench failed.
+    #[snafu(display("a link of the bench failed: {source}"))]
+    PeerLink {
+        /// Why.
+        source: peer::PeerError,
+    },
     /// The stand-in platform takes no table.
     #[snafu(display("the platform takes no table: {source}"))]
     Platform {
