A broken stream is taken up again as long as it moves on; the steps against an oracle

Cause: three resumes were all that an answer had, in a row and without a pause. A way that was reset for some milliseconds spent them at once, and an answer of 40 tokens over connections cut each 7 tokens was lost. A token now gives the tries back, a try that reaches nobody counts as one and not as the end, and the second to fifth wait 50 to 400 ms.

Only a caller's going and the close limit cut short now.

--- a/crates/flow/src/flow_action.rs
+++ b/crates/flow/src/flow_action.rs
@@ -3,6 +3,7 @@
 use {
     crate::{cell_notice::CellNotice, flow_failure::FlowFailure},
     kernel::UpstreamId,
+    std::time::Duration,
 };
 
 /// One action, to be done in the order given.
@@ -35,6 +36,8 @@
         decode: UpstreamId,
         /// The first token wanted.
         offset: u32,
+        /// How long to wait before.
+        pause: Duration,
     },
     /// Queue a further attempt.
     Submit,
--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -15,8 +15,10 @@
 /// How often a prompt is read again because its KV cache was evicted. Such a try is not one of the row's retries: the
 /// eviction is this system's own doing.
 const EVICTION_LIMIT: u8 = 8;
-/// How often a broken stream is taken up again.
-const RESUME_LIMIT: u8 = 3;
+/// How often a broken stream is taken up again without a further token; the pauses before add up to less than a second.
+const RESUME_LIMIT: u8 = 5;
+/// The wait before the second try; it doubles with each further one.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
 /// When to come back after a failure that says nothing of load.
 const FAILURE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -99,15 +101,15 @@
             return Vec::new();
         }
         match event {
-            FlowEvent::CallerGone => self.give_up(ResultCode::CallerGone),
-            FlowEvent::CloseLimit => self.give_up(ResultCode::CutByClose),
+            FlowEvent::CallerGone => self.cut_short(ResultCode::CallerGone),
+            FlowEvent::CloseLimit => self.cut_short(ResultCode::CutByClose),
             FlowEvent::DecodeFailed(failure) => self.on_decode_failed(failure),
             FlowEvent::GrantDecode(decode) => self.on_grant_decode(decode),
             FlowEvent::GrantPrefill(prefill) => self.on_grant_prefill(prefill),
             FlowEvent::PrefillDone => self.on_prefill_done(),
             FlowEvent::PrefillFailed(failure) => self.on_prefill_failed(failure),
             FlowEvent::Refused { code, retry_after } => self.on_refused(code, retry_after),
-            FlowEvent::ResumeFailed(failure) => self.on_stream_lost(failure),
+            FlowEvent::ResumeFailed(failure) => self.on_resume_failed(failure),
             FlowEvent::StreamDone => self.on_stream_done(),
             FlowEvent::Token => self.on_token(),
         }
@@ -162,12 +164,16 @@
         actions
     }
 
-    /// Gives the request up, whatever it is doing. A call that is cut short may have run.
-    fn give_up(&mut self, code: ResultCode) -> Vec<FlowAction> {
+    /// Gives the request up in the middle of whatever it is doing: a call under way may have run.
+    fn cut_short(&mut self, code: ResultCode) -> Vec<FlowAction> {
         self.may_have_run |= matches!(
             self.phase,
             FlowPhase::Decoding { .. } | FlowPhase::Prefilling { .. }
         );
+        self.give_up(code)
+    }
+
+    fn give_up(&mut self, code: ResultCode) -> Vec<FlowAction> {
         let mut actions = self.free_all();
         actions.push(FlowAction::Notify(CellNotice::Cancel));
         let code = match code {
@@ -189,14 +195,10 @@
             self.phase = FlowPhase::Read { prefill };
             return vec![FlowAction::Notify(CellNotice::DecodeRefused)];
         }
-        if failure.cause != CallCause::Garbled && self.resumes < RESUME_LIMIT {
-            self.resumes += 1;
-            return vec![FlowAction::Resume {
-                decode,
-                offset: self.tokens,
-            }];
+        if failure.cause == CallCause::Garbled {
+            return self.on_stream_lost(failure);
         }
-        self.on_stream_lost(failure)
+        self.resume(decode, failure)
     }
 
     fn on_evicted(&mut self) -> Vec<FlowAction> {
@@ -267,6 +269,17 @@
         actions
     }
 
+    /// An engine that could not be reached may still have the stream; one that answered does not.
+    fn on_resume_failed(&mut self, failure: CallFailure) -> Vec<FlowAction> {
+        let FlowPhase::Decoding { decode, .. } = self.phase.clone() else {
+            return Vec::new();
+        };
+        match failure.cause {
+            CallCause::Lost | CallCause::Silent => self.resume(decode, failure),
+            _ => self.on_stream_lost(failure),
+        }
+    }
+
     fn on_stream_done(&mut self) -> Vec<FlowAction> {
         if !matches!(self.phase, FlowPhase::Decoding { .. }) {
             return Vec::new();
@@ -307,6 +320,7 @@
         if !matches!(self.phase, FlowPhase::Decoding { .. }) {
             return Vec::new();
         }
+        self.resumes = 0;
         self.tokens += 1;
         if self.tokens > self.max_tokens {
             return self.give_up(ResultCode::UpstreamGarbled);
@@ -317,6 +331,23 @@
         vec![FlowAction::Notify(CellNotice::FirstToken)]
     }
 
+    /// Takes the stream up again where it broke, some times without success.
+    fn resume(&mut self, decode: UpstreamId, failure: CallFailure) -> Vec<FlowAction> {
+        if self.resumes == RESUME_LIMIT {
+            return self.on_stream_lost(failure);
+        }
+        let pause = match self.resumes {
+            0 => Duration::ZERO,
+            tries => RESUME_PAUSE * (1 << (tries - 1)),
+        };
+        self.resumes += 1;
+        vec![FlowAction::Resume {
+            decode,
+            offset: self.tokens,
+            pause,
+        }]
+    }
+
     /// Whether a further attempt after this failure can't run the request twice against its row's word.
     fn may_retry(&self, failure: CallFailure) -> bool {
         self.repeat || !failure.may_have_run
--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -14,9 +14,15 @@
         wire::{CompletionCall, KvTransferParams, TokenUsage},
     },
     kernel::{CloseSignal, ResultCode, UpstreamId},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     table::WorkRow,
-    tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    tokio::{
+        sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+        time,
+    },
 };
 
 /// What all requests of an instance share.
@@ -54,7 +60,7 @@
     Decode(UpstreamId),
     End,
     Prefill(UpstreamId),
-    Resume(UpstreamId, u32),
+    Resume(UpstreamId, u32, Duration),
     Stream(T),
     Wait,
 }
@@ -133,7 +139,10 @@
             FlowStep::Decode(decode) => self.call_decode(decode).await,
             FlowStep::End => (None, None),
             FlowStep::Prefill(prefill) => (Some(self.call_prefill(prefill).await), None),
-            FlowStep::Resume(decode, offset) => self.call_resume(decode, offset).await,
+            FlowStep::Resume(decode, offset, pause) => {
+                time::sleep(pause).await;
+                self.call_resume(decode, offset).await
+            }
             FlowStep::Stream(tokens) => self.read_token(tokens).await,
             FlowStep::Wait => (self.await_grant().await, None),
         }
@@ -304,7 +313,11 @@
                 let _ = self.answers.send(AnswerEvent::Restarted);
                 None
             }
-            FlowAction::Resume { decode, offset } => Some(FlowStep::Resume(decode, offset)),
+            FlowAction::Resume {
+                decode,
+                offset,
+                pause,
+            } => Some(FlowStep::Resume(decode, offset, pause)),
             FlowAction::Submit => {
                 self.shared.hub.resubmit(&self.key);
                 None
--- /dev/null
+++ b/crates/flow/tests/core/flow_world.rs
@@ -0,0 +1,378 @@
+//! One request, the world around it, and what has to be true of both.
+
+use {
+    crate::flow_step::{FlowPlan, FlowStep},
+    engine::CallCause,
+    flow::{CellNotice, FlowAction, FlowCore, FlowEvent, FlowFailure, flow_event::CallFailure},
+    kernel::{ResultCode, UpstreamId},
+    std::collections::BTreeSet,
+};
+
+/// What the allocator believes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CellSide {
+    Decoding,
+    /// It heard that the stream is lost and waits for a new submission.
+    Dropped,
+    Over,
+    Prefilling,
+    Queued,
+    Read,
+    Transferring,
+}
+
+/// The call that the driver makes now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum OpenCall {
+    Decode(UpstreamId),
+    Prefill(UpstreamId),
+    Resume(UpstreamId),
+    Stream(UpstreamId),
+}
+
+/// The core and the oracle beside it.
+pub(crate) struct FlowWorld {
+    call: Option<OpenCall>,
+    cell: CellSide,
+    core: FlowCore,
+    /// Decode attempts that may have run.
+    decodes: u32,
+    /// Tokens that the caller has.
+    delivered: u32,
+    pub(crate) finals: Vec<ResultCode>,
+    /// What engines may hold: engine and attempt.
+    held: BTreeSet<(UpstreamId, u32)>,
+    plan: FlowPlan,
+    prefill: Option<UpstreamId>,
+    /// Whether any engine may have worked.
+    ran: bool,
+}
+
+impl FlowWorld {
+    pub(crate) fn new(plan: FlowPlan) -> Self {
+        let core = FlowCore::builder()
+            .max_tokens(plan.max_tokens)
+            .repeat(plan.repeat)
+            .retries(plan.retries)
+            .stream(plan.stream)
+            .build();
+        Self {
+            call: None,
+            cell: CellSide::Queued,
+            core,
+            decodes: 0,
+            delivered: 0,
+            finals: Vec::new(),
+            held: BTreeSet::new(),
+            plan,
+            prefill: None,
+            ran: false,
+        }
+    }
+
+    /// Ends the request if it goes on, and checks that nothing is left.
+    pub(crate) fn end(&mut self) {
+        self.run(FlowStep::CallerGone);
+        assert_eq!(self.finals.len(), 1, "one final answer");
+        let late = [
+            FlowEvent::PrefillDone,
+            FlowEvent::Token,
+            FlowEvent::CallerGone,
+        ];
+        for event in late {
+            assert_eq!(self.core.on_event(event), Vec::new(), "after the end");
+        }
+    }
+
+    pub(crate) fn run(&mut self, step: FlowStep) {
+        if !self.finals.is_empty() {
+            return;
+        }
+        let Some(event) = self.event(step) else {
+            return;
+        };
+        for action in self.core.on_event(event) {
+            self.check(action);
+        }
+        self.check_rest();
+    }
+
+    /// What the driver tells the core of a step; `None` when the step is not possible now.
+    fn event(&mut self, step: FlowStep) -> Option<FlowEvent> {
+        match step {
+            FlowStep::CallerGone => Some(self.cut_short(FlowEvent::CallerGone)),
+            FlowStep::CloseLimit => Some(self.cut_short(FlowEvent::CloseLimit)),
+            FlowStep::DecodeAnswers => self.answer_decode(),
+            FlowStep::DecodeFails(cause, ran) => self.fail_decode(cause, ran),
+            FlowStep::GrantDecode(at) => {
+                let event = FlowEvent::GrantDecode(name("decode", at));
+                self.grant(CellSide::Read, CellSide::Transferring, event)
+            }
+            FlowStep::GrantPrefill(at) => {
+                let event = FlowEvent::GrantPrefill(name("prefill", at));
+                self.grant(CellSide::Queued, CellSide::Prefilling, event)
+            }
+            FlowStep::LateGrant(at) => self.late_grant(at),
+            FlowStep::PrefillAnswers => self.answer_prefill(),
+            FlowStep::PrefillFails(cause, ran) => self.fail_prefill(cause, ran),
+            FlowStep::Refuse => {
+                let event = FlowEvent::Refused {
+                    code: ResultCode::PatienceEnded,
+                    retry_after: std::time::Duration::from_secs(1),
+                };
+                match self.cell {
+                    CellSide::Queued | CellSide::Read => {
+                        self.grant(self.cell, CellSide::Over, event)
+                    }
+                    _ => None,
+                }
+            }
+            FlowStep::ResumeAnswers => {
+                let Some(OpenCall::Resume(decode)) = self.call.clone() else {
+                    return None;
+                };
+                self.call = Some(OpenCall::Stream(decode));
+                None
+            }
+            FlowStep::ResumeFails(cause) => {
+                let Some(OpenCall::Resume(_)) = self.call else {
+                    return None;
+                };
+                self.call = None;
+                Some(FlowEvent::ResumeFailed(failure(cause, true)))
+            }
+            FlowStep::StreamDone => self.finish_stream(),
+            FlowStep::StreamFails(cause) => {
+                let Some(OpenCall::Stream(_)) = self.call else {
+                    return None;
+                };
+                self.call = None;
+                Some(FlowEvent::DecodeFailed(failure(cause, true)))
+            }
+            FlowStep::Token => self.give_token(),
+        }
+    }
+
+    fn answer_decode(&mut self) -> Option<FlowEvent> {
+        let Some(OpenCall::Decode(decode)) = self.call.clone() else {
+            return None;
+        };
+        self.note_decode();
+        self.call = Some(OpenCall::Stream(decode));
+        None
+    }
+
+    fn answer_prefill(&mut self) -> Option<FlowEvent> {
+        let Some(OpenCall::Prefill(_)) = self.call else {
+            return None;
+        };
+        self.call = None;
+        self.ran = true;
+        Some(FlowEvent::PrefillDone)
+    }
+
+    /// A call that is under way when the request is given up may have run.
+    fn cut_short(&mut self, event: FlowEvent) -> FlowEvent {
+        self.ran |= self.call.is_some();
+        self.call = None;
+        event
+    }
+
+    fn fail_decode(&mut self, cause: CallCause, ran: bool) -> Option<FlowEvent> {
+        let Some(OpenCall::Decode(decode)) = self.call.clone() else {
+            return None;
+        };
+        self.call = None;
+        if ran {
+            self.note_decode();
+        } else {
+            self.held.remove(&(decode, self.core.attempt()));
+        }
+        if cause == CallCause::Evicted {
+            self.drop_prefill();
+        }
+        Some(FlowEvent::DecodeFailed(failure(cause, ran)))
+    }
+
+    fn fail_prefill(&mut self, cause: CallCause, ran: bool) -> Option<FlowEvent> {
+        let Some(OpenCall::Prefill(_)) = self.call else {
+            return None;
+        };
+        self.call = None;
+        self.ran |= ran;
+        if !ran {
+            self.drop_prefill();
+        }
+        Some(FlowEvent::PrefillFailed(failure(cause, ran)))
+    }
+
+    fn finish_stream(&mut self) -> Option<FlowEvent> {
+        let Some(OpenCall::Stream(decode)) = self.call.clone() else {
+            return None;
+        };
+        self.call = None;
+        self.held.remove(&(decode, self.core.attempt()));
+        self.drop_prefill();
+        Some(FlowEvent::StreamDone)
+    }
+
+    fn give_token(&mut self) -> Option<FlowEvent> {
+        let Some(OpenCall::Stream(_)) = self.call else {
+            return None;
+        };
+        self.drop_prefill();
+        self.delivered += u32::from(self.delivered < self.plan.max_tokens);
+        Some(FlowEvent::Token)
+    }
+
+    fn grant(&mut self, from: CellSide, to: CellSide, event: FlowEvent) -> Option<FlowEvent> {
+        if self.cell != from || self.call.is_some() {
+            return None;
+        }
+        self.cell = to;
+        Some(event)
+    }
+
+    /// A grant that does not fit how far the request has come changes nothing.
+    fn late_grant(&mut self, at: usize) -> Option<FlowEvent> {
+        let event = match self.cell {
+            CellSide::Queued => FlowEvent::GrantDecode(name("decode", at)),
+            _ => FlowEvent::GrantPrefill(name("prefill", at)),
+        };
+        assert_eq!(self.core.on_event(event), Vec::new(), "a late grant");
+        None
+    }
+
+    fn drop_prefill(&mut self) {
+        if let Some(prefill) = self.prefill.take() {
+            self.held.remove(&(prefill, self.core.attempt()));
+        }
+    }
+
+    fn note_decode(&mut self) {
+        self.ran = true;
+        self.decodes += 1;
+        let allowed = if self.plan.repeat { u32::MAX } else { 1 };
+        assert!(
+            self.decodes <= allowed,
+            "a row that may not repeat ran twice"
+        );
+    }
+
+    fn check(&mut self, action: FlowAction) {
+        assert!(self.finals.is_empty(), "{action:?} after the final answer");
+        match action {
+            FlowAction::Cancel {
+                attempt, upstream, ..
+            } => {
+                self.held.remove(&(upstream, attempt));
+            }
+            FlowAction::Decode(decode) => {
+                assert_eq!(self.cell, CellSide::Transferring);
+                self.held.insert((decode.clone(), self.core.attempt()));
+                self.open(OpenCall::Decode(decode));
+            }
+            FlowAction::Fail(failure) => self.check_failure(&failure),
+            FlowAction::Finish => {
+                assert!(self.call.is_none(), "the stream goes on");
+                self.finals.push(ResultCode::Answered);
+            }
+            FlowAction::Notify(notice) => self.note(&notice),
+            FlowAction::Prefill(prefill) => {
+                assert!(
+                    self.plan.repeat || !self.ran,
+                    "read again after it may have run"
+                );
+                assert_eq!(self.cell, CellSide::Prefilling);
+                self.held.insert((prefill.clone(), self.core.attempt()));
+                self.prefill = Some(prefill.clone());
+                self.open(OpenCall::Prefill(prefill));
+            }
+            FlowAction::Restart => {
+                let is_seen = self.plan.stream && self.delivered > 0;
+                assert!(!is_seen, "the caller has tokens of the attempt before");
+                self.delivered = 0;
+            }
+            FlowAction::Resume { decode, offset, .. } => {
+                assert_eq!(offset, self.delivered, "a gap or a repeat");
+                self.open(OpenCall::Resume(decode));
+            }
+            FlowAction::Submit => {
+                assert_eq!(self.cell, CellSide::Dropped);
+                self.cell = CellSide::Queued;
+            }
+        }
+    }
+
+    fn check_failure(&mut self, failure: &FlowFailure) {
+        let is_false = failure.code.not_run() && self.ran;
+        assert!(
+            !is_false || failure.code == ResultCode::CallerGone,
+            "{:?}, and it may have run",
+            failure.code
+        );
+        assert_ne!(failure.code, ResultCode::Answered);
+        self.call = None;
+        self.finals.push(failure.code);
+    }
+
+    /// What holds between two events: somebody goes on with the request, or nothing of it is left.
+    fn check_rest(&self) {
+        if !self.finals.is_empty() {
+            assert_eq!(self.cell, CellSide::Over, "the allocator knows");
+            assert!(self.held.is_empty(), "left at engines: {:?}", self.held);
+            return;
+        }
+        let waits = matches!(self.cell, CellSide::Queued | CellSide::Read);
+        assert_ne!(
+            waits,
+            self.call.is_some(),
+            "{:?} {:?}",
+            self.cell,
+            self.call
+        );
+        if self.cell == CellSide::Queued {
+            assert!(self.held.is_empty(), "queued, and held: {:?}", self.held);
+        }
+    }
+
+    fn note(&mut self, notice: &CellNotice) {
+        let (from, to): (&[CellSide], CellSide) = match notice {
+            CellNotice::Cancel => {
+                self.cell = CellSide::Over;
+                return;
+            }
+            CellNotice::DecodeLost => (
+                &[CellSide::Decoding, CellSide::Transferring],
+                CellSide::Dropped,
+            ),
+            CellNotice::DecodeRefused => (&[CellSide::Transferring], CellSide::Read),
+            CellNotice::Finished { .. } => (
+                &[CellSide::Decoding, CellSide::Transferring],
+                CellSide::Over,
+            ),
+            CellNotice::FirstToken => (&[CellSide::Transferring], CellSide::Decoding),
+            CellNotice::KvEvicted => (&[CellSide::Read, CellSide::Transferring], CellSide::Queued),
+            CellNotice::PrefillDone => (&[CellSide::Prefilling], CellSide::Read),
+            CellNotice::PrefillFailed => (&[CellSide::Prefilling], CellSide::Queued),
+        };
+        assert!(from.contains(&self.cell), "{notice:?} in {:?}", self.cell);
+        self.cell = to;
+    }
+
+    fn open(&mut self, call: OpenCall) {
+        assert_eq!(self.call, None, "two calls at once");
+        self.call = Some(call);
+    }
+}
+
+fn failure(cause: CallCause, may_have_run: bool) -> CallFailure {
+    CallFailure {
+        cause,
+        may_have_run,
+    }
+}
+
+fn name(role: &str, at: usize) -> UpstreamId {
+    format!("{role}-{at}").into()
+}
--- /dev/null
+++ b/crates/trestlewalk/tests/support/answer_check.rs
@@ -0,0 +1,128 @@
+//! Sends many requests of all styles at once and compares every byte of what comes back.
+
+use {
+    super::{
+        Fleet,
+        fleet::CallerSide,
+        http_call::CallReply,
+        model_work::{DONE, error_code, expected_text, long_prompt, streamed_text},
+    },
+    serde_json::{Value, json},
+    tokio::task::JoinSet,
+};
+
+const STYLES: usize = 4;
+
+/// What came of many requests, each compared with what was expected.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerCounts {
+    /// The codes of those that got no answer.
+    pub codes: Vec<u64>,
+    /// Those that got the whole answer.
+    pub whole: usize,
+}
+
+/// Requests of one row, in all styles, at all entry instances.
+#[derive(Clone, Debug)]
+pub struct AnswerMix {
+    /// How many.
+    pub count: usize,
+    /// The tokens of each answer.
+    pub max_tokens: u32,
+    /// The row.
+    pub work: String,
+}
+
+impl AnswerMix {
+    /// So many requests of a row.
+    pub fn new(work: &str, count: usize, max_tokens: u32) -> Self {
+        Self {
+            count,
+            max_tokens,
+            work: work.to_owned(),
+        }
+    }
+
+    /// Sends all of them at once and compares all answers.
+    pub async fn run(&self, fleet: &Fleet) -> AnswerCounts {
+        let entries = fleet.entry_names();
+        let mut tasks = JoinSet::new();
+        for number in 0..self.count {
+            let side = fleet.entry(&entries[number % entries.len()]);
+            let mix = self.clone();
+            tasks.spawn(async move { mix.run_one(side, number).await });
+        }
+        let mut counts = AnswerCounts::default();
+        while let Some(code) = tasks.join_next().await {
+            match code.unwrap() {
+                1000 => counts.whole += 1,
+                code => counts.codes.push(code),
+            }
+        }
+        counts
+    }
+
+    async fn run_one(self, side: CallerSide, number: usize) -> u64 {
+        let text = long_prompt(number, 20 + number % 40);
+        let stream = number / 2 % 2 == 1;
+        if number % STYLES % 2 == 0 {
+            let call = side.completion(&self.work, &text, self.max_tokens, stream);
+            return self.check(call, &text, stream).await;
+        }
+        let body = json!({
+            "max_tokens": self.max_tokens,
+            "messages": [{ "content": text, "role": "user" }],
+            "stream": stream,
+        });
+        let call = side
+            .post("/v1/chat/completions")
+            .work(&self.work)
+            .json(&body);
+        let prompt = format!("user: {text}\nassistant:");
+        self.check(call, &prompt, stream).await
+    }
+
+    async fn check(&self, call: super::HttpCall, prompt: &str, stream: bool) -> u64 {
+        let expected = expected_text(prompt, self.max_tokens);
+        if !stream {
+            return check_whole(&call.send().await, &expected);
+        }
+        let mut reply = call.stream().await;
+        if reply.code() != 1000 {
+            return u64::from(reply.code());
+        }
+        let events = reply.all_events().await;
+        check_stream(&events, &expected)
+    }
+}
+
+/// Checks a whole answer: the expected text, or an error without any text. The code.
+pub fn check_whole(reply: &CallReply, expected: &str) -> u64 {
+    let body: Value = reply.json();
+    if reply.code() != 1000 {
+        assert!(body["choices"].is_null(), "{body}");
+        assert_eq!(body["error"]["code"], reply.code(), "{body}");
+        return u64::from(reply.code());
+    }
+    let choice = &body["choices"][0];
+    let text = choice["text"]
+        .as_str()
+        .or(choice["message"]["content"].as_str());
+    assert_eq!(text, Some(expected), "the whole answer");
+    1000
+}
+
+/// Checks a streamed answer: the expected text and the end marker, or the beginning of the text and an error at the end.
+/// The code.
+pub fn check_stream(events: &[String], expected: &str) -> u64 {
+    let text = streamed_text(events);
+    if events.last().is_some_and(|last| last == DONE) {
+        assert_eq!(text, expected, "the whole stream");
+        return 1000;
+    }
+    assert!(!events.iter().any(|event| event == DONE), "{events:?}");
+    assert!(expected.starts_with(&text), "{text:?} of {expected:?}");
+    let code = error_code(events);
+    assert!(code > 1000, "a stream without an end: {:?}", events.last());
+    code
+}
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -31,6 +31,7 @@
     reason = "each test file uses its own part of the support module"
 )]
 
+pub mod answer_check;
 pub mod cli_test;
 pub mod fleet;
 pub mod fleet_plan;
