Requests with a ticket run at their origin alone, across entry instances

Tickets were a crate without a path to it. `POST /v1/tickets` now mints them, and a request with `Trestlewalk-Ticket` runs only at the life that minted it; any other instance passes it on over a peer session (head and body there, head and body frames back) and relays the answer. A repeated submission waits for the run, or gets the kept answer, or 4003. A caller that leaves breaks the session off, which cancels at the origin. No upstream is called after the ticket's end: plain calls and both calls of a model request ask right before.

An instance that can't ask the origin answers 3004 also when the submission never left it: an earlier one may have run. "Not run" under a ticket is the origin's word alone.

Ruled out: judging the origin by its incarnation in the member list; a life that was held for gone and came back states a new incarnation and still holds its tickets. The instance is asked, and its table answers.

--- a/crates/claim/src/closed_table.rs
+++ b/crates/claim/src/closed_table.rs
@@ -76,6 +76,11 @@
         self.table.refuse(permit, unsent, code)
     }
 
+    /// Seals a ticket as refused, as [`TicketTable::seal`] does.
+    pub fn seal(&mut self, permit: RunPermit, code: ResultCode) {
+        self.table.seal(permit, code);
+    }
+
     /// Decides on a request that comes with a ticket. `Elsewhere` means: pass it on to [`Self::successor`], and
     /// answer [`OriginGone`](ResultCode::OriginGone) when that gives no answer. It is never `Run`.
     ///
--- a/crates/claim/src/undone_dispatch.rs
+++ b/crates/claim/src/undone_dispatch.rs
@@ -1,6 +1,6 @@
 //! The evidence that a dispatched request did not run after all.
 
-use crate::request_outcome::OriginReply;
+use {crate::request_outcome::OriginReply, kernel::ResultCode};
 
 /// Evidence that nothing of a dispatched request ran: the upstream's own word, or a connection that never was.
 ///
@@ -31,6 +31,16 @@
         }
     }
 
+    /// The request's own flow, which ends here, said that nothing of it ran: evidence when its code says so.
+    pub fn from_verdict(code: ResultCode) -> Option<Self> {
+        code.not_run().then_some(Self(()))
+    }
+
+    /// The instance that the request was passed on to does not hold its ticket, and so ran nothing of it.
+    pub fn not_held() -> Self {
+        Self(())
+    }
+
     /// The connection was never established, so that no byte of the request left this instance.
     pub fn not_connected() -> Self {
         Self(())
--- a/crates/door/src/chat_handler.rs
+++ b/crates/door/src/chat_handler.rs
@@ -27,6 +27,7 @@
 ) -> Response {
     let arrived = Instant::now();
     let work = work_of(request.headers(), shared.defaults.chat.as_ref());
+    let run_by = request.extensions().get().copied();
     let body: ChatBody = match read_json(request, shared.limits.body).await {
         Ok(body) => body,
         Err(answer) => return answer.into_response(),
@@ -38,6 +39,7 @@
     let ask = ModelAsk {
         max_tokens: body.max_completion_tokens.or(body.max_tokens),
         prompt: body.prompt(),
+        run_by,
         model: body.model,
         stream: body.stream,
         style: AnswerStyle::Chat,
--- a/crates/door/src/completion_handler.rs
+++ b/crates/door/src/completion_handler.rs
@@ -16,7 +16,7 @@
     },
     bytes::Bytes,
     engine::ModelEngine,
-    flow::{ModelRequest, RequestDriver},
+    flow::{ModelRequest, RequestDriver, RunDeadline},
     http::{HeaderMap, Request},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     kernel::{ModelId, ResultCode, WorkId, unix_time},
@@ -35,6 +35,7 @@
     pub(crate) max_tokens: Option<u32>,
     pub(crate) model: Option<ModelId>,
     pub(crate) prompt: Arc<str>,
+    pub(crate) run_by: Option<RunDeadline>,
     pub(crate) stream: bool,
     pub(crate) style: AnswerStyle,
     pub(crate) work: Option<WorkId>,
@@ -47,6 +48,7 @@
 ) -> Response {
     let arrived = Instant::now();
     let work = work_of(request.headers(), shared.defaults.completions.as_ref());
+    let run_by = request.extensions().get().copied();
     let body: CompletionBody = match read_json(request, shared.limits.body).await {
         Ok(body) => body,
         Err(answer) => return answer.into_response(),
@@ -55,6 +57,7 @@
         max_tokens: body.max_tokens,
         model: body.model,
         prompt: body.prompt,
+        run_by,
         stream: body.stream,
         style: AnswerStyle::Completion,
         work,
@@ -85,6 +88,7 @@
         max_tokens: ask.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         model: model.clone(),
         prompt: ask.prompt,
+        run_by: ask.run_by,
         stream: ask.stream,
         work: row.work.clone(),
     };
--- a/crates/door/src/door_server.rs
+++ b/crates/door/src/door_server.rs
@@ -24,20 +24,36 @@
 /// Serves callers until it is closed.
 pub struct DoorServer<E> {
     listener: TcpListener,
+    router: Router,
     shared: Arc<DoorShared<E>>,
 }
 
 impl<E: ModelEngine> DoorServer<E> {
     /// A server of the callers that connect to `listener`.
     pub fn new(listener: TcpListener, shared: Arc<DoorShared<E>>) -> Self {
-        Self { listener, shared }
+        let router = routes(shared.clone());
+        Self {
+            listener,
+            router,
+            shared,
+        }
+    }
+
+    /// The handlers of callers' requests.
+    pub fn router(&self) -> Router {
+        self.router.clone()
+    }
+
+    /// The same server with other routes, such as those that put tickets before the handlers.
+    pub fn with_router(mut self, router: Router) -> Self {
+        self.router = router;
+        self
     }
 
     /// Serves until the signal; then takes no connection, and waits up to `limit` for those under way. `false` when the
     /// limit ended some.
     pub async fn run(self, signal: CloseSignal, limit: Duration) -> bool {
         let graceful = GracefulShutdown::new();
-        let router = routes(self.shared.clone());
         loop {
             let accepted = tokio::select! {
                 () = signal.raised() => break,
@@ -49,7 +65,7 @@
             };
             // A socket that refuses the option still serves.
             let _ = stream.set_nodelay(true);
-            let service = TowerToHyperService::new(router.clone());
+            let service = TowerToHyperService::new(self.router.clone());
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(self.shared.limits.header_timeout)
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -11,6 +11,22 @@
 pub mod error_answer;
 pub mod model_answer;
 pub mod service_handler;
+pub mod ticket_answer;
+mod ticket_body;
+mod ticket_close;
+pub mod ticket_desk;
+pub mod ticket_door;
+mod ticket_forward;
+pub mod ticket_frame;
+mod ticket_host;
+mod ticket_key;
+pub mod ticket_metrics;
+mod ticket_mint;
+mod ticket_peers;
+mod ticket_plugin;
+pub mod ticket_request;
+mod ticket_run;
+mod ticket_service;
 pub mod work_header;
 
 pub use {
@@ -20,4 +36,8 @@
     door_server::DoorServer,
     door_shared::{DoorDefaults, DoorShared},
     error_answer::ErrorAnswer,
+    ticket_desk::TicketDesk,
+    ticket_door::TicketDoor,
+    ticket_frame::TICKET_TAG,
+    ticket_metrics::TicketMetrics,
 };
--- /dev/null
+++ b/crates/door/src/ticket_close.rs
@@ -0,0 +1,36 @@
+//! Handing the tickets over when this instance closes.
+
+use {
+    crate::{
+        ticket_door::TicketDoor, ticket_frame::SuccessorNotice, ticket_metrics::ticket_happening,
+    },
+    claim::HandOverReply,
+    plat::RowStore,
+};
+
+impl<S: RowStore + 'static> TicketDoor<S> {
+    /// Gives the tickets to a successor of the same availability zone, if one answers. From then on no ticket runs
+    /// here; what runs ends here.
+    pub async fn hand_over(&self) {
+        let Some(successor) = self.peers.successor(&self.desk.zone).await else {
+            tracing::warn!("no instance of the availability zone takes the tickets over");
+            return;
+        };
+        let Some(message) = self.desk.hand_over(successor.clone()) else {
+            return;
+        };
+        let Some((from, reply)) = self.peers.send_hand_over(&message).await else {
+            tracing::warn!(%successor, "the hand-over of the tickets was not answered");
+            return;
+        };
+        self.desk.on_reply(&from, reply);
+        if reply == HandOverReply::Refused {
+            tracing::warn!(%successor, "the hand-over of the tickets was refused");
+            return;
+        }
+        tracing::info!(%successor, "the tickets are handed over");
+        self.desk.metrics.count(ticket_happening::HANDED_OVER);
+        let lives = message.lives.into_iter().map(|life| life.life).collect();
+        self.peers.notify(&SuccessorNotice { lives, successor });
+    }
+}
--- /dev/null
+++ b/crates/door/src/ticket_door.rs
@@ -0,0 +1,213 @@
+//! Requests with a ticket or an idempotency key, before they come to the handlers.
+
+use {
+    crate::{
+        admission_gate::{AdmissionGate, GatePass},
+        error_answer::ErrorAnswer,
+        ticket_answer::TicketAnswer,
+        ticket_desk::{DeskVerdict, TicketDesk},
+        ticket_forward::{ForwardEnd, forward, origin_gone},
+        ticket_metrics::ticket_happening,
+        ticket_peers::TicketPeers,
+        ticket_request::{KEY_HEADER, TICKET_HEADER, TicketRequest},
+        ticket_run::RunGuard,
+    },
+    axum::{
+        Router,
+        body::Body,
+        response::{IntoResponse, Response},
+    },
+    claim::{ClaimKeeper, LifeKey, PermitDispatch, RequestOutcome, RunPermit, Ticket, Unsent},
+    http::Request,
+    kernel::ResultCode,
+    plat::RowStore,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+    tower::ServiceExt,
+};
+
+/// How long a repeated submission waits for the run of the first.
+const ATTACH_LIMIT: Duration = Duration::from_secs(120);
+/// To how many holders a request is passed on, one after the other, while its tickets move.
+const FORWARD_LIMIT: usize = 4;
+
+/// Decides for each request whether it runs here, elsewhere, or not again.
+pub struct TicketDoor<S> {
+    pub(crate) claim_secret: u64,
+    pub(crate) desk: Arc<TicketDesk>,
+    pub(crate) gate: Arc<AdmissionGate>,
+    pub(crate) handlers: Router,
+    pub(crate) keeper: ClaimKeeper<S>,
+    pub(crate) limit: usize,
+    pub(crate) peers: TicketPeers,
+}
+
+/// What became of a submission here.
+pub(crate) enum LocalEnd {
+    /// Its answer. The request comes back when it did not run.
+    Answered(Response, Option<Unsent<TicketRequest>>),
+    /// Its ticket is not held here; this life holds it, or may.
+    Elsewhere(Unsent<TicketRequest>, LifeKey),
+}
+
+impl<S: RowStore + 'static> TicketDoor<S> {
+    /// Handles any request; one without ticket or key goes straight to its handler.
+    pub(crate) async fn handle(&self, request: Request<Body>) -> Response {
+        let headers = request.headers();
+        let ticket = headers.get(TICKET_HEADER).cloned();
+        let key = headers.get(KEY_HEADER).cloned();
+        match (ticket, key) {
+            (None, None) => self.run_handler(request).await,
+            (None, Some(key)) => self.handle_key(key.as_bytes(), request).await,
+            (Some(_), Some(_)) => {
+                let answer = ErrorAnswer::of(ResultCode::RequestInvalid);
+                answer
+                    .with_detail("a request has a ticket or an idempotency key, not both")
+                    .into_response()
+            }
+            (Some(ticket), None) => {
+                let ticket = ticket.to_str().unwrap_or_default().trim().parse::<Ticket>();
+                match ticket {
+                    Ok(ticket) => self.handle_ticket(&ticket, request).await,
+                    Err(error) => {
+                        let answer = ErrorAnswer::of(ResultCode::TicketUnknown);
+                        answer.with_detail(error).into_response()
+                    }
+                }
+            }
+        }
+    }
+
+    /// Submits a request here. The same request that runs already is waited for.
+    pub(crate) async fn submit_here(
+        &self,
+        ticket: &Ticket,
+        unsent: Unsent<TicketRequest>,
+    ) -> LocalEnd {
+        let digest = unsent.as_request().digest();
+        let end = time::Instant::now() + ATTACH_LIMIT;
+        loop {
+            let mut settled = std::pin::pin!(self.desk.settled());
+            settled.as_mut().enable();
+            match self.desk.submit(ticket, digest) {
+                DeskVerdict::Attach => {
+                    self.desk.metrics.count(ticket_happening::ATTACHED);
+                    if time::timeout_at(end, settled).await.is_err() {
+                        return LocalEnd::Answered(used(), None);
+                    }
+                }
+                DeskVerdict::Decided(outcome) => return decided(outcome, unsent),
+                DeskVerdict::Elsewhere(life) => return LocalEnd::Elsewhere(unsent, life),
+                DeskVerdict::Run(permit) => return self.run(permit, unsent).await,
+            }
+        }
+    }
+
+    /// Submits a request here or where its ticket is held.
+    pub(crate) async fn submit(
+        &self,
+        ticket: &Ticket,
+        unsent: Unsent<TicketRequest>,
+    ) -> (Response, Option<Unsent<TicketRequest>>) {
+        let mut unsent = unsent;
+        for _ in 0..FORWARD_LIMIT {
+            let (back, life) = match self.submit_here(ticket, unsent).await {
+                LocalEnd::Answered(response, back) => return (response, back),
+                LocalEnd::Elsewhere(back, life) => (back, life),
+            };
+            let pass = self.gate.enter().ok();
+            self.desk.metrics.count(ticket_happening::FORWARDED);
+            let end = self.forward(&life, ticket, back, pass).await;
+            let (back, next) = match end {
+                ForwardEnd::Answered(response, back) => return (response, back),
+                ForwardEnd::Elsewhere(back, next) => (back, next),
+                ForwardEnd::Lost(response) => {
+                    self.desk.metrics.count(ticket_happening::GONE);
+                    return (response, None);
+                }
+                ForwardEnd::Unreachable(back) => (back, None),
+            };
+            let next = match next {
+                Some(next) => Some(next),
+                None => self.peers.find_holder(&ticket.life, &ticket.zone).await,
+            };
+            let Some(next) = next.filter(|next| *next != life) else {
+                break;
+            };
+            self.desk.learn(ticket.life.clone(), next);
+            unsent = back;
+        }
+        self.desk.metrics.count(ticket_happening::GONE);
+        let response = origin_gone(
+            "this submission did not leave here, and nobody can say whether an earlier one of its ticket ran",
+        );
+        (response, None)
+    }
+
+    /// Runs a request under its permit.
+    pub(crate) async fn run(&self, permit: RunPermit, unsent: Unsent<TicketRequest>) -> LocalEnd {
+        let run_by = permit.deadline();
+        match permit.dispatch(Instant::now(), unsent) {
+            PermitDispatch::Begun { request, run, sent } => {
+                let guard = RunGuard::new(self.desk.clone(), run, sent);
+                let response = self.run_handler(request.into_http(run_by)).await;
+                LocalEnd::Answered(guard.settle(response), None)
+            }
+            PermitDispatch::Late { permit, unsent } => {
+                let code = ResultCode::TicketExpired;
+                self.desk.refuse(permit, unsent, code);
+                LocalEnd::Answered(ErrorAnswer::of(code).into_response(), None)
+            }
+        }
+    }
+
+    async fn forward(
+        &self,
+        life: &LifeKey,
+        ticket: &Ticket,
+        unsent: Unsent<TicketRequest>,
+        pass: Option<GatePass>,
+    ) -> ForwardEnd {
+        forward(&self.peers.endpoint, life, ticket, unsent, pass).await
+    }
+
+    async fn handle_ticket(&self, ticket: &Ticket, request: Request<Body>) -> Response {
+        match TicketRequest::read(request, self.limit).await {
+            Ok(request) => {
+                let unsent = Unsent::from_caller(request);
+                self.submit(ticket, unsent).await.0
+            }
+            Err(answer) => answer.into_response(),
+        }
+    }
+
+    async fn run_handler(&self, request: Request<Body>) -> Response {
+        match self.handlers.clone().oneshot(request).await {
+            Ok(response) => response,
+            Err(never) => match never {},
+        }
+    }
+}
+
+/// The answer to a repeated submission.
+fn decided(outcome: RequestOutcome<TicketAnswer>, unsent: Unsent<TicketRequest>) -> LocalEnd {
+    let code = outcome.code();
+    match outcome {
+        RequestOutcome::Answered(answer) => LocalEnd::Answered(answer.into_response(), None),
+        RequestOutcome::NotRun(_) => {
+            LocalEnd::Answered(ErrorAnswer::of(code).into_response(), Some(unsent))
+        }
+        RequestOutcome::Unknown(_) | RequestOutcome::Used => {
+            LocalEnd::Answered(ErrorAnswer::of(code).into_response(), None)
+        }
+    }
+}
+
+fn used() -> Response {
+    ErrorAnswer::of(ResultCode::TicketUsed)
+        .with_detail("the request still runs")
+        .into_response()
+}
--- /dev/null
+++ b/crates/door/src/ticket_host.rs
@@ -0,0 +1,183 @@
+//! What other instances ask of the tickets here.
+
+use {
+    crate::{
+        ticket_desk::TicketDesk,
+        ticket_door::{LocalEnd, TicketDoor},
+        ticket_frame::{
+            BODY_FRAME, CHUNK_BYTES, ELSEWHERE_FRAME, END_FRAME, ElsewhereReply, ForwardHead,
+            HAND_OVER_FRAME, HAND_OVER_REPLY_FRAME, HEAD_FRAME, HandOverAnswer, ReplyHead,
+            SuccessorNotice, TicketHandOver, TicketQuery, read_body, read_value, send_value,
+        },
+        ticket_metrics::ticket_happening,
+        ticket_request::TicketRequest,
+    },
+    axum::{body::Body, response::Response},
+    claim::{HandOverReply, LifeKey, Ticket, Unsent},
+    http_body_util::BodyExt,
+    kernel::WorkerPool,
+    peer::{PeerIncoming, SessionReceiver, SessionSender, wire},
+    plat::RowStore,
+    std::sync::Arc,
+    tokio::sync::mpsc,
+};
+
+/// The largest hand-over that is taken.
+const HAND_OVER_BYTES: usize = 64 << 20;
+
+impl<S: RowStore + 'static> TicketDoor<S> {
+    /// Serves other instances for as long as it is driven.
+    pub async fn run_peers(
+        self: Arc<Self>,
+        mut incoming: mpsc::Receiver<PeerIncoming>,
+        pool: WorkerPool,
+    ) {
+        while let Some(incoming) = incoming.recv().await {
+            match incoming {
+                PeerIncoming::Call { body, reply, .. } => {
+                    let answer = read_value(&body).and_then(|query| self.desk.answer(&query));
+                    let Ok(answer) = wire::encode(&answer) else {
+                        continue;
+                    };
+                    reply.send(answer);
+                }
+                PeerIncoming::Message { body, .. } => self.desk.take_notice(&body),
+                PeerIncoming::Session {
+                    receiver, sender, ..
+                } => {
+                    let door = self.clone();
+                    pool.spawn(async move { door.serve_session(receiver, sender).await });
+                }
+            }
+        }
+    }
+
+    async fn serve_session(&self, mut receiver: SessionReceiver, mut sender: SessionSender) {
+        // Held to the last acknowledged frame, so that a close waits for it.
+        let _pass = self.gate.enter().ok();
+        let Ok(Some(first)) = receiver.receive().await else {
+            return;
+        };
+        match first.tag {
+            HAND_OVER_FRAME => self.take_hand_over(&mut receiver, &mut sender).await,
+            HEAD_FRAME => {
+                let Some(head) = read_value(&first.body) else {
+                    return;
+                };
+                self.serve_request(head, &mut receiver, &mut sender).await
+            }
+            _ => return,
+        };
+        sender.close().await;
+    }
+
+    /// Runs the request of a peer's caller. A peer that breaks the session off cancels it.
+    async fn serve_request(
+        &self,
+        head: ForwardHead,
+        receiver: &mut SessionReceiver,
+        sender: &mut SessionSender,
+    ) {
+        let ticket = head.ticket.clone();
+        let Some(body) = read_body(receiver, self.limit).await else {
+            return;
+        };
+        let Some(request) = TicketRequest::from_parts(head, body.into()) else {
+            return;
+        };
+        self.desk.metrics.count(ticket_happening::SERVED);
+        let unsent = Unsent::from_caller(request);
+        // After its request the peer says nothing more: any word, or the end, means that its caller is gone.
+        let gone = receiver.receive();
+        let answering = self.answer_peer(&ticket, unsent, sender);
+        tokio::select! {
+            () = answering => {}
+            _ = gone => {}
+        }
+    }
+
+    async fn answer_peer(
+        &self,
+        ticket: &Ticket,
+        unsent: Unsent<TicketRequest>,
+        sender: &mut SessionSender,
+    ) {
+        match self.submit_here(ticket, unsent).await {
+            LocalEnd::Answered(response, _) => send_response(sender, response).await,
+            LocalEnd::Elsewhere(_, life) => {
+                let holder = Some(life).filter(|life| *life != ticket.life);
+                // A peer that is gone needs no answer.
+                let _ = send_value(sender, ELSEWHERE_FRAME, &ElsewhereReply { holder }).await;
+            }
+        }
+    }
+
+    async fn take_hand_over(&self, receiver: &mut SessionReceiver, sender: &mut SessionSender) {
+        let Some(content) = read_body(receiver, HAND_OVER_BYTES).await else {
+            return;
+        };
+        let Some(message) = read_value::<TicketHandOver>(&content) else {
+            return;
+        };
+        let lives: Vec<LifeKey> = message.lives.iter().map(|life| life.life.clone()).collect();
+        let reply = self.desk.accept(message);
+        if reply == HandOverReply::Accepted {
+            tracing::info!(lives = lives.len(), "tickets are taken over");
+            self.desk.metrics.count(ticket_happening::TAKEN_OVER);
+            let successor = self.desk.life.clone();
+            self.peers.notify(&SuccessorNotice { lives, successor });
+        }
+        let answer = HandOverAnswer {
+            from: self.desk.life.clone(),
+            reply,
+        };
+        // The sender asks again when this is lost.
+        let _ = send_value(sender, HAND_OVER_REPLY_FRAME, &answer).await;
+    }
+}
+
+impl TicketDesk {
+    fn answer(&self, query: &TicketQuery) -> Option<LifeKey> {
+        match query {
+            TicketQuery::Holder(life) => self.holder(life),
+            TicketQuery::Life => self.is_open().then(|| self.life.clone()),
+        }
+    }
+
+    fn take_notice(&self, body: &[u8]) {
+        let Some(notice) = read_value::<SuccessorNotice>(body) else {
+            return;
+        };
+        for life in notice.lives {
+            if life == self.life {
+                continue;
+            }
+            self.learn(life, notice.successor.clone());
+        }
+    }
+}
+
+/// Sends an answer with its body; a peer that is gone ends it, which cancels what still runs.
+async fn send_response(sender: &mut SessionSender, response: Response) {
+    let head = ReplyHead::of(&response);
+    if send_value(sender, HEAD_FRAME, &head).await.is_err() {
+        return;
+    }
+    let Some(()) = send_frames(sender, response.into_body()).await else {
+        return;
+    };
+    let _ = sender.send(END_FRAME, &[]).await;
+}
+
+/// Sends the pieces of a body; none when it breaks off.
+async fn send_frames(sender: &mut SessionSender, mut body: Body) -> Option<()> {
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        for chunk in data.chunks(CHUNK_BYTES) {
+            sender.send(BODY_FRAME, chunk).await.ok()?;
+        }
+    }
+    Some(())
+}
--- /dev/null
+++ b/crates/door/src/ticket_metrics.rs
@@ -0,0 +1,80 @@
+//! The counters of tickets.
+
+use prometheus::{IntCounterVec, Opts, Registry};
+
+/// What happened to a ticket, as the counter's label.
+pub(crate) mod ticket_happening {
+    pub(crate) const ATTACHED: &str = "attached";
+    pub(crate) const FORWARDED: &str = "forwarded";
+    pub(crate) const GONE: &str = "origin_gone";
+    pub(crate) const HANDED_OVER: &str = "lives_handed_over";
+    pub(crate) const KEYED: &str = "keyed";
+    pub(crate) const LOST: &str = "outcome_unknown";
+    pub(crate) const MINTED: &str = "minted";
+    pub(crate) const REFUSED: &str = "refused";
+    pub(crate) const REPEATED: &str = "repeated";
+    pub(crate) const RUN: &str = "run";
+    pub(crate) const SERVED: &str = "served_for_peer";
+    pub(crate) const TAKEN_OVER: &str = "lives_taken_over";
+
+    /// All of them.
+    pub(crate) const ALL: [&str; 12] = [
+        ATTACHED,
+        FORWARDED,
+        GONE,
+        HANDED_OVER,
+        KEYED,
+        LOST,
+        MINTED,
+        REFUSED,
+        REPEATED,
+        RUN,
+        SERVED,
+        TAKEN_OVER,
+    ];
+}
+
+/// Counts what happens to tickets.
+#[derive(Debug)]
+pub struct TicketMetrics {
+    happenings: IntCounterVec,
+}
+
+impl TicketMetrics {
+    /// Counts one happening.
+    pub(crate) fn count(&self, happening: &str) {
+        self.happenings.with_label_values(&[happening]).inc();
+    }
+
+    /// The counters by happening.
+    pub(crate) fn counts(&self) -> serde_json::Map<String, serde_json::Value> {
+        let mut counts = serde_json::Map::new();
+        for happening in ticket_happening::ALL {
+            let count = self.happenings.with_label_values(&[happening]).get();
+            counts.insert(happening.to_owned(), count.into());
+        }
+        counts
+    }
+
+    /// Fresh counters.
+    ///
+    /// # Errors
+    ///
+    /// Those of the metrics library, for names that it doesn't take.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let options = Opts::new(
+            "trestlewalk_tickets_total",
+            "What happened to tickets here, by happening.",
+        );
+        Ok(Self {
+            happenings: IntCounterVec::new(options, &["happening"])?,
+        })
+    }
+
+    /// Shows the counters in `registry`.
+    pub(crate) fn register(&self, registry: &Registry) {
+        if let Err(error) = registry.register(Box::new(self.happenings.clone())) {
+            tracing::debug!(%error, "the metric was registered before");
+        }
+    }
+}
--- /dev/null
+++ b/crates/door/src/ticket_mint.rs
@@ -0,0 +1,78 @@
+//! `POST /v1/tickets`.
+
+use {
+    crate::{
+        completion_handler::read_body,
+        error_answer::{ErrorAnswer, RESULT_HEADER},
+        ticket_door::TicketDoor,
+    },
+    axum::{
+        Json,
+        body::Body,
+        response::{IntoResponse, Response},
+    },
+    claim::Ticket,
+    http::{HeaderValue, Request, StatusCode},
+    kernel::ResultCode,
+    plat::RowStore,
+    serde::{Deserialize, Serialize},
+    serde_with::{DurationMilliSeconds, serde_as},
+    std::time::Duration,
+};
+
+/// How long a ticket is good for when its caller says nothing.
+const DEFAULT_LIFETIME: Duration = Duration::from_secs(600);
+/// The longest body of a call for a ticket.
+const MINT_BODY_BYTES: usize = 4 << 10;
+const MINT_RETRY_AFTER: Duration = Duration::from_secs(1);
+const SHORTEST_LIFETIME: Duration = Duration::from_millis(1);
+
+/// The body of a call for a ticket; it may be absent.
+#[serde_as]
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MintBody {
+    #[serde(default, rename = "expires_in_ms")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    lifetime: Option<Duration>,
+}
+
+/// A new ticket.
+#[serde_as]
+#[derive(Debug, Serialize)]
+struct MintReply {
+    #[serde(rename = "expires_in_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    lifetime: Duration,
+    ticket: Ticket,
+}
+
+impl<S: RowStore + 'static> TicketDoor<S> {
+    /// Handles `POST /v1/tickets`.
+    pub(crate) async fn handle_mint(&self, request: Request<Body>) -> Response {
+        match self.mint(request).await {
+            Ok(reply) => {
+                let mut response = (StatusCode::CREATED, Json(reply)).into_response();
+                let code = HeaderValue::from(ResultCode::Answered.number());
+                response.headers_mut().insert(RESULT_HEADER, code);
+                response
+            }
+            Err(answer) => answer.into_response(),
+        }
+    }
+
+    async fn mint(&self, request: Request<Body>) -> Result<MintReply, ErrorAnswer> {
+        let body = read_body(request, MINT_BODY_BYTES).await?;
+        let body: MintBody = match body.is_empty() {
+            true => MintBody::default(),
+            false => serde_json::from_slice(&body)
+                .map_err(|error| ErrorAnswer::of(ResultCode::RequestInvalid).with_detail(error))?,
+        };
+        let lifetime = body.lifetime.unwrap_or(DEFAULT_LIFETIME);
+        let lifetime = lifetime.clamp(SHORTEST_LIFETIME, self.desk.longest_expiry);
+        let refused = |code| ErrorAnswer::of(code).with_retry_after(MINT_RETRY_AFTER);
+        let _pass = self.gate.enter().map_err(refused)?;
+        let ticket = self.desk.mint(lifetime).map_err(refused)?;
+        Ok(MintReply { lifetime, ticket })
+    }
+}
--- /dev/null
+++ b/crates/door/src/ticket_peers.rs
@@ -0,0 +1,120 @@
+//! The other entry instances, as far as tickets need them.
+
+use {
+    crate::ticket_frame::{
+        HAND_OVER_FRAME, HAND_OVER_REPLY_FRAME, HandOverAnswer, SuccessorNotice, TICKET_TAG,
+        TicketHandOver, TicketQuery, read_value, send_body, send_value,
+    },
+    claim::{HandOverReply, LifeKey},
+    futures_util::future::join_all,
+    kernel::{InstanceId, ZoneId, seeded_rng},
+    peer::{PeerDriver, PeerEndpoint, PeerError, wire},
+    std::{sync::Arc, time::Duration},
+    tokio::time,
+};
+
+/// How many instances are asked for the holder of a ticket, and for a successor.
+const ASK_LIMIT: usize = 16;
+/// How long the successor may take to answer one copy of the hand-over.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How many copies of a hand-over are sent.
+const HAND_OVER_TRIES: u32 = 3;
+
+/// Talks to other instances about tickets.
+pub(crate) struct TicketPeers {
+    pub(crate) endpoint: PeerEndpoint,
+    members: Arc<PeerDriver>,
+}
+
+impl TicketPeers {
+    /// The life that holds the tickets of `life`, by the word of the instances in its availability zone.
+    pub(crate) async fn find_holder(&self, life: &LifeKey, zone: &ZoneId) -> Option<LifeKey> {
+        let query = TicketQuery::Holder(life.clone());
+        let names = self.heard_in(zone);
+        let asked = names.iter().map(|name| self.ask(name, &query));
+        let answers = join_all(asked).await;
+        answers.into_iter().flatten().next()
+    }
+
+    /// The peers over an endpoint, and who they are.
+    pub(crate) fn new(endpoint: PeerEndpoint, members: Arc<PeerDriver>) -> Self {
+        Self { endpoint, members }
+    }
+
+    /// Tells all members where the tickets of closed lives are. Whoever misses it can ask.
+    pub(crate) fn notify(&self, notice: &SuccessorNotice) {
+        let Ok(message) = wire::encode(notice) else {
+            return;
+        };
+        for member in &self.members.view().heard {
+            if member.instance == *self.endpoint.instance() {
+                continue;
+            }
+            // Best effort.
+            let _ = self.endpoint.send(&member.instance, TICKET_TAG, &message);
+        }
+    }
+
+    /// Sends the hand-over until the successor answers, a bounded number of times.
+    pub(crate) async fn send_hand_over(
+        &self,
+        message: &TicketHandOver,
+    ) -> Option<(LifeKey, HandOverReply)> {
+        let content = wire::encode(message).ok()?;
+        let to = &message.successor.instance;
+        for _ in 0..HAND_OVER_TRIES {
+            let sending = self.hand_over_once(to, &content);
+            let Ok(Some(answer)) = time::timeout(HAND_OVER_TIMEOUT, sending).await else {
+                continue;
+            };
+            return Some((answer.from, answer.reply));
+        }
+        None
+    }
+
+    /// A life of the same availability zone that takes requests and answers now.
+    pub(crate) async fn successor(&self, zone: &ZoneId) -> Option<LifeKey> {
+        let view = self.members.view();
+        let own = self.endpoint.instance();
+        let serving = view.serving_in(zone).map(|record| record.instance.clone());
+        let mut names: Vec<InstanceId> = serving.filter(|name| name != own).collect();
+        names.sort_by_key(|name| seeded_rng::rendezvous_score(own, name));
+        names.truncate(ASK_LIMIT);
+        for name in names.iter().rev() {
+            if let Some(life) = self.ask(name, &TicketQuery::Life).await {
+                return Some(life);
+            }
+        }
+        None
+    }
+
+    async fn ask(&self, instance: &InstanceId, query: &TicketQuery) -> Option<LifeKey> {
+        let query = wire::encode(query).ok()?;
+        let answer = self.endpoint.call(instance, TICKET_TAG, &query).await;
+        read_value(&answer.ok()?)?
+    }
+
+    async fn hand_over_once(&self, to: &InstanceId, content: &[u8]) -> Option<HandOverAnswer> {
+        let session = self.endpoint.open_session(to, TICKET_TAG).await;
+        let (mut sender, mut receiver) = session.ok()?;
+        let sent: Result<(), PeerError> = async {
+            send_value(&mut sender, HAND_OVER_FRAME, &()).await?;
+            send_body(&mut sender, content).await
+        }
+        .await;
+        sent.ok()?;
+        let frame = receiver.receive().await.ok()??;
+        if frame.tag != HAND_OVER_REPLY_FRAME {
+            return None;
+        }
+        read_value(&frame.body)
+    }
+
+    fn heard_in(&self, zone: &ZoneId) -> Vec<InstanceId> {
+        let view = self.members.view();
+        let own = self.endpoint.instance();
+        let heard = view.heard.iter().filter(|record| record.zone == *zone);
+        let names = heard.map(|record| record.instance.clone());
+        names.filter(|name| name != own).take(ASK_LIMIT).collect()
+    }
+}
--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -108,6 +108,7 @@
             FlowEvent::PrefillFailed(failure) => self.on_prefill_failed(failure),
             FlowEvent::Refused { code, retry_after } => self.on_refused(code, retry_after),
             FlowEvent::ResumeFailed(failure) => self.on_stream_lost(failure),
+            FlowEvent::RunLate => self.give_up(ResultCode::TicketExpired),
             FlowEvent::StreamDone => self.on_stream_done(),
             FlowEvent::Token => self.on_token(),
         }
--- a/crates/flow/src/flow_event.rs
+++ b/crates/flow/src/flow_event.rs
@@ -50,6 +50,8 @@
     },
     /// A stream could not be taken up again.
     ResumeFailed(CallFailure),
+    /// The request's ticket ended before the next dispatch.
+    RunLate,
     /// The engine's end marker came.
     StreamDone,
     /// A token came.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod prefix_hashes;
 pub mod request_driver;
 pub mod request_table;
+pub mod run_deadline;
 pub mod stream_canceller;
 pub mod stream_name;
 pub mod stream_sweeper;
@@ -51,6 +52,7 @@
     plain_caller::PlainCaller,
     request_driver::{FlowShared, RequestDriver},
     request_table::RequestTable,
+    run_deadline::RunDeadline,
     stream_canceller::StreamCanceller,
     stream_name::StreamName,
     stream_sweeper::{LifeView, StreamSweeper},
--- a/crates/flow/src/plain_caller.rs
+++ b/crates/flow/src/plain_caller.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services: which replica, whether again, and what is true when no answer came.
 
 use {
-    crate::{flow_failure::FlowFailure, upstream_board::UpstreamBoard},
+    crate::{flow_failure::FlowFailure, run_deadline::RunDeadline, upstream_board::UpstreamBoard},
     bytes::Bytes,
     engine::{CallCause, CallError, HttpPool, PooledBody, SendFailure},
     http::{HeaderName, Request, Response, StatusCode},
@@ -194,6 +194,10 @@
             service: &row.service,
             upstream: Some(upstream),
         };
+        let run_by = request.extensions().get::<RunDeadline>().copied();
+        if run_by.is_some_and(RunDeadline::is_past) {
+            return TryOutcome::Final(FlowFailure::new(ResultCode::TicketExpired));
+        }
         // A connection that closed while idle can't make a request unknown that is written on a fresh one.
         let sending = self.pool.try_send(address, request, !row.repeat);
         let outcome = time::timeout(self.first_byte, sending).await;
--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -159,6 +159,9 @@
             );
         };
         let call = self.completion_call(self.request.max_tokens, self.params.clone(), true);
+        if self.request.is_late() {
+            return (Some(FlowEvent::RunLate), None);
+        }
         match self
             .shared
             .engine
@@ -179,6 +182,9 @@
             ..KvTransferParams::default()
         };
         let call = self.completion_call(1, params, false);
+        if self.request.is_late() {
+            return FlowEvent::RunLate;
+        }
         match self
             .shared
             .engine
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -18,6 +18,7 @@
 pub mod ready_line;
 pub mod request_path;
 pub mod table_driver;
+pub mod ticket_parts;
 
 pub use {
     allocator_maker::AllocatorMaker,
@@ -36,4 +37,5 @@
     ready_line::ReadyLine,
     request_path::RequestPath,
     table_driver::{BoardStatus, TableDriver, TableShare},
+    ticket_parts::{EntryTickets, start_tickets},
 };
--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -45,6 +45,11 @@
         PeerDriver::clone(&self.driver).close().await;
     }
 
+    /// The membership.
+    pub fn members(&self) -> Arc<PeerDriver> {
+        self.driver.clone()
+    }
+
     /// Starts all of it in the pool.
     ///
     /// # Errors
--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -3,9 +3,10 @@
 //! The order of closing:
 //!
 //! 1. `/ready` answers 503, so that the balancer sends no new requests.
-//! 2. The request path takes no new requests; queued and running ones end, for at most the close limit.
-//! 3. Background work ends.
-//! 4. The admin server ends, last.
+//! 2. The request path takes no new requests, and its tickets go to a successor.
+//! 3. Queued and running requests end, for at most the close limit.
+//! 4. Background work ends.
+//! 5. The admin server ends, last.
 
 use {
     crate::{
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -4,7 +4,10 @@
     crate::{
         RunError,
         admin::StatusSource,
-        entry::{BoardStatus, CloseReport, ControlWork, EntryParts, PathBase},
+        entry::{
+            BoardStatus, CloseReport, ControlWork, EntryParts, EntryTickets, PathBase,
+            start_tickets,
+        },
         run_error::PeersSnafu,
     },
     door::{AdmissionGate, DoorServer},
@@ -27,13 +30,15 @@
     gate: Arc<AdmissionGate>,
     server: JoinHandle<bool>,
     signal: CloseSignal,
+    tickets: Arc<EntryTickets>,
 }
 
 impl RequestPath {
-    /// Takes no new request, lets queued and running ones end for at most `limit`, and counts those that it cuts off.
+    /// Takes no new request, hands the tickets over, lets queued and running ones end for at most `limit`, and counts those that it cuts off.
     /// Then the members are told, and the links close.
     pub async fn close(self, limit: Duration) -> CloseReport {
         self.gate.shut();
+        self.tickets.hand_over().await;
         let ended = time::timeout(limit, self.gate.empty()).await.is_ok();
         let cut = if ended { 0 } else { self.gate.open() as u64 };
         self.cut.raise();
@@ -79,6 +84,9 @@
         let shared = base.door_shared(parts, cut.clone(), gate.clone());
         let signal = CloseSignal::new();
         let server = DoorServer::new(callers, Arc::new(shared));
+        let members = control.members();
+        let tickets = start_tickets(&base, parts, gate.clone(), server.router(), members)?;
+        let server = server.with_router(tickets.clone().routes());
         let server = tokio::spawn(server.run(signal.clone(), FLUSH_LIMIT));
         Ok(Self {
             control,
@@ -87,6 +95,7 @@
             gate,
             server,
             signal,
+            tickets,
         })
     }
 }
--- /dev/null
+++ b/crates/trestlewalk/src/entry/ticket_parts.rs
@@ -0,0 +1,104 @@
+//! The tickets of the entry instance: their table, the door before the handlers, and the sweep of old claims.
+
+use {
+    crate::{
+        RunError,
+        entry::{EntryParts, PathBase},
+        run_error::{MetricsSnafu, TicketsSnafu},
+    },
+    claim::{ClaimKeeper, LifeKey, TicketSettings, claim_sweep},
+    door::{AdmissionGate, TICKET_TAG, TicketDesk, TicketDoor, TicketMetrics},
+    kernel::{InstanceId, seeded_rng},
+    peer::PeerDriver,
+    plat::HttpPlatform,
+    snafu::ResultExt,
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::time,
+};
+
+/// How often claims that have ended are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
+
+/// The door before the handlers of this process.
+pub type EntryTickets = TicketDoor<HttpPlatform>;
+
+/// Makes the door of the handlers in `handlers`, and starts what serves other instances.
+///
+/// # Errors
+///
+/// A ticket can't carry the names of this instance.
+pub fn start_tickets(
+    base: &PathBase,
+    parts: &EntryParts,
+    gate: Arc<AdmissionGate>,
+    handlers: axum::Router,
+    members: Arc<PeerDriver>,
+) -> Result<Arc<EntryTickets>, RunError> {
+    let desk = Arc::new(make_desk(parts)?);
+    parts.map.insert(desk.clone());
+    let store = Arc::new(base.platform.clone());
+    let keeper = ClaimKeeper::new(store.clone());
+    base.pool.spawn(sweep_claims(keeper, members.clone()));
+    let door = TicketDoor::builder()
+        .claim_secret(shared_secret(parts))
+        .desk(desk)
+        .endpoint(base.endpoint.clone())
+        .gate(gate)
+        .handlers(handlers)
+        .limit(parts.settings.limits.body as usize)
+        .members(members)
+        .store(store)
+        .build();
+    let door = Arc::new(door);
+    let incoming = base.endpoint.register(TICKET_TAG);
+    base.pool
+        .spawn(door.clone().run_peers(incoming, base.pool.clone()));
+    Ok(door)
+}
+
+fn make_desk(parts: &EntryParts) -> Result<TicketDesk, RunError> {
+    let identity = &parts.identity;
+    let life = LifeKey {
+        incarnation: identity.incarnation,
+        instance: identity.instance.clone(),
+    };
+    let metrics = TicketMetrics::new().context(MetricsSnafu)?;
+    let settings = TicketSettings::builder().secret(own_secret(parts)).build();
+    TicketDesk::new(life, metrics, settings, identity.zone.clone()).context(TicketsSnafu)
+}
+
+/// The secret of this life: that of the settings, or one that is made up from the moment of its start.
+fn own_secret(parts: &EntryParts) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now = now.unwrap_or_default().as_nanos();
+    match &parts.settings.secret {
+        Some(secret) => seeded_rng::mix(0, secret.as_bytes()),
+        None => seeded_rng::mix(parts.identity.incarnation, &now.to_le_bytes()),
+    }
+}
+
+/// What the rows of claims are hashed with, the same at all instances.
+fn shared_secret(parts: &EntryParts) -> u64 {
+    let secret = parts.settings.secret.as_deref().unwrap_or_default();
+    seeded_rng::mix(0, secret.as_bytes())
+}
+
+/// Removes claims that have ended, at the one instance whose turn it is.
+async fn sweep_claims(keeper: ClaimKeeper<HttpPlatform>, members: Arc<PeerDriver>) {
+    let mut ticks = time::interval(SWEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let view = members.view();
+        let heard = view.heard.iter().map(|record| record.instance.clone());
+        let live: Vec<InstanceId> = heard.collect();
+        if !claim_sweep::is_sweeper(&view.instance, &live) {
+            continue;
+        }
+        if let Err(error) = keeper.sweep().await {
+            tracing::debug!(%error, "claims were not swept");
+        }
+    }
+}
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{exit_code, settings::SettingsFault, subcommand::table::TableCliError},
+    claim::ClaimError,
     kernel::ResultCode,
     peer::PeerError,
     snafu::Snafu,
@@ -112,6 +113,12 @@
         /// The faults.
         source: table::TableError,
     },
+    /// The instance can't be the origin of tickets.
+    #[snafu(display("tickets: {source}"))]
+    Tickets {
+        /// Why.
+        source: ClaimError,
+    },
     /// A file can't be written.
     #[snafu(display("{}: can't write the file: {source}", path.display()))]
     WriteFile {
@@ -143,6 +150,7 @@
             | Self::Peers { .. }
             | Self::Platform { .. }
             | Self::Runtime { .. }
+            | Self::Tickets { .. }
             | Self::WriteFile { .. } => None,
         }
     }
--- /dev/null
+++ b/crates/trestlewalk/tests/promise_once.rs
@@ -0,0 +1,206 @@
+//! At most once by ticket, across separate entry instances.
+
+mod support;
+
+use {
+    fake::{LengthSpread, expected_length, expected_token},
+    serde_json::{Value, json},
+    support::{Fleet, FleetPlan, KEY_HEADER, RelayMode, TICKET_HEADER, start_ready, wait_until},
+};
+
+const HERE: &str = "gijon-1";
+const THERE: &str = "gijon-2";
+const PLAIN: &str = "gijon-plain-1";
+const PROMPT: &str = "Sounding gap at the north mole: note the depth.";
+
+async fn plain_fleet(entries: usize) -> Fleet {
+    start_ready(FleetPlan::new().entries(entries).plain(1)).await
+}
+
+#[tokio::test]
+async fn two_submissions_of_a_ticket_at_two_instances_run_once_and_get_one_answer() {
+    let fleet = plain_fleet(3).await;
+    let ticket = fleet.mint(HERE).await;
+    let at = |entry| fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+    let relay = fleet.upstream_relay(PLAIN);
+    relay.set(RelayMode::Silent);
+    let first = tokio::spawn(at("gijon-2").try_send());
+    let second = tokio::spawn(at("gijon-3").try_send());
+    wait_until("the run and its repetition", async || {
+        let dump = fleet.ticket_dump(HERE).await;
+        dump["happenings"]["attached"] == 1 && relay.held() > 0
+    })
+    .await;
+    relay.set(RelayMode::Open);
+    let first = first.await.unwrap().unwrap();
+    let second = second.await.unwrap().unwrap();
+    assert_eq!((first.code(), second.code()), (1000, 1000));
+    assert_eq!(first.body, second.body);
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn a_later_submission_gets_the_kept_answer_at_any_instance() {
+    let fleet = plain_fleet(2).await;
+    let ticket = fleet.mint(HERE).await;
+    let mut bodies = Vec::new();
+    for entry in [THERE, HERE, THERE] {
+        let call = fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+        let reply = call.send().await;
+        assert_eq!(reply.code(), 1000, "{}", reply.text());
+        bodies.push(reply.body);
+    }
+    assert!(bodies.iter().all(|body| *body == bodies[0]));
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn an_answer_that_is_too_large_to_keep_is_not_run_again() {
+    let fleet = plain_fleet(2).await;
+    let ticket = fleet.mint(HERE).await;
+    let call = || {
+        let call = fleet
+            .confirm(THERE, "slot")
+            .header("x-answer-size", "200000");
+        call.header(TICKET_HEADER, &ticket)
+    };
+    let first = call().send().await;
+    assert_eq!((first.code(), first.body.len()), (1000, 200_000));
+    let second = call().send().await;
+    assert_eq!((second.status.as_u16(), second.code()), (409, 4003));
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn a_ticket_runs_no_other_request() {
+    let fleet = plain_fleet(2).await;
+    let ticket = fleet.mint(HERE).await;
+    let first = fleet.confirm(THERE, "slot").header(TICKET_HEADER, &ticket);
+    assert_eq!(first.send().await.code(), 1000);
+    let other = fleet.confirm(THERE, "other").body("kiln 8");
+    let reply = other.header(TICKET_HEADER, &ticket).send().await;
+    assert_eq!(reply.code(), 4003);
+    assert_eq!(fleet.runs("other").await, 0);
+}
+
+#[tokio::test]
+async fn expired_and_unknown_tickets_are_refused_as_not_run() {
+    let fleet = plain_fleet(2).await;
+    let expired = fleet.mint_for(HERE, 1).await;
+    let good = fleet.mint(HERE).await;
+    let damaged = format!("{}0", &good[..good.len() - 1]);
+    let cases = [
+        (expired.as_str(), 4001),
+        (damaged.as_str(), 4002),
+        ("tw1~no", 4002),
+    ];
+    for (ticket, code) in cases {
+        let call = fleet.confirm(THERE, "slot").header(TICKET_HEADER, ticket);
+        let reply = call.send().await;
+        assert_eq!(reply.code(), code, "{ticket}: {}", reply.text());
+    }
+    assert_eq!(fleet.runs("slot").await, 0);
+}
+
+#[tokio::test]
+async fn two_submissions_of_a_model_request_decode_once() {
+    let plan = FleetPlan::new().entries(3).prefill(1).decode(1).plain(1);
+    let fleet = start_ready(plan).await;
+    let ticket = fleet.mint(HERE).await;
+    let body = json!({ "prompt": PROMPT, "max_tokens": 12 });
+    let at = |entry: &str| {
+        let call = fleet.entry(entry).post("/v1/completions").work("single");
+        call.header(TICKET_HEADER, &ticket).json(&body).try_send()
+    };
+    let (first, second) = tokio::join!(at("gijon-2"), at("gijon-3"));
+    let text = expected_text(12);
+    for reply in [first.unwrap(), second.unwrap()] {
+        assert_eq!(reply.code(), 1000, "{}", reply.text());
+        assert_eq!(reply.json::<Value>()["choices"][0]["text"], text);
+    }
+    let counters = fleet.counters("gijon-decode-1").await;
+    assert_eq!(total(&counters["decode_runs_by_prompt"]), 1, "{counters}");
+}
+
+#[tokio::test]
+async fn a_stream_comes_through_another_instance_and_its_repetition_is_the_same() {
+    let plan = FleetPlan::new().entries(2).prefill(1).decode(1).plain(1);
+    let fleet = start_ready(plan).await;
+    let ticket = fleet.mint(HERE).await;
+    let body = json!({ "prompt": PROMPT, "max_tokens": 12, "stream": true });
+    let mut answers = Vec::new();
+    for entry in [THERE, HERE] {
+        let call = fleet.entry(entry).post("/v1/completions").work("single");
+        let call = call.header(TICKET_HEADER, &ticket).json(&body);
+        let events = call.stream().await.all_events().await;
+        assert_eq!(events.last().map(String::as_str), Some("[DONE]"));
+        answers.push(events);
+    }
+    assert_eq!(answers[0], answers[1]);
+    let counters = fleet.counters("gijon-decode-1").await;
+    assert_eq!(total(&counters["decode_runs_by_prompt"]), 1, "{counters}");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_at_the_origin() {
+    let plan = FleetPlan::new().entries(2).prefill(1).decode(1).plain(1);
+    let fleet = start_ready(plan.engine_set("decode_base_us=1000000")).await;
+    let ticket = fleet.mint(HERE).await;
+    let body = json!({ "prompt": PROMPT, "max_tokens": 64, "stream": true });
+    let call = || {
+        let call = fleet.entry(THERE).post("/v1/completions").work("single");
+        call.header(TICKET_HEADER, &ticket).json(&body)
+    };
+    let mut stream = call().stream().await;
+    assert!(stream.next_event().await.is_some());
+    drop(stream);
+    wait_until("the place is free", async || {
+        fleet.counters("gijon-decode-1").await["places_used"] == 0
+    })
+    .await;
+    let reply = call().send().await;
+    assert_eq!(reply.code(), 3003, "{}", reply.text());
+    let counters = fleet.counters("gijon-decode-1").await;
+    assert_eq!(total(&counters["decode_runs_by_prompt"]), 1, "{counters}");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_before_the_head_cancels_at_the_origin() {
+    let plan = FleetPlan::new().entries(2).prefill(1).decode(1).plain(1);
+    let fleet = start_ready(plan.engine_set("decode_base_us=1000000")).await;
+    let ticket = fleet.mint(HERE).await;
+    let body = json!({ "prompt": PROMPT, "max_tokens": 64 });
+    let call = fleet.entry(THERE).post("/v1/completions").work("single");
+    let call = call.header(TICKET_HEADER, &ticket).json(&body);
+    let call = tokio::spawn(call.try_send());
+    wait_until("the request decodes", async || {
+        fleet.counters("gijon-decode-1").await["places_used"] == 1
+    })
+    .await;
+    call.abort();
+    wait_until("the place is free", async || {
+        fleet.counters("gijon-decode-1").await["places_used"] == 0
+    })
+    .await;
+    assert_eq!(fleet.counters("gijon-decode-1").await["finished"], 0);
+}
+
+#[tokio::test]
+async fn a_key_and_a_ticket_together_are_refused() {
+    let fleet = plain_fleet(1).await;
+    let ticket = fleet.mint(HERE).await;
+    let call = fleet.confirm(HERE, "slot").header(TICKET_HEADER, &ticket);
+    let reply = call.header(KEY_HEADER, "key").send().await;
+    assert_eq!(reply.code(), 2002);
+}
+
+fn expected_text(max_tokens: u32) -> String {
+    let length = expected_length(PROMPT, max_tokens, LengthSpread::default());
+    let tokens = (0..length).map(|index| expected_token(PROMPT, index).to_string());
+    tokens.collect()
+}
+
+fn total(counts: &Value) -> u64 {
+    let counts = counts.as_object().expect("counts by name");
+    counts.values().filter_map(Value::as_u64).sum()
+}
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -44,6 +44,7 @@
 pub mod relay_mode;
 pub mod sse_reply;
 pub mod tcp_relay;
+pub mod ticket_work;
 pub mod udp_relay;
 pub mod wait;
 
@@ -61,6 +62,7 @@
     relay_mode::{RelayMode, RelaySwitch},
     sse_reply::SseReply,
     tcp_relay::TcpRelay,
+    ticket_work::{KEY_HEADER, TICKET_HEADER, start_ready},
     udp_relay::UdpRelay,
     wait::wait_until,
 };
