--- a/crates/trestlewalk/tests/promise_once.rs
+++ b/crates/trestlewalk/tests/promise_once.rs
@@ -5,6 +5,7 @@
 use {
     fake::{LengthSpread, expected_length, expected_token},
     serde_json::{Value, json},
+    std::time::{Duration, Instant},
     support::{Fleet, FleetPlan, KEY_HEADER, RelayMode, TICKET_HEADER, start_ready, wait_until},
 };
 
@@ -87,6 +88,7 @@
 async fn expired_and_unknown_tickets_are_refused_as_not_run() {
     let fleet = plain_fleet(2).await;
     let expired = fleet.mint_for(HERE, 1).await;
+    wait_ended(Duration::from_millis(1)).await;
     let good = fleet.mint(HERE).await;
     let damaged = format!("{}0", &good[..good.len() - 1]);
     let cases = [
@@ -194,6 +196,17 @@
     assert_eq!(reply.code(), 2002);
 }
 
+/// Waits until a ticket that was minted before this call, and is good for `lifetime`, has ended.
+async fn wait_ended(lifetime: Duration) {
+    // The ticket's end is rounded to whole milliseconds of its origin's age.
+    const GRAIN: Duration = Duration::from_millis(2);
+    let minted = Instant::now();
+    wait_until("the ticket's end", async || {
+        minted.elapsed() > lifetime + GRAIN
+    })
+    .await;
+}
+
 fn expected_text(max_tokens: u32) -> String {
     let length = expected_length(PROMPT, max_tokens, LengthSpread::default());
     let tokens = (0..length).map(|index| expected_token(PROMPT, index).to_string());
