--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -168,6 +168,9 @@
             );
         };
         let call = self.completion_call(self.request.max_tokens, self.params.clone(), true);
+        if self.request.is_late() {
+            return (Some(FlowEvent::RunLate), None);
+        }
         match self
             .shared
             .engine
@@ -188,6 +191,9 @@
             ..KvTransferParams::default()
         };
         let call = self.completion_call(1, params, false);
+        if self.request.is_late() {
+            return FlowEvent::RunLate;
+        }
         match self
             .shared
             .engine
