--- a/crates/bench/src/bench_command.rs
+++ b/crates/bench/src/bench_command.rs
@@ -7,6 +7,7 @@
         decide_command::DecideCommand,
         path::{EntryCommand, PathCommand},
         policy_command::PolicyCommand,
+        sweep_command::SweepCommand,
     },
     clap::{Parser, Subcommand},
     std::process::ExitCode,
@@ -33,6 +34,8 @@
     Path(PathCommand),
     /// Compares admission policies in virtual time.
     Policy(PolicyCommand),
+    /// Writes curves over the load and the waste column.
+    Sweep(SweepCommand),
 }
 
 impl BenchCommand {
@@ -43,6 +46,7 @@
             Self::Entry(command) => command.run(),
             Self::Path(command) => command.run(),
             Self::Policy(command) => command.run(),
+            Self::Sweep(command) => command.run(),
         }
     }
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod policy_run;
 pub mod report;
 pub mod scenario;
+pub mod sweep;
+pub mod sweep_command;
 pub mod world;
 
 /// Parses the command line and runs the subcommand that it names.
