bench: the clairvoyant policy judges streams by the step they will meet

Cause: it took every stream to run at a full engine's pace, so it refused callers who would have stayed long enough, and patient work that would have been in time.

--- a/crates/bench/src/policies/clairvoyant_view.rs
+++ b/crates/bench/src/policies/clairvoyant_view.rs
@@ -22,6 +22,8 @@
 /// The part of the eviction time that a read KV cache may wait for its place or the link.
 const EVICTION_PART: f64 = 0.6;
 
+/// The part of a full engine's between-token time that a patient request is taken to meet at the least.
+const LEAST_STEP_PART: f64 = 0.85;
 /// How far ahead patient work looks for urgent requests that need its place.
 const FORESEEN: Duration = Duration::from_secs(2);
 /// The part of the tightest first-token target within which a short prompt is read.
@@ -92,8 +94,22 @@
         self.truth.file.delays.engine
     }
 
-    fn step(&self) -> Duration {
-        Duration::from_secs_f64(self.truth.file.engines.full_step())
+    /// The between-token time that a stream meets if it starts now, as far as the present streams tell.
+    fn likely_step(&self) -> Duration {
+        let mut seconds = 0.0;
+        let mut count = 0.0;
+        for engine in &self.truth.decodes {
+            if engine.alive {
+                seconds += engine.step_seconds(engine.running() + 1);
+                count += 1.0;
+            }
+        }
+        Duration::from_secs_f64(seconds / f64::max(count, 1.0))
+    }
+
+    /// The between-token time under which no stream of a busy engine comes.
+    fn least_step(&self) -> Duration {
+        Duration::from_secs_f64(self.truth.file.engines.full_step() * LEAST_STEP_PART)
     }
 
     /// When the caller's first token, or for patient work the last one, has to be there.
@@ -107,13 +123,12 @@
     }
 
     /// The time from the end of reading to the moment that the deadline counts, with a link of its own.
-    fn rest(&self, request: RequestIndex) -> Duration {
-        let plan = self.request(request);
+    fn rest(&self, request: RequestIndex, step: Duration) -> Duration {
         let steps = match self.mix(request).first_token {
             Some(_) => 1,
-            None => plan.output_tokens,
+            None => self.request(request).output_tokens,
         };
-        self.hop() * 3 + self.link_time(self.bytes(request)) + self.step() * steps
+        self.hop() * 3 + self.link_time(self.bytes(request)) + step * steps
     }
 
     fn reading_time(&self, request: RequestIndex, prefill: EngineIndex) -> Duration {
@@ -143,7 +158,7 @@
         }
         Some(WaitingProspect {
             cost: self.cost(request),
-            latest: self.deadline(request) - self.rest(request),
+            latest: self.deadline(request) - self.rest(request, self.least_step()),
             patient: self.mix(request).first_token.is_none(),
         })
     }
@@ -217,7 +232,7 @@
             return false;
         }
         let moves = read.max(link_free);
-        if moves + self.rest(request) > self.deadline(request) {
+        if moves + self.rest(request, self.likely_step()) > self.deadline(request) {
             return false;
         }
         let ends = moves + self.link_time(self.bytes(request)) + self.output_time(request);
@@ -240,7 +255,7 @@
                 continue;
             };
             let arrives = self.truth.started + self.request(later).arrives;
-            let latest = arrives + target - self.rest(later).min(target);
+            let latest = arrives + target - self.rest(later, self.least_step()).min(target);
             if patient && arrives <= self.now + FORESEEN {
                 places += 1;
                 if self.places_by(latest) < places {
@@ -310,12 +325,12 @@
 
     /// When a transfer has to start: before the eviction, and in time for its target.
     pub(crate) fn transfer_by(&self, request: RequestIndex, evicts: Instant) -> Instant {
-        let latest = self.deadline(request) - self.rest(request);
+        let latest = self.deadline(request) - self.rest(request, self.least_step());
         latest.min(evicts)
     }
 
     fn output_time(&self, request: RequestIndex) -> Duration {
-        self.step() * self.request(request).output_tokens
+        self.likely_step() * self.request(request).output_tokens
     }
 
     /// Places that are free by `at`, those held by readings not taken off.
