--- a/crates/bench/src/bounds/measure_name.rs
+++ b/crates/bench/src/bounds/measure_name.rs
@@ -23,8 +23,16 @@
     Lost,
     /// See [`ReportFigures::refused`].
     Refused,
-    /// See [`WasteFigures::total`]; of a whole policy only.
+    /// See [`WasteFigures::caller_gone`]; of a whole policy only, as all measures of waste.
+    WastedCallerGone,
+    /// See [`WasteFigures::evicted`].
+    WastedEvicted,
+    /// See [`WasteFigures::no_place`].
+    WastedNoPlace,
+    /// See [`WasteFigures::total`].
     WastedPrefillShare,
+    /// See [`WasteFigures::upstream_died`].
+    WastedUpstreamDied,
 }
 
 impl MeasureName {
@@ -38,7 +46,11 @@
             Self::GoodputShare => figures.goodput_share,
             Self::Lost => figures.lost,
             Self::Refused => figures.refused,
+            Self::WastedCallerGone => waste?.caller_gone,
+            Self::WastedEvicted => waste?.evicted,
+            Self::WastedNoPlace => waste?.no_place,
             Self::WastedPrefillShare => waste?.total(),
+            Self::WastedUpstreamDied => waste?.upstream_died,
         })
     }
 
@@ -52,7 +64,11 @@
             Self::GoodputShare => "goodput_share",
             Self::Lost => "lost",
             Self::Refused => "refused",
+            Self::WastedCallerGone => "wasted_caller_gone",
+            Self::WastedEvicted => "wasted_evicted",
+            Self::WastedNoPlace => "wasted_no_place",
             Self::WastedPrefillShare => "wasted_prefill_share",
+            Self::WastedUpstreamDied => "wasted_upstream_died",
         }
     }
 }
--- a/crates/bench/src/sweep_command.rs
+++ b/crates/bench/src/sweep_command.rs
@@ -19,7 +19,6 @@
         path::{Path, PathBuf},
         process::ExitCode,
         sync::Arc,
-        time::Duration,
     },
 };
 
@@ -36,14 +35,11 @@
     out: PathBuf,
     /// The scenarios' files, separated by commas.
     #[arg(
-        default_value = "scenarios/batimetria.yaml,scenarios/krasns.yaml",
+        default_value = "scenarios/batimetria.yaml,scenarios/krasns.yaml,scenarios/stale.yaml",
         long,
         value_delimiter = ','
     )]
     scenarios: Vec<PathBuf>,
-    /// How long requests arrive in each run of the capacity sweep, seconds.
-    #[arg(default_value_t = 90, long)]
-    seconds: u64,
     /// The first seed.
     #[arg(default_value_t = 1, long)]
     seed: u64,
@@ -73,7 +69,6 @@
         let mut file = file.clone();
         file.bursts.clear();
         file.day.clear();
-        file.duration = Duration::from_secs(self.seconds);
         let curves = self.curves(&PolicyName::ALL, &LOADS, |load| {
             file.load = load;
             file.clone()
