Doc comments of the crates name what to read first

Comments alone. Each crate's first comment says which types decide and which do I/O. bench drives entry instances as its own processes, not the release binary; the demo's comment took the limit of one zone for the whole one.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,5 +1,8 @@
-//! Admission to one cell: who goes first, who waits, who is refused at once, when reading may start, whose turn the
-//! link is. Pure: no I/O, no clock, no global randomness; the entry instance and the bench drive the same code.
+//! Admission to one cell, which is the engines of one model in an availability zone: who goes first, who waits, who is
+//! refused at once, when a prompt may be read, and which KV cache crosses the link next.
+//!
+//! [`CellAllocator`] takes an [`AdmitEvent`] and answers with [`AdmitAction`]s. It has no I/O and no clock, and its
+//! randomness comes from a seed, so that an entry instance and the bench drive the same code.
 
 pub mod admit_action;
 pub mod admit_event;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,4 @@
-//! Experiments and load: the pure cores in virtual time, and the real binary over loopback.
+//! Experiments and load: the decisions in virtual time, and entry instances as processes of their own over loopback.
 
 use std::process::ExitCode;
 
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,6 +1,8 @@
 //! At most once: tickets, keyed claims, and requests that know whether they were sent.
 //!
-//! The decisions are pure: time comes in as an argument, nothing here waits, and the drivers alone do I/O.
+//! An [`Unsent`] request is consumed by its dispatch, and only an unsent one can be answered as not run. A
+//! [`TicketTable`] decides whether a ticket may run here; a [`KeyedClaim`] binds a caller's own key to a ticket. The
+//! decisions have no I/O and take the time as an argument; [`ClaimKeeper`] reads and writes the platform's rows.
 
 pub mod answer_size;
 pub mod claim_error;
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -1,4 +1,7 @@
-//! The callers' side: completions and chat over HTTP, plain services, tickets.
+//! The callers' side: completions, chat, plain services and tickets over HTTP.
+//!
+//! [`TicketDoor`] is first: it sends a request with a ticket or a key to where that may run. [`DoorServer`] has the
+//! handlers behind it, and [`AdmissionGate`] counts the requests that are open.
 
 pub mod admission_gate;
 pub mod answer_body;
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for the systems outside: the platform, model engines and plain services.
 //!
-//! Each one starts on a loopback port, says its addresses, takes faults and shows counters at an admin address, and
-//! stops when its `close` is called. The decisions are pure ([`RowTable`], [`InstanceBoard`], [`EngineCore`],
-//! [`ShareTable`]): time and seeds are passed in.
+//! Each one listens on a loopback port and tells its addresses. At its admin address it takes faults and shows its
+//! counters; its `close` stops it. What it answers is decided without I/O ([`RowTable`], [`InstanceBoard`],
+//! [`EngineCore`], [`ShareTable`]): time and seeds are passed in.
 
 pub mod expected_answer;
 pub mod fake_error;
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,4 +1,8 @@
-//! One request from the door to its last byte: the pure steps, and the tasks that drive them.
+//! One request from the door to its last byte: the steps without I/O, and the tasks that drive them.
+//!
+//! [`FlowCore`] decides the next step and the final answer, and [`RequestDriver`] makes the calls. [`CellHub`] takes
+//! requests to the allocator of their cell, here or at another instance; [`AllocatorSeats`] follows which instance
+//! that is.
 
 pub mod abandoned_streams;
 pub mod allocator_seats;
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,4 +1,5 @@
-//! What every part of the process shares: ids, result codes, plug-ins, ranked locks, the order of closing.
+//! What every part of the process shares: ids, result codes, plug-ins, ranked locks, seeded hashing, the pool of
+//! background work and the signal that ends it.
 
 pub mod close_signal;
 pub mod ids;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,6 +1,7 @@
-//! Orders to engines: leases with fencing numbers, the gate before each order, and what decides on orders.
+//! Orders to engines: leases with fencing numbers, the gate before each order, and the choice of orders.
 //!
-//! The decisions are pure: time comes in as an argument. [`LeaseKeeper`] alone does I/O.
+//! [`LeaseCore`], [`OrderGate`] and [`RoleBalancer`] decide without I/O and take the time as an argument.
+//! [`LeaseKeeper`] reads and writes the lease's row at the platform and sends the orders.
 
 pub mod clock_drift;
 pub mod lease_core;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,5 +1,8 @@
-//! Membership and messages between entry instances: mutually authenticated links over QUIC, and the pure core that
-//! tells which instances live, which table versions and marks they know, and how busy their cells are.
+//! Membership and messages between entry instances.
+//!
+//! [`PeerEndpoint`] has the mutually authenticated links over QUIC, for messages, calls and sessions.
+//! [`MemberTable`] decides, without I/O, which instances live and which zones are cut off; [`PeerDriver`] drives it and
+//! shows the result as a [`MemberView`]. Heartbeats also spread table versions and marks on upstreams.
 
 pub mod cell_summary;
 pub mod cell_table;
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -1,5 +1,8 @@
-//! The platform: its transactional table service, its object store and its list of instances, as traits and over HTTP;
-//! above them the operators' table and keyed rows.
+//! The platform: its transactional table service, its object store and its list of instances, as traits
+//! ([`RowStore`], [`ObjectStore`], [`InstanceList`]) and over HTTP ([`HttpPlatform`]).
+//!
+//! [`TableRepository`] keeps the operators' table in its rows, and [`insert_once`] writes a row that must be the first
+//! with its key. [`PollPlan`] decides which instances poll, and when.
 
 pub mod call_budget;
 pub mod edit_origin;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,4 +1,7 @@
-//! Which replica: prefix cache, load with lag, links, leaving. Pure: no I/O, no clock.
+//! Which replica: by prefix cache, by load reports that lag, by link, and never one that is leaving. No I/O, no clock.
+//!
+//! [`ReplicaChoice`] ranks engines, [`PlainChoice`] picks a replica of a plain service, and [`LaggedLoad`] corrects a
+//! report by what was sent since.
 
 pub mod decode_option;
 pub mod lagged_load;
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -1,4 +1,7 @@
-//! The operators' table: rows, columns, checks, merges and versions. Pure: no I/O, no clock.
+//! The operators' table: rows, columns, checks, merges and versions. No I/O, no clock.
+//!
+//! [`read_csv`] reads and checks a file. [`merge_rows`] joins an operator's file with the table as it is now.
+//! [`StampedTable`] has the version of each row, and [`TableKeeper`] decides when a table comes into force.
 
 pub mod cell_parse;
 pub mod cell_text;
--- a/crates/trestlewalk/src/demo/world_plan.rs
+++ b/crates/trestlewalk/src/demo/world_plan.rs
@@ -31,7 +31,8 @@
 wreck-contact,redactor,redactor-13b,2,4,60,,,,40s,yes,3,0.05
 ";
 
-/// What the operator changes at noon: kiln logs wait behind everything, and four of them run at once.
+/// What the operator changes at noon: kiln logs wait behind everything, and twelve of them run at once, four in each
+/// availability zone.
 pub const NOON_EDIT: (&str, &str) = (
     "kiln-log,glaze-llm,glaze-7b,5,1,60,",
     "kiln-log,glaze-llm,glaze-7b,9,1,12,",
--- a/crates/trestlewalk/src/lib.rs
+++ b/crates/trestlewalk/src/lib.rs
@@ -1,4 +1,6 @@
 //! The one binary: its command line, its settings, its admin server, and the entry instance that `serve` runs.
+//!
+//! [`entry::EntryProcess`] starts the parts of an instance and closes them in order.
 
 pub mod admin;
 pub mod arguments;
