--- a/crates/claim/tests/support/once_world.rs
+++ b/crates/claim/tests/support/once_world.rs
@@ -3,14 +3,13 @@
 use {
     super::{
         flaky_rows::{CallFault, FlakyRows},
-        once_oracle::{DoneRun, OnceOracle},
+        once_oracle::OnceOracle,
         once_step::OnceStep,
     },
     claim::{
-        ClaimAction, ClaimEvent, ClaimRecord, ClaimWatch, ClockReading, ClosedTable, ForwardCourse,
-        ForwardTable, HandOver, HandOverReply, KeyedClaim, LifeKey, OriginReply, PermitDispatch,
-        RequestOutcome, RunPermit, RunTicket, Sent, SubmitVerdict, Ticket, TicketSettings,
-        TicketTable, UndoneDispatch, Unsent, claim_key,
+        ClaimEvent, ClaimWatch, ClockReading, ClosedTable, ForwardCourse, ForwardTable, HandOver,
+        HandOverReply, KeyedClaim, LifeKey, OriginReply, RequestOutcome, RunPermit, RunTicket,
+        Sent, Ticket, TicketSettings, TicketTable, UndoneDispatch, Unsent,
         claim_key::{CLAIM_PREFIX, EPOCH_KEY},
         claim_sweep::due_removals,
     },
@@ -27,34 +26,34 @@
 /// The middle clock is far ahead, so that it takes every claim for ended.
 const WALL_STARTS_MS: [u64; INSTANCES] = [0, 9_000, 500];
 const MILLION: u64 = 1_000_000;
-const TICKET_LIFE: Duration = Duration::from_millis(1000);
+pub(super) const TICKET_LIFE: Duration = Duration::from_millis(1000);
 const RETENTION: Duration = Duration::from_millis(1000);
 const KEY_LIFE_MS: u64 = 990;
-const DIGEST: u64 = 5;
+pub(super) const DIGEST: u64 = 5;
 const FINISH_STEPS: usize = 4;
 /// Makes a permit a dispatch.
 const DISPATCH_PICK: u8 = 2;
 
-type Answer = Vec<u8>;
+pub(super) type Answer = Vec<u8>;
 
-enum SlotState {
+pub(super) enum SlotState {
     Closed(ClosedTable<Answer>),
     Open(TicketTable<Answer>),
 }
 
-struct Slot {
-    forward: ForwardTable,
-    life: LifeKey,
-    state: SlotState,
-    sweep_watch: ClaimWatch,
-    wall_ms: u64,
-    watch: ClaimWatch,
+pub(super) struct Slot {
+    pub(super) forward: ForwardTable,
+    pub(super) life: LifeKey,
+    pub(super) state: SlotState,
+    pub(super) sweep_watch: ClaimWatch,
+    pub(super) wall_ms: u64,
+    pub(super) watch: ClaimWatch,
 }
 
 /// A claim and the permit of its own ticket.
-type OwnClaim = (KeyedClaim, RunPermit);
+pub(super) type OwnClaim = (KeyedClaim, RunPermit);
 
-enum Phase {
+pub(super) enum Phase {
     Claiming(OwnClaim, Unsent<()>, ClaimEvent),
     Done,
     Forwarded(Sent, Option<OwnClaim>),
@@ -63,19 +62,19 @@
 }
 
 /// One request at one instance; a forwarded submission is one request at each.
-struct Request {
-    at: usize,
-    by_ticket: bool,
-    key: Option<usize>,
-    life: LifeKey,
-    phase: Phase,
-    reply_to: Option<(LifeKey, usize)>,
-    submission: usize,
-    ticket: Ticket,
+pub(super) struct Request {
+    pub(super) at: usize,
+    pub(super) by_ticket: bool,
+    pub(super) key: Option<usize>,
+    pub(super) life: LifeKey,
+    pub(super) phase: Phase,
+    pub(super) reply_to: Option<(LifeKey, usize)>,
+    pub(super) submission: usize,
+    pub(super) ticket: Ticket,
 }
 
 #[derive(Clone)]
-enum Message {
+pub(super) enum Message {
     Forward(usize, Ticket),
     HandOver(HandOver<Answer>),
     HandOverReply(LifeKey, HandOverReply),
@@ -83,21 +82,21 @@
 }
 
 pub(crate) struct OnceWorld {
-    base: Instant,
-    hand_overs: Vec<(LifeKey, LifeKey)>,
-    late: Vec<Transaction>,
-    lives: u64,
-    network: Vec<(LifeKey, Message)>,
-    now_ms: u64,
+    pub(super) base: Instant,
+    pub(super) hand_overs: Vec<(LifeKey, LifeKey)>,
+    pub(super) late: Vec<Transaction>,
+    pub(super) lives: u64,
+    pub(super) network: Vec<(LifeKey, Message)>,
+    pub(super) now_ms: u64,
     pub(crate) oracle: OnceOracle,
-    platform: FlakyRows,
-    requests: Vec<Request>,
-    slots: Vec<Slot>,
-    submissions: usize,
-    tickets: Vec<Ticket>,
+    pub(super) platform: FlakyRows,
+    pub(super) requests: Vec<Request>,
+    pub(super) slots: Vec<Slot>,
+    pub(super) submissions: usize,
+    pub(super) tickets: Vec<Ticket>,
 }
 
-fn open_table(slot: &mut Slot) -> Option<&mut TicketTable<Answer>> {
+pub(super) fn open_table(slot: &mut Slot) -> Option<&mut TicketTable<Answer>> {
     match &mut slot.state {
         SlotState::Closed(_) => None,
         SlotState::Open(table) => Some(table),
@@ -185,7 +184,7 @@
     }
 
     /// Ends a request with its answer.
-    fn answer(&mut self, index: usize, reply: OriginReply<Answer>) {
+    pub(super) fn answer(&mut self, index: usize, reply: OriginReply<Answer>) {
         let request = &mut self.requests[index];
         request.phase = Phase::Done;
         if let Some((to, index)) = request.reply_to.clone() {
@@ -202,7 +201,7 @@
         }
     }
 
-    fn clock(&self, at: usize) -> ClockReading {
+    pub(super) fn clock(&self, at: usize) -> ClockReading {
         let passed = Duration::from_micros(self.now_ms * 1000 * RATES[at] / MILLION);
         let wall_ms = self.slots.get(at).map_or(0, |slot| slot.wall_ms);
         ClockReading {
@@ -256,7 +255,7 @@
         }
     }
 
-    fn forward(&mut self, index: usize, to: LifeKey, ticket: Ticket) {
+    pub(super) fn forward(&mut self, index: usize, to: LifeKey, ticket: Ticket) {
         self.network.push((to, Message::Forward(index, ticket)));
     }
 
@@ -304,46 +303,7 @@
         self.answer(index, outcome.into());
     }
 
-    fn progress(&mut self, from_last: usize, pick: u8, fault: CallFault, late: bool) {
-        let Some(index) = self.requests.len().checked_sub(from_last + 1) else {
-            return;
-        };
-        let at = self.requests[index].at;
-        if self.slots[at].life != self.requests[index].life {
-            return;
-        }
-        match mem::replace(&mut self.requests[index].phase, Phase::Done) {
-            Phase::Claiming(claim, unsent, event) => {
-                self.step_claim(index, claim, unsent, event, (fault, late));
-            }
-            Phase::Done => {}
-            Phase::Forwarded(sent, claim) => {
-                if pick.is_multiple_of(8) {
-                    return self.answer(index, OriginReply::Unknown(ResultCode::OriginGone));
-                }
-                self.requests[index].phase = Phase::Forwarded(sent, claim);
-            }
-            Phase::Permitted(permit, unsent) => self.step_permit(index, pick, permit, unsent),
-            Phase::Running(run, sent) => {
-                let outcome = match &mut self.slots[at].state {
-                    SlotState::Closed(closed) => closed.finish(run, sent, b"answer".to_vec()),
-                    SlotState::Open(table) => table.finish(run, sent, b"answer".to_vec()),
-                };
-                self.answer(index, outcome.into());
-            }
-        }
-    }
-
-    fn refuse(&mut self, index: usize, permit: RunPermit, unsent: Unsent<()>, code: ResultCode) {
-        let at = self.requests[index].at;
-        let answer = match &mut self.slots[at].state {
-            SlotState::Closed(closed) => closed.refuse(permit, unsent, code),
-            SlotState::Open(table) => table.refuse(permit, unsent, code),
-        };
-        self.answer(index, OriginReply::NotRun(answer.code()));
-    }
-
-    fn route(&self, at: usize, life: &LifeKey) -> Option<LifeKey> {
+    pub(super) fn route(&self, at: usize, life: &LifeKey) -> Option<LifeKey> {
         let is_live = |life: &LifeKey| self.slots.iter().any(|slot| slot.life == *life);
         let slot = &self.slots[at];
         let course = match &slot.state {
@@ -379,78 +339,7 @@
         }
     }
 
-    fn step_claim(
-        &mut self,
-        index: usize,
-        (mut claim, permit): OwnClaim,
-        unsent: Unsent<()>,
-        event: ClaimEvent,
-        (fault, late): (CallFault, bool),
-    ) {
-        let at = self.requests[index].at;
-        let clock = self.clock(at);
-        let action = claim.on_event(clock, &mut self.slots[at].watch, event);
-        let event = match action {
-            ClaimAction::Commit(transaction) if late => {
-                self.late.push(transaction);
-                ClaimEvent::NoAnswer
-            }
-            ClaimAction::Commit(transaction) => {
-                let reply = self
-                    .platform
-                    .call_with(fault, |rows| rows.apply(&transaction));
-                reply.map_or(ClaimEvent::NoAnswer, ClaimEvent::Reply)
-            }
-            ClaimAction::Forward(ticket) => {
-                let Some(to) = self.route(at, &ticket.life) else {
-                    return self.answer(index, OriginReply::Unknown(ResultCode::OriginGone));
-                };
-                let ((), sent) = unsent.dispatch();
-                self.requests[index].phase = Phase::Forwarded(sent, Some((claim, permit)));
-                return self.forward(index, to, ticket);
-            }
-            ClaimAction::Get(key) => {
-                let row = self.platform.call_with(fault, |rows| rows.row(&key));
-                row.map_or(ClaimEvent::NoAnswer, ClaimEvent::Read)
-            }
-            ClaimAction::Refuse(code) => return self.refuse(index, permit, unsent, code),
-            ClaimAction::Run => {
-                self.requests[index].phase = Phase::Permitted(permit, unsent);
-                return;
-            }
-        };
-        self.requests[index].phase = Phase::Claiming((claim, permit), unsent, event);
-    }
-
-    fn step_permit(&mut self, index: usize, pick: u8, permit: RunPermit, unsent: Unsent<()>) {
-        let at = self.requests[index].at;
-        if pick.is_multiple_of(4) {
-            return self.refuse(index, permit, unsent, ResultCode::QueueFull);
-        }
-        let now = self.clock(at).now;
-        match permit.dispatch(now, unsent) {
-            PermitDispatch::Begun { request, run, sent } if pick % 4 == 1 => {
-                let evidence = UndoneDispatch::not_connected();
-                let (permit, unsent) = run.undone(sent, evidence, request);
-                self.requests[index].phase = Phase::Permitted(permit, unsent);
-            }
-            PermitDispatch::Begun { run, sent, .. } => {
-                let request = &mut self.requests[index];
-                request.phase = Phase::Running(run, sent);
-                self.oracle.runs.push(DoneRun {
-                    at_ms: self.now_ms,
-                    key: request.key,
-                    submission: request.submission,
-                    ticket: request.ticket.clone(),
-                });
-            }
-            PermitDispatch::Late { permit, unsent } => {
-                self.refuse(index, permit, unsent, ResultCode::TicketExpired);
-            }
-        }
-    }
-
-    fn request(&mut self, at: usize, ticket: Ticket) -> Request {
+    pub(super) fn request(&mut self, at: usize, ticket: Ticket) -> Request {
         self.submissions += 1;
         Request {
             at,
@@ -464,50 +353,6 @@
         }
     }
 
-    fn submit(&mut self, request: Request) {
-        let (at, ticket) = (request.at, request.ticket.clone());
-        let now = self.clock(at).now;
-        self.requests.push(request);
-        let index = self.requests.len() - 1;
-        let verdict = match &mut self.slots[at].state {
-            SlotState::Closed(closed) => closed.submit(&ticket, DIGEST),
-            SlotState::Open(table) => table.submit(now, &ticket, DIGEST),
-        };
-        match verdict {
-            SubmitVerdict::Attach => self.answer(index, OriginReply::Used),
-            SubmitVerdict::Decided(outcome) => self.answer(index, outcome.into()),
-            SubmitVerdict::Elsewhere => match self.route(at, &ticket.life) {
-                None => self.answer(index, OriginReply::Unknown(ResultCode::OriginGone)),
-                Some(to) => {
-                    let ((), sent) = Unsent::from_caller(()).dispatch();
-                    self.requests[index].phase = Phase::Forwarded(sent, None);
-                    self.forward(index, to, ticket);
-                }
-            },
-            SubmitVerdict::Run(permit) => {
-                self.requests[index].phase = Phase::Permitted(permit, Unsent::from_caller(()));
-            }
-        }
-    }
-
-    fn submit_key(&mut self, at: usize, key: usize) {
-        let clock = self.clock(at);
-        let Some(table) = open_table(&mut self.slots[at]) else {
-            return;
-        };
-        let ticket = table.mint(clock.now, TICKET_LIFE).unwrap();
-        let SubmitVerdict::Run(permit) = table.submit(clock.now, &ticket, DIGEST) else {
-            panic!("a fresh ticket has no permit");
-        };
-        let record = ClaimRecord::under_permit(clock, &permit, ticket.clone(), DIGEST);
-        let claim = KeyedClaim::new(claim_key(3, "work", "scope", &key.to_string()), record);
-        let mut request = self.request(at, ticket);
-        request.key = Some(key);
-        let unsent = Unsent::from_caller(());
-        request.phase = Phase::Claiming((claim, permit), unsent, ClaimEvent::Start);
-        self.requests.push(request);
-    }
-
     fn sweep(&mut self, at: usize, late: bool) {
         let clock = self.clock(at);
         let epoch = self.platform.row(EPOCH_KEY).map_or(0, |row| row.version);
