peer: links that nothing uses are given up

A probe, a call or an earlier neighbour left a connection behind that its keep-alives held open for ever: 32 endpoints with 8 neighbours sent 109 datagrams a second each, where 8 endpoints with 7 neighbours sent 57. A link that this instance made and has not used for 12 s is forgotten now; sessions over it go on.

--- a/crates/peer/src/link_slot.rs
+++ b/crates/peer/src/link_slot.rs
@@ -18,6 +18,7 @@
     backoff: Option<Duration>,
     connection: Option<Connection>,
     retry_at: Option<Instant>,
+    used: Option<Instant>,
 }
 
 impl LinkSlot {
@@ -46,6 +47,17 @@
         Some(connection.clone())
     }
 
+    /// Whether the connection was last used longer ago than the limit, or there is none.
+    pub fn is_idle(&self, now: Instant, limit: Duration) -> bool {
+        self.used
+            .is_none_or(|used| now.saturating_duration_since(used) > limit)
+    }
+
+    /// Notes that the connection is used.
+    pub fn touch(&mut self, now: Instant) {
+        self.used = Some(now);
+    }
+
     /// Notes a new connection.
     pub fn put(&mut self, address: SocketAddr, connection: Connection) {
         self.address = Some(address);
--- a/crates/peer/src/link_table.rs
+++ b/crates/peer/src/link_table.rs
@@ -6,6 +6,7 @@
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex},
+        time::{Duration, Instant},
     },
 };
 
@@ -34,6 +35,34 @@
         slots.remove(instance);
     }
 
+    /// How many peers have a slot.
+    pub fn len(&self) -> usize {
+        let slots = self
+            .slots
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        slots.len()
+    }
+
+    /// Whether no peer has a slot.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Forgets the connections that were not used for longer than the limit; sessions over them go on.
+    pub fn sweep(&self, now: Instant, limit: Duration) {
+        let mut slots = self
+            .slots
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        slots.retain(|_, slot| {
+            let Ok(slot) = slot.try_lock() else {
+                return true;
+            };
+            !slot.is_idle(now, limit)
+        });
+    }
+
     /// The slot of a peer.
     pub fn slot(&self, instance: &InstanceId) -> Arc<tokio::sync::Mutex<LinkSlot>> {
         let mut slots = self
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -142,6 +142,11 @@
         &self.instance
     }
 
+    /// How many peers this instance has a connection of its own to, or tried lately.
+    pub fn link_count(&self) -> usize {
+        self.links.len()
+    }
+
     /// The UDP address, with the port that the system chose.
     ///
     /// # Errors
@@ -212,10 +217,11 @@
         let message = self.message(MessageKind::Message, tag, body)?;
         let address = self.address(instance)?;
         let slot = self.links.slot(instance);
-        let Ok(guard) = slot.try_lock() else {
+        let Ok(mut guard) = slot.try_lock() else {
             self.metrics.dropped.inc();
             return Ok(());
         };
+        guard.touch(Instant::now());
         if let Some(connection) = guard.live(address) {
             self.send_over(&connection, message);
             return Ok(());
@@ -271,6 +277,7 @@
         let address = self.address(instance)?;
         let slot = self.links.slot(instance);
         let mut slot = slot.lock().await;
+        slot.touch(Instant::now());
         if let Some(connection) = slot.live(address) {
             return Ok(connection);
         }
@@ -390,6 +397,8 @@
             settings: self.settings.clone(),
         };
         self.pool.spawn(accept.run(self.endpoint.clone()));
+        let idle = self.settings.link_idle;
+        self.pool.spawn(sweep_links(self.links.clone(), idle));
     }
 
     async fn start_stream(
@@ -428,6 +437,15 @@
     let _ = stream.stopped().await;
 }
 
+/// Gives up connections that nothing uses: a probe or a call leaves one behind, and its keep-alives cost.
+async fn sweep_links(links: LinkTable, idle: Duration) {
+    let mut ticks = tokio::time::interval(idle);
+    loop {
+        ticks.tick().await;
+        links.sweep(Instant::now(), idle);
+    }
+}
+
 /// UDP payloads over the accepted connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LinkTraffic {
--- a/crates/peer/src/peer_settings.rs
+++ b/crates/peer/src/peer_settings.rs
@@ -34,6 +34,10 @@
     #[builder(default = Duration::from_millis(1_300))]
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub keep_alive: Duration,
+    /// A connection that this instance made and has not used for so long is given up, milliseconds in settings.
+    #[builder(default = Duration::from_millis(12_000))]
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    pub link_idle: Duration,
     /// The largest message or request, bytes.
     #[builder(default = 1 << 18)]
     pub message_limit: usize,
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -132,3 +132,19 @@
     }
     until(|| second.metrics().refused_for(RefusedCause::Overload) == 3).await;
 }
+
+#[tokio::test]
+async fn a_link_that_nothing_uses_is_given_up_and_made_anew() {
+    let (_, keys) = peer::make_test_keys(&["a", "b"]).unwrap();
+    let book = peer::PeerBook::new();
+    let settings = peer::PeerSettings::builder()
+        .link_idle(std::time::Duration::from_millis(50))
+        .build();
+    let first = support::make_endpoint("a", &book, &keys[0], settings.clone());
+    let second = support::make_endpoint("b", &book, &keys[1], settings);
+    echo(&second, TAG);
+    first.call(&name("b"), TAG, b"one").await.unwrap();
+    until(|| first.link_count() == 0).await;
+    first.call(&name("b"), TAG, b"two").await.unwrap();
+    assert_eq!(first.metrics().links.get(), 2);
+}
