--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod keys;
 pub mod link_slot;
 pub mod link_table;
+pub mod link_traffic;
 pub mod mark_table;
 pub mod member_action;
 pub mod member_event;
@@ -45,6 +46,7 @@
 mod driver_task;
 mod member_beat;
 mod member_merge;
+mod member_sync;
 
 pub use {
     cell_summary::{CellId, CellSummary},
--- a/crates/peer/src/link_table.rs
+++ b/crates/peer/src/link_table.rs
@@ -63,6 +63,15 @@
         });
     }
 
+    /// Gives up connections that nothing uses: a probe or a call leaves one behind, and its keep-alives cost.
+    pub(crate) async fn run_sweep(self, idle: Duration) {
+        let mut ticks = tokio::time::interval(idle);
+        loop {
+            ticks.tick().await;
+            self.sweep(Instant::now(), idle);
+        }
+    }
+
     /// The slot of a peer.
     pub fn slot(&self, instance: &InstanceId) -> Arc<tokio::sync::Mutex<LinkSlot>> {
         let mut slots = self
--- /dev/null
+++ b/crates/peer/src/member_sync.rs
@@ -0,0 +1,128 @@
+//! What an instance is missing: a newer table, and whole lists where digests differ.
+
+use {
+    crate::{
+        heartbeat::{Heartbeat, MemberMessage, SyncReply, SyncRequest},
+        member_action::MemberAction,
+        member_news::MemberNews,
+        member_table::{MemberTable, PendingPull},
+        peer_identity::PeerIdentity,
+    },
+    std::time::Instant,
+};
+
+/// Whole lists with more changes than this are not passed on as news: the neighbours compare digests themselves.
+const BULK_LIMIT: usize = 16;
+
+impl MemberTable {
+    pub(crate) fn compare_tables(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        beat: &Heartbeat,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let theirs = beat.table;
+        if theirs.version == self.table.version {
+            if theirs.digest != self.table.digest {
+                actions.push(MemberAction::News(MemberNews::DigestDiffers {
+                    instance: from.instance.clone(),
+                    version: theirs.version,
+                }));
+            }
+            return;
+        }
+        if theirs.version < self.table.version {
+            return;
+        }
+        let is_pulled = self
+            .pull
+            .as_ref()
+            .is_some_and(|pull| pull.version >= theirs.version && now < pull.until);
+        if is_pulled {
+            return;
+        }
+        self.pull = Some(PendingPull {
+            until: now + self.settings.pull_timeout,
+            version: theirs.version,
+        });
+        actions.push(MemberAction::Pull {
+            from: from.instance.clone(),
+            version: theirs.version,
+        });
+    }
+
+    pub(crate) fn compare_digests(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        beat: &Heartbeat,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let equal = beat.members_digest == self.records.digest()
+            && beat.marks_digest == self.marks.digest();
+        let rounds = self.settings.sync_rounds;
+        let is_first = beat.sequence == 1;
+        let is_new = self.records.len() <= 2;
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        watch.differs = if equal {
+            0
+        } else {
+            watch.differs.saturating_add(1)
+        };
+        let due = watch.differs >= rounds || (!equal && (is_first || is_new));
+        if !due || now < self.next_sync {
+            return;
+        }
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        watch.differs = 0;
+        self.next_sync = now + self.settings.heartbeat_interval;
+        let request = SyncRequest {
+            marks_digest: self.marks.digest(),
+            zones: self.records.zone_digests(),
+        };
+        let message = MemberMessage::Request(request);
+        let to = vec![from.instance.clone()];
+        actions.push(MemberAction::Send { message, to });
+    }
+
+    pub(crate) fn on_request(
+        &self,
+        now: Instant,
+        from: &PeerIdentity,
+        request: &SyncRequest,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let mut reply = SyncReply::default();
+        for record in self.records.all() {
+            let ours = self.records.zone_digest(&record.zone);
+            let theirs = request.zones.iter().find(|(zone, _)| *zone == record.zone);
+            if theirs.is_some_and(|(_, theirs)| *theirs == ours) {
+                continue;
+            }
+            reply.records.push(record.clone());
+        }
+        if request.marks_digest != self.marks.digest() {
+            reply.marks = self.marks.all(now);
+        }
+        let message = MemberMessage::Reply(reply);
+        let to = vec![from.instance.clone()];
+        actions.push(MemberAction::Send { message, to });
+    }
+
+    pub(crate) fn on_reply(
+        &mut self,
+        now: Instant,
+        reply: SyncReply,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let records_are_news = reply.records.len() <= BULK_LIMIT;
+        for record in reply.records {
+            self.take_record(now, record, records_are_news, actions);
+        }
+        let marks_are_news = reply.marks.len() <= BULK_LIMIT;
+        for mark in reply.marks {
+            self.take_mark(now, mark, marks_are_news, actions);
+        }
+    }
+}
--- a/crates/peer/src/member_table.rs
+++ b/crates/peer/src/member_table.rs
@@ -5,7 +5,7 @@
 //! zone, and only while they hear at least half of it: so a zone that is cut off, or a rack, can't declare the rest of
 //! the system gone. Two sides of a partition hold different members for its duration; after it the greater records win.
 //!
-//! The files `member_beat.rs` and `member_merge.rs` have the two halves: what time brings, and what peers bring.
+//! The files `member_beat.rs`, `member_merge.rs` and `member_sync.rs` have the parts: what time brings, and what peers bring.
 
 use {
     crate::{
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -7,6 +7,7 @@
         keys::PeerKeys,
         link_slot::LinkSlot,
         link_table::LinkTable,
+        link_traffic::LinkTraffic,
         peer_book::PeerBook,
         peer_error::{
             BindSnafu, ConnectSnafu, LostSnafu, PeerError, RefusedSnafu, TimeoutSnafu,
@@ -398,7 +399,7 @@
         };
         self.pool.spawn(accept.run(self.endpoint.clone()));
         let idle = self.settings.link_idle;
-        self.pool.spawn(sweep_links(self.links.clone(), idle));
+        self.pool.spawn(self.links.clone().run_sweep(idle));
     }
 
     async fn start_stream(
@@ -436,29 +437,3 @@
     let _ = stream.finish();
     let _ = stream.stopped().await;
 }
-
-/// Gives up connections that nothing uses: a probe or a call leaves one behind, and its keep-alives cost.
-async fn sweep_links(links: LinkTable, idle: Duration) {
-    let mut ticks = tokio::time::interval(idle);
-    loop {
-        ticks.tick().await;
-        links.sweep(Instant::now(), idle);
-    }
-}
-
-/// UDP payloads over the accepted connections.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LinkTraffic {
-    /// Bytes received and sent, without IP and UDP heads.
-    pub bytes: u64,
-    /// Datagrams received and sent.
-    pub datagrams: u64,
-}
-
-impl LinkTraffic {
-    fn add(&mut self, connection: &Connection) {
-        let stats = connection.stats();
-        self.bytes += stats.udp_rx.bytes + stats.udp_tx.bytes;
-        self.datagrams += stats.udp_rx.datagrams + stats.udp_tx.datagrams;
-    }
-}
