--- a/crates/peer/src/link_table.rs
+++ b/crates/peer/src/link_table.rs
@@ -6,6 +6,7 @@
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex},
+        time::{Duration, Instant},
     },
 };
 
@@ -34,6 +35,43 @@
         slots.remove(instance);
     }
 
+    /// How many peers have a slot.
+    pub fn len(&self) -> usize {
+        let slots = self
+            .slots
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        slots.len()
+    }
+
+    /// Whether no peer has a slot.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Forgets the connections that were not used for longer than the limit; sessions over them go on.
+    pub fn sweep(&self, now: Instant, limit: Duration) {
+        let mut slots = self
+            .slots
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        slots.retain(|_, slot| {
+            let Ok(slot) = slot.try_lock() else {
+                return true;
+            };
+            !slot.is_idle(now, limit)
+        });
+    }
+
+    /// Gives up connections that nothing uses: a probe or a call leaves one behind, and its keep-alives cost.
+    pub(crate) async fn run_sweep(self, idle: Duration) {
+        let mut ticks = tokio::time::interval(idle);
+        loop {
+            ticks.tick().await;
+            self.sweep(Instant::now(), idle);
+        }
+    }
+
     /// The slot of a peer.
     pub fn slot(&self, instance: &InstanceId) -> Arc<tokio::sync::Mutex<LinkSlot>> {
         let mut slots = self
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -7,6 +7,7 @@
         keys::PeerKeys,
         link_slot::LinkSlot,
         link_table::LinkTable,
+        link_traffic::LinkTraffic,
         peer_book::PeerBook,
         peer_error::{
             BindSnafu, ConnectSnafu, LostSnafu, PeerError, RefusedSnafu, TimeoutSnafu,
@@ -142,6 +143,11 @@
         &self.instance
     }
 
+    /// How many peers this instance has a connection of its own to, or tried lately.
+    pub fn link_count(&self) -> usize {
+        self.links.len()
+    }
+
     /// The UDP address, with the port that the system chose.
     ///
     /// # Errors
@@ -212,10 +218,11 @@
         let message = self.message(MessageKind::Message, tag, body)?;
         let address = self.address(instance)?;
         let slot = self.links.slot(instance);
-        let Ok(guard) = slot.try_lock() else {
+        let Ok(mut guard) = slot.try_lock() else {
             self.metrics.dropped.inc();
             return Ok(());
         };
+        guard.touch(Instant::now());
         if let Some(connection) = guard.live(address) {
             self.send_over(&connection, message);
             return Ok(());
@@ -271,6 +278,7 @@
         let address = self.address(instance)?;
         let slot = self.links.slot(instance);
         let mut slot = slot.lock().await;
+        slot.touch(Instant::now());
         if let Some(connection) = slot.live(address) {
             return Ok(connection);
         }
@@ -390,6 +398,8 @@
             settings: self.settings.clone(),
         };
         self.pool.spawn(accept.run(self.endpoint.clone()));
+        let idle = self.settings.link_idle;
+        self.pool.spawn(self.links.clone().run_sweep(idle));
     }
 
     async fn start_stream(
@@ -427,20 +437,3 @@
     let _ = stream.finish();
     let _ = stream.stopped().await;
 }
-
-/// UDP payloads over the accepted connections.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LinkTraffic {
-    /// Bytes received and sent, without IP and UDP heads.
-    pub bytes: u64,
-    /// Datagrams received and sent.
-    pub datagrams: u64,
-}
-
-impl LinkTraffic {
-    fn add(&mut self, connection: &Connection) {
-        let stats = connection.stats();
-        self.bytes += stats.udp_rx.bytes + stats.udp_tx.bytes;
-        self.datagrams += stats.udp_rx.datagrams + stats.udp_tx.datagrams;
-    }
-}
