bench: by cost, the clairvoyant policy counts the link's queue of urgent work

Cause: at twice the capacity 2.8% of its reading was evicted, since urgent transfers were taken to run at once.

--- a/crates/bench/src/policies/clairvoyant_policy.rs
+++ b/crates/bench/src/policies/clairvoyant_policy.rs
@@ -5,7 +5,7 @@
         policies::{
             bench_policy::BenchPolicy,
             clairvoyant_plan::ClairvoyantPlan,
-            clairvoyant_view::{ClairvoyantView, WaitingProspect},
+            clairvoyant_view::{ClairvoyantView, QueuedBytes, WaitingProspect},
         },
         world::{ReadingPhase, WorldTruth},
     },
@@ -255,13 +255,17 @@
     }
 
     /// Bytes that have yet to cross the link.
-    fn queued_bytes(&self, view: &ClairvoyantView<'_>) -> f64 {
-        let mut bytes = 0.0;
+    fn queued_bytes(&self, view: &ClairvoyantView<'_>) -> QueuedBytes {
+        let mut queued = QueuedBytes::default();
         let moving = self.moving.keys();
         for request in moving.chain(self.read.keys()).chain(self.reading.keys()) {
-            bytes += view.bytes(*request);
+            let bytes = view.bytes(*request);
+            queued.all += bytes;
+            if view.is_urgent(*request) {
+                queued.urgent += bytes;
+            }
         }
-        bytes
+        queued
     }
 
     fn refuse_hopeless(&mut self, view: &ClairvoyantView<'_>, actions: &mut Vec<AdmitAction>) {
--- a/crates/bench/src/policies/clairvoyant_view.rs
+++ b/crates/bench/src/policies/clairvoyant_view.rs
@@ -41,6 +41,13 @@
     patient: bool,
 }
 
+/// Bytes that have yet to cross the link.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct QueuedBytes {
+    pub(crate) all: f64,
+    pub(crate) urgent: f64,
+}
+
 /// When decode places are free.
 struct PlaceForecast {
     /// When streams end, the first one first.
@@ -86,6 +93,10 @@
         f64::from(self.request(request).prompt_tokens) * self.truth.file.link.kv_bytes_per_token
     }
 
+    pub(crate) fn is_urgent(&self, request: RequestIndex) -> bool {
+        self.mix(request).first_token.is_some()
+    }
+
     fn link_time(&self, bytes: f64) -> Duration {
         Duration::from_secs_f64(bytes / self.truth.file.link.bytes_per_second)
     }
@@ -203,7 +214,7 @@
         request: RequestIndex,
         prefill: EngineIndex,
         promised: usize,
-        queued_bytes: f64,
+        queued_bytes: QueuedBytes,
     ) -> bool {
         let turn = self.truth.prefills[prefill].turn;
         let starts = turn
@@ -213,11 +224,7 @@
         if self.is_split(prefill) && !self.is_short(request) {
             return false;
         }
-        let urgent = self.mix(request).first_token.is_some();
-        let queued = match urgent || self.is_small(request) {
-            true => self.bytes(request) * self.truth.transfers as f64,
-            false => queued_bytes,
-        };
+        let queued = self.queued_before(request, queued_bytes);
         let link_free = self.now + self.link_time(queued);
         let slack = self.truth.file.link.eviction.mul_f64(EVICTION_PART);
         if link_free > read + slack {
@@ -239,6 +246,22 @@
         self.stays(request, moves, ends) && !self.prefill_dies(prefill, moves)
     }
 
+    /// Bytes that cross the link before a request's, or beside them.
+    fn queued_before(&self, request: RequestIndex, queued: QueuedBytes) -> f64 {
+        let beside = self.bytes(request) * self.truth.transfers as f64;
+        // Orders by cost are for overload, where urgent transfers wait for each other.
+        let by_cost = matches!(
+            self.plan.order,
+            ClairvoyantOrder::Cheapest | ClairvoyantOrder::UrgentCheapest
+        );
+        match (self.is_small(request), self.is_urgent(request)) {
+            (true, _) => beside,
+            (false, true) if by_cost => queued.urgent,
+            (false, true) => beside,
+            (false, false) => queued.all,
+        }
+    }
+
     /// Whether reading up to `read` at `prefill` harms no urgent request that is known to arrive.
     fn leaves_room(
         &self,
