--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -73,14 +73,14 @@
         #[builder(default = Duration::from_millis(200))]
         full_backoff: Duration,
         /// How many standard deviations of urgent demand patient work leaves room for.
-        #[builder(default = 1.5)]
+        #[builder(default = 2.0)]
         headroom: f64,
         /// How early before an engine or the link is free the next grant goes out; the time that a grant travels.
         #[builder(default)]
         lookahead: Duration,
-        /// One turn in this many goes to work that waited half its patience, whatever its rank.
-        #[builder(default = 20)]
-        patient_turn: u32,
+        /// The share of the service that goes to work which waited half its patience, whatever its rank: 0 to 1.
+        #[builder(default = 0.02)]
+        patient_share: f64,
         /// How many blocks of prompt prefixes are remembered for each prefill engine.
         #[builder(default = 4096)]
         prefix_blocks: usize,
@@ -96,7 +96,7 @@
             full_backoff,
             headroom,
             lookahead,
-            patient_turn,
+            patient_share,
             prefix_queue,
         };
         Self {
--- a/crates/admit/src/cell_tuning.rs
+++ b/crates/admit/src/cell_tuning.rs
@@ -13,8 +13,8 @@
     pub(crate) headroom: f64,
     /// How early before an engine or the link is free the next grant goes out.
     pub(crate) lookahead: Duration,
-    /// One turn in this many goes to patient work that waited half its patience, whatever its rank.
-    pub(crate) patient_turn: u32,
+    /// The share of the service that goes to patient work which waited half its patience, whatever its rank.
+    pub(crate) patient_share: f64,
     /// How long a queue for the sake of a cached prefix may be.
     pub(crate) prefix_queue: Duration,
 }
--- a/crates/admit/src/cell_turns.rs
+++ b/crates/admit/src/cell_turns.rs
@@ -4,10 +4,10 @@
     crate::{
         cell_allocator::CellAllocator, cell_refusals::seconds, engine_pool::EnginePool,
         normal_quantile::normal_quantile, pool_key::PoolKey, read_verdict::ReadVerdict,
-        request_key::RequestKey, row_turn::RowTurn,
+        request_key::RequestKey, row_turn::RowTurn, urgent_demand::UrgentDemand,
     },
     kernel::UpstreamId,
-    std::time::{Duration, Instant},
+    std::time::Instant,
     table::Rank,
 };
 
@@ -52,7 +52,7 @@
 
     /// A request that waited long, when its turn before its rank has come.
     fn aged_turn(&self, now: Instant, pool: &PoolKey) -> Option<RowTurn> {
-        if self.pools.get(pool)?.turns_since_aged < self.tuning.patient_turn {
+        if self.pools.get(pool)?.aged_credit <= 0.0 {
             return None;
         }
         for (index, state) in self.rows.iter().enumerate() {
@@ -96,10 +96,6 @@
         let Some(pool) = self.pools.get_mut(pool) else {
             return;
         };
-        pool.turns_since_aged = match turn.aged {
-            true => 0,
-            false => pool.turns_since_aged.saturating_add(1),
-        };
         let read = tokens / pool.prefill_rate().max(f64::MIN_POSITIVE);
         let places = f64::from(pool.places().max(1));
         let state = &mut self.rows[turn.row];
@@ -107,7 +103,13 @@
         let max_tokens = max_tokens.map_or(0.0, |held| f64::from(held.request.max_tokens));
         let held = state.sketch.mean(max_tokens) * pool.step_seconds() / places;
         pool.levels.insert(state.row.rank, state.pass);
-        state.pass += read.max(held) / state.row.weight.max(f64::MIN_POSITIVE);
+        let service = read.max(held);
+        state.pass += service / state.row.weight.max(f64::MIN_POSITIVE);
+        let credit = match turn.aged {
+            true => pool.aged_credit - service,
+            false => pool.aged_credit + service * self.tuning.patient_share,
+        };
+        pool.aged_credit = credit.min(AGED_CREDIT_LIMIT);
     }
 
     /// Whether urgent work of a better rank still finds a prefill engine in time after `prefill` is given a reading of
@@ -120,7 +122,7 @@
         prefill: &UpstreamId,
         read: f64,
     ) -> bool {
-        let Some((rate, slack)) = self.urgent_demand(now, row) else {
+        let Some(urgent) = self.urgent_demand(now, row) else {
             return true;
         };
         let mut engines = 0;
@@ -133,14 +135,13 @@
             let more = if upstream == prefill { read } else { 0.0 };
             least = least.min(engine.queue_seconds(now) + more);
         }
-        engines < 2 || rate * (least - slack) <= LATE_LIMIT
+        engines < 2 || urgent.rate * (least - urgent.slack) <= LATE_LIMIT
     }
 
-    /// How often urgent work of a better rank than a row's comes, a second, and how many seconds it may wait.
-    fn urgent_demand(&self, now: Instant, row: usize) -> Option<(f64, f64)> {
+    /// What urgent work of a better rank than a row's asks for; none when it is too rare to keep room for.
+    fn urgent_demand(&self, now: Instant, row: usize) -> Option<UrgentDemand> {
         let row = &self.rows[row];
-        let mut rate = 0.0;
-        let mut slack = Duration::MAX;
+        let mut demand = UrgentDemand::default();
         for state in &self.rows {
             let Some(target) = state.row.first_token else {
                 continue;
@@ -148,13 +149,10 @@
             if state.pool != row.pool || state.row.rank >= row.row.rank {
                 continue;
             }
-            rate += state.arrivals.per_second(now);
-            slack = slack.min(target);
-        }
-        if rate < RATE_FLOOR {
-            return None;
+            let slack = target.as_secs_f64() * SLACK_SHARE;
+            demand.add(state.arrivals.per_second(now), slack, state);
         }
-        Some((rate, slack.as_secs_f64() * SLACK_SHARE))
+        (demand.rate >= RATE_FLOOR).then_some(demand)
     }
 
     /// Whether a decode place and the link are expected to be free by the time that the reading ends.
@@ -193,7 +191,7 @@
         let spare = free - pool.claims.len() as f64 - 1.0;
         let read_at = now + seconds(ready);
         let due = self.place_due(held, read_at, read_at + seconds(kept));
-        if !turn.aged && !self.leaves_room(now, pool, turn.row, spare) {
+        if !turn.aged && !self.leaves_room(now, pool, turn.row) {
             return ReadVerdict::Blocked;
         }
         if spare >= 0.0 || row.waste >= 1.0 {
@@ -209,17 +207,20 @@
     }
 
     /// Whether urgent work of a better rank still finds a place in time after one more of this row.
-    fn leaves_room(&self, now: Instant, pool: &EnginePool, row: usize, spare: f64) -> bool {
-        let Some((rate, slack)) = self.urgent_demand(now, row) else {
+    fn leaves_room(&self, now: Instant, pool: &EnginePool, row: usize) -> bool {
+        let Some(urgent) = self.urgent_demand(now, row) else {
             return true;
         };
-        let demand = rate * slack;
-        let (mean, variance) = pool.forecast.ends_within(slack);
+        let demand = urgent.rate * urgent.slack;
+        let (mean, variance) = pool.forecast.ends_within(urgent.slack);
         let margin = self.tuning.headroom * (demand + variance).sqrt();
-        spare + mean >= demand + margin
+        let room = pool.room(now, urgent.target) - pool.claims.len() as f64 - 1.0;
+        room + mean >= demand + urgent.queued + margin
     }
 }
 
+/// The most service that is saved up for work that waited long, in seconds of the whole pool.
+const AGED_CREDIT_LIMIT: f64 = 0.5;
 /// Urgent work that comes less often than this, a second, gets no room kept.
 const RATE_FLOOR: f64 = 0.01;
 /// So many urgent requests may be expected to come late for one long reading.
--- a/crates/admit/src/decode_engine.rs
+++ b/crates/admit/src/decode_engine.rs
@@ -83,6 +83,15 @@
         self.batch_limit(target).saturating_sub(self.used())
     }
 
+    /// As [`Self::free`], but under zero by the streams that have to end before the target can be kept.
+    pub(crate) fn room(&self, now: Instant, target: Option<Duration>) -> f64 {
+        let limit = match self.leaving || self.full.is_some_and(|(_, until)| now < until) {
+            true => return 0.0,
+            false => self.batch_limit(target),
+        };
+        f64::from(limit) - f64::from(self.used())
+    }
+
     pub(crate) fn new(now: Instant, info: UpstreamInfo) -> Self {
         Self {
             decoding: 0,
--- a/crates/admit/src/engine_pool.rs
+++ b/crates/admit/src/engine_pool.rs
@@ -16,6 +16,8 @@
 /// Prefill and decode engines, and how many requests were or are being read for them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EnginePool {
+    /// The service that work which waited long may still take before its rank, in seconds of the whole pool.
+    pub(crate) aged_credit: f64,
     /// Requests that were or are being read and hold no decode place yet, by when they need one.
     pub(crate) claims: BTreeSet<(Instant, RequestKey)>,
     pub(crate) decodes: BTreeMap<UpstreamId, DecodeEngine>,
@@ -23,8 +25,6 @@
     /// The service over the weight that the last row of each rank had when its turn came.
     pub(crate) levels: BTreeMap<Rank, f64>,
     pub(crate) prefills: BTreeMap<UpstreamId, PrefillEngine>,
-    /// How many turns were taken by rank since the last one that went before its rank.
-    pub(crate) turns_since_aged: u32,
 }
 
 impl EnginePool {
@@ -37,6 +37,15 @@
         free
     }
 
+    /// As [`Self::free`], less the streams that have to end before a target can be kept.
+    pub(crate) fn room(&self, now: Instant, target: Option<Duration>) -> f64 {
+        let mut room = 0.0;
+        for engine in self.decodes.values() {
+            room += engine.room(now, target);
+        }
+        room
+    }
+
     /// Whether one more request that needs a place by `due` finds one, and every claim after it still does. All in
     /// the order of the times by which they need it, with `margin` deviations of the forecast to spare.
     pub(crate) fn has_place(&self, now: Instant, due: Instant, free: f64, margin: f64) -> bool {
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -38,6 +38,7 @@
 mod row_limit;
 mod row_state;
 mod row_turn;
+mod urgent_demand;
 
 pub use {
     admit_action::AdmitAction,
