Limits of plain rows hold over all entry instances

Cause: `limit` of a row for a plain service was read and enforced nowhere. A row's limit is split over the availability zones that have entry instances and may run the row, and a zone's part over its live instances, in whole numbers that add up to the limit; rendezvous hashing settles who gets the odd ones. A zone that is cut off keeps its part. Above its part an instance refuses with 2005 and Retry-After from the row's mean duration and queue; a row without `first_token` queues up to its patience (2007).

Ruled out: a count shared by messages. It would put a round trip before each booking, and a partition would have to choose between the limit and the answer. What it costs: with a limit below the number of instances some of them get none and refuse all. An instance that dies leaves its part unused until it is declared gone; one that is declared gone and lives goes above the limit by its part.

--- a/crates/door/src/door_shared.rs
+++ b/crates/door/src/door_shared.rs
@@ -3,7 +3,7 @@
 use {
     crate::{admission_gate::AdmissionGate, door_limits::DoorLimits, error_answer::ErrorAnswer},
     axum::body::Body,
-    flow::{FlowShared, PlainCaller, TableBoard},
+    flow::{FlowShared, PlainCaller, PlainLimiter, TableBoard},
     kernel::{ResultCode, ServiceId, WorkId, ZoneId},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     table::WorkRow,
@@ -31,6 +31,8 @@
     pub flow: Arc<FlowShared<E>>,
     /// Counts the open requests.
     pub gate: Arc<AdmissionGate>,
+    /// Holds plain rows to their limits.
+    pub limiter: Arc<PlainLimiter>,
     /// The limits.
     pub limits: DoorLimits,
     /// The requests to plain services.
--- a/crates/door/src/service_handler.rs
+++ b/crates/door/src/service_handler.rs
@@ -14,7 +14,7 @@
     },
     bytes::Bytes,
     engine::{ModelEngine, PooledBody},
-    flow::{FlowFailure, PlainCaller},
+    flow::{FlowFailure, PlainCaller, plain_limiter::LimitPass},
     http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header},
     hyper::body::{Body as HttpBody, Frame, SizeHint},
     kernel::{ResultCode, ServiceId, UpstreamId},
@@ -43,6 +43,7 @@
 struct CountedBody {
     body: PooledBody<Body>,
     caller: Arc<PlainCaller<Body>>,
+    _limit: LimitPass,
     _pass: GatePass,
     service: ServiceId,
     upstream: UpstreamId,
@@ -80,18 +81,25 @@
     }
     let request = outgoing(request, &service)?;
     let metrics = &shared.flow.metrics;
+    let refuse = |failure: FlowFailure| {
+        metrics.count_end(failure.code, &row.work);
+        ErrorAnswer::from(failure)
+    };
+    let entered = tokio::select! {
+        entered = shared.limiter.enter(&row) => entered,
+        () = shared.flow.cut.raised() => Err(FlowFailure::new(ResultCode::Closing)),
+    };
+    let limit = entered.map_err(refuse)?;
     let outcome = tokio::select! {
         outcome = shared.plain.call(&row, request) => outcome,
         () = shared.flow.cut.raised() => Err(FlowFailure::new(ResultCode::CutByClose)),
     };
-    let (upstream, response) = outcome.map_err(|failure| {
-        metrics.count_end(failure.code, &row.work);
-        ErrorAnswer::from(failure)
-    })?;
+    let (upstream, response) = outcome.map_err(refuse)?;
     metrics.count_end(ResultCode::Answered, &row.work);
     let body = |body| CountedBody {
         body,
         caller: shared.plain.clone(),
+        _limit: limit,
         _pass: pass,
         service,
         upstream,
--- a/crates/flow/src/flow_plugin.rs
+++ b/crates/flow/src/flow_plugin.rs
@@ -1,7 +1,10 @@
 //! The request path's part of the state dump.
 
 use {
-    crate::{cell_hub::CellHub, flow_metrics::FlowMetrics, upstream_board::UpstreamBoard},
+    crate::{
+        cell_hub::CellHub, flow_metrics::FlowMetrics, plain_limiter::PlainLimiter,
+        upstream_board::UpstreamBoard,
+    },
     kernel::{PluginEntry, StateMap},
     prometheus::Registry,
     serde_json::{Map, Value, json},
@@ -18,6 +21,7 @@
 fn dump_flow(map: &StateMap) -> Option<Value> {
     let hub = map.get::<CellHub>()?;
     let board = map.get::<UpstreamBoard>()?;
+    let limiter = map.get::<PlainLimiter>()?;
     let mut upstreams = Map::new();
     for (name, entry) in board.snapshot().iter() {
         let leaving = entry.leaving().map(|cause| format!("{cause:?}"));
@@ -26,6 +30,7 @@
     }
     Some(json!({
         "allocators": hub.allocators(),
+        "limit_members": limiter.shares().members.len(),
         "requests": hub.requests().phase_counts(),
         "upstreams": upstreams,
     }))
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -17,10 +17,13 @@
 pub mod flow_metrics;
 pub mod flow_plugin;
 pub mod grant_router;
+pub mod limit_gate;
+pub mod limit_share;
 pub mod load_poller;
 pub mod model_request;
 pub mod open_keys;
 pub mod plain_caller;
+pub mod plain_limiter;
 pub mod prefix_hashes;
 pub mod request_driver;
 pub mod request_table;
@@ -47,9 +50,12 @@
     flow_failure::FlowFailure,
     flow_metrics::FlowMetrics,
     grant_router::GrantRouter,
+    limit_gate::LimitGate,
+    limit_share::ShareView,
     load_poller::LoadPoller,
     model_request::ModelRequest,
     plain_caller::PlainCaller,
+    plain_limiter::PlainLimiter,
     request_driver::{FlowShared, RequestDriver},
     request_table::RequestTable,
     run_deadline::RunDeadline,
--- /dev/null
+++ b/crates/flow/src/plain_limiter.rs
@@ -0,0 +1,209 @@
+//! Holds the requests of plain rows to their limits.
+
+use {
+    crate::{
+        flow_failure::FlowFailure,
+        limit_gate::{GateEntry, LimitGate, WaiterId},
+        limit_share::ShareView,
+    },
+    arc_swap::ArcSwap,
+    kernel::{LockRank, RankedLock, ResultCode, WorkId},
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    table::WorkRow,
+    tokio::{sync::oneshot, time},
+};
+
+/// The rows with those who wait for their turn.
+#[derive(Debug, Default)]
+struct LimiterState {
+    gate: LimitGate,
+    waiters: BTreeMap<WaiterId, oneshot::Sender<()>>,
+}
+
+/// The limits of plain rows at this instance.
+#[derive(Debug)]
+pub struct PlainLimiter {
+    shares: ArcSwap<ShareView>,
+    state: RankedLock<LimiterState>,
+}
+
+/// The right of one request to run; given back when dropped.
+#[derive(Debug)]
+pub struct LimitPass {
+    held: Option<(Arc<PlainLimiter>, WorkId)>,
+    since: Instant,
+}
+
+/// A request in the queue; leaves it when dropped.
+struct QueuePlace {
+    is_over: bool,
+    limiter: Arc<PlainLimiter>,
+    waiter: WaiterId,
+    work: WorkId,
+}
+
+impl PlainLimiter {
+    /// Lets one request of a row in: at once, or, for a row without a target for its first byte, when its turn comes.
+    ///
+    /// # Errors
+    ///
+    /// The final answer for the caller.
+    pub async fn enter(self: &Arc<Self>, row: &WorkRow) -> Result<LimitPass, FlowFailure> {
+        let Some(limit) = self.shares.load().limit(row) else {
+            return Ok(LimitPass::unlimited());
+        };
+        let waits = row.first_token.is_none();
+        let (entry, turn) = self.ask(&row.work, limit, waits);
+        match entry {
+            GateEntry::Admitted => Ok(self.pass(&row.work)),
+            GateEntry::Queued(waiter) => self.wait(row, waiter, turn).await,
+            GateEntry::Refused { retry_after } => Err(FlowFailure {
+                code: ResultCode::LimitReached,
+                retry_after: Some(retry_after),
+            }),
+        }
+    }
+
+    /// A limiter with these shares.
+    pub fn new(shares: ShareView) -> Self {
+        Self {
+            shares: ArcSwap::from_pointee(shares),
+            state: RankedLock::new(LockRank::Services, LimiterState::default()),
+        }
+    }
+
+    /// Takes the instances that share limits now.
+    pub fn put_shares(&self, shares: ShareView) {
+        if **self.shares.load() == shares {
+            return;
+        }
+        self.shares.store(Arc::new(shares));
+    }
+
+    /// The instances that share limits now.
+    pub fn shares(&self) -> Arc<ShareView> {
+        self.shares.load_full()
+    }
+
+    /// Takes the rows' limits as they are now: those in the queue may run when theirs grew.
+    pub fn put_rows<'a>(&self, rows: impl IntoIterator<Item = &'a WorkRow>) {
+        let shares = self.shares.load();
+        let mut state = self.state.lock();
+        for row in rows {
+            let limit = shares.limit(row).unwrap_or(u32::MAX);
+            let turns = state.gate.set_limit(&row.work, limit);
+            state.wake(turns);
+        }
+    }
+
+    fn ask(
+        &self,
+        work: &WorkId,
+        limit: u32,
+        waits: bool,
+    ) -> (GateEntry, Option<oneshot::Receiver<()>>) {
+        let mut state = self.state.lock();
+        let entry = state.gate.enter(work, limit, waits);
+        let GateEntry::Queued(waiter) = entry else {
+            return (entry, None);
+        };
+        let (sender, receiver) = oneshot::channel();
+        state.waiters.insert(waiter, sender);
+        (entry, Some(receiver))
+    }
+
+    fn leave(&self, work: &WorkId, ran: Duration) {
+        let mut state = self.state.lock();
+        let turns = state.gate.leave(work, ran);
+        state.wake(turns);
+    }
+
+    fn pass(self: &Arc<Self>, work: &WorkId) -> LimitPass {
+        LimitPass {
+            held: Some((self.clone(), work.clone())),
+            since: Instant::now(),
+        }
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        row: &WorkRow,
+        waiter: WaiterId,
+        turn: Option<oneshot::Receiver<()>>,
+    ) -> Result<LimitPass, FlowFailure> {
+        let mut place = QueuePlace {
+            is_over: false,
+            limiter: self.clone(),
+            waiter,
+            work: row.work.clone(),
+        };
+        let Some(turn) = turn else {
+            return Err(place.give_up());
+        };
+        if let Ok(Ok(())) = time::timeout(row.patience, turn).await {
+            place.is_over = true;
+            return Ok(self.pass(&row.work));
+        }
+        Err(place.give_up())
+    }
+}
+
+impl LimiterState {
+    fn wake(&mut self, turns: Vec<WaiterId>) {
+        for waiter in turns {
+            let Some(turn) = self.waiters.remove(&waiter) else {
+                continue;
+            };
+            // One that gave up meanwhile hands its turn on when its place is dropped.
+            let _ = turn.send(());
+        }
+    }
+}
+
+impl LimitPass {
+    fn unlimited() -> Self {
+        Self {
+            held: None,
+            since: Instant::now(),
+        }
+    }
+}
+
+impl Drop for LimitPass {
+    fn drop(&mut self) {
+        let Some((limiter, work)) = self.held.take() else {
+            return;
+        };
+        limiter.leave(&work, self.since.elapsed());
+    }
+}
+
+impl QueuePlace {
+    /// Leaves the queue. When the turn had come already it goes to the next one.
+    fn give_up(&mut self) -> FlowFailure {
+        self.is_over = true;
+        let mut state = self.limiter.state.lock();
+        let had_turn = state.waiters.remove(&self.waiter).is_none();
+        let retry_after = state.gate.give_up(&self.work, self.waiter);
+        if had_turn {
+            let turns = state.gate.leave(&self.work, Duration::ZERO);
+            state.wake(turns);
+        }
+        FlowFailure {
+            code: ResultCode::PatienceEnded,
+            retry_after: Some(retry_after),
+        }
+    }
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.give_up();
+        }
+    }
+}
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -9,6 +9,7 @@
 pub mod entry_process;
 pub mod entry_sockets;
 pub mod key_files;
+pub mod limit_shares;
 pub mod list_poller;
 pub mod log_setup;
 pub mod member_watch;
@@ -30,6 +31,7 @@
     entry_process::{EntryProcess, entry_runtime},
     entry_sockets::EntrySockets,
     key_files::load_keys,
+    limit_shares::LimitShares,
     list_poller::ListPoller,
     member_watch::MemberWatch,
     path_base::PathBase,
--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -4,7 +4,8 @@
     crate::{
         RunError,
         entry::{
-            AllocatorMaker, EntryParts, ListPoller, MemberWatch, PathBase, TableDriver, TableShare,
+            AllocatorMaker, EntryParts, LimitShares, ListPoller, MemberWatch, PathBase,
+            TableDriver, TableShare,
         },
         run_error::PeersSnafu,
     },
@@ -199,6 +200,14 @@
 fn start_watch(base: &PathBase, parts: &EntryParts, cells: &LocalCells, watch: &Arc<MemberWatch>) {
     let (sender, list) = watch::channel(Vec::new());
     let interval = parts.settings.platform.list_poll;
+    let shares = LimitShares {
+        driver: watch.driver(),
+        limiter: base.limiter.clone(),
+        list: list.clone(),
+        tables: base.tables.clone(),
+        zone: parts.identity.zone.clone(),
+    };
+    base.pool.spawn(shares.run());
     let poller = ListPoller::new(base.board.clone(), interval, sender, base.platform.clone());
     base.pool.spawn(poller.run());
     base.pool.spawn(watch.clone().run_list(list));
--- a/crates/trestlewalk/src/entry/member_watch.rs
+++ b/crates/trestlewalk/src/entry/member_watch.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// The membership.
+    pub fn driver(&self) -> Arc<PeerDriver> {
+        self.driver.clone()
+    }
+
     /// Passes the platform's list on to the membership, for as long as it is driven.
     pub async fn run_list(self: Arc<Self>, mut list: watch::Receiver<Vec<InstanceRecord>>) {
         while list.changed().await.is_ok() {
--- a/crates/trestlewalk/src/entry/path_base.rs
+++ b/crates/trestlewalk/src/entry/path_base.rs
@@ -10,14 +10,15 @@
     door::{AdmissionGate, DoorDefaults, DoorLimits, DoorShared},
     engine::CompletionEngine,
     flow::{
-        CellHub, FlowMetrics, FlowShared, PlainCaller, StreamCanceller, TableBoard, UpstreamBoard,
+        CellHub, FlowMetrics, FlowShared, PlainCaller, PlainLimiter, ShareView, StreamCanceller,
+        TableBoard, UpstreamBoard,
     },
     kernel::{CloseSignal, WorkerPool},
     peer::{PeerBook, PeerEndpoint, PeerError},
     plat::{HttpPlatform, InstanceKind, InstanceRecord, InstanceState},
     route::UpstreamRole,
     snafu::ResultExt,
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// How long a connection to an upstream may take to open.
@@ -35,6 +36,8 @@
     pub engine: CompletionEngine,
     /// The way to the allocators.
     pub hub: Arc<CellHub>,
+    /// Holds plain rows to their limits.
+    pub limiter: Arc<PlainLimiter>,
     /// The counters.
     pub metrics: Arc<FlowMetrics>,
     /// The platform's client.
@@ -62,6 +65,12 @@
                 identity.instance.clone(),
                 identity.incarnation,
             )),
+            limiter: Arc::new(PlainLimiter::new(ShareView {
+                instance: identity.instance.clone(),
+                members: BTreeSet::from([identity.instance.clone()]),
+                zone: identity.zone.clone(),
+                zones: BTreeSet::from([identity.zone.clone()]),
+            })),
             metrics: Arc::new(FlowMetrics::new().context(MetricsSnafu)?),
             platform: make_platform(settings)?,
             pool: parts.pool.clone(),
@@ -69,6 +78,7 @@
         };
         parts.map.insert(base.board.clone());
         parts.map.insert(base.hub.clone());
+        parts.map.insert(base.limiter.clone());
         parts.map.insert(base.metrics.clone());
         parts.map.insert(base.tables.clone());
         Ok(base)
@@ -111,6 +121,7 @@
             defaults: door_defaults(settings),
             flow: Arc::new(flow),
             gate,
+            limiter: self.limiter.clone(),
             limits: door_limits(settings),
             plain: Arc::new(plain),
             tables: self.tables.clone(),
