A call without a body that may be repeated is sent again; one true code after several tries

A call whose body is empty can be made anew; after a lost first try it goes to another replica, on a connection of its own. Once a try may have run no later "not run" is the final code: the retry budget's 2014 and a second replica's 2011 said so before without looking back.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod open_keys;
 pub mod plain_caller;
 pub mod plain_limiter;
+pub mod plain_tries;
 pub mod prefix_hashes;
 pub mod request_driver;
 pub mod request_table;
--- a/crates/flow/src/plain_caller.rs
+++ b/crates/flow/src/plain_caller.rs
@@ -1,7 +1,10 @@
 //! Calls to plain services: which replica, whether again, and what is true when no answer came.
 
 use {
-    crate::{flow_failure::FlowFailure, run_deadline::RunDeadline, upstream_board::UpstreamBoard},
+    crate::{
+        flow_failure::FlowFailure, plain_tries::PlainTries, run_deadline::RunDeadline,
+        upstream_board::UpstreamBoard,
+    },
     bytes::Bytes,
     engine::{CallCause, CallError, HttpPool, PooledBody, SendFailure},
     http::{HeaderName, Request, Response, StatusCode},
@@ -48,15 +51,15 @@
 
 /// What became of one try.
 enum TryOutcome<B> {
-    Again(Request<B>, FlowFailure),
     Answer(Response<PooledBody<B>>),
-    Final(FlowFailure),
+    /// With the request, when it was never written.
+    Failed(Option<Request<B>>, FlowFailure),
 }
 
 #[bon::bon]
 impl<B> PlainCaller<B>
 where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     /// A caller of the services in `zone`; other zones' replicas are used when the own zone has none.
@@ -83,46 +86,43 @@
 
 impl<B> PlainCaller<B>
 where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     /// Sends a request to a replica of the row's service. The answer's body streams.
     ///
-    /// A request that was never written goes to another replica; one that may have run is not sent again, since its
-    /// body is gone.
+    /// A request that was never written goes to another replica. One that may have run is sent again only when its row
+    /// repeats and it has no body: any other body is gone.
     ///
     /// # Errors
     ///
-    /// The final answer for the caller.
+    /// The final answer for the caller: "not run" only when no try may have run.
     pub async fn call(
         &self,
         row: &WorkRow,
         request: Request<B>,
     ) -> Result<(UpstreamId, Response<PooledBody<B>>), FlowFailure> {
+        let mut tries = PlainTries::new(row, &request);
         let mut request = request;
-        let mut tried = Vec::new();
-        for turn in 0..=row.retries {
-            if turn > 0 && !self.budget.lock().take() {
-                return Err(retry_later(ResultCode::RetryBudgetSpent));
-            }
-            let Some(upstream) = self.pick(&row.service, &tried) else {
-                return Err(retry_later(ResultCode::UpstreamMissing));
+        loop {
+            let Some(upstream) = self.pick(&row.service, &tries.tried) else {
+                return Err(tries.end(retry_later(ResultCode::UpstreamMissing)));
             };
-            match self.try_once(row, &upstream, request).await {
+            let (unsent, failure) = match self.try_once(row, &upstream, request, &tries).await {
                 TryOutcome::Answer(response) => {
                     self.budget.lock().succeeded();
                     return Ok((upstream, response));
                 }
-                TryOutcome::Final(failure) => return Err(failure),
-                TryOutcome::Again(unsent, failure) if turn < row.retries => {
-                    let _ = failure;
-                    request = unsent;
-                    tried.push(upstream);
-                }
-                TryOutcome::Again(_, failure) => return Err(failure),
+                TryOutcome::Failed(unsent, failure) => (unsent, failure),
+            };
+            let Some(next) = tries.next(upstream, unsent, failure.clone()) else {
+                return Err(tries.end(failure));
+            };
+            if !self.budget.lock().take() {
+                return Err(tries.end(retry_later(ResultCode::RetryBudgetSpent)));
             }
+            request = next;
         }
-        Err(retry_later(ResultCode::UpstreamRefused))
     }
 
     /// Ends the count of a call whose answer was delivered, or given up.
@@ -184,10 +184,11 @@
         row: &WorkRow,
         upstream: &UpstreamId,
         request: Request<B>,
+        tries: &PlainTries<B>,
     ) -> TryOutcome<B> {
         let Some(address) = self.board.address(upstream) else {
             self.with_choice(&row.service, |choice| choice.cancelled(upstream));
-            return TryOutcome::Again(request, retry_later(ResultCode::UpstreamMissing));
+            return TryOutcome::Failed(Some(request), retry_later(ResultCode::UpstreamMissing));
         };
         let guard = CallGuard {
             caller: self,
@@ -196,10 +197,10 @@
         };
         let run_by = request.extensions().get::<RunDeadline>().copied();
         if run_by.is_some_and(RunDeadline::is_past) {
-            return TryOutcome::Final(FlowFailure::new(ResultCode::TicketExpired));
+            return TryOutcome::Failed(None, FlowFailure::new(ResultCode::TicketExpired));
         }
         // A connection that closed while idle can't make a request unknown that is written on a fresh one.
-        let sending = self.pool.try_send(address, request, !row.repeat);
+        let sending = self.pool.try_send(address, request, tries.wants_fresh());
         let outcome = time::timeout(self.first_byte, sending).await;
         guard.disarm();
         match outcome {
@@ -207,7 +208,7 @@
             Ok(Err(failure)) => self.take_failure(&row.service, upstream, failure),
             Err(_) => {
                 self.fail(&row.service, upstream);
-                TryOutcome::Final(FlowFailure::new(ResultCode::UpstreamSilent))
+                TryOutcome::Failed(None, FlowFailure::new(ResultCode::UpstreamSilent))
             }
         }
     }
@@ -219,10 +220,11 @@
         failure: SendFailure<B>,
     ) -> TryOutcome<B> {
         self.fail(service, upstream);
-        match failure.unsent {
-            Some(unsent) => TryOutcome::Again(unsent, retry_later(ResultCode::UpstreamRefused)),
-            None => TryOutcome::Final(FlowFailure::new(unknown_code(&failure.error))),
-        }
+        let outcome = match failure.unsent {
+            Some(_) => retry_later(ResultCode::UpstreamRefused),
+            None => FlowFailure::new(unknown_code(&failure.error)),
+        };
+        TryOutcome::Failed(failure.unsent, outcome)
     }
 
     fn take_response(
@@ -240,7 +242,7 @@
             return TryOutcome::Answer(response);
         }
         self.fail(&row.service, upstream);
-        TryOutcome::Final(retry_later(ResultCode::UpstreamRefused))
+        TryOutcome::Failed(None, retry_later(ResultCode::UpstreamRefused))
     }
 
     fn fail(&self, service: &ServiceId, upstream: &UpstreamId) {
@@ -275,7 +277,7 @@
 /// Ends the count of a call whose caller goes away before the answer's head.
 struct CallGuard<'a, B>
 where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     caller: &'a PlainCaller<B>,
@@ -285,7 +287,7 @@
 
 impl<B> CallGuard<'_, B>
 where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     fn disarm(mut self) {
@@ -295,7 +297,7 @@
 
 impl<B> Drop for CallGuard<'_, B>
 where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B: Body<Data = Bytes> + Default + Send + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     fn drop(&mut self) {
--- a/crates/flow/tests/core/flow_world.rs
+++ b/crates/flow/tests/core/flow_world.rs
@@ -40,6 +40,8 @@
     /// Tokens that the caller has.
     delivered: u32,
     pub(crate) finals: Vec<ResultCode>,
+    /// The attempt that was read last: its name at engines is not used again.
+    last_read: Option<u32>,
     /// What engines may hold: engine and attempt.
     held: BTreeSet<(UpstreamId, u32)>,
     plan: FlowPlan,
@@ -64,6 +66,7 @@
             delivered: 0,
             finals: Vec::new(),
             held: BTreeSet::new(),
+            last_read: None,
             plan,
             prefill: None,
             ran: false,
@@ -283,6 +286,9 @@
                     self.plan.repeat || !self.ran,
                     "read again after it may have run"
                 );
+                let attempt = Some(self.core.attempt());
+                assert!(attempt > self.last_read, "a stream's name is used again");
+                self.last_read = attempt;
                 assert_eq!(self.cell, CellSide::Prefilling);
                 self.held.insert((prefill.clone(), self.core.attempt()));
                 self.prefill = Some(prefill.clone());
