Closing and leaving, proved with separate processes; a forced close counts what it cut

After the last answer the server now gets the rest of the close limit, not 500 ms, to write to slow callers.

--- a/crates/trestlewalk/src/entry/entry_process.rs
+++ b/crates/trestlewalk/src/entry/entry_process.rs
@@ -72,15 +72,18 @@
         line.print()?;
         signals.next().await;
         tracing::info!("closing");
+        let gate = process.path.gate();
         let report = tokio::select! {
             report = process.close() => report,
             () = second_signal_heard(&mut signals, second_signal) => {
-                return CutByCloseSnafu { cause: "a second signal" }.fail();
+                let count = gate.open() as u64;
+                return CutByCloseSnafu { cause: "a second signal", count }.fail();
             }
         };
         if report.cut > 0 {
             return CutByCloseSnafu {
                 cause: "the close limit",
+                count: report.cut,
             }
             .fail();
         }
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -15,11 +15,15 @@
     kernel::CloseSignal,
     peer::PeerEndpoint,
     snafu::ResultExt,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{net::TcpListener, task::JoinHandle, time},
 };
 
-/// The time after the last answer, or after a cut, in which what is written still goes out.
+/// The least time after the last answer, and the time after a cut, in which what is written still goes out.
 const FLUSH_LIMIT: Duration = Duration::from_millis(500);
 
 /// Everything between the callers' socket and the upstreams.
@@ -34,19 +38,32 @@
 }
 
 impl RequestPath {
-    /// Takes no new request, hands the tickets over, lets queued and running ones end for at most `limit`, and counts those that it cuts off.
-    /// Then the members are told, and the links close.
+    /// Takes no new request, hands the tickets over, lets queued and running ones end for at most `limit`, and counts
+    /// those that it cuts off. Then the members are told, and the links close.
     pub async fn close(self, limit: Duration) -> CloseReport {
+        let started = Instant::now();
         self.gate.shut();
         self.tickets.hand_over().await;
         let ended = time::timeout(limit, self.gate.empty()).await.is_ok();
         let cut = if ended { 0 } else { self.gate.open() as u64 };
         self.cut.raise();
         self.signal.raise();
-        let _ = time::timeout(FLUSH_LIMIT, self.server).await;
+        let flush_limit = match ended {
+            true => limit.saturating_sub(started.elapsed()).max(FLUSH_LIMIT),
+            false => FLUSH_LIMIT,
+        };
+        let flushed = time::timeout(flush_limit, self.server).await;
+        let is_flushed = matches!(flushed, Ok(Ok(true)));
         self.control.close().await;
         self.endpoint.close().await;
-        CloseReport { cut }
+        CloseReport {
+            cut: if ended && !is_flushed { 1 } else { cut },
+        }
+    }
+
+    /// Counts the open requests.
+    pub fn gate(&self) -> Arc<AdmissionGate> {
+        self.gate.clone()
     }
 
     /// Where other instances send messages.
@@ -87,7 +104,8 @@
         let members = control.members();
         let tickets = start_tickets(&base, parts, gate.clone(), server.router(), members)?;
         let server = server.with_router(tickets.clone().routes());
-        let server = tokio::spawn(server.run(signal.clone(), FLUSH_LIMIT));
+        let flush_limit = parts.settings.limits.close + FLUSH_LIMIT;
+        let server = tokio::spawn(server.run(signal.clone(), flush_limit));
         Ok(Self {
             control,
             cut,
--- a/crates/trestlewalk/src/run_error.rs
+++ b/crates/trestlewalk/src/run_error.rs
@@ -24,10 +24,12 @@
         source: io::Error,
     },
     /// A close ended requests before their answers were whole.
-    #[snafu(display("{cause} cut requests off"))]
+    #[snafu(display("{cause} cut {count} requests off"))]
     CutByClose {
         /// What ended them.
         cause: &'static str,
+        /// How many.
+        count: u64,
     },
     /// The close of the demonstration cut requests off.
     #[snafu(display("the demonstration cut {count} requests off"))]
--- /dev/null
+++ b/crates/trestlewalk/tests/promise_leaving.rs
@@ -0,0 +1,139 @@
+//! An upstream that is leaving gets no new work after a few seconds, whoever says that it leaves.
+
+mod support;
+
+use {
+    plat::InstanceState,
+    serde_json::{Value, json},
+    std::time::{Duration, Instant},
+    support::{Fleet, FleetPlan, RelayMode, answer_check::AnswerMix, wait_until},
+    tokio::task::JoinSet,
+};
+
+const DECODE: &str = "gijon-decode-1";
+const LEAVERS: [&str; 3] = [DECODE, "gijon-plain-1", PREFILL];
+const PREFILL: &str = "gijon-prefill-1";
+const REQUESTS: usize = 30;
+
+async fn start() -> Fleet {
+    let plan = FleetPlan::new()
+        .entries(3)
+        .prefill(2)
+        .decode(2)
+        .plain(2)
+        .platform_set("list_lag_ms=500")
+        .engine_set("decode_base_us=2000");
+    Fleet::serving(plan).await
+}
+
+/// Waits until every entry instance takes the upstreams for leaving. How long that took.
+async fn wait_marked(fleet: &Fleet, upstreams: &[&str]) -> Duration {
+    let started = Instant::now();
+    for entry in fleet.entry_names() {
+        for upstream in upstreams {
+            let what = format!("{entry} knows that {upstream} leaves");
+            wait_until(&what, async || {
+                let dump = fleet.dump(&entry).await;
+                dump["flow"]["upstreams"][*upstream]["leaving"].is_string()
+            })
+            .await;
+        }
+    }
+    started.elapsed()
+}
+
+/// What an upstream was asked to do so far: runs and refusals.
+async fn asked(fleet: &Fleet, upstream: &str) -> Value {
+    let counters = fleet.counters(upstream).await;
+    let fields = ["decode_runs", "prefill_runs", "refused", "runs"];
+    fields.map(|field| counters[field].clone()).into()
+}
+
+/// Sends work of all kinds through all entry instances; all of it has to be answered.
+async fn work(fleet: &Fleet) {
+    let mut tasks = JoinSet::new();
+    for number in 0..REQUESTS {
+        let entries = fleet.entry_names();
+        let side = fleet.entry(&entries[number % entries.len()]);
+        let call = side.get("/services/carta/tile").work("tile");
+        tasks.spawn(async move { call.send().await.code() });
+    }
+    let counts = AnswerMix::new("report", REQUESTS, 16).run(fleet).await;
+    assert_eq!(counts.whole, REQUESTS, "{counts:?}");
+    assert_eq!(tasks.join_all().await, [1000; REQUESTS]);
+}
+
+async fn check_no_new_work(fleet: &Fleet, upstreams: &[&str]) {
+    let mut before = Vec::new();
+    for upstream in upstreams {
+        before.push(asked(fleet, upstream).await);
+    }
+    work(fleet).await;
+    for (upstream, before) in upstreams.iter().zip(before) {
+        assert_eq!(asked(fleet, upstream).await, before, "{upstream}");
+    }
+}
+
+#[tokio::test]
+async fn the_list_alone_is_enough() {
+    let fleet = start().await;
+    work(&fleet).await;
+    for upstream in LEAVERS {
+        fleet.list_state(upstream, InstanceState::Leaving).await;
+    }
+    let took = wait_marked(&fleet, &LEAVERS).await;
+    println!("leaving: by the list, which lags 500 ms: known everywhere after {took:?}");
+    check_no_new_work(&fleet, &LEAVERS).await;
+}
+
+#[tokio::test]
+async fn an_engines_own_word_is_enough_while_the_list_cannot_be_read() {
+    let fleet = start().await;
+    work(&fleet).await;
+    fleet.faults("platform", json!({ "down": true })).await;
+    for engine in [DECODE, PREFILL] {
+        fleet.faults(engine, json!({ "leaving": true })).await;
+    }
+    let took = wait_marked(&fleet, &[DECODE, PREFILL]).await;
+    println!("leaving: by the engines' word alone: known everywhere after {took:?}");
+    check_no_new_work(&fleet, &[DECODE, PREFILL]).await;
+}
+
+#[tokio::test]
+async fn what_one_instance_alone_read_from_the_list_reaches_the_others() {
+    let fleet = start().await;
+    work(&fleet).await;
+    for entry in ["gijon-2", "gijon-3"] {
+        fleet.platform_relay(entry).set(RelayMode::Reset);
+    }
+    for upstream in LEAVERS {
+        fleet.list_state(upstream, InstanceState::Leaving).await;
+    }
+    let took = wait_marked(&fleet, &LEAVERS).await;
+    println!("leaving: read by one instance of three: known everywhere after {took:?}");
+    check_no_new_work(&fleet, &LEAVERS).await;
+}
+
+#[tokio::test]
+async fn work_that_runs_at_a_leaving_engine_ends_there_and_it_may_come_back() {
+    let fleet = start().await;
+    let mix = AnswerMix::new("report", REQUESTS, 300);
+    let leaving = async {
+        wait_until("it works", async || fleet.held(DECODE).await > 0).await;
+        for upstream in LEAVERS {
+            fleet.list_state(upstream, InstanceState::Leaving).await;
+        }
+    };
+    let (counts, ()) = tokio::join!(mix.run(&fleet), leaving);
+    assert_eq!(counts.whole, REQUESTS, "{counts:?}");
+    wait_marked(&fleet, &LEAVERS).await;
+    for upstream in LEAVERS {
+        fleet.list_state(upstream, InstanceState::Live).await;
+    }
+    wait_until("it works again", async || {
+        let before = asked(&fleet, DECODE).await;
+        work(&fleet).await;
+        asked(&fleet, DECODE).await != before
+    })
+    .await;
+}
