A prefill engine that dies with KV caches waiting holds nobody up

Cause: the allocator grants anew what waits at an engine that is gone, and the instance dropped that grant for a request that it believed to be read. It then waited for a decode place that never came: 20 s in the test, until the eviction time of the dead engine. The grant now takes the place of the lost KV cache where the row repeats; where it does not, the request ends as 3008.

The held-up call of `promise_memory` has to arrive at the engine now; before, the test was green with every cancel taken out.

--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -227,13 +227,11 @@
     }
 
     fn on_grant_prefill(&mut self, prefill: UpstreamId) -> Vec<FlowAction> {
-        if self.phase != FlowPhase::Queued {
-            return Vec::new();
+        match self.phase.clone() {
+            FlowPhase::Queued => vec![self.start_prefill(prefill)],
+            FlowPhase::Read { prefill: lost } => self.read_again(&lost, prefill),
+            _ => Vec::new(),
         }
-        self.phase = FlowPhase::Prefilling {
-            prefill: prefill.clone(),
-        };
-        vec![FlowAction::Prefill(prefill)]
     }
 
     fn on_prefill_done(&mut self) -> Vec<FlowAction> {
@@ -332,6 +330,23 @@
         vec![FlowAction::Notify(CellNotice::FirstToken)]
     }
 
+    /// The allocator holds the engine that read the prompt for gone: the KV cache there is lost.
+    fn read_again(&mut self, lost: &UpstreamId, prefill: UpstreamId) -> Vec<FlowAction> {
+        if !self.repeat {
+            return self.give_up(ResultCode::PrefillWasted);
+        }
+        let cancel = self.cancel(lost, false);
+        self.attempt += 1;
+        vec![cancel, self.start_prefill(prefill)]
+    }
+
+    fn start_prefill(&mut self, prefill: UpstreamId) -> FlowAction {
+        self.phase = FlowPhase::Prefilling {
+            prefill: prefill.clone(),
+        };
+        FlowAction::Prefill(prefill)
+    }
+
     /// Takes the stream up again where it broke, some times without success.
     fn resume(&mut self, decode: UpstreamId, failure: CallFailure) -> Vec<FlowAction> {
         if self.resumes == RESUME_LIMIT {
--- a/crates/flow/src/request_table.rs
+++ b/crates/flow/src/request_table.rs
@@ -216,7 +216,8 @@
 
     fn take_grant(&mut self, grant: &CellGrant) -> bool {
         match (grant, &self.phase) {
-            (CellGrant::Prefill(prefill), HeldPhase::Queued) => {
+            // One that waits with a KV cache is to be read again: the engine that has it is gone.
+            (CellGrant::Prefill(prefill), HeldPhase::Queued | HeldPhase::Read { .. }) => {
                 let prefill = prefill.clone();
                 self.enter(HeldPhase::Prefilling {
                     prefill,
--- a/crates/flow/tests/core/flow_world.rs
+++ b/crates/flow/tests/core/flow_world.rs
@@ -113,7 +113,11 @@
             }
             FlowStep::GrantPrefill(at) => {
                 let event = FlowEvent::GrantPrefill(name("prefill", at));
-                self.grant(CellSide::Queued, CellSide::Prefilling, event)
+                // The allocator grants anew what waits when its prefill engine is gone.
+                match self.cell {
+                    CellSide::Read => self.grant(CellSide::Read, CellSide::Prefilling, event),
+                    _ => self.grant(CellSide::Queued, CellSide::Prefilling, event),
+                }
             }
             FlowStep::LateGrant(at) => self.late_grant(at),
             FlowStep::PrefillAnswers => self.answer_prefill(),
@@ -240,6 +244,7 @@
     fn late_grant(&mut self, at: usize) -> Option<FlowEvent> {
         let event = match self.cell {
             CellSide::Queued => FlowEvent::GrantDecode(name("decode", at)),
+            CellSide::Read => return None,
             _ => FlowEvent::GrantPrefill(name("prefill", at)),
         };
         assert_eq!(self.core.on_event(event), Vec::new(), "a late grant");
--- a/crates/trestlewalk/tests/promise_answers.rs
+++ b/crates/trestlewalk/tests/promise_answers.rs
@@ -16,6 +16,7 @@
 const ENTRY: &str = "gijon-1";
 const ONCE: &str = "single";
 const PATIENT: &str = "report";
+const PREFILLS: [&str; 2] = ["gijon-prefill-1", "gijon-prefill-2"];
 
 async fn start() -> Fleet {
     let plan = FleetPlan::new()
@@ -170,3 +171,37 @@
     let reply = repeatable.await.unwrap();
     assert_eq!(check_whole(&reply, &expected), 1000, "{}", reply.text());
 }
+
+#[tokio::test]
+async fn a_prefill_engine_that_dies_while_its_kv_cache_waits_holds_nobody_up() {
+    let mut fleet = start().await;
+    set_decode_faults(&fleet, json!({ "refuse": true })).await;
+    let prompt = long_prompt(0, 30);
+    let side = fleet.entry(ENTRY);
+    let repeatable = tokio::spawn(side.completion(PATIENT, &prompt, 8, false).send());
+    let once = tokio::spawn(side.completion(ONCE, &prompt, 8, false).send());
+    wait_until("both KV caches wait", async || {
+        let mut held = 0;
+        for engine in PREFILLS {
+            held += fleet.held(engine).await;
+        }
+        held == 2 && fleet.in_phase(ENTRY, "prefilling").await == 0
+    })
+    .await;
+    for engine in PREFILLS {
+        fleet.kill(engine).await;
+    }
+    fleet
+        .start_upstream("gijon-prefill-3", "gijon", plat::InstanceKind::Prefill)
+        .await;
+    let once = once.await.unwrap();
+    assert_eq!(check_whole(&once, ""), 3008, "{}", once.text());
+    set_decode_faults(&fleet, json!({})).await;
+    let reply = repeatable.await.unwrap();
+    assert_eq!(
+        check_whole(&reply, &expected_text(&prompt, 8)),
+        1000,
+        "{}",
+        reply.text()
+    );
+}
--- a/crates/trestlewalk/tests/promise_memory.rs
+++ b/crates/trestlewalk/tests/promise_memory.rs
@@ -180,6 +180,11 @@
     caller.abort();
     wait_phase(&fleet, ENTRY, "transferring", 0).await;
     fleet.upstream_relay(DECODE).set(RelayMode::Open);
+    wait_until("the late call is taken, and ended", async || {
+        let counters = fleet.counters(DECODE).await;
+        counters["cancelled"] == 1 || counters["refused"]["evicted"] == 1
+    })
+    .await;
     finish_one(&fleet, ENTRY).await;
     fleet.wait_free(&ENGINES).await;
 }
