--- a/crates/flow/tests/core/flow_world.rs
+++ b/crates/flow/tests/core/flow_world.rs
@@ -40,6 +40,8 @@
     /// Tokens that the caller has.
     delivered: u32,
     pub(crate) finals: Vec<ResultCode>,
+    /// The attempt that was read last: its name at engines is not used again.
+    last_read: Option<u32>,
     /// What engines may hold: engine and attempt.
     held: BTreeSet<(UpstreamId, u32)>,
     plan: FlowPlan,
@@ -64,6 +66,7 @@
             delivered: 0,
             finals: Vec::new(),
             held: BTreeSet::new(),
+            last_read: None,
             plan,
             prefill: None,
             ran: false,
@@ -110,7 +113,11 @@
             }
             FlowStep::GrantPrefill(at) => {
                 let event = FlowEvent::GrantPrefill(name("prefill", at));
-                self.grant(CellSide::Queued, CellSide::Prefilling, event)
+                // The allocator grants anew what waits when its prefill engine is gone.
+                match self.cell {
+                    CellSide::Read => self.grant(CellSide::Read, CellSide::Prefilling, event),
+                    _ => self.grant(CellSide::Queued, CellSide::Prefilling, event),
+                }
             }
             FlowStep::LateGrant(at) => self.late_grant(at),
             FlowStep::PrefillAnswers => self.answer_prefill(),
@@ -237,6 +244,7 @@
     fn late_grant(&mut self, at: usize) -> Option<FlowEvent> {
         let event = match self.cell {
             CellSide::Queued => FlowEvent::GrantDecode(name("decode", at)),
+            CellSide::Read => return None,
             _ => FlowEvent::GrantPrefill(name("prefill", at)),
         };
         assert_eq!(self.core.on_event(event), Vec::new(), "a late grant");
@@ -283,6 +291,9 @@
                     self.plan.repeat || !self.ran,
                     "read again after it may have run"
                 );
+                let attempt = Some(self.core.attempt());
+                assert!(attempt > self.last_read, "a stream's name is used again");
+                self.last_read = attempt;
                 assert_eq!(self.cell, CellSide::Prefilling);
                 self.held.insert((prefill.clone(), self.core.attempt()));
                 self.prefill = Some(prefill.clone());
