--- a/crates/door/src/ticket_peers.rs
+++ b/crates/door/src/ticket_peers.rs
@@ -8,8 +8,8 @@
     claim::{HandOverReply, LifeKey},
     futures_util::future::join_all,
     kernel::{InstanceId, ZoneId, seeded_rng},
-    peer::{PeerDriver, PeerEndpoint, PeerError, wire},
-    std::{sync::Arc, time::Duration},
+    peer::{MemberState, PeerDriver, PeerEndpoint, PeerError, wire},
+    std::{cmp::Reverse, sync::Arc, time::Duration},
     tokio::time,
 };
 
@@ -72,15 +72,22 @@
         None
     }
 
-    /// A life of the same availability zone that takes requests and answers now.
+    /// A life of the same availability zone that answers now: one that takes requests, as far as is known here.
     pub(crate) async fn successor(&self, zone: &ZoneId) -> Option<LifeKey> {
         let view = self.members.view();
         let own = self.endpoint.instance();
-        let serving = view.serving_in(zone).map(|record| record.instance.clone());
-        let mut names: Vec<InstanceId> = serving.filter(|name| name != own).collect();
-        names.sort_by_key(|name| seeded_rng::rendezvous_score(own, name));
-        names.truncate(ASK_LIMIT);
-        for name in names.iter().rev() {
+        let mut candidates = Vec::new();
+        for record in &view.heard {
+            let leaves = record.state == MemberState::Leaving;
+            if record.zone != *zone || record.instance == *own || leaves {
+                continue;
+            }
+            let serves = record.state == MemberState::Serving;
+            let score = seeded_rng::rendezvous_score(own, &record.instance);
+            candidates.push((Reverse((serves, score)), &record.instance));
+        }
+        candidates.sort();
+        for (_, name) in candidates.into_iter().take(ASK_LIMIT) {
             if let Some(life) = self.ask(name, &TicketQuery::Life).await {
                 return Some(life);
             }
--- /dev/null
+++ b/crates/trestlewalk/tests/promise_once_dead.rs
@@ -0,0 +1,214 @@
+//! At most once while entry instances die, freeze or can't reach each other.
+
+mod support;
+
+use {
+    serde_json::json,
+    std::time::{Duration, Instant},
+    support::{
+        CallReply, Fleet, FleetPlan, HttpCall, KEY_HEADER, RelayMode, TICKET_HEADER, start_ready,
+        wait_until,
+    },
+    tokio::task::JoinHandle,
+};
+
+const DECODE: &str = "gijon-decode-1";
+const HERE: &str = "gijon-1";
+const PLAIN: &str = "gijon-plain-1";
+const THERE: &str = "gijon-2";
+
+#[tokio::test]
+async fn after_the_origin_is_killed_in_a_run_its_ticket_runs_nowhere() {
+    let mut fleet = start_ready(FleetPlan::new().entries(3).plain(1)).await;
+    let ticket = fleet.mint(HERE).await;
+    let at = |fleet: &Fleet, entry| fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+    let call = run_and_hold(&fleet, at(&fleet, THERE)).await;
+    fleet.kill(HERE).await;
+    let reply = call.await.unwrap().unwrap();
+    assert_eq!((reply.status.as_u16(), reply.code()), (502, 3004));
+    for entry in [THERE, "gijon-3"] {
+        let reply = at(&fleet, entry).send().await;
+        assert_eq!(reply.code(), 3004, "{entry}: {}", reply.text());
+    }
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn after_the_origin_is_killed_in_a_run_its_key_runs_nowhere() {
+    let mut fleet = start_ready(FleetPlan::new().entries(3).plain(1)).await;
+    let at = |fleet: &Fleet, entry| fleet.confirm(entry, "slot").header(KEY_HEADER, "key");
+    let call = run_and_hold(&fleet, at(&fleet, HERE)).await;
+    fleet.kill(HERE).await;
+    assert!(call.await.unwrap().is_err());
+    for entry in [THERE, "gijon-3"] {
+        let reply = at(&fleet, entry).send().await;
+        assert_eq!(reply.code(), 3004, "{entry}: {}", reply.text());
+    }
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn a_later_life_of_the_origin_does_not_run_the_tickets_of_the_earlier_one() {
+    let mut fleet = start_ready(FleetPlan::new().entries(2).plain(1)).await;
+    let ticket = fleet.mint(HERE).await;
+    fleet.kill(HERE).await;
+    fleet.restart_entry(HERE).await;
+    fleet.wait_ready(HERE).await;
+    for entry in [HERE, THERE] {
+        let call = fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+        assert_eq!(call.send().await.code(), 3004);
+    }
+    assert_eq!(fleet.runs("slot").await, 0);
+}
+
+#[tokio::test]
+async fn an_origin_that_was_frozen_past_the_tickets_end_sends_nothing_any_more() {
+    const LIFETIME_MS: u64 = 700;
+    let plan = FleetPlan::new().entries(2).prefill(1).decode(1).plain(1);
+    let fleet = start_ready(plan.engine_set("decode_base_us=1000000")).await;
+    let hold = json!({ "prompt": "the whole harbour", "max_tokens": 64, "stream": true });
+    let call = fleet.entry(THERE).post("/v1/completions").work("single");
+    let mut holder = call.json(&hold).stream().await;
+    assert!(holder.next_event().await.is_some());
+    let ticket = fleet.mint_for(HERE, LIFETIME_MS).await;
+    let minted = Instant::now();
+    let body = json!({ "prompt": "the late one", "max_tokens": 4 });
+    let call = || {
+        let call = fleet.entry(HERE).post("/v1/completions").work("single");
+        call.header(TICKET_HEADER, &ticket).json(&body)
+    };
+    let queued = tokio::spawn(call().try_send());
+    wait_until("the request is queued", async || {
+        fleet.ticket_dump(HERE).await["records"] == 1
+    })
+    .await;
+    fleet.pause(HERE).await;
+    wait_until("the ticket's end", async || {
+        minted.elapsed() > Duration::from_millis(LIFETIME_MS + 2)
+    })
+    .await;
+    drop(holder);
+    wait_until("the place is free", async || {
+        fleet.counters(DECODE).await["places_used"] == 0
+    })
+    .await;
+    fleet.resume(HERE);
+    let reply = queued.await.unwrap().unwrap();
+    // Its prompt may have been read before the freeze.
+    assert!([3008, 4001].contains(&reply.code()), "{}", reply.text());
+    assert_eq!(call().send().await.code(), reply.code());
+    let runs = &fleet.counters(DECODE).await["decode_runs"];
+    assert_eq!(runs.as_object().map(|runs| runs.len()), Some(1), "{runs}");
+}
+
+#[tokio::test]
+async fn a_frozen_origin_leaves_the_outcome_unknown_and_runs_no_second_time() {
+    let fleet = start_ready(FleetPlan::new().entries(2).plain(1)).await;
+    let ticket = fleet.mint(HERE).await;
+    let at = |entry| fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+    let call = run_and_hold(&fleet, at(THERE)).await;
+    fleet.pause(HERE).await;
+    let reply = call.await.unwrap().unwrap();
+    assert_eq!(reply.code(), 3004, "{}", reply.text());
+    fleet.resume(HERE);
+    wait_until("the origin answers", async || {
+        let reply = at(THERE).send().await;
+        reply.code() != 3004
+    })
+    .await;
+    let reply = at(HERE).send().await;
+    assert!([1000, 3003].contains(&reply.code()), "{}", reply.text());
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn on_the_other_side_of_a_cut_a_ticket_waits_for_its_origin() {
+    let fleet = two_zones().await;
+    let ticket = fleet.mint("gijon-1").await;
+    let at = |entry| fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+    fleet.cut_zones("gijon", "ferrol");
+    let reply = at("ferrol-1").send().await;
+    assert_eq!(reply.code(), 3004, "{}", reply.text());
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(fleet.runs("slot").await, 0);
+    let first = at("gijon-2").send().await;
+    assert_eq!(first.code(), 1000, "{}", first.text());
+    assert_eq!(at("ferrol-2").send().await.code(), 3004);
+    fleet.mend_zones("gijon", "ferrol");
+    wait_until("the origin is reached again", async || {
+        let reply = at("ferrol-1").send().await;
+        reply.code() == 1000 && reply.body == first.body
+    })
+    .await;
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn on_the_other_side_of_a_cut_a_key_waits_for_its_origin() {
+    let fleet = two_zones().await;
+    let at = |entry| fleet.confirm(entry, "slot").header(KEY_HEADER, "key");
+    let first = at("gijon-1").send().await;
+    assert_eq!(first.code(), 1000, "{}", first.text());
+    fleet.cut_zones("gijon", "ferrol");
+    assert_eq!(at("ferrol-1").send().await.code(), 3004);
+    fleet.mend_zones("gijon", "ferrol");
+    wait_until("the origin is reached again", async || {
+        let reply = at("ferrol-1").send().await;
+        reply.code() == 1000 && reply.body == first.body
+    })
+    .await;
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn an_answer_that_is_lost_after_the_run_is_not_asked_for_again() {
+    let fleet = start_ready(FleetPlan::new().entries(2).plain(1)).await;
+    let ticket = fleet.mint(HERE).await;
+    let at = |entry| fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+    let faults = json!({ "close_after_read": true });
+    fleet.faults(PLAIN, faults).await;
+    assert_eq!(at(THERE).send().await.code(), 3001);
+    fleet.faults(PLAIN, json!({})).await;
+    for entry in [HERE, THERE] {
+        assert_eq!(at(entry).send().await.code(), 3001);
+    }
+    assert_eq!(fleet.runs("slot").await, 1);
+}
+
+#[tokio::test]
+async fn a_refused_request_stays_refused_under_its_ticket() {
+    let fleet = start_ready(FleetPlan::new().entries(2).plain(1)).await;
+    let ticket = fleet.mint(HERE).await;
+    let at = |entry| fleet.confirm(entry, "slot").header(TICKET_HEADER, &ticket);
+    fleet.faults(PLAIN, json!({ "refuse": true })).await;
+    assert_eq!(at(THERE).send().await.code(), 2011);
+    fleet.faults(PLAIN, json!({})).await;
+    for entry in [HERE, THERE] {
+        assert_eq!(at(entry).send().await.code(), 2011);
+    }
+    assert_eq!(fleet.runs("slot").await, 0);
+}
+
+/// A call that the service has run, and whose answer is held on its way back.
+async fn run_and_hold(fleet: &Fleet, call: HttpCall) -> JoinHandle<Result<CallReply, String>> {
+    let relay = fleet.upstream_relay(PLAIN);
+    fleet.faults(PLAIN, json!({ "delay_ms": 400 })).await;
+    let call = tokio::spawn(call.try_send());
+    wait_until("the service runs it", async || {
+        fleet.counters(PLAIN).await["in_progress"] == 1
+    })
+    .await;
+    relay.set(RelayMode::Silent);
+    wait_until("the answer is held", async || {
+        relay.held() > 0 && fleet.counters(PLAIN).await["in_progress"] == 0
+    })
+    .await;
+    fleet.faults(PLAIN, json!({})).await;
+    relay.set(RelayMode::Silent);
+    call
+}
+
+async fn two_zones() -> Fleet {
+    let plan = FleetPlan::new().zones(&["gijon", "ferrol"]).entries(2);
+    start_ready(plan.plain(1)).await
+}
