admit: a row's turn is charged by the answer's true length; tests of early refusal

Cause: a unit test with weights 3 and 1 counted 69 to 11 turns: the first answers were charged at the caller's bound, before any length was seen, and the row that began never got it back. What changed: when an answer ends, the charge is corrected. Ruled out: charging at the end only (a row could take every turn before its first answer ends).

--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -106,6 +106,9 @@
         let Some(held) = self.remove(now, key) else {
             return;
         };
+        if held.charged > 0.0 {
+            self.settle_turn(&held, output_tokens);
+        }
         let row = &mut self.rows[held.row];
         row.sketch.note(output_tokens);
         if let Some(granted) = held.granted {
@@ -136,6 +139,7 @@
             .max(arrived);
         self.serial += 1;
         HeldRequest {
+            charged: 0.0,
             deadline,
             due: now,
             granted: None,
--- a/crates/admit/src/cell_turns.rs
+++ b/crates/admit/src/cell_turns.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         cell_allocator::CellAllocator, cell_refusals::seconds, engine_pool::EnginePool,
-        normal_quantile::normal_quantile, pool_key::PoolKey, read_verdict::ReadVerdict,
-        request_key::RequestKey, row_turn::RowTurn, urgent_demand::UrgentDemand,
+        held_request::HeldRequest, normal_quantile::normal_quantile, pool_key::PoolKey,
+        read_verdict::ReadVerdict, request_key::RequestKey, row_turn::RowTurn,
+        urgent_demand::UrgentDemand,
     },
     kernel::UpstreamId,
     std::time::Instant,
@@ -99,11 +100,14 @@
         let read = tokens / pool.prefill_rate().max(f64::MIN_POSITIVE);
         let places = f64::from(pool.places().max(1));
         let state = &mut self.rows[turn.row];
-        let max_tokens = self.requests.get(&turn.key);
-        let max_tokens = max_tokens.map_or(0.0, |held| f64::from(held.request.max_tokens));
-        let held = state.sketch.mean(max_tokens) * pool.step_seconds() / places;
+        let Some(request) = self.requests.get_mut(&turn.key) else {
+            return;
+        };
+        let length = state.sketch.mean(f64::from(request.request.max_tokens));
+        let held = length * pool.step_seconds() / places;
         pool.levels.insert(state.row.rank, state.pass);
         let service = read.max(held);
+        request.charged += service;
         state.pass += service / state.row.weight.max(f64::MIN_POSITIVE);
         let credit = match turn.aged {
             true => pool.aged_credit - service,
@@ -112,6 +116,20 @@
         pool.aged_credit = credit.min(AGED_CREDIT_LIMIT);
     }
 
+    /// Corrects what a row was charged for a request, by the length that its answer had.
+    pub(crate) fn settle_turn(&mut self, held: &HeldRequest, output_tokens: u32) {
+        let Some(pool) = self.pools.get(&held.pool) else {
+            return;
+        };
+        let places = f64::from(pool.places().max(1));
+        let read =
+            f64::from(held.request.prompt_tokens) / pool.prefill_rate().max(f64::MIN_POSITIVE);
+        let service = f64::from(output_tokens) * pool.step_seconds() / places;
+        let service = service.max(read.min(held.charged));
+        let state = &mut self.rows[held.row];
+        state.pass += (service - held.charged) / state.row.weight.max(f64::MIN_POSITIVE);
+    }
+
     /// Whether urgent work of a better rank still finds a prefill engine in time after `prefill` is given a reading of
     /// some seconds. With one engine there is no choice.
     fn leaves_engine(
--- a/crates/admit/src/held_request.rs
+++ b/crates/admit/src/held_request.rs
@@ -12,6 +12,8 @@
 /// A request, its phase and its place in the queue.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldRequest {
+    /// What its row was charged for its turn, in seconds of the whole pool.
+    pub(crate) charged: f64,
     /// The first-token target as a time; none for patient rows.
     pub(crate) deadline: Option<Instant>,
     /// By when it needs a decode place, once it is read or being read.
--- a/crates/admit/tests/cell/main.rs
+++ b/crates/admit/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the allocator, of the plan of cells, and the stateful fuzz.
 
+mod early_refusal;
 mod fuzz_step;
 mod grant_chain;
 mod grant_oracle;
