--- a/crates/admit/tests/cell/early_refusal.rs
+++ b/crates/admit/tests/cell/early_refusal.rs
@@ -18,6 +18,11 @@
     actions.iter().any(grant)
 }
 
+fn is_placed(actions: &[AdmitAction]) -> bool {
+    let grant = |action: &AdmitAction| matches!(action, AdmitAction::GrantDecode { .. });
+    actions.iter().any(grant)
+}
+
 /// Requests that hold both decode places.
 fn fill(cell: &mut Cell) {
     for serial in 100..102 {
@@ -131,6 +136,21 @@
     }
 }
 
+#[test]
+fn a_decode_engine_that_leaves_while_a_prompt_is_read_gets_no_transfer() {
+    let mut cell = Cell::small();
+    submit(&mut cell, 1, "report");
+    cell.send(AdmitEvent::UpstreamLeaving(
+        "d1".into(),
+        LeavingCause::Listed,
+    ));
+    let actions = cell.send(AdmitEvent::PrefillDone { key: key(1) });
+    assert!(!is_placed(&actions), "{actions:?}");
+    let back = upstream("d1", UpstreamRole::Decode);
+    let actions = cell.send(AdmitEvent::UpstreamUp(back));
+    assert!(is_placed(&actions), "{actions:?}");
+}
+
 #[test]
 fn places_that_others_hold_by_a_report_are_not_granted() {
     let mut cell = Cell::small();
@@ -155,7 +175,10 @@
         matches!(actions[..], [AdmitAction::WakeAt(_)]),
         "{actions:?}"
     );
-    cell.pass(Duration::from_millis(200));
+    cell.pass(Duration::from_millis(150));
+    let actions = cell.send(AdmitEvent::Tick);
+    assert!(!is_placed(&actions), "{actions:?}");
+    cell.pass(Duration::from_millis(50));
     let actions = cell.send(AdmitEvent::Tick);
     assert!(
         matches!(actions[0], AdmitAction::GrantDecode { .. }),
--- a/crates/admit/tests/cell/row_plan.rs
+++ b/crates/admit/tests/cell/row_plan.rs
@@ -28,7 +28,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     #[test]
     fn the_parts_of_a_limit_sum_to_it(limit in 0..200_u32, cells in 1..9_u32, zone_count in 0..4_usize) {
--- a/crates/route/tests/leaving_table.rs
+++ b/crates/route/tests/leaving_table.rs
@@ -38,7 +38,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     #[test]
     fn merging_in_any_order_and_twice_gives_one_table(
--- a/crates/route/tests/replica_choice.rs
+++ b/crates/route/tests/replica_choice.rs
@@ -97,7 +97,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     #[test]
     fn the_prefix_table_is_bounded_and_drops_what_was_evicted(
