--- a/crates/bench/src/policies.rs
+++ b/crates/bench/src/policies.rs
@@ -1,6 +1,8 @@
 //! The policies that the bench compares.
 
 mod bench_policy;
+mod clairvoyant_fates;
+mod clairvoyant_foresight;
 mod clairvoyant_order;
 mod clairvoyant_plan;
 mod clairvoyant_policy;
--- a/crates/bench/src/policies/clairvoyant_view.rs
+++ b/crates/bench/src/policies/clairvoyant_view.rs
@@ -6,7 +6,7 @@
             clairvoyant_order::ClairvoyantOrder,
             clairvoyant_plan::{ClairvoyantPlan, LongPrompts},
         },
-        scenario::{engine_sizes::EngineSizes, fault_event::FaultEvent, work_mix::WorkMix},
+        scenario::{engine_sizes::EngineSizes, work_mix::WorkMix},
         world::{CancelPlan, ReadingPhase, RequestPlan, WorldTruth},
     },
     std::{
@@ -24,8 +24,6 @@
 
 /// The part of a full engine's between-token time that a patient request is taken to meet at the least.
 const LEAST_STEP_PART: f64 = 0.85;
-/// How far ahead patient work looks for urgent requests that need its place.
-const FORESEEN: Duration = Duration::from_secs(2);
 /// The part of the tightest first-token target within which a short prompt is read.
 const SHORT_PART: f64 = 0.25;
 /// A transfer under this needn't wait for its turn.
@@ -81,11 +79,11 @@
         }
     }
 
-    fn mix(&self, request: RequestIndex) -> &WorkMix {
+    pub(crate) fn mix(&self, request: RequestIndex) -> &WorkMix {
         &self.truth.file.rows[self.request(request).row]
     }
 
-    fn request(&self, request: RequestIndex) -> &RequestPlan {
+    pub(crate) fn request(&self, request: RequestIndex) -> &RequestPlan {
         &self.truth.plans[request]
     }
 
@@ -119,7 +117,7 @@
     }
 
     /// The between-token time under which no stream of a busy engine comes.
-    fn least_step(&self) -> Duration {
+    pub(crate) fn least_step(&self) -> Duration {
         Duration::from_secs_f64(self.truth.file.engines.full_step() * LEAST_STEP_PART)
     }
 
@@ -134,7 +132,7 @@
     }
 
     /// The time from the end of reading to the moment that the deadline counts, with a link of its own.
-    fn rest(&self, request: RequestIndex, step: Duration) -> Duration {
+    pub(crate) fn rest(&self, request: RequestIndex, step: Duration) -> Duration {
         let steps = match self.mix(request).first_token {
             Some(_) => 1,
             None => self.request(request).output_tokens,
@@ -201,7 +199,7 @@
     }
 
     /// How long reading takes with what the group shares in the prefix cache.
-    fn usual_reading(&self, request: RequestIndex) -> Duration {
+    pub(crate) fn usual_reading(&self, request: RequestIndex) -> Duration {
         let mix = self.mix(request);
         let shared = if mix.groups > 0 { mix.shared } else { 0.0 };
         let tokens = f64::from(self.request(request).prompt_tokens) * (1.0 - shared);
@@ -262,69 +260,6 @@
         }
     }
 
-    /// Whether reading up to `read` at `prefill` harms no urgent request that is known to arrive.
-    fn leaves_room(
-        &self,
-        request: RequestIndex,
-        prefill: EngineIndex,
-        read: Instant,
-        promised: usize,
-    ) -> bool {
-        let patient = self.mix(request).first_token.is_none();
-        let until = read.max(self.now + FORESEEN);
-        let mut places = promised + 1;
-        for later in self.arrivals(until) {
-            let Some(target) = self.mix(later).first_token else {
-                continue;
-            };
-            let arrives = self.truth.started + self.request(later).arrives;
-            let latest = arrives + target - self.rest(later, self.least_step()).min(target);
-            if patient && arrives <= self.now + FORESEEN {
-                places += 1;
-                if self.places_by(latest) < places {
-                    return false;
-                }
-            }
-            let shorter = self.request(later).prompt_tokens < self.request(request).prompt_tokens;
-            if shorter && arrives < read && !self.other_engine(later, prefill, read, latest) {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Requests that arrive after now and up to a time.
-    fn arrivals(&self, until: Instant) -> std::ops::Range<RequestIndex> {
-        let plans = &self.truth.plans;
-        let now = self.now - self.truth.started;
-        let until = until - self.truth.started;
-        let first = plans.partition_point(|plan| plan.arrives <= now);
-        let last = plans.partition_point(|plan| plan.arrives <= until);
-        first..last
-    }
-
-    /// Whether a later request can still be read in time although `prefill` is taken up to `read`.
-    fn other_engine(
-        &self,
-        later: RequestIndex,
-        prefill: EngineIndex,
-        read: Instant,
-        latest: Instant,
-    ) -> bool {
-        let reads = self.usual_reading(later);
-        for (index, engine) in self.truth.prefills.iter().enumerate() {
-            let free = match (index == prefill, engine.turn) {
-                (true, _) => read,
-                (false, Some(turn)) => turn.ends,
-                (false, None) => self.now,
-            };
-            if engine.alive && free + reads <= latest {
-                return true;
-            }
-        }
-        false
-    }
-
     /// Whether a prefill engine is kept for short prompts.
     fn is_split(&self, prefill: EngineIndex) -> bool {
         self.plan.long == LongPrompts::Split && prefill == 0 && self.truth.prefills.len() > 1
@@ -357,7 +292,7 @@
     }
 
     /// Places that are free by `at`, those held by readings not taken off.
-    fn places_by(&self, at: Instant) -> usize {
+    pub(crate) fn places_by(&self, at: Instant) -> usize {
         let forecast = self.places.get_or_init(|| self.forecast());
         forecast.free + forecast.ends.partition_point(|end| *end <= at)
     }
@@ -417,58 +352,6 @@
         }
         count
     }
-
-    /// Whether the caller and the entry instance outlive the answer.
-    fn stays(&self, request: RequestIndex, first: Instant, ends: Instant) -> bool {
-        let plan = self.request(request);
-        let arrived = self.truth.started + plan.arrives;
-        let goes = match plan.cancel {
-            CancelPlan::After(time) => arrived + time,
-            CancelPlan::AfterFirstToken(time) => first + time,
-            CancelPlan::Stays => ends,
-        };
-        goes >= ends && !self.entry_dies(plan.entry, ends)
-    }
-
-    fn entry_dies(&self, planned: usize, by: Instant) -> bool {
-        self.dies(by, |fault| match fault {
-            FaultEvent::EntryDies { at, entry, .. } if *entry as usize == planned => Some(*at),
-            _ => None,
-        })
-    }
-
-    fn decode_dies(&self, decode: EngineIndex, by: Instant) -> bool {
-        self.engine_dies(&self.truth.decode_names[decode], by)
-    }
-
-    fn prefill_dies(&self, prefill: EngineIndex, by: Instant) -> bool {
-        self.engine_dies(&self.truth.prefill_names[prefill], by)
-    }
-
-    fn engine_dies(&self, name: &str, by: Instant) -> bool {
-        self.dies(by, |fault| match fault {
-            FaultEvent::EngineDies { at, engine, .. } if &**engine == name => Some(*at),
-            FaultEvent::EngineLeaves {
-                at,
-                engine,
-                gone_after,
-            } if &**engine == name => Some(*at + *gone_after),
-            _ => None,
-        })
-    }
-
-    fn dies(&self, by: Instant, time: impl Fn(&FaultEvent) -> Option<Duration>) -> bool {
-        for fault in &self.truth.file.faults {
-            let Some(at) = time(fault) else {
-                continue;
-            };
-            let at = self.truth.started + at;
-            if at >= self.now && at <= by {
-                return true;
-            }
-        }
-        false
-    }
 }
 
 /// The largest batch at which the tightest row still meets its between-token target.
--- a/crates/bench/tests/policy/support.rs
+++ b/crates/bench/tests/policy/support.rs
@@ -10,7 +10,7 @@
 };
 
 /// Every scenario of the repository.
-pub(crate) const NAMES: [&str; 7] = [
+pub(crate) const NAMES: [&str; 8] = [
     "batimetria",
     "burst",
     "cancels",
@@ -18,6 +18,7 @@
     "krasns",
     "overload",
     "stale",
+    "uneven",
 ];
 
 /// Where a scenario's file is.
