The successor of a closing instance learns how the last runs ended

What ran at a hand-over was "outcome unknown" at the successor for good, also when the closing instance answered it in full a moment later: a caller that lost that answer could not get it again. After its last request has ended the closing instance now sends the records once more, and the successor takes over the ends of exactly the runs that went on.

Seen red without that message: the test of a close during a run gets 3004 in place of the kept answer.

Also: tests of `ticket mint` and `ticket use`, and of the tickets' part of dump and metrics.

--- a/crates/claim/src/closed_table.rs
+++ b/crates/claim/src/closed_table.rs
@@ -17,9 +17,12 @@
         unsent::Unsent,
     },
     kernel::ResultCode,
-    std::time::Instant,
+    std::{collections::BTreeSet, time::Instant},
 };
 
+/// What the successor knows of a run that went on at the hand-over, until it hears how that ended.
+const HANDED_OVER_RUN: TicketState = TicketState::Unknown(ResultCode::OriginGone);
+
 /// What is left of a [`TicketTable`] after its hand-over: it answers, and gives out no permit ever again.
 #[derive(Debug)]
 pub struct ClosedTable<A> {
@@ -104,6 +107,11 @@
         }
     }
 
+    /// The records as they are now, for the successor: what ran at the hand-over may have ended since.
+    pub fn final_records(&self, now: Instant) -> HandOver<A> {
+        self.table.message(now, self.successor.clone())
+    }
+
     /// Whom the tickets were handed over to.
     pub fn successor(&self) -> &LifeKey {
         &self.successor
@@ -130,21 +138,57 @@
     /// send it again to the same successor, as often as needed.
     pub fn hand_over(mut self, now: Instant, successor: LifeKey) -> (HandOver<A>, ClosedTable<A>) {
         self.sweep(now);
+        let message = self.message(now, successor.clone());
+        let closed = ClosedTable {
+            reply: None,
+            successor,
+            table: self,
+        };
+        (message, closed)
+    }
+
+    /// Learns how runs ended that went on at their instance when it handed its tickets over. Nothing else changes.
+    pub fn learn_ends(&mut self, message: HandOver<A>) {
+        if message.successor != self.life {
+            return;
+        }
+        for life in message.lives {
+            self.learn_life_ends(life);
+        }
+    }
+
+    fn learn_life_ends(&mut self, message: LifeHandOver<A>) {
+        let Some(life) = self.lives.get_mut(&message.life) else {
+            return;
+        };
+        let mut ended = BTreeSet::new();
+        for (serial, told) in message.records {
+            let Some(record) = life.records.get_mut(&serial) else {
+                continue;
+            };
+            if record.state != HANDED_OVER_RUN || told.digest != record.digest {
+                continue;
+            }
+            record.state = told.state;
+            ended.insert(serial);
+        }
+        for (serial, answer) in message.answers {
+            if ended.contains(&serial) {
+                self.kept.insert((message.life.clone(), serial), answer);
+            }
+        }
+    }
+
+    fn message(&self, now: Instant, successor: LifeKey) -> HandOver<A> {
         let mut lives = Vec::with_capacity(self.lives.len());
         for (key, life) in &self.lives {
             lives.push(self.life_message(now, key, life));
         }
-        let message = HandOver {
+        HandOver {
             from: self.life.clone(),
             lives,
-            successor: successor.clone(),
-        };
-        let closed = ClosedTable {
-            reply: None,
             successor,
-            table: self,
-        };
-        (message, closed)
+        }
     }
 
     fn life_message(&self, now: Instant, key: &LifeKey, life: &TicketLife) -> LifeHandOver<A> {
@@ -179,7 +223,7 @@
 /// A record as the successor has to take it: what runs at the sender stays the sender's.
 fn handed_over(record: &TicketRecord) -> TicketRecord {
     let state = match record.state {
-        TicketState::Running => TicketState::Unknown(ResultCode::OriginGone),
+        TicketState::Running => HANDED_OVER_RUN,
         state => state,
     };
     TicketRecord {
--- a/crates/door/src/ticket_close.rs
+++ b/crates/door/src/ticket_close.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        ticket_door::TicketDoor, ticket_frame::SuccessorNotice, ticket_metrics::ticket_happening,
+        ticket_door::TicketDoor,
+        ticket_frame::{FINAL_RECORDS_FRAME, HAND_OVER_FRAME, SuccessorNotice},
+        ticket_metrics::ticket_happening,
     },
     claim::HandOverReply,
     plat::RowStore,
@@ -19,7 +21,7 @@
         let Some(message) = self.desk.hand_over(successor.clone()) else {
             return;
         };
-        let Some((from, reply)) = self.peers.send_hand_over(&message).await else {
+        let Some((from, reply)) = self.peers.send_hand_over(HAND_OVER_FRAME, &message).await else {
             tracing::warn!(%successor, "the hand-over of the tickets was not answered");
             return;
         };
@@ -33,4 +35,16 @@
         let lives = message.lives.into_iter().map(|life| life.life).collect();
         self.peers.notify(&SuccessorNotice { lives, successor });
     }
+
+    /// Tells the successor how the runs ended that went on at the hand-over. Without it their outcome stays unknown
+    /// there.
+    pub async fn hand_over_ends(&self) {
+        let Some(message) = self.desk.final_records() else {
+            return;
+        };
+        let sent = self.peers.send_hand_over(FINAL_RECORDS_FRAME, &message);
+        if sent.await.is_none() {
+            tracing::warn!("the successor did not hear how the last runs ended");
+        }
+    }
 }
--- a/crates/door/src/ticket_desk.rs
+++ b/crates/door/src/ticket_desk.rs
@@ -116,6 +116,16 @@
         self.settled.notify_waiters();
     }
 
+    /// The records as they are after the last run, when a successor holds the tickets.
+    pub(crate) fn final_records(&self) -> Option<TicketHandOver> {
+        match &self.state.lock().holding {
+            Some(TicketHolding::Closed(table)) if table.is_accepted() => {
+                Some(table.final_records(Instant::now()))
+            }
+            _ => None,
+        }
+    }
+
     /// Gives all tickets to `successor`; none when that was done before.
     pub(crate) fn hand_over(&self, successor: LifeKey) -> Option<TicketHandOver> {
         let mut state = self.state.lock();
@@ -159,6 +169,13 @@
         self.state.lock().forwards.learn(now, life, successor);
     }
 
+    /// Learns how the runs of a closing instance ended.
+    pub(crate) fn learn_ends(&self, message: TicketHandOver) {
+        if let Some(TicketHolding::Open(table)) = &mut self.state.lock().holding {
+            table.learn_ends(message);
+        }
+    }
+
     /// Records that nobody knows what became of a run.
     pub(crate) fn lose(&self, run: RunTicket, sent: Sent, code: ResultCode) {
         let _ = match &mut self.state.lock().holding {
--- a/crates/door/src/ticket_frame.rs
+++ b/crates/door/src/ticket_frame.rs
@@ -24,6 +24,8 @@
 pub(crate) const HEAD_FRAME: ProtocolTag = 1;
 /// The first frame of a hand-over, whose content follows as a body.
 pub(crate) const HAND_OVER_FRAME: ProtocolTag = 5;
+/// The first frame of the records as they are after the last run, whose content follows as a body.
+pub(crate) const FINAL_RECORDS_FRAME: ProtocolTag = 7;
 /// What the successor says to a hand-over.
 pub(crate) const HAND_OVER_REPLY_FRAME: ProtocolTag = 6;
 
--- a/crates/door/src/ticket_host.rs
+++ b/crates/door/src/ticket_host.rs
@@ -5,9 +5,10 @@
         ticket_desk::TicketDesk,
         ticket_door::{LocalEnd, TicketDoor},
         ticket_frame::{
-            BODY_FRAME, CHUNK_BYTES, ELSEWHERE_FRAME, END_FRAME, ElsewhereReply, ForwardHead,
-            HAND_OVER_FRAME, HAND_OVER_REPLY_FRAME, HEAD_FRAME, HandOverAnswer, ReplyHead,
-            SuccessorNotice, TicketHandOver, TicketQuery, read_body, read_value, send_value,
+            BODY_FRAME, CHUNK_BYTES, ELSEWHERE_FRAME, END_FRAME, ElsewhereReply,
+            FINAL_RECORDS_FRAME, ForwardHead, HAND_OVER_FRAME, HAND_OVER_REPLY_FRAME, HEAD_FRAME,
+            HandOverAnswer, ReplyHead, SuccessorNotice, TicketHandOver, TicketQuery, read_body,
+            read_value, send_value,
         },
         ticket_metrics::ticket_happening,
         ticket_request::TicketRequest,
@@ -59,6 +60,7 @@
             return;
         };
         match first.tag {
+            FINAL_RECORDS_FRAME => self.take_ends(&mut receiver, &mut sender).await,
             HAND_OVER_FRAME => self.take_hand_over(&mut receiver, &mut sender).await,
             HEAD_FRAME => {
                 let Some(head) = read_value(&first.body) else {
@@ -112,6 +114,26 @@
         }
     }
 
+    async fn take_ends(&self, receiver: &mut SessionReceiver, sender: &mut SessionSender) {
+        let Some(content) = read_body(receiver, HAND_OVER_BYTES).await else {
+            return;
+        };
+        let Some(message) = read_value::<TicketHandOver>(&content) else {
+            return;
+        };
+        self.desk.learn_ends(message);
+        self.answer_hand_over(sender, HandOverReply::Accepted).await;
+    }
+
+    async fn answer_hand_over(&self, sender: &mut SessionSender, reply: HandOverReply) {
+        let answer = HandOverAnswer {
+            from: self.desk.life.clone(),
+            reply,
+        };
+        // The sender asks again when this is lost.
+        let _ = send_value(sender, HAND_OVER_REPLY_FRAME, &answer).await;
+    }
+
     async fn take_hand_over(&self, receiver: &mut SessionReceiver, sender: &mut SessionSender) {
         let Some(content) = read_body(receiver, HAND_OVER_BYTES).await else {
             return;
@@ -127,12 +149,7 @@
             let successor = self.desk.life.clone();
             self.peers.notify(&SuccessorNotice { lives, successor });
         }
-        let answer = HandOverAnswer {
-            from: self.desk.life.clone(),
-            reply,
-        };
-        // The sender asks again when this is lost.
-        let _ = send_value(sender, HAND_OVER_REPLY_FRAME, &answer).await;
+        self.answer_hand_over(sender, reply).await;
     }
 }
 
--- a/crates/door/src/ticket_peers.rs
+++ b/crates/door/src/ticket_peers.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::ticket_frame::{
-        HAND_OVER_FRAME, HAND_OVER_REPLY_FRAME, HandOverAnswer, SuccessorNotice, TICKET_TAG,
-        TicketHandOver, TicketQuery, read_value, send_body, send_value,
+        HAND_OVER_REPLY_FRAME, HandOverAnswer, SuccessorNotice, TICKET_TAG, TicketHandOver,
+        TicketQuery, read_value, send_body, send_value,
     },
     claim::{HandOverReply, LifeKey},
     futures_util::future::join_all,
     kernel::{InstanceId, ZoneId, seeded_rng},
-    peer::{MemberState, PeerDriver, PeerEndpoint, PeerError, wire},
+    peer::{MemberState, PeerDriver, PeerEndpoint, PeerError, ProtocolTag, wire},
     std::{cmp::Reverse, sync::Arc, time::Duration},
     tokio::time,
 };
@@ -55,15 +55,16 @@
         }
     }
 
-    /// Sends the hand-over until the successor answers, a bounded number of times.
+    /// Sends a hand-over, or what follows one, until the successor answers, a bounded number of times.
     pub(crate) async fn send_hand_over(
         &self,
+        tag: ProtocolTag,
         message: &TicketHandOver,
     ) -> Option<(LifeKey, HandOverReply)> {
         let content = wire::encode(message).ok()?;
         let to = &message.successor.instance;
         for _ in 0..HAND_OVER_TRIES {
-            let sending = self.hand_over_once(to, &content);
+            let sending = self.hand_over_once(to, tag, &content);
             let Ok(Some(answer)) = time::timeout(HAND_OVER_TIMEOUT, sending).await else {
                 continue;
             };
@@ -101,11 +102,16 @@
         read_value(&answer.ok()?)?
     }
 
-    async fn hand_over_once(&self, to: &InstanceId, content: &[u8]) -> Option<HandOverAnswer> {
+    async fn hand_over_once(
+        &self,
+        to: &InstanceId,
+        tag: ProtocolTag,
+        content: &[u8],
+    ) -> Option<HandOverAnswer> {
         let session = self.endpoint.open_session(to, TICKET_TAG).await;
         let (mut sender, mut receiver) = session.ok()?;
         let sent: Result<(), PeerError> = async {
-            send_value(&mut sender, HAND_OVER_FRAME, &()).await?;
+            send_value(&mut sender, tag, &()).await?;
             send_body(&mut sender, content).await
         }
         .await;
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -45,6 +45,7 @@
         self.gate.shut();
         self.tickets.hand_over().await;
         let ended = time::timeout(limit, self.gate.empty()).await.is_ok();
+        self.tickets.hand_over_ends().await;
         let cut = if ended { 0 } else { self.gate.open() as u64 };
         self.cut.raise();
         self.signal.raise();
--- a/crates/trestlewalk/tests/promise_once.rs
+++ b/crates/trestlewalk/tests/promise_once.rs
@@ -187,6 +187,49 @@
     assert_eq!(fleet.counters("gijon-decode-1").await["finished"], 0);
 }
 
+#[tokio::test]
+async fn the_command_line_mints_a_ticket_and_uses_it_at_another_instance() {
+    let fleet = plain_fleet(2).await;
+    let here = fleet.entry(HERE).address.to_string();
+    let there = fleet.entry(THERE).address.to_string();
+    let minted = fleet
+        .run(&["ticket", "mint", &here, "--expires", "1min"])
+        .await;
+    assert_eq!(minted.status, 0, "{}", minted.stderr);
+    let ticket = minted.stdout.trim();
+    let args = [
+        "ticket", "use", &there, "--ticket", ticket, "--work", "confirm",
+    ];
+    let path = ["--path", "/services/carta/slots/9"];
+    let before = fleet.counters(PLAIN).await["runs"].as_u64();
+    let mut answers = Vec::new();
+    for _ in 0..2 {
+        let used = fleet.run(&[&args[..], &path[..]].concat()).await;
+        assert_eq!(used.status, 0, "{}", used.stderr);
+        answers.push(used.stdout);
+    }
+    assert_eq!(answers[0], answers[1]);
+    let after = fleet.counters(PLAIN).await["runs"].as_u64();
+    assert_eq!(after, before.map(|runs| runs + 1));
+}
+
+#[tokio::test]
+async fn dump_and_metrics_count_what_happens_to_tickets() {
+    let fleet = plain_fleet(1).await;
+    let ticket = fleet.mint(HERE).await;
+    for _ in 0..2 {
+        let call = fleet.confirm(HERE, "slot").header(TICKET_HEADER, &ticket);
+        assert_eq!(call.send().await.code(), 1000);
+    }
+    let dump = fleet.ticket_dump(HERE).await;
+    let counts = ["minted", "run", "repeated"].map(|name| dump["happenings"][name].as_u64());
+    assert_eq!(counts, [Some(1); 3], "{dump}");
+    assert_eq!((&dump["records"], &dump["open"]), (&json!(1), &json!(true)));
+    let metrics = fleet.admin(HERE, "/metrics").send().await.text();
+    let line = "trestlewalk_tickets_total{happening=\"repeated\"} 1";
+    assert!(metrics.contains(line), "{metrics}");
+}
+
 #[tokio::test]
 async fn a_key_and_a_ticket_together_are_refused() {
     let fleet = plain_fleet(1).await;
--- a/crates/trestlewalk/tests/promise_once_close.rs
+++ b/crates/trestlewalk/tests/promise_once_close.rs
@@ -93,12 +93,17 @@
     let repeated = tokio::spawn(repeated.try_send());
     let used = confirm(&fleet, HERE, "unused", &unused);
     let used = tokio::spawn(used.try_send());
+    wait_until("the unused ticket is at the successor", async || {
+        let dump = fleet.ticket_dump(HERE).await;
+        dump["happenings"]["forwarded"] == 1
+    })
+    .await;
     relay.set(RelayMode::Open);
     let reply = call.await.unwrap().unwrap();
     assert_eq!(reply.code(), 1000, "{}", reply.text());
     let used = used.await.unwrap().unwrap();
     assert_eq!(used.code(), 1000, "{}", used.text());
-    // By way of the successor, the outcome of what ran here is not known.
+    // By way of the successor, the outcome of what runs here is not known before it ended.
     let repeated = repeated.await.unwrap().unwrap();
     assert!(
         [1000, 3004].contains(&repeated.code()),
@@ -106,6 +111,10 @@
         repeated.text()
     );
     assert_eq!(fleet.exit(HERE).await.code(), Some(0));
+    for entry in SUCCESSORS {
+        let later = confirm(&fleet, entry, "running", &running).send().await;
+        assert_eq!(later.body, reply.body, "{entry}: {}", later.text());
+    }
     for run_key in ["running", "unused"] {
         assert_eq!(fleet.runs(run_key).await, 1, "{run_key}");
     }
