--- a/crates/trestlewalk/tests/promise_once.rs
+++ b/crates/trestlewalk/tests/promise_once.rs
@@ -124,6 +124,28 @@
     assert_eq!(total(&counters["decode_runs_by_prompt"]), 1, "{counters}");
 }
 
+#[tokio::test]
+async fn doubled_and_late_answers_reach_no_caller_twice() {
+    let plan = FleetPlan::new().entries(3).prefill(1).decode(1).plain(1);
+    let fleet = start_ready(plan).await;
+    let faults = json!({ "duplicate_chunks": true, "slow_accept_ms": 200 });
+    fleet.faults("gijon-decode-1", faults).await;
+    let ticket = fleet.mint(HERE).await;
+    let body = json!({ "prompt": PROMPT, "max_tokens": 12 });
+    let at = |entry: &str| {
+        let call = fleet.entry(entry).post("/v1/completions").work("single");
+        call.header(TICKET_HEADER, &ticket).json(&body).try_send()
+    };
+    let (first, second) = tokio::join!(at("gijon-2"), at("gijon-3"));
+    let (first, second) = (first.unwrap(), second.unwrap());
+    assert_eq!((first.code(), second.code()), (1000, 1000));
+    assert_eq!(first.body, second.body);
+    let text = expected_text(12);
+    assert_eq!(first.json::<Value>()["choices"][0]["text"], text);
+    let counters = fleet.counters("gijon-decode-1").await;
+    assert_eq!(total(&counters["decode_runs_by_prompt"]), 1, "{counters}");
+}
+
 #[tokio::test]
 async fn a_stream_comes_through_another_instance_and_its_repetition_is_the_same() {
     let plan = FleetPlan::new().entries(2).prefill(1).decode(1).plain(1);
