--- a/crates/trestlewalk/tests/promise_once_dead.rs
+++ b/crates/trestlewalk/tests/promise_once_dead.rs
@@ -6,8 +6,8 @@
     serde_json::json,
     std::time::{Duration, Instant},
     support::{
-        CallReply, Fleet, FleetPlan, HttpCall, KEY_HEADER, RelayMode, TICKET_HEADER, start_ready,
-        wait_until,
+        CallReply, Fleet, FleetPlan, HttpCall, KEY_HEADER, RelayMode, TABLE, TICKET_HEADER,
+        start_ready, wait_until,
     },
     tokio::task::JoinHandle,
 };
@@ -15,6 +15,8 @@
 const DECODE: &str = "gijon-decode-1";
 const HERE: &str = "gijon-1";
 const PLAIN: &str = "gijon-plain-1";
+const CONFIRM: &str = "confirm,carta,,0,1,,,1s,,5s";
+const CONFIRM_LIMITED: &str = "confirm,carta,,0,1,1,,,,60s";
 const THERE: &str = "gijon-2";
 
 #[tokio::test]
@@ -101,6 +103,34 @@
     assert_eq!(runs.as_object().map(|runs| runs.len()), Some(1), "{runs}");
 }
 
+#[tokio::test]
+async fn a_call_that_waits_past_its_tickets_end_is_refused_as_not_run() {
+    const LIFETIME_MS: u64 = 200;
+    let fleet = start_ready(FleetPlan::new().plain(1)).await;
+    fleet
+        .put_table(&TABLE.replace(CONFIRM, CONFIRM_LIMITED))
+        .await;
+    let relay = fleet.upstream_relay(PLAIN);
+    relay.set(RelayMode::Silent);
+    let first = tokio::spawn(fleet.confirm(HERE, "first").try_send());
+    wait_until("the first call is on its way", async || relay.held() > 0).await;
+    let ticket = fleet.mint_for(HERE, LIFETIME_MS).await;
+    let minted = Instant::now();
+    let call = || fleet.confirm(HERE, "late").header(TICKET_HEADER, &ticket);
+    let late = tokio::spawn(call().try_send());
+    wait_until("the ticket's end", async || {
+        minted.elapsed() > Duration::from_millis(LIFETIME_MS + 2)
+    })
+    .await;
+    assert!(!late.is_finished());
+    relay.set(RelayMode::Open);
+    assert_eq!(first.await.unwrap().unwrap().code(), 1000);
+    let late = late.await.unwrap().unwrap();
+    assert_eq!(late.code(), 4001, "{}", late.text());
+    assert_eq!(call().send().await.code(), 4001);
+    assert_eq!(fleet.runs("late").await, 0);
+}
+
 #[tokio::test]
 async fn a_frozen_origin_leaves_the_outcome_unknown_and_runs_no_second_time() {
     let fleet = start_ready(FleetPlan::new().entries(2).plain(1)).await;
