--- a/crates/door/src/ticket_door.rs
+++ b/crates/door/src/ticket_door.rs
@@ -118,7 +118,10 @@
                 LocalEnd::Answered(response, back) => return (response, back),
                 LocalEnd::Elsewhere(back, life) => (back, life),
             };
-            let pass = self.gate.enter().ok();
+            let pass = match self.gate.enter() {
+                Err(ResultCode::QueueFull) => return (self.too_busy(), None),
+                entered => entered.ok(),
+            };
             self.desk.metrics.count(ticket_happening::FORWARDED);
             let end = self.forward(&life, ticket, back, pass).await;
             let (back, next) = match end {
@@ -184,6 +187,14 @@
         }
     }
 
+    /// The origin has to be asked, and this instance has no room for one more request.
+    fn too_busy(&self) -> Response {
+        self.desk.metrics.count(ticket_happening::GONE);
+        origin_gone(
+            "this instance holds as many requests as it takes, and did not ask the ticket's origin",
+        )
+    }
+
     async fn run_handler(&self, request: Request<Body>) -> Response {
         match self.handlers.clone().oneshot(request).await {
             Ok(response) => response,
--- a/crates/trestlewalk/tests/promise_once.rs
+++ b/crates/trestlewalk/tests/promise_once.rs
@@ -235,6 +235,33 @@
     assert_eq!(after, before.map(|runs| runs + 1));
 }
 
+#[tokio::test]
+async fn a_full_instance_passes_nothing_on_and_says_that_it_does_not_know() {
+    let plan = FleetPlan::new().entries(2).plain(1);
+    let fleet = start_ready(plan.set("limits.open_requests=1")).await;
+    let (held, other) = (fleet.mint(HERE).await, fleet.mint(HERE).await);
+    let relay = fleet.upstream_relay(PLAIN);
+    relay.set(RelayMode::Silent);
+    let first = fleet.confirm(THERE, "first").header(TICKET_HEADER, &held);
+    let first = tokio::spawn(first.try_send());
+    wait_until("the first is passed on", async || {
+        let dump = fleet.ticket_dump(THERE).await;
+        dump["happenings"]["forwarded"] == 1
+    })
+    .await;
+    let second = || fleet.confirm(THERE, "second").header(TICKET_HEADER, &other);
+    let reply = second().send().await;
+    assert_eq!(reply.code(), 3004, "{}", reply.text());
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(fleet.runs("second").await, 0);
+    relay.set(RelayMode::Open);
+    let _ = first.await;
+    wait_until("the second is passed on", async || {
+        second().send().await.code() != 3004
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn dump_and_metrics_count_what_happens_to_tickets() {
     let fleet = plain_fleet(1).await;
