--- a/crates/trestlewalk/tests/promise_once.rs
+++ b/crates/trestlewalk/tests/promise_once.rs
@@ -124,6 +124,28 @@
     assert_eq!(total(&counters["decode_runs_by_prompt"]), 1, "{counters}");
 }
 
+#[tokio::test]
+async fn doubled_and_late_answers_reach_no_caller_twice() {
+    let plan = FleetPlan::new().entries(3).prefill(1).decode(1).plain(1);
+    let fleet = start_ready(plan).await;
+    let faults = json!({ "duplicate_chunks": true, "slow_accept_ms": 200 });
+    fleet.faults("gijon-decode-1", faults).await;
+    let ticket = fleet.mint(HERE).await;
+    let body = json!({ "prompt": PROMPT, "max_tokens": 12 });
+    let at = |entry: &str| {
+        let call = fleet.entry(entry).post("/v1/completions").work("single");
+        call.header(TICKET_HEADER, &ticket).json(&body).try_send()
+    };
+    let (first, second) = tokio::join!(at("gijon-2"), at("gijon-3"));
+    let (first, second) = (first.unwrap(), second.unwrap());
+    assert_eq!((first.code(), second.code()), (1000, 1000));
+    assert_eq!(first.body, second.body);
+    let text = expected_text(12);
+    assert_eq!(first.json::<Value>()["choices"][0]["text"], text);
+    let counters = fleet.counters("gijon-decode-1").await;
+    assert_eq!(total(&counters["decode_runs_by_prompt"]), 1, "{counters}");
+}
+
 #[tokio::test]
 async fn a_stream_comes_through_another_instance_and_its_repetition_is_the_same() {
     let plan = FleetPlan::new().entries(2).prefill(1).decode(1).plain(1);
@@ -187,6 +209,76 @@
     assert_eq!(fleet.counters("gijon-decode-1").await["finished"], 0);
 }
 
+#[tokio::test]
+async fn the_command_line_mints_a_ticket_and_uses_it_at_another_instance() {
+    let fleet = plain_fleet(2).await;
+    let here = fleet.entry(HERE).address.to_string();
+    let there = fleet.entry(THERE).address.to_string();
+    let minted = fleet
+        .run(&["ticket", "mint", &here, "--expires", "1min"])
+        .await;
+    assert_eq!(minted.status, 0, "{}", minted.stderr);
+    let ticket = minted.stdout.trim();
+    let args = [
+        "ticket", "use", &there, "--ticket", ticket, "--work", "confirm",
+    ];
+    let path = ["--path", "/services/carta/slots/9"];
+    let before = fleet.counters(PLAIN).await["runs"].as_u64();
+    let mut answers = Vec::new();
+    for _ in 0..2 {
+        let used = fleet.run(&[&args[..], &path[..]].concat()).await;
+        assert_eq!(used.status, 0, "{}", used.stderr);
+        answers.push(used.stdout);
+    }
+    assert_eq!(answers[0], answers[1]);
+    let after = fleet.counters(PLAIN).await["runs"].as_u64();
+    assert_eq!(after, before.map(|runs| runs + 1));
+}
+
+#[tokio::test]
+async fn a_full_instance_passes_nothing_on_and_says_that_it_does_not_know() {
+    let plan = FleetPlan::new().entries(2).plain(1);
+    let fleet = start_ready(plan.set("limits.open_requests=1")).await;
+    let (held, other) = (fleet.mint(HERE).await, fleet.mint(HERE).await);
+    let relay = fleet.upstream_relay(PLAIN);
+    relay.set(RelayMode::Silent);
+    let first = fleet.confirm(THERE, "first").header(TICKET_HEADER, &held);
+    let first = tokio::spawn(first.try_send());
+    wait_until("the first is passed on", async || {
+        let dump = fleet.ticket_dump(THERE).await;
+        dump["happenings"]["forwarded"] == 1
+    })
+    .await;
+    let second = || fleet.confirm(THERE, "second").header(TICKET_HEADER, &other);
+    let reply = second().send().await;
+    assert_eq!(reply.code(), 3004, "{}", reply.text());
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(fleet.runs("second").await, 0);
+    relay.set(RelayMode::Open);
+    let _ = first.await;
+    wait_until("the second is passed on", async || {
+        second().send().await.code() != 3004
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn dump_and_metrics_count_what_happens_to_tickets() {
+    let fleet = plain_fleet(1).await;
+    let ticket = fleet.mint(HERE).await;
+    for _ in 0..2 {
+        let call = fleet.confirm(HERE, "slot").header(TICKET_HEADER, &ticket);
+        assert_eq!(call.send().await.code(), 1000);
+    }
+    let dump = fleet.ticket_dump(HERE).await;
+    let counts = ["minted", "run", "repeated"].map(|name| dump["happenings"][name].as_u64());
+    assert_eq!(counts, [Some(1); 3], "{dump}");
+    assert_eq!((&dump["records"], &dump["open"]), (&json!(1), &json!(true)));
+    let metrics = fleet.admin(HERE, "/metrics").send().await.text();
+    let line = "trestlewalk_tickets_total{happening=\"repeated\"} 1";
+    assert!(metrics.contains(line), "{metrics}");
+}
+
 #[tokio::test]
 async fn a_key_and_a_ticket_together_are_refused() {
     let fleet = plain_fleet(1).await;
