Pull a patch from the platform's log in place of the whole table

The driver of the table scanned all rows for every edit, although the repository makes a patch of the few edits since from the log.

Ruled out: a cache of the last scan, which saves nothing at the instance that is behind.

Before: 5 scans after 4 edits (1 for the first table), the new test `an_instance_that_is_one_edit_behind_does_not_scan_the_table` red with left 5, right 1. After: 1 scan, green.

--- a/crates/trestlewalk/src/entry/table_driver.rs
+++ b/crates/trestlewalk/src/entry/table_driver.rs
@@ -180,8 +180,7 @@
     }
 
     async fn pull_platform(&self, since: TableVersion) -> Option<TablePatch> {
-        let snapshot = self.repository.snapshot().await.ok()?;
-        Some(snapshot.table.patch_since(since))
+        self.repository.patch_since(since).await.ok()
     }
 
     fn put_in_force(&self, table: &StampedTable) {
