Pull the table from peers that have another content

Three gaps, one cause: the keeper's decisions about peers reached nobody. A pull from a peer was answered as failed; the membership asked after the own version also when the last patch did not add up; a peer with the same version and another digest was told of and never asked. So an edit that only an instance without polls held stayed there after a fork.

Now the keeper hears of differing peers and of their end, pulls from them through the membership, and asks after `pull_since`.

Ruled out: a second pull rule in the membership for equal versions. The keeper knows which heads it has pulled whole already; a rule without that would pull with every heartbeat while two tables differ.

--- a/crates/peer/src/driver_task.rs
+++ b/crates/peer/src/driver_task.rs
@@ -207,16 +207,22 @@
     source: &S,
     from: &InstanceId,
 ) -> Option<MemberEvent> {
-    let since = source.mark().version;
-    let request = wire::encode(&since).ok()?;
-    let content = endpoint.call(from, TABLE_TAG, &request).await.ok()?;
-    if content.is_empty() {
-        return None;
-    }
+    let content = ask_table(endpoint, from, source.pull_since()).await?;
     let mark = source.take(from, content).await.ok()?;
     Some(MemberEvent::Table(mark))
 }
 
+/// Asks a peer for the table's changes after a version; none when it has none or does not answer.
+pub(crate) async fn ask_table(
+    endpoint: &PeerEndpoint,
+    from: &InstanceId,
+    since: TableVersion,
+) -> Option<Bytes> {
+    let request = wire::encode(&since).ok()?;
+    let content = endpoint.call(from, TABLE_TAG, &request).await.ok()?;
+    (!content.is_empty()).then_some(content)
+}
+
 fn as_gauge(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/crates/peer/src/member_news.rs
+++ b/crates/peer/src/member_news.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{member_record::MemberRecord, upstream_mark::UpstreamMark},
-    kernel::{Incarnation, InstanceId, TableVersion, ZoneId},
+    kernel::{Incarnation, InstanceId, TableDigest, TableVersion, ZoneId},
 };
 
 /// One piece of news.
@@ -10,11 +10,22 @@
 pub enum MemberNews {
     /// A peer has the same table version with another content.
     DigestDiffers {
+        /// The digest of its content.
+        digest: TableDigest,
         /// The peer.
         instance: InstanceId,
         /// The version.
         version: TableVersion,
     },
+    /// A peer that had the same table version with another content has another version now, or the same content.
+    DigestSettled {
+        /// The digest of its content.
+        digest: TableDigest,
+        /// The peer.
+        instance: InstanceId,
+        /// Its version.
+        version: TableVersion,
+    },
     /// An upstream is marked, or a mark is taken back.
     Marked(UpstreamMark),
     /// A member can't be heard from here, and is not declared gone: it may still act. Choose another for new work.
--- a/crates/peer/src/member_sync.rs
+++ b/crates/peer/src/member_sync.rs
@@ -7,6 +7,7 @@
         member_news::MemberNews,
         member_table::{MemberTable, PendingPull},
         peer_identity::PeerIdentity,
+        table_mark::TableMark,
     },
     std::time::Instant,
 };
@@ -23,16 +24,8 @@
         actions: &mut Vec<MemberAction>,
     ) {
         let theirs = beat.table;
-        if theirs.version == self.table.version {
-            if theirs.digest != self.table.digest {
-                actions.push(MemberAction::News(MemberNews::DigestDiffers {
-                    instance: from.instance.clone(),
-                    version: theirs.version,
-                }));
-            }
-            return;
-        }
-        if theirs.version < self.table.version {
+        self.compare_contents(now, from, theirs, actions);
+        if theirs.version <= self.table.version {
             return;
         }
         let is_pulled = self
@@ -51,6 +44,34 @@
             version: theirs.version,
         });
     }
+    /// Tells of a peer that has this instance's version with another content, and of the end of that.
+    fn compare_contents(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        theirs: TableMark,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let differs = theirs.version == self.table.version && theirs != self.table;
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        let differed = std::mem::replace(&mut watch.table_differs, differs);
+        let instance = from.instance.clone();
+        let TableMark { digest, version } = theirs;
+        if differs {
+            actions.push(MemberAction::News(MemberNews::DigestDiffers {
+                digest,
+                instance,
+                version,
+            }));
+        } else if differed {
+            actions.push(MemberAction::News(MemberNews::DigestSettled {
+                digest,
+                instance,
+                version,
+            }));
+        }
+    }
+
 
     pub(crate) fn compare_digests(
         &mut self,
--- a/crates/peer/src/member_watch.rs
+++ b/crates/peer/src/member_watch.rs
@@ -21,6 +21,8 @@
     pub sequence: Option<u64>,
     /// Since when it is a suspect.
     pub suspected: Option<Instant>,
+    /// Whether its last heartbeat told of this instance's table version with another content.
+    pub table_differs: bool,
 }
 
 impl MemberWatch {
@@ -35,6 +37,7 @@
             incarnation,
             sequence: None,
             suspected: None,
+            table_differs: false,
         }
     }
 
--- a/crates/peer/src/peer_driver.rs
+++ b/crates/peer/src/peer_driver.rs
@@ -19,7 +19,8 @@
     },
     arc_swap::ArcSwap,
     bon::bon,
-    kernel::{PluginEntry, StateMap, UpstreamId, WorkerPool, ZoneId},
+    bytes::Bytes,
+    kernel::{InstanceId, PluginEntry, StateMap, TableVersion, UpstreamId, WorkerPool, ZoneId},
     prometheus::Registry,
     route::load_report::LeavingCause,
     serde_json::{Value, json},
@@ -120,6 +121,16 @@
         self.news.subscribe()
     }
 
+    /// Asks a peer for the table's changes after a version, 0 for all; none when it has none or does not answer.
+    pub async fn pull_table(&self, from: &InstanceId, since: TableVersion) -> Option<Bytes> {
+        self.metrics.pulls.inc();
+        let content = driver_task::ask_table(&self.endpoint, from, since).await;
+        if content.is_none() {
+            self.metrics.pulls_failed.inc();
+        }
+        content
+    }
+
     /// States the summary of a cell that this instance allocates.
     pub fn set_cell(&self, summary: CellSummary) {
         self.command(MemberEvent::Cell(summary));
--- a/crates/peer/src/table_source.rs
+++ b/crates/peer/src/table_source.rs
@@ -15,6 +15,11 @@
     /// The table in force.
     fn mark(&self) -> TableMark;
 
+    /// The version after which to ask a peer for changes; 0 asks for all.
+    fn pull_since(&self) -> TableVersion {
+        self.mark().version
+    }
+
     /// Puts in force what a peer gave, and tells what is in force then.
     ///
     /// # Errors
--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -187,7 +187,9 @@
 
 /// Starts what brings the table here.
 fn start_table(base: &PathBase, parts: &EntryParts, driver: &Arc<PeerDriver>, table: &LocalTable) {
+    table.join(driver.clone());
     base.pool.spawn(table.clone().run_heads(driver.clone()));
+    base.pool.spawn(table.clone().run_news(driver.clone()));
     base.pool.spawn(table.clone().run_ticks());
     base.pool.spawn(follow_members(
         driver.clone(),
--- a/crates/trestlewalk/src/entry/table_driver.rs
+++ b/crates/trestlewalk/src/entry/table_driver.rs
@@ -5,16 +5,19 @@
     bytes::Bytes,
     flow::TableBoard,
     kernel::{InstanceId, LockRank, RankedLock, TableVersion, WorkerPool, ZoneId, unix_time},
-    peer::{PeerDriver, PeerError, TableMark, peer_error::GarbledSnafu},
+    peer::{MemberNews, PeerDriver, PeerError, TableMark, peer_error::GarbledSnafu},
     plat::{EditOrigin, PollAction, PollEvent, PollPlan, RowStore, TableRepository},
     std::{
-        sync::Arc,
+        sync::{Arc, OnceLock},
         time::{Duration, Instant, SystemTime},
     },
     table::{
         KeeperAction, KeeperEvent, StampedTable, TableHead, TableKeeper, TablePatch, TableSource,
     },
-    tokio::{sync::Notify, time},
+    tokio::{
+        sync::{Notify, broadcast::error::RecvError},
+        time,
+    },
 };
 
 /// The condition that keeps an instance without a table from being ready.
@@ -35,6 +38,7 @@
     board: Arc<TableBoard>,
     head_changed: Notify,
     instance: InstanceId,
+    peers: OnceLock<Arc<PeerDriver>>,
     pool: WorkerPool,
     ready: Arc<ReadyBoard>,
     repository: TableRepository<S>,
@@ -63,6 +67,7 @@
             board,
             head_changed: Notify::new(),
             instance,
+            peers: OnceLock::new(),
             pool,
             ready,
             repository,
@@ -105,6 +110,12 @@
         }
     }
 
+    /// Names the membership that peers are pulled from through.
+    pub fn join(&self, driver: Arc<PeerDriver>) {
+        // There is one membership a process.
+        let _ = self.peers.set(driver);
+    }
+
     /// Tells the plan which instances of the own availability zone live.
     pub fn on_members(self: &Arc<Self>, members: Vec<InstanceId>) {
         self.step_plan(PollEvent::Members(members));
@@ -118,6 +129,18 @@
         }
     }
 
+    /// Gives the keeper what the membership hears of the peers' tables, for as long as it is driven.
+    pub async fn run_news(self: Arc<Self>, driver: Arc<PeerDriver>) {
+        let mut news = driver.news();
+        loop {
+            match news.recv().await {
+                Ok(news) => self.on_news(news),
+                Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            }
+        }
+    }
+
     /// Drives time for as long as it is driven.
     pub async fn run_ticks(self: Arc<Self>) {
         let mut ticks = time::interval(TICK);
@@ -167,10 +190,9 @@
         self.step_plan(PollEvent::Done { answered });
     }
 
-    /// Peers are pulled from by the membership, which knows who has what.
     async fn pull(self: Arc<Self>, since: TableVersion, source: TableSource) {
         let patch = match &source {
-            TableSource::Peer(_) => None,
+            TableSource::Peer(from) => self.pull_peer(from, since).await,
             TableSource::Platform => self.pull_platform(since).await,
         };
         self.on_event(match patch {
@@ -179,10 +201,39 @@
         });
     }
 
+    async fn pull_peer(&self, from: &InstanceId, since: TableVersion) -> Option<TablePatch> {
+        let content = self.peers.get()?.pull_table(from, since).await?;
+        postcard::from_bytes(&content).ok()
+    }
+
     async fn pull_platform(&self, since: TableVersion) -> Option<TablePatch> {
         self.repository.patch_since(since).await.ok()
     }
 
+    fn on_news(self: &Arc<Self>, news: MemberNews) {
+        let (head, source) = match news {
+            MemberNews::DigestDiffers {
+                digest,
+                instance,
+                version,
+            }
+            | MemberNews::DigestSettled {
+                digest,
+                instance,
+                version,
+            } => (TableHead { digest, version }, TableSource::Peer(instance)),
+            MemberNews::MemberGone { instance, .. } => {
+                return self.on_event(KeeperEvent::PeerGone(instance));
+            }
+            _ => return,
+        };
+        self.on_event(KeeperEvent::Head {
+            asked: Instant::now(),
+            head,
+            source,
+        });
+    }
+
     fn put_in_force(&self, table: &StampedTable) {
         let table = Arc::new(table.to_table());
         tracing::info!(
@@ -250,6 +301,10 @@
         self.driver.mark()
     }
 
+    fn pull_since(&self) -> TableVersion {
+        self.driver.state.lock().keeper.pull_since()
+    }
+
     async fn take(&self, from: &InstanceId, content: Bytes) -> Result<TableMark, PeerError> {
         let patch = postcard::from_bytes::<TablePatch>(&content);
         let Ok(patch) = patch else {
--- a/crates/trestlewalk/tests/table_driver.rs
+++ b/crates/trestlewalk/tests/table_driver.rs
@@ -146,7 +146,10 @@
 
 async fn wait_version(board: &TableBoard, version: u64) {
     let end = Instant::now() + WAIT_LIMIT;
-    while board.entry().is_none_or(|entry| entry.table.version < version) {
+    while board
+        .entry()
+        .is_none_or(|entry| entry.table.version < version)
+    {
         assert!(Instant::now() < end, "waited in vain for {version}");
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
