Put a budget before a platform's client

`CallBudget` was tested and driven by nobody. `BudgetPlatform` waits up to a second for the call's turn and refuses after that without sending, so that a write that is over the budget is known not to have taken effect.

Ruled out: refusing at once, which turns a short burst into failed polls; waiting without a limit, which holds a keyed request to its deadline.

--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`TableRepository`] keeps the operators' table in its rows, and [`insert_once`] writes a row that must be the first
 //! with its key. [`PollPlan`] decides which instances poll, and when.
 
+pub mod budget_platform;
 pub mod call_budget;
 pub mod edit_origin;
 pub mod edit_record;
@@ -24,6 +25,7 @@
 mod table_transaction;
 
 pub use {
+    budget_platform::{BudgetPlatform, DeferCounts},
     call_budget::{CallBudget, CallKind, CallRate},
     edit_origin::EditOrigin,
     edit_record::{EditId, EditRecord},
--- a/crates/plat/src/plat_error.rs
+++ b/crates/plat/src/plat_error.rs
@@ -1,6 +1,7 @@
 //! Why the platform gave no answer, or one that doesn't hold together.
 
 use {
+    crate::call_budget::CallKind,
     kernel::{ResultCode, TableVersion},
     snafu::Snafu,
     std::sync::Arc,
@@ -66,6 +67,14 @@
         /// Its HTTP status.
         status: u16,
     },
+    /// The call was not sent: this instance makes too many.
+    #[snafu(display(
+        "a {kind:?} call to the platform was not sent: it is over this instance's budget"
+    ))]
+    OverBudget {
+        /// The kind of call.
+        kind: CallKind,
+    },
     /// Other edits came first at every try.
     #[snafu(display("edit {edit} was overtaken by others {tries} times and is not done"))]
     Overtaken {
@@ -99,9 +108,10 @@
             Self::BaseUnknown { .. } | Self::HistoryGap { .. } => ResultCode::VersionFell,
             Self::OutcomeUnknown { .. } => ResultCode::EditUnknown,
             Self::Overtaken { .. } => ResultCode::EditConflict,
-            Self::Garbled { .. } | Self::Refused { .. } | Self::Unreachable { .. } => {
-                ResultCode::PlatformUnreachable
-            }
+            Self::Garbled { .. }
+            | Self::OverBudget { .. }
+            | Self::Refused { .. }
+            | Self::Unreachable { .. } => ResultCode::PlatformUnreachable,
         }
     }
 }
