Tell on every instance whether the platform is heard

`cut_off_since` was fed by the instance's own polls only, so that an instance that does not poll counted as cut off ten seconds after its start, and was asked by nobody. The state is in `/dump` (`platform`), in the metrics (`platform_cut_off`, `platform_silence_seconds`), in `/table` (`cut_off_since`), and in one log line when it begins and one when it ends. The client of an entry instance keeps to 200 reads and 50 writes a second; calls that wait are counted (`platform_reads_deferred_total`, `platform_writes_deferred_total`).

Ruled out: the wall-clock time of the word, which clocks that differ would falsify; taking every newer age, since each hop adds its delay and a word that goes round would grow younger for ever. A gain of under a second is not taken, nor what lay in the inbox of a frozen process.

Before: `an_instance_without_polls_knows_whether_the_platform_answers_the_others` red, `waited in vain: it is no poller`: there was nothing to ask.

--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -7,6 +7,7 @@
     },
     kernel::ZoneId,
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
 /// One heartbeat: who sends it, what it has in force, and what changed lately. Every list is bounded.
@@ -24,6 +25,8 @@
     pub member: MemberRecord,
     /// The digest of all members that the sender knows.
     pub members_digest: u64,
+    /// How long ago the platform answered the sender, or one that told the sender of it; none when it never did.
+    pub platform_age: Option<Duration>,
     /// Members whose records are new.
     pub records: Vec<MemberRecord>,
     /// Counts the heartbeats of the sender's life; one that does not rise is a replay.
--- a/crates/peer/src/member_beat.rs
+++ b/crates/peer/src/member_beat.rs
@@ -277,6 +277,9 @@
             marks_digest: self.marks.digest(),
             member: self.own().clone(),
             members_digest: self.records.digest(),
+            platform_age: self
+                .platform_heard
+                .map(|at| now.saturating_duration_since(at)),
             records: records
                 .iter()
                 .filter_map(|instance| self.records.get(instance).cloned())
--- a/crates/peer/src/member_event.rs
+++ b/crates/peer/src/member_event.rs
@@ -7,7 +7,7 @@
     },
     kernel::{Incarnation, InstanceId, UpstreamId},
     route::load_report::LeavingCause,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Instant},
 };
 
 /// An instance that the settings or the platform's list name.
@@ -44,6 +44,8 @@
         /// The message.
         message: MemberMessage,
     },
+    /// The platform answered this instance a call that was sent then.
+    PlatformHeard(Instant),
     /// This instance took a new life, as [`MemberAction::Renew`](crate::MemberAction) asked.
     Renewed(Incarnation),
     /// This instance's own state.
--- a/crates/peer/src/member_merge.rs
+++ b/crates/peer/src/member_merge.rs
@@ -78,6 +78,7 @@
         self.take_record(now, beat.member.clone(), true, actions);
         self.tell_if_suspect(now, from, actions);
         self.take_news(now, beat, actions);
+        self.hear_platform(now, beat);
         self.compare_tables(now, from, beat, actions);
         self.compare_digests(now, from, beat, actions);
         true
--- a/crates/peer/src/member_sync.rs
+++ b/crates/peer/src/member_sync.rs
@@ -9,11 +9,13 @@
         peer_identity::PeerIdentity,
         table_mark::TableMark,
     },
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// Whole lists with more changes than this are not passed on as news: the neighbours compare digests themselves.
 const BULK_LIMIT: usize = 16;
+/// By how much a peer's word from the platform has to be newer than the own one.
+const PLATFORM_MARGIN: Duration = Duration::from_secs(1);
 
 impl MemberTable {
     pub(crate) fn compare_tables(
@@ -44,6 +46,24 @@
             version: theirs.version,
         });
     }
+    /// Takes the age of the sender's last word from the platform. Each hop adds the time on its way, so that a word
+    /// that comes back looks newer than it is: a gain within the margin is not taken, and neither is what lay in the
+    /// inbox while this process stood still.
+    pub(crate) fn hear_platform(&mut self, now: Instant, beat: &Heartbeat) {
+        let Some(heard) = beat.platform_age.and_then(|age| now.checked_sub(age)) else {
+            return;
+        };
+        if now.saturating_duration_since(self.next_beat) >= self.settings.suspicion_timeout {
+            return;
+        }
+        let is_newer = self
+            .platform_heard
+            .is_none_or(|known| heard > known + PLATFORM_MARGIN);
+        if is_newer {
+            self.platform_heard = Some(heard);
+        }
+    }
+
     /// Tells of a peer that has this instance's version with another content, and of the end of that.
     fn compare_contents(
         &mut self,
@@ -72,7 +92,6 @@
         }
     }
 
-
     pub(crate) fn compare_digests(
         &mut self,
         now: Instant,
--- a/crates/peer/src/member_table.rs
+++ b/crates/peer/src/member_table.rs
@@ -58,6 +58,7 @@
     pub(crate) next_beat: Instant,
     pub(crate) next_probe: Instant,
     pub(crate) next_sync: Instant,
+    pub(crate) platform_heard: Option<Instant>,
     pub(crate) probe_cursor: usize,
     pub(crate) pull: Option<PendingPull>,
     pub(crate) record_rumours: RumourQueue<InstanceId>,
@@ -99,6 +100,7 @@
             next_beat: now,
             next_probe: now,
             next_sync: now,
+            platform_heard: None,
             probe_cursor: 0,
             pull: None,
             record_rumours: RumourQueue::new(settings.rumour_rounds),
@@ -143,6 +145,9 @@
             MemberEvent::Message { from, message } => {
                 self.on_message(now, &from, message, actions);
             }
+            MemberEvent::PlatformHeard(at) => {
+                self.platform_heard = self.platform_heard.max(Some(at));
+            }
             MemberEvent::Renewed(incarnation) => self.on_renewed(now, incarnation, actions),
             MemberEvent::State(state) => self.on_state(now, state),
             MemberEvent::Table(mark) => self.on_table(now, mark, actions),
@@ -202,6 +207,11 @@
         self.next_beat
     }
 
+    /// When the platform answered this instance, or one that told of it, by this instance's clock.
+    pub fn platform_heard(&self) -> Option<Instant> {
+        self.platform_heard
+    }
+
     /// The table that this instance has in force.
     pub fn table(&self) -> TableMark {
         self.table
--- a/crates/peer/src/member_view.rs
+++ b/crates/peer/src/member_view.rs
@@ -40,6 +40,9 @@
     pub marks: Vec<UpstreamMark>,
     /// Whom this instance exchanges heartbeats with.
     pub neighbours: Vec<InstanceId>,
+    /// When the platform answered this instance, or one that told of it.
+    #[serde(skip)]
+    pub platform_heard: Option<Instant>,
     /// The table in force here.
     pub table: TableMark,
     /// The members that are suspected or cut off.
@@ -62,6 +65,7 @@
             is_stale: table.is_stale(),
             marks: table.marks(now),
             neighbours: table.neighbours().iter().cloned().collect(),
+            platform_heard: table.platform_heard(),
             table: table.table(),
             unheard: unheard(table),
             zone_floor: table.zone_floor(),
--- a/crates/peer/src/peer_driver.rs
+++ b/crates/peer/src/peer_driver.rs
@@ -146,6 +146,11 @@
         self.command(MemberEvent::Listed(members));
     }
 
+    /// States that the platform answered this instance a call that was sent at `at`.
+    pub fn set_platform_heard(&self, at: Instant) {
+        self.command(MemberEvent::PlatformHeard(at));
+    }
+
     /// States whether this instance takes requests.
     pub fn set_state(&self, state: MemberState) {
         self.command(MemberEvent::State(state));
--- a/crates/table/src/table_keeper.rs
+++ b/crates/table/src/table_keeper.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// How long the platform has not been heard, by this instance or a peer that told of it.
+    pub fn platform_silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.platform_seen)
+    }
+
     /// The table in force; empty before the first one.
     pub fn table(&self) -> &Arc<StampedTable> {
         &self.table
--- a/crates/trestlewalk/src/admin/table_status.rs
+++ b/crates/trestlewalk/src/admin/table_status.rs
@@ -10,6 +10,10 @@
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableStatus {
+    /// Since when neither the instance nor its peers hear from the platform, milliseconds since the Unix epoch; none
+    /// while they do.
+    #[serde(default)]
+    pub cut_off_since: Option<u64>,
     /// The hash of the table's content; a string, since JSON readers round numbers of 64 bits.
     #[serde_as(as = "DisplayFromStr")]
     pub digest: TableDigest,
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -14,6 +14,7 @@
 pub mod log_setup;
 pub mod member_watch;
 pub mod path_base;
+pub mod platform_health;
 pub mod process_plugin;
 pub mod process_signals;
 pub mod ready_line;
@@ -34,7 +35,8 @@
     limit_shares::LimitShares,
     list_poller::ListPoller,
     member_watch::MemberWatch,
-    path_base::PathBase,
+    path_base::{EntryPlatform, PathBase},
+    platform_health::{PlatformHealth, PlatformSample},
     process_signals::ProcessSignals,
     ready_line::ReadyLine,
     request_path::RequestPath,
--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -4,8 +4,8 @@
     crate::{
         RunError,
         entry::{
-            AllocatorMaker, EntryParts, LimitShares, ListPoller, MemberWatch, PathBase,
-            TableDriver, TableShare,
+            AllocatorMaker, EntryParts, EntryPlatform, LimitShares, ListPoller, MemberWatch,
+            PathBase, TableDriver, TableShare,
         },
         run_error::PeersSnafu,
     },
@@ -14,7 +14,7 @@
     },
     kernel::InstanceId,
     peer::{ListedMember, MemberSettings, PeerDriver},
-    plat::{HttpPlatform, PollPlan, PollSettings, TableRepository},
+    plat::{PollPlan, PollSettings, TableRepository},
     snafu::ResultExt,
     std::{
         sync::Arc,
@@ -33,7 +33,7 @@
 /// The cells whose allocator this instance is.
 type LocalCells = Arc<CellTable<AllocatorMaker, GrantRouter>>;
 /// The driver of the table.
-type LocalTable = Arc<TableDriver<HttpPlatform>>;
+type LocalTable = Arc<TableDriver<EntryPlatform>>;
 
 /// The running control work.
 pub struct ControlWork {
@@ -107,6 +107,7 @@
     );
     let driver = TableDriver::builder()
         .board(base.tables.clone())
+        .health(base.health.clone())
         .instance(identity.instance.clone())
         .plan(plan)
         .pool(base.pool.clone())
--- a/crates/trestlewalk/src/entry/path_base.rs
+++ b/crates/trestlewalk/src/entry/path_base.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         RunError,
-        entry::{EntryParts, load_keys},
+        entry::{EntryParts, PlatformHealth, load_keys},
         run_error::{MetricsSnafu, PlatformSnafu},
         settings::{EntrySettings, UpstreamSettings},
     },
@@ -15,7 +15,7 @@
     },
     kernel::{CloseSignal, WorkerPool},
     peer::{PeerBook, PeerEndpoint, PeerError},
-    plat::{HttpPlatform, InstanceKind, InstanceRecord, InstanceState},
+    plat::{BudgetPlatform, CallRate, HttpPlatform, InstanceKind, InstanceRecord, InstanceState},
     route::UpstreamRole,
     snafu::ResultExt,
     std::{collections::BTreeSet, sync::Arc, time::Duration},
@@ -26,6 +26,20 @@
 /// How long a short call to an engine may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How many reads an instance makes: a tenth of what the platform takes.
+const READ_RATE: CallRate = CallRate {
+    burst: 200.0,
+    per_second: 200.0,
+};
+/// How many writes an instance makes: with nine instances no more than the platform takes.
+const WRITE_RATE: CallRate = CallRate {
+    burst: 100.0,
+    per_second: 50.0,
+};
+
+/// The platform's client of an entry instance.
+pub type EntryPlatform = BudgetPlatform<HttpPlatform>;
+
 /// Parts that are shared by the request path and the control work around it.
 pub struct PathBase {
     /// The known upstreams.
@@ -34,6 +48,8 @@
     pub endpoint: PeerEndpoint,
     /// The engines' client.
     pub engine: CompletionEngine,
+    /// Whether the platform is heard.
+    pub health: Arc<PlatformHealth>,
     /// The way to the allocators.
     pub hub: Arc<CellHub>,
     /// Holds plain rows to their limits.
@@ -41,7 +57,7 @@
     /// The counters.
     pub metrics: Arc<FlowMetrics>,
     /// The platform's client.
-    pub platform: HttpPlatform,
+    pub platform: EntryPlatform,
     /// The background work.
     pub pool: WorkerPool,
     /// The table in force.
@@ -57,10 +73,13 @@
     pub fn new(parts: &EntryParts) -> Result<Self, RunError> {
         let settings = &parts.settings;
         let identity = &parts.identity;
+        let platform = make_platform(settings)?;
+        let health = PlatformHealth::new(platform.counts()).context(MetricsSnafu)?;
         let base = Self {
             board: Arc::new(UpstreamBoard::new(fixed_upstreams(settings))),
             endpoint: bind_endpoint(parts)?,
             engine: make_engine(settings),
+            health: Arc::new(health),
             hub: Arc::new(CellHub::new(
                 identity.instance.clone(),
                 identity.incarnation,
@@ -72,10 +91,11 @@
                 zones: BTreeSet::from([identity.zone.clone()]),
             })),
             metrics: Arc::new(FlowMetrics::new().context(MetricsSnafu)?),
-            platform: make_platform(settings)?,
+            platform,
             pool: parts.pool.clone(),
             tables: Arc::new(TableBoard::new()),
         };
+        parts.map.insert(base.health.clone());
         parts.map.insert(base.board.clone());
         parts.map.insert(base.hub.clone());
         parts.map.insert(base.limiter.clone());
@@ -204,10 +224,11 @@
         .build()
 }
 
-fn make_platform(settings: &EntrySettings) -> Result<HttpPlatform, RunError> {
-    HttpPlatform::builder()
+fn make_platform(settings: &EntrySettings) -> Result<EntryPlatform, RunError> {
+    let platform = HttpPlatform::builder()
         .address(format!("http://{}", settings.platform.address))
         .timeout(settings.platform.timeout)
         .build()
-        .context(PlatformSnafu)
+        .context(PlatformSnafu)?;
+    Ok(BudgetPlatform::new(platform, READ_RATE, WRITE_RATE))
 }
--- a/crates/trestlewalk/src/entry/request_path.rs
+++ b/crates/trestlewalk/src/entry/request_path.rs
@@ -6,7 +6,7 @@
         admin::StatusSource,
         entry::{
             BoardStatus, CloseReport, ControlWork, EntryParts, EntryTickets, PathBase,
-            start_tickets,
+            PlatformHealth, start_tickets,
         },
         run_error::PeersSnafu,
     },
@@ -82,6 +82,7 @@
         let identity = &parts.identity;
         Arc::new(BoardStatus {
             board,
+            health: parts.map.get::<PlatformHealth>(),
             instance: identity.instance.clone(),
             zone: identity.zone.clone(),
         })
--- a/crates/trestlewalk/src/entry/table_driver.rs
+++ b/crates/trestlewalk/src/entry/table_driver.rs
@@ -1,7 +1,10 @@
 //! Drives the keeper of the table: polls the platform, pulls from peers, puts tables in force.
 
 use {
-    crate::admin::{ReadyBoard, StatusSource, TableStatus},
+    crate::{
+        admin::{ReadyBoard, StatusSource, TableStatus},
+        entry::{PlatformHealth, PlatformSample},
+    },
     bytes::Bytes,
     flow::TableBoard,
     kernel::{InstanceId, LockRank, RankedLock, TableVersion, WorkerPool, ZoneId, unix_time},
@@ -37,6 +40,7 @@
 pub struct TableDriver<S> {
     board: Arc<TableBoard>,
     head_changed: Notify,
+    health: Arc<PlatformHealth>,
     instance: InstanceId,
     peers: OnceLock<Arc<PeerDriver>>,
     pool: WorkerPool,
@@ -51,6 +55,7 @@
     #[builder]
     pub fn new(
         board: Arc<TableBoard>,
+        health: Arc<PlatformHealth>,
         instance: InstanceId,
         plan: PollPlan,
         pool: WorkerPool,
@@ -66,6 +71,7 @@
         Self {
             board,
             head_changed: Notify::new(),
+            health,
             instance,
             peers: OnceLock::new(),
             pool,
@@ -77,13 +83,6 @@
 }
 
 impl<S: RowStore + 'static> TableDriver<S> {
-    /// Since when this instance and its peers have not heard from the platform.
-    pub fn cut_off_since(&self) -> Option<Duration> {
-        let now = Instant::now();
-        let since = self.state.lock().keeper.cut_off_since(now)?;
-        Some(now - since)
-    }
-
     /// The head, as the membership announces it.
     pub fn mark(&self) -> TableMark {
         let head = self.head();
@@ -146,7 +145,9 @@
         let mut ticks = time::interval(TICK);
         loop {
             ticks.tick().await;
+            self.hear_peers();
             self.on_event(KeeperEvent::Tick);
+            self.health.note(SystemTime::now(), self.sample());
             self.step_plan(PollEvent::Tick);
         }
     }
@@ -173,6 +174,17 @@
         }
     }
 
+    /// Takes what the peers' heartbeats told of the platform.
+    fn hear_peers(self: &Arc<Self>) {
+        let heard = self
+            .peers
+            .get()
+            .and_then(|peers| peers.view().platform_heard);
+        if let Some(at) = heard {
+            self.on_event(KeeperEvent::PlatformSeen { at });
+        }
+    }
+
     async fn poll(self: Arc<Self>) {
         let asked = Instant::now();
         let head = self.repository.head().await;
@@ -181,6 +193,9 @@
             let head = head.map(|row| row.head()).unwrap_or_default();
             self.state.lock().platform_head = Some(head);
             self.on_event(KeeperEvent::PlatformSeen { at: asked });
+            if let Some(peers) = self.peers.get() {
+                peers.set_platform_heard(asked);
+            }
             self.on_event(KeeperEvent::Head {
                 asked,
                 head,
@@ -266,6 +281,16 @@
         }
     }
 
+    fn sample(&self) -> PlatformSample {
+        let now = Instant::now();
+        let state = self.state.lock();
+        PlatformSample {
+            is_cut_off: state.keeper.cut_off_since(now).is_some(),
+            is_poller: state.plan.is_poller(),
+            silence: state.keeper.platform_silence(now),
+        }
+    }
+
     fn step_plan(self: &Arc<Self>, event: PollEvent) {
         let mut actions = Vec::new();
         self.state
@@ -323,6 +348,8 @@
 pub struct BoardStatus {
     /// The table in force.
     pub board: Arc<TableBoard>,
+    /// Whether the platform is heard.
+    pub health: Option<Arc<PlatformHealth>>,
     /// This instance.
     pub instance: InstanceId,
     /// Its availability zone.
@@ -333,7 +360,12 @@
     fn table_status(&self) -> TableStatus {
         let entry = self.board.entry();
         let digest = entry.as_ref().map_or(0, |entry| entry.table.digest());
+        let cut_off = self
+            .health
+            .as_ref()
+            .and_then(|health| health.cut_off_since());
         TableStatus {
+            cut_off_since: cut_off.map(unix_time::millis),
             digest,
             instance: self.instance.clone(),
             since: entry
--- a/crates/trestlewalk/src/entry/ticket_parts.rs
+++ b/crates/trestlewalk/src/entry/ticket_parts.rs
@@ -3,14 +3,13 @@
 use {
     crate::{
         RunError,
-        entry::{EntryParts, PathBase},
+        entry::{EntryParts, EntryPlatform, PathBase},
         run_error::{MetricsSnafu, TicketsSnafu},
     },
     claim::{ClaimKeeper, LifeKey, TicketSettings, claim_sweep},
     door::{AdmissionGate, TICKET_TAG, TicketDesk, TicketDoor, TicketMetrics},
     kernel::{InstanceId, seeded_rng},
     peer::PeerDriver,
-    plat::HttpPlatform,
     snafu::ResultExt,
     std::{
         sync::Arc,
@@ -23,7 +22,7 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 
 /// The door before the handlers of this process.
-pub type EntryTickets = TicketDoor<HttpPlatform>;
+pub type EntryTickets = TicketDoor<EntryPlatform>;
 
 /// Makes the door of the handlers in `handlers`, and starts what serves other instances.
 ///
@@ -87,7 +86,7 @@
 }
 
 /// Removes claims that have ended, at the one instance whose turn it is.
-async fn sweep_claims(keeper: ClaimKeeper<HttpPlatform>, members: Arc<PeerDriver>) {
+async fn sweep_claims(keeper: ClaimKeeper<EntryPlatform>, members: Arc<PeerDriver>) {
     let mut ticks = time::interval(SWEEP_INTERVAL);
     loop {
         ticks.tick().await;
--- a/crates/trestlewalk/tests/members_table.rs
+++ b/crates/trestlewalk/tests/members_table.rs
@@ -51,6 +51,49 @@
     .await;
 }
 
+#[tokio::test]
+async fn an_instance_without_polls_knows_whether_the_platform_answers_the_others() {
+    let fleet = start().await;
+    let quiet = quiet_entry(&fleet);
+    // Its own way to the platform is cut: what it knows comes from its peers.
+    fleet.platform_relay(&quiet).set(RelayMode::Silent);
+    wait_until("it is no poller", async || {
+        platform(&fleet, &quiet).await["poller"] == false
+    })
+    .await;
+    for _ in 0..3 {
+        let mut before = silent_ms(&fleet, &quiet).await;
+        wait_until("a word comes by way of a peer", async || {
+            let silent = silent_ms(&fleet, &quiet).await;
+            std::mem::replace(&mut before, silent) > silent
+        })
+        .await;
+    }
+    fleet.faults("platform", json!({ "down": true })).await;
+    for name in fleet.entry_names() {
+        let what = format!("{name} says that it is cut off");
+        wait_until(&what, async || cut_off(&fleet, &name).await.is_some()).await;
+        assert!(
+            fleet
+                .log(&name)
+                .contains("the platform is silent; serving on")
+        );
+        let gauge = fleet.metric(&name, "platform_cut_off", &[]).await;
+        assert_eq!(gauge, Some(1.0), "{name}");
+    }
+    fleet.faults("platform", json!({ "down": false })).await;
+    for name in fleet.entry_names() {
+        let what = format!("{name} says that it is cut off no more");
+        wait_until(&what, async || cut_off(&fleet, &name).await.is_none()).await;
+        assert!(fleet.log(&name).contains("the platform is heard again"));
+    }
+}
+
+async fn cut_off(fleet: &Fleet, entry: &str) -> Option<u64> {
+    let reply = fleet.admin(entry, "/table").send().await;
+    reply.json::<Value>()["cut_off_since"].as_u64()
+}
+
 async fn digests(fleet: &Fleet) -> BTreeSet<String> {
     let mut digests = BTreeSet::new();
     for entry in fleet.entry_names() {
@@ -60,6 +103,10 @@
     digests
 }
 
+async fn platform(fleet: &Fleet, entry: &str) -> Value {
+    fleet.dump(entry).await["platform"].clone()
+}
+
 async fn platform_copy(fleet: &Fleet, call: &str) {
     let path = format!("/admin/{call}");
     let process = fleet.process("platform");
@@ -80,6 +127,11 @@
     fleet.run(&args).await.stdout
 }
 
+async fn silent_ms(fleet: &Fleet, entry: &str) -> u64 {
+    let value = platform(fleet, entry).await["silent_ms"].as_u64();
+    value.unwrap_or(0)
+}
+
 async fn start() -> Fleet {
     let fleet = FleetPlan::new().entries(ENTRIES).plain(1).start().await;
     fleet.put_table(TABLE).await;
--- a/crates/trestlewalk/tests/table_driver.rs
+++ b/crates/trestlewalk/tests/table_driver.rs
@@ -16,7 +16,10 @@
         time::{Duration, Instant},
     },
     table::{FileBase, read_csv},
-    trestlewalk::{admin::ReadyBoard, entry::TableDriver},
+    trestlewalk::{
+        admin::ReadyBoard,
+        entry::{PlatformHealth, TableDriver},
+    },
 };
 
 const HEADER: &str = "work,service,model,rank,weight,limit,zones,first_token,between_tokens,patience,repeat,retries,waste";
@@ -96,6 +99,7 @@
     let pool = WorkerPool::new();
     let driver = TableDriver::builder()
         .board(board.clone())
+        .health(Arc::new(PlatformHealth::new(Arc::default()).unwrap()))
         .instance("gijon-1".into())
         .plan(plan())
         .pool(pool.clone())
--- a/crates/trestlewalk/tests/table_support/mod.rs
+++ b/crates/trestlewalk/tests/table_support/mod.rs
@@ -210,6 +210,7 @@
         Entry::Stuck(version, zone) => (version, zone),
     };
     Json(TableStatus {
+        cut_off_since: None,
         digest: version,
         instance: zone.into(),
         since: 1,
--- a/crates/trestlewalk/tests/zone_watch.rs
+++ b/crates/trestlewalk/tests/zone_watch.rs
@@ -12,6 +12,7 @@
 
 fn status(zone: &str, version: u64, digest: u64) -> Option<TableStatus> {
     Some(TableStatus {
+        cut_off_since: None,
         digest,
         instance: zone.into(),
         since: 0,
