--- /dev/null
+++ b/crates/trestlewalk/tests/members_allocator.rs
@@ -0,0 +1,156 @@
+//! The allocator of a cell killed and frozen under load: how soon the cell serves again, what is lost, and by how much
+//! a row's limit is overshot.
+
+mod support;
+
+use {
+    serde_json::Value,
+    std::time::Instant,
+    support::{Fleet, FleetPlan, MemberLoad, TABLE, model_work::long_prompt, wait_until},
+};
+
+const CALLERS: usize = 12;
+const DECODE: &str = "gijon-decode-1";
+const ENTRIES: usize = 3;
+/// The limit of the row that is called.
+const LIMIT: u64 = 4;
+/// While a cell changes its allocator, the old one's grants run on and the new one may grant as many before it has
+/// heard of them.
+const OVERSHOOT_BOUND: u64 = 2 * LIMIT;
+const PATIENT: &str = "report";
+const TOKENS: u32 = 16;
+
+#[tokio::test]
+async fn a_killed_allocator_is_followed_by_another_that_keeps_to_the_limit() {
+    let mut fleet = start().await;
+    let load = load(&fleet);
+    load.wait_more(20).await;
+    let steady = peak(&fleet).await;
+    let (allocator, other) = roles(&fleet).await;
+    load.remove(&allocator);
+    fleet.kill(&allocator).await;
+    let served = time_to_serve(&fleet, &other).await;
+    load.wait_more(20).await;
+    let report = load.close().await;
+    println!("members: allocator killed: serves again after {served}");
+    println!("members: allocator killed: {report:?}");
+    check_peaks("killed", steady, peak(&fleet).await);
+    assert!(report.lost_beside(&allocator).is_empty(), "{report:?}");
+    check_runs(&fleet).await;
+}
+
+#[tokio::test]
+async fn a_frozen_allocator_takes_a_new_life_and_its_old_grants_run_nothing_twice() {
+    let fleet = start().await;
+    let load = load(&fleet);
+    load.wait_more(20).await;
+    let steady = peak(&fleet).await;
+    let (allocator, other) = roles(&fleet).await;
+    let life = incarnation(&fleet, &allocator).await;
+    load.remove(&allocator);
+    fleet.pause(&allocator).await;
+    let served = time_to_serve(&fleet, &other).await;
+    wait_until("the frozen one is held for gone", async || {
+        let metric = fleet.metric(&other, "member_gone_total", &[]).await;
+        metric.unwrap_or(0.0) >= 1.0
+    })
+    .await;
+    fleet.resume(&allocator);
+    wait_until("it takes a new life", async || {
+        incarnation(&fleet, &allocator).await > life
+    })
+    .await;
+    fleet.wait_agreed().await;
+    load.add(&fleet, &allocator);
+    load.wait_more(20).await;
+    let report = load.close().await;
+    println!("members: allocator frozen: serves again after {served}");
+    println!("members: allocator frozen: {report:?}");
+    check_peaks("frozen", steady, peak(&fleet).await);
+    assert!(report.lost_beside(&allocator).is_empty(), "{report:?}");
+    check_runs(&fleet).await;
+}
+
+fn check_peaks(what: &str, steady: u64, after: u64) {
+    println!("members: allocator {what}: peak {steady} before, {after} after, limit {LIMIT}");
+    assert!(steady <= LIMIT, "{steady} ran at once without any change");
+    assert!(after <= OVERSHOOT_BOUND, "{after} ran at once");
+}
+
+/// No prompt was decoded twice.
+async fn check_runs(fleet: &Fleet) {
+    let counters = fleet.counters(DECODE).await;
+    let runs = counters["decode_runs_by_prompt"].as_object().unwrap();
+    let doubled = runs.values().filter(|count| count.as_u64() > Some(1));
+    assert_eq!(doubled.count(), 0, "{runs:?}");
+}
+
+async fn incarnation(fleet: &Fleet, entry: &str) -> u64 {
+    let dump = fleet.dump(entry).await;
+    dump["peer"]["members"]["incarnation"].as_u64().unwrap_or(0)
+}
+
+fn load(fleet: &Fleet) -> MemberLoad {
+    MemberLoad::start(fleet, CALLERS, |side, number| {
+        side.completion(PATIENT, &long_prompt(number, 20), TOKENS, false)
+    })
+}
+
+async fn peak(fleet: &Fleet) -> u64 {
+    let counters: Value = fleet.counters(DECODE).await;
+    counters["peak_places"].as_u64().unwrap()
+}
+
+/// The allocator and another entry instance.
+async fn roles(fleet: &Fleet) -> (String, String) {
+    let allocator = fleet.allocator("gijon-1").await;
+    let mut others = fleet.entry_names();
+    others.retain(|name| *name != allocator);
+    (allocator, others.remove(0))
+}
+
+async fn start() -> Fleet {
+    let fleet = FleetPlan::new()
+        .entries(ENTRIES)
+        .prefill(1)
+        .decode(1)
+        .engine_set("decode_base_us=10000")
+        .engine_set("eviction_ms=10000")
+        .start()
+        .await;
+    let limited = format!("report,redactor,sondeo,5,1,{LIMIT},");
+    fleet
+        .put_table(&TABLE.replace("report,redactor,sondeo,5,1,,", &limited))
+        .await;
+    wait_serving(&fleet).await;
+    fleet.wait_agreed().await;
+    fleet
+}
+
+/// How long a request takes that is sent now.
+async fn time_to_serve(fleet: &Fleet, entry: &str) -> String {
+    let started = Instant::now();
+    let prompt = long_prompt(900_000, 20);
+    let call = fleet.entry(entry).completion(PATIENT, &prompt, 1, false);
+    let reply = call.send().await;
+    assert_eq!(reply.code(), 1000, "{}", reply.text());
+    format!("{:?}", started.elapsed())
+}
+
+/// Waits until every instance knows that all serve: until then the allocator may change once more.
+async fn wait_serving(fleet: &Fleet) {
+    for entry in fleet.entry_names() {
+        let what = format!("{entry} hears that all serve");
+        wait_until(&what, async || serving(fleet, &entry).await == ENTRIES).await;
+    }
+}
+
+/// How many members take requests, as an entry instance hears.
+async fn serving(fleet: &Fleet, entry: &str) -> usize {
+    let dump = fleet.dump(entry).await;
+    let heard = dump["peer"]["members"]["heard"].as_array().unwrap();
+    let states = heard.iter().filter_map(|member| member["state"].as_str());
+    states
+        .filter(|state| state.eq_ignore_ascii_case("serving"))
+        .count()
+}
--- a/crates/trestlewalk/tests/support/fleet_start.rs
+++ b/crates/trestlewalk/tests/support/fleet_start.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Fleet, FleetProcess, TcpRelay, UdpRelay,
+        Fleet, FleetProcess, RelayMode, TcpRelay, UdpRelay,
         fleet::{FleetEntry, FleetUpstream, fake_args},
     },
     plat::{InstanceKind, InstanceRecord, InstanceState},
@@ -13,7 +13,7 @@
     },
     trestlewalk::{
         EntrySettings,
-        settings::{KeySettings, TestKeys},
+        settings::{KeySettings, PeerSettings, TestKeys},
     },
 };
 
@@ -29,11 +29,25 @@
 
     /// Starts an entry instance, or a new life of one, and puts it into the platform's list.
     pub async fn start_entry(&mut self, name: &str, zone: &str) {
+        self.start_entry_behind(name, zone, RelayMode::Open, &[])
+            .await;
+    }
+
+    /// Starts an entry instance whose way to the platform is in a mode from the start, and whose settings name peers.
+    pub async fn start_entry_behind(
+        &mut self,
+        name: &str,
+        zone: &str,
+        mode: RelayMode,
+        known: &[String],
+    ) {
         let platform = TcpRelay::start(self.platform_address()).await;
+        platform.set(mode);
         let peers = UdpRelay::start(NOWHERE).await;
         let file = format!("{name}.yaml");
         let mut settings = self.entry_settings(name, zone, platform.address());
         settings.listen.advertise = Some(peers.address());
+        settings.peers = self.known_peers(known);
         fs::write(
             self.folder.path().join(&file),
             serde_json::to_string(&settings).unwrap(),
@@ -84,6 +98,15 @@
         self.upstreams.insert(name.to_owned(), upstream);
     }
 
+    fn known_peers(&self, known: &[String]) -> Vec<PeerSettings> {
+        let named = known.iter().map(|name| PeerSettings {
+            address: self.fleet_entry(name).peers.address(),
+            instance: name.as_str().into(),
+            zone: self.fleet_entry(name).zone.as_str().into(),
+        });
+        named.collect()
+    }
+
     fn entry_settings(&self, name: &str, zone: &str, platform: SocketAddr) -> EntrySettings {
         let keys = self.authority.issue(name).unwrap();
         let mut settings = EntrySettings {
--- a/crates/trestlewalk/tests/support/mod.rs
+++ b/crates/trestlewalk/tests/support/mod.rs
@@ -41,6 +41,7 @@
 pub mod fleet_table;
 pub mod fleet_zones;
 pub mod http_call;
+pub mod member_load;
 pub mod model_work;
 pub mod relay_mode;
 pub mod sse_reply;
@@ -60,6 +61,7 @@
     fleet_process::FleetProcess,
     fleet_table::TABLE,
     http_call::{CallReply, HttpCall},
+    member_load::{LoadReport, MemberLoad},
     relay_mode::{RelayMode, RelaySwitch},
     sse_reply::SseReply,
     tcp_relay::TcpRelay,
