--- a/crates/peer/src/member_sync.rs
+++ b/crates/peer/src/member_sync.rs
@@ -7,12 +7,15 @@
         member_news::MemberNews,
         member_table::{MemberTable, PendingPull},
         peer_identity::PeerIdentity,
+        table_mark::TableMark,
     },
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// Whole lists with more changes than this are not passed on as news: the neighbours compare digests themselves.
 const BULK_LIMIT: usize = 16;
+/// By how much a peer's word from the platform has to be newer than the own one.
+const PLATFORM_MARGIN: Duration = Duration::from_secs(1);
 
 impl MemberTable {
     pub(crate) fn compare_tables(
@@ -23,16 +26,8 @@
         actions: &mut Vec<MemberAction>,
     ) {
         let theirs = beat.table;
-        if theirs.version == self.table.version {
-            if theirs.digest != self.table.digest {
-                actions.push(MemberAction::News(MemberNews::DigestDiffers {
-                    instance: from.instance.clone(),
-                    version: theirs.version,
-                }));
-            }
-            return;
-        }
-        if theirs.version < self.table.version {
+        self.compare_contents(now, from, theirs, actions);
+        if theirs.version <= self.table.version {
             return;
         }
         let is_pulled = self
@@ -51,6 +46,51 @@
             version: theirs.version,
         });
     }
+    /// Takes the age of the sender's last word from the platform. Each hop adds the time on its way, so that a word
+    /// that comes back looks newer than it is: a gain within the margin is not taken, and neither is what lay in the
+    /// inbox while this process stood still.
+    pub(crate) fn hear_platform(&mut self, now: Instant, beat: &Heartbeat) {
+        let Some(heard) = beat.platform_age.and_then(|age| now.checked_sub(age)) else {
+            return;
+        };
+        if now.saturating_duration_since(self.next_beat) >= self.settings.suspicion_timeout {
+            return;
+        }
+        let is_newer = self
+            .platform_heard
+            .is_none_or(|known| heard > known + PLATFORM_MARGIN);
+        if is_newer {
+            self.platform_heard = Some(heard);
+        }
+    }
+
+    /// Tells of a peer that has this instance's version with another content, and of the end of that.
+    fn compare_contents(
+        &mut self,
+        now: Instant,
+        from: &PeerIdentity,
+        theirs: TableMark,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let differs = theirs.version == self.table.version && theirs != self.table;
+        let watch = self.watch(now, &from.instance, from.incarnation);
+        let differed = std::mem::replace(&mut watch.table_differs, differs);
+        let instance = from.instance.clone();
+        let TableMark { digest, version } = theirs;
+        if differs {
+            actions.push(MemberAction::News(MemberNews::DigestDiffers {
+                digest,
+                instance,
+                version,
+            }));
+        } else if differed {
+            actions.push(MemberAction::News(MemberNews::DigestSettled {
+                digest,
+                instance,
+                version,
+            }));
+        }
+    }
 
     pub(crate) fn compare_digests(
         &mut self,
--- a/crates/trestlewalk/src/entry/control_work.rs
+++ b/crates/trestlewalk/src/entry/control_work.rs
@@ -4,8 +4,8 @@
     crate::{
         RunError,
         entry::{
-            AllocatorMaker, EntryParts, LimitShares, ListPoller, MemberWatch, PathBase,
-            TableDriver, TableShare,
+            AllocatorMaker, EntryParts, EntryPlatform, LimitShares, ListPoller, MemberWatch,
+            PathBase, TableDriver, TableShare,
         },
         run_error::PeersSnafu,
     },
@@ -14,7 +14,7 @@
     },
     kernel::InstanceId,
     peer::{ListedMember, MemberSettings, PeerDriver},
-    plat::{HttpPlatform, PollPlan, PollSettings, TableRepository},
+    plat::{PollPlan, PollSettings, TableRepository},
     snafu::ResultExt,
     std::{
         sync::Arc,
@@ -33,7 +33,7 @@
 /// The cells whose allocator this instance is.
 type LocalCells = Arc<CellTable<AllocatorMaker, GrantRouter>>;
 /// The driver of the table.
-type LocalTable = Arc<TableDriver<HttpPlatform>>;
+type LocalTable = Arc<TableDriver<EntryPlatform>>;
 
 /// The running control work.
 pub struct ControlWork {
@@ -107,6 +107,7 @@
     );
     let driver = TableDriver::builder()
         .board(base.tables.clone())
+        .health(base.health.clone())
         .instance(identity.instance.clone())
         .plan(plan)
         .pool(base.pool.clone())
@@ -187,7 +188,9 @@
 
 /// Starts what brings the table here.
 fn start_table(base: &PathBase, parts: &EntryParts, driver: &Arc<PeerDriver>, table: &LocalTable) {
+    table.join(driver.clone());
     base.pool.spawn(table.clone().run_heads(driver.clone()));
+    base.pool.spawn(table.clone().run_news(driver.clone()));
     base.pool.spawn(table.clone().run_ticks());
     base.pool.spawn(follow_members(
         driver.clone(),
--- a/crates/trestlewalk/src/entry/table_driver.rs
+++ b/crates/trestlewalk/src/entry/table_driver.rs
@@ -1,20 +1,26 @@
 //! Drives the keeper of the table: polls the platform, pulls from peers, puts tables in force.
 
 use {
-    crate::admin::{ReadyBoard, StatusSource, TableStatus},
+    crate::{
+        admin::{ReadyBoard, StatusSource, TableStatus},
+        entry::{PlatformHealth, PlatformSample},
+    },
     bytes::Bytes,
     flow::TableBoard,
     kernel::{InstanceId, LockRank, RankedLock, TableVersion, WorkerPool, ZoneId, unix_time},
-    peer::{PeerDriver, PeerError, TableMark, peer_error::GarbledSnafu},
+    peer::{MemberNews, PeerDriver, PeerError, TableMark, peer_error::GarbledSnafu},
     plat::{EditOrigin, PollAction, PollEvent, PollPlan, RowStore, TableRepository},
     std::{
-        sync::Arc,
+        sync::{Arc, OnceLock},
         time::{Duration, Instant, SystemTime},
     },
     table::{
         KeeperAction, KeeperEvent, StampedTable, TableHead, TableKeeper, TablePatch, TableSource,
     },
-    tokio::{sync::Notify, time},
+    tokio::{
+        sync::{Notify, broadcast::error::RecvError},
+        time,
+    },
 };
 
 /// The condition that keeps an instance without a table from being ready.
@@ -34,7 +40,9 @@
 pub struct TableDriver<S> {
     board: Arc<TableBoard>,
     head_changed: Notify,
+    health: Arc<PlatformHealth>,
     instance: InstanceId,
+    peers: OnceLock<Arc<PeerDriver>>,
     pool: WorkerPool,
     ready: Arc<ReadyBoard>,
     repository: TableRepository<S>,
@@ -47,6 +55,7 @@
     #[builder]
     pub fn new(
         board: Arc<TableBoard>,
+        health: Arc<PlatformHealth>,
         instance: InstanceId,
         plan: PollPlan,
         pool: WorkerPool,
@@ -62,7 +71,9 @@
         Self {
             board,
             head_changed: Notify::new(),
+            health,
             instance,
+            peers: OnceLock::new(),
             pool,
             ready,
             repository,
@@ -72,13 +83,6 @@
 }
 
 impl<S: RowStore + 'static> TableDriver<S> {
-    /// Since when this instance and its peers have not heard from the platform.
-    pub fn cut_off_since(&self) -> Option<Duration> {
-        let now = Instant::now();
-        let since = self.state.lock().keeper.cut_off_since(now)?;
-        Some(now - since)
-    }
-
     /// The head, as the membership announces it.
     pub fn mark(&self) -> TableMark {
         let head = self.head();
@@ -105,6 +109,12 @@
         }
     }
 
+    /// Names the membership that peers are pulled from through.
+    pub fn join(&self, driver: Arc<PeerDriver>) {
+        // There is one membership a process.
+        let _ = self.peers.set(driver);
+    }
+
     /// Tells the plan which instances of the own availability zone live.
     pub fn on_members(self: &Arc<Self>, members: Vec<InstanceId>) {
         self.step_plan(PollEvent::Members(members));
@@ -118,12 +128,26 @@
         }
     }
 
+    /// Gives the keeper what the membership hears of the peers' tables, for as long as it is driven.
+    pub async fn run_news(self: Arc<Self>, driver: Arc<PeerDriver>) {
+        let mut news = driver.news();
+        loop {
+            match news.recv().await {
+                Ok(news) => self.on_news(news),
+                Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            }
+        }
+    }
+
     /// Drives time for as long as it is driven.
     pub async fn run_ticks(self: Arc<Self>) {
         let mut ticks = time::interval(TICK);
         loop {
             ticks.tick().await;
+            self.hear_peers();
             self.on_event(KeeperEvent::Tick);
+            self.health.note(SystemTime::now(), self.sample());
             self.step_plan(PollEvent::Tick);
         }
     }
@@ -150,6 +174,17 @@
         }
     }
 
+    /// Takes what the peers' heartbeats told of the platform.
+    fn hear_peers(self: &Arc<Self>) {
+        let heard = self
+            .peers
+            .get()
+            .and_then(|peers| peers.view().platform_heard);
+        if let Some(at) = heard {
+            self.on_event(KeeperEvent::PlatformSeen { at });
+        }
+    }
+
     async fn poll(self: Arc<Self>) {
         let asked = Instant::now();
         let head = self.repository.head().await;
@@ -158,6 +193,9 @@
             let head = head.map(|row| row.head()).unwrap_or_default();
             self.state.lock().platform_head = Some(head);
             self.on_event(KeeperEvent::PlatformSeen { at: asked });
+            if let Some(peers) = self.peers.get() {
+                peers.set_platform_heard(asked);
+            }
             self.on_event(KeeperEvent::Head {
                 asked,
                 head,
@@ -167,10 +205,9 @@
         self.step_plan(PollEvent::Done { answered });
     }
 
-    /// Peers are pulled from by the membership, which knows who has what.
     async fn pull(self: Arc<Self>, since: TableVersion, source: TableSource) {
         let patch = match &source {
-            TableSource::Peer(_) => None,
+            TableSource::Peer(from) => self.pull_peer(from, since).await,
             TableSource::Platform => self.pull_platform(since).await,
         };
         self.on_event(match patch {
@@ -179,9 +216,37 @@
         });
     }
 
+    async fn pull_peer(&self, from: &InstanceId, since: TableVersion) -> Option<TablePatch> {
+        let content = self.peers.get()?.pull_table(from, since).await?;
+        postcard::from_bytes(&content).ok()
+    }
+
     async fn pull_platform(&self, since: TableVersion) -> Option<TablePatch> {
-        let snapshot = self.repository.snapshot().await.ok()?;
-        Some(snapshot.table.patch_since(since))
+        self.repository.patch_since(since).await.ok()
+    }
+
+    fn on_news(self: &Arc<Self>, news: MemberNews) {
+        let (head, source) = match news {
+            MemberNews::DigestDiffers {
+                digest,
+                instance,
+                version,
+            }
+            | MemberNews::DigestSettled {
+                digest,
+                instance,
+                version,
+            } => (TableHead { digest, version }, TableSource::Peer(instance)),
+            MemberNews::MemberGone { instance, .. } => {
+                return self.on_event(KeeperEvent::PeerGone(instance));
+            }
+            _ => return,
+        };
+        self.on_event(KeeperEvent::Head {
+            asked: Instant::now(),
+            head,
+            source,
+        });
     }
 
     fn put_in_force(&self, table: &StampedTable) {
@@ -216,6 +281,16 @@
         }
     }
 
+    fn sample(&self) -> PlatformSample {
+        let now = Instant::now();
+        let state = self.state.lock();
+        PlatformSample {
+            is_cut_off: state.keeper.cut_off_since(now).is_some(),
+            is_poller: state.plan.is_poller(),
+            silence: state.keeper.platform_silence(now),
+        }
+    }
+
     fn step_plan(self: &Arc<Self>, event: PollEvent) {
         let mut actions = Vec::new();
         self.state
@@ -251,6 +326,10 @@
         self.driver.mark()
     }
 
+    fn pull_since(&self) -> TableVersion {
+        self.driver.state.lock().keeper.pull_since()
+    }
+
     async fn take(&self, from: &InstanceId, content: Bytes) -> Result<TableMark, PeerError> {
         let patch = postcard::from_bytes::<TablePatch>(&content);
         let Ok(patch) = patch else {
@@ -269,6 +348,8 @@
 pub struct BoardStatus {
     /// The table in force.
     pub board: Arc<TableBoard>,
+    /// Whether the platform is heard.
+    pub health: Option<Arc<PlatformHealth>>,
     /// This instance.
     pub instance: InstanceId,
     /// Its availability zone.
@@ -279,7 +360,12 @@
     fn table_status(&self) -> TableStatus {
         let entry = self.board.entry();
         let digest = entry.as_ref().map_or(0, |entry| entry.table.digest());
+        let cut_off = self
+            .health
+            .as_ref()
+            .and_then(|health| health.cut_off_since());
         TableStatus {
+            cut_off_since: cut_off.map(unix_time::millis),
             digest,
             instance: self.instance.clone(),
             since: entry
