--- a/crates/peer/tests/keys.rs
+++ b/crates/peer/tests/keys.rs
@@ -92,15 +92,11 @@
     let (_, keys) = make_test_keys(&["a", "b"]).unwrap();
     let second = make_endpoint("b", &PeerBook::new(), &keys[1], PeerSettings::default());
     let (_endpoint, connection) = connect_raw(&keys[0], &second).await;
-    for garbage in [
-        &b""[..],
-        b"\x01",
-        b"\x01\x00\xff\xff",
-        b"\x01\x00\x02\x00zz",
-    ] {
-        connection
-            .send_datagram(Bytes::from_static(garbage))
-            .unwrap();
+    let cut_head = [&wire::WIRE_VERSION.to_le_bytes()[..], b"\xff\xff"].concat();
+    let cut_name = [&wire::WIRE_VERSION.to_le_bytes()[..], b"\x02\x00zz"].concat();
+    for garbage in [&b""[..], b"\x01", &cut_head, &cut_name] {
+        let garbage = Bytes::copy_from_slice(garbage);
+        connection.send_datagram(garbage).unwrap();
     }
     until(|| second.metrics().refused_for(RefusedCause::Garbled) == 4).await;
 }
