door: a caller with too large a body sees why

The rest of the body is read and dropped now, up to 64 MiB and 5 s, before the answer. Ruled out: closing later without reading, since the unread bytes reset the connection.

--- a/crates/door/src/completion_handler.rs
+++ b/crates/door/src/completion_handler.rs
@@ -14,11 +14,11 @@
         extract::State,
         response::{IntoResponse, Response},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     engine::ModelEngine,
     flow::{ModelRequest, RequestDriver, RunDeadline},
-    http::{HeaderMap, Request},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    http::Request,
+    http_body_util::BodyExt,
     kernel::{ModelId, ResultCode, WorkId, unix_time},
     serde::de::DeserializeOwned,
     std::{
@@ -26,8 +26,13 @@
         time::{Duration, Instant, SystemTime},
     },
     table::WorkRow,
+    tokio::time,
 };
 
+/// How much of a body over the limit is read and dropped, bytes.
+const DRAIN_LIMIT: usize = 64 << 20;
+/// How long that may take.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
 const GATE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request to a model in either style.
@@ -147,26 +152,36 @@
     serde_json::from_slice(&body).map_err(invalid)
 }
 
-/// Reads a body up to a limit.
+/// Reads a body up to a limit. What is over it is read and dropped before the answer: a caller that still sends when its
+/// connection closes would never see why.
 pub(crate) async fn read_body(request: Request<Body>, limit: usize) -> Result<Bytes, ErrorAnswer> {
-    if declared_length(request.headers()).is_some_and(|length| length > limit) {
-        return Err(too_large(limit));
-    }
-    let reading = Limited::new(request.into_body(), limit).collect().await;
-    match reading {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => Err(too_large(limit)),
-        Err(error) => Err(invalid(error)),
+    let mut body = request.into_body();
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(invalid)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if content.len() + data.len() > limit {
+            drop(content);
+            // Whoever sends on and on is cut off.
+            let _ = time::timeout(DRAIN_TIMEOUT, drain(body)).await;
+            return Err(too_large(limit));
+        }
+        content.extend_from_slice(data);
     }
+    Ok(content.freeze())
 }
 
-fn declared_length(headers: &HeaderMap) -> Option<usize> {
-    headers
-        .get(http::header::CONTENT_LENGTH)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()
+async fn drain(mut body: Body) {
+    let mut left = DRAIN_LIMIT;
+    while let Some(Ok(frame)) = body.frame().await {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        if size > left {
+            return;
+        }
+        left -= size;
+    }
 }
 
 fn invalid(detail: impl ToString) -> ErrorAnswer {
