relay: reserve a decode place before the prompt is read

A trial with load reports at each refusal showed memory, not slots, as the reason (27,000 of 37,745 tokens used, 5,000 to 7,000 asked). Ruled out: lapsed handles (they were fresh), queue length (Waiting was 0).

--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -29,6 +29,8 @@
 pub struct PromptInfo {
     /// The model.
     pub model: Option<ModelId>,
+    /// The caller's estimate of the output tokens, often far off; none when it gives none.
+    pub hint: Option<u64>,
     /// The most output tokens.
     pub output: u64,
     /// The parts of the prompt in order.
@@ -71,9 +73,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// What the request takes of a KV cache when it is whole, tokens.
+    /// What the request is expected to take of a KV cache when it is whole, tokens.
     pub fn kv_tokens(&self) -> u64 {
         let prompt = self.head.prompt.as_ref();
-        prompt.map_or(0, |prompt| prompt.tokens + prompt.output)
+        prompt.map_or(0, |prompt| {
+            let output = prompt.hint.unwrap_or(prompt.output);
+            prompt.tokens + output.min(prompt.output)
+        })
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,10 +11,11 @@
 pub mod caller_server;
 pub mod connection_pulse;
 pub mod event_splitter;
-pub mod kv_guard;
+pub mod leftover_guard;
 pub mod link_pool;
 pub mod open_call;
 pub mod operator_source;
+pub mod place_finder;
 pub mod plain_flow;
 pub mod relay_body;
 pub mod relay_core;
@@ -42,12 +43,13 @@
     caller_server::CallerServer,
     connection_pulse::ConnectionPulse,
     event_splitter::{EventRun, EventSplitter},
-    kv_guard::KvGuard,
+    leftover_guard::LeftoverGuard,
     link_pool::{LinkError, LinkKey, LinkPool, LinkTimes, OpenLink},
     open_call::{OpenCall, UpstreamBoard},
     operator_source::{
         BookNews, BookReading, OperatorSource, SourceError, StoreVersion, UpstreamReading,
     },
+    place_finder::{PlaceFinder, ReservedPlace},
     plain_flow::PlainFlow,
     relay_body::{AnswerCut, RelayBody},
     relay_core::{CallPlan, RelayCore},
@@ -63,7 +65,7 @@
     stream_flow::{BegunStream, StreamFlow, StreamStart},
     stream_pump::StreamPump,
     upstream_dialect::{
-        CallPurpose, CallerDialect, HeadFault, KvHandle, ReplyFacts, UpstreamCall, UpstreamDialect,
+        CallPurpose, CallerDialect, HeadFault, KvHandle, Leftover, PlaceName, ReplyFacts, UpstreamCall, UpstreamDialect,
     },
     upstream_entry::{CallVerdict, UpstreamEntry},
     upstream_record::{UpstreamRecord, UpstreamStage},
--- /dev/null
+++ b/crates/relay/src/place_finder.rs
@@ -0,0 +1,162 @@
+//! Finds a decode engine that reserves a place for a request, before its prompt is read.
+//!
+//! The engines are the arbiters: an instance asks the one that looks best by its own view, and each engine says whether
+//! the request fits. While none has room the request waits, for at most the time in which its answer can still be useful.
+
+use {
+    crate::{
+        ChoiceQuery, Leftover, LeftoverGuard, OpenCall, OwnAnswer, PlaceName, RelayCore,
+        StreamFlow, UpstreamDialect, UpstreamRecord, UpstreamStage,
+    },
+    http_body_util::{BodyExt, Limited},
+    kernel::{ResultCode, UpstreamId},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// The answer to a reservation is a few fields.
+const LARGEST_REPLY: usize = 4 << 10;
+/// An engine answers a reservation at once; one that takes longer is passed over.
+const REPLY_LIMIT: Duration = Duration::from_millis(150);
+/// The first pause after all engines refused: a decode engine ends a request about every 300 ms.
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
+/// The longest pause: each round of refusals is paid for.
+const LONGEST_PAUSE: Duration = Duration::from_millis(160);
+/// Waiting for a place takes at most this share of the row's target: the rest is for reading and the first step.
+const WAIT_SHARE: f64 = 0.7;
+/// When to come back after a refusal: about the time in which an engine ends one of its requests.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// How many engines of a round are asked before it pauses.
+const ROUND_LIMIT: usize = 4;
+
+/// A place at a decode engine.
+pub struct ReservedPlace<D: UpstreamDialect> {
+    /// Counts as open while the place is held.
+    pub call: OpenCall,
+    /// Frees the place when it is not used; none when the engines take no reservations.
+    pub guard: Option<LeftoverGuard<D>>,
+    /// The name of the place.
+    pub name: Option<PlaceName>,
+}
+
+/// Looks for a place.
+pub struct PlaceFinder<'a, D: UpstreamDialect> {
+    flow: &'a StreamFlow<D>,
+    life: Option<Duration>,
+}
+
+impl<'a, D: UpstreamDialect> PlaceFinder<'a, D> {
+    /// A finder for one request; `life` is how long engines of the service keep a place.
+    pub fn new(flow: &'a StreamFlow<D>, life: Option<Duration>) -> Self {
+        Self { flow, life }
+    }
+
+    /// Waits for a place.
+    pub async fn find(&self) -> Result<ReservedPlace<D>, OwnAnswer> {
+        let route = &self.flow.route;
+        let until = self.flow.request.since + route.first_byte.mul_f64(WAIT_SHARE);
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let mut avoid = self.flow.tried.clone();
+            for _ in 0..ROUND_LIMIT {
+                let Some(upstream) = self.choose(&avoid) else {
+                    break;
+                };
+                avoid.push(upstream.id.clone());
+                if let Some(place) = self.reserve(upstream).await {
+                    return Ok(place);
+                }
+            }
+            if avoid.len() == self.flow.tried.len() {
+                return Err(OwnAnswer::later(ResultCode::UpstreamMissing, COME_BACK));
+            }
+            if Instant::now() + pause > until {
+                return Err(OwnAnswer::later(ResultCode::UpstreamRefused, COME_BACK));
+            }
+            time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    fn choose(&self, avoid: &[UpstreamId]) -> Option<Arc<UpstreamRecord>> {
+        self.core().choose(&ChoiceQuery {
+            avoid,
+            request: &self.flow.request.head.id,
+            service: &self.flow.service,
+            stage: UpstreamStage::Decode,
+            zone: &self.core().settings.zone,
+        })
+    }
+
+    fn core(&self) -> &Arc<RelayCore<D>> {
+        &self.flow.core
+    }
+
+    async fn reserve(&self, upstream: Arc<UpstreamRecord>) -> Option<ReservedPlace<D>> {
+        let tokens = self.flow.request.kv_tokens();
+        let call = OpenCall::new(&self.core().board, upstream.clone(), tokens);
+        let Some(life) = self.life else {
+            return Some(ReservedPlace {
+                call,
+                guard: None,
+                name: None,
+            });
+        };
+        let asking = self.ask(&upstream, tokens, life);
+        match time::timeout(REPLY_LIMIT, asking).await {
+            Ok(PlaceReply::Reserved(name)) => {
+                let leftover = Leftover::Place(name.clone());
+                let guard = LeftoverGuard::new(self.core().clone(), upstream, leftover);
+                Some(ReservedPlace {
+                    call,
+                    guard: Some(guard),
+                    name: Some(name),
+                })
+            }
+            Ok(PlaceReply::Full) => {
+                call.close(crate::CallVerdict::Full);
+                None
+            }
+            Ok(PlaceReply::Failed) | Err(_) => {
+                call.close(crate::CallVerdict::Lost);
+                None
+            }
+        }
+    }
+
+    async fn ask(&self, upstream: &UpstreamRecord, tokens: u64, life: Duration) -> PlaceReply {
+        let core = self.core();
+        let request = core.dialect.reserve_call(upstream, tokens, life);
+        let sending = core.pool.send(&upstream.id, upstream.address, request);
+        let (response, link) = match sending.await {
+            Ok(answer) => answer,
+            Err(error) => {
+                tracing::debug!(upstream = %upstream.id, %error, "no place");
+                return PlaceReply::Failed;
+            }
+        };
+        let status = response.status();
+        let named = core.dialect.keep_time(response.headers());
+        let reading = Limited::new(response.into_body(), LARGEST_REPLY).collect();
+        let Ok(collected) = reading.await else {
+            return PlaceReply::Failed;
+        };
+        core.pool.keep(&upstream.id, link, named);
+        if !status.is_success() {
+            return PlaceReply::Full;
+        }
+        match core.dialect.place_reply(&collected.to_bytes()) {
+            Some(name) => PlaceReply::Reserved(name),
+            None => PlaceReply::Failed,
+        }
+    }
+}
+
+enum PlaceReply {
+    Failed,
+    Full,
+    Reserved(PlaceName),
+}
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -87,6 +87,7 @@
                     after: None,
                     backup: None,
                     kv: None,
+                    place: None,
                 },
                 request: self.request,
                 route: self.route,
--- a/crates/relay/src/service_info.rs
+++ b/crates/relay/src/service_info.rs
@@ -23,6 +23,8 @@
     pub backs_up: bool,
     /// How long a KV cache that waits for its transfer is kept.
     pub handle_life: Duration,
+    /// How long a reserved place is kept at most; none when engines take no reservations.
+    pub hold_life: Option<Duration>,
     /// How many tokens the KV cache of one engine holds.
     pub kv_tokens: u64,
     /// How many requests one engine runs at once.
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         CallEnd, CallPlan, CallPurpose, CallVerdict, CallerDialect, CallerRequest, ChoiceQuery,
-        EventRun, EventSplitter, KvGuard, OwnAnswer, RelayBody, RelayCore, RepeatRule,
-        StreamPump, UpstreamAnswer, UpstreamDialect, UpstreamRecord, UpstreamStage, WorkRoute,
+        EventRun, EventSplitter, KvHandle, Leftover, LeftoverGuard, OwnAnswer, PlaceFinder, RelayBody,
+        RelayCore, RepeatRule, ReservedPlace, StreamPump, UpstreamAnswer, UpstreamDialect, UpstreamRecord, UpstreamStage, WorkRoute,
         plain_flow::promises_not_run, relay_core::status_verdict,
     },
     bytes::Bytes,
@@ -108,18 +108,16 @@
     pub async fn start(&mut self, after: Option<Arc<str>>) -> Result<StreamStart, OwnAnswer> {
         let mut last = OwnAnswer::later(ResultCode::UpstreamMissing, COME_BACK);
         loop {
-            let Some(upstream) = self.choose(UpstreamStage::Decode) else {
-                return Err(last);
+            let place = match self.find_place().await {
+                Ok(place) => place,
+                Err(answer) => return Err(self.worse_of(last, answer)),
             };
-            let repeats = self.runs + self.refused > 0;
-            if repeats && !self.core.take_retry(&self.service) {
+            if self.runs + self.refused > 0 && !self.core.take_retry(&self.service) {
                 return Err(last);
             }
-            self.tried.push(upstream.id.clone());
-            match self.try_engine(upstream, after.clone()).await {
+            match self.try_place(place, after.clone()).await {
                 Ok(start) => return Ok(start),
-                Err(answer) if self.runs > 0 && answer.code.not_run() => {}
-                Err(answer) => last = answer,
+                Err(answer) => last = self.worse_of(last, answer),
             }
             if !self.may_go_on() {
                 return Err(last);
@@ -161,7 +159,7 @@
         }
     }
 
-    async fn read_prompt(&mut self) -> Option<KvGuard<D>> {
+    async fn read_prompt(&self) -> Option<(KvHandle, LeftoverGuard<D>)> {
         let upstream = self.choose(UpstreamStage::Prefill)?;
         let plan = CallPlan {
             purpose: &CallPurpose::Read,
@@ -195,22 +193,38 @@
             return None;
         }
         let handle = self.core.dialect.read_reply(&upstream, &bytes)?;
-        Some(KvGuard::new(self.core.clone(), upstream, handle))
+        let leftover = Leftover::Kv(handle.clone());
+        let guard = LeftoverGuard::new(self.core.clone(), upstream, leftover);
+        Some((handle, guard))
+    }
+
+    async fn find_place(&self) -> Result<ReservedPlace<D>, OwnAnswer> {
+        let book = self.core.book.load();
+        let service = book.as_ref().and_then(|book| book.services.get(&self.service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let life = engine.and_then(|engine| engine.hold_life);
+        PlaceFinder::new(self, life).find().await
     }
 
-    async fn try_engine(
+    /// Reads the prompt where the settings say so, and runs the request at its place.
+    async fn try_place(
         &mut self,
-        upstream: Arc<UpstreamRecord>,
+        place: ReservedPlace<D>,
         after: Option<Arc<str>>,
     ) -> Result<StreamStart, OwnAnswer> {
-        let guard = match self.core.settings.reads_apart && after.is_none() {
+        let ReservedPlace { call, guard, name } = place;
+        let upstream = call.upstream.clone();
+        let reads_apart = self.core.settings.reads_apart && after.is_none();
+        let kv = match reads_apart {
             true => self.read_prompt().await,
             false => None,
         };
+        let (kv, kv_guard) = kv.unzip();
         let purpose = CallPurpose::Run {
             after,
             backup: None,
-            kv: guard.as_ref().and_then(KvGuard::handle),
+            kv,
+            place: name,
         };
         let plan = CallPlan {
             purpose: &purpose,
@@ -218,11 +232,12 @@
             route: &self.route,
             silence: None,
         };
+        self.tried.push(upstream.id.clone());
+        drop(call);
         match self.core.call(plan, upstream).await {
             CallEnd::Answer(answer) => {
-                if let Some(guard) = guard {
-                    guard.close();
-                }
+                let used = [guard, kv_guard];
+                used.into_iter().flatten().for_each(LeftoverGuard::close);
                 self.runs += 1;
                 self.take_answer(*answer).await
             }
@@ -238,6 +253,14 @@
         }
     }
 
+    /// Once a request may have run, no later outcome can make it one that did not.
+    fn worse_of(&self, before: OwnAnswer, now: OwnAnswer) -> OwnAnswer {
+        match self.runs > 0 && now.code.not_run() && !before.code.not_run() {
+            true => before,
+            false => now,
+        }
+    }
+
     async fn take_answer(&mut self, answer: UpstreamAnswer) -> Result<StreamStart, OwnAnswer> {
         if !answer.head.status.is_success() {
             return self.take_failure(answer).await;
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -23,9 +23,23 @@
         backup: Option<SocketAddr>,
         /// The KV cache to begin with.
         kv: Option<KvHandle>,
+        /// The place that was reserved for it.
+        place: Option<PlaceName>,
     },
 }
 
+/// Names a reserved place: a slot and memory of one engine.
+pub type PlaceName = Arc<str>;
+
+/// What an instance may leave at an engine that nobody uses any more.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Leftover {
+    /// A KV cache that waits for its transfer.
+    Kv(KvHandle),
+    /// A reserved place.
+    Place(PlaceName),
+}
+
 /// A KV cache that waits for its transfer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KvHandle {
@@ -99,12 +113,26 @@
 
 /// How upstreams speak.
 pub trait UpstreamDialect: Send + Sync + 'static {
-    /// The call that frees a KV cache which nobody takes.
-    fn free_call(&self, handle: &KvHandle) -> Request<Full<Bytes>>;
+    /// The call that frees what nobody uses any more.
+    fn free_call(&self, upstream: &UpstreamRecord, leftover: &Leftover) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to a reservation; none when it can't be read.
+    fn place_reply(&self, body: &[u8]) -> Option<PlaceName>;
+
+    /// The call that reserves a slot and so many tokens of memory for at most `life`.
+    fn reserve_call(
+        &self,
+        upstream: &UpstreamRecord,
+        tokens: u64,
+        life: Duration,
+    ) -> Request<Full<Bytes>>;
 
     /// The call for a purpose.
     fn call(&self, call: &UpstreamCall<'_>) -> Request<Full<Bytes>>;
 
+    /// How long a server keeps an idle connection, if the head of its answer says so.
+    fn keep_time(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Reads the head of an answer.
     fn reply_facts(&self, head: &response::Parts, request: &RequestId) -> ReplyFacts;
 
