--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -25,8 +25,8 @@
 /// How long a caller's socket may be unheard before it counts as gone. Callers far away and on lossy links need a few
 /// retransmissions.
 const CALLER_UNHEARD: Duration = Duration::from_secs(5);
-/// A connection that ends for being idle gets so long to close in order.
-const CLOSE_GRACE: Duration = Duration::from_secs(1);
+/// A connection that is to end gets so long to close in order before it is looked at again.
+const CLOSE_GRACE: Duration = Duration::from_millis(300);
 
 /// The running server.
 #[derive(Debug)]
@@ -122,13 +122,13 @@
                 let leaving = leaving.clone();
                 async move {
                     let mut answer = desk.answer(request).await;
-                    if let Ok(response) = &mut answer
-                        && leaving.is_raised()
-                    {
-                        let close = HeaderValue::from_static("close");
-                        response.headers_mut().insert(header::CONNECTION, close);
+                    if let Ok(response) = &mut answer {
+                        response.body_mut().hold(busy);
+                        if leaving.is_raised() {
+                            let close = HeaderValue::from_static("close");
+                            response.headers_mut().insert(header::CONNECTION, close);
+                        }
                     }
-                    drop(busy);
                     answer
                 }
             })
@@ -159,16 +159,13 @@
             }
         }
         connection.as_mut().graceful_shutdown();
-        let ending = connection.as_mut();
-        match self.stopping.is_raised() {
-            true => {
-                if let Err(error) = ending.await {
-                    tracing::debug!(%error, "a caller's connection ended");
-                }
+        // A connection without a request in progress has nothing to lose: a caller that sends nothing is not waited for.
+        loop {
+            if time::timeout(CLOSE_GRACE, connection.as_mut()).await.is_ok() {
+                return;
             }
-            false => {
-                // An idle connection has nothing to lose: a caller that never reads is not waited for.
-                let _ = time::timeout(CLOSE_GRACE, ending).await;
+            if pulse.is_idle() {
+                return;
             }
         }
     }
--- a/crates/relay/src/connection_pulse.rs
+++ b/crates/relay/src/connection_pulse.rs
@@ -36,6 +36,11 @@
         BusyPulse { pulse: self }
     }
 
+    /// Whether no request is under way.
+    pub fn is_idle(&self) -> bool {
+        self.state.lock().open == 0
+    }
+
     /// A connection that is idle from now on.
     pub fn new() -> Self {
         let state = PulseState {
--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -87,7 +87,7 @@
             request: &self.flow.request.head.id,
             service: &self.flow.service,
             stage: UpstreamStage::Decode,
-            zone: &self.core().settings.zone,
+            zone: &self.core().settings.load().zone,
         })
     }
 
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -110,7 +110,7 @@
             request: &self.request.head.id,
             service: self.service,
             stage: UpstreamStage::Plain,
-            zone: &self.core.settings.zone,
+            zone: &self.core.settings.load().zone,
         })
     }
 
--- a/crates/relay/src/relay_body.rs
+++ b/crates/relay/src/relay_body.rs
@@ -1,6 +1,7 @@
 //! The body of an answer to a caller.
 
 use {
+    crate::connection_pulse::BusyPulse,
     bytes::Bytes,
     http_body_util::Full,
     hyper::body::{Body, Frame, SizeHint},
@@ -19,17 +20,40 @@
 
 /// A body that is there, or one that arrives piece by piece.
 #[derive(Debug)]
-pub enum RelayBody {
-    /// All bytes.
-    Whole(Full<Bytes>),
+pub struct RelayBody {
+    /// Marks the caller's connection as in use for as long as the body is.
+    busy: Option<BusyPulse>,
+    content: BodyContent,
+}
+
+#[derive(Debug)]
+enum BodyContent {
     /// Pieces as they arrive.
     Pieces(mpsc::Receiver<Result<Bytes, AnswerCut>>),
+    /// All bytes.
+    Whole(Full<Bytes>),
 }
 
 impl RelayBody {
+    /// Keeps the connection marked as in use until the body was sent.
+    pub fn hold(&mut self, busy: BusyPulse) {
+        self.busy = Some(busy);
+    }
+
+    /// A body whose pieces come through a channel.
+    pub fn pieces(receiver: mpsc::Receiver<Result<Bytes, AnswerCut>>) -> Self {
+        Self {
+            busy: None,
+            content: BodyContent::Pieces(receiver),
+        }
+    }
+
     /// A body of these bytes.
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole(Full::new(bytes.into()))
+        Self {
+            busy: None,
+            content: BodyContent::Whole(Full::new(bytes.into())),
+        }
     }
 }
 
@@ -38,9 +62,9 @@
     type Error = AnswerCut;
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(full) => full.is_end_stream(),
-            Self::Pieces(_) => false,
+        match &self.content {
+            BodyContent::Pieces(_) => false,
+            BodyContent::Whole(full) => full.is_end_stream(),
         }
     }
 
@@ -48,12 +72,12 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
-        match self.get_mut() {
-            Self::Whole(full) => {
+        match &mut self.get_mut().content {
+            BodyContent::Whole(full) => {
                 let frame = ready!(Pin::new(full).poll_frame(context));
                 Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})))
             }
-            Self::Pieces(receiver) => {
+            BodyContent::Pieces(receiver) => {
                 let piece = ready!(receiver.poll_recv(context));
                 Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
             }
@@ -61,9 +85,9 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(full) => full.size_hint(),
-            Self::Pieces(_) => SizeHint::default(),
+        match &self.content {
+            BodyContent::Pieces(_) => SizeHint::default(),
+            BodyContent::Whole(full) => full.size_hint(),
         }
     }
 }
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -6,7 +6,7 @@
         LinkTimes, OpenCall, RelayCounts, RelaySettings, RetryWindow, RouteBook, UpstreamAnswer,
         UpstreamBoard, UpstreamCall, UpstreamDialect, UpstreamRecord, UpstreamTable, WorkRoute,
     },
-    arc_swap::ArcSwapOption,
+    arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
     kernel::{LockRank, RankedLock, ResultCode, ServiceId},
     std::{
@@ -45,8 +45,8 @@
     pub learned: Notify,
     /// The connections to upstreams.
     pub pool: LinkPool,
-    /// The settings.
-    pub settings: RelaySettings,
+    /// The settings, which may change while the process runs.
+    pub settings: ArcSwap<RelaySettings>,
     windows: RankedLock<HashMap<ServiceId, RetryWindow>>,
 }
 
@@ -136,7 +136,7 @@
             dialect,
             learned: Notify::new(),
             pool: LinkPool::new(times),
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             windows: RankedLock::new(LockRank::Services, HashMap::new()),
         }
     }
@@ -144,20 +144,16 @@
     /// A request for a service came in.
     pub fn note_request(&self, service: &ServiceId) {
         let mut windows = self.windows.lock();
-        let window = windows
-            .entry(service.clone())
-            .or_insert_with(|| RetryWindow::new(self.settings.retries));
-        window.note_request(Instant::now());
+        let window = windows.entry(service.clone()).or_default();
+        window.note_request(&self.settings.load().retries, Instant::now());
     }
 
     /// Takes one repeated call to a service out of the budget; `false` when it is spent.
     #[must_use]
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let mut windows = self.windows.lock();
-        let window = windows
-            .entry(service.clone())
-            .or_insert_with(|| RetryWindow::new(self.settings.retries));
-        let taken = window.take(Instant::now());
+        let window = windows.entry(service.clone()).or_default();
+        let taken = window.take(&self.settings.load().retries, Instant::now());
         drop(windows);
         let count = match taken {
             true => &self.counts.retries,
--- a/crates/relay/src/retry_window.rs
+++ b/crates/relay/src/retry_window.rs
@@ -20,34 +20,24 @@
 ///
 /// Each instance keeps its repeats under `ratio` times its own requests plus its part of the shared slack, so the sum
 /// over all instances stays in the budget without a message between them.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct RetryWindow {
-    bounds: RetryBounds,
     repeats: VecDeque<Instant>,
     requests: VecDeque<Instant>,
 }
 
 impl RetryWindow {
-    /// An empty window.
-    pub fn new(bounds: RetryBounds) -> Self {
-        Self {
-            bounds,
-            repeats: VecDeque::new(),
-            requests: VecDeque::new(),
-        }
-    }
-
     /// A request came in.
-    pub fn note_request(&mut self, now: Instant) {
-        self.forget(now);
+    pub fn note_request(&mut self, bounds: &RetryBounds, now: Instant) {
+        self.forget(bounds.window, now);
         self.requests.push_back(now);
     }
 
     /// Takes one repeated call out of the budget; `false` when there is none left.
     #[must_use]
-    pub fn take(&mut self, now: Instant) -> bool {
-        self.forget(now);
-        let most = self.bounds.ratio * self.requests.len() as f64 + self.bounds.slack;
+    pub fn take(&mut self, bounds: &RetryBounds, now: Instant) -> bool {
+        self.forget(bounds.window, now);
+        let most = bounds.ratio * self.requests.len() as f64 + bounds.slack;
         if (self.repeats.len() + 1) as f64 > most {
             return false;
         }
@@ -55,10 +45,10 @@
         true
     }
 
-    fn forget(&mut self, now: Instant) {
+    fn forget(&mut self, window: Duration, now: Instant) {
         for list in [&mut self.repeats, &mut self.requests] {
             while let Some(first) = list.front() {
-                if now.saturating_duration_since(*first) < self.bounds.window {
+                if now.saturating_duration_since(*first) < window {
                     break;
                 }
                 list.pop_front();
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -94,7 +94,7 @@
             StreamStart::Other(response) => return Ok(response),
         };
         let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
-        let mut response = Response::new(RelayBody::Pieces(receiver));
+        let mut response = Response::new(RelayBody::pieces(receiver));
         *response.status_mut() = begun.answer.head.status;
         *response.headers_mut() = self
             .core
@@ -138,7 +138,7 @@
             request: &self.request.head.id,
             service: &self.service,
             stage,
-            zone: &self.core.settings.zone,
+            zone: &self.core.settings.load().zone,
         })
     }
 
@@ -214,7 +214,7 @@
     ) -> Result<StreamStart, OwnAnswer> {
         let ReservedPlace { call, guard, name } = place;
         let upstream = call.upstream.clone();
-        let reads_apart = self.core.settings.reads_apart && after.is_none();
+        let reads_apart = self.core.settings.load().reads_apart && after.is_none();
         let kv = match reads_apart {
             true => self.read_prompt().await,
             false => None,
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -38,7 +38,7 @@
     member_watch::MemberWatch,
     path_base::{EntryPlatform, PathBase},
     platform_health::{PlatformHealth, PlatformSample},
-    process_signals::ProcessSignals,
+    process_signals::{ProcessSignal, ProcessSignals},
     ready_line::ReadyLine,
     relay_process::RelayProcess,
     request_path::RequestPath,
--- a/crates/trestlewalk/src/entry/process_signals.rs
+++ b/crates/trestlewalk/src/entry/process_signals.rs
@@ -1,4 +1,4 @@
-//! The signals that tell a process to close.
+//! The signals that tell a process to close or to read its settings again.
 
 use {
     crate::{RunError, run_error::RuntimeSnafu},
@@ -6,9 +6,19 @@
     tokio::signal::unix::{Signal, SignalKind, signal},
 };
 
-/// Hears SIGTERM and SIGINT.
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProcessSignal {
+    /// Close.
+    Close,
+    /// Read the settings again.
+    Reload,
+}
+
+/// Hears SIGTERM, SIGINT and SIGHUP.
 #[derive(Debug)]
 pub struct ProcessSignals {
+    hangup: Signal,
     interrupt: Signal,
     terminate: Signal,
 }
@@ -21,12 +31,26 @@
     /// The system refuses the handlers.
     pub fn new() -> Result<Self, RunError> {
         Ok(Self {
+            hangup: signal(SignalKind::hangup()).context(RuntimeSnafu)?,
             interrupt: signal(SignalKind::interrupt()).context(RuntimeSnafu)?,
             terminate: signal(SignalKind::terminate()).context(RuntimeSnafu)?,
         })
     }
 
-    /// Waits for the next signal.
+    /// Waits for the next signal of any kind.
+    pub async fn any(&mut self) -> ProcessSignal {
+        tokio::select! {
+            _ = self.hangup.recv() => ProcessSignal::Reload,
+            () = async {
+                tokio::select! {
+                    _ = self.interrupt.recv() => {}
+                    _ = self.terminate.recv() => {}
+                }
+            } => ProcessSignal::Close,
+        }
+    }
+
+    /// Waits for the next signal to close.
     pub async fn next(&mut self) {
         tokio::select! {
             _ = self.interrupt.recv() => {}
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -7,9 +7,9 @@
             AdminServer, AdminState, ReadyBoard, StatusSource, TableStatus,
             ready_board::CLOSING_CONDITION,
         },
-        entry::{ProcessSignals, bind_tcp},
+        entry::{ProcessSignal, ProcessSignals, bind_tcp},
         run_error::{CutByCloseSnafu, MetricsSnafu},
-        settings::RelayFile,
+        settings::{RelayFile, SettingsReader},
     },
     kernel::{StateMap, WorkerPool},
     platform::{HttpDialect, RowStore},
@@ -36,6 +36,7 @@
     admin: AdminServer,
     board: Arc<ReadyBoard>,
     callers: CallerServer,
+    core: Arc<PlatformCore>,
     pool: WorkerPool,
     settings: RelayFile,
 }
@@ -74,15 +75,30 @@
         cut
     }
 
+    /// Reads the settings again. Those of sockets, the store and the log stay until the next start.
+    fn reload(&mut self, reader: &SettingsReader) {
+        match reader.read() {
+            Ok(settings) => {
+                let live = relay_settings(&settings);
+                self.core.settings.store(Arc::new(live));
+                tracing::info!("settings read again");
+                self.settings = settings;
+            }
+            Err(error) => tracing::error!(%error, "the settings stay as they were"),
+        }
+    }
+
     /// Runs an instance until a signal tells it to close.
     ///
     /// # Errors
     ///
     /// A socket can't be opened, or the close cut requests off.
-    pub async fn run(settings: RelayFile) -> Result<(), RunError> {
+    pub async fn run(settings: RelayFile, reader: SettingsReader) -> Result<(), RunError> {
         let mut signals = ProcessSignals::new()?;
-        let process = Self::start(settings).await?;
-        signals.next().await;
+        let mut process = Self::start(settings).await?;
+        while signals.any().await == ProcessSignal::Reload {
+            process.reload(&reader);
+        }
         tracing::info!("closing");
         let cut = process.close().await;
         if cut > 0 {
@@ -131,7 +147,8 @@
         Ok(Self {
             admin,
             board,
-            callers: CallerServer::start(callers, core),
+            callers: CallerServer::start(callers, core.clone()),
+            core,
             pool,
             settings,
         })
--- a/crates/trestlewalk/src/settings.rs
+++ b/crates/trestlewalk/src/settings.rs
@@ -22,6 +22,7 @@
 pub mod settings_fault;
 pub mod settings_file;
 pub mod settings_node;
+pub mod settings_reader;
 pub mod upstream_settings;
 pub mod work_defaults;
 
@@ -41,6 +42,7 @@
     setting_override::SettingOverride,
     settings_fault::{FaultPlace, SettingsFault},
     settings_file::{load_settings, parse_settings},
+    settings_reader::SettingsReader,
     upstream_settings::UpstreamSettings,
     work_defaults::WorkDefaults,
 };
--- a/crates/trestlewalk/src/subcommand/relay.rs
+++ b/crates/trestlewalk/src/subcommand/relay.rs
@@ -4,12 +4,12 @@
     crate::{
         RunError,
         entry::{RelayProcess, log_setup},
-        run_error::{ReadFileSnafu, RuntimeSnafu, SettingsInvalidSnafu},
-        settings::{SettingOverride, parse_relay_file},
+        run_error::RuntimeSnafu,
+        settings::{SettingOverride, SettingsReader},
     },
     clap::Args,
     snafu::ResultExt,
-    std::{fs, path::PathBuf},
+    std::path::PathBuf,
     tokio::runtime::Builder,
 };
 
@@ -31,14 +31,11 @@
     ///
     /// The settings have faults, a socket can't be opened, or the close cut requests off.
     pub fn run(self) -> Result<(), RunError> {
-        let path = &self.settings;
-        let content = fs::read(path).context(ReadFileSnafu { path })?;
-        let file = path.display().to_string();
-        let settings = parse_relay_file(&file, &content, self.set)
-            .map_err(|faults| SettingsInvalidSnafu { faults }.build())?;
+        let reader = SettingsReader::new(self.settings, self.set);
+        let settings = reader.read()?;
         log_setup::start_log(&settings.log);
         let runtime = Builder::new_current_thread().enable_all().build();
         let runtime = runtime.context(RuntimeSnafu)?;
-        runtime.block_on(RelayProcess::run(settings))
+        runtime.block_on(RelayProcess::run(settings, reader))
     }
 }
