relay: new requests are refused as not run once a close could cut them

Ruled out: the balancer (it sends on where under half of a zone is ready). From 2.8 s on new requests get 503 and when to come back.

--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -35,13 +35,14 @@
     connections: TaskTracker,
     /// Raised when answers are to end their connections.
     leaving: CloseSignal,
-    /// Raised when idle connections are to end at once.
+    /// Raised when idle connections are to end at once, and new requests to be refused.
     stopping: CloseSignal,
 }
 
 impl CallerServer {
-    /// Ends the server: for `settle` new connections still come in while each answer ends its connection; then idle
-    /// connections end, and open requests get until `limit` from now. Gives how many connections were cut.
+    /// Ends the server: for `settle` new requests are still served while each answer ends its connection; then new ones are
+    /// refused as not run, idle connections end, and open requests get until `limit` from now. Gives how many connections
+    /// were cut.
     pub async fn close(self, settle: Duration, limit: Duration) -> usize {
         let end = time::Instant::now() + limit;
         self.leaving.raise();
@@ -63,7 +64,7 @@
     ) -> Self {
         let connections = TaskTracker::new();
         let leaving = CloseSignal::new();
-        let stopping = CloseSignal::new();
+        let stopping = core.closing.clone();
         let caller = CallerSide {
             core: core.clone(),
             desk: RequestDesk::new(core),
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -8,7 +8,7 @@
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
-    kernel::{LockRank, RankedLock, ResultCode, ServiceId},
+    kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -37,6 +37,8 @@
     pub board: Arc<UpstreamBoard>,
     /// The routes in force; none before the first were read.
     pub book: ArcSwapOption<RouteBook>,
+    /// Raised when no further request can be finished before the process ends.
+    pub closing: CloseSignal,
     /// The counters.
     pub counts: RelayCounts,
     /// How callers and upstreams speak.
@@ -132,6 +134,7 @@
                 UpstreamTable::default(),
             )),
             book: ArcSwapOption::empty(),
+            closing: CloseSignal::new(),
             counts: RelayCounts::new(),
             dialect,
             learned: Notify::new(),
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -17,6 +17,8 @@
     tokio::time,
 };
 
+/// When to come back to another instance after this one closes: at once, but for the way there.
+const CLOSING_PAUSE: Duration = Duration::from_millis(20);
 /// When to come back while an instance has no routes yet: the store is read several times by then.
 const START_PAUSE: Duration = Duration::from_millis(500);
 
@@ -115,6 +117,9 @@
     }
 
     fn route(&self, parts: &Parts) -> Result<RoutedHead, OwnAnswer> {
+        if self.core.closing.is_raised() {
+            return Err(OwnAnswer::later(ResultCode::Closing, CLOSING_PAUSE));
+        }
         let Some(book) = self.core.book.load_full() else {
             return Err(OwnAnswer::later(ResultCode::NotReady, START_PAUSE));
         };
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -55,8 +55,8 @@
 impl Default for RelayClose {
     fn default() -> Self {
         Self {
-            limit: Duration::from_millis(7_500),
-            settle: Duration::from_millis(2_500),
+            limit: Duration::from_millis(7_700),
+            settle: Duration::from_millis(2_800),
         }
     }
 }
