relay: prefill engines by expected time; a late one leaves the reading to the decode engine

Now the engine is looked at again after the reading, a reading has a time limit of its own, and a decode engine reads itself where that is expected to be sooner. Ruled out: an old list (read every 0.9 s).

--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -73,6 +73,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// The tokens of the prompt; 0 for plain services.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.head.prompt.as_ref().map_or(0, |prompt| prompt.tokens)
+    }
+
     /// What the request is expected to take of a KV cache when it is whole, tokens.
     pub fn kv_tokens(&self) -> u64 {
         let prompt = self.head.prompt.as_ref();
--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -111,7 +111,12 @@
     async fn serve(self, stream: TcpStream) {
         tune_socket(&stream, CALLER_UNHEARD);
         let pulse = Arc::new(ConnectionPulse::new());
-        let head_limit = self.core.book.load().as_ref().map(|book| book.limits.headers);
+        let head_limit = self
+            .core
+            .book
+            .load()
+            .as_ref()
+            .map(|book| book.limits.headers);
         let buffer = head_limit.unwrap_or_default().max(LEAST_BUFFER);
         let service = {
             let pulse = pulse.clone();
@@ -162,7 +167,10 @@
         connection.as_mut().graceful_shutdown();
         // A connection without a request in progress has nothing to lose: a caller that sends nothing is not waited for.
         loop {
-            if time::timeout(CLOSE_GRACE, connection.as_mut()).await.is_ok() {
+            if time::timeout(CLOSE_GRACE, connection.as_mut())
+                .await
+                .is_ok()
+            {
                 return;
             }
             if pulse.is_idle() {
--- a/crates/relay/src/leftover_guard.rs
+++ b/crates/relay/src/leftover_guard.rs
@@ -24,11 +24,7 @@
     }
 
     /// Guards what is left at an upstream.
-    pub fn new(
-        core: Arc<RelayCore<D>>,
-        upstream: Arc<UpstreamRecord>,
-        leftover: Leftover,
-    ) -> Self {
+    pub fn new(core: Arc<RelayCore<D>>, upstream: Arc<UpstreamRecord>, leftover: Leftover) -> Self {
         Self {
             core,
             leftover: Some(leftover),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod operator_source;
 pub mod place_finder;
 pub mod plain_flow;
+pub mod read_pace;
 pub mod relay_body;
 pub mod relay_core;
 pub mod relay_counts;
@@ -51,6 +52,7 @@
     },
     place_finder::{PlaceFinder, ReservedPlace},
     plain_flow::PlainFlow,
+    read_pace::ReadPace,
     relay_body::{AnswerCut, RelayBody},
     relay_core::{CallPlan, RelayCore},
     relay_counts::RelayCounts,
@@ -65,10 +67,11 @@
     stream_flow::{BegunStream, StreamFlow, StreamStart},
     stream_pump::StreamPump,
     upstream_dialect::{
-        CallPurpose, CallerDialect, HeadFault, KvHandle, Leftover, PlaceName, ReplyFacts, UpstreamCall, UpstreamDialect,
+        CallPurpose, CallerDialect, HeadFault, KvHandle, Leftover, PlaceName, ReplyFacts,
+        UpstreamCall, UpstreamDialect,
     },
     upstream_entry::{CallVerdict, UpstreamEntry},
     upstream_record::{UpstreamRecord, UpstreamStage},
-    upstream_table::{ChoiceQuery, UpstreamTable},
+    upstream_table::{ChoiceQuery, ReaderChoice, UpstreamTable},
     work_route::{RouteTarget, WorkRoute},
 };
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -119,8 +119,8 @@
     }
 
     fn may_go_on(&self) -> bool {
-        let may_run = self.runs < self.route.tries
-            && (self.runs == 0 || self.route.repeat.may_repeat());
+        let may_run =
+            self.runs < self.route.tries && (self.runs == 0 || self.route.repeat.may_repeat());
         may_run && self.refused <= REFUSED_TRIES && !self.request.left().is_zero()
     }
 
@@ -137,7 +137,9 @@
             Ok(Ok(collected)) => {
                 call.close(status_verdict(head.status));
                 if !facts.last_on_connection {
-                    self.core.pool.keep(&self.tried[self.tried.len() - 1], link, facts.keep);
+                    self.core
+                        .pool
+                        .keep(&self.tried[self.tried.len() - 1], link, facts.keep);
                 }
                 Some(WholeAnswer {
                     body: collected.to_bytes(),
@@ -160,8 +162,7 @@
 
     /// A repeatable request leaves a silent upstream for another one while a further run is allowed.
     fn silence(&self) -> Option<Duration> {
-        let may_leave =
-            self.route.repeat.may_repeat() && self.runs + 1 < self.route.tries;
+        let may_leave = self.route.repeat.may_repeat() && self.runs + 1 < self.route.tries;
         may_leave.then(|| self.route.first_byte * SILENCE_TARGETS)
     }
 
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -66,7 +66,10 @@
         if left.is_zero() {
             return CallEnd::Unsent;
         }
-        let tokens = plan.request.kv_tokens();
+        let tokens = match plan.purpose {
+            CallPurpose::Read => plan.request.prompt_tokens(),
+            CallPurpose::Run { .. } => plan.request.kv_tokens(),
+        };
         let call = OpenCall::new(&self.board, upstream.clone(), tokens);
         let request = self.dialect.call(&UpstreamCall {
             left,
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -27,7 +27,10 @@
             IntCounter::new(name, help).expect("the name of a counter is well formed")
         };
         let results = IntCounterVec::new(
-            Opts::new("trestlewalk_relay_results_total", "Requests by result code."),
+            Opts::new(
+                "trestlewalk_relay_results_total",
+                "Requests by result code.",
+            ),
             &["code"],
         );
         Self {
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         AnswerCut, CallerDialect, CallerHead, CallerRequest, OwnAnswer, PlainFlow, RelayBody,
-        RelayCore, RouteBook, StreamFlow, UpstreamDialect, WorkRoute, upstream_dialect::target_path,
+        RelayCore, RouteBook, StreamFlow, UpstreamDialect, WorkRoute,
+        upstream_dialect::target_path,
     },
     bytes::Bytes,
     http::{Request, Response, header, request::Parts},
@@ -55,7 +56,10 @@
     /// # Errors
     ///
     /// The connection has to be cut: the request's body did not arrive.
-    pub async fn answer(&self, request: Request<Incoming>) -> Result<Response<RelayBody>, AnswerCut> {
+    pub async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<RelayBody>, AnswerCut> {
         let since = Instant::now();
         let (parts, body) = request.into_parts();
         let routed = match self.route(&parts) {
@@ -158,6 +162,8 @@
             let flow = StreamFlow::new(self.core.clone(), request, route.clone(), service.clone());
             return flow.run().await;
         }
-        PlainFlow::new(&self.core, &request, route, service).run().await
+        PlainFlow::new(&self.core, &request, route, service)
+            .run()
+            .await
     }
 }
--- a/crates/relay/src/service_info.rs
+++ b/crates/relay/src/service_info.rs
@@ -1,9 +1,6 @@
 //! What the operators declare of one service.
 
-use {
-    kernel::ServiceId,
-    std::time::Duration,
-};
+use {kernel::ServiceId, std::time::Duration};
 
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -3,16 +3,20 @@
 use {
     crate::{
         CallEnd, CallPlan, CallPurpose, CallVerdict, CallerDialect, CallerRequest, ChoiceQuery,
-        EventRun, EventSplitter, KvHandle, Leftover, LeftoverGuard, OwnAnswer, PlaceFinder, RelayBody,
-        RelayCore, RepeatRule, ReservedPlace, StreamPump, UpstreamAnswer, UpstreamDialect, UpstreamRecord, UpstreamStage, WorkRoute,
-        plain_flow::promises_not_run, relay_core::status_verdict,
+        EventRun, EventSplitter, KvHandle, Leftover, LeftoverGuard, OwnAnswer, PlaceFinder,
+        ReadPace, ReaderChoice, RelayBody, RelayCore, RepeatRule, ReservedPlace, StreamPump,
+        UpstreamAnswer, UpstreamDialect, UpstreamStage, WorkRoute, plain_flow::promises_not_run,
+        relay_core::status_verdict,
     },
     bytes::Bytes,
     http::Response,
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     kernel::{ResultCode, ServiceId, UpstreamId},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{sync::mpsc, time},
 };
 
@@ -24,6 +28,14 @@
 const REFUSED_TRIES: u32 = 3;
 /// How many pieces wait for a slow caller before the engine's stream is held up.
 const PIECES_AHEAD: usize = 8;
+/// A decode engine reads at about half the speed of a prefill engine.
+const OWN_READ_FACTOR: u32 = 2;
+/// What a decode engine's own reading counts as beyond its time: it slows the streams that run there.
+const OWN_READ_PRICE: Duration = Duration::from_millis(150);
+/// A reading that takes so many times what was expected counts as lost.
+const READ_SILENCE: u32 = 3;
+/// Beyond that, for engines that nothing is known of and prompts of others that came just before.
+const READ_SLACK: Duration = Duration::from_millis(300);
 /// When to come back after a refusal: about the time in which an engine ends one of its requests.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -132,16 +144,6 @@
         may_run && self.refused <= REFUSED_TRIES && !self.request.left().is_zero()
     }
 
-    fn choose(&self, stage: UpstreamStage) -> Option<Arc<UpstreamRecord>> {
-        self.core.choose(&ChoiceQuery {
-            avoid: &self.tried,
-            request: &self.request.head.id,
-            service: &self.service,
-            stage,
-            zone: &self.core.settings.load().zone,
-        })
-    }
-
     async fn first_piece(&self, body: &mut Incoming, splitter: &mut EventSplitter) -> FirstPiece {
         loop {
             let frame = match time::timeout(self.request.left(), body.frame()).await {
@@ -159,14 +161,19 @@
         }
     }
 
+    /// Has the prompt read by a prefill engine. None when none is there, none would be done soon, or the reading failed:
+    /// the decode engine reads the prompt itself then.
     async fn read_prompt(&self) -> Option<(KvHandle, LeftoverGuard<D>)> {
-        let upstream = self.choose(UpstreamStage::Prefill)?;
+        let tokens = self.request.prompt_tokens();
+        let choice = self.choose_reader(tokens)?;
+        let upstream = choice.upstream;
         let plan = CallPlan {
             purpose: &CallPurpose::Read,
             request: &self.request,
             route: &self.route,
-            silence: None,
+            silence: Some(choice.expected * READ_SILENCE + READ_SLACK),
         };
+        let began = Instant::now();
         let CallEnd::Answer(answer) = self.core.call(plan, upstream.clone()).await else {
             return None;
         };
@@ -192,15 +199,40 @@
         if !head.status.is_success() {
             return None;
         }
+        let now = Instant::now();
+        let mut board = self.core.board.lock();
+        board.note_read(&upstream.id, choice.ahead, now - began, now);
+        drop(board);
         let handle = self.core.dialect.read_reply(&upstream, &bytes)?;
         let leftover = Leftover::Kv(handle.clone());
         let guard = LeftoverGuard::new(self.core.clone(), upstream, leftover);
         Some((handle, guard))
     }
 
+    /// The prefill engine to ask; none when the decode engine is expected to be done sooner.
+    fn choose_reader(&self, tokens: u64) -> Option<ReaderChoice> {
+        let now = Instant::now();
+        let choice = self.core.board.lock().choose_reader(
+            &ChoiceQuery {
+                avoid: &[],
+                request: &self.request.head.id,
+                service: &self.service,
+                stage: UpstreamStage::Prefill,
+                zone: &self.core.settings.load().zone,
+            },
+            tokens,
+            now,
+        )?;
+        let unhurried = ReadPace::new(now).expect(tokens, now);
+        let own = unhurried * OWN_READ_FACTOR + OWN_READ_PRICE;
+        (choice.cost <= own).then_some(choice)
+    }
+
     async fn find_place(&self) -> Result<ReservedPlace<D>, OwnAnswer> {
         let book = self.core.book.load();
-        let service = book.as_ref().and_then(|book| book.services.get(&self.service));
+        let service = book
+            .as_ref()
+            .and_then(|book| book.services.get(&self.service));
         let engine = service.and_then(|service| service.engine.as_ref());
         let life = engine.and_then(|engine| engine.hold_life);
         PlaceFinder::new(self, life).find().await
@@ -220,6 +252,11 @@
             false => None,
         };
         let (kv, kv_guard) = kv.unzip();
+        if !self.core.board.lock().takes_work(&upstream.id) {
+            // It began to leave while the prompt was read; the place is given back.
+            drop(call);
+            return Err(OwnAnswer::later(ResultCode::UpstreamMissing, COME_BACK));
+        }
         let purpose = CallPurpose::Run {
             after,
             backup: None,
--- a/crates/relay/src/upstream_entry.rs
+++ b/crates/relay/src/upstream_entry.rs
@@ -1,7 +1,7 @@
 //! What an instance knows of one upstream beyond its record.
 
 use {
-    crate::UpstreamRecord,
+    crate::{ReadPace, UpstreamRecord},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -57,6 +57,8 @@
     pub open: u32,
     /// The tokens of the calls of this instance that are under way.
     pub open_tokens: u64,
+    /// How fast it reads prompts, as far as this instance has seen.
+    pub pace: ReadPace,
     /// What the list says.
     pub record: Arc<UpstreamRecord>,
 }
@@ -82,6 +84,7 @@
             missing_since: None,
             open: 0,
             open_tokens: 0,
+            pace: ReadPace::new(now),
             record,
         }
     }
--- a/crates/relay/src/upstream_table.rs
+++ b/crates/relay/src/upstream_table.rs
@@ -17,6 +17,10 @@
 const FAILURE_COST: f64 = 40.0;
 /// What having been full a moment ago counts as, in open calls.
 const FULL_COST: f64 = 20.0;
+/// What a transfer from another availability zone counts as, in time of reading: it takes longer and is paid for.
+const OTHER_ZONE_READ: Duration = Duration::from_millis(20);
+/// What a share of failures of 1 counts as, in time of reading.
+const FAILURE_READ: Duration = Duration::from_secs(2);
 /// Tokens that count as one open call: an ordinary prompt.
 const TOKENS_A_CALL: f64 = 3_000.0;
 /// How long upstreams that lapsed from the list during an outage of the store are kept after it: by then those alive
@@ -38,6 +42,19 @@
     pub zone: &'a ZoneId,
 }
 
+/// A prefill engine for a prompt.
+#[derive(Clone, Debug)]
+pub struct ReaderChoice {
+    /// The tokens of this instance that are to be read there, the prompt's own included.
+    pub ahead: u64,
+    /// The time that the choice went by: what is expected, and more for engines that fail or are far.
+    pub cost: Duration,
+    /// How long the reading is expected to take.
+    pub expected: Duration,
+    /// The engine.
+    pub upstream: Arc<UpstreamRecord>,
+}
+
 /// The upstreams by id.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
@@ -67,9 +84,7 @@
             let cost = call_cost(entry, query, now);
             let tie = tie_break(query.request, &entry.record.id);
             let better = match &best {
-                Some((least, least_tie, _)) => {
-                    cost < *least || cost == *least && tie < *least_tie
-                }
+                Some((least, least_tie, _)) => cost < *least || cost == *least && tie < *least_tie,
                 None => true,
             };
             if better {
@@ -79,6 +94,38 @@
         best.map(|(_, _, entry)| entry.record.clone())
     }
 
+    /// The prefill engine that is expected to be done first with a prompt, and when.
+    pub fn choose_reader(
+        &self,
+        query: &ChoiceQuery<'_>,
+        tokens: u64,
+        now: Instant,
+    ) -> Option<ReaderChoice> {
+        let mut best: Option<(Duration, ReaderChoice)> = None;
+        for entry in self.entries.values() {
+            if !self.may_take(entry, query) {
+                continue;
+            }
+            let ahead = entry.open_tokens + tokens;
+            let expected = entry.pace.expect(ahead, now);
+            let mut cost = expected + FAILURE_READ.mul_f64(entry.failure_share(now));
+            if entry.record.zone != *query.zone {
+                cost += OTHER_ZONE_READ;
+            }
+            if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
+                continue;
+            }
+            let choice = ReaderChoice {
+                ahead,
+                cost,
+                expected,
+                upstream: entry.record.clone(),
+            };
+            best = Some((cost, choice));
+        }
+        best.map(|(_, choice)| choice)
+    }
+
     /// A call to an upstream ended.
     pub fn end(&mut self, id: &UpstreamId, tokens: u64, verdict: CallVerdict, now: Instant) {
         let Some(entry) = self.entries.get_mut(id) else {
@@ -89,6 +136,20 @@
         entry.note(verdict, now);
     }
 
+    /// A reading ended.
+    pub fn note_read(&mut self, id: &UpstreamId, tokens: u64, took: Duration, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.pace.note(tokens, took, now);
+        }
+    }
+
+    /// Whether new work may go to an upstream now.
+    pub fn takes_work(&self, id: &UpstreamId) -> bool {
+        self.entries
+            .get(id)
+            .is_some_and(|entry| !entry.record.leaving)
+    }
+
     /// The upstreams, by id.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.entries.values()
@@ -96,7 +157,12 @@
 
     /// Takes a list in. `outage_ended` is when an outage of the store ended, if one did since the last list: entries that
     /// it lacks are kept for a moment, since the upstreams may not have been able to report.
-    pub fn replace(&mut self, reading: &UpstreamReading, outage_ended: Option<Instant>, now: Instant) {
+    pub fn replace(
+        &mut self,
+        reading: &UpstreamReading,
+        outage_ended: Option<Instant>,
+        now: Instant,
+    ) {
         if let Some(ended) = outage_ended {
             self.grace_until = Some(ended + LAPSE_GRACE);
         }
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -121,7 +121,10 @@
         let callers = bind_tcp("listen.callers", settings.listen.callers).await?;
         let core = Arc::new(RelayCore::new(HttpDialect, relay_settings(&settings)));
         let board = Arc::new(ReadyBoard::new());
-        board.block(START_CONDITION, "the routes and the upstreams are not known yet");
+        board.block(
+            START_CONDITION,
+            "the routes and the upstreams are not known yet",
+        );
         let registry = Registry::new();
         core.counts.register(&registry).context(MetricsSnafu)?;
         let state = AdminState::builder()
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -147,10 +147,7 @@
 }
 
 fn check_relay_file(settings: &RelayFile, list: &mut FaultList) {
-    for (field, name) in [
-        ("instance", &settings.instance),
-        ("zone", &settings.zone),
-    ] {
+    for (field, name) in [("instance", &settings.instance), ("zone", &settings.zone)] {
         if let Some(fault) = name_fault(name) {
             list.push(&FieldPath::dotted(field), fault);
         }
@@ -165,7 +162,10 @@
         }
     }
     if settings.retries.instances == 0 {
-        list.push(&FieldPath::dotted("retries.instances"), "has to be at least 1");
+        list.push(
+            &FieldPath::dotted("retries.instances"),
+            "has to be at least 1",
+        );
     }
     if !(settings.retries.ratio >= 0.0 && settings.retries.slack >= 0.0) {
         list.push(&FieldPath::dotted("retries"), "has to be 0 or more");
--- a/crates/trestlewalk/src/subcommand.rs
+++ b/crates/trestlewalk/src/subcommand.rs
@@ -13,7 +13,8 @@
 use {
     self::{
         check::CheckCommand, demo::DemoCommand, dump::DumpCommand, fake::FakeCommand,
-        keys::KeysCommand, relay::RelayCommand, serve::ServeCommand, table::TableCommand, ticket::TicketCommand,
+        keys::KeysCommand, relay::RelayCommand, serve::ServeCommand, table::TableCommand,
+        ticket::TicketCommand,
     },
     crate::RunError,
 };
