--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod link_pool;
 pub mod open_call;
 pub mod operator_source;
+pub mod order_dialect;
 pub mod place_finder;
 pub mod plain_flow;
 pub mod read_pace;
@@ -29,6 +30,8 @@
 pub mod route_book;
 pub mod service_info;
 pub mod source_watch;
+pub mod stage_keeper;
+pub mod stage_plan;
 pub mod stream_flow;
 pub mod stream_pump;
 pub mod upstream_dialect;
@@ -50,6 +53,7 @@
     operator_source::{
         BookNews, BookReading, OperatorSource, SourceError, StoreVersion, UpstreamReading,
     },
+    order_dialect::{OrderDialect, OrderState, StageOrder},
     place_finder::{PlaceFinder, ReservedPlace},
     plain_flow::PlainFlow,
     read_pace::ReadPace,
@@ -64,6 +68,8 @@
     route_book::RouteBook,
     service_info::{EngineInfo, ServiceInfo},
     source_watch::{SourceWatch, WatchTimes},
+    stage_keeper::{StageKeeper, StageSettings},
+    stage_plan::{StageGoal, StageMove, StagePlan},
     stream_flow::{BegunStream, StreamFlow, StreamStart},
     stream_pump::StreamPump,
     upstream_dialect::{
--- /dev/null
+++ b/crates/relay/src/stage_keeper.rs
@@ -0,0 +1,242 @@
+//! Keeps the engines of each model service near the goal of their stages: plans, takes the lease, and gives the orders.
+
+use {
+    crate::{
+        OrderDialect, OrderState, RelayCore, StageGoal, StageMove, StageOrder, StagePlan,
+        UpstreamDialect, UpstreamRecord, UpstreamStage,
+    },
+    bytes::Bytes,
+    engine::wire::{EngineOrder, OrderKind, route_role::EngineRole},
+    http::{Request, StatusCode},
+    http_body_util::{BodyExt, Full, Limited},
+    kernel::{InstanceId, ServiceId, UpstreamId, seeded_rng},
+    lease::{LeaseKeeper, LeaseSettings, OrderReply, OrderSender},
+    plat::RowStore,
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// From one look at the engines to the next. A look reads only what this instance knows already.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+/// The instances spread their first tries over this time, so that most see another's change before their own try.
+const STAGGER: Duration = Duration::from_secs(3);
+/// The seed of the stagger.
+const STAGGER_SEED: u64 = 2;
+/// How long an engine may take to answer an order or a question about its orders.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+/// The answer of an engine lists its running requests.
+const LARGEST_ANSWER: usize = 1 << 20;
+/// Orders carry the number of accepted orders that they expect, so a late one has no effect after this time at the
+/// latest; the platform's own orders may be carried out up to 12 s late.
+const LONGEST_ORDER: Duration = Duration::from_secs(12);
+
+/// The settings of a [`StageKeeper`].
+#[derive(Clone, Debug, bon::Builder)]
+pub struct StageSettings {
+    /// Whether engines refuse an old fencing number.
+    pub checks_fence: bool,
+    /// The goal.
+    pub goal: StageGoal,
+    /// The life of this process.
+    pub holder: InstanceId,
+    /// How long a lease lasts.
+    pub lease_life: Duration,
+}
+
+/// Watches all model services of one instance.
+pub struct StageKeeper<D, S> {
+    core: Arc<RelayCore<D>>,
+    leases: BTreeMap<ServiceId, ServiceStages<S>>,
+    settings: StageSettings,
+    store: Arc<S>,
+}
+
+struct ServiceStages<S> {
+    lease: LeaseKeeper<S>,
+    plan: StagePlan,
+}
+
+/// Sends the orders of one move.
+struct StageSender<'a, D> {
+    core: &'a RelayCore<D>,
+    engines: BTreeMap<UpstreamId, (Arc<UpstreamRecord>, OrderState)>,
+    holder: &'a str,
+}
+
+impl<D: OrderDialect + UpstreamDialect, S: RowStore + 'static> StageKeeper<D, S> {
+    /// A keeper that has seen nothing.
+    pub fn new(core: Arc<RelayCore<D>>, store: Arc<S>, settings: StageSettings) -> Self {
+        Self {
+            core,
+            leases: BTreeMap::new(),
+            settings,
+            store,
+        }
+    }
+
+    /// Looks at the engines again and again.
+    pub async fn run(mut self) {
+        let mut clock = time::interval(LOOK_PERIOD);
+        clock.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            clock.tick().await;
+            for (service, engines) in self.engines() {
+                self.look(service, &engines).await;
+            }
+        }
+    }
+
+    /// The engines that new work may go to, by service.
+    fn engines(&self) -> BTreeMap<ServiceId, Vec<Arc<UpstreamRecord>>> {
+        let mut services: BTreeMap<ServiceId, Vec<Arc<UpstreamRecord>>> = BTreeMap::new();
+        let board = self.core.board.lock();
+        for entry in board.entries() {
+            let record = &entry.record;
+            if record.stage == UpstreamStage::Plain || record.leaving {
+                continue;
+            }
+            let list = services.entry(record.service.clone()).or_default();
+            list.push(record.clone());
+        }
+        services
+    }
+
+    async fn look(&mut self, service: ServiceId, engines: &[Arc<UpstreamRecord>]) {
+        let stages = self.leases.entry(service.clone()).or_insert_with(|| {
+            let settings = &self.settings;
+            let lease = LeaseSettings::builder()
+                .holder(settings.holder.clone())
+                .key(format!("stages/{service}"))
+                .life(settings.lease_life)
+                .longest_order(LONGEST_ORDER)
+                .build();
+            ServiceStages {
+                lease: LeaseKeeper::new(self.store.clone(), lease),
+                plan: StagePlan::new(settings.goal.clone(), stagger(&settings.holder)),
+            }
+        });
+        let Some(plan) = stages.plan.decide(&service, engines, Instant::now()) else {
+            return;
+        };
+        // Whatever comes of it, the next look waits until the list of upstreams shows the outcome.
+        stages.plan.rest(Instant::now());
+        carry_out(&self.core, &self.settings, &stages.lease, &plan).await;
+    }
+}
+
+async fn carry_out<D: OrderDialect + UpstreamDialect, S: RowStore>(
+    core: &RelayCore<D>,
+    settings: &StageSettings,
+    lease: &LeaseKeeper<S>,
+    plan: &StageMove,
+) {
+    let mut sender = StageSender {
+        core,
+        engines: BTreeMap::new(),
+        holder: &settings.holder,
+    };
+    for engine in &plan.engines {
+        match sender.ask(engine).await {
+            Some(state) if !state.busy => {
+                sender
+                    .engines
+                    .insert(engine.id.clone(), (engine.clone(), state));
+            }
+            Some(_) => {
+                tracing::info!(upstream = %engine.id, "an order is at work already");
+                return;
+            }
+            None => tracing::info!(upstream = %engine.id, "an engine says nothing of its orders"),
+        }
+    }
+    lease.beat().await;
+    if lease.hold().is_none() {
+        tracing::info!(service = %plan.service, "another instance gives the orders");
+        return;
+    }
+    let role = match plan.stage {
+        UpstreamStage::Prefill => EngineRole::Prefill,
+        UpstreamStage::Decode | UpstreamStage::Plain => EngineRole::Decode,
+    };
+    let engines: Vec<UpstreamId> = sender.engines.keys().cloned().collect();
+    for engine in engines {
+        let kind = OrderKind::ChangeRole { role };
+        let outcome = lease
+            .order(&sender, &engine, settings.checks_fence, kind)
+            .await;
+        match outcome {
+            Ok(accepted) => {
+                tracing::info!(upstream = %engine, ?role, accepted, "ordered to change its stage");
+            }
+            Err(error) => tracing::warn!(%error, "an order was not carried out"),
+        }
+    }
+}
+
+fn stagger(holder: &str) -> Duration {
+    let share = seeded_rng::mix(STAGGER_SEED, holder.as_bytes()) as f64 / u64::MAX as f64;
+    STAGGER.mul_f64(share)
+}
+
+impl<D: OrderDialect + UpstreamDialect> StageSender<'_, D> {
+    async fn ask(&self, upstream: &UpstreamRecord) -> Option<OrderState> {
+        let call = self.core.dialect.state_call(upstream);
+        let (_, body) = self.send(upstream, call).await?;
+        self.core.dialect.state_reply(&body)
+    }
+
+    async fn send(
+        &self,
+        upstream: &UpstreamRecord,
+        call: Request<Full<Bytes>>,
+    ) -> Option<(StatusCode, Bytes)> {
+        let pool = &self.core.pool;
+        let exchange = async {
+            let sending = pool.send(&upstream.id, upstream.address, call).await;
+            let (response, link) = match sending {
+                Ok(answer) => answer,
+                Err(error) => {
+                    tracing::info!(upstream = %upstream.id, %error, "no answer about orders");
+                    return None;
+                }
+            };
+            let status = response.status();
+            let named = self.core.dialect.keep_time(response.headers());
+            let reading = Limited::new(response.into_body(), LARGEST_ANSWER).collect();
+            let body = reading.await.ok()?.to_bytes();
+            pool.keep(&upstream.id, link, named);
+            Some((status, body))
+        };
+        time::timeout(ANSWER_LIMIT, exchange).await.ok().flatten()
+    }
+}
+
+impl<D: OrderDialect + UpstreamDialect> OrderSender for StageSender<'_, D> {
+    async fn send_order(&self, upstream: &UpstreamId, order: &EngineOrder) -> OrderReply {
+        let Some((record, state)) = self.engines.get(upstream) else {
+            return OrderReply::Refused;
+        };
+        let OrderKind::ChangeRole { role } = order.kind else {
+            return OrderReply::Refused;
+        };
+        let stage = match role {
+            EngineRole::Decode => UpstreamStage::Decode,
+            EngineRole::Prefill => UpstreamStage::Prefill,
+        };
+        let call = self.core.dialect.order_call(&StageOrder {
+            expected: state.count,
+            fence: order.fence,
+            holder: self.holder,
+            stage,
+            upstream: record,
+        });
+        match self.send(record, call).await {
+            Some((status, _)) => self.core.dialect.order_reply(status),
+            None => OrderReply::Unknown,
+        }
+    }
+}
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -53,6 +53,9 @@
     pub service: ServiceId,
     /// Engines not to ask again.
     pub tried: Vec<UpstreamId>,
+    /// Calls that count against the retry budget, the first included. The first reading that an engine accepts is free.
+    arrivals: u32,
+    has_read: bool,
     refused: u32,
 }
 
@@ -89,7 +92,9 @@
         service: ServiceId,
     ) -> Self {
         Self {
+            arrivals: 0,
             core,
+            has_read: false,
             refused: 0,
             request,
             route,
@@ -124,14 +129,12 @@
                 Ok(place) => place,
                 Err(answer) => return Err(self.worse_of(last, answer)),
             };
-            if self.runs + self.refused > 0 && !self.core.take_retry(&self.service) {
-                return Err(last);
-            }
             match self.try_place(place, after.clone()).await {
                 Ok(start) => return Ok(start),
                 Err(answer) => last = self.worse_of(last, answer),
             }
-            if !self.may_go_on() {
+            let spent = last.code == ResultCode::RetryBudgetSpent;
+            if spent || !self.may_go_on() {
                 return Err(last);
             }
         }
@@ -163,9 +166,12 @@
 
     /// Has the prompt read by a prefill engine. None when none is there, none would be done soon, or the reading failed:
     /// the decode engine reads the prompt itself then.
-    async fn read_prompt(&self) -> Option<(KvHandle, LeftoverGuard<D>)> {
+    async fn read_prompt(&mut self) -> Option<(KvHandle, LeftoverGuard<D>)> {
         let tokens = self.request.prompt_tokens();
         let choice = self.choose_reader(tokens)?;
+        if self.has_read && !self.may_arrive() {
+            return None;
+        }
         let upstream = choice.upstream;
         let plan = CallPlan {
             purpose: &CallPurpose::Read,
@@ -174,9 +180,18 @@
             silence: Some(choice.expected * READ_SILENCE + READ_SLACK),
         };
         let began = Instant::now();
-        let CallEnd::Answer(answer) = self.core.call(plan, upstream.clone()).await else {
-            return None;
+        let answer = match self.core.call(plan, upstream.clone()).await {
+            CallEnd::Answer(answer) => answer,
+            CallEnd::Lost(_) | CallEnd::NotRun => {
+                self.arrivals += 1;
+                return None;
+            }
+            CallEnd::Unsent => return None,
         };
+        if self.has_read {
+            self.arrivals += 1;
+        }
+        self.has_read = true;
         let UpstreamAnswer {
             body,
             call,
@@ -257,6 +272,10 @@
             drop(call);
             return Err(OwnAnswer::later(ResultCode::UpstreamMissing, COME_BACK));
         }
+        if !self.may_arrive() {
+            drop(call);
+            return Err(OwnAnswer::later(ResultCode::RetryBudgetSpent, COME_BACK));
+        }
         let purpose = CallPurpose::Run {
             after,
             backup: None,
@@ -271,7 +290,11 @@
         };
         self.tried.push(upstream.id.clone());
         drop(call);
-        match self.core.call(plan, upstream).await {
+        let end = self.core.call(plan, upstream).await;
+        if !matches!(end, CallEnd::Unsent) {
+            self.arrivals += 1;
+        }
+        match end {
             CallEnd::Answer(answer) => {
                 let used = [guard, kv_guard];
                 used.into_iter().flatten().for_each(LeftoverGuard::close);
@@ -290,6 +313,11 @@
         }
     }
 
+    /// Whether a further call may go out: the first may, each later one takes a retry out of the budget.
+    fn may_arrive(&self) -> bool {
+        self.arrivals == 0 || self.core.take_retry(&self.service)
+    }
+
     /// Once a request may have run, no later outcome can make it one that did not.
     fn worse_of(&self, before: OwnAnswer, now: OwnAnswer) -> OwnAnswer {
         match self.runs > 0 && now.code.not_run() && !before.code.not_run() {
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -11,14 +11,18 @@
         run_error::{CutByCloseSnafu, MetricsSnafu},
         settings::{RelayFile, SettingsReader},
     },
-    kernel::{StateMap, WorkerPool},
+    kernel::{InstanceId, StateMap, WorkerPool, unix_time},
     platform::{HttpDialect, RowStore},
     prometheus::Registry,
     relay::{
-        CallerServer, LinkTimes, RelayCore, RelaySettings, RetryBounds, SourceWatch, WatchTimes,
+        CallerServer, LinkTimes, RelayCore, RelaySettings, RetryBounds, SourceWatch, StageGoal,
+        StageKeeper, StageSettings, WatchTimes,
     },
     snafu::ResultExt,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
 };
 
 const ADMIN_CLOSE_LIMIT: Duration = Duration::from_millis(200);
@@ -174,6 +178,24 @@
         .build()
 }
 
+fn stage_settings(settings: &RelayFile) -> StageSettings {
+    let orders = &settings.orders;
+    let goal = StageGoal::builder()
+        .patience(orders.patience)
+        .pause(orders.pause)
+        .prefill_share(orders.prefill_share)
+        .spare_floor(usize::try_from(orders.spare_floor).unwrap_or(usize::MAX))
+        .build();
+    // A restarted process is another holder: it can't know what the one before it ordered.
+    let life = unix_time::micros(SystemTime::now());
+    StageSettings::builder()
+        .checks_fence(orders.checks_fence)
+        .goal(goal)
+        .holder(InstanceId::from(format!("{}/{life}", settings.instance)))
+        .lease_life(orders.lease)
+        .build()
+}
+
 fn start_watch(settings: &RelayFile, core: &Arc<PlatformCore>, pool: &WorkerPool) {
     let platform = &settings.platform;
     let links = LinkTimes::builder()
@@ -187,6 +209,10 @@
         .watch_wait(platform.poll)
         .build();
     let store = Arc::new(RowStore::new(platform.address, links));
+    if settings.orders.enabled {
+        let keeper = StageKeeper::new(core.clone(), store.clone(), stage_settings(settings));
+        pool.spawn(keeper.run());
+    }
     let watch = Arc::new(SourceWatch::new(core.clone(), store, times));
     pool.spawn({
         let watch = watch.clone();
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -27,6 +27,8 @@
     pub listen: RelayListen,
     /// What is logged, and how.
     pub log: LogSettings,
+    /// The orders to engines.
+    pub orders: RelayOrders,
     /// The store.
     pub platform: PlatformSettings,
     /// The region of the availability zone.
@@ -80,6 +82,44 @@
     }
 }
 
+/// The section `orders`.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayOrders {
+    /// Whether engines refuse an order with an old fencing number.
+    pub checks_fence: bool,
+    /// Whether this instance may order engines to change their stage.
+    pub enabled: bool,
+    /// How long the lease to give orders lasts.
+    #[serde_as(as = "HumanDuration")]
+    pub lease: Duration,
+    /// How long a service has to be off its goal before an engine changes.
+    #[serde_as(as = "HumanDuration")]
+    pub patience: Duration,
+    /// How long after a change the next is considered: an engine ends its work and changes in this time.
+    #[serde_as(as = "HumanDuration")]
+    pub pause: Duration,
+    /// The share of the engines of a model service that read prompts.
+    pub prefill_share: f64,
+    /// The fewest engines of each stage.
+    pub spare_floor: u32,
+}
+
+impl Default for RelayOrders {
+    fn default() -> Self {
+        Self {
+            checks_fence: false,
+            enabled: false,
+            lease: Duration::from_secs(3),
+            patience: Duration::from_secs(2),
+            pause: Duration::from_secs(20),
+            prefill_share: 0.25,
+            spare_floor: 2,
+        }
+    }
+}
+
 /// The section `retries`.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -167,10 +207,18 @@
             "has to be at least 1",
         );
     }
+    if !(0.0..=1.0).contains(&settings.orders.prefill_share) {
+        list.push(
+            &FieldPath::dotted("orders.prefill_share"),
+            "has to be from 0 to 1",
+        );
+    }
     if !(settings.retries.ratio >= 0.0 && settings.retries.slack >= 0.0) {
         list.push(&FieldPath::dotted("retries"), "has to be 0 or more");
     }
     for (field, duration) in [
+        ("orders.lease", settings.orders.lease),
+        ("orders.pause", settings.orders.pause),
         ("platform.list_poll", settings.platform.list_poll),
         ("platform.timeout", settings.platform.timeout),
         ("retries.window", settings.retries.window),
