relay: one reading a request, and a spent retry budget ends it

Each refusal was followed by a refused retry, whose code was hidden behind the earlier 3001, so the loop went on: 27 arrivals for one request in 0.1 s (debug lines in a trial). Ruled out: unsent calls (none in the log), the share of the budget (it was never over).

--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -53,9 +53,11 @@
     pub service: ServiceId,
     /// Engines not to ask again.
     pub tried: Vec<UpstreamId>,
-    /// Calls that count against the retry budget, the first included. The first reading that an engine accepts is free.
+    /// Calls that count against the retry budget, the first included. A reading that an engine accepts is none.
     arrivals: u32,
     has_read: bool,
+    /// Set when the retry budget allowed no further call.
+    is_spent: bool,
     refused: u32,
 }
 
@@ -95,6 +97,7 @@
             arrivals: 0,
             core,
             has_read: false,
+            is_spent: false,
             refused: 0,
             request,
             route,
@@ -133,8 +136,7 @@
                 Ok(start) => return Ok(start),
                 Err(answer) => last = self.worse_of(last, answer),
             }
-            let spent = last.code == ResultCode::RetryBudgetSpent;
-            if spent || !self.may_go_on() {
+            if !self.may_go_on() {
                 return Err(last);
             }
         }
@@ -144,7 +146,7 @@
     pub fn may_go_on(&self) -> bool {
         let may_run = self.runs < self.route.tries
             && (self.runs == 0 || self.route.repeat == RepeatRule::Resumable);
-        may_run && self.refused <= REFUSED_TRIES && !self.request.left().is_zero()
+        !self.is_spent && may_run && self.refused <= REFUSED_TRIES && !self.request.left().is_zero()
     }
 
     async fn first_piece(&self, body: &mut Incoming, splitter: &mut EventSplitter) -> FirstPiece {
@@ -169,7 +171,7 @@
     async fn read_prompt(&mut self) -> Option<(KvHandle, LeftoverGuard<D>)> {
         let tokens = self.request.prompt_tokens();
         let choice = self.choose_reader(tokens)?;
-        if self.has_read && !self.may_arrive() {
+        if self.has_read {
             return None;
         }
         let upstream = choice.upstream;
@@ -180,18 +182,17 @@
             silence: Some(choice.expected * READ_SILENCE + READ_SLACK),
         };
         let began = Instant::now();
-        let answer = match self.core.call(plan, upstream.clone()).await {
-            CallEnd::Answer(answer) => answer,
-            CallEnd::Lost(_) | CallEnd::NotRun => {
-                self.arrivals += 1;
-                return None;
-            }
-            CallEnd::Unsent => return None,
-        };
-        if self.has_read {
+        // A reading that an engine accepts is no arrival; a second one would be, so there is none.
+        self.has_read = true;
+        let end = self.core.call(plan, upstream.clone()).await;
+        let is_accepted = matches!(end, CallEnd::Answer(_));
+        let is_sent = !matches!(end, CallEnd::Unsent);
+        if is_sent && !is_accepted {
             self.arrivals += 1;
         }
-        self.has_read = true;
+        let CallEnd::Answer(answer) = end else {
+            return None;
+        };
         let UpstreamAnswer {
             body,
             call,
@@ -314,8 +315,10 @@
     }
 
     /// Whether a further call may go out: the first may, each later one takes a retry out of the budget.
-    fn may_arrive(&self) -> bool {
-        self.arrivals == 0 || self.core.take_retry(&self.service)
+    fn may_arrive(&mut self) -> bool {
+        let may = self.arrivals == 0 || self.core.take_retry(&self.service);
+        self.is_spent |= !may;
+        may
     }
 
     /// Once a request may have run, no later outcome can make it one that did not.
--- a/crates/relay/src/upstream_table.rs
+++ b/crates/relay/src/upstream_table.rs
@@ -21,6 +21,8 @@
 const OTHER_ZONE_READ: Duration = Duration::from_millis(20);
 /// What a share of failures of 1 counts as, in time of reading.
 const FAILURE_READ: Duration = Duration::from_secs(2);
+/// What having refused a moment ago counts as, in time of reading.
+const FULL_READ: Duration = Duration::from_millis(500);
 /// Tokens that count as one open call: an ordinary prompt.
 const TOKENS_A_CALL: f64 = 3_000.0;
 /// How long upstreams that lapsed from the list during an outage of the store are kept after it: by then those alive
@@ -109,6 +111,9 @@
             let ahead = entry.open_tokens + tokens;
             let expected = entry.pace.expect(ahead, now);
             let mut cost = expected + FAILURE_READ.mul_f64(entry.failure_share(now));
+            if entry.is_full(now) {
+                cost += FULL_READ;
+            }
             if entry.record.zone != *query.zone {
                 cost += OTHER_ZONE_READ;
             }
