Explain a request from logs: one line a request, bounded log, metrics by row and upstream, trestlewalk explain

A line for each request that was not served or late and one in sixteen of the others, with the row, versions, ages and every step; lines go through a bounded queue and lost ones are counted. Metrics by row, code, upstream and store reading (docs/METRICS.md, compared with a running instance by a test).

--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, read whole.
 
 use {
+    crate::RequestStory,
     bytes::Bytes,
     http::{HeaderMap, Method, Uri},
     kernel::ModelId,
@@ -49,7 +50,7 @@
 }
 
 /// A request with its body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct CallerRequest {
     /// The body.
     pub body: Bytes,
@@ -63,6 +64,8 @@
     pub method: Method,
     /// When it arrived.
     pub since: Instant,
+    /// What happens to it.
+    pub story: RequestStory,
     /// Path and query.
     pub target: Uri,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod relay_settings;
 pub mod repeat_rule;
 pub mod request_desk;
+pub mod request_story;
 pub mod retry_window;
 pub mod route_book;
 pub mod service_info;
@@ -64,6 +65,7 @@
     relay_settings::RelaySettings,
     repeat_rule::RepeatRule,
     request_desk::RequestDesk,
+    request_story::{RequestStory, StoryStart},
     retry_window::{RetryBounds, RetryWindow},
     route_book::RouteBook,
     service_info::{EngineInfo, ServiceInfo},
--- a/crates/relay/src/open_call.rs
+++ b/crates/relay/src/open_call.rs
@@ -1,7 +1,7 @@
 //! One call to an upstream that counts as open until it is dropped.
 
 use {
-    crate::{CallVerdict, UpstreamRecord, UpstreamTable},
+    crate::{CallVerdict, RelayCounts, UpstreamRecord, UpstreamTable},
     kernel::RankedLock,
     std::{sync::Arc, time::Instant},
 };
@@ -13,6 +13,7 @@
 #[derive(Debug)]
 pub struct OpenCall {
     board: Arc<UpstreamBoard>,
+    counts: RelayCounts,
     tokens: u64,
     /// The upstream.
     pub upstream: Arc<UpstreamRecord>,
@@ -26,10 +27,16 @@
     }
 
     /// Opens a call of so many tokens.
-    pub fn new(board: &Arc<UpstreamBoard>, upstream: Arc<UpstreamRecord>, tokens: u64) -> Self {
+    pub fn new(
+        board: &Arc<UpstreamBoard>,
+        counts: &RelayCounts,
+        upstream: Arc<UpstreamRecord>,
+        tokens: u64,
+    ) -> Self {
         board.lock().begin(&upstream.id, tokens);
         Self {
             board: board.clone(),
+            counts: counts.clone(),
             tokens,
             upstream,
             verdict: CallVerdict::Neutral,
@@ -39,6 +46,7 @@
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
+        self.counts.note_call(&self.upstream.id, self.verdict);
         let mut table = self.board.lock();
         table.end(&self.upstream.id, self.tokens, self.verdict, Instant::now());
     }
--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -91,13 +91,23 @@
         })
     }
 
+    fn note(&self, upstream: &UpstreamRecord, outcome: &str) {
+        let story = &self.flow.request.story;
+        story.note(format_args!("place {} {outcome}", upstream.id));
+    }
+
     fn core(&self) -> &Arc<RelayCore<D>> {
         &self.flow.core
     }
 
     async fn reserve(&self, upstream: Arc<UpstreamRecord>) -> Option<ReservedPlace<D>> {
         let tokens = self.flow.request.kv_tokens();
-        let call = OpenCall::new(&self.core().board, upstream.clone(), tokens);
+        let call = OpenCall::new(
+            &self.core().board,
+            &self.core().counts,
+            upstream.clone(),
+            tokens,
+        );
         let Some(life) = self.life else {
             return Some(ReservedPlace {
                 call,
@@ -108,6 +118,7 @@
         let asking = self.ask(&upstream, tokens, life);
         match time::timeout(REPLY_LIMIT, asking).await {
             Ok(PlaceReply::Reserved(name)) => {
+                self.note(&upstream, "reserved");
                 let leftover = Leftover::Place(name.clone());
                 let guard = LeftoverGuard::new(self.core().clone(), upstream, leftover);
                 Some(ReservedPlace {
@@ -117,10 +128,12 @@
                 })
             }
             Ok(PlaceReply::Full) => {
+                self.note(&upstream, "full");
                 call.close(crate::CallVerdict::Full);
                 None
             }
             Ok(PlaceReply::Failed) | Err(_) => {
+                self.note(&upstream, "no answer");
                 call.close(crate::CallVerdict::Lost);
                 None
             }
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -78,6 +78,7 @@
             };
             let repeats = self.runs + self.refused > 0;
             if repeats && !self.core.take_retry(self.service) {
+                self.request.story.note(format_args!("retry budget spent"));
                 return self.give_up(last);
             }
             self.tried.push(upstream.id.clone());
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -71,7 +71,10 @@
             CallPurpose::Read => plan.request.prompt_tokens(),
             CallPurpose::Run { .. } => plan.request.kv_tokens(),
         };
-        let call = OpenCall::new(&self.board, upstream.clone(), tokens);
+        let call = OpenCall::new(&self.board, &self.counts, upstream.clone(), tokens);
+        let story = &plan.request.story;
+        let verb = plan.purpose.verb();
+        let id = upstream.id.clone();
         let request = self.dialect.call(&UpstreamCall {
             left,
             purpose: plan.purpose,
@@ -85,14 +88,19 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(LinkError::Unsent { detail })) => {
                 call.close(CallVerdict::Unreachable);
-                tracing::debug!(upstream = %upstream.id, detail, "not sent");
+                story.note(format_args!("{verb} {id} not sent: {detail}"));
                 return CallEnd::Unsent;
             }
-            Ok(Err(LinkError::Lost { .. })) => {
+            Ok(Err(LinkError::Lost { detail })) => {
+                story.note(format_args!("{verb} {id} lost: {detail}"));
                 call.close(CallVerdict::Lost);
                 return CallEnd::Lost(ResultCode::UpstreamLost);
             }
             Err(_) => {
+                story.note(format_args!(
+                    "{verb} {id} silent for {} ms",
+                    wait.as_millis()
+                ));
                 call.close(CallVerdict::Lost);
                 return CallEnd::Lost(ResultCode::UpstreamSilent);
             }
@@ -100,6 +108,10 @@
         let (head, body) = response.into_parts();
         let facts = self.dialect.reply_facts(&head, &plan.request.head.id);
         if facts.not_run {
+            story.note(format_args!(
+                "{verb} {id} not run: {}",
+                head.status.as_u16()
+            ));
             if facts.same_request && !facts.last_on_connection {
                 self.pool.keep(&upstream.id, link, facts.keep);
             }
@@ -109,9 +121,14 @@
         let foreign = !facts.same_request || facts.encoded;
         let unsigned = head.status.is_success() && !facts.signed;
         if foreign || unsigned && !matches!(plan.purpose, CallPurpose::Read) {
+            story.note(format_args!(
+                "{verb} {id} garbled: {}",
+                head.status.as_u16()
+            ));
             call.close(CallVerdict::Lost);
             return CallEnd::Lost(ResultCode::UpstreamGarbled);
         }
+        story.note(format_args!("{verb} {id} answers {}", head.status.as_u16()));
         CallEnd::Answer(Box::new(UpstreamAnswer {
             body,
             call,
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -1,40 +1,58 @@
-//! The counters of the request path.
+//! The counters of the request path. `docs/METRICS.md` describes them.
 
 use {
+    crate::CallVerdict,
     kernel::ResultCode,
-    prometheus::{IntCounter, IntCounterVec, Opts, Registry},
+    prometheus::{
+        HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        core::Collector,
+    },
+    std::time::Duration,
 };
 
+/// The upper bounds of the histogram of first bytes, seconds: around the targets of plain and of model services.
+const FIRST_BYTE_BOUNDS: [f64; 10] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.9, 1.5, 3.0, 6.0];
+
 /// Counters, registered with the metrics of the process.
 #[derive(Clone, Debug)]
 pub struct RelayCounts {
-    /// Requests by result code.
-    pub results: IntCounterVec,
+    /// How calls to upstreams ended, by upstream and verdict.
+    calls: IntCounterVec,
+    /// From the request to the first byte of its answer, by row.
+    first_byte: HistogramVec,
+    /// Requests by row and result code.
+    requests: IntCounterVec,
     /// Repeated calls to upstreams.
     pub retries: IntCounter,
     /// Repeated calls that the budget did not allow.
     pub retries_refused: IntCounter,
+    /// Readings of the store by what was read and how it ended.
+    store_reads: IntCounterVec,
+    /// The version of the routes in force.
+    pub table_version: IntGauge,
+    /// The upstreams in the list.
+    pub upstreams: IntGauge,
 }
 
 impl RelayCounts {
     /// Counters at zero.
-    ///
-    /// # Panics
-    ///
-    /// Never: the names are constants of the form that the library asks for.
     pub fn new() -> Self {
-        let counter = |name: &str, help: &str| {
-            IntCounter::new(name, help).expect("the name of a counter is well formed")
-        };
-        let results = IntCounterVec::new(
-            Opts::new(
-                "trestlewalk_relay_results_total",
-                "Requests by result code.",
-            ),
-            &["code"],
-        );
         Self {
-            results: results.expect("the name of a counter is well formed"),
+            calls: counters(
+                "trestlewalk_relay_upstream_calls_total",
+                "Calls to upstreams by upstream and verdict.",
+                &["upstream", "verdict"],
+            ),
+            first_byte: histogram(
+                "trestlewalk_relay_first_byte_seconds",
+                "Time from a request to the first byte of its answer, by row.",
+                &["work"],
+            ),
+            requests: counters(
+                "trestlewalk_relay_requests_total",
+                "Requests by row and result code.",
+                &["work", "code"],
+            ),
             retries: counter(
                 "trestlewalk_relay_retries_total",
                 "Repeated calls to upstreams.",
@@ -43,13 +61,49 @@
                 "trestlewalk_relay_retries_refused_total",
                 "Repeated calls that the retry budget did not allow.",
             ),
+            store_reads: counters(
+                "trestlewalk_relay_store_reads_total",
+                "Readings of the store by what was read and how it ended.",
+                &["what", "outcome"],
+            ),
+            table_version: gauge(
+                "trestlewalk_relay_table_version",
+                "The version of the routes in force.",
+            ),
+            upstreams: gauge(
+                "trestlewalk_relay_upstreams",
+                "The upstreams in the list that was read last.",
+            ),
         }
     }
 
-    /// Counts a result.
-    pub fn note(&self, code: ResultCode) {
+    /// Counts a request and the time to its first byte.
+    pub fn note(&self, work: &str, code: ResultCode, first_byte: Duration) {
         let label = code.number().to_string();
-        self.results.with_label_values(&[&label]).inc();
+        self.requests.with_label_values(&[work, &label]).inc();
+        if code == ResultCode::Answered {
+            let seconds = first_byte.as_secs_f64();
+            self.first_byte.with_label_values(&[work]).observe(seconds);
+        }
+    }
+
+    /// Counts the end of a call.
+    pub fn note_call(&self, upstream: &str, verdict: CallVerdict) {
+        let label = verdict.label();
+        self.calls.with_label_values(&[upstream, label]).inc();
+    }
+
+    /// Drops the counters of an upstream that is gone, so that they don't pile up over a long life.
+    pub fn forget_upstream(&self, upstream: &str) {
+        for verdict in CallVerdict::ALL {
+            // One that was never counted has nothing to drop.
+            let _ = self.calls.remove_label_values(&[upstream, verdict.label()]);
+        }
+    }
+
+    /// Counts a reading of the store.
+    pub fn note_read(&self, what: &str, outcome: &str) {
+        self.store_reads.with_label_values(&[what, outcome]).inc();
     }
 
     /// Registers the counters.
@@ -58,9 +112,14 @@
     ///
     /// The registry has one of them already.
     pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
-        registry.register(Box::new(self.results.clone()))?;
-        registry.register(Box::new(self.retries.clone()))?;
-        registry.register(Box::new(self.retries_refused.clone()))
+        register(registry, &self.calls)?;
+        register(registry, &self.first_byte)?;
+        register(registry, &self.requests)?;
+        register(registry, &self.retries)?;
+        register(registry, &self.retries_refused)?;
+        register(registry, &self.store_reads)?;
+        register(registry, &self.table_version)?;
+        register(registry, &self.upstreams)
     }
 }
 
@@ -69,3 +128,30 @@
         Self::new()
     }
 }
+
+/// The names and labels are constants of the form that the library asks for.
+const WELL_FORMED: &str = "the name and the labels of a metric are well formed";
+
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect(WELL_FORMED)
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect(WELL_FORMED)
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect(WELL_FORMED)
+}
+
+fn histogram(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(FIRST_BYTE_BOUNDS.to_vec());
+    HistogramVec::new(options, labels).expect(WELL_FORMED)
+}
+
+fn register(
+    registry: &Registry,
+    metric: &(impl Collector + Clone + 'static),
+) -> prometheus::Result<()> {
+    registry.register(Box::new(metric.clone()))
+}
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AnswerCut, CallerDialect, CallerHead, CallerRequest, OwnAnswer, PlainFlow, RelayBody,
-        RelayCore, RouteBook, StreamFlow, UpstreamDialect, WorkRoute,
+        RelayCore, RequestStory, RouteBook, StoryStart, StreamFlow, UpstreamDialect, WorkRoute,
         upstream_dialect::target_path,
     },
     bytes::Bytes,
@@ -20,6 +20,8 @@
 
 /// When to come back to another instance after this one closes: at once, but for the way there.
 const CLOSING_PAUSE: Duration = Duration::from_millis(20);
+/// The work of requests that no row is known for, in counters.
+const NO_ROW: &str = "";
 /// When to come back while an instance has no routes yet: the store is read several times by then.
 const START_PAUSE: Duration = Duration::from_millis(500);
 
@@ -73,11 +75,13 @@
             Err(Some(own)) => return Ok(self.refuse(&parts, own)),
             Err(None) => return Err(AnswerCut),
         };
+        let story = self.story(&routed, since);
         let request = CallerRequest {
             body,
             deadline,
             head: routed.head,
             headers: self.core.dialect.forwarded_headers(&parts.headers),
+            story,
             method: parts.method.clone(),
             since,
             target: parts.uri.clone(),
@@ -85,11 +89,8 @@
         self.core.note_request(&routed.service);
         let outcome = self.serve(request, &routed.route, &routed.service).await;
         Ok(match outcome {
-            Ok(response) => {
-                self.core.counts.note(ResultCode::Answered);
-                response
-            }
-            Err(own) => self.refuse(&parts, own),
+            Ok(response) => response,
+            Err(own) => own.into_response(),
         })
     }
 
@@ -110,16 +111,30 @@
         }
     }
 
+    /// Refuses a request that has no row, or did not arrive whole.
     fn refuse(&self, parts: &Parts, own: OwnAnswer) -> Response<RelayBody> {
-        self.core.counts.note(own.code);
+        self.core.counts.note(NO_ROW, own.code, Duration::ZERO);
         tracing::info!(
             code = own.code.number(),
             path = parts.uri.path(),
-            "a request was not served"
+            request = self.core.dialect.request_id(parts),
+            "request refused"
         );
         own.into_response()
     }
 
+    fn story(&self, routed: &RoutedHead, since: Instant) -> RequestStory {
+        let list_age = self.core.board.lock().list_age(since);
+        let start = StoryStart {
+            list_age,
+            service: routed.service.clone(),
+            target: routed.route.first_byte,
+            version: routed.book.version,
+            work: routed.route.work.clone(),
+        };
+        RequestStory::new(routed.head.id.clone(), since, start)
+    }
+
     fn route(&self, parts: &Parts) -> Result<RoutedHead, OwnAnswer> {
         if self.core.closing.is_raised() {
             return Err(OwnAnswer::later(ResultCode::Closing, CLOSING_PAUSE));
@@ -157,13 +172,32 @@
         route: &Arc<WorkRoute>,
         service: &ServiceId,
     ) -> Result<Response<RelayBody>, OwnAnswer> {
-        if route.streams {
-            let request = Arc::new(request);
-            let flow = StreamFlow::new(self.core.clone(), request, route.clone(), service.clone());
-            return flow.run().await;
+        let request = Arc::new(request);
+        let outcome = match route.streams {
+            true => {
+                let core = self.core.clone();
+                let flow = StreamFlow::new(core, request.clone(), route.clone(), service.clone());
+                flow.run().await
+            }
+            false => {
+                let flow = PlainFlow::new(&self.core, &request, route, service);
+                let outcome = flow.run().await;
+                if outcome.is_ok() {
+                    request.story.first_byte();
+                    request.story.end(ResultCode::Answered);
+                }
+                outcome
+            }
+        };
+        let code = outcome
+            .as_ref()
+            .map_or_else(|own| own.code, |_| ResultCode::Answered);
+        self.core
+            .counts
+            .note(&route.work, code, request.since.elapsed());
+        if let Err(own) = &outcome {
+            request.story.end(own.code);
         }
-        PlainFlow::new(&self.core, &request, route, service)
-            .run()
-            .await
+        outcome
     }
 }
--- /dev/null
+++ b/crates/relay/src/request_story.rs
@@ -0,0 +1,115 @@
+//! What happened to one request, written as one log line when it ends.
+//!
+//! A request that was not served, was late or needed more than one upstream is always written; of the others one in
+//! sixteen is, so that the volume stays steady under load.
+
+use {
+    crate::RequestId,
+    kernel::{LockRank, RankedLock, ResultCode, ServiceId, TableVersion, WorkId, seeded_rng},
+    std::{
+        fmt::{self, Write},
+        time::{Duration, Instant},
+    },
+};
+
+/// Of so many ordinary requests one is written.
+const SAMPLE_OF: u64 = 16;
+/// The seed of the sample.
+const SAMPLE_SEED: u64 = 3;
+/// The longest text of steps, bytes: a request that waits for a place asks many engines.
+const LONGEST_STEPS: usize = 1_500;
+
+/// What a request was up against when it came.
+#[derive(Clone, Debug)]
+pub struct StoryStart {
+    /// How old the list of upstreams was.
+    pub list_age: Duration,
+    /// The service.
+    pub service: ServiceId,
+    /// The target of the first byte.
+    pub target: Duration,
+    /// The version of the routes.
+    pub version: TableVersion,
+    /// The row.
+    pub work: WorkId,
+}
+
+#[derive(Debug, Default)]
+struct StoryState {
+    calls: u32,
+    code: Option<ResultCode>,
+    first_byte: Option<Duration>,
+    steps: String,
+}
+
+/// The story of one request. It is written when it is dropped; without an end the caller went away.
+#[derive(Debug)]
+pub struct RequestStory {
+    id: RequestId,
+    since: Instant,
+    start: StoryStart,
+    state: RankedLock<StoryState>,
+}
+
+impl RequestStory {
+    /// The request ended with a code. Only the first end counts.
+    pub fn end(&self, code: ResultCode) {
+        self.state.lock().code.get_or_insert(code);
+    }
+
+    /// The first byte of the answer is there.
+    pub fn first_byte(&self) {
+        let since = self.since.elapsed();
+        self.state.lock().first_byte.get_or_insert(since);
+    }
+
+    /// A request that came at `since`.
+    pub fn new(id: RequestId, since: Instant, start: StoryStart) -> Self {
+        Self {
+            id,
+            since,
+            start,
+            state: RankedLock::new(LockRank::Samples, StoryState::default()),
+        }
+    }
+
+    /// Something was decided or came back.
+    pub fn note(&self, step: fmt::Arguments<'_>) {
+        let at = self.since.elapsed().as_millis();
+        let mut state = self.state.lock();
+        state.calls += 1;
+        if state.steps.len() < LONGEST_STEPS {
+            // Writing to a text can't fail.
+            let _ = write!(state.steps, "{at} {step}; ");
+        }
+    }
+
+    fn is_sampled(&self) -> bool {
+        seeded_rng::mix(SAMPLE_SEED, self.id.as_bytes()).is_multiple_of(SAMPLE_OF)
+    }
+}
+
+impl Drop for RequestStory {
+    fn drop(&mut self) {
+        let state = self.state.lock();
+        let code = state.code.unwrap_or(ResultCode::CallerGone);
+        let first = state.first_byte.unwrap_or_else(|| self.since.elapsed());
+        let is_ordinary = code == ResultCode::Answered && first <= self.start.target;
+        if is_ordinary && !self.is_sampled() {
+            return;
+        }
+        tracing::info!(
+            request = %self.id,
+            code = code.number(),
+            work = %self.start.work,
+            service = %self.start.service,
+            table_version = self.start.version,
+            list_age_ms = self.start.list_age.as_millis() as u64,
+            target_ms = self.start.target.as_millis() as u64,
+            first_byte_ms = state.first_byte.map(|first| first.as_millis() as u64),
+            total_ms = self.since.elapsed().as_millis() as u64,
+            steps = state.steps.trim_end(),
+            "request ended"
+        );
+    }
+}
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -55,8 +55,12 @@
                 None => self.read_whole().await,
             };
             match outcome {
-                Ok(next) => version = next,
+                Ok(next) => {
+                    self.core.counts.note_read("routes", "done");
+                    version = next;
+                }
                 Err(error) => {
+                    self.core.counts.note_read("routes", "failed");
                     tracing::info!(%error, "the routes can't be read");
                     version = None;
                     time::sleep(self.times.retry_pause).await;
@@ -77,6 +81,7 @@
             let now = Instant::now();
             let error = match reading {
                 Ok(Ok(reading)) => {
+                    self.core.counts.note_read("upstreams", "done");
                     let outage_ended = lost_since.take().map(|_| now);
                     if outage_ended.is_some() {
                         tracing::info!("the store answers again");
@@ -91,6 +96,7 @@
                 Ok(Err(error)) => error.to_string(),
                 Err(_) => "no answer in time".to_owned(),
             };
+            self.core.counts.note_read("upstreams", "failed");
             if lost_since.is_none() {
                 tracing::warn!(error, "the list of upstreams can't be read");
                 lost_since = Some(now);
@@ -145,6 +151,8 @@
             routes = book.route_count(),
             "routes in force"
         );
+        let version = i64::try_from(book.version).unwrap_or(i64::MAX);
+        self.core.counts.table_version.set(version);
         self.core.book.store(Some(Arc::new(book)));
         self.core.learned.notify_one();
     }
@@ -153,9 +161,14 @@
         for fault in &reading.faults {
             tracing::warn!(fault, "a row of the list of upstreams can't be read");
         }
+        let count = i64::try_from(reading.records.len()).unwrap_or(i64::MAX);
+        self.core.counts.upstreams.set(count);
         let mut board = self.core.board.lock();
-        board.replace(reading, outage_ended, now);
+        let gone = board.replace(reading, outage_ended, now);
         drop(board);
+        for upstream in &gone {
+            self.core.counts.forget_upstream(upstream);
+        }
         self.core.learned.notify_one();
         self.core.pool.sweep(now);
     }
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -111,8 +111,12 @@
     pub async fn run(mut self) -> Result<Response<RelayBody>, OwnAnswer> {
         let begun = match self.start(None).await? {
             StreamStart::Begun(begun) => *begun,
-            StreamStart::Other(response) => return Ok(response),
+            StreamStart::Other(response) => {
+                self.request.story.end(ResultCode::Answered);
+                return Ok(response);
+            }
         };
+        self.request.story.first_byte();
         let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
         let mut response = Response::new(RelayBody::pieces(receiver));
         *response.status_mut() = begun.answer.head.status;
@@ -271,6 +275,8 @@
         if !self.core.board.lock().takes_work(&upstream.id) {
             // It began to leave while the prompt was read; the place is given back.
             drop(call);
+            let story = &self.request.story;
+            story.note(format_args!("place {} leaves", upstream.id));
             return Err(OwnAnswer::later(ResultCode::UpstreamMissing, COME_BACK));
         }
         if !self.may_arrive() {
@@ -317,7 +323,10 @@
     /// Whether a further call may go out: the first may, each later one takes a retry out of the budget.
     fn may_arrive(&mut self) -> bool {
         let may = self.arrivals == 0 || self.core.take_retry(&self.service);
-        self.is_spent |= !may;
+        if !may {
+            self.is_spent = true;
+            self.request.story.note(format_args!("retry budget spent"));
+        }
         may
     }
 
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -7,6 +7,7 @@
     },
     bytes::Bytes,
     http_body_util::BodyExt,
+    kernel::ResultCode,
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time},
 };
@@ -73,6 +74,7 @@
     }
 
     fn close(self) {
+        self.flow.request.story.end(ResultCode::Answered);
         let UpstreamAnswer {
             call, facts, link, ..
         } = self.answer;
@@ -93,6 +95,12 @@
             sender,
             ..
         } = self;
+        let request = flow.request.clone();
+        let last = last_id.as_deref().unwrap_or("none");
+        request.story.note(format_args!(
+            "stream of {} cut after event {last}",
+            answer.call.upstream.id
+        ));
         answer.call.close(CallVerdict::Lost);
         drop(answer.link);
         drop(answer.body);
@@ -113,6 +121,7 @@
                 return Some(pump);
             }
         }
+        request.story.end(ResultCode::StreamCut);
         // The receiver may be gone; then nobody is left to tell.
         let _ = sender.send(Err(AnswerCut)).await;
         None
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -28,6 +28,17 @@
     },
 }
 
+impl CallPurpose {
+    /// The word for it in the log.
+    pub fn verb(&self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Run { after: Some(_), .. } => "resume",
+            Self::Run { .. } => "run",
+        }
+    }
+}
+
 /// Names a reserved place: a slot and memory of one engine.
 pub type PlaceName = Arc<str>;
 
@@ -107,6 +118,9 @@
     /// A header is missing or has no such form.
     fn read_head(&self, parts: &request::Parts) -> Result<CallerHead, HeadFault>;
 
+    /// The id of a request for the log, if it has one that can be read.
+    fn request_id<'a>(&self, parts: &'a request::Parts) -> Option<&'a str>;
+
     /// The headers that go back to the caller.
     fn returned_headers(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/crates/relay/src/upstream_entry.rs
+++ b/crates/relay/src/upstream_entry.rs
@@ -34,6 +34,28 @@
 }
 
 impl CallVerdict {
+    /// Every verdict.
+    pub const ALL: [Self; 6] = [
+        Self::Answered,
+        Self::Failed,
+        Self::Full,
+        Self::Lost,
+        Self::Neutral,
+        Self::Unreachable,
+    ];
+
+    /// The word for it in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Full => "full",
+            Self::Lost => "lost",
+            Self::Neutral => "caller_gone",
+            Self::Unreachable => "unreachable",
+        }
+    }
+
     /// What the verdict counts as a failure, 0 to 1. A failure of its own counts less, since some requests fail anywhere.
     fn badness(self) -> Option<f64> {
         match self {
--- a/crates/relay/src/upstream_table.rs
+++ b/crates/relay/src/upstream_table.rs
@@ -62,6 +62,7 @@
 pub struct UpstreamTable {
     entries: BTreeMap<UpstreamId, UpstreamEntry>,
     grace_until: Option<Instant>,
+    read_at: Option<Instant>,
     /// Whether the list was read at least once.
     pub known: bool,
 }
@@ -141,6 +142,12 @@
         entry.note(verdict, now);
     }
 
+    /// How long ago the list was read; zero before the first reading.
+    pub fn list_age(&self, now: Instant) -> Duration {
+        let read = self.read_at.map(|read| now.saturating_duration_since(read));
+        read.unwrap_or_default()
+    }
+
     /// A reading ended.
     pub fn note_read(&mut self, id: &UpstreamId, tokens: u64, took: Duration, now: Instant) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -161,16 +168,17 @@
     }
 
     /// Takes a list in. `outage_ended` is when an outage of the store ended, if one did since the last list: entries that
-    /// it lacks are kept for a moment, since the upstreams may not have been able to report.
+    /// it lacks are kept for a moment, since the upstreams may not have been able to report. Gives those that are gone.
     pub fn replace(
         &mut self,
         reading: &UpstreamReading,
         outage_ended: Option<Instant>,
         now: Instant,
-    ) {
+    ) -> Vec<UpstreamId> {
         if let Some(ended) = outage_ended {
             self.grace_until = Some(ended + LAPSE_GRACE);
         }
+        let mut gone = Vec::new();
         let in_grace = self.grace_until.is_some_and(|until| now < until);
         let mut before = std::mem::take(&mut self.entries);
         for record in &reading.records {
@@ -188,12 +196,15 @@
         }
         for (id, mut entry) in before {
             if !in_grace || self.address_taken(&entry) {
+                gone.push(id);
                 continue;
             }
             entry.missing_since.get_or_insert(now);
             self.entries.insert(id, entry);
         }
         self.known = true;
+        self.read_at = Some(now);
+        gone
     }
 
     fn address_taken(&self, missing: &UpstreamEntry) -> bool {
--- a/crates/trestlewalk/src/entry.rs
+++ b/crates/trestlewalk/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry instance: what `serve` runs, from the first socket to the last step of closing.
 
 pub mod allocator_maker;
+pub mod bounded_log;
 pub mod close_report;
 pub mod close_steps;
 pub mod control_work;
@@ -25,6 +26,7 @@
 
 pub use {
     allocator_maker::AllocatorMaker,
+    bounded_log::BoundedLog,
     close_report::CloseReport,
     close_steps::CloseSteps,
     control_work::ControlWork,
--- /dev/null
+++ b/crates/trestlewalk/src/entry/bounded_log.rs
@@ -0,0 +1,65 @@
+//! Log lines on standard output that never hold a request up.
+//!
+//! Lines go through a bounded queue to a thread that writes them. When the reader of the output stops, the queue fills and
+//! further lines are lost, counted, and the count is logged once there is room again.
+
+use {
+    crate::{entry::log_setup::level_filter, settings::LogSettings},
+    std::{io, time::Duration},
+    tokio::time,
+    tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard},
+};
+
+/// How many lines wait at most: some seconds of a burst in which every request fails, about 2 MB.
+const LINES_LIMIT: usize = 4_096;
+/// From one look at the count of lost lines to the next.
+const LOOK_PERIOD: Duration = Duration::from_secs(5);
+
+/// The log of a process. Lines that wait are written when it is closed.
+#[derive(Debug)]
+pub struct BoundedLog {
+    guard: WorkerGuard,
+    lost: ErrorCounter,
+}
+
+impl BoundedLog {
+    /// Writes the lines that wait.
+    pub fn close(self) {
+        drop(self.guard);
+    }
+
+    /// Sends the log lines of this process to standard output, as JSON. A second call changes nothing.
+    pub fn start(log: &LogSettings) -> Self {
+        let (writer, guard) = NonBlockingBuilder::default()
+            .buffered_lines_limit(LINES_LIMIT)
+            .lossy(true)
+            .finish(io::stdout());
+        let lost = writer.error_counter();
+        let outcome = tracing_subscriber::fmt()
+            .json()
+            .flatten_event(true)
+            .with_max_level(level_filter(log.level))
+            .with_writer(writer)
+            .try_init();
+        if let Err(error) = outcome {
+            tracing::debug!(%error, "the log was started before");
+        }
+        Self { guard, lost }
+    }
+
+    /// Logs how many lines were lost, whenever that number has grown.
+    pub fn watch(&self) -> impl Future<Output = ()> + Send + 'static {
+        let lost = self.lost.clone();
+        async move {
+            let mut told = 0;
+            loop {
+                time::sleep(LOOK_PERIOD).await;
+                let count = lost.dropped_lines();
+                if count > told {
+                    tracing::warn!(lost = count - told, total = count, "log lines lost");
+                    told = count;
+                }
+            }
+        }
+    }
+}
--- a/crates/trestlewalk/src/entry/log_setup.rs
+++ b/crates/trestlewalk/src/entry/log_setup.rs
@@ -20,7 +20,8 @@
     }
 }
 
-fn level_filter(level: LogLevel) -> LevelFilter {
+/// The filter of a level.
+pub fn level_filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Debug => LevelFilter::DEBUG,
         LogLevel::Error => LevelFilter::ERROR,
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -99,8 +99,7 @@
     /// A socket can't be opened, or the close cut requests off.
     pub async fn run(settings: RelayFile, reader: SettingsReader) -> Result<(), RunError> {
         let mut signals = ProcessSignals::new()?;
-        let (mut process, line) = Self::start(settings).await?;
-        line.print()?;
+        let mut process = Self::start(settings).await?;
         while signals.any().await == ProcessSignal::Reload {
             process.reload(&reader);
         }
@@ -116,12 +115,12 @@
         Ok(())
     }
 
-    /// Opens the sockets and starts the parts. The line has the real addresses.
+    /// Opens the sockets, prints the line with their addresses before any log line, and starts the parts.
     ///
     /// # Errors
     ///
     /// A socket can't be opened.
-    pub async fn start(settings: RelayFile) -> Result<(Self, ReadyLine), RunError> {
+    pub async fn start(settings: RelayFile) -> Result<Self, RunError> {
         let admin = bind_tcp("listen.admin", settings.listen.admin).await?;
         let callers = bind_tcp("listen.callers", settings.listen.callers).await?;
         let line = ReadyLine {
@@ -130,6 +129,7 @@
             instance: settings.instance.clone(),
             peers: None,
         };
+        line.print()?;
         let core = Arc::new(RelayCore::new(HttpDialect, relay_settings(&settings)));
         let board = Arc::new(ReadyBoard::new());
         board.block(
@@ -158,15 +158,14 @@
                 board.clear(START_CONDITION);
             }
         });
-        let process = Self {
+        Ok(Self {
             admin,
             board,
             callers: CallerServer::start(callers, core.clone()),
             core,
             pool,
             settings,
-        };
-        Ok((process, line))
+        })
     }
 }
 
--- /dev/null
+++ b/crates/trestlewalk/src/explain/story_book.rs
@@ -0,0 +1,155 @@
+//! The lines that are about one request, and about the state of the instances that served it.
+
+use {crate::explain::LogLine, kernel::ResultCode, std::collections::BTreeMap};
+
+/// The message of the line that ends a request.
+const ENDED: &str = "request ended";
+/// The message of the line for a request that has no row or did not arrive whole.
+const REFUSED: &str = "request refused";
+
+/// Collects lines; holds only those of the request, and the last change of state of each log before them.
+#[derive(Debug)]
+pub struct StoryBook {
+    bad: u64,
+    id: String,
+    read: u64,
+    /// By log: the last change of each kind, until the request's line comes.
+    state: BTreeMap<String, BTreeMap<String, LogLine>>,
+    tales: Vec<RequestTale>,
+}
+
+/// The line of the request in one log.
+#[derive(Debug)]
+struct RequestTale {
+    before: Vec<LogLine>,
+    line: LogLine,
+    source: String,
+}
+
+impl StoryBook {
+    /// The story, a line each; the last one says why the request ended so.
+    pub fn into_lines(mut self) -> Vec<String> {
+        self.tales
+            .sort_by(|one, other| one.line.timestamp.cmp(&other.line.timestamp));
+        let mut lines = Vec::new();
+        for tale in &self.tales {
+            tale.tell(&mut lines);
+        }
+        lines.push(format!(
+            "{} lines read, {} of them no log lines",
+            self.read, self.bad
+        ));
+        lines.push(match self.tales.last() {
+            Some(tale) => tale.reason(),
+            None => format!(
+                "no line about {}: it was served in time and is not in the sample, or it never came",
+                self.id
+            ),
+        });
+        lines
+    }
+
+    /// A book for one request.
+    pub fn new(id: &str) -> Self {
+        Self {
+            bad: 0,
+            id: id.to_owned(),
+            read: 0,
+            state: BTreeMap::new(),
+            tales: Vec::new(),
+        }
+    }
+
+    /// Takes a line of a log in.
+    pub fn note(&mut self, source: &str, line: LogLine) {
+        self.read += 1;
+        if line.message != ENDED && line.message != REFUSED {
+            let state = self.state.entry(source.to_owned()).or_default();
+            state.insert(line.message.clone(), line);
+            return;
+        }
+        if line.field("request") != self.id {
+            return;
+        }
+        let state = self.state.get(source);
+        let mut before: Vec<LogLine> = state
+            .into_iter()
+            .flat_map(|changes| changes.values().cloned())
+            .collect();
+        before.sort_by(|one, other| one.timestamp.cmp(&other.timestamp));
+        self.tales.push(RequestTale {
+            before,
+            line,
+            source: source.to_owned(),
+        });
+    }
+
+    /// A line could not be read.
+    pub fn note_bad(&mut self) {
+        self.read += 1;
+        self.bad += 1;
+    }
+}
+
+impl RequestTale {
+    /// Why the request ended so, in one line.
+    fn reason(&self) -> String {
+        let code = self.line.code().unwrap_or(0);
+        let known = ResultCode::ALL
+            .iter()
+            .find(|known| u64::from(known.number()) == code);
+        let text = known.map_or("an unknown code", |known| known.text());
+        let steps = self.line.field("steps");
+        let last = steps
+            .split(';')
+            .map(str::trim)
+            .rfind(|step| !step.is_empty() && *step != "...");
+        match last {
+            Some(last) => {
+                format!("ended with {code}, {text}; the last step, in ms from its start: {last}")
+            }
+            None => format!("ended with {code}, {text}; no upstream was called"),
+        }
+    }
+
+    fn tell(&self, lines: &mut Vec<String>) {
+        lines.push(format!(
+            "{}: {} {}",
+            self.source, self.line.timestamp, self.line.message
+        ));
+        for name in [
+            "work",
+            "service",
+            "table_version",
+            "list_age_ms",
+            "target_ms",
+            "first_byte_ms",
+            "total_ms",
+        ] {
+            let value = self.line.field(name);
+            if !value.is_empty() {
+                lines.push(format!("  {name}: {value}"));
+            }
+        }
+        for change in &self.before {
+            let fields: Vec<String> = change
+                .fields
+                .iter()
+                .filter(|(name, _)| !["level", "target"].contains(&name.as_str()))
+                .map(|(name, value)| format!("{name}={value}"))
+                .collect();
+            lines.push(format!(
+                "  before: {} {} {}",
+                change.timestamp,
+                change.message,
+                fields.join(" ")
+            ));
+        }
+        let steps = self.line.field("steps");
+        for step in steps.split(';').map(str::trim) {
+            if !step.is_empty() {
+                lines.push(format!("  {step}"));
+            }
+        }
+    }
+}
--- a/crates/trestlewalk/src/lib.rs
+++ b/crates/trestlewalk/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod entry;
 pub mod exit_code;
+pub mod explain;
 pub mod run;
 pub mod run_error;
 pub mod settings;
--- a/crates/trestlewalk/src/subcommand.rs
+++ b/crates/trestlewalk/src/subcommand.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod demo;
 pub mod dump;
+pub mod explain;
 pub mod fake;
 pub mod keys;
 pub mod relay;
@@ -12,9 +13,9 @@
 
 use {
     self::{
-        check::CheckCommand, demo::DemoCommand, dump::DumpCommand, fake::FakeCommand,
-        keys::KeysCommand, relay::RelayCommand, serve::ServeCommand, table::TableCommand,
-        ticket::TicketCommand,
+        check::CheckCommand, demo::DemoCommand, dump::DumpCommand, explain::ExplainCommand,
+        fake::FakeCommand, keys::KeysCommand, relay::RelayCommand, serve::ServeCommand,
+        table::TableCommand, ticket::TicketCommand,
     },
     crate::RunError,
 };
@@ -28,6 +29,8 @@
     Demo(DemoCommand),
     /// Print the whole state of a running instance as JSON.
     Dump(DumpCommand),
+    /// Tell the story of one request from the logs of instances.
+    Explain(ExplainCommand),
     /// Run a stand-in of the platform, an engine or a plain service.
     #[command(subcommand)]
     Fake(FakeCommand),
@@ -56,6 +59,7 @@
             Self::Check(command) => command.run(),
             Self::Demo(command) => command.run(),
             Self::Dump(command) => command.run(),
+            Self::Explain(command) => command.run(),
             Self::Fake(command) => command.run(),
             Self::Keys(command) => command.run(),
             Self::Relay(command) => command.run(),
--- /dev/null
+++ b/crates/trestlewalk/src/subcommand/explain.rs
@@ -0,0 +1,81 @@
+//! `trestlewalk explain`.
+
+use {
+    crate::{
+        RunError,
+        explain::{LogLine, StoryBook},
+        run_error::ReadFileSnafu,
+        text_output::print_line,
+    },
+    clap::Args,
+    snafu::ResultExt,
+    std::{
+        fs::File,
+        io::{self, BufRead, BufReader, Read},
+        path::{Path, PathBuf},
+    },
+};
+
+/// Longer lines are no log lines of ours; they are counted as bad, and never held in memory whole.
+const LONGEST_LINE: u64 = 64 << 10;
+/// Stands for standard input among the files.
+const STANDARD_INPUT: &str = "-";
+
+/// The arguments of `explain`.
+#[derive(Args, Debug)]
+pub struct ExplainCommand {
+    /// The log files of any instances; `-` is standard input.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+    /// The id of the request.
+    #[arg(long, value_name = "ID")]
+    pub id: String,
+}
+
+impl ExplainCommand {
+    /// Prints what the logs say of the request.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be read.
+    pub fn run(self) -> Result<(), RunError> {
+        let mut book = StoryBook::new(&self.id);
+        for path in &self.files {
+            read_log(path, &mut book).context(ReadFileSnafu { path })?;
+        }
+        for line in book.into_lines() {
+            print_line(&line)?;
+        }
+        Ok(())
+    }
+}
+
+fn read_log(path: &Path, book: &mut StoryBook) -> io::Result<()> {
+    let file: Box<dyn Read> = match path.to_str() {
+        Some(STANDARD_INPUT) => Box::new(io::stdin()),
+        _ => Box::new(File::open(path)?),
+    };
+    let source = path.display().to_string();
+    let mut reader = BufReader::new(file);
+    let mut text = Vec::new();
+    loop {
+        text.clear();
+        let count = reader
+            .by_ref()
+            .take(LONGEST_LINE)
+            .read_until(b'\n', &mut text)?;
+        if count == 0 {
+            return Ok(());
+        }
+        let is_cut = !text.ends_with(b"\n") && count as u64 == LONGEST_LINE;
+        if is_cut {
+            reader.skip_until(b'\n')?;
+            book.note_bad();
+            continue;
+        }
+        match LogLine::read(&text) {
+            Some(line) => book.note(&source, line),
+            None => book.note_bad(),
+        }
+    }
+}
--- a/crates/trestlewalk/src/subcommand/relay.rs
+++ b/crates/trestlewalk/src/subcommand/relay.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         RunError,
-        entry::{RelayProcess, log_setup},
+        entry::{BoundedLog, RelayProcess},
         run_error::RuntimeSnafu,
         settings::{SettingOverride, SettingsReader},
     },
@@ -33,9 +33,14 @@
     pub fn run(self) -> Result<(), RunError> {
         let reader = SettingsReader::new(self.settings, self.set);
         let settings = reader.read()?;
-        log_setup::start_log(&settings.log);
+        let log = BoundedLog::start(&settings.log);
         let runtime = Builder::new_current_thread().enable_all().build();
         let runtime = runtime.context(RuntimeSnafu)?;
-        runtime.block_on(RelayProcess::run(settings, reader))
+        let outcome = runtime.block_on(async {
+            tokio::spawn(log.watch());
+            RelayProcess::run(settings, reader).await
+        });
+        log.close();
+        outcome
     }
 }
--- /dev/null
+++ b/crates/trestlewalk/tests/relay_explain.rs
@@ -0,0 +1,110 @@
+//! A failed request is explained from the logs alone.
+
+mod relay_support;
+mod support;
+
+use {
+    relay_support::{RelayTest, UpstreamMode},
+    serde_json::json,
+    std::fs,
+    support::{Test, wait::wait_until},
+};
+
+#[tokio::test]
+async fn a_lost_and_a_refused_request_are_told_from_their_ids() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    run.upstreams[0].set(UpstreamMode::Reset);
+    run.call_with("POST", "/t/1", "00a1", "", "x").await;
+    run.upstreams[0].set(UpstreamMode::Shed);
+    run.call_with("POST", "/t/1", "00a2", "", "x").await;
+    run.call_with("POST", "/none", "00a3", "", "x").await;
+    wait_until("the lines are written", async || {
+        run.process.log().contains("00a3")
+    })
+    .await;
+    let log = format!("no log line\nhost-1 {}", run.process.log());
+    let explain = |id: &str, reason: &str| {
+        Test::new()
+            .file("front-1.log", log.clone())
+            .args(["explain", "--id", id, "front-1.log"])
+            .stdout_has(reason)
+            .run();
+    };
+    explain(
+        "00a1",
+        "ended with 3001, outcome unknown: the connection to the upstream was lost; the last step, in ms from its start:",
+    );
+    explain("00a1", "run i-carta-0 lost: ");
+    explain("00a1", "table_version: 7");
+    explain("00a1", "before: ");
+    explain(
+        "00a2",
+        "ended with 2011, not run: the upstream refused the request; the last step",
+    );
+    explain("00a2", "run i-carta-0 not run: 503");
+    explain(
+        "00a3",
+        "ended with 2001, not run: the table has no such kind of work; no upstream was called",
+    );
+    explain("00ff", "no line about 00ff");
+    explain("00ff", "1 of them no log lines");
+}
+
+#[tokio::test]
+async fn a_log_that_cannot_be_read_is_a_clear_error() {
+    Test::new()
+        .args(["explain", "--id", "00a1", "nowhere.log"])
+        .stderr_has("nowhere.log: can't read the file")
+        .status(51)
+        .run();
+}
+
+#[tokio::test]
+async fn a_line_without_end_is_counted_and_not_kept() {
+    let log = format!(
+        "{}\n{{\"message\":\"x\",\"timestamp\":\"t\"}}\n",
+        "y".repeat(300_000)
+    );
+    Test::new()
+        .file("long.log", log)
+        .args(["explain", "--id", "00a1", "long.log"])
+        .stdout_has("2 lines read, 1 of them no log lines")
+        .run();
+}
+
+#[tokio::test]
+async fn the_metrics_page_lists_every_metric_of_the_request_path() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "safe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    assert_eq!(run.call("GET", "/t/1", "").await.status(), 200);
+    let call = support::http_call::HttpCall::new(
+        hyper::Method::GET,
+        run.process.address("admin"),
+        "/metrics",
+    );
+    let text = call.send().await.text();
+    let mut exposed: Vec<String> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').next())
+        .map(str::to_owned)
+        .collect();
+    exposed.sort();
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/METRICS.md");
+    let page = fs::read_to_string(page).unwrap();
+    let mut documented: Vec<String> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `trestlewalk_relay_"))
+        .filter_map(|line| line.split('`').next())
+        .map(|name| format!("trestlewalk_relay_{name}"))
+        .collect();
+    documented.sort();
+    assert_eq!(documented, exposed);
+}
--- a/crates/trestlewalk/tests/support/fleet_process.rs
+++ b/crates/trestlewalk/tests/support/fleet_process.rs
@@ -11,6 +11,7 @@
     serde_json::Value,
     std::{
         fs::{self, File},
+        io::Write,
         net::SocketAddr,
         path::{Path, PathBuf},
         process::{ExitStatus, Stdio},
@@ -111,7 +112,12 @@
             panic!("{name} printed no ready line; its log:\n{text}");
         };
         let ready = serde_json::from_str(&line).unwrap();
-        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        let mut rest = File::options().append(true).open(&log).unwrap();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                writeln!(rest, "{line}").unwrap();
+            }
+        });
         Self {
             child,
             log,
