relay: a pausing stream is left only for a place that is reserved elsewhere

Now a place is reserved first and the old stream goes on while there is none; a broken one waits 1.2 s for a place. The new test was red on the code before (cut) and passes.

--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -25,8 +25,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 /// The longest pause: each round of refusals is paid for.
 const LONGEST_PAUSE: Duration = Duration::from_millis(160);
-/// Waiting for a place takes at most this share of the row's target: the rest is for reading and the first step.
-const WAIT_SHARE: f64 = 0.7;
 /// When to come back after a refusal: about the time in which an engine ends one of its requests.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// How many engines of a round are asked before it pauses.
@@ -54,10 +52,8 @@
         Self { flow, life }
     }
 
-    /// Waits for a place.
-    pub async fn find(&self) -> Result<ReservedPlace<D>, OwnAnswer> {
-        let route = &self.flow.route;
-        let until = self.flow.request.since + route.first_byte.mul_f64(WAIT_SHARE);
+    /// Waits for a place until a time; each engine is asked once at least.
+    pub async fn find(&self, until: Instant) -> Result<ReservedPlace<D>, OwnAnswer> {
         let mut pause = FIRST_PAUSE;
         loop {
             let mut avoid = self.flow.tried.clone();
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -28,6 +28,8 @@
 const REFUSED_TRIES: u32 = 3;
 /// How many pieces wait for a slow caller before the engine's stream is held up.
 const PIECES_AHEAD: usize = 8;
+/// Waiting for a place takes at most this share of the row's target: the rest is for reading and the first step.
+const WAIT_SHARE: f64 = 0.7;
 /// A decode engine reads at about half the speed of a prefill engine.
 const OWN_READ_FACTOR: u32 = 2;
 /// What a decode engine's own reading counts as beyond its time: it slows the streams that run there.
@@ -109,7 +111,8 @@
 
     /// Serves the request: the answer's head goes to the caller together with the first event.
     pub async fn run(mut self) -> Result<Response<RelayBody>, OwnAnswer> {
-        let begun = match self.start(None).await? {
+        let until = self.request.since + self.route.first_byte.mul_f64(WAIT_SHARE);
+        let begun = match self.start(None, None, until).await? {
             StreamStart::Begun(begun) => *begun,
             StreamStart::Other(response) => {
                 self.request.story.end(ResultCode::Answered);
@@ -128,13 +131,23 @@
         Ok(response)
     }
 
-    /// Asks engines until one streams. `after` is the last event that the caller has.
-    pub async fn start(&mut self, after: Option<Arc<str>>) -> Result<StreamStart, OwnAnswer> {
+    /// Asks engines until one streams. `after` is the last event that the caller has, `place` a place that is reserved
+    /// already; others are waited for until `until`.
+    pub async fn start(
+        &mut self,
+        after: Option<Arc<str>>,
+        place: Option<ReservedPlace<D>>,
+        until: Instant,
+    ) -> Result<StreamStart, OwnAnswer> {
         let mut last = OwnAnswer::later(ResultCode::UpstreamMissing, COME_BACK);
+        let mut place = place;
         loop {
-            let place = match self.find_place().await {
-                Ok(place) => place,
-                Err(answer) => return Err(self.worse_of(last, answer)),
+            let place = match place.take() {
+                Some(place) => place,
+                None => match self.find_place(until).await {
+                    Ok(place) => place,
+                    Err(answer) => return Err(self.worse_of(last, answer)),
+                },
             };
             match self.try_place(place, after.clone()).await {
                 Ok(start) => return Ok(start),
@@ -248,14 +261,15 @@
         (choice.cost <= own).then_some(choice)
     }
 
-    async fn find_place(&self) -> Result<ReservedPlace<D>, OwnAnswer> {
+    /// Waits for a place at a decode engine until a time.
+    pub async fn find_place(&self, until: Instant) -> Result<ReservedPlace<D>, OwnAnswer> {
         let book = self.core.book.load();
         let service = book
             .as_ref()
             .and_then(|book| book.services.get(&self.service));
         let engine = service.and_then(|service| service.engine.as_ref());
         let life = engine.and_then(|engine| engine.hold_life);
-        PlaceFinder::new(self, life).find().await
+        PlaceFinder::new(self, life).find(until).await
     }
 
     /// Reads the prompt where the settings say so, and runs the request at its place.
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -2,18 +2,24 @@
 
 use {
     crate::{
-        AnswerCut, BegunStream, CallVerdict, CallerDialect, EventSplitter, RepeatRule, StreamFlow,
-        StreamStart, UpstreamAnswer, UpstreamDialect,
+        AnswerCut, BegunStream, CallVerdict, CallerDialect, EventSplitter, RepeatRule,
+        ReservedPlace, StreamFlow, StreamStart, UpstreamAnswer, UpstreamDialect,
     },
     bytes::Bytes,
     http_body_util::BodyExt,
     kernel::ResultCode,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{sync::mpsc, time},
 };
 
-/// A resumable stream that pauses for so many times its longest pause goes on at another engine.
+/// A resumable stream that pauses for so many times its longest pause goes on at another engine, if one has a place. An
+/// engine whose memory is full pauses a stream and goes on by itself.
 const SILENCE_PAUSES: u32 = 4;
+/// How long a place for a broken stream is waited for: callers leave a silent stream after two seconds and more.
+const RESUME_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Where the pieces go.
 type PieceSender = mpsc::Sender<Result<Bytes, AnswerCut>>;
@@ -33,6 +39,7 @@
     Cut,
     Ended,
     Piece(Bytes),
+    Silent,
 }
 
 impl<D: CallerDialect + UpstreamDialect> StreamPump<D> {
@@ -65,10 +72,19 @@
                         return;
                     }
                 }
-                PumpStep::Cut => match self.resume().await {
+                PumpStep::Cut => match self.resume(None).await {
                     Some(pump) => self = pump,
                     None => return,
                 },
+                PumpStep::Silent => {
+                    let Some(place) = self.other_place().await else {
+                        continue;
+                    };
+                    match self.resume(Some(place)).await {
+                        Some(pump) => self = pump,
+                        None => return,
+                    }
+                }
             }
         }
     }
@@ -85,9 +101,17 @@
         }
     }
 
+    /// A place at another engine, if one is free now.
+    async fn other_place(&self) -> Option<ReservedPlace<D>> {
+        tokio::select! {
+            () = self.sender.closed() => None,
+            place = self.flow.find_place(Instant::now()) => place.ok(),
+        }
+    }
+
     /// Goes on at another engine after the last whole event. None when that may not be or did not work; the caller's
     /// connection is cut then.
-    async fn resume(self) -> Option<Self> {
+    async fn resume(self, place: Option<ReservedPlace<D>>) -> Option<Self> {
         let Self {
             answer,
             mut flow,
@@ -104,10 +128,11 @@
         answer.call.close(CallVerdict::Lost);
         drop(answer.link);
         drop(answer.body);
+        let until = Instant::now() + RESUME_WAIT;
         if flow.route.repeat == RepeatRule::Resumable && flow.may_go_on() {
             let started = tokio::select! {
                 () = sender.closed() => return None,
-                started = flow.start(last_id.clone()) => started,
+                started = flow.start(last_id.clone(), place, until) => started,
             };
             if let Ok(StreamStart::Begun(begun)) = started {
                 let mut pump = Self::new(flow, *begun, sender);
@@ -136,7 +161,9 @@
             };
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) | Err(_) => return PumpStep::Cut,
+                Ok(Some(Err(_))) => return PumpStep::Cut,
+                Err(_) if self.flow.request.left().is_zero() => return PumpStep::Cut,
+                Err(_) => return PumpStep::Silent,
                 Ok(None) if self.splitter.held() > 0 => return PumpStep::Cut,
                 Ok(None) => return PumpStep::Ended,
             };
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -132,3 +132,32 @@
     wait_until("the KV cache is freed", async || freed("/kv-handle/")).await;
     wait_until("the place is freed", async || freed("/hold-drop/")).await;
 }
+
+#[tokio::test]
+async fn a_resumable_stream_that_pauses_is_kept_while_no_other_engine_has_a_place() {
+    let run = stream_run(true, 2, 0).await;
+    let pause = Duration::from_millis(1800);
+    run.upstreams
+        .iter()
+        .for_each(|upstream| upstream.set(UpstreamMode::PauseAfter(2, pause)));
+    let mut caller = run.caller().await;
+    caller
+        .write(&request_text(
+            "POST",
+            "/note/1",
+            "00aa",
+            STREAM_HEADERS,
+            "p",
+        ))
+        .await;
+    wait_until("an engine runs", async || decode_runs(&run) > 0).await;
+    run.upstreams
+        .iter()
+        .filter(|upstream| upstream.runs().is_empty())
+        .for_each(|upstream| upstream.set(UpstreamMode::Shed));
+    let reply = caller.read().await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    let events: Vec<String> = (1..=5).map(event_text).collect();
+    assert_eq!(reply.text(), events.concat());
+    assert_eq!(decode_runs(&run), 1);
+}
--- a/crates/trestlewalk/tests/relay_support/engine_side.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_side.rs
@@ -92,7 +92,7 @@
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
     match mode {
-        UpstreamMode::Answer | UpstreamMode::CutAfter(_) => {}
+        UpstreamMode::Answer | UpstreamMode::CutAfter(_) | UpstreamMode::PauseAfter(..) => {}
         UpstreamMode::Slow(pause) => tokio::time::sleep(pause).await,
         _ => return engine.answer_plain(stream, message).await,
     }
@@ -109,6 +109,11 @@
     }
     for index in after + 1..=EVENTS {
         let mut text = event_text(index);
+        if let UpstreamMode::PauseAfter(count, pause) = mode
+            && index == count + 1
+        {
+            tokio::time::sleep(pause).await;
+        }
         let is_cut = mode == UpstreamMode::CutAfter(index - 1);
         if is_cut {
             text.truncate(text.len() / 2);
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -47,6 +47,8 @@
     Foreign,
     /// No answer.
     Mute,
+    /// A stream that pauses after so many events.
+    PauseAfter(usize, Duration),
     /// Reads the request, and resets the connection.
     Reset,
     /// 503, not run.
@@ -184,7 +186,9 @@
         let signed = format!("{head}X-Response-Signature: sig-{}\r\n", self.id);
         let length = format!("Content-Length: {}\r\n\r\n", body.len());
         let text = match mode {
-            UpstreamMode::Answer => format!("{signed}X-Kept: yes\r\n{length}{body}"),
+            UpstreamMode::Answer | UpstreamMode::PauseAfter(..) => {
+                format!("{signed}X-Kept: yes\r\n{length}{body}")
+            }
             UpstreamMode::BareRefusal => format!(
                 "HTTP/1.1 503 Busy\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
             ),
