--- a/crates/kernel/src/result_code.rs
+++ b/crates/kernel/src/result_code.rs
@@ -65,6 +65,8 @@
   CutByClose = 3006, 503, "outcome unknown: the close limit of this instance ended the request";
   TicketForgotten = 3007, 410, "outcome unknown: the ticket ended long ago and its record is no longer kept";
   PrefillWasted = 3008, 503, "ran in part: the prompt was read, no answer was generated";
+  UpstreamFailed = 3009, 502, "ran: the upstream answered with a failure of its own, which was given back";
+  CallerLeft = 3010, 499, "outcome unknown: the caller went away while the request was at an upstream";
   TicketExpired = 4001, 410, "not run: the ticket has expired";
   TicketUnknown = 4002, 404, "not run: the ticket was not minted here";
   TicketUsed = 4003, 409, "not run again: the ticket was used before";
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -82,6 +82,9 @@
             request: plan.request,
             upstream: &upstream,
         });
+        if matches!(plan.purpose, CallPurpose::Run { .. }) {
+            story.sent();
+        }
         let wait = plan.silence.map_or(left, |silence| silence.min(left));
         let sending = self.pool.send(&upstream.id, upstream.address, request);
         let (response, link) = match time::timeout(wait, sending).await {
@@ -115,7 +118,10 @@
             if facts.same_request && !facts.last_on_connection {
                 self.pool.keep(&upstream.id, link, facts.keep);
             }
-            call.close(CallVerdict::Full);
+            call.close(match facts.misdirected {
+                true => CallVerdict::Misdirected,
+                false => CallVerdict::Full,
+            });
             return CallEnd::NotRun;
         }
         let foreign = !facts.same_request || facts.encoded;
@@ -193,6 +199,14 @@
     }
 }
 
+/// The result code of an answer that is given back unchanged.
+pub fn status_code(status: StatusCode) -> ResultCode {
+    match status.is_server_error() {
+        true => ResultCode::UpstreamFailed,
+        false => ResultCode::Answered,
+    }
+}
+
 /// What an answer of an upstream's own tells about it.
 pub fn status_verdict(status: StatusCode) -> CallVerdict {
     match status.is_server_error() {
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -4,7 +4,7 @@
     crate::{
         AnswerCut, CallerDialect, CallerHead, CallerRequest, OwnAnswer, PlainFlow, RelayBody,
         RelayCore, RequestStory, RouteBook, StoryStart, StreamFlow, UpstreamDialect, WorkRoute,
-        upstream_dialect::target_path,
+        relay_core::status_code, upstream_dialect::target_path,
     },
     bytes::Bytes,
     http::{Request, Response, header, request::Parts},
@@ -182,16 +182,17 @@
             false => {
                 let flow = PlainFlow::new(&self.core, &request, route, service);
                 let outcome = flow.run().await;
-                if outcome.is_ok() {
+                if let Ok(response) = &outcome {
                     request.story.first_byte();
-                    request.story.end(ResultCode::Answered);
+                    request.story.end(status_code(response.status()));
                 }
                 outcome
             }
         };
-        let code = outcome
-            .as_ref()
-            .map_or_else(|own| own.code, |_| ResultCode::Answered);
+        let code = match &outcome {
+            Ok(response) => status_code(response.status()),
+            Err(own) => own.code,
+        };
         self.core
             .counts
             .note(&route.work, code, request.since.elapsed());
--- a/crates/relay/src/request_story.rs
+++ b/crates/relay/src/request_story.rs
@@ -36,9 +36,9 @@
 
 #[derive(Debug, Default)]
 struct StoryState {
-    calls: u32,
     code: Option<ResultCode>,
     first_byte: Option<Duration>,
+    is_sent: bool,
     steps: String,
 }
 
@@ -73,11 +73,15 @@
         }
     }
 
+    /// A call that may run the request goes out.
+    pub fn sent(&self) {
+        self.state.lock().is_sent = true;
+    }
+
     /// Something was decided or came back.
     pub fn note(&self, step: fmt::Arguments<'_>) {
         let at = self.since.elapsed().as_millis();
         let mut state = self.state.lock();
-        state.calls += 1;
         if state.steps.len() < LONGEST_STEPS {
             // Writing to a text can't fail.
             let _ = write!(state.steps, "{at} {step}; ");
@@ -92,7 +96,10 @@
 impl Drop for RequestStory {
     fn drop(&mut self) {
         let state = self.state.lock();
-        let code = state.code.unwrap_or(ResultCode::CallerGone);
+        let code = state.code.unwrap_or(match state.is_sent {
+            true => ResultCode::CallerLeft,
+            false => ResultCode::CallerGone,
+        });
         let first = state.first_byte.unwrap_or_else(|| self.since.elapsed());
         let is_ordinary = code == ResultCode::Answered && first <= self.start.target;
         if is_ordinary && !self.is_sampled() {
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -5,8 +5,9 @@
         CallEnd, CallPlan, CallPurpose, CallVerdict, CallerDialect, CallerRequest, ChoiceQuery,
         EventRun, EventSplitter, KvHandle, Leftover, LeftoverGuard, OwnAnswer, PlaceFinder,
         ReadPace, ReaderChoice, RelayBody, RelayCore, RepeatRule, ReservedPlace, StreamPump,
-        UpstreamAnswer, UpstreamDialect, UpstreamStage, WorkRoute, plain_flow::promises_not_run,
-        relay_core::status_verdict,
+        UpstreamAnswer, UpstreamDialect, UpstreamStage, WorkRoute,
+        plain_flow::promises_not_run,
+        relay_core::{status_code, status_verdict},
     },
     bytes::Bytes,
     http::Response,
@@ -115,7 +116,7 @@
         let begun = match self.start(None, None, until).await? {
             StreamStart::Begun(begun) => *begun,
             StreamStart::Other(response) => {
-                self.request.story.end(ResultCode::Answered);
+                self.request.story.end(status_code(response.status()));
                 return Ok(response);
             }
         };
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -82,6 +82,8 @@
     pub encoded: bool,
     /// How long the upstream keeps the connection open while idle, if it says.
     pub keep: Option<Duration>,
+    /// The upstream is another one than was expected, or does another stage. The request did not run.
+    pub misdirected: bool,
     /// The upstream says that the request did not run.
     pub not_run: bool,
     /// The answer belongs to this request.
--- a/crates/relay/src/upstream_entry.rs
+++ b/crates/relay/src/upstream_entry.rs
@@ -16,6 +16,10 @@
 /// How long an upstream that was full is passed over: a few of its steps.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
+/// How long an upstream that is not what the list says is passed over: until the list has caught up, which takes a report
+/// of the upstream and a reading.
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(2_200);
+
 /// How a call to an upstream ended, as far as it tells about the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallVerdict {
@@ -27,6 +31,8 @@
     Full,
     /// The answer was cut, can't be read or did not come.
     Lost,
+    /// Another upstream has its address, or it does another stage now: the list is behind.
+    Misdirected,
     /// It tells nothing: the caller went away.
     Neutral,
     /// No connection could be made.
@@ -35,11 +41,12 @@
 
 impl CallVerdict {
     /// Every verdict.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Answered,
         Self::Failed,
         Self::Full,
         Self::Lost,
+        Self::Misdirected,
         Self::Neutral,
         Self::Unreachable,
     ];
@@ -51,6 +58,7 @@
             Self::Failed => "failed",
             Self::Full => "full",
             Self::Lost => "lost",
+            Self::Misdirected => "misdirected",
             Self::Neutral => "caller_gone",
             Self::Unreachable => "unreachable",
         }
@@ -61,7 +69,7 @@
         match self {
             Self::Answered => Some(0.0),
             Self::Failed => Some(0.4),
-            Self::Full | Self::Neutral => None,
+            Self::Full | Self::Misdirected | Self::Neutral => None,
             Self::Lost | Self::Unreachable => Some(1.0),
         }
     }
@@ -113,8 +121,13 @@
 
     /// Takes a verdict in.
     pub fn note(&mut self, verdict: CallVerdict, now: Instant) {
-        if verdict == CallVerdict::Full {
-            self.full_until = Some(now + FULL_PAUSE);
+        let pause = match verdict {
+            CallVerdict::Full => Some(FULL_PAUSE),
+            CallVerdict::Misdirected => Some(MISDIRECTED_PAUSE),
+            _ => None,
+        };
+        if let Some(pause) = pause {
+            self.full_until = Some(now + pause);
         }
         let Some(badness) = verdict.badness() else {
             return;
--- a/crates/trestlewalk/src/explain/story_book.rs
+++ b/crates/trestlewalk/src/explain/story_book.rs
@@ -42,7 +42,7 @@
         lines.push(match self.tales.last() {
             Some(tale) => tale.reason(),
             None => format!(
-                "no line about {}: it was served in time and is not in the sample, or it never came",
+                "no line about {}: it was served in time and is not in the sample, it never came, or its instance died before it ended",
                 self.id
             ),
         });
--- a/crates/trestlewalk/src/subcommand/check.rs
+++ b/crates/trestlewalk/src/subcommand/check.rs
@@ -5,7 +5,7 @@
         RunError,
         run_error::{ReadFileSnafu, SettingsInvalidSnafu, TableInvalidSnafu},
         settings::{
-            SettingOverride, parse_settings,
+            SettingOverride, parse_relay_file, parse_settings,
             settings_node::{NodeValue, SettingsNode},
         },
         text_output::print_line,
@@ -32,6 +32,9 @@
 pub struct CheckCommand {
     /// The settings (`.yaml`) or the table (`.csv`); of another file the content tells.
     pub file: PathBuf,
+    /// Takes the file as settings of `relay`.
+    #[arg(long)]
+    pub relay: bool,
     /// Overrides one setting, such as `--set limits.body=2MiB`; may be given more than once.
     #[arg(long, value_name = "FIELD=VALUE")]
     pub set: Vec<SettingOverride>,
@@ -46,6 +49,9 @@
     pub fn run(self) -> Result<(), RunError> {
         let content = fs::read(&self.file).context(ReadFileSnafu { path: &self.file })?;
         let file = self.file.display().to_string();
+        if self.relay {
+            return check_relay(&file, &content, self.set);
+        }
         match file_kind(&self.file, &content) {
             FileKind::Settings => check_settings(&file, &content, self.set),
             FileKind::Table => check_table(&file, &content),
@@ -53,6 +59,19 @@
     }
 }
 
+fn check_relay(
+    file: &str,
+    content: &[u8],
+    overrides: Vec<SettingOverride>,
+) -> Result<(), RunError> {
+    let settings = parse_relay_file(file, content, overrides)
+        .map_err(|faults| SettingsInvalidSnafu { faults }.build())?;
+    print_line(&format!(
+        "{file}: no faults in the settings of instance {} in availability zone {}",
+        settings.instance, settings.zone
+    ))
+}
+
 fn check_settings(
     file: &str,
     content: &[u8],
