--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -173,7 +173,7 @@
     let retries = &settings.retries;
     let bounds = RetryBounds::builder()
         .ratio(retries.ratio)
-        .slack(retries.slack / f64::from(retries.instances.max(1)))
+        .slack(retries.own_slack)
         .window(retries.window)
         .build();
     RelaySettings::builder()
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -125,12 +125,11 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RelayRetries {
-    /// Among how many instances the slack is shared; at least as many as ever run at once.
-    pub instances: u32,
+    /// Repeated calls beyond the ratio, of this instance alone. All instances share one slack without a message, so this
+    /// times the number of instances has to stay under it.
+    pub own_slack: f64,
     /// Repeated calls for each request of the window.
     pub ratio: f64,
-    /// Repeated calls beyond that, of all instances together.
-    pub slack: f64,
     /// The length of the window.
     #[serde_as(as = "HumanDuration")]
     pub window: Duration,
@@ -139,9 +138,8 @@
 impl Default for RelayRetries {
     fn default() -> Self {
         Self {
-            instances: 12,
+            own_slack: 0.0,
             ratio: 0.2,
-            slack: 0.0,
             window: Duration::from_secs(10),
         }
     }
@@ -201,19 +199,13 @@
             list.push(&FieldPath::dotted(field), "missing");
         }
     }
-    if settings.retries.instances == 0 {
-        list.push(
-            &FieldPath::dotted("retries.instances"),
-            "has to be at least 1",
-        );
-    }
     if !(0.0..=1.0).contains(&settings.orders.prefill_share) {
         list.push(
             &FieldPath::dotted("orders.prefill_share"),
             "has to be from 0 to 1",
         );
     }
-    if !(settings.retries.ratio >= 0.0 && settings.retries.slack >= 0.0) {
+    if !(settings.retries.ratio >= 0.0 && settings.retries.own_slack >= 0.0) {
         list.push(&FieldPath::dotted("retries"), "has to be 0 or more");
     }
     for (field, duration) in [
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -100,7 +100,7 @@
         let settings = format!(
             "instance: front-1\nzone: gijon\nlisten: {{admin: '127.0.0.1:0', callers: '127.0.0.1:0'}}\n\
              platform: {{address: '{}', list_poll: 50ms, poll: 1s, timeout: 2s}}\n\
-             retries: {{instances: 1, ratio: 20, slack: 0, window: 10s}}\n\
+             retries: {{own_slack: 0, ratio: 20, window: 10s}}\n\
              close: {{settle: 50ms, limit: 20s}}\nupstreams: {{connect: 2s, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n",
             store.address, self.orders
