--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -187,6 +187,7 @@
     async fn take_answer(&mut self, answer: UpstreamAnswer) -> NextStep {
         self.runs += 1;
         let status = answer.head.status;
+        let upstream = answer.call.upstream.id.clone();
         let Some(whole) = self.read_whole(answer).await else {
             return NextStep::Again(OwnAnswer::new(ResultCode::StreamCut));
         };
@@ -194,7 +195,7 @@
         if promises_not_run(status) {
             return NextStep::Again(OwnAnswer::new(ResultCode::UpstreamGarbled));
         }
-        if failed && self.may_go_on() {
+        if failed && self.may_go_on() && self.core.stands_out(&upstream) {
             self.fallback = Some(self.respond(whole));
             return NextStep::Again(OwnAnswer::new(ResultCode::UpstreamGarbled));
         }
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -8,7 +8,7 @@
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
-    kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId},
+    kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId, UpstreamId},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -181,6 +181,11 @@
         window.note_request(&self.settings.load().retries, Instant::now());
     }
 
+    /// Whether an upstream fails clearly more often than the others of its service.
+    pub fn stands_out(&self, upstream: &UpstreamId) -> bool {
+        self.board.lock().stands_out(upstream, Instant::now())
+    }
+
     /// Takes one repeated call to a service out of the budget; `false` when it is spent.
     #[must_use]
     pub fn take_retry(&self, service: &ServiceId) -> bool {
--- a/crates/relay/src/upstream_table.rs
+++ b/crates/relay/src/upstream_table.rs
@@ -23,6 +23,10 @@
 const FAILURE_READ: Duration = Duration::from_secs(2);
 /// What having refused a moment ago counts as, in time of reading.
 const FULL_READ: Duration = Duration::from_millis(500);
+/// An upstream stands out when its share of failures is over so many times the mean of the others'.
+const STANDING_OUT_FACTOR: f64 = 3.0;
+/// And by this much: one failure alone makes no upstream stand out, two in a row do.
+const STANDING_OUT_MARGIN: f64 = 0.09;
 /// Tokens that count as one open call: an ordinary prompt.
 const TOKENS_A_CALL: f64 = 3_000.0;
 /// How long upstreams that lapsed from the list during an outage of the store are kept after it: by then those alive
@@ -155,6 +159,25 @@
         }
     }
 
+    /// Whether an upstream fails clearly more often than the others of its service. A failure of one that does not is the
+    /// request's own: any other upstream would give the same.
+    pub fn stands_out(&self, id: &UpstreamId, now: Instant) -> bool {
+        let Some(entry) = self.entries.get(id) else {
+            return false;
+        };
+        let same = |other: &&UpstreamEntry| {
+            other.record.service == entry.record.service && other.record.id != *id
+        };
+        let others: Vec<f64> = self
+            .entries
+            .values()
+            .filter(same)
+            .map(|other| other.failure_share(now))
+            .collect();
+        let mean = others.iter().sum::<f64>() / others.len().max(1) as f64;
+        entry.failure_share(now) > STANDING_OUT_FACTOR * mean + STANDING_OUT_MARGIN
+    }
+
     /// Whether new work may go to an upstream now.
     pub fn takes_work(&self, id: &UpstreamId) -> bool {
         self.entries
--- a/crates/relay/tests/upstream_table.rs
+++ b/crates/relay/tests/upstream_table.rs
@@ -183,3 +183,26 @@
     table.begin(&near.id, 30_000);
     assert_eq!(id(&table, now + 4 * SECOND), "b");
 }
+
+#[test]
+fn one_stands_out_when_it_fails_more_often_than_the_others() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    let records = ["a", "b", "c"].map(|id| record(id, "near", UpstreamStage::Plain));
+    table.replace(&reading(&records), None, now);
+    let fail = |table: &mut UpstreamTable, index: usize| {
+        table.begin(&records[index].id, 0);
+        table.end(&records[index].id, 0, CallVerdict::Failed, now);
+    };
+    fail(&mut table, 0);
+    assert!(
+        !table.stands_out(&records[0].id, now),
+        "one failure is the request's own"
+    );
+    fail(&mut table, 0);
+    assert!(table.stands_out(&records[0].id, now));
+    for index in [1, 1, 2, 2] {
+        fail(&mut table, index);
+    }
+    assert!(!table.stands_out(&records[0].id, now), "all fail alike");
+}
--- a/crates/trestlewalk/tests/docs.rs
+++ b/crates/trestlewalk/tests/docs.rs
@@ -162,3 +162,52 @@
     }
     rows
 }
+
+#[test]
+fn the_relay_page_lists_every_field_of_its_settings() {
+    let mut documented = Vec::new();
+    for row in table_rows("docs/RELAY.md", "| field |") {
+        let cells: Vec<&str> = row.trim_matches('|').split('|').map(str::trim).collect();
+        let default = cells[2].trim_matches('`').to_owned();
+        documented.push((cells[0].trim_matches('`').to_owned(), default));
+    }
+    documented.sort();
+    let settings = serde_json::to_value(trestlewalk::settings::RelayFile::default()).unwrap();
+    let mut expected = BTreeMap::new();
+    flatten("", &settings, &mut expected);
+    let fields: Vec<&String> = documented.iter().map(|(field, _)| field).collect();
+    assert_eq!(fields, expected.keys().collect::<Vec<_>>());
+    for (field, default) in &documented {
+        if ["none", "required"].contains(&default.as_str()) {
+            continue;
+        }
+        assert_eq!(default, &expected[field], "{field}");
+    }
+}
+
+#[test]
+fn the_template_of_the_deploy_file_makes_settings_without_faults() {
+    let template = fs::read_to_string(root().join("deploy/relay.yaml")).unwrap();
+    let filled = [
+        ("{{Node|json}}", "\"front-gijon-1\""),
+        ("{{Zone|json}}", "\"gijon\""),
+        ("{{Region|json}}", "\"cantabrico\""),
+        ("{{Listen.Ready|json}}", "\"10.1.0.38:8141\""),
+        ("{{Listen.Front|json}}", "\"10.1.0.38:8149\""),
+        ("{{Provider.Address|json}}", "\"10.200.1.7:8142\""),
+        ("{{Bounds.RequireFence}}", "true"),
+        ("{{Bounds.LeaseMs}}", "3000"),
+        ("{{Bounds.BudgetRatio}}", "0.2"),
+        ("{{Bounds.BudgetWindowS}}", "10"),
+    ]
+    .into_iter()
+    .fold(template, |text, (name, value)| text.replace(name, value));
+    assert!(!filled.contains("{{"), "{filled}");
+    Test::new()
+        .file("front.yaml", filled)
+        .args(["check", "--relay", "front.yaml"])
+        .stdout_has(
+            "no faults in the settings of instance front-gijon-1 in availability zone gijon",
+        )
+        .run();
+}
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -5,8 +5,8 @@
 
 use {
     relay_support::{
-        RelayRun, RelayTest, UpstreamMode, caller::request_text, engine_side::event_text,
-        relay_test::STREAM_HEADERS,
+        RelayRun, RelayTest, UpstreamKind, UpstreamMode, caller::request_text,
+        engine_side::event_text, relay_test::STREAM_HEADERS,
     },
     serde_json::json,
     std::time::Duration,
@@ -161,3 +161,23 @@
     assert_eq!(reply.text(), events.concat());
     assert_eq!(decode_runs(&run), 1);
 }
+
+#[tokio::test]
+async fn a_refused_reading_counts_against_the_budget_and_a_spent_budget_ends_the_request() {
+    let more = json!({"TargetGapMs": 300, "Resumable": true, "MaxAttempts": 2});
+    let run = RelayTest::new()
+        .engines("redactor", 1, 1)
+        .route("/note/", "streaming", "redactor", &more)
+        .without_retries()
+        .start_ready()
+        .await;
+    run.upstream("i-redactor-p0").state.lock().unwrap().kind = UpstreamKind::Decode;
+    let reply = run.stream("/note/1").await;
+    assert_eq!(
+        (reply.status(), reply.header("trestlewalk-result")),
+        (503, Some("2014"))
+    );
+    assert!(reply.header("retry-after").is_some());
+    assert_eq!(run.upstream("i-redactor-p0").seen().len(), 1);
+    assert_eq!(decode_runs(&run), 0);
+}
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -19,6 +19,7 @@
     engine: Value,
     limits: Value,
     orders: &'static str,
+    ratio: u32,
     routes: Vec<Value>,
     services: Vec<Value>,
     upstreams: Vec<(String, String, UpstreamKind)>,
@@ -40,6 +41,7 @@
             engine: json!({"Slots": 64, "KvCapacityTokens": 37745, "HandleTtlS": 0.5, "HoldMs": 2000.0}),
             limits: json!({"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}),
             orders: "false",
+            ratio: 20,
             routes: Vec::new(),
             services: Vec::new(),
             upstreams: Vec::new(),
@@ -94,16 +96,22 @@
         self
     }
 
+    /// Leaves no call to repeat.
+    pub fn without_retries(mut self) -> Self {
+        self.ratio = 0;
+        self
+    }
+
     pub async fn start(self) -> RelayRun {
         let store = StoreStandIn::start().await;
         let folder = TempDir::new().unwrap();
         let settings = format!(
             "instance: front-1\nzone: gijon\nlisten: {{admin: '127.0.0.1:0', callers: '127.0.0.1:0'}}\n\
              platform: {{address: '{}', list_poll: 50ms, poll: 1s, timeout: 2s}}\n\
-             retries: {{own_slack: 0, ratio: 20, window: 10s}}\n\
+             retries: {{own_slack: 0, ratio: {}, window: 10s}}\n\
              close: {{settle: 50ms, limit: 20s}}\nupstreams: {{connect: 2s, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n",
-            store.address, self.orders
+            store.address, self.ratio, self.orders
         );
         fs::write(folder.path().join("front-1.yaml"), settings).unwrap();
         let config = json!({"Version": 7, "Routes": self.routes, "Services": self.services, "Limits": self.limits});
