--- a/crates/relay/tests/upstream_table.rs
+++ b/crates/relay/tests/upstream_table.rs
@@ -114,14 +114,14 @@
     let now = Instant::now();
     let mut table = UpstreamTable::default();
     let mut one = record("a", "near", UpstreamStage::Plain);
-    table.replace(&reading(&[one.clone()]), None, now);
+    table.replace(&reading(std::slice::from_ref(&one)), None, now);
     assert!(table.takes_work(&one.id));
     one.leaving = true;
-    table.replace(&reading(&[one.clone()]), None, now);
+    table.replace(&reading(std::slice::from_ref(&one)), None, now);
     assert_eq!(chosen(&table, UpstreamStage::Plain, now), None);
     assert!(!table.takes_work(&one.id));
     one.leaving = false;
-    table.replace(&reading(&[one.clone()]), None, now);
+    table.replace(&reading(std::slice::from_ref(&one)), None, now);
     table.replace(&reading(&[]), None, now);
     assert_eq!(chosen(&table, UpstreamStage::Plain, now), None);
 }
@@ -131,7 +131,7 @@
     let now = Instant::now();
     let mut table = UpstreamTable::default();
     let one = record("a", "near", UpstreamStage::Plain);
-    table.replace(&reading(&[one.clone()]), None, now);
+    table.replace(&reading(std::slice::from_ref(&one)), None, now);
     table.replace(&reading(&[]), Some(now), now);
     assert!(chosen(&table, UpstreamStage::Plain, now).is_some());
     let soon = now + SECOND;
@@ -149,7 +149,7 @@
     let one = record("a", "near", UpstreamStage::Plain);
     let mut other = record("b", "near", UpstreamStage::Plain);
     other.address = one.address;
-    table.replace(&reading(&[one.clone()]), None, now);
+    table.replace(&reading(std::slice::from_ref(&one)), None, now);
     table.replace(&reading(&[other]), Some(now), now);
     assert!(!table.takes_work(&one.id));
 }
