--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -9,7 +9,11 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     kernel::CloseSignal,
-    std::{pin::pin, sync::Arc, time::Duration},
+    std::{
+        pin::{Pin, pin},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         task::JoinHandle,
@@ -165,17 +169,17 @@
             }
         }
         connection.as_mut().graceful_shutdown();
-        // A connection without a request in progress has nothing to lose: a caller that sends nothing is not waited for.
-        loop {
-            if time::timeout(CLOSE_GRACE, connection.as_mut())
-                .await
-                .is_ok()
-            {
-                return;
-            }
-            if pulse.is_idle() {
-                return;
-            }
+        end_idle(connection, &pulse).await;
+    }
+}
+
+/// Lets the request in progress end. A connection without one has nothing to lose: a caller that sends nothing is not
+/// waited for.
+async fn end_idle(mut connection: Pin<&mut impl Future>, pulse: &ConnectionPulse) {
+    loop {
+        let ending = time::timeout(CLOSE_GRACE, connection.as_mut());
+        if ending.await.is_ok() || pulse.is_idle() {
+            return;
         }
     }
 }
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -86,7 +86,6 @@
             let plan = CallPlan {
                 purpose: &CallPurpose::Run {
                     after: None,
-                    backup: None,
                     kv: None,
                     place: None,
                 },
--- /dev/null
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -0,0 +1,104 @@
+//! Reading a prompt at a prefill engine, before the request runs at its decode engine.
+
+use {
+    super::StreamFlow,
+    crate::{
+        CallEnd, CallPlan, CallPurpose, CallVerdict, CallerDialect, ChoiceQuery, KvHandle,
+        Leftover, LeftoverGuard, ReadPace, ReaderChoice, UpstreamAnswer, UpstreamDialect,
+        UpstreamStage, relay_core::status_verdict,
+    },
+    http_body_util::{BodyExt, Limited},
+    std::time::{Duration, Instant},
+    tokio::time,
+};
+
+/// The answer to a reading is a few fields.
+const LARGEST_READ_REPLY: usize = 64 << 10;
+/// A decode engine reads at about half the speed of a prefill engine.
+const OWN_READ_FACTOR: u32 = 2;
+/// What a decode engine's own reading counts as beyond its time: it slows the streams that run there.
+const OWN_READ_PRICE: Duration = Duration::from_millis(150);
+/// A reading that takes so many times what was expected counts as lost.
+const READ_SILENCE: u32 = 3;
+/// Beyond that, for engines that nothing is known of and prompts of others that came just before.
+const READ_SLACK: Duration = Duration::from_millis(300);
+
+impl<D: CallerDialect + UpstreamDialect> StreamFlow<D> {
+    /// Has the prompt read by a prefill engine. None when none is there, none would be done soon, or the reading failed:
+    /// the decode engine reads the prompt itself then.
+    pub(super) async fn read_prompt(&mut self) -> Option<(KvHandle, LeftoverGuard<D>)> {
+        let tokens = self.request.prompt_tokens();
+        let choice = self.choose_reader(tokens)?;
+        if self.has_read {
+            return None;
+        }
+        let upstream = choice.upstream;
+        let plan = CallPlan {
+            purpose: &CallPurpose::Read,
+            request: &self.request,
+            route: &self.route,
+            silence: Some(choice.expected * READ_SILENCE + READ_SLACK),
+        };
+        let began = Instant::now();
+        // A reading that an engine accepts is no arrival; a second one would be, so there is none.
+        self.has_read = true;
+        let end = self.core.call(plan, upstream.clone()).await;
+        let is_accepted = matches!(end, CallEnd::Answer(_));
+        let is_sent = !matches!(end, CallEnd::Unsent);
+        if is_sent && !is_accepted {
+            self.arrivals += 1;
+        }
+        let CallEnd::Answer(answer) = end else {
+            return None;
+        };
+        let UpstreamAnswer {
+            body,
+            call,
+            facts,
+            head,
+            link,
+        } = *answer;
+        let reading = Limited::new(body, LARGEST_READ_REPLY).collect();
+        let bytes = match time::timeout(self.request.left(), reading).await {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            _ => {
+                call.close(CallVerdict::Lost);
+                return None;
+            }
+        };
+        call.close(status_verdict(head.status));
+        if !facts.last_on_connection {
+            self.core.pool.keep(&upstream.id, link, facts.keep);
+        }
+        if !head.status.is_success() {
+            return None;
+        }
+        let now = Instant::now();
+        let mut board = self.core.board.lock();
+        board.note_read(&upstream.id, choice.ahead, now - began, now);
+        drop(board);
+        let handle = self.core.dialect.read_reply(&upstream, &bytes)?;
+        let leftover = Leftover::Kv(handle.clone());
+        let guard = LeftoverGuard::new(self.core.clone(), upstream, leftover);
+        Some((handle, guard))
+    }
+
+    /// The prefill engine to ask; none when the decode engine is expected to be done sooner.
+    fn choose_reader(&self, tokens: u64) -> Option<ReaderChoice> {
+        let now = Instant::now();
+        let choice = self.core.board.lock().choose_reader(
+            &ChoiceQuery {
+                avoid: &[],
+                request: &self.request.head.id,
+                service: &self.service,
+                stage: UpstreamStage::Prefill,
+                zone: &self.core.settings.load().zone,
+            },
+            tokens,
+            now,
+        )?;
+        let unhurried = ReadPace::new(now).expect(tokens, now);
+        let own = unhurried * OWN_READ_FACTOR + OWN_READ_PRICE;
+        (choice.cost <= own).then_some(choice)
+    }
+}
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -19,8 +19,6 @@
     Run {
         /// The last whole event that the caller has.
         after: Option<Arc<str>>,
-        /// Where another upstream keeps a copy of the KV cache as it grows.
-        backup: Option<SocketAddr>,
         /// The KV cache to begin with.
         kv: Option<KvHandle>,
         /// The place that was reserved for it.
