--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -23,7 +23,7 @@
 const REPLY_LIMIT: Duration = Duration::from_millis(150);
 /// The first pause after all engines refused: a decode engine ends a request about every 300 ms.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
-/// The longest pause: each round of refusals is paid for.
+/// The longest pause: a round of refusals is a few calls to engines that are busy.
 const LONGEST_PAUSE: Duration = Duration::from_millis(160);
 /// When to come back after a refusal: about the time in which an engine ends one of its requests.
 const COME_BACK: Duration = Duration::from_millis(500);
@@ -52,7 +52,7 @@
         Self { flow, life }
     }
 
-    /// Waits for a place until a time; each engine is asked once at least.
+    /// Waits for a place until a time; one round of engines is asked at least.
     pub async fn find(&self, until: Instant) -> Result<ReservedPlace<D>, OwnAnswer> {
         let mut pause = FIRST_PAUSE;
         loop {
