--- a/crates/relay/src/upstream_table.rs
+++ b/crates/relay/src/upstream_table.rs
@@ -23,6 +23,9 @@
 const FAILURE_READ: Duration = Duration::from_secs(2);
 /// What having refused a moment ago counts as, in time of reading.
 const FULL_READ: Duration = Duration::from_millis(500);
+/// How much dearer than the best of its availability zone a prefill engine may look and still be drawn, as a share. An
+/// instance of many sees few readings: by its view alone each would go on with the engine that it tried first.
+const READ_SPREAD: f64 = 1.0;
 /// An upstream stands out when its share of failures is over so many times the mean of the others'.
 const STANDING_OUT_FACTOR: f64 = 3.0;
 /// And by this much: one failure alone makes no upstream stand out, two in a row do.
@@ -101,39 +104,28 @@
         best.map(|(_, _, entry)| entry.record.clone())
     }
 
-    /// The prefill engine that is expected to be done first with a prompt, and when.
+    /// The prefill engine that is expected to be done first with a prompt, and when: one is drawn in each availability zone,
+    /// and the best of these is taken.
     pub fn choose_reader(
         &self,
         query: &ChoiceQuery<'_>,
         tokens: u64,
         now: Instant,
     ) -> Option<ReaderChoice> {
-        let mut best: Option<(Duration, ReaderChoice)> = None;
+        let mut drawn: BTreeMap<&ZoneId, (Duration, ReaderChoice)> = BTreeMap::new();
         for entry in self.entries.values() {
             if !self.may_take(entry, query) {
                 continue;
             }
-            let ahead = entry.open_tokens + tokens;
-            let expected = entry.pace.expect(ahead, now);
-            let mut cost = expected + FAILURE_READ.mul_f64(entry.failure_share(now));
-            if entry.is_full(now) {
-                cost += FULL_READ;
-            }
-            if entry.record.zone != *query.zone {
-                cost += OTHER_ZONE_READ;
-            }
-            if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
-                continue;
-            }
-            let choice = ReaderChoice {
-                ahead,
-                cost,
-                expected,
-                upstream: entry.record.clone(),
+            let choice = reader_choice(entry, query, tokens, now);
+            let cost = spread(choice.cost, query.request, &entry.record.id);
+            match drawn.get(&entry.record.zone) {
+                Some((least, _)) if *least <= cost => continue,
+                _ => drawn.insert(&entry.record.zone, (cost, choice)),
             };
-            best = Some((cost, choice));
         }
-        best.map(|(_, choice)| choice)
+        let choices = drawn.into_values().map(|(_, choice)| choice);
+        choices.min_by_key(|choice| choice.cost)
     }
 
     /// A call to an upstream ended.
@@ -262,6 +254,35 @@
     cost
 }
 
+fn reader_choice(
+    entry: &UpstreamEntry,
+    query: &ChoiceQuery<'_>,
+    tokens: u64,
+    now: Instant,
+) -> ReaderChoice {
+    let ahead = entry.open_tokens + tokens;
+    let expected = entry.pace.expect(ahead, now);
+    let mut cost = expected + FAILURE_READ.mul_f64(entry.failure_share(now));
+    if entry.is_full(now) {
+        cost += FULL_READ;
+    }
+    if entry.record.zone != *query.zone {
+        cost += OTHER_ZONE_READ;
+    }
+    ReaderChoice {
+        ahead,
+        cost,
+        expected,
+        upstream: entry.record.clone(),
+    }
+}
+
+/// A cost, made greater by a draw that is another one for each request and upstream.
+fn spread(cost: Duration, request: &str, upstream: &str) -> Duration {
+    let draw = tie_break(request, upstream) as f64 / u64::MAX as f64;
+    cost.mul_f64(1.0 + READ_SPREAD * draw)
+}
+
 fn tie_break(request: &str, upstream: &str) -> u64 {
     seeded_rng::rendezvous_score(request, upstream)
 }
--- a/crates/relay/tests/upstream_table.rs
+++ b/crates/relay/tests/upstream_table.rs
@@ -206,3 +206,40 @@
     }
     assert!(!table.stands_out(&records[0].id, now), "all fail alike");
 }
+
+/// Sixteen instances, each with a view of its own, have prompts read one after the other.
+#[test]
+fn instances_that_see_few_readings_do_not_all_go_to_the_same_prefill_engine() {
+    const ENGINES: usize = 8;
+    const INSTANCES: usize = 16;
+    const ROUNDS: usize = 20;
+    let now = Instant::now();
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let records = names.map(|name| record(name, "near", UpstreamStage::Prefill));
+    let service: ServiceId = "s".into();
+    let zone: ZoneId = "near".into();
+    let mut readings = std::collections::BTreeMap::new();
+    for instance in 0..INSTANCES {
+        let mut table = UpstreamTable::default();
+        table.replace(&reading(&records), None, now);
+        for round in 0..ROUNDS {
+            let at = now + SECOND * u32::try_from(round).unwrap();
+            let request = format!("{instance}-{round}");
+            let query = ChoiceQuery {
+                avoid: &[],
+                request: &request,
+                service: &service,
+                stage: UpstreamStage::Prefill,
+                zone: &zone,
+            };
+            let choice = table.choose_reader(&query, 3_000, at).unwrap();
+            let id = choice.upstream.id.clone();
+            table.note_read(&id, choice.ahead, Duration::from_millis(100), at);
+            *readings.entry(id).or_insert(0) += 1;
+        }
+    }
+    let fair = INSTANCES * ROUNDS / ENGINES;
+    let most = *readings.values().max().unwrap();
+    assert!(most <= 2 * fair, "{readings:?}");
+    assert_eq!(readings.len(), ENGINES, "{readings:?}");
+}
