relay, explain: a stream that is late by a pause has a line with its longest pause

What changed: each stream's longest pause and its beginning are kept and written; explain shows them and says in its last line what made a request late. Test: a_stream_that_paused_too_long_is_told_with_its_longest_pause, red before.

--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -127,6 +127,7 @@
         let list_age = self.core.board.lock().list_age(since);
         let start = StoryStart {
             list_age,
+            pause: routed.route.between_events,
             service: routed.service.clone(),
             target: routed.route.first_byte,
             version: routed.book.version,
--- a/crates/relay/src/request_story.rs
+++ b/crates/relay/src/request_story.rs
@@ -24,6 +24,8 @@
 pub struct StoryStart {
     /// How old the list of upstreams was.
     pub list_age: Duration,
+    /// The longest pause between events that is still on time; none for plain services.
+    pub pause: Option<Duration>,
     /// The service.
     pub service: ServiceId,
     /// The target of the first byte.
@@ -39,6 +41,10 @@
     code: Option<ResultCode>,
     first_byte: Option<Duration>,
     is_sent: bool,
+    last_piece: Option<Duration>,
+    longest_pause: Duration,
+    /// When the longest pause began.
+    pause_from: Duration,
     steps: String,
 }
 
@@ -78,6 +84,17 @@
         self.state.lock().is_sent = true;
     }
 
+    /// A piece of a stream is there.
+    pub fn piece(&self) {
+        let at = self.since.elapsed();
+        let mut state = self.state.lock();
+        let before = state.last_piece.replace(at).unwrap_or(at);
+        if at - before > state.longest_pause {
+            state.longest_pause = at - before;
+            state.pause_from = before;
+        }
+    }
+
     /// Something was decided or came back.
     pub fn note(&self, step: fmt::Arguments<'_>) {
         let at = self.since.elapsed().as_millis();
@@ -101,7 +118,12 @@
             false => ResultCode::CallerGone,
         });
         let first = state.first_byte.unwrap_or_else(|| self.since.elapsed());
-        let is_ordinary = code == ResultCode::Answered && first <= self.start.target;
+        let is_steady = self
+            .start
+            .pause
+            .is_none_or(|pause| state.longest_pause <= pause);
+        let is_on_time = first <= self.start.target && is_steady;
+        let is_ordinary = code == ResultCode::Answered && is_on_time;
         if is_ordinary && !self.is_sampled() {
             return;
         }
@@ -114,6 +136,9 @@
             list_age_ms = self.start.list_age.as_millis() as u64,
             target_ms = self.start.target.as_millis() as u64,
             first_byte_ms = state.first_byte.map(|first| first.as_millis() as u64),
+            pause_target_ms = self.start.pause.map(|pause| pause.as_millis() as u64),
+            longest_pause_ms = state.last_piece.map(|_| state.longest_pause.as_millis() as u64),
+            pause_from_ms = state.last_piece.map(|_| state.pause_from.as_millis() as u64),
             total_ms = self.since.elapsed().as_millis() as u64,
             steps = state.steps.trim_end(),
             "request ended"
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -45,6 +45,7 @@
 impl<D: CallerDialect + UpstreamDialect> StreamPump<D> {
     /// A stream whose first events have come.
     pub fn new(flow: StreamFlow<D>, begun: BegunStream, sender: PieceSender) -> Self {
+        flow.request.story.piece();
         let last_id = begun.first.as_ref().and_then(|run| run.last_id.clone());
         Self {
             answer: begun.answer,
@@ -68,6 +69,7 @@
                 PumpStep::CallerGone => return,
                 PumpStep::Ended => return self.close(),
                 PumpStep::Piece(bytes) => {
+                    self.flow.request.story.piece();
                     if self.sender.send(Ok(bytes)).await.is_err() {
                         return;
                     }
--- a/crates/trestlewalk/src/explain/story_book.rs
+++ b/crates/trestlewalk/src/explain/story_book.rs
@@ -99,6 +99,7 @@
             .iter()
             .find(|known| u64::from(known.number()) == code);
         let text = known.map_or("an unknown code", |known| known.text());
+        let late = self.lateness();
         let steps = self.line.field("steps");
         let last = steps
             .split(';')
@@ -106,9 +107,30 @@
             .rfind(|step| !step.is_empty() && *step != "...");
         match last {
             Some(last) => {
-                format!("ended with {code}, {text}; the last step, in ms from its start: {last}")
+                format!(
+                    "ended with {code}, {text}{late}; the last step, in ms from its start: {last}"
+                )
             }
-            None => format!("ended with {code}, {text}; no upstream was called"),
+            None => format!("ended with {code}, {text}{late}; no upstream was called"),
+        }
+    }
+
+    /// What made a request late, if it was.
+    fn lateness(&self) -> &'static str {
+        let is_over = |value: &str, target: &str| {
+            let number = |name: &str| self.line.field(name).parse::<u64>().ok();
+            number(value)
+                .zip(number(target))
+                .is_some_and(|(value, target)| value > target)
+        };
+        match (
+            is_over("first_byte_ms", "target_ms"),
+            is_over("longest_pause_ms", "pause_target_ms"),
+        ) {
+            (false, false) => "",
+            (false, true) => ", late by a pause between events",
+            (true, false) => ", late by its first byte",
+            (true, true) => ", late by its first byte and by a pause between events",
         }
     }
 
@@ -124,6 +146,9 @@
             "list_age_ms",
             "target_ms",
             "first_byte_ms",
+            "pause_target_ms",
+            "longest_pause_ms",
+            "pause_from_ms",
             "total_ms",
         ] {
             let value = self.line.field(name);
--- a/crates/trestlewalk/tests/relay_explain.rs
+++ b/crates/trestlewalk/tests/relay_explain.rs
@@ -4,9 +4,9 @@
 mod support;
 
 use {
-    relay_support::{RelayTest, UpstreamMode},
+    relay_support::{RelayTest, UpstreamMode, relay_test::STREAM_HEADERS},
     serde_json::json,
-    std::fs,
+    std::{fs, time::Duration},
     support::{Test, wait::wait_until},
 };
 
@@ -108,3 +108,31 @@
     documented.sort();
     assert_eq!(documented, exposed);
 }
+
+#[tokio::test]
+async fn a_stream_that_paused_too_long_is_told_with_its_longest_pause() {
+    let run = RelayTest::new()
+        .engines("redactor", 1, 0)
+        .route(
+            "/s/",
+            "streaming",
+            "redactor",
+            &json!({"TargetGapMs": 100, "TargetLatencyMs": 60_000, "TimeoutMs": 60_000}),
+        )
+        .start_ready()
+        .await;
+    run.upstreams[0].set(UpstreamMode::PauseAfter(2, Duration::from_millis(250)));
+    run.call_with("POST", "/s/1", "00b1", STREAM_HEADERS, "x")
+        .await;
+    wait_until("the line is written", async || {
+        run.process.log().contains("00b1")
+    })
+    .await;
+    Test::new()
+        .file("front-1.log", run.process.log())
+        .args(["explain", "--id", "00b1", "front-1.log"])
+        .stdout_has("longest_pause_ms: 2")
+        .stdout_has("pause_target_ms: 100")
+        .stdout_has(", late by a pause between events; the last step")
+        .run();
+}
