relay: a pausing stream is left only when the retry budget has a call left

A pause makes the instance look for a place elsewhere; the budget was asked only after the stream had been left, and a spent one cut it. What changed: the retry is taken out of the budget first; without one the stream is waited for. Test: a_resumable_stream_that_pauses_ is_kept_when_the_retry_budget_is_spent, red before (the answer was cut). Still open: a new place that refuses although it was reserved, with no retry left after that.

--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -49,6 +49,8 @@
     /// Calls that count against the retry budget, the first included. A reading that an engine accepts is none.
     arrivals: u32,
     has_read: bool,
+    /// A retry was taken out of the budget for the next call.
+    is_paid: bool,
     /// Set when the retry budget allowed no further call.
     is_spent: bool,
     /// When the last place was reserved.
@@ -100,6 +102,7 @@
             arrivals: 0,
             core,
             has_read: false,
+            is_paid: false,
             is_spent: false,
             placed_at: Instant::now(),
             refused: 0,
@@ -272,7 +275,8 @@
 
     /// Whether a further call may go out: the first may, each later one takes a retry out of the budget.
     fn may_arrive(&mut self) -> bool {
-        let may = self.arrivals == 0 || self.core.take_retry(&self.service);
+        let is_paid = std::mem::take(&mut self.is_paid);
+        let may = is_paid || self.arrivals == 0 || self.core.take_retry(&self.service);
         if !may {
             self.is_spent = true;
             self.request.story.note(format_args!("retry budget spent"));
@@ -280,6 +284,13 @@
         may
     }
 
+    /// Takes the retry for the next call out of the budget ahead, so that a stream is not left for a call that may not go
+    /// out; `false` when there is none.
+    pub fn pay_ahead(&mut self) -> bool {
+        self.is_paid = self.may_arrive();
+        self.is_paid
+    }
+
     /// Once a request may have run, no later outcome can make it one that did not.
     fn worse_of(&self, before: OwnAnswer, now: OwnAnswer) -> OwnAnswer {
         match self.runs > 0 && now.code.not_run() && !before.code.not_run() {
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -82,6 +82,9 @@
                     let Some(place) = self.other_place().await else {
                         continue;
                     };
+                    if !self.flow.pay_ahead() {
+                        continue;
+                    }
                     match self.resume(Some(place)).await {
                         Some(pump) => self = pump,
                         None => return,
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -164,6 +164,26 @@
     assert_eq!(decode_runs(&run), 1);
 }
 
+#[tokio::test]
+async fn a_resumable_stream_that_pauses_is_kept_when_the_retry_budget_is_spent() {
+    let more = json!({"TargetGapMs": 100, "Resumable": true, "MaxAttempts": 2});
+    let run = RelayTest::new()
+        .engines("redactor", 2, 0)
+        .route("/note/", "streaming", "redactor", &more)
+        .without_retries()
+        .start_ready()
+        .await;
+    let pause = Duration::from_millis(1200);
+    run.upstreams
+        .iter()
+        .for_each(|upstream| upstream.set(UpstreamMode::PauseAfter(2, pause)));
+    let reply = run.stream("/note/1").await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    let events: Vec<String> = (1..=5).map(event_text).collect();
+    assert_eq!(reply.text(), events.concat());
+    assert_eq!(decode_runs(&run), 1);
+}
+
 #[tokio::test]
 async fn a_refused_reading_counts_against_the_budget_and_a_spent_budget_ends_the_request() {
     let more = json!({"TargetGapMs": 300, "Resumable": true, "MaxAttempts": 2});
