plat: one way to write and to remove a row under its version

Cause: the removal of a row under the condition of its version stood in claim and in spread (found by the search for duplicates). Transaction::write and Transaction::remove take its place in both; behaviour unchanged. Ran: tests of claim, plat and spread, clippy.

--- a/crates/claim/src/claim_sweep.rs
+++ b/crates/claim/src/claim_sweep.rs
@@ -7,7 +7,7 @@
         claim_watch::{ClaimWatch, ClockReading},
     },
     kernel::{InstanceId, seeded_rng},
-    plat::{RowCondition, RowWrite, StoredRow, Transaction},
+    plat::{StoredRow, Transaction},
     std::collections::BTreeSet,
 };
 
@@ -37,7 +37,7 @@
         if !watch.has_ended(clock, row, &record) {
             continue;
         }
-        remove(&mut removals, row);
+        removals.remove(row);
         if removals.writes.len() == SWEEP_BATCH {
             break;
         }
@@ -50,23 +50,5 @@
 }
 
 fn next_epoch(transaction: &mut Transaction, epoch: u64) {
-    transaction.conditions.push(RowCondition {
-        key: EPOCH_KEY.into(),
-        version: epoch,
-    });
-    transaction.writes.push(RowWrite {
-        key: EPOCH_KEY.into(),
-        value: Some("".into()),
-    });
-}
-
-fn remove(transaction: &mut Transaction, row: &StoredRow) {
-    transaction.conditions.push(RowCondition {
-        key: row.key.clone(),
-        version: row.version,
-    });
-    transaction.writes.push(RowWrite {
-        key: row.key.clone(),
-        value: None,
-    });
+    transaction.write(EPOCH_KEY.into(), epoch, "".into());
 }
--- a/crates/plat/src/row_store.rs
+++ b/crates/plat/src/row_store.rs
@@ -44,6 +44,26 @@
     pub writes: Vec<RowWrite>,
 }
 
+impl Transaction {
+    /// Removes a row, under the condition that it is still as it was read.
+    pub fn remove(&mut self, row: &StoredRow) {
+        self.change(row.key.clone(), row.version, None);
+    }
+
+    /// Writes a row, under the condition that it has this version; 0 for one that is not there.
+    pub fn write(&mut self, key: Arc<str>, version: u64, value: Arc<str>) {
+        self.change(key, version, Some(value));
+    }
+
+    fn change(&mut self, key: Arc<str>, version: u64, value: Option<Arc<str>>) {
+        self.conditions.push(RowCondition {
+            key: key.clone(),
+            version,
+        });
+        self.writes.push(RowWrite { key, value });
+    }
+}
+
 /// What became of a transaction.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "outcome")]
--- a/crates/spread/src/member_directory.rs
+++ b/crates/spread/src/member_directory.rs
@@ -3,7 +3,7 @@
 use {
     crate::MemberRow,
     kernel::{InstanceId, ZoneId},
-    plat::{PlatError, RowCondition, RowStore, RowWrite, StoredRow, Transaction},
+    plat::{PlatError, RowStore, Transaction},
     std::sync::Arc,
 };
 
@@ -56,7 +56,7 @@
                     continue;
                 }
             } else if silent.contains(&member.instance) {
-                remove(&mut changes, row);
+                changes.remove(row);
                 continue;
             }
             members.push(member);
@@ -81,24 +81,6 @@
         let key: Arc<str> = format!("{}{}", self.prefix, self.own.instance).into();
         // A struct of texts always has a JSON text.
         let value = serde_json::to_string(&self.own).unwrap_or_default();
-        changes.conditions.push(RowCondition {
-            key: key.clone(),
-            version,
-        });
-        changes.writes.push(RowWrite {
-            key,
-            value: Some(value.into()),
-        });
+        changes.write(key, version, value.into());
     }
 }
-
-fn remove(changes: &mut Transaction, row: &StoredRow) {
-    changes.conditions.push(RowCondition {
-        key: row.key.clone(),
-        version: row.version,
-    });
-    changes.writes.push(RowWrite {
-        key: row.key.clone(),
-        value: None,
-    });
-}
