spread: larger instances read the store more often

Then it is no reader, and all that follow it read by themselves (1.6 MB a second at the busiest machine, the store's bytes were the greatest price). What changed: the rendezvous hashing of readers is weighted by cores times link, which each instance writes into its row (settings capacity). Test: large_instances_read_for_small_ones, written with the change.

--- a/crates/spread/src/member_row.rs
+++ b/crates/spread/src/member_row.rs
@@ -14,6 +14,9 @@
 pub struct MemberRow {
     /// Where it answers, UDP.
     pub address: SocketAddr,
+    /// What it can carry, in proportion to others; 0 counts as 1.
+    #[serde(default)]
+    pub capacity: u64,
     /// The certificate that it shows, PEM.
     pub certificate: Arc<str>,
     /// Its name.
@@ -25,7 +28,10 @@
     pub fn digest(rows: &[Self]) -> u64 {
         let mut digest = 0_u64;
         for row in rows {
-            let text = format!("{} {} {}", row.instance, row.address, row.certificate);
+            let text = format!(
+                "{} {} {} {}",
+                row.instance, row.address, row.capacity, row.certificate
+            );
             digest = digest.wrapping_add(seeded_rng::mix(DIGEST_SEED, text.as_bytes()));
         }
         digest
--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -85,12 +85,18 @@
         }
     }
 
-    /// The members of the zone are these.
-    pub fn set_members(&mut self, members: impl IntoIterator<Item = InstanceId>, now: Instant) {
-        let zone = &self.zone;
-        self.ranked = members.into_iter().collect();
-        self.ranked
-            .sort_by_cached_key(|member| seeded_rng::rendezvous_score(zone, member));
+    /// The members of the zone are these, each with what it can carry.
+    pub fn set_members(
+        &mut self,
+        members: impl IntoIterator<Item = (InstanceId, u64)>,
+        now: Instant,
+    ) {
+        let mut scored: Vec<(f64, InstanceId)> = Vec::new();
+        for (member, capacity) in members {
+            scored.push((score(&self.zone, &member, capacity), member));
+        }
+        scored.sort_by(|left, right| right.0.total_cmp(&left.0).then(left.1.cmp(&right.1)));
+        self.ranked = scored.into_iter().map(|(_, member)| member).collect();
         let ranked = &self.ranked;
         self.heard.retain(|member, _| ranked.contains(member));
         for member in ranked {
@@ -116,3 +122,11 @@
             .is_some_and(|asked| now.saturating_duration_since(asked) < self.times.service)
     }
 }
+
+/// Weighted rendezvous hashing: a member is the first in proportion to what it can carry. A whole list is too much for the
+/// smallest instances at the size of some thousand upstreams.
+fn score(zone: &ZoneId, member: &InstanceId, capacity: u64) -> f64 {
+    let draw = seeded_rng::rendezvous_score(zone, member) as f64 / u64::MAX as f64;
+    let draw = draw.clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON);
+    capacity.max(1) as f64 / -draw.ln()
+}
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -92,8 +92,10 @@
             return;
         }
         tracing::info!(members = members.len(), "members of the availability zone");
-        let names = members.iter().map(|member| member.instance.clone());
-        self.plan.lock().set_members(names, Instant::now());
+        let ranked = members
+            .iter()
+            .map(|member| (member.instance.clone(), member.capacity));
+        self.plan.lock().set_members(ranked, Instant::now());
         self.state.send_modify(|state| state.take_members(members));
     }
 
--- a/crates/spread/tests/member_directory.rs
+++ b/crates/spread/tests/member_directory.rs
@@ -66,6 +66,7 @@
 fn row(instance: &str, certificate: &str) -> MemberRow {
     MemberRow {
         address: ([127, 0, 0, 1], 7_000).into(),
+        capacity: 1,
         certificate: certificate.into(),
         instance: instance.into(),
     }
--- a/crates/spread/tests/reader_plan.rs
+++ b/crates/spread/tests/reader_plan.rs
@@ -19,7 +19,7 @@
 fn plan(own: &InstanceId, members: &[InstanceId], now: Instant) -> ReaderPlan {
     let times = SpreadTimes::builder().read_limit(SECOND).build();
     let mut plan = ReaderPlan::new(own.clone(), ZoneId::from("gijon"), times);
-    plan.set_members(members.iter().cloned(), now);
+    plan.set_members(members.iter().map(|name| (name.clone(), 1)), now);
     plan
 }
 
@@ -39,6 +39,32 @@
     assert!(asked.iter().all(|reader| *reader == readers[0]));
 }
 
+#[test]
+fn large_instances_read_for_small_ones() {
+    const ZONES: usize = 200;
+    let now = Instant::now();
+    let members = names(30);
+    // Each tenth is fifty times as large as the others: together they carry 0.85 of the zone.
+    let capacity = |index: usize| if index.is_multiple_of(10) { 50 } else { 1 };
+    let mut large = 0;
+    for zone in 0..ZONES {
+        let times = SpreadTimes::builder().read_limit(SECOND).build();
+        let zone = ZoneId::from(format!("zone-{zone}"));
+        let mut plan = ReaderPlan::new(members[1].clone(), zone, times);
+        let ranked = members.iter().enumerate();
+        plan.set_members(
+            ranked.map(|(index, name)| (name.clone(), capacity(index))),
+            now,
+        );
+        if let ReadFrom::Peer(reader) = plan.choose(now)
+            && members.iter().step_by(10).any(|name| *name == reader)
+        {
+            large += 1;
+        }
+    }
+    assert!((150..=190).contains(&large), "{large}");
+}
+
 #[test]
 fn an_instance_that_knows_no_other_reads_for_itself() {
     let own = InstanceId::from("front-1");
@@ -53,7 +79,8 @@
     let members = names(3);
     for own in &members {
         let mut plan = plan(own, &members, now);
-        plan.set_members(members.iter().filter(|name| *name != own).cloned(), now);
+        let others = members.iter().filter(|name| *name != own);
+        plan.set_members(others.map(|name| (name.clone(), 1)), now);
         assert_eq!(plan.choose(now), ReadFrom::Store);
     }
 }
--- a/crates/trestlewalk/src/entry/udp_end.rs
+++ b/crates/trestlewalk/src/entry/udp_end.rs
@@ -53,6 +53,7 @@
             .context(PeersSnafu)?;
         let row = MemberRow {
             address: endpoint.local_address().context(PeersSnafu)?,
+            capacity: settings.capacity.weight(),
             certificate: keys.certificate.clone(),
             instance: settings.instance.clone(),
         };
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RelayFile {
+    /// What the machine of this instance can carry.
+    pub capacity: RelayCapacity,
     /// How the instance closes.
     pub close: RelayClose,
     /// The name of this instance; required.
@@ -41,6 +43,36 @@
     pub zone: ZoneId,
 }
 
+/// The section `capacity`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayCapacity {
+    /// The processor cores, or the share of one.
+    pub cores: f64,
+    /// The rate of the network link, megabits a second.
+    pub link_mbps: f64,
+}
+
+impl RelayCapacity {
+    /// One number to compare instances by.
+    pub fn weight(&self) -> u64 {
+        (self.cores * self.link_mbps * WEIGHT_UNITS).max(1.0) as u64
+    }
+}
+
+impl Default for RelayCapacity {
+    /// A small machine of today.
+    fn default() -> Self {
+        Self {
+            cores: 0.25,
+            link_mbps: 1_000.0,
+        }
+    }
+}
+
+/// A core at a megabit a second counts as so many, so that small shares stay apart as whole numbers.
+const WEIGHT_UNITS: f64 = 1_000.0;
+
 /// The section `close`.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -202,6 +234,9 @@
             list.push(&FieldPath::dotted(field), "missing");
         }
     }
+    if !(settings.capacity.cores > 0.0 && settings.capacity.link_mbps > 0.0) {
+        list.push(&FieldPath::dotted("capacity"), "has to be greater than 0");
+    }
     if !(0.0..=1.0).contains(&settings.orders.prefill_share) {
         list.push(
             &FieldPath::dotted("orders.prefill_share"),
--- a/crates/trestlewalk/tests/docs.rs
+++ b/crates/trestlewalk/tests/docs.rs
@@ -195,6 +195,8 @@
         ("{{Listen.Ready|json}}", "\"10.1.0.38:8141\""),
         ("{{Listen.Front|json}}", "\"10.1.0.38:8149\""),
         ("{{Ip}}", "10.1.0.38"),
+        ("{{Limits.CpuShare}}", "0.25"),
+        ("{{Limits.LinkMbps}}", "1000.0"),
         ("{{PortRange.0}}", "7380"),
         ("{{Provider.Address|json}}", "\"10.200.1.7:8142\""),
         ("{{Bounds.RequireFence}}", "true"),
