Tests: a fleet serves when all its instances know that all serve

Fleet::serving waited for one name alone, which may be that of a moment. It now waits first until each instance knows that all serve; nothing that a test checks has changed. Ran: the six tests of promise_close. Not settled: whether a request that moves to a new allocator in that moment ought to wait there; its answer, outcome unknown, was true.

--- a/crates/trestlewalk/tests/support/model_work.rs
+++ b/crates/trestlewalk/tests/support/model_work.rs
@@ -90,6 +90,8 @@
     pub async fn serving(plan: FleetPlan) -> Self {
         let fleet = plan.start().await;
         fleet.put_table(TABLE).await;
+        // An allocator that all name before all serve may be another one a moment later.
+        fleet.wait_all_serve().await;
         fleet.wait_agreed().await;
         fleet
     }
@@ -101,6 +103,23 @@
         map.values().filter_map(Value::as_u64).sum()
     }
 
+    /// Waits until every entry instance knows of every other that it serves.
+    pub async fn wait_all_serve(&self) {
+        let names = self.entry_names();
+        for entry in &names {
+            wait_until(&format!("{entry} knows that all serve"), async || {
+                let dump = self.dump(entry).await;
+                let heard = dump["peer"]["members"]["heard"].as_array();
+                let serving = heard.into_iter().flatten();
+                serving
+                    .filter(|member| member["state"] == "serving")
+                    .count()
+                    == names.len()
+            })
+            .await;
+        }
+    }
+
     /// Waits until all entry instances are ready and name one allocator.
     pub async fn wait_agreed(&self) {
         let entries = self.entry_names();
