policy: the decisions of relay in a crate of their own

Cause: what relay decides stood between its sockets and timers, so that no test or model could drive it. The choice of upstreams, the paces, the retry window and the plan of stages move to the crate policy, which has no network, no clock and no task; a test reads its manifest and its sources. No line of a decision changes; UpstreamTable::replace takes the records alone.

--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,25 @@
+//! What an instance decides about its requests: which upstream, which engine reads, how long to wait, what to spend a
+//! retry on, and which engines change their stage.
+//!
+//! No I/O, no clock and no task: times are passed in, and the same inputs give the same decision. `relay` moves the bytes
+//! and asks this crate.
+
+pub mod place_pace;
+pub mod read_pace;
+pub mod repeat_rule;
+pub mod retry_window;
+pub mod stage_plan;
+pub mod upstream_entry;
+pub mod upstream_record;
+pub mod upstream_table;
+
+pub use {
+    place_pace::PlacePace,
+    read_pace::ReadPace,
+    repeat_rule::RepeatRule,
+    retry_window::{RetryBounds, RetryWindow},
+    stage_plan::{StageGoal, StageMove, StagePlan},
+    upstream_entry::{CallVerdict, UpstreamEntry},
+    upstream_record::{UpstreamRecord, UpstreamStage},
+    upstream_table::{ChoiceQuery, ReaderChoice, UpstreamTable},
+};
--- a/crates/relay/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -1,7 +1,7 @@
 //! The upstreams that this instance may use, and the choice among them. No I/O and no clock.
 
 use {
-    crate::{CallVerdict, UpstreamEntry, UpstreamReading, UpstreamRecord, UpstreamStage},
+    crate::{CallVerdict, UpstreamEntry, UpstreamRecord, UpstreamStage},
     kernel::{ServiceId, UpstreamId, ZoneId, seeded_rng},
     std::{
         collections::BTreeMap,
@@ -186,7 +186,7 @@
     /// it lacks are kept for a moment, since the upstreams may not have been able to report. Gives those that are gone.
     pub fn replace(
         &mut self,
-        reading: &UpstreamReading,
+        records: &[UpstreamRecord],
         outage_ended: Option<Instant>,
         now: Instant,
     ) -> Vec<UpstreamId> {
@@ -196,7 +196,7 @@
         let mut gone = Vec::new();
         let in_grace = self.grace_until.is_some_and(|until| now < until);
         let mut before = std::mem::take(&mut self.entries);
-        for record in &reading.records {
+        for record in records {
             let entry = match before.remove(&record.id) {
                 Some(mut entry) => {
                     entry.missing_since = None;
--- a/crates/relay/tests/place_pace.rs
+++ b/crates/policy/tests/place_pace.rs
@@ -1,6 +1,6 @@
 //! When callers that found no place come back.
 
-use {relay::PlacePace, std::time::Duration};
+use {policy::PlacePace, std::time::Duration};
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/crates/relay/tests/retry_window.rs
+++ b/crates/policy/tests/retry_window.rs
@@ -1,8 +1,8 @@
 //! The retry budget holds over all instances, in every window, without a message between them.
 
 use {
+    policy::{RetryBounds, RetryWindow},
     proptest::prelude::*,
-    relay::{RetryBounds, RetryWindow},
     std::time::{Duration, Instant},
 };
 
--- a/crates/relay/tests/stage_plan.rs
+++ b/crates/policy/tests/stage_plan.rs
@@ -1,7 +1,7 @@
 //! When engines are ordered to change their stage.
 
 use {
-    relay::{StageGoal, StagePlan, UpstreamRecord, UpstreamStage},
+    policy::{StageGoal, StagePlan, UpstreamRecord, UpstreamStage},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/crates/relay/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -2,9 +2,7 @@
 
 use {
     kernel::{ServiceId, ZoneId},
-    relay::{
-        CallVerdict, ChoiceQuery, UpstreamReading, UpstreamRecord, UpstreamStage, UpstreamTable,
-    },
+    policy::{CallVerdict, ChoiceQuery, UpstreamRecord, UpstreamStage, UpstreamTable},
     std::time::{Duration, Instant},
 };
 
@@ -23,13 +21,6 @@
     }
 }
 
-fn reading(records: &[UpstreamRecord]) -> UpstreamReading {
-    UpstreamReading {
-        records: records.to_vec(),
-        ..UpstreamReading::default()
-    }
-}
-
 fn chosen(table: &UpstreamTable, stage: UpstreamStage, now: Instant) -> Option<String> {
     let service: ServiceId = "s".into();
     let zone: ZoneId = "near".into();
@@ -51,7 +42,7 @@
     let mut table = UpstreamTable::default();
     let near = record("a", "near", UpstreamStage::Plain);
     let far = record("b", "far", UpstreamStage::Plain);
-    table.replace(&reading(&[near.clone(), far]), None, now);
+    table.replace(&[near.clone(), far], None, now);
     assert_eq!(
         chosen(&table, UpstreamStage::Plain, now).as_deref(),
         Some("a")
@@ -78,7 +69,7 @@
     let mut table = UpstreamTable::default();
     let near = record("a", "near", UpstreamStage::Plain);
     let far = record("b", "far", UpstreamStage::Plain);
-    table.replace(&reading(&[near.clone(), far]), None, now);
+    table.replace(&[near.clone(), far], None, now);
     table.begin(&near.id, 0);
     table.end(&near.id, 0, CallVerdict::Unreachable, now);
     assert_eq!(
@@ -98,7 +89,7 @@
     let mut table = UpstreamTable::default();
     let near = record("a", "near", UpstreamStage::Plain);
     let far = record("b", "far", UpstreamStage::Plain);
-    table.replace(&reading(&[near.clone(), far]), None, now);
+    table.replace(&[near.clone(), far], None, now);
     for _ in 0..20 {
         table.begin(&near.id, 0);
         table.end(&near.id, 0, CallVerdict::Neutral, now);
@@ -114,15 +105,15 @@
     let now = Instant::now();
     let mut table = UpstreamTable::default();
     let mut one = record("a", "near", UpstreamStage::Plain);
-    table.replace(&reading(std::slice::from_ref(&one)), None, now);
+    table.replace(std::slice::from_ref(&one), None, now);
     assert!(table.takes_work(&one.id));
     one.leaving = true;
-    table.replace(&reading(std::slice::from_ref(&one)), None, now);
+    table.replace(std::slice::from_ref(&one), None, now);
     assert_eq!(chosen(&table, UpstreamStage::Plain, now), None);
     assert!(!table.takes_work(&one.id));
     one.leaving = false;
-    table.replace(&reading(std::slice::from_ref(&one)), None, now);
-    table.replace(&reading(&[]), None, now);
+    table.replace(std::slice::from_ref(&one), None, now);
+    table.replace(&[], None, now);
     assert_eq!(chosen(&table, UpstreamStage::Plain, now), None);
 }
 
@@ -131,14 +122,14 @@
     let now = Instant::now();
     let mut table = UpstreamTable::default();
     let one = record("a", "near", UpstreamStage::Plain);
-    table.replace(&reading(std::slice::from_ref(&one)), None, now);
-    table.replace(&reading(&[]), Some(now), now);
+    table.replace(std::slice::from_ref(&one), None, now);
+    table.replace(&[], Some(now), now);
     assert!(chosen(&table, UpstreamStage::Plain, now).is_some());
     let soon = now + SECOND;
-    table.replace(&reading(&[]), None, soon);
+    table.replace(&[], None, soon);
     assert!(chosen(&table, UpstreamStage::Plain, soon).is_some());
     let late = now + 2 * SECOND;
-    table.replace(&reading(&[]), None, late);
+    table.replace(&[], None, late);
     assert_eq!(chosen(&table, UpstreamStage::Plain, late), None);
 }
 
@@ -149,8 +140,8 @@
     let one = record("a", "near", UpstreamStage::Plain);
     let mut other = record("b", "near", UpstreamStage::Plain);
     other.address = one.address;
-    table.replace(&reading(std::slice::from_ref(&one)), None, now);
-    table.replace(&reading(&[other]), Some(now), now);
+    table.replace(std::slice::from_ref(&one), None, now);
+    table.replace(&[other], Some(now), now);
     assert!(!table.takes_work(&one.id));
 }
 
@@ -160,7 +151,7 @@
     let mut table = UpstreamTable::default();
     let near = record("a", "near", UpstreamStage::Prefill);
     let far = record("b", "far", UpstreamStage::Prefill);
-    table.replace(&reading(&[near.clone(), far]), None, now);
+    table.replace(&[near.clone(), far], None, now);
     let service: ServiceId = "s".into();
     let zone: ZoneId = "near".into();
     let query = ChoiceQuery {
@@ -189,7 +180,7 @@
     let now = Instant::now();
     let mut table = UpstreamTable::default();
     let records = ["a", "b", "c"].map(|id| record(id, "near", UpstreamStage::Plain));
-    table.replace(&reading(&records), None, now);
+    table.replace(&records, None, now);
     let fail = |table: &mut UpstreamTable, index: usize| {
         table.begin(&records[index].id, 0);
         table.end(&records[index].id, 0, CallVerdict::Failed, now);
@@ -221,7 +212,7 @@
     let mut readings = std::collections::BTreeMap::new();
     for instance in 0..INSTANCES {
         let mut table = UpstreamTable::default();
-        table.replace(&reading(&records), None, now);
+        table.replace(&records, None, now);
         for round in 0..ROUNDS {
             let at = now + SECOND * u32::try_from(round).unwrap();
             let request = format!("{instance}-{round}");
--- a/crates/relay/src/leftover_guard.rs
+++ b/crates/relay/src/leftover_guard.rs
@@ -1,8 +1,9 @@
 //! A KV cache or a place at an engine, freed when nobody uses it.
 
 use {
-    crate::{Leftover, RelayCore, UpstreamDialect, UpstreamRecord},
+    crate::{Leftover, RelayCore, UpstreamDialect},
     http_body_util::BodyExt,
+    policy::UpstreamRecord,
     std::{sync::Arc, time::Duration},
     tokio::time,
 };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,29 +17,21 @@
 pub mod operator_source;
 pub mod order_dialect;
 pub mod place_finder;
-pub mod place_pace;
 pub mod plain_flow;
-pub mod read_pace;
 pub mod relay_body;
 pub mod relay_core;
 pub mod relay_counts;
 pub mod relay_end;
 pub mod relay_settings;
-pub mod repeat_rule;
 pub mod request_desk;
 pub mod request_story;
-pub mod retry_window;
 pub mod route_book;
 pub mod service_info;
 pub mod source_watch;
 pub mod stage_keeper;
-pub mod stage_plan;
 pub mod stream_flow;
 pub mod stream_pump;
 pub mod upstream_dialect;
-pub mod upstream_entry;
-pub mod upstream_record;
-pub mod upstream_table;
 pub mod work_route;
 
 pub use {
@@ -57,31 +49,23 @@
     },
     order_dialect::{OrderDialect, OrderState, StageOrder},
     place_finder::{PlaceFinder, ReservedPlace},
-    place_pace::PlacePace,
     plain_flow::PlainFlow,
-    read_pace::ReadPace,
     relay_body::{AnswerCut, RelayBody},
     relay_core::{CallPlan, RelayCore},
     relay_counts::RelayCounts,
     relay_end::OwnAnswer,
     relay_settings::RelaySettings,
-    repeat_rule::RepeatRule,
     request_desk::RequestDesk,
     request_story::{RequestStory, StoryStart},
-    retry_window::{RetryBounds, RetryWindow},
     route_book::RouteBook,
     service_info::{EngineInfo, ServiceInfo},
     source_watch::{SourceWatch, WatchTimes},
     stage_keeper::{StageKeeper, StageSettings},
-    stage_plan::{StageGoal, StageMove, StagePlan},
     stream_flow::{BegunStream, StreamFlow, StreamStart},
     stream_pump::StreamPump,
     upstream_dialect::{
         CallPurpose, CallerDialect, HeadFault, KvHandle, Leftover, PlaceName, ReplyFacts,
         UpstreamCall, UpstreamDialect,
     },
-    upstream_entry::{CallVerdict, UpstreamEntry},
-    upstream_record::{UpstreamRecord, UpstreamStage},
-    upstream_table::{ChoiceQuery, ReaderChoice, UpstreamTable},
     work_route::{RouteTarget, WorkRoute},
 };
--- a/crates/relay/src/open_call.rs
+++ b/crates/relay/src/open_call.rs
@@ -1,8 +1,9 @@
 //! One call to an upstream that counts as open until it is dropped.
 
 use {
-    crate::{CallVerdict, RelayCounts, UpstreamRecord, UpstreamTable},
+    crate::RelayCounts,
     kernel::RankedLock,
+    policy::{CallVerdict, UpstreamRecord, UpstreamTable},
     std::{sync::Arc, time::Instant},
 };
 
--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -1,7 +1,8 @@
 //! Where the operators' routes and the list of upstreams come from.
 
 use {
-    crate::{RouteBook, UpstreamRecord},
+    crate::RouteBook,
+    policy::UpstreamRecord,
     snafu::Snafu,
     std::{
         future::Future,
--- a/crates/relay/src/order_dialect.rs
+++ b/crates/relay/src/order_dialect.rs
@@ -1,12 +1,12 @@
 //! How engines are ordered to change, and asked about it.
 
 use {
-    crate::{UpstreamRecord, UpstreamStage},
     bytes::Bytes,
     http::{Request, StatusCode},
     http_body_util::Full,
     kernel::FenceNumber,
     lease::OrderReply,
+    policy::{UpstreamRecord, UpstreamStage},
 };
 
 /// What an engine says of its orders.
--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -5,11 +5,12 @@
 
 use {
     crate::{
-        ChoiceQuery, Leftover, LeftoverGuard, OpenCall, OwnAnswer, PlaceName, RelayCore,
-        StreamFlow, UpstreamDialect, UpstreamRecord, UpstreamStage,
+        Leftover, LeftoverGuard, OpenCall, OwnAnswer, PlaceName, RelayCore, StreamFlow,
+        UpstreamDialect,
     },
     http_body_util::{BodyExt, Limited},
     kernel::{ResultCode, UpstreamId},
+    policy::{ChoiceQuery, UpstreamRecord, UpstreamStage},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -124,12 +125,12 @@
             }
             Ok(PlaceReply::Full) => {
                 self.note(&upstream, "full");
-                call.close(crate::CallVerdict::Full);
+                call.close(policy::CallVerdict::Full);
                 None
             }
             Ok(PlaceReply::Failed) | Err(_) => {
                 self.note(&upstream, "no answer");
-                call.close(crate::CallVerdict::Lost);
+                call.close(policy::CallVerdict::Lost);
                 None
             }
         }
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
-        CallEnd, CallPlan, CallPurpose, CallVerdict, CallerDialect, CallerRequest, ChoiceQuery,
-        OwnAnswer, RelayBody, RelayCore, UpstreamAnswer, UpstreamDialect, UpstreamStage, WorkRoute,
-        relay_core::status_verdict,
+        CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, OwnAnswer, RelayBody,
+        RelayCore, UpstreamAnswer, UpstreamDialect, WorkRoute, relay_core::status_verdict,
     },
     bytes::Bytes,
     http::{Response, StatusCode},
     http_body_util::{BodyExt, Limited},
     kernel::{ResultCode, ServiceId, UpstreamId},
+    policy::{CallVerdict, ChoiceQuery, UpstreamStage},
     std::{sync::Arc, time::Duration},
     tokio::time,
 };
@@ -104,7 +104,7 @@
         }
     }
 
-    fn choose(&self) -> Option<Arc<crate::UpstreamRecord>> {
+    fn choose(&self) -> Option<Arc<policy::UpstreamRecord>> {
         self.core.choose(&ChoiceQuery {
             avoid: &self.tried,
             request: &self.request.head.id,
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
-        CallEnd, CallPurpose, CallVerdict, CallerRequest, ChoiceQuery, LinkError, LinkPool,
-        LinkTimes, OpenCall, PlacePace, RelayCounts, RelaySettings, RetryWindow, RouteBook,
-        UpstreamAnswer, UpstreamBoard, UpstreamCall, UpstreamDialect, UpstreamRecord,
-        UpstreamTable, WorkRoute,
+        CallEnd, CallPurpose, CallerRequest, LinkError, LinkPool, LinkTimes, OpenCall, RelayCounts,
+        RelaySettings, RouteBook, UpstreamAnswer, UpstreamBoard, UpstreamCall, UpstreamDialect,
+        WorkRoute,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
     kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId, UpstreamId},
+    policy::{CallVerdict, ChoiceQuery, PlacePace, RetryWindow, UpstreamRecord, UpstreamTable},
     std::{
         collections::HashMap,
         sync::Arc,
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -1,8 +1,8 @@
 //! The counters of the request path. `docs/METRICS.md` describes them.
 
 use {
-    crate::CallVerdict,
     kernel::ResultCode,
+    policy::CallVerdict,
     prometheus::{
         HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
         core::Collector,
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -1,6 +1,6 @@
 //! What the request path is set to.
 
-use {crate::RetryBounds, kernel::ZoneId, std::time::Duration};
+use {kernel::ZoneId, policy::RetryBounds, std::time::Duration};
 
 /// The settings of the request path.
 #[derive(Clone, Debug, bon::Builder)]
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -171,7 +171,7 @@
         let count = i64::try_from(reading.records.len()).unwrap_or(i64::MAX);
         self.core.counts.upstreams.set(count);
         let mut board = self.core.board.lock();
-        let gone = board.replace(reading, outage_ended, now);
+        let gone = board.replace(&reading.records, outage_ended, now);
         drop(board);
         for upstream in &gone {
             self.core.counts.forget_upstream(upstream);
--- a/crates/relay/src/stage_keeper.rs
+++ b/crates/relay/src/stage_keeper.rs
@@ -1,10 +1,7 @@
 //! Keeps the engines of each model service near the goal of their stages: plans, takes the lease, and gives the orders.
 
 use {
-    crate::{
-        OrderDialect, OrderState, RelayCore, StageGoal, StageMove, StageOrder, StagePlan,
-        UpstreamDialect, UpstreamRecord, UpstreamStage,
-    },
+    crate::{OrderDialect, OrderState, RelayCore, StageOrder, UpstreamDialect},
     bytes::Bytes,
     engine::wire::{EngineOrder, OrderKind, route_role::EngineRole},
     http::{Request, StatusCode},
@@ -12,6 +9,7 @@
     kernel::{InstanceId, ServiceId, UpstreamId, seeded_rng},
     lease::{LeaseKeeper, LeaseSettings, OrderReply, OrderSender},
     plat::RowStore,
+    policy::{StageGoal, StageMove, StagePlan, UpstreamRecord, UpstreamStage},
     std::{
         collections::BTreeMap,
         sync::Arc,
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -4,9 +4,9 @@
 
 use {
     crate::{
-        CallEnd, CallPlan, CallPurpose, CallVerdict, CallerDialect, CallerRequest, EventRun,
-        EventSplitter, LeftoverGuard, OwnAnswer, PlaceFinder, RelayBody, RelayCore, RepeatRule,
-        ReservedPlace, StreamPump, UpstreamAnswer, UpstreamDialect, WorkRoute,
+        CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, EventRun, EventSplitter,
+        LeftoverGuard, OwnAnswer, PlaceFinder, RelayBody, RelayCore, ReservedPlace, StreamPump,
+        UpstreamAnswer, UpstreamDialect, WorkRoute,
         plain_flow::promises_not_run,
         relay_core::{status_code, status_verdict},
     },
@@ -15,6 +15,7 @@
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     kernel::{ResultCode, ServiceId, UpstreamId},
+    policy::{CallVerdict, RepeatRule},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -3,11 +3,11 @@
 use {
     super::StreamFlow,
     crate::{
-        CallEnd, CallPlan, CallPurpose, CallVerdict, CallerDialect, ChoiceQuery, KvHandle,
-        Leftover, LeftoverGuard, ReadPace, ReaderChoice, UpstreamAnswer, UpstreamDialect,
-        UpstreamStage, relay_core::status_verdict,
+        CallEnd, CallPlan, CallPurpose, CallerDialect, KvHandle, Leftover, LeftoverGuard,
+        UpstreamAnswer, UpstreamDialect, relay_core::status_verdict,
     },
     http_body_util::{BodyExt, Limited},
+    policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, UpstreamStage},
     std::time::{Duration, Instant},
     tokio::time,
 };
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        AnswerCut, BegunStream, CallVerdict, CallerDialect, EventSplitter, RepeatRule,
-        ReservedPlace, StreamFlow, StreamStart, UpstreamAnswer, UpstreamDialect,
+        AnswerCut, BegunStream, CallerDialect, EventSplitter, ReservedPlace, StreamFlow,
+        StreamStart, UpstreamAnswer, UpstreamDialect,
     },
     bytes::Bytes,
     http_body_util::BodyExt,
     kernel::ResultCode,
+    policy::{CallVerdict, RepeatRule},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -1,10 +1,11 @@
 //! How callers and upstreams speak: the seam between the request path and the names on the wire.
 
 use {
-    crate::{CallerHead, CallerRequest, RequestId, UpstreamRecord},
+    crate::{CallerHead, CallerRequest, RequestId},
     bytes::Bytes,
     http::{HeaderMap, Request, Uri, request, response},
     http_body_util::Full,
+    policy::UpstreamRecord,
     snafu::Snafu,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     table::Rank,
--- a/crates/relay/src/work_route.rs
+++ b/crates/relay/src/work_route.rs
@@ -1,8 +1,8 @@
 //! One row of the operators' table as it is declared by host and path.
 
 use {
-    crate::RepeatRule,
     kernel::{ServiceId, WorkId, seeded_rng},
+    policy::RepeatRule,
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
     table::Rank,
--- a/crates/spread/src/list_mirror.rs
+++ b/crates/spread/src/list_mirror.rs
@@ -3,7 +3,7 @@
 use {
     crate::{ListChange, ReadingMark},
     kernel::UpstreamId,
-    relay::UpstreamRecord,
+    policy::UpstreamRecord,
     std::collections::BTreeMap,
 };
 
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -3,7 +3,8 @@
 use {
     crate::MemberRow,
     kernel::{Incarnation, TableVersion, UpstreamId},
-    relay::{CallerLimits, RouteBook, ServiceInfo, StoreVersion, UpstreamRecord, WorkRoute},
+    policy::UpstreamRecord,
+    relay::{CallerLimits, RouteBook, ServiceInfo, StoreVersion, WorkRoute},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
--- a/crates/spread/tests/list_journal.rs
+++ b/crates/spread/tests/list_journal.rs
@@ -1,8 +1,8 @@
 //! A list that is passed on by its changes is the reader's list, whatever was missed in between.
 
 use {
+    policy::{UpstreamRecord, UpstreamStage},
     proptest::prelude::*,
-    relay::{UpstreamRecord, UpstreamStage},
     spread::{ListChange, ListJournal, ListMirror},
 };
 
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -13,10 +13,11 @@
     },
     kernel::{InstanceId, StateMap, WorkerPool, unix_time},
     platform::{HttpDialect, RowStore},
+    policy::{RetryBounds, StageGoal},
     prometheus::Registry,
     relay::{
-        CallerServer, LinkTimes, OperatorSource, RelayCore, RelaySettings, RetryBounds,
-        SourceWatch, StageGoal, StageKeeper, StageSettings, WatchTimes,
+        CallerServer, LinkTimes, OperatorSource, RelayCore, RelaySettings, SourceWatch,
+        StageKeeper, StageSettings, WatchTimes,
     },
     snafu::ResultExt,
     spread::{SharedSource, SpreadTimes},
