policy: the calls of a request of a model service, and one rule of what has run

Cause: which further calls may go out was five fields of StreamFlow, and the rule that a request which may have run is never said not to have run stood in both flows. StreamTries has the former, without the budget itself, which is asked through a closure; OwnAnswer::worse_of the latter. A reading that did not leave may be tried again with the next place, since nothing arrived.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod repeat_rule;
 pub mod retry_window;
 pub mod stage_plan;
+pub mod stream_tries;
 pub mod upstream_entry;
 pub mod upstream_record;
 pub mod upstream_table;
@@ -19,6 +20,7 @@
     repeat_rule::RepeatRule,
     retry_window::{RetryBounds, RetryWindow},
     stage_plan::{StageGoal, StageMove, StagePlan},
+    stream_tries::{StreamTries, TryEnd},
     upstream_entry::{CallVerdict, UpstreamEntry},
     upstream_record::{UpstreamRecord, UpstreamStage},
     upstream_table::{ChoiceQuery, ReaderChoice, UpstreamTable},
--- /dev/null
+++ b/crates/policy/src/stream_tries.rs
@@ -0,0 +1,108 @@
+//! The calls that one request of a model service has made, and which further ones may go out.
+
+use crate::RepeatRule;
+
+/// How many further engines are asked after refusals; a refusal costs a round trip.
+const REFUSED_TRIES: u32 = 3;
+
+/// How a call of a request ended, as far as further calls depend on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TryEnd {
+    /// An engine accepted the reading of the prompt.
+    Read,
+    /// An engine had the reading and did not do it.
+    ReadRefused,
+    /// An engine had the request and did not run it.
+    Refused,
+    /// An engine ran it, or may have run it.
+    Ran,
+    /// The call did not leave.
+    Unsent,
+}
+
+/// Counts the calls of one request.
+///
+/// The service's retry budget pays for each call after the first that reached an engine. The first reading that an engine
+/// accepts is free.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamTries {
+    /// Calls that count against the retry budget, the first included.
+    arrivals: u32,
+    has_read: bool,
+    /// A retry was taken out of the budget for the next call.
+    is_paid: bool,
+    /// Set when the retry budget allowed no further call.
+    is_spent: bool,
+    refused: u32,
+    repeat: RepeatRule,
+    runs: u32,
+    tries: u32,
+}
+
+impl StreamTries {
+    /// Whether the request may have run.
+    pub fn has_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// Whether another engine may be asked, if there is time left.
+    pub fn may_go_on(&self) -> bool {
+        let may_run =
+            self.runs < self.tries && (self.runs == 0 || self.repeat == RepeatRule::Resumable);
+        !self.is_spent && may_run && self.refused <= REFUSED_TRIES
+    }
+
+    /// Whether the prompt may be read apart: a second reading would be a repeated call, and prompts are long.
+    pub fn may_read(&self) -> bool {
+        !self.has_read
+    }
+
+    /// A request of a row that may run on `tries` engines.
+    pub fn new(repeat: RepeatRule, tries: u32) -> Self {
+        Self {
+            arrivals: 0,
+            has_read: false,
+            is_paid: false,
+            is_spent: false,
+            refused: 0,
+            repeat,
+            runs: 0,
+            tries,
+        }
+    }
+
+    /// A call ended.
+    pub fn note(&mut self, end: TryEnd) {
+        match end {
+            TryEnd::Read => self.has_read = true,
+            TryEnd::ReadRefused => {
+                self.has_read = true;
+                self.arrivals += 1;
+            }
+            TryEnd::Refused => {
+                self.arrivals += 1;
+                self.refused += 1;
+            }
+            TryEnd::Ran => {
+                self.arrivals += 1;
+                self.runs += 1;
+            }
+            TryEnd::Unsent => {}
+        }
+    }
+
+    /// Takes the retry for the next call out of the budget ahead, so that a stream is not left for a call that may not go
+    /// out; `false` when there is none.
+    pub fn pay_ahead(&mut self, take_retry: impl FnOnce() -> bool) -> bool {
+        self.is_paid = self.take_call(take_retry);
+        self.is_paid
+    }
+
+    /// Whether a further call may go out: the first may, each later one takes a retry out of the budget.
+    pub fn take_call(&mut self, take_retry: impl FnOnce() -> bool) -> bool {
+        let is_paid = std::mem::take(&mut self.is_paid);
+        let may = is_paid || self.arrivals == 0 || take_retry();
+        self.is_spent |= !may;
+        may
+    }
+}
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -96,7 +96,7 @@
             let end = self.core.call(plan, upstream).await;
             match self.take(end).await {
                 NextStep::Done(response) => return Ok(*response),
-                NextStep::Again(answer) => last = self.worse_of(last, answer),
+                NextStep::Again(answer) => last = last.worse_of(answer, self.runs > 0),
             }
             if !self.may_go_on() {
                 return self.give_up(last);
@@ -200,14 +200,6 @@
         }
         NextStep::Done(Box::new(self.respond(whole)))
     }
-
-    /// Once a request may have run, no later outcome can make it one that did not.
-    fn worse_of(&self, before: OwnAnswer, now: OwnAnswer) -> OwnAnswer {
-        match self.runs > 0 && now.code.not_run() && !before.code.not_run() {
-            true => before,
-            false => now,
-        }
-    }
 }
 
 /// Whether callers read a status as a promise that the request did not run. An upstream that sends one without saying that
--- a/crates/relay/src/relay_end.rs
+++ b/crates/relay/src/relay_end.rs
@@ -36,6 +36,14 @@
         }
     }
 
+    /// The truer of this answer and a later one. Once a request may have run, no later outcome can make it one that did not.
+    pub fn worse_of(self, later: Self, has_run: bool) -> Self {
+        match has_run && later.code.not_run() && !self.code.not_run() {
+            true => self,
+            false => later,
+        }
+    }
+
     /// The response.
     pub fn into_response(self) -> Response<RelayBody> {
         let status = StatusCode::from_u16(self.code.status());
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -15,7 +15,7 @@
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     kernel::{ResultCode, ServiceId, UpstreamId},
-    policy::{CallVerdict, RepeatRule},
+    policy::{CallVerdict, StreamTries, TryEnd},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -25,8 +25,6 @@
 
 /// An answer of an engine that is no stream is a short text.
 const LARGEST_FAILURE: usize = 1 << 20;
-/// How many further engines are asked after refusals; a refusal costs a round trip.
-const REFUSED_TRIES: u32 = 3;
 /// How many pieces wait for a slow caller before the engine's stream is held up.
 const PIECES_AHEAD: usize = 8;
 /// Waiting for a place takes at most this share of the row's target. A caller that is told early comes back when places are
@@ -41,22 +39,14 @@
     pub request: Arc<CallerRequest>,
     /// Its row.
     pub route: Arc<WorkRoute>,
-    /// On how many engines it ran, or may have run.
-    pub runs: u32,
     /// The service.
     pub service: ServiceId,
     /// Engines not to ask again.
     pub tried: Vec<UpstreamId>,
-    /// Calls that count against the retry budget, the first included. A reading that an engine accepts is none.
-    arrivals: u32,
-    has_read: bool,
-    /// A retry was taken out of the budget for the next call.
-    is_paid: bool,
-    /// Set when the retry budget allowed no further call.
-    is_spent: bool,
     /// When the last place was reserved.
     pub placed_at: Instant,
-    refused: u32,
+    /// Its calls so far.
+    tries: StreamTries,
 }
 
 /// A stream whose first whole events have come.
@@ -99,19 +89,15 @@
         route: Arc<WorkRoute>,
         service: ServiceId,
     ) -> Self {
+        let tries = StreamTries::new(route.repeat, route.tries);
         Self {
-            arrivals: 0,
             core,
-            has_read: false,
-            is_paid: false,
-            is_spent: false,
             placed_at: Instant::now(),
-            refused: 0,
             request,
             route,
-            runs: 0,
             service,
             tried: Vec::new(),
+            tries,
         }
     }
 
@@ -152,12 +138,12 @@
                 Some(place) => place,
                 None => match self.find_place(until).await {
                     Ok(place) => place,
-                    Err(answer) => return Err(self.worse_of(last, answer)),
+                    Err(answer) => return Err(last.worse_of(answer, self.tries.has_run())),
                 },
             };
             match self.try_place(place, after.clone()).await {
                 Ok(start) => return Ok(start),
-                Err(answer) => last = self.worse_of(last, answer),
+                Err(answer) => last = last.worse_of(answer, self.tries.has_run()),
             }
             if !self.may_go_on() {
                 return Err(last);
@@ -167,9 +153,7 @@
 
     /// Whether another engine may be asked.
     pub fn may_go_on(&self) -> bool {
-        let may_run = self.runs < self.route.tries
-            && (self.runs == 0 || self.route.repeat == RepeatRule::Resumable);
-        !self.is_spent && may_run && self.refused <= REFUSED_TRIES && !self.request.left().is_zero()
+        self.tries.may_go_on() && !self.request.left().is_zero()
     }
 
     async fn first_piece(&self, body: &mut Incoming, splitter: &mut EventSplitter) -> FirstPiece {
@@ -246,27 +230,22 @@
         self.tried.push(upstream.id.clone());
         drop(call);
         let end = self.core.call(plan, upstream).await;
-        if !matches!(end, CallEnd::Unsent) {
-            self.arrivals += 1;
-        }
+        self.tries.note(match end {
+            CallEnd::Answer(_) | CallEnd::Lost(_) => TryEnd::Ran,
+            CallEnd::NotRun => TryEnd::Refused,
+            CallEnd::Unsent => TryEnd::Unsent,
+        });
         match end {
             CallEnd::Answer(answer) => {
                 let used = [guard, kv_guard];
                 used.into_iter().flatten().for_each(LeftoverGuard::close);
-                self.runs += 1;
                 self.take_answer(*answer).await
             }
-            CallEnd::Lost(code) => {
-                self.runs += 1;
-                Err(OwnAnswer::new(code))
-            }
-            CallEnd::NotRun => {
-                self.refused += 1;
-                Err(OwnAnswer::later(
-                    ResultCode::UpstreamRefused,
-                    self.come_back(),
-                ))
-            }
+            CallEnd::Lost(code) => Err(OwnAnswer::new(code)),
+            CallEnd::NotRun => Err(OwnAnswer::later(
+                ResultCode::UpstreamRefused,
+                self.come_back(),
+            )),
             CallEnd::Unsent => Err(OwnAnswer::later(
                 ResultCode::UpstreamMissing,
                 self.come_back(),
@@ -274,30 +253,34 @@
         }
     }
 
-    /// Whether a further call may go out: the first may, each later one takes a retry out of the budget.
+    /// Whether a further call may go out.
     fn may_arrive(&mut self) -> bool {
-        let is_paid = std::mem::take(&mut self.is_paid);
-        let may = is_paid || self.arrivals == 0 || self.core.take_retry(&self.service);
+        let Self {
+            core,
+            service,
+            tries,
+            ..
+        } = self;
+        let may = tries.take_call(|| core.take_retry(service));
         if !may {
-            self.is_spent = true;
             self.request.story.note(format_args!("retry budget spent"));
         }
         may
     }
 
-    /// Takes the retry for the next call out of the budget ahead, so that a stream is not left for a call that may not go
-    /// out; `false` when there is none.
+    /// Takes the retry for the next call out of the budget ahead; `false` when there is none.
     pub fn pay_ahead(&mut self) -> bool {
-        self.is_paid = self.may_arrive();
-        self.is_paid
-    }
-
-    /// Once a request may have run, no later outcome can make it one that did not.
-    fn worse_of(&self, before: OwnAnswer, now: OwnAnswer) -> OwnAnswer {
-        match self.runs > 0 && now.code.not_run() && !before.code.not_run() {
-            true => before,
-            false => now,
+        let Self {
+            core,
+            service,
+            tries,
+            ..
+        } = self;
+        let is_paid = tries.pay_ahead(|| core.take_retry(service));
+        if !is_paid {
+            self.request.story.note(format_args!("retry budget spent"));
         }
+        is_paid
     }
 
     async fn take_answer(&mut self, answer: UpstreamAnswer) -> Result<StreamStart, OwnAnswer> {
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -7,7 +7,7 @@
         UpstreamAnswer, UpstreamDialect, relay_core::status_verdict,
     },
     http_body_util::{BodyExt, Limited},
-    policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, UpstreamStage},
+    policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, TryEnd, UpstreamStage},
     std::time::{Duration, Instant},
     tokio::time,
 };
@@ -29,7 +29,7 @@
     pub(super) async fn read_prompt(&mut self) -> Option<(KvHandle, LeftoverGuard<D>)> {
         let tokens = self.request.prompt_tokens();
         let choice = self.choose_reader(tokens)?;
-        if self.has_read {
+        if !self.tries.may_read() {
             return None;
         }
         let upstream = choice.upstream;
@@ -40,14 +40,12 @@
             silence: Some(choice.expected * READ_SILENCE + READ_SLACK),
         };
         let began = Instant::now();
-        // A reading that an engine accepts is no arrival; a second one would be, so there is none.
-        self.has_read = true;
         let end = self.core.call(plan, upstream.clone()).await;
-        let is_accepted = matches!(end, CallEnd::Answer(_));
-        let is_sent = !matches!(end, CallEnd::Unsent);
-        if is_sent && !is_accepted {
-            self.arrivals += 1;
-        }
+        self.tries.note(match end {
+            CallEnd::Answer(_) => TryEnd::Read,
+            CallEnd::Lost(_) | CallEnd::NotRun => TryEnd::ReadRefused,
+            CallEnd::Unsent => TryEnd::Unsent,
+        });
         let CallEnd::Answer(answer) = end else {
             return None;
         };
