relay: the prompt of a broken stream is read apart again

Cause: a resumable stream that broke was resumed at a decode engine which read the whole prompt itself: half the speed and small chunks between the steps of its other streams. Now the prompt is read apart once more. It counts as a repeated call, so the run is paid for first.

The test was red before.

--- a/crates/policy/src/stream_tries.rs
+++ b/crates/policy/src/stream_tries.rs
@@ -52,11 +52,6 @@
         !self.is_spent && may_run && self.refused <= REFUSED_TRIES
     }
 
-    /// Whether the prompt may be read apart: a second reading would be a repeated call, and prompts are long.
-    pub fn may_read(&self) -> bool {
-        !self.has_read
-    }
-
     /// A request of a row that may run on `tries` engines.
     pub fn new(repeat: RepeatRule, tries: u32) -> Self {
         Self {
@@ -98,6 +93,18 @@
         self.is_paid
     }
 
+    /// Whether the prompt may be read apart now.
+    ///
+    /// The first reading is free if it is accepted. A stream that broke may have its prompt read again: a prefill engine
+    /// takes half of the time that the decode engine takes, which the caller sees as a pause, and does not slow the streams
+    /// that run there. That is a repeated call, and goes out only if the run after it is paid for already.
+    pub fn take_reading(&mut self, take_retry: impl FnOnce() -> bool) -> bool {
+        match self.has_read {
+            true => self.has_run() && self.is_paid && take_retry(),
+            false => true,
+        }
+    }
+
     /// Whether a further call may go out: the first may, each later one takes a retry out of the budget.
     pub fn take_call(&mut self, take_retry: impl FnOnce() -> bool) -> bool {
         let is_paid = std::mem::take(&mut self.is_paid);
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -193,8 +193,10 @@
         let ReservedPlace { call, guard, name } = place;
         self.placed_at = Instant::now();
         let upstream = call.upstream.clone();
-        let reads_apart = self.core.settings.load().reads_apart && after.is_none();
-        let kv = match reads_apart {
+        if self.tries.has_run() && !self.pay_ahead() {
+            return Err(self.spent());
+        }
+        let kv = match self.core.settings.load().reads_apart {
             true => self.read_prompt().await,
             false => None,
         };
@@ -211,10 +213,7 @@
         }
         if !self.may_arrive() {
             drop(call);
-            return Err(OwnAnswer::later(
-                ResultCode::RetryBudgetSpent,
-                self.come_back(),
-            ));
+            return Err(self.spent());
         }
         let purpose = CallPurpose::Run {
             after,
@@ -268,6 +267,10 @@
         may
     }
 
+    fn spent(&self) -> OwnAnswer {
+        OwnAnswer::later(ResultCode::RetryBudgetSpent, self.come_back())
+    }
+
     /// Takes the retry for the next call out of the budget ahead; `false` when there is none.
     pub fn pay_ahead(&mut self) -> bool {
         let Self {
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -29,7 +29,13 @@
     pub(super) async fn read_prompt(&mut self) -> Option<(KvHandle, LeftoverGuard<D>)> {
         let tokens = self.request.prompt_tokens();
         let choice = self.choose_reader(tokens)?;
-        if !self.tries.may_read() {
+        let Self {
+            core,
+            service,
+            tries,
+            ..
+        } = self;
+        if !tries.take_reading(|| core.take_retry(service)) {
             return None;
         }
         let upstream = choice.upstream;
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -203,3 +203,41 @@
     assert_eq!(run.upstream("i-redactor-p0").seen().len(), 1);
     assert_eq!(decode_runs(&run), 0);
 }
+
+#[tokio::test]
+async fn the_prompt_of_a_broken_stream_is_read_apart_again() {
+    let run = stream_run(true, 2, 1).await;
+    run.upstreams
+        .iter()
+        .filter(|upstream| upstream.id.contains("-d"))
+        .for_each(|upstream| upstream.set(UpstreamMode::CutAfter(2)));
+    let mut caller = run.caller().await;
+    caller
+        .write(&request_text(
+            "POST",
+            "/note/1",
+            "00aa",
+            STREAM_HEADERS,
+            "p",
+        ))
+        .await;
+    let streams = || -> usize {
+        let decoders = run.upstreams.iter().filter(|one| one.id.contains("-d"));
+        decoders.map(|upstream| upstream.runs().len()).sum()
+    };
+    wait_until("an engine runs", async || streams() > 0).await;
+    run.upstreams
+        .iter()
+        .filter(|upstream| upstream.id.contains("-d") && upstream.runs().is_empty())
+        .for_each(|upstream| upstream.set(UpstreamMode::Answer));
+    let reply = caller.read().await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    let events: Vec<String> = (1..=5).map(event_text).collect();
+    assert_eq!(reply.text(), events.concat());
+    let resumed = run.upstreams.iter().flat_map(|upstream| upstream.runs());
+    let sources: Vec<String> = resumed
+        .filter(|seen| seen.message.header("last-event-id").is_some())
+        .filter_map(|seen| seen.message.header("x-kv-source").map(str::to_owned))
+        .collect();
+    assert_eq!(sources.len(), 1, "the resumed run begins with a KV cache");
+}
