policy: a prefill engine that refuses is passed over until the list has caught up

Cause: an engine that was ordered to another stage refuses readings while the list still names it, and each instance met that up to five times, with pauses that doubled from 150 ms.

The test was red before.

--- a/crates/policy/src/upstream_entry.rs
+++ b/crates/policy/src/upstream_entry.rs
@@ -15,12 +15,9 @@
 const VERDICT_WEIGHT: f64 = 0.2;
 /// How long an upstream that was full is passed over: a few of its steps.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
-
-/// A prefill engine that refuses is most often about to change its stage, so it is passed over for longer each time, up to
-/// so many doublings.
-const MOST_DOUBLINGS: u32 = 4;
 /// How long an upstream that is not what the list says is passed over: until the list has caught up, which takes a report
-/// of the upstream and a reading.
+/// of the upstream and a reading. A prefill engine that refuses a reading is most often about to change its stage; each
+/// further refusal of it would make the run after it a repeated call, for which the retry budget pays.
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(2_200);
 
 /// How a call to an upstream ended, as far as it tells about the upstream.
@@ -84,8 +81,6 @@
     failure: f64,
     failure_at: Instant,
     full_until: Option<Instant>,
-    /// How often it refused since its last answer.
-    refusals: u32,
     /// Since when the list lacks it, while it may still come back.
     pub missing_since: Option<Instant>,
     /// The calls of this instance that are under way.
@@ -116,7 +111,6 @@
             failure: 0.0,
             failure_at: now,
             full_until: None,
-            refusals: 0,
             missing_since: None,
             open: 0,
             open_tokens: 0,
@@ -128,23 +122,13 @@
     /// Takes a verdict in.
     pub fn note(&mut self, verdict: CallVerdict, now: Instant) {
         let pause = match verdict {
-            CallVerdict::Full => {
-                let doublings = match self.record.stage {
-                    UpstreamStage::Prefill => self.refusals.min(MOST_DOUBLINGS),
-                    UpstreamStage::Decode | UpstreamStage::Plain => 0,
-                };
-                self.refusals += 1;
-                Some(FULL_PAUSE * 2_u32.pow(doublings))
-            }
-            CallVerdict::Misdirected => Some(MISDIRECTED_PAUSE),
+            CallVerdict::Full if self.record.stage != UpstreamStage::Prefill => Some(FULL_PAUSE),
+            CallVerdict::Full | CallVerdict::Misdirected => Some(MISDIRECTED_PAUSE),
             _ => None,
         };
         if let Some(pause) = pause {
             self.full_until = Some(now + pause);
         }
-        if verdict == CallVerdict::Answered {
-            self.refusals = 0;
-        }
         let Some(badness) = verdict.badness() else {
             return;
         };
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -234,3 +234,28 @@
     assert!(most <= 2 * fair, "{readings:?}");
     assert_eq!(readings.len(), ENGINES, "{readings:?}");
 }
+
+#[test]
+fn a_prefill_engine_that_refuses_is_passed_over_until_the_list_has_caught_up() {
+    let now = Instant::now();
+    let service: ServiceId = "s".into();
+    let zone: ZoneId = "near".into();
+    let mut table = UpstreamTable::default();
+    let records = ["a", "b"].map(|id| record(id, "near", UpstreamStage::Prefill));
+    table.replace(&records, None, now);
+    table.begin(&"a".into(), 3_000);
+    table.end(&"a".into(), 3_000, CallVerdict::Full, now);
+    for round in 0..100_u32 {
+        let at = now + Duration::from_millis(20) * round;
+        let request = format!("{round}");
+        let query = ChoiceQuery {
+            avoid: &[],
+            request: &request,
+            service: &service,
+            stage: UpstreamStage::Prefill,
+            zone: &zone,
+        };
+        let choice = table.choose_reader(&query, 3_000, at).unwrap();
+        assert_eq!(&*choice.upstream.id, "b", "after {:?}", at - now);
+    }
+}
