policy: streams stay in their availability zone until its engines are full

Cause: an engine in another zone was taken as soon as the own ones had two open calls more. A decode engine is no slower for the streams it has until its memory is full.

The test was red before.

--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -13,6 +13,9 @@
 /// What a call to another availability zone counts as, in open calls: the way there is short beside the work, but its bytes
 /// are paid for.
 const OTHER_ZONE_COST: f64 = 2.0;
+/// The same for a stream: it lasts for seconds and breaks when its zone is cut off, and a decode engine is no slower for the
+/// streams that it has until its memory is full, which it says itself. About half of what an engine holds.
+const OTHER_ZONE_STREAM_COST: f64 = 6.0;
 /// What a share of failures of 1 counts as, in open calls: more than a busy upstream has.
 const FAILURE_COST: f64 = 40.0;
 /// What having been full a moment ago counts as, in open calls.
@@ -241,7 +244,10 @@
 fn call_cost(entry: &UpstreamEntry, query: &ChoiceQuery<'_>, now: Instant) -> f64 {
     let mut cost = f64::from(entry.open).max(entry.open_tokens as f64 / TOKENS_A_CALL);
     if entry.record.zone != *query.zone {
-        cost += OTHER_ZONE_COST;
+        cost += match query.stage {
+            UpstreamStage::Decode => OTHER_ZONE_STREAM_COST,
+            UpstreamStage::Plain | UpstreamStage::Prefill => OTHER_ZONE_COST,
+        };
     }
     if entry.is_full(now) {
         cost += FULL_COST;
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -63,6 +63,28 @@
     );
 }
 
+#[test]
+fn a_stream_stays_in_its_zone_until_the_engines_there_are_full() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    let near = record("a", "near", UpstreamStage::Decode);
+    let far = record("b", "far", UpstreamStage::Decode);
+    table.replace(&[near.clone(), far], None, now);
+    for _ in 0..5 {
+        table.begin(&near.id, 3_000);
+    }
+    assert_eq!(
+        chosen(&table, UpstreamStage::Decode, now).as_deref(),
+        Some("a")
+    );
+    table.begin(&near.id, 3_000);
+    table.end(&near.id, 3_000, CallVerdict::Full, now);
+    assert_eq!(
+        chosen(&table, UpstreamStage::Decode, now).as_deref(),
+        Some("b")
+    );
+}
+
 #[test]
 fn one_that_fails_is_passed_over_and_tried_again_later() {
     let now = Instant::now();
