policy: stages follow what requests meet, from a goal that is rounded up

Cause: the share of prefill engines was a constant, 0.25 rounded to the nearest. What an instance's own requests meet tells the load of both stages: a request finds an engine busy as often as it is busy. StagePressure has the shares, StagePlan keeps a surplus that is needed, and moves an engine only when one stage was pressed for 10 s and the other has room.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod repeat_rule;
 pub mod retry_window;
 pub mod stage_plan;
+pub mod stage_pressure;
 pub mod stream_tries;
 pub mod upstream_entry;
 pub mod upstream_record;
@@ -20,6 +21,7 @@
     repeat_rule::RepeatRule,
     retry_window::{RetryBounds, RetryWindow},
     stage_plan::{StageGoal, StageMove, StagePlan},
+    stage_pressure::StagePressure,
     stream_tries::{StreamTries, TryEnd},
     upstream_entry::{CallVerdict, UpstreamEntry},
     upstream_record::{UpstreamRecord, UpstreamStage},
--- a/crates/policy/src/read_pace.rs
+++ b/crates/policy/src/read_pace.rs
@@ -22,6 +22,11 @@
 }
 
 impl ReadPace {
+    /// How long the engine takes for so many tokens when nothing else waits there.
+    pub fn alone(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(self.pace * tokens as f64)
+    }
+
     /// How long a reading is expected to take, given the tokens of this instance that are to be read there, its own
     /// included.
     pub fn expect(&self, tokens: u64, now: Instant) -> Duration {
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -1,7 +1,7 @@
 //! The upstreams that this instance may use, and the choice among them. No I/O and no clock.
 
 use {
-    crate::{CallVerdict, UpstreamEntry, UpstreamRecord, UpstreamStage},
+    crate::{CallVerdict, ReadPace, UpstreamEntry, UpstreamRecord, UpstreamStage},
     kernel::{ServiceId, UpstreamId, ZoneId, seeded_rng},
     std::{
         collections::BTreeMap,
@@ -147,11 +147,17 @@
         read.unwrap_or_default()
     }
 
-    /// A reading ended.
-    pub fn note_read(&mut self, id: &UpstreamId, tokens: u64, took: Duration, now: Instant) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.pace.note(tokens, took, now);
-        }
+    /// A reading ended. Gives the pace of the engine by now, if the list still has it.
+    pub fn note_read(
+        &mut self,
+        id: &UpstreamId,
+        tokens: u64,
+        took: Duration,
+        now: Instant,
+    ) -> Option<ReadPace> {
+        let entry = self.entries.get_mut(id)?;
+        entry.pace.note(tokens, took, now);
+        Some(entry.pace)
     }
 
     /// Whether an upstream fails clearly more often than the others of its service. A failure of one that does not is the
--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -55,6 +55,7 @@
     pub async fn find(&self, until: Instant) -> Result<ReservedPlace<D>, OwnAnswer> {
         let come_back = self.flow.come_back();
         let mut pause = FIRST_PAUSE;
+        let mut is_first_round = true;
         loop {
             let mut avoid = self.flow.tried.clone();
             for _ in 0..ROUND_LIMIT {
@@ -63,12 +64,18 @@
                 };
                 avoid.push(upstream.id.clone());
                 if let Some(place) = self.reserve(upstream).await {
+                    if is_first_round {
+                        self.core().note_search(&self.flow.service, false);
+                    }
                     return Ok(place);
                 }
             }
             if avoid.len() == self.flow.tried.len() {
                 return Err(OwnAnswer::later(ResultCode::UpstreamMissing, come_back));
             }
+            if std::mem::take(&mut is_first_round) {
+                self.core().note_search(&self.flow.service, true);
+            }
             if Instant::now() + pause > until {
                 return Err(OwnAnswer::later(ResultCode::UpstreamRefused, come_back));
             }
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -9,7 +9,10 @@
     arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
     kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId, UpstreamId},
-    policy::{CallVerdict, ChoiceQuery, PlacePace, RetryWindow, UpstreamRecord, UpstreamTable},
+    policy::{
+        CallVerdict, ChoiceQuery, PlacePace, RetryWindow, StagePressure, UpstreamRecord,
+        UpstreamTable,
+    },
     std::{
         collections::HashMap,
         sync::Arc,
@@ -47,6 +50,7 @@
     /// Rung when routes or upstreams were read.
     pub learned: Notify,
     paces: RankedLock<HashMap<ServiceId, PlacePace>>,
+    pressures: RankedLock<HashMap<ServiceId, StagePressure>>,
     /// The connections to upstreams.
     pub pool: LinkPool,
     /// The settings, which may change while the process runs.
@@ -175,6 +179,7 @@
             dialect,
             learned: Notify::new(),
             paces: RankedLock::new(LockRank::Services, HashMap::new()),
+            pressures: RankedLock::new(LockRank::Services, HashMap::new()),
             pool: LinkPool::new(times),
             settings: ArcSwap::from_pointee(settings),
             started: Instant::now(),
@@ -182,6 +187,26 @@
         }
     }
 
+    /// A request looked for a place of a service, and found one at once or found the engines full.
+    pub fn note_search(&self, service: &ServiceId, is_full: bool) {
+        let mut pressures = self.pressures.lock();
+        let pressure = pressures.entry(service.clone()).or_default();
+        pressure.note_search(is_full, Instant::now());
+    }
+
+    /// A prompt was read for a service, in `took` where its tokens take `alone`.
+    pub fn note_reading(&self, service: &ServiceId, alone: Duration, took: Duration) {
+        let mut pressures = self.pressures.lock();
+        let pressure = pressures.entry(service.clone()).or_default();
+        pressure.note_reading(alone, took, Instant::now());
+    }
+
+    /// How hard the engines of a service are pressed, by what requests here met.
+    pub fn pressure(&self, service: &ServiceId) -> StagePressure {
+        let pressures = self.pressures.lock();
+        pressures.get(service).copied().unwrap_or_default()
+    }
+
     /// A place of a service was held for so long.
     pub fn note_place(&self, service: &ServiceId, held: Duration) {
         let mut paces = self.paces.lock();
--- a/crates/relay/src/stage_keeper.rs
+++ b/crates/relay/src/stage_keeper.rs
@@ -117,7 +117,12 @@
                 plan: StagePlan::new(settings.goal.clone(), stagger(&settings.holder)),
             }
         });
-        let Some(plan) = stages.plan.decide(&service, engines, Instant::now()) else {
+        let Some(plan) = stages.plan.decide(
+            &service,
+            engines,
+            &self.core.pressure(&service),
+            Instant::now(),
+        ) else {
             return;
         };
         // Whatever comes of it, the next look waits until the list of upstreams shows the outcome.
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -79,8 +79,12 @@
         }
         let now = Instant::now();
         let mut board = self.core.board.lock();
-        board.note_read(&upstream.id, choice.ahead, now - began, now);
+        let alone = board.note_read(&upstream.id, choice.ahead, now - began, now);
         drop(board);
+        if let Some(pace) = alone {
+            let alone = pace.alone(tokens);
+            self.core.note_reading(&self.service, alone, now - began);
+        }
         let handle = self.core.dialect.read_reply(&upstream, &bytes)?;
         let leftover = Leftover::Kv(handle.clone());
         let guard = LeftoverGuard::new(self.core.clone(), upstream, leftover);
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -193,6 +193,7 @@
     let goal = StageGoal::builder()
         .patience(orders.patience)
         .pause(orders.pause)
+        .pressed_patience(orders.pressed_patience)
         .prefill_share(orders.prefill_share)
         .spare_floor(usize::try_from(orders.spare_floor).unwrap_or(usize::MAX))
         .build();
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -135,7 +135,10 @@
     /// How long after a change the next is considered: an engine ends its work and changes in this time.
     #[serde_as(as = "HumanDuration")]
     pub pause: Duration,
-    /// The share of the engines of a model service that read prompts.
+    /// How long a stage has to be pressed before an engine changes.
+    #[serde_as(as = "HumanDuration")]
+    pub pressed_patience: Duration,
+    /// The share of the engines of a model service that read prompts, rounded up, while requests ask for nothing else.
     pub prefill_share: f64,
     /// The fewest engines of each stage.
     pub spare_floor: u32,
@@ -149,6 +152,7 @@
             lease: Duration::from_secs(3),
             patience: Duration::from_secs(2),
             pause: Duration::from_secs(20),
+            pressed_patience: Duration::from_secs(10),
             prefill_share: 0.25,
             spare_floor: 2,
         }
