relay: the slack of the retry budget is shared by zone and instance

Cause: each instance had two calls of slack whatever their number; seven instances used 14 of 54. The zones share 0.7 of the slack equally, and the instances of a zone what the zone has: the number comes from the member rows, which each instance has anyway. Unknown number: no slack. A new life has none for a window, as before. Ruled out: slack for a new life, whose life before may have used it.

The fuzz over four instances with kills holds in 80,000 cases.

--- a/crates/policy/src/retry_window.rs
+++ b/crates/policy/src/retry_window.rs
@@ -6,7 +6,8 @@
 };
 
 /// The part of the ratio that an instance uses. Repeats may fall into a window that the requests which paid for them have
-/// just left; the rest covers this. The fuzz over all instances fails at 1 and holds here.
+/// just left; the rest covers this. The fuzz over all instances fails at 1 and holds here. So much of the slack, too: an
+/// instance may know of one that came or went a few seconds later.
 const SAFE_SHARE: f64 = 0.7;
 
 /// The bounds of a [`RetryWindow`].
@@ -14,7 +15,7 @@
 pub struct RetryBounds {
     /// Repeated calls for each request of the window.
     pub ratio: f64,
-    /// Repeated calls beyond that: this instance's part of what all instances share.
+    /// Repeated calls beyond that, of all instances together.
     pub slack: f64,
     /// The length of the window, which slides.
     pub window: Duration,
@@ -22,7 +23,7 @@
 
 /// Counts the requests and the repeated calls of one service in a sliding window.
 ///
-/// Each instance keeps its repeats under `ratio` times its own requests plus its part of the shared slack, so the sum
+/// Each instance keeps its repeats under `ratio` times its own requests plus an equal part of the shared slack, so the sum
 /// over all instances stays in the budget without a message between them.
 #[derive(Clone, Debug)]
 pub struct RetryWindow {
@@ -49,14 +50,15 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeated call out of the budget; `false` when there is none left.
+    /// Takes one repeated call out of the budget; `false` when there is none left. `instances` is how many share the slack;
+    /// while that is not known, this one has no part of it.
     #[must_use]
-    pub fn take(&mut self, bounds: &RetryBounds, now: Instant) -> bool {
+    pub fn take(&mut self, bounds: &RetryBounds, instances: Option<usize>, now: Instant) -> bool {
         self.forget(bounds.window, now);
         let funded = bounds.ratio * SAFE_SHARE * self.requests.len() as f64;
         let is_settled = now.saturating_duration_since(self.born) >= bounds.window;
         let most = match is_settled {
-            true => funded + bounds.slack,
+            true => funded + own_slack(bounds, instances),
             false => funded,
         };
         if (self.repeats.len() + 1) as f64 > most {
@@ -77,3 +79,7 @@
         }
     }
 }
+
+fn own_slack(bounds: &RetryBounds, instances: Option<usize>) -> f64 {
+    instances.map_or(0.0, |count| bounds.slack * SAFE_SHARE / count.max(1) as f64)
+}
--- a/crates/policy/tests/retry_window.rs
+++ b/crates/policy/tests/retry_window.rs
@@ -54,7 +54,7 @@
     ) {
         let bounds = RetryBounds::builder()
             .ratio(RATIO)
-            .slack(SLACK / INSTANCES as f64)
+            .slack(SLACK)
             .window(WINDOW)
             .build();
         let mut now = Instant::now() + 4 * WINDOW;
@@ -70,7 +70,7 @@
                     requests.push(now);
                 }
                 StepKind::Restart => *window = RetryWindow::new(now),
-                StepKind::Retry if window.take(&bounds, now) => repeats.push(now),
+                StepKind::Retry if window.take(&bounds, Some(INSTANCES), now) => repeats.push(now),
                 StepKind::Retry => {}
             }
         }
@@ -90,17 +90,33 @@
 fn a_repeat_is_forgotten_after_the_window() {
     let bounds = RetryBounds::builder()
         .ratio(0.0)
-        .slack(1.0)
+        .slack(3.0)
         .window(WINDOW)
         .build();
     let born = Instant::now();
     let mut window = RetryWindow::new(born);
     assert!(
-        !window.take(&bounds, born),
+        !window.take(&bounds, Some(2), born),
         "the life before may have used it"
     );
     let now = born + WINDOW;
-    assert!(window.take(&bounds, now));
-    assert!(!window.take(&bounds, now + WINDOW / 2));
-    assert!(window.take(&bounds, now + WINDOW));
+    assert!(window.take(&bounds, Some(2), now));
+    assert!(!window.take(&bounds, Some(2), now + WINDOW / 2));
+    assert!(window.take(&bounds, Some(2), now + WINDOW));
+}
+
+#[test]
+fn an_instance_has_an_equal_part_of_the_slack_and_none_while_it_knows_no_number() {
+    let bounds = RetryBounds::builder()
+        .ratio(0.0)
+        .slack(54.0)
+        .window(WINDOW)
+        .build();
+    let born = Instant::now();
+    let now = born + WINDOW;
+    for (instances, most) in [(Some(1), 37), (Some(7), 5), (Some(60), 0), (None, 0)] {
+        let mut window = RetryWindow::new(born);
+        let taken = (0..100).filter(|_| window.take(&bounds, instances, now));
+        assert_eq!(taken.count(), most, "{instances:?}");
+    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod stream_pump;
 pub mod upstream_dialect;
 pub mod work_route;
+pub mod zone_size;
 
 pub use {
     call_end::{CallEnd, UpstreamAnswer},
@@ -68,4 +69,5 @@
         UpstreamCall, UpstreamDialect,
     },
     work_route::{RouteTarget, WorkRoute},
+    zone_size::ZoneSize,
 };
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -4,7 +4,7 @@
     crate::{
         CallEnd, CallPurpose, CallerRequest, LinkError, LinkPool, LinkTimes, OpenCall, RelayCounts,
         RelaySettings, RouteBook, UpstreamAnswer, UpstreamBoard, UpstreamCall, UpstreamDialect,
-        WorkRoute,
+        WorkRoute, ZoneSize,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
@@ -57,6 +57,8 @@
     pub settings: ArcSwap<RelaySettings>,
     started: Instant,
     windows: RankedLock<HashMap<ServiceId, RetryWindow>>,
+    /// The instances of the own availability zone. Zones may differ in it: each has an equal part of what all share.
+    pub zone_size: ZoneSize,
 }
 
 impl<D: UpstreamDialect> RelayCore<D> {
@@ -155,6 +157,12 @@
         self.board.lock().choose(query, Instant::now())
     }
 
+    /// How many instances there are, as far as this one knows.
+    fn instances(&self) -> Option<usize> {
+        let zones = self.settings.load().zones;
+        self.zone_size.get().map(|members| members * zones)
+    }
+
     /// When a caller that found no place at a service may come back.
     pub fn come_back(&self, service: &ServiceId, request: &str) -> Duration {
         let paces = self.paces.lock();
@@ -184,6 +192,7 @@
             settings: ArcSwap::from_pointee(settings),
             started: Instant::now(),
             windows: RankedLock::new(LockRank::Services, HashMap::new()),
+            zone_size: ZoneSize::default(),
         }
     }
 
@@ -234,7 +243,11 @@
         let window = windows
             .entry(service.clone())
             .or_insert_with(|| RetryWindow::new(self.started));
-        let taken = window.take(&self.settings.load().retries, Instant::now());
+        let taken = window.take(
+            &self.settings.load().retries,
+            self.instances(),
+            Instant::now(),
+        );
         drop(windows);
         let count = match taken {
             true => &self.counts.retries,
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -9,10 +9,12 @@
     pub connect: Duration,
     /// Whether prompts are read by the engines of the prefill stage, or by the decode engine that goes on with them.
     pub reads_apart: bool,
-    /// The part of the retry budget that this instance may use by itself.
+    /// The retry budget of all instances.
     pub retries: RetryBounds,
     /// How long a peer may be unheard before its connection counts as lost.
     pub unheard: Duration,
     /// The availability zone of this instance.
     pub zone: ZoneId,
+    /// How many availability zones have instances.
+    pub zones: usize,
 }
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -10,7 +10,7 @@
     plat::RowStore,
     relay::{
         BookNews, BookReading, OperatorSource, SourceError, StoreVersion, UpstreamReading,
-        operator_source::SilentSnafu,
+        ZoneSize, operator_source::SilentSnafu,
     },
     std::{
         sync::Arc,
@@ -32,6 +32,7 @@
     state: watch::Sender<SpreadState>,
     store: Arc<S>,
     times: SpreadTimes,
+    zone_size: ZoneSize,
 }
 
 #[bon::bon]
@@ -46,6 +47,7 @@
         store: Arc<S>,
         times: SpreadTimes,
         zone: &ZoneId,
+        zone_size: ZoneSize,
     ) -> Self {
         let plan = ReaderPlan::new(own.instance.clone(), zone.clone(), times);
         let plan = Arc::new(RankedLock::new(LockRank::Members, plan));
@@ -66,6 +68,7 @@
             state,
             store,
             times,
+            zone_size,
         }
     }
 }
@@ -73,6 +76,7 @@
 impl<S: OperatorSource + RowStore> SharedSource<S> {
     /// The zone has these members.
     fn adopt(&self, members: Vec<MemberRow>) {
+        self.zone_size.set(members.len());
         if MemberRow::digest(&members) == self.state.borrow().members_digest() {
             return;
         }
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -176,7 +176,7 @@
     let retries = &settings.retries;
     let bounds = RetryBounds::builder()
         .ratio(retries.ratio)
-        .slack(retries.own_slack)
+        .slack(retries.slack)
         .window(retries.window)
         .build();
     RelaySettings::builder()
@@ -185,6 +185,7 @@
         .retries(bounds)
         .unheard(settings.upstreams.unheard)
         .zone(settings.zone.clone())
+        .zones(retries.zones.as_ref().map_or(1, Vec::len).max(1))
         .build()
 }
 
@@ -236,6 +237,7 @@
         .store(store)
         .times(times)
         .zone(&settings.zone)
+        .zone_size(core.zone_size.clone())
         .build();
     // A reading may first wait for another instance in vain, and then look at the member rows.
     let more = end.call_limit + platform.timeout;
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -164,22 +164,25 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RelayRetries {
-    /// Repeated calls beyond the ratio, of this instance alone. All instances share one slack without a message, so this
-    /// times the number of instances has to stay under it.
-    pub own_slack: f64,
     /// Repeated calls for each request of the window.
     pub ratio: f64,
+    /// Repeated calls beyond the ratio, of all instances. Each has an equal part of its zone's part, and none without
+    /// `listen.peers`, since it does not know of the others then.
+    pub slack: f64,
     /// The length of the window.
     #[serde_as(as = "HumanDuration")]
     pub window: Duration,
+    /// The availability zones that share the slack; none is the own one alone.
+    pub zones: Option<Vec<ZoneId>>,
 }
 
 impl Default for RelayRetries {
     fn default() -> Self {
         Self {
-            own_slack: 0.0,
             ratio: 0.2,
+            slack: 0.0,
             window: Duration::from_secs(10),
+            zones: None,
         }
     }
 }
@@ -247,7 +250,7 @@
             "has to be from 0 to 1",
         );
     }
-    if !(settings.retries.ratio >= 0.0 && settings.retries.own_slack >= 0.0) {
+    if !(settings.retries.ratio >= 0.0 && settings.retries.slack >= 0.0) {
         list.push(&FieldPath::dotted("retries"), "has to be 0 or more");
     }
     for (field, duration) in [
--- a/crates/trestlewalk/tests/docs.rs
+++ b/crates/trestlewalk/tests/docs.rs
@@ -202,7 +202,12 @@
         ("{{Bounds.RequireFence}}", "true"),
         ("{{Bounds.LeaseMs}}", "3000"),
         ("{{Bounds.BudgetRatio}}", "0.2"),
+        ("{{Bounds.BudgetSlack}}", "58"),
         ("{{Bounds.BudgetWindowS}}", "10"),
+        (
+            "{{#Zones}}\"{{@}}\"{{,}}{{/Zones}}",
+            "\"gijon\",\"santander\",\"ferrol\"",
+        ),
     ]
     .into_iter()
     .fold(template, |text, (name, value)| text.replace(name, value));
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -151,7 +151,7 @@
         format!(
             "instance: {name}\nzone: gijon\nlisten: {{admin: '127.0.0.1:0', callers: '127.0.0.1:0'{listen}}}\n\
              platform: {{address: '{store}', list_poll: 50ms, poll: 1s, timeout: 2s}}\n\
-             retries: {{own_slack: 0, ratio: {}, window: 10s}}\n\
+             retries: {{ratio: {}, window: 10s}}\n\
              close: {{settle: 50ms, limit: 20s}}\nupstreams: {{connect: 2s, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n",
             self.ratio, self.orders
