spread: a follower knows whose list it has

Cause: a follower asks for the changes since a mark: the number of the reader's life and a revision. Ruled out by the logs: an outage of the store, a reading that came late, the grace for entries that lapsed. Now the mirror remembers the reader, and asks another one for the whole list.

The test was red before.

--- a/crates/spread/src/list_mirror.rs
+++ b/crates/spread/src/list_mirror.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{ListChange, ReadingMark},
-    kernel::UpstreamId,
+    kernel::{InstanceId, UpstreamId},
     policy::UpstreamRecord,
     std::collections::BTreeMap,
 };
@@ -10,14 +10,16 @@
 /// The reader's list as far as it was told.
 #[derive(Clone, Debug, Default)]
 pub struct ListMirror {
-    mark: Option<ReadingMark>,
+    /// Whose list it is, and its state. Two readers that started at the same moment have the same number of their life, so
+    /// a mark alone does not tell their lists apart.
+    from: Option<(InstanceId, ReadingMark)>,
     rows: BTreeMap<UpstreamId, UpstreamRecord>,
 }
 
 impl ListMirror {
-    /// Takes a change in; the list has this state then.
-    pub fn apply(&mut self, change: ListChange, mark: ReadingMark) {
-        self.mark = Some(mark);
+    /// Takes a change in that a reader gave; the list has this state then.
+    pub fn apply(&mut self, reader: InstanceId, change: ListChange, mark: ReadingMark) {
+        self.from = Some((reader, mark));
         let changed = match change {
             ListChange::Changes { changed, gone } => {
                 for id in &gone {
@@ -35,9 +37,10 @@
         }
     }
 
-    /// The state of the list; none before the first change.
-    pub fn mark(&self) -> Option<ReadingMark> {
-        self.mark
+    /// The state of the list as this reader knows it; none if it came from another one.
+    pub fn mark(&self, reader: &InstanceId) -> Option<ReadingMark> {
+        let (from, mark) = self.from.as_ref()?;
+        (from == reader).then_some(*mark)
     }
 
     /// The list.
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -107,7 +107,7 @@
     async fn ask(&self, reader: &InstanceId) -> Option<SpreadNews> {
         let request = SpreadRequest {
             book: self.known_book(),
-            list: self.mirror.lock().mark(),
+            list: self.mirror.lock().mark(reader),
             members: self.state.borrow().members_digest(),
         };
         // Three optional numbers always have a binary form.
@@ -185,7 +185,7 @@
     }
 
     /// Takes a reading of another instance in.
-    fn take_news(&self, news: SpreadNews) -> UpstreamReading {
+    fn take_news(&self, reader: InstanceId, news: SpreadNews) -> UpstreamReading {
         let now = Instant::now();
         if let Some(members) = news.members {
             self.adopt(members);
@@ -197,7 +197,7 @@
             }
         });
         let mut mirror = self.mirror.lock();
-        mirror.apply(news.list, news.mark);
+        mirror.apply(reader, news.list, news.mark);
         UpstreamReading {
             faults: Vec::new(),
             outage_ended: news.outage_age.and_then(|age| now.checked_sub(age)),
@@ -252,7 +252,7 @@
             return self.read_store().await;
         };
         if let Some(news) = self.ask(&reader).await {
-            return Ok(self.take_news(news));
+            return Ok(self.take_news(reader, news));
         }
         self.plan.lock().failed(&reader, Instant::now());
         self.read_store().await
--- a/crates/spread/tests/list_journal.rs
+++ b/crates/spread/tests/list_journal.rs
@@ -1,6 +1,7 @@
 //! A list that is passed on by its changes is the reader's list, whatever was missed in between.
 
 use {
+    kernel::InstanceId,
     policy::{UpstreamRecord, UpstreamStage},
     proptest::prelude::*,
     spread::{ListChange, ListJournal, ListMirror},
@@ -49,6 +50,7 @@
 
     #[test]
     fn a_follower_has_the_list_that_the_reader_has(steps in prop::collection::vec(step(), 1..60)) {
+        let reader = InstanceId::from("reader-1");
         let mut life = 1;
         let mut journal = ListJournal::new(life);
         let mut list = Vec::new();
@@ -57,7 +59,8 @@
             match step {
                 Step::Ask(index) => {
                     let mirror = &mut followers[index];
-                    mirror.apply(journal.change_since(mirror.mark()), journal.mark());
+                    let change = journal.change_since(mirror.mark(&reader));
+                    mirror.apply(reader.clone(), change, journal.mark());
                     prop_assert_eq!(sorted(mirror.records()), sorted(list.clone()));
                 }
                 Step::Read(states) => {
@@ -113,3 +116,20 @@
         whole => panic!("{whole:?}"),
     }
 }
+
+#[test]
+fn readers_that_started_at_the_same_moment_are_told_apart() {
+    const LIFE: u64 = 7;
+    let mut first = ListJournal::new(LIFE);
+    let mut second = ListJournal::new(LIFE);
+    first.take(&[record(1, false)]);
+    second.take(&[record(1, true)]);
+    assert_eq!(first.mark(), second.mark());
+    let mut mirror = ListMirror::default();
+    for (name, journal) in [("reader-1", &first), ("reader-2", &second)] {
+        let reader = InstanceId::from(name);
+        let change = journal.change_since(mirror.mark(&reader));
+        mirror.apply(reader, change, journal.mark());
+    }
+    assert_eq!(mirror.records(), [record(1, true)]);
+}
