lease: the balancer of roles goes, StagePlan is the one plan of stages

Cause: RoleBalancer and its report decided what StagePlan decides, and nothing but their own test used them. Its cases stand as tests of StagePlan: a shortage that lasts, a break in it (new here), the last engines of a stage. Ruled out: keeping both for serve, which gives no orders. No measurement: nothing on a request path. Conclusion: removed.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,6 +1,6 @@
 //! Orders to engines: leases with fencing numbers, the gate before each order, and the choice of orders.
 //!
-//! [`LeaseCore`], [`OrderGate`] and [`RoleBalancer`] decide without I/O and take the time as an argument.
+//! [`LeaseCore`] and [`OrderGate`] decide without I/O and take the time as an argument.
 //! [`LeaseKeeper`] reads and writes the lease's row at the platform and sends the orders.
 
 pub mod clock_drift;
@@ -12,8 +12,6 @@
 pub mod lease_settings;
 pub mod order_gate;
 pub mod order_sender;
-pub mod role_balancer;
-pub mod role_report;
 pub mod weight_budget;
 
 pub use {
@@ -25,7 +23,5 @@
     lease_settings::LeaseSettings,
     order_gate::{GateVerdict, OrderGate},
     order_sender::{OrderReply, OrderSender},
-    role_balancer::{RoleBalancer, RoleMove, RoleSettings},
-    role_report::{EngineReport, RoleReport},
     weight_budget::WeightBudget,
 };
--- a/crates/policy/tests/stage_plan.rs
+++ b/crates/policy/tests/stage_plan.rs
@@ -230,3 +230,17 @@
         (UpstreamStage::Prefill, 1)
     );
 }
+
+#[test]
+fn a_pressure_that_passes_starts_the_wait_anew() {
+    let start = Instant::now();
+    let mut plan = StagePlan::new(goal(), Duration::ZERO);
+    let list = engines(6, 3);
+    let before = moves(&mut plan, &list, (90, 0), (start, 8));
+    assert_eq!(before, []);
+    let pause = moves(&mut plan, &list, (40, 0), (start + 8 * SECOND, 2));
+    assert_eq!(pause, []);
+    let again = moves(&mut plan, &list, (90, 0), (start + 10 * SECOND, 20));
+    assert_eq!(again.len(), 1, "{again:?}");
+    assert!(again[0].0 >= 10, "the patience, anew");
+}
