policy: of the few engines that a loss leaves, one reads

Readers beyond the goal go back now also below that number: a decode engine can read a prompt itself, a reader holds no stream.

--- a/crates/policy/src/stage_plan.rs
+++ b/crates/policy/src/stage_plan.rs
@@ -146,13 +146,12 @@
 
     /// The stage that has too few engines by their number, and how many it is to get.
     fn off_goal(&self, seen: &SeenStages) -> Option<(UpstreamStage, usize)> {
-        let floor = self.goal.spare_floor;
-        if seen.readers < floor && seen.decoders > floor {
+        let wanted = self.wanted_readers(seen);
+        if seen.readers < wanted.min(self.goal.spare_floor) && seen.decoders > self.goal.spare_floor
+        {
             return Some((UpstreamStage::Prefill, 1));
         }
-        let all = seen.readers + seen.decoders;
-        let wanted = (all as f64 * self.goal.prefill_share).ceil() as usize;
-        let surplus = seen.readers.saturating_sub(wanted.max(floor));
+        let surplus = seen.readers.saturating_sub(wanted);
         let is_needed = match seen.waiting {
             Some(_) => !seen.spares(surplus),
             None => self.has_seen,
@@ -160,6 +159,13 @@
         (surplus > 0 && !is_needed).then_some((UpstreamStage::Decode, surplus))
     }
 
+    /// How many readers the goal asks for. Of a few engines one is enough: the others can read prompts themselves, and
+    /// nothing else holds what they generate.
+    fn wanted_readers(&self, seen: &SeenStages) -> usize {
+        let all = seen.readers + seen.decoders;
+        (all as f64 * self.goal.prefill_share).ceil() as usize
+    }
+
     /// The stage whose engines are pressed while the other has room, and how many it is to get.
     fn pressed(&self, seen: &SeenStages) -> Option<(UpstreamStage, usize)> {
         let floor = self.goal.spare_floor;
@@ -168,7 +174,8 @@
         if waiting >= READERS_PRESSED && refused <= PLACES_ROOMY && seen.decoders > floor {
             return Some((UpstreamStage::Prefill, 1));
         }
-        let is_spare = seen.readers > floor && seen.spares(1);
+        let least = self.wanted_readers(seen).min(floor);
+        let is_spare = seen.readers > least && seen.spares(1);
         (refused >= PLACES_PRESSED && is_spare).then_some((UpstreamStage::Decode, 1))
     }
 }
