Proofs of what relay decides, and the test that was missing

Eleven faults were planted in the plan of stages, its pressure, the tries and the slack. Ten were seen red at once; that a prompt is read again before its run is paid for was not, and has a test now, seen red with that fault.

--- a/crates/policy/tests/stream_tries.rs
+++ b/crates/policy/tests/stream_tries.rs
@@ -71,3 +71,16 @@
     }
     assert!(!tries.may_go_on());
 }
+
+#[test]
+fn a_prompt_is_read_again_only_when_the_run_after_it_is_paid_for() {
+    let mut tries = StreamTries::new(RepeatRule::Resumable, 2);
+    assert!(tries.take_reading(unasked));
+    tries.note(TryEnd::Read);
+    tries.note(TryEnd::Ran);
+    assert!(!tries.take_reading(unasked), "the run is not paid for");
+    assert!(tries.pay_ahead(funded));
+    assert!(!tries.take_reading(spent));
+    assert!(tries.take_reading(funded));
+    assert!(tries.take_call(unasked));
+}
