Tests: three properties get a fixed seed

Ruled out: a fault hidden behind the fixed seeds, as far as 20,000 cases of each with another seed go: passed. Cases are as many as before.

--- a/crates/policy/tests/retry_window.rs
+++ b/crates/policy/tests/retry_window.rs
@@ -2,7 +2,7 @@
 
 use {
     policy::{RetryBounds, RetryWindow},
-    proptest::prelude::*,
+    proptest::{prelude::*, test_runner::RngSeed},
     std::time::{Duration, Instant},
 };
 
@@ -46,7 +46,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(256))]
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(13),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn no_window_has_more_repeats_than_all_instances_may_make(
--- a/crates/relay/tests/event_splitter.rs
+++ b/crates/relay/tests/event_splitter.rs
@@ -1,6 +1,9 @@
 //! However a stream is cut into pieces, its caller gets whole events, in order, once.
 
-use {proptest::prelude::*, relay::EventSplitter};
+use {
+    proptest::{prelude::*, test_runner::RngSeed},
+    relay::EventSplitter,
+};
 
 fn stream(events: usize, ending: &str) -> String {
     (1..=events)
@@ -9,7 +12,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(128))]
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(14),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn pieces_of_any_size_make_whole_events(
--- a/crates/spread/tests/list_journal.rs
+++ b/crates/spread/tests/list_journal.rs
@@ -3,7 +3,7 @@
 use {
     kernel::InstanceId,
     policy::{UpstreamRecord, UpstreamStage},
-    proptest::prelude::*,
+    proptest::{prelude::*, test_runner::RngSeed},
     spread::{ListChange, ListJournal, ListMirror},
 };
 
@@ -46,7 +46,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(512))]
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(15),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn a_follower_has_the_list_that_the_reader_has(steps in prop::collection::vec(step(), 1..60)) {
