relay: requests wait for the first routes of an instance that has just started

Cause: after everything was killed an instance is called within milliseconds and knows the routes 20 to 66 ms later. Ruled out: a shorter time to come back (the caller's way and its try are lost all the same); waiting without a limit (the store may be away). After: they wait, for at most 300 ms after the start of the process; later ones are refused at once as before.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod service_info;
 pub mod source_watch;
 pub mod stage_keeper;
+pub mod start_gate;
 pub mod stream_flow;
 pub mod stream_pump;
 pub mod upstream_dialect;
@@ -62,6 +63,7 @@
     service_info::{EngineInfo, ServiceInfo},
     source_watch::{SourceWatch, WatchTimes},
     stage_keeper::{StageKeeper, StageSettings},
+    start_gate::StartGate,
     stream_flow::{BegunStream, StreamFlow, StreamStart},
     stream_pump::StreamPump,
     upstream_dialect::{
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         CallEnd, CallPurpose, CallerRequest, LinkError, LinkPool, LinkTimes, OpenCall, RelayCounts,
-        RelaySettings, RouteBook, UpstreamAnswer, UpstreamBoard, UpstreamCall, UpstreamDialect,
-        WorkRoute, ZoneSize,
+        RelaySettings, RouteBook, StartGate, UpstreamAnswer, UpstreamBoard, UpstreamCall,
+        UpstreamDialect, WorkRoute, ZoneSize,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
@@ -18,7 +18,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::Notify, time},
+    tokio::time,
 };
 
 /// One call, before an upstream is chosen.
@@ -47,14 +47,14 @@
     pub counts: RelayCounts,
     /// How callers and upstreams speak.
     pub dialect: D,
-    /// Rung when routes or upstreams were read.
-    pub learned: Notify,
     paces: RankedLock<HashMap<ServiceId, PlacePace>>,
     pressures: RankedLock<HashMap<ServiceId, StagePressure>>,
     /// The connections to upstreams.
     pub pool: LinkPool,
     /// The settings, which may change while the process runs.
     pub settings: ArcSwap<RelaySettings>,
+    /// Open once the routes and the upstreams were read.
+    pub start: StartGate,
     started: Instant,
     windows: RankedLock<HashMap<ServiceId, RetryWindow>>,
     /// The instances of the own availability zone. Zones may differ in it: each has an equal part of what all share.
@@ -62,13 +62,6 @@
 }
 
 impl<D: UpstreamDialect> RelayCore<D> {
-    /// Waits until the routes and the upstreams were read once.
-    pub async fn await_known(&self) {
-        while self.book.load().is_none() || !self.board.lock().known {
-            self.learned.notified().await;
-        }
-    }
-
     /// Calls an upstream and reads the head of its answer.
     pub async fn call(&self, plan: CallPlan<'_>, upstream: Arc<UpstreamRecord>) -> CallEnd {
         let left = plan.request.left();
@@ -185,17 +178,24 @@
             closing: CloseSignal::new(),
             counts: RelayCounts::new(),
             dialect,
-            learned: Notify::new(),
             paces: RankedLock::new(LockRank::Services, HashMap::new()),
             pressures: RankedLock::new(LockRank::Services, HashMap::new()),
             pool: LinkPool::new(times),
             settings: ArcSwap::from_pointee(settings),
+            start: StartGate::new(),
             started: Instant::now(),
             windows: RankedLock::new(LockRank::Services, HashMap::new()),
             zone_size: ZoneSize::default(),
         }
     }
 
+    /// Routes or upstreams were read.
+    pub fn note_learned(&self) {
+        if self.book.load().is_some() && self.board.lock().known {
+            self.start.open();
+        }
+    }
+
     /// A request looked for a place of a service, and found one at once or found the engines full.
     pub fn note_search(&self, service: &ServiceId, is_full: bool) {
         let mut pressures = self.pressures.lock();
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -64,6 +64,7 @@
     ) -> Result<Response<RelayBody>, AnswerCut> {
         let since = Instant::now();
         let (parts, body) = request.into_parts();
+        self.core.start.wait_young().await;
         let routed = match self.route(&parts) {
             Ok(routed) => routed,
             Err(own) => return Ok(self.refuse(&parts, own)),
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -161,7 +161,7 @@
         let version = i64::try_from(book.version).unwrap_or(i64::MAX);
         self.core.counts.table_version.set(version);
         self.core.book.store(Some(Arc::new(book)));
-        self.core.learned.notify_one();
+        self.core.note_learned();
     }
 
     fn take_list(&self, reading: &UpstreamReading, outage_ended: Option<Instant>, now: Instant) {
@@ -176,7 +176,7 @@
         for upstream in &gone {
             self.core.counts.forget_upstream(upstream);
         }
-        self.core.learned.notify_one();
+        self.core.note_learned();
         self.core.pool.sweep(now);
     }
 }
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -157,7 +157,7 @@
             let board = board.clone();
             let core = core.clone();
             async move {
-                core.await_known().await;
+                core.start.wait_open().await;
                 board.clear(START_CONDITION);
             }
         });
