relay: a caller that comes back for the rest of a stream finds its prompt again

Ruled out: a fixed home for each prompt (tried before: saved nothing, since prompts were read apart all the same). One way to ask an upstream a small question in place of three. Red without: the test on the path, by the search and by the room, each alone.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! and asks this crate.
 
 pub mod closed_spell;
+pub mod part_table;
 pub mod place_pace;
 pub mod read_pace;
 pub mod repeat_rule;
@@ -18,6 +19,7 @@
 
 pub use {
     closed_spell::ClosedSpell,
+    part_table::PartTable,
     place_pace::PlacePace,
     read_pace::ReadPace,
     repeat_rule::RepeatRule,
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -18,6 +18,9 @@
 const OTHER_ZONE_STREAM_COST: f64 = 6.0;
 /// What a share of failures of 1 counts as, in open calls: more than a busy upstream has.
 const FAILURE_COST: f64 = 40.0;
+/// What holding the KV cache of the prompt saves, in open calls: more than engines differ by, and less than being full or
+/// failing counts as.
+const HOLDER_GAIN: f64 = 15.0;
 /// What having been full a moment ago counts as, in open calls.
 const FULL_COST: f64 = 20.0;
 /// What a transfer from another availability zone counts as, in time of reading: it takes longer and is paid for.
@@ -44,6 +47,8 @@
 pub struct ChoiceQuery<'a> {
     /// Upstreams that were tried already.
     pub avoid: &'a [UpstreamId],
+    /// Engines that hold the KV cache of the prompt: they go first while they are not full, since they need not read it.
+    pub holders: &'a [UpstreamId],
     /// Breaks ties, so that instances spread their calls.
     pub request: &'a str,
     /// The service.
@@ -61,8 +66,10 @@
     pub ahead: u64,
     /// The time that the choice went by: what is expected, and more for engines that fail or are far.
     pub cost: Duration,
-    /// How long the reading is expected to take.
+    /// How long the reading is expected to take if nothing of the prompt is held.
     pub expected: Duration,
+    /// Whether the engine holds the prompt already, so that the time tells nothing of its pace.
+    pub is_held: bool,
     /// The engine.
     pub upstream: Arc<UpstreamRecord>,
 }
@@ -209,6 +216,15 @@
             .is_some_and(|entry| !entry.record.leaving)
     }
 
+    /// The engines of a service, of both stages, that are not leaving.
+    pub fn engines(&self, service: &ServiceId) -> Vec<Arc<UpstreamRecord>> {
+        let records = self.entries.values().map(|entry| &entry.record);
+        let engines = records.filter(|record| {
+            record.service == *service && record.stage != UpstreamStage::Plain && !record.leaving
+        });
+        engines.cloned().collect()
+    }
+
     /// The upstreams, by id.
     pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
         self.entries.values()
@@ -291,6 +307,9 @@
     if entry.is_full(now) {
         cost += FULL_COST;
     }
+    if query.holders.contains(&entry.record.id) {
+        cost -= HOLDER_GAIN;
+    }
     // Small shares don't reorder upstreams that are alike.
     let failure = entry.failure_share(now);
     if failure > 0.05 {
@@ -307,7 +326,12 @@
 ) -> ReaderChoice {
     let ahead = entry.open_tokens + tokens;
     let expected = entry.pace.expect(ahead, now);
-    let mut cost = expected + FAILURE_READ.mul_f64(entry.failure_share(now));
+    let is_held = query.holders.contains(&entry.record.id);
+    let needed = match is_held {
+        true => entry.pace.expect(entry.open_tokens, now),
+        false => expected,
+    };
+    let mut cost = needed + FAILURE_READ.mul_f64(entry.failure_share(now));
     if entry.is_full(now) {
         cost += FULL_READ;
     }
@@ -318,6 +342,7 @@
         ahead,
         cost,
         expected,
+        is_held,
         upstream: entry.record.clone(),
     }
 }
--- /dev/null
+++ b/crates/policy/tests/part_table.rs
@@ -0,0 +1,50 @@
+//! Which engines hold the prompt of a caller that comes back.
+
+use {
+    kernel::UpstreamId,
+    policy::PartTable,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn parts(names: &[&str]) -> Vec<Arc<str>> {
+    names.iter().map(|name| Arc::from(*name)).collect()
+}
+
+#[test]
+fn engines_that_listed_a_part_hold_it_for_a_second() {
+    let now = Instant::now();
+    let mut table = PartTable::default();
+    table.note("a".into(), parts(&["shared", "one"]), now);
+    table.note("b".into(), parts(&["shared", "two"]), now);
+    assert_eq!(table.holders("one", now), [UpstreamId::from("a")]);
+    let both = [UpstreamId::from("a"), UpstreamId::from("b")];
+    assert_eq!(table.holders("shared", now + SECOND / 2), both);
+    assert!(table.holders("three", now).is_empty());
+    assert!(table.holders("one", now + SECOND).is_empty());
+}
+
+#[test]
+fn callers_that_come_back_together_ask_each_engine_once() {
+    let now = Instant::now();
+    let engine = UpstreamId::from("a");
+    let mut table = PartTable::default();
+    assert!(table.is_due(&engine, now));
+    table.note(engine.clone(), parts(&["one"]), now);
+    assert!(!table.is_due(&engine, now + SECOND / 2));
+    assert!(table.is_due(&engine, now + SECOND));
+}
+
+#[test]
+fn a_newer_list_takes_the_place_of_an_older_one() {
+    let now = Instant::now();
+    let mut table = PartTable::default();
+    table.note("a".into(), parts(&["one"]), now);
+    table.note("a".into(), parts(&["two"]), now + SECOND / 2);
+    assert!(table.holders("one", now + SECOND / 2).is_empty());
+    assert_eq!(table.holders("two", now + SECOND).len(), 1);
+}
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -26,6 +26,7 @@
     let zone: ZoneId = "near".into();
     let query = ChoiceQuery {
         avoid: &[],
+        holders: &[],
         request: "r",
         service: &service,
         stage,
@@ -178,6 +179,7 @@
     let zone: ZoneId = "near".into();
     let query = ChoiceQuery {
         avoid: &[],
+        holders: &[],
         request: "r",
         service: &service,
         stage: UpstreamStage::Prefill,
@@ -240,6 +242,7 @@
             let request = format!("{instance}-{round}");
             let query = ChoiceQuery {
                 avoid: &[],
+                holders: &[],
                 request: &request,
                 service: &service,
                 stage: UpstreamStage::Prefill,
@@ -272,6 +275,7 @@
         let request = format!("{round}");
         let query = ChoiceQuery {
             avoid: &[],
+            holders: &[],
             request: &request,
             service: &service,
             stage: UpstreamStage::Prefill,
@@ -321,6 +325,7 @@
     table.note_turned_away(&"a".into(), false, now);
     let query = ChoiceQuery {
         avoid: &["b".into()],
+        holders: &[],
         request: "r",
         service: &service,
         stage: UpstreamStage::Decode,
@@ -328,3 +333,59 @@
     };
     assert_eq!(table.choose(&query, now), None);
 }
+
+#[test]
+fn an_engine_that_holds_the_prompt_goes_first_while_it_is_not_full() {
+    let now = Instant::now();
+    let service: ServiceId = "s".into();
+    let zone: ZoneId = "near".into();
+    let mut table = UpstreamTable::default();
+    let idle = record("a", "near", UpstreamStage::Decode);
+    let holder = record("b", "far", UpstreamStage::Decode);
+    table.replace(&[idle, holder.clone()], None, now);
+    for _ in 0..8 {
+        table.begin(&holder.id, 3_000);
+    }
+    let query = ChoiceQuery {
+        avoid: &[],
+        holders: std::slice::from_ref(&holder.id),
+        request: "r",
+        service: &service,
+        stage: UpstreamStage::Decode,
+        zone: &zone,
+    };
+    let first = table.choose(&query, now).unwrap();
+    assert_eq!(&*first.id, "b");
+    table.end(&holder.id, 3_000, CallVerdict::Full, now);
+    let next = table.choose(&query, now).unwrap();
+    assert_eq!(&*next.id, "a");
+}
+
+#[test]
+fn a_prompt_is_read_where_it_is_held_unless_that_engine_is_slow_by_its_queue() {
+    let now = Instant::now();
+    let service: ServiceId = "s".into();
+    let zone: ZoneId = "near".into();
+    let holder = record("b", "near", UpstreamStage::Prefill);
+    let records = [record("a", "near", UpstreamStage::Prefill), holder.clone()];
+    for number in 0..50 {
+        let mut table = UpstreamTable::default();
+        table.replace(&records, None, now);
+        let request = format!("{number}");
+        let query = ChoiceQuery {
+            avoid: &[],
+            holders: std::slice::from_ref(&holder.id),
+            request: &request,
+            service: &service,
+            stage: UpstreamStage::Prefill,
+            zone: &zone,
+        };
+        let choice = table.choose_reader(&query, 3_000, now).unwrap();
+        assert!(choice.is_held, "request {number}");
+        for _ in 0..10 {
+            table.begin(&holder.id, 3_000);
+        }
+        let choice = table.choose_reader(&query, 3_000, now).unwrap();
+        assert_eq!(&*choice.upstream.id, "a", "request {number}");
+    }
+}
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -17,6 +17,8 @@
 /// What the head of a request says.
 #[derive(Clone, Debug)]
 pub struct CallerHead {
+    /// The last event that the caller has of a stream that broke, if it comes back for the rest.
+    pub after: Option<Arc<str>>,
     /// The id of this try.
     pub id: RequestId,
     /// The model and the size of the prompt; none for plain services.
--- a/crates/relay/src/leftover_guard.rs
+++ b/crates/relay/src/leftover_guard.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{Leftover, RelayCore, UpstreamDialect},
-    http_body_util::BodyExt,
     policy::UpstreamRecord,
     std::{sync::Arc, time::Duration},
     tokio::time,
@@ -10,6 +9,8 @@
 
 /// Freeing is a courtesy: the engine drops what is not used by itself soon after.
 const FREE_LIMIT: Duration = Duration::from_millis(300);
+/// The answer says hardly more than that it was done.
+const LARGEST_ANSWER: usize = 64 << 10;
 
 /// Frees what is left at an engine when it is dropped, unless it was used.
 pub struct LeftoverGuard<D: UpstreamDialect> {
@@ -56,14 +57,7 @@
     leftover: &Leftover,
 ) {
     let request = core.dialect.free_call(upstream, leftover);
-    let sending = core.pool.send(&upstream.id, upstream.address, request);
-    match sending.await {
-        Ok((response, link)) => {
-            let named = core.dialect.keep_time(response.headers());
-            if response.into_body().collect().await.is_ok() {
-                core.pool.keep(&upstream.id, link, named);
-            }
-        }
-        Err(error) => tracing::debug!(upstream = %upstream.id, %error, "not freed"),
+    if core.ask(upstream, request, LARGEST_ANSWER).await.is_none() {
+        tracing::debug!(upstream = %upstream.id, "not freed");
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod order_dialect;
 pub mod place_finder;
 pub mod plain_flow;
+pub mod prompt_search;
 pub mod relay_body;
 pub mod relay_core;
 pub mod relay_counts;
--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -8,7 +8,6 @@
         Leftover, LeftoverGuard, OpenCall, OwnAnswer, PlaceName, RelayCore, StreamFlow,
         UpstreamDialect,
     },
-    http_body_util::{BodyExt, Limited},
     kernel::{ResultCode, UpstreamId},
     policy::{ChoiceQuery, UpstreamRecord, UpstreamStage},
     std::{
@@ -89,6 +88,7 @@
     fn choose(&self, avoid: &[UpstreamId]) -> Option<Arc<UpstreamRecord>> {
         self.core().choose(&ChoiceQuery {
             avoid,
+            holders: &self.flow.holders,
             request: &self.flow.request.head.id,
             service: &self.flow.service,
             stage: UpstreamStage::Decode,
@@ -106,7 +106,7 @@
     }
 
     async fn reserve(&self, upstream: Arc<UpstreamRecord>) -> Option<ReservedPlace<D>> {
-        let tokens = self.flow.request.kv_tokens();
+        let tokens = self.flow.tokens_at(&upstream.id);
         let call = OpenCall::new(
             &self.core().board,
             &self.core().counts,
@@ -152,25 +152,13 @@
     async fn ask(&self, upstream: &UpstreamRecord, tokens: u64, life: Duration) -> PlaceReply {
         let core = self.core();
         let request = core.dialect.reserve_call(upstream, tokens, life);
-        let sending = core.pool.send(&upstream.id, upstream.address, request);
-        let (response, link) = match sending.await {
-            Ok(answer) => answer,
-            Err(error) => {
-                tracing::debug!(upstream = %upstream.id, %error, "no place");
-                return PlaceReply::Failed;
-            }
-        };
-        let status = response.status();
-        let named = core.dialect.keep_time(response.headers());
-        let reading = Limited::new(response.into_body(), LARGEST_REPLY).collect();
-        let Ok(collected) = reading.await else {
+        let Some((status, body)) = core.ask(upstream, request, LARGEST_REPLY).await else {
             return PlaceReply::Failed;
         };
-        core.pool.keep(&upstream.id, link, named);
         if !status.is_success() {
             return PlaceReply::Full;
         }
-        match core.dialect.place_reply(&collected.to_bytes()) {
+        match core.dialect.place_reply(&body) {
             Some(name) => PlaceReply::Reserved(name),
             None => PlaceReply::Failed,
         }
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -107,6 +107,7 @@
     fn choose(&self) -> Option<Arc<policy::UpstreamRecord>> {
         self.core.choose(&ChoiceQuery {
             avoid: &self.tried,
+            holders: &[],
             request: &self.request.head.id,
             service: self.service,
             stage: UpstreamStage::Plain,
--- /dev/null
+++ b/crates/relay/src/prompt_search.rs
@@ -0,0 +1,71 @@
+//! Finds the engines that hold the prompt of a stream whose caller comes back for the rest.
+
+use {
+    crate::{RelayCore, UpstreamDialect},
+    kernel::{ServiceId, UpstreamId},
+    policy::UpstreamRecord,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time},
+};
+
+/// How many engines are asked for one prompt: all of an availability zone of today. A larger zone is asked in part.
+const ASK_LIMIT: usize = 32;
+/// How long the answers are waited for: a few round trips. Reading the prompt again takes longer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+/// A list has an entry for each prompt in the memory of an engine.
+const LARGEST_LIST: usize = 256 << 10;
+
+/// The engines of a service that hold a part, those of the own availability zone and others as far as they were asked.
+pub async fn find_holders<D: UpstreamDialect>(
+    core: &Arc<RelayCore<D>>,
+    service: &ServiceId,
+    part: &str,
+) -> Vec<UpstreamId> {
+    let mut asking = JoinSet::new();
+    for engine in engines_to_ask(core, service) {
+        let core = core.clone();
+        asking.spawn(async move { note_list(&core, &engine).await });
+    }
+    let answers = time::timeout(ANSWER_LIMIT, async {
+        while asking.join_next().await.is_some() {}
+    });
+    if answers.await.is_err() {
+        tracing::debug!(
+            left = asking.len(),
+            "engines are slow to list what they hold"
+        );
+    }
+    core.parts.lock().holders(part, Instant::now())
+}
+
+/// The engines whose lists are too old, of the own availability zone first.
+fn engines_to_ask<D: UpstreamDialect>(
+    core: &RelayCore<D>,
+    service: &ServiceId,
+) -> Vec<Arc<UpstreamRecord>> {
+    let zone = core.settings.load().zone.clone();
+    let mut engines = core.board.lock().engines(service);
+    engines.sort_by_key(|engine| engine.zone != zone);
+    engines.truncate(ASK_LIMIT);
+    let now = Instant::now();
+    let parts = core.parts.lock();
+    engines.retain(|engine| parts.is_due(&engine.id, now));
+    engines
+}
+
+async fn note_list<D: UpstreamDialect>(core: &RelayCore<D>, engine: &UpstreamRecord) {
+    let call = core.dialect.list_call(engine);
+    let Some((status, body)) = core.ask(engine, call, LARGEST_LIST).await else {
+        return;
+    };
+    let listed = core.dialect.list_reply(&body);
+    let Some(listed) = listed.filter(|_| status.is_success()) else {
+        tracing::debug!(upstream = %engine.id, %status, "no list of what an engine holds");
+        return;
+    };
+    let mut parts = core.parts.lock();
+    parts.note(engine.id.clone(), listed, Instant::now());
+}
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -7,10 +7,12 @@
         UpstreamDialect, WorkRoute, ZoneSize,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
-    http::StatusCode,
+    bytes::Bytes,
+    http::{Request, StatusCode},
+    http_body_util::{BodyExt, Full, Limited},
     kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId, UpstreamId},
     policy::{
-        CallVerdict, ChoiceQuery, PlacePace, RetryWindow, StagePressure, UpstreamRecord,
+        CallVerdict, ChoiceQuery, PartTable, PlacePace, RetryWindow, StagePressure, UpstreamRecord,
         UpstreamTable,
     },
     std::{
@@ -47,6 +49,8 @@
     pub counts: RelayCounts,
     /// How callers and upstreams speak.
     pub dialect: D,
+    /// What engines listed a moment ago.
+    pub parts: RankedLock<PartTable>,
     paces: RankedLock<HashMap<ServiceId, PlacePace>>,
     pressures: RankedLock<HashMap<ServiceId, StagePressure>>,
     /// The connections to upstreams.
@@ -62,6 +66,37 @@
 }
 
 impl<D: UpstreamDialect> RelayCore<D> {
+    /// Asks an upstream something that belongs to no request, and reads the whole answer; none when there is none of at
+    /// most `largest` bytes.
+    pub async fn ask(
+        &self,
+        upstream: &UpstreamRecord,
+        request: Request<Full<Bytes>>,
+        largest: usize,
+    ) -> Option<(StatusCode, Bytes)> {
+        let sending = self.pool.send(&upstream.id, upstream.address, request);
+        let (response, link) = match sending.await {
+            Ok(answer) => answer,
+            Err(error) => {
+                tracing::debug!(upstream = %upstream.id, %error, "no answer");
+                return None;
+            }
+        };
+        let status = response.status();
+        let named = self.dialect.keep_time(response.headers());
+        let reading = Limited::new(response.into_body(), largest).collect();
+        match reading.await {
+            Ok(collected) => {
+                self.pool.keep(&upstream.id, link, named);
+                Some((status, collected.to_bytes()))
+            }
+            Err(error) => {
+                tracing::debug!(upstream = %upstream.id, %error, "an answer is cut or too long");
+                None
+            }
+        }
+    }
+
     /// Calls an upstream and reads the head of its answer.
     pub async fn call(&self, plan: CallPlan<'_>, upstream: Arc<UpstreamRecord>) -> CallEnd {
         let left = plan.request.left();
@@ -178,6 +213,7 @@
             closing: CloseSignal::new(),
             counts: RelayCounts::new(),
             dialect,
+            parts: RankedLock::new(LockRank::Services, PartTable::default()),
             paces: RankedLock::new(LockRank::Services, HashMap::new()),
             pressures: RankedLock::new(LockRank::Services, HashMap::new()),
             pool: LinkPool::new(times),
--- a/crates/relay/src/stage_keeper.rs
+++ b/crates/relay/src/stage_keeper.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     engine::wire::{EngineOrder, OrderKind, route_role::EngineRole},
     http::{Request, StatusCode},
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     kernel::{InstanceId, ServiceId, UpstreamId, seeded_rng},
     lease::{LeaseKeeper, LeaseSettings, OrderReply, OrderSender},
     plat::RowStore,
@@ -197,24 +197,12 @@
         upstream: &UpstreamRecord,
         call: Request<Full<Bytes>>,
     ) -> Option<(StatusCode, Bytes)> {
-        let pool = &self.core.pool;
-        let exchange = async {
-            let sending = pool.send(&upstream.id, upstream.address, call).await;
-            let (response, link) = match sending {
-                Ok(answer) => answer,
-                Err(error) => {
-                    tracing::info!(upstream = %upstream.id, %error, "no answer about orders");
-                    return None;
-                }
-            };
-            let status = response.status();
-            let named = self.core.dialect.keep_time(response.headers());
-            let reading = Limited::new(response.into_body(), LARGEST_ANSWER).collect();
-            let body = reading.await.ok()?.to_bytes();
-            pool.keep(&upstream.id, link, named);
-            Some((status, body))
-        };
-        time::timeout(ANSWER_LIMIT, exchange).await.ok().flatten()
+        let asking = self.core.ask(upstream, call, LARGEST_ANSWER);
+        let answer = time::timeout(ANSWER_LIMIT, asking).await.ok().flatten();
+        if answer.is_none() {
+            tracing::info!(upstream = %upstream.id, "no answer about orders");
+        }
+        answer
     }
 }
 
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -8,6 +8,7 @@
         LeftoverGuard, OwnAnswer, PlaceFinder, RelayBody, RelayCore, ReservedPlace, StreamPump,
         UpstreamAnswer, UpstreamDialect, WorkRoute,
         plain_flow::promises_not_run,
+        prompt_search::find_holders,
         relay_core::{status_code, status_verdict},
     },
     bytes::Bytes,
@@ -35,6 +36,8 @@
 pub struct StreamFlow<D: UpstreamDialect> {
     /// What all requests share.
     pub core: Arc<RelayCore<D>>,
+    /// Engines that hold the KV cache of its prompt, as far as this instance knows.
+    pub holders: Vec<UpstreamId>,
     /// The request.
     pub request: Arc<CallerRequest>,
     /// Its row.
@@ -79,6 +82,16 @@
         let request = &self.request.head.id;
         self.core.come_back(&self.service, request)
     }
+
+    /// The memory to reserve at an engine, tokens. One that holds the prompt has to have room for the output alone: if more
+    /// were reserved it would drop what it holds of other prompts, or of this one, to make room.
+    pub fn tokens_at(&self, engine: &UpstreamId) -> u64 {
+        let request = &self.request;
+        match self.holders.contains(engine) {
+            true => request.kv_tokens() - request.prompt_tokens(),
+            false => request.kv_tokens(),
+        }
+    }
 }
 
 impl<D: CallerDialect + UpstreamDialect> StreamFlow<D> {
@@ -92,6 +105,7 @@
         let tries = StreamTries::new(route.repeat, route.tries);
         Self {
             core,
+            holders: Vec::new(),
             placed_at: Instant::now(),
             request,
             route,
@@ -104,6 +118,9 @@
     /// Serves the request: the answer's head goes to the caller together with the first event.
     pub async fn run(mut self) -> Result<Response<RelayBody>, OwnAnswer> {
         let until = self.request.since + self.route.first_byte.mul_f64(WAIT_SHARE);
+        if self.request.head.after.is_some() {
+            self.find_holders().await;
+        }
         let begun = match self.start(None, None, until).await? {
             StreamStart::Begun(begun) => *begun,
             StreamStart::Other(response) => {
@@ -156,6 +173,17 @@
         self.tries.may_go_on() && !self.request.left().is_zero()
     }
 
+    /// Asks engines which of them hold the prompt already.
+    async fn find_holders(&mut self) {
+        let prompt = self.request.head.prompt.as_ref();
+        let Some(own) = prompt.and_then(|prompt| prompt.parts.last()) else {
+            return;
+        };
+        self.holders = find_holders(&self.core, &self.service, &own.id).await;
+        let story = &self.request.story;
+        story.note(format_args!("prompt held by {:?}", self.holders));
+    }
+
     async fn first_piece(&self, body: &mut Incoming, splitter: &mut EventSplitter) -> FirstPiece {
         loop {
             let frame = match time::timeout(self.request.left(), body.frame()).await {
@@ -201,7 +229,8 @@
         if self.tries.has_run() && !self.pay_ahead() {
             return Err(self.spent());
         }
-        let kv = match self.core.settings.load().reads_apart {
+        let is_held = self.holders.contains(&upstream.id);
+        let kv = match self.core.settings.load().reads_apart && !is_held {
             true => self.read_prompt().await,
             false => None,
         };
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -7,6 +7,7 @@
         UpstreamAnswer, UpstreamDialect, relay_core::status_verdict,
     },
     http_body_util::{BodyExt, Limited},
+    kernel::UpstreamId,
     policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, TryEnd, UpstreamStage},
     std::time::{Duration, Instant},
     tokio::time,
@@ -78,12 +79,8 @@
             return None;
         }
         let now = Instant::now();
-        let mut board = self.core.board.lock();
-        let alone = board.note_read(&upstream.id, choice.ahead, now - began, now);
-        drop(board);
-        if let Some(pace) = alone {
-            let alone = pace.alone(tokens);
-            self.core.note_reading(&self.service, alone, now - began);
+        if !choice.is_held {
+            self.note_pace(&upstream.id, choice.ahead, now - began, now);
         }
         let handle = self.core.dialect.read_reply(&upstream, &bytes)?;
         let leftover = Leftover::Kv(handle.clone());
@@ -91,12 +88,22 @@
         Some((handle, guard))
     }
 
+    /// A prompt was read in so long, with `ahead` tokens to read there.
+    fn note_pace(&self, engine: &UpstreamId, ahead: u64, took: Duration, now: Instant) {
+        let noted = self.core.board.lock().note_read(engine, ahead, took, now);
+        if let Some(pace) = noted {
+            let alone = pace.alone(self.request.prompt_tokens());
+            self.core.note_reading(&self.service, alone, took);
+        }
+    }
+
     /// The prefill engine to ask; none when the decode engine is expected to be done sooner.
     fn choose_reader(&self, tokens: u64) -> Option<ReaderChoice> {
         let now = Instant::now();
         let choice = self.core.board.lock().choose_reader(
             &ChoiceQuery {
                 avoid: &[],
+                holders: &self.holders,
                 request: &self.request.head.id,
                 service: &self.service,
                 stage: UpstreamStage::Prefill,
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -148,6 +148,12 @@
     /// How long a server keeps an idle connection, if the head of its answer says so.
     fn keep_time(&self, headers: &HeaderMap) -> Option<Duration>;
 
+    /// The call that asks what an engine holds.
+    fn list_call(&self, upstream: &UpstreamRecord) -> Request<Full<Bytes>>;
+
+    /// The parts that an engine says it holds; none when the answer can't be read.
+    fn list_reply(&self, body: &[u8]) -> Option<Vec<Arc<str>>>;
+
     /// Reads the head of an answer.
     fn reply_facts(&self, head: &response::Parts, request: &RequestId) -> ReplyFacts;
 
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -256,3 +256,53 @@
         .filter(|seen| seen.message.header("x-request-id").is_some());
     assert_eq!(requests.count(), 1, "of 12 requests one found out");
 }
+
+/// The headers of a caller that comes back for the rest of a stream after its second event.
+fn return_headers() -> String {
+    format!("{STREAM_HEADERS}Last-Event-Id: 2\r\n")
+}
+
+#[tokio::test]
+async fn a_caller_that_comes_back_goes_to_the_engine_that_holds_its_prompt() {
+    for holder in ["i-redactor-d0", "i-redactor-d1", "i-redactor-d2"] {
+        let run = stream_run(true, 3, 1).await;
+        let listed = vec!["5c1e07a2".to_owned(), "e4402b7d".to_owned()];
+        run.upstream(holder).state.lock().unwrap().listed = listed;
+        let headers = return_headers();
+        let reply = run
+            .call_with("POST", "/note/1", "00aa", &headers, "p")
+            .await;
+        assert_eq!((reply.status(), reply.whole), (200, true));
+        let rest: Vec<String> = (3..=5).map(event_text).collect();
+        assert_eq!(reply.text(), rest.concat());
+        assert_eq!(run.upstream(holder).runs().len(), 1);
+        let seen = run.upstream(holder).seen();
+        let place = seen
+            .iter()
+            .find(|seen| seen.message.word(1) == "/hold-take");
+        let order: serde_json::Value =
+            serde_json::from_slice(&place.expect("a place is reserved").message.body).unwrap();
+        assert_eq!(order["Tokens"], 40, "the output alone needs room");
+        let read = run.upstream("i-redactor-p0").seen();
+        let readings = read
+            .iter()
+            .filter(|seen| seen.message.header("x-stage").is_some());
+        assert_eq!(readings.count(), 0, "nothing is read again");
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_comes_back_is_served_though_no_engine_holds_its_prompt() {
+    let run = stream_run(true, 2, 1).await;
+    run.upstream("i-redactor-d0").set(UpstreamMode::Answer);
+    let headers = return_headers();
+    let reply = run
+        .call_with("POST", "/note/1", "00aa", &headers, "p")
+        .await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    let read = run.upstream("i-redactor-p0").seen();
+    let readings = read
+        .iter()
+        .filter(|seen| seen.message.header("x-stage").is_some());
+    assert_eq!(readings.count(), 1);
+}
--- a/crates/trestlewalk/tests/relay_support/engine_side.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_side.rs
@@ -31,6 +31,15 @@
             let report = json!({"Stage": "prefill", "Busy": false, "Sequence": orders});
             answer_json(stream, "200 OK", &report).await
         }
+        ("GET", "/kv-list") => {
+            let listed = engine.state.lock().unwrap().listed.clone();
+            let held: Vec<Value> = listed
+                .iter()
+                .map(|part| json!(["", part, 700, "m"]))
+                .collect();
+            let list = json!({"epoch": 1, "Next": 9, "held": held});
+            answer_json(stream, "200 OK", &list).await
+        }
         ("POST", "/order") => {
             engine.state.lock().unwrap().orders += 1;
             engine.note(message, false);
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -76,6 +76,8 @@
 pub struct UpstreamState {
     pub held: usize,
     pub kind: UpstreamKind,
+    /// The parts of prompts that an engine says it holds.
+    pub listed: Vec<String>,
     pub mode: UpstreamMode,
     pub orders: u64,
     pub seen: Vec<Seen>,
@@ -101,6 +103,7 @@
             state: Arc::new(Mutex::new(UpstreamState {
                 held: 0,
                 kind,
+                listed: Vec::new(),
                 mode: UpstreamMode::Answer,
                 orders: 0,
                 seen: Vec::new(),
