relay: a prompt is read in the availability zone of its decode engine

Cause: of the prefill engines the one nearest to the entry instance was preferred, though the KV cache goes from it to the decode engine, which is in another zone whenever the own one is full. Moves between zones take twice as long and cost more. Test on the path, red before.

--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -231,7 +231,7 @@
         }
         let is_held = self.holders.contains(&upstream.id);
         let kv = match self.core.settings.load().reads_apart && !is_held {
-            true => self.read_prompt().await,
+            true => self.read_prompt(&upstream.zone).await,
             false => None,
         };
         let (kv, kv_guard) = kv.unzip();
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -7,7 +7,7 @@
         UpstreamAnswer, UpstreamDialect, relay_core::status_verdict,
     },
     http_body_util::{BodyExt, Limited},
-    kernel::UpstreamId,
+    kernel::{UpstreamId, ZoneId},
     policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, TryEnd, UpstreamStage},
     std::time::{Duration, Instant},
     tokio::time,
@@ -25,11 +25,15 @@
 const READ_SLACK: Duration = Duration::from_millis(300);
 
 impl<D: CallerDialect + UpstreamDialect> StreamFlow<D> {
-    /// Has the prompt read by a prefill engine. None when none is there, none would be done soon, or the reading failed:
+    /// Has the prompt read by a prefill engine, best in the availability zone of the decode engine: the KV cache goes from
+    /// one to the other, and between zones it takes twice as long and costs more. None when none is there, none would be done soon, or the reading failed:
     /// the decode engine reads the prompt itself then.
-    pub(super) async fn read_prompt(&mut self) -> Option<(KvHandle, LeftoverGuard<D>)> {
+    pub(super) async fn read_prompt(
+        &mut self,
+        zone: &ZoneId,
+    ) -> Option<(KvHandle, LeftoverGuard<D>)> {
         let tokens = self.request.prompt_tokens();
-        let choice = self.choose_reader(tokens)?;
+        let choice = self.choose_reader(tokens, zone)?;
         let Self {
             core,
             service,
@@ -98,7 +102,7 @@
     }
 
     /// The prefill engine to ask; none when the decode engine is expected to be done sooner.
-    fn choose_reader(&self, tokens: u64) -> Option<ReaderChoice> {
+    fn choose_reader(&self, tokens: u64, zone: &ZoneId) -> Option<ReaderChoice> {
         let now = Instant::now();
         let choice = self.core.board.lock().choose_reader(
             &ChoiceQuery {
@@ -107,7 +111,7 @@
                 request: &self.request.head.id,
                 service: &self.service,
                 stage: UpstreamStage::Prefill,
-                zone: &self.core.settings.load().zone,
+                zone,
             },
             tokens,
             now,
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -306,3 +306,18 @@
         .filter(|seen| seen.message.header("x-stage").is_some());
     assert_eq!(readings.count(), 1);
 }
+
+#[tokio::test]
+async fn the_prompt_of_a_stream_in_another_zone_is_read_there() {
+    let run = RelayTest::new()
+        .engines("redactor", 1, 2)
+        .elsewhere("i-redactor-d0")
+        .elsewhere("i-redactor-p1")
+        .route("/note/", "streaming", "redactor", &json!({}))
+        .start_ready()
+        .await;
+    let reply = run.stream("/note/1").await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    assert_eq!(run.upstream("i-redactor-p0").seen().len(), 0);
+    assert_eq!(run.upstream("i-redactor-p1").seen().len(), 1);
+}
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -19,6 +19,7 @@
 /// Builds one run.
 #[derive(Debug)]
 pub struct RelayTest {
+    elsewhere: Vec<String>,
     engine: Value,
     limits: Value,
     orders: &'static str,
@@ -41,6 +42,7 @@
 impl RelayTest {
     pub fn new() -> Self {
         Self {
+            elsewhere: Vec::new(),
             engine: json!({"Slots": 64, "KvCapacityTokens": 37745, "HandleTtlS": 0.5, "HoldMs": 2000.0}),
             limits: json!({"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}),
             orders: "false",
@@ -51,6 +53,12 @@
         }
     }
 
+    /// Puts an upstream into another availability zone than the instance's.
+    pub fn elsewhere(mut self, id: &str) -> Self {
+        self.elsewhere.push(id.to_owned());
+        self
+    }
+
     /// A service with model engines.
     pub fn engines(mut self, service: &str, decode: usize, prefill: usize) -> Self {
         let engine = self.engine.clone();
@@ -161,7 +169,11 @@
     async fn start_upstreams(&self, store: &StoreStandIn) -> Vec<UpstreamStandIn> {
         let mut upstreams = Vec::new();
         for (id, service, kind) in &self.upstreams {
-            let upstream = UpstreamStandIn::start(id, service, "gijon", *kind).await;
+            let zone = match self.elsewhere.contains(id) {
+                true => "santander",
+                false => "gijon",
+            };
+            let upstream = UpstreamStandIn::start(id, service, zone, *kind).await;
             store.put("servers", id, &upstream.report("ready"));
             upstreams.push(upstream);
         }
