platform: rows of another writer name no upstream, and a life that starts again under its name is another one

Cause: a row without a state, or with an unknown one, counted as ready, and one without slots as usable; the time at which a life of an upstream began was not read, so what was known of an earlier life under the same name (held prompts, open calls, rests, places, orders) was believed of the next.

A row that lacks a field, or has one of another type or with an unknown word, is a fault now, told in the log; the other rows hold. The id of a life has its beginning in it where the row tells it, so everything that is kept by id is new for it; calls name the upstream as it names itself. Engines of a service that the operators don't name get no orders.

Ruled out: to clear each table when the beginning changes; calls of the earlier life that end later would count against the next one.

--- a/crates/policy/src/upstream_record.rs
+++ b/crates/policy/src/upstream_record.rs
@@ -3,10 +3,10 @@
 use {
     kernel::{ServiceId, UpstreamId, ZoneId},
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
-/// One life of one upstream; a restart has another id.
+/// One life of one upstream; a restart has another id here, also one that goes on under its name.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamRecord {
     /// Where it answers.
@@ -15,6 +15,8 @@
     pub id: UpstreamId,
     /// Whether it is on its way out.
     pub leaving: bool,
+    /// What it calls itself, and what calls to it name. Two lives of one upstream may have the same.
+    pub name: Arc<str>,
     /// Its service.
     pub service: ServiceId,
     /// How many requests it runs at once.
--- a/crates/policy/tests/stage_plan.rs
+++ b/crates/policy/tests/stage_plan.rs
@@ -35,6 +35,7 @@
                 address: ([127, 0, 0, 1], 1000).into(),
                 id: format!("{stage:?}-{index}").into(),
                 leaving: false,
+                name: format!("{stage:?}-{index}").into(),
                 service: "s".into(),
                 slots: 64,
                 stage,
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -14,6 +14,7 @@
         address: ([127, 0, 0, 1], 1000 + number).into(),
         id: id.into(),
         leaving: false,
+        name: id.into(),
         service: "s".into(),
         slots: 6,
         stage,
--- a/crates/relay/src/stage_keeper.rs
+++ b/crates/relay/src/stage_keeper.rs
@@ -91,12 +91,19 @@
     /// The engines that new work may go to, by service.
     fn engines(&self) -> BTreeMap<ServiceId, Vec<Arc<UpstreamRecord>>> {
         let mut services: BTreeMap<ServiceId, Vec<Arc<UpstreamRecord>>> = BTreeMap::new();
+        let Some(book) = self.core.book.load_full() else {
+            return services;
+        };
         let board = self.core.board.lock();
         for entry in board.entries() {
             let record = &entry.record;
             if record.stage == UpstreamStage::Plain || record.leaving {
                 continue;
             }
+            // Nobody asked for a service that the operators don't name, so nobody orders its engines either.
+            if !book.services.contains_key(&record.service) {
+                continue;
+            }
             let list = services.entry(record.service.clone()).or_default();
             list.push(record.clone());
         }
--- a/crates/spread/tests/list_journal.rs
+++ b/crates/spread/tests/list_journal.rs
@@ -14,6 +14,7 @@
         address: ([127, 0, 0, 1], 1000 + u16::try_from(number).unwrap()).into(),
         id: format!("i-{number}").into(),
         leaving,
+        name: format!("i-{number}").into(),
         service: "s".into(),
         slots: 6,
         stage: UpstreamStage::Plain,
--- a/crates/trestlewalk/tests/relay_config.rs
+++ b/crates/trestlewalk/tests/relay_config.rs
@@ -3,7 +3,12 @@
 mod relay_support;
 mod support;
 
-use {relay_support::RelayTest, serde_json::json, std::time::Duration, support::wait::wait_until};
+use {
+    relay_support::RelayTest,
+    serde_json::{Value, json},
+    std::time::Duration,
+    support::wait::wait_until,
+};
 
 fn one_route() -> RelayTest {
     RelayTest::new()
@@ -178,3 +183,90 @@
     tokio::time::sleep(Duration::from_millis(1)).await;
     assert_eq!(run.call("GET", "/t/1", "").await.status(), 200);
 }
+
+#[tokio::test]
+async fn rows_of_another_writer_name_no_upstream_and_the_others_hold() {
+    let run = RelayTest::new()
+        .plain("carta", 3)
+        .route("/t/", "safe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    let odd = &run.upstreams[0];
+    let change = |field: &str, value: Option<Value>| {
+        let mut report = odd.report("ready");
+        match value {
+            Some(value) => report[field] = value,
+            None => {
+                report.as_object_mut().unwrap().remove(field);
+            }
+        }
+        report
+    };
+    let reports = [
+        change("State", Some(json!("resting"))),
+        change("State", None),
+        change("State", Some(json!(1))),
+        change("Slots", None),
+        change("Slots", Some(json!("8"))),
+        change("Service", Some(json!(["carta"]))),
+        change("Address", Some(json!("nowhere"))),
+        change("Stage", Some(json!("both"))),
+        change("born", Some(json!("yesterday"))),
+        change("born", Some(json!(1.5))),
+    ];
+    for report in reports {
+        // The row is well for a moment, so that each case begins with an upstream that is used.
+        run.store.put("servers", "i-carta-0", &odd.report("ready"));
+        wait_until("the upstream is used", async || {
+            let before = odd.runs().len();
+            run.call("GET", "/t/1", "").await;
+            odd.runs().len() > before
+        })
+        .await;
+        run.store.put("servers", "i-carta-0", &report);
+        let calls = run.store.calls("/rows-get");
+        wait_until("the odd row was read", async || {
+            run.store.calls("/rows-get") > calls + 1
+        })
+        .await;
+        let before = odd.runs().len();
+        for _ in 0..40 {
+            assert_eq!(run.call("GET", "/t/1", "").await.status(), 200, "{report}");
+        }
+        assert_eq!(odd.runs().len(), before, "{report}");
+    }
+}
+
+#[tokio::test]
+async fn an_upstream_that_starts_again_under_its_name_is_another_one() {
+    let run = one_route().start_ready().await;
+    let life = |born: u64| {
+        let mut report = run.upstreams[0].report("ready");
+        report["born"] = json!(born);
+        report
+    };
+    run.store.remove("servers", "i-carta-1");
+    run.store
+        .put("servers", "i-carta-0", &life(1_790_000_000_123));
+    wait_until("the first life is known", async || {
+        run.call("GET", "/t/1", "").await;
+        run.metric_names("i-carta-0/1790000000123").await
+    })
+    .await;
+    run.store
+        .put("servers", "i-carta-0", &life(1_790_000_009_456));
+    wait_until(
+        "the second life is known, and nothing is kept of the first",
+        async || {
+            run.call("GET", "/t/1", "").await;
+            run.metric_names("i-carta-0/1790000009456").await
+                && !run.metric_names("i-carta-0/1790000000123").await
+        },
+    )
+    .await;
+    let named = run.upstreams[0].runs();
+    let mut named = named
+        .iter()
+        .map(|seen| seen.message.header("x-expect-instance"));
+    assert!(named.all(|name| name == Some("i-carta-0")));
+}
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -234,6 +234,13 @@
         self.store.put("op", "config", &self.config);
     }
 
+    /// Whether a metric has a label with this value.
+    pub async fn metric_names(&self, value: &str) -> bool {
+        let reply = self.process.get("admin", "/metrics").send().await;
+        let quoted = format!("\"{value}\"");
+        String::from_utf8_lossy(&reply.body).contains(&quoted)
+    }
+
     /// What `/ready` answers.
     pub async fn ready_status(&self) -> u16 {
         let call = HttpCall::new(Method::GET, self.process.address("admin"), "/ready");
