spread: early readers read the store at their start, and the dead leave the directory after 15 s

The first three of a zone read list and routes at their start now without asking, and a member that nobody hears of leaves the directory after 15 s in place of 60 s, since a new life waits for each that is gone.

Ruled out: a shorter wait alone; the others of a zone wait for the ones before them all the same.

--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -28,7 +28,8 @@
 const DEPUTY_PERIOD: Duration = Duration::from_secs(2);
 /// How long an instance of another zone that has no news is left alone.
 const HELPER_REST: Duration = Duration::from_secs(1);
-/// How many of a zone read the store themselves soon when those before them give no answer.
+/// How many of a zone read the store themselves at their start, since callers wait and those before them may be gone, and
+/// soon when those before them give no answer.
 const EARLY_READERS: usize = 3;
 /// How many instances in a row may give no answer before an early reader that has news reads the store itself.
 const EARLY_VAIN: u32 = 2;
@@ -156,7 +157,10 @@
         if counts && self.is_stale(now) {
             return self.read(now);
         }
-        if self.has_asked_enough() && self.probe.is_due(now) || self.is_deputy_due(&first, now) {
+        let starts = self.news_read.is_none() && self.is_early();
+        if (starts || self.has_asked_enough()) && self.probe.is_due(now)
+            || self.is_deputy_due(&first, now)
+        {
             return ReadStep::Store;
         }
         self.ask(first, now)
@@ -347,17 +351,21 @@
         awake.next().cloned()
     }
 
-    /// Enough others were asked in vain: for an early reader that starts one, since callers wait already.
+    /// Enough others were asked in vain.
     fn has_asked_enough(&self) -> bool {
-        let mut early = self.ranked.iter().take(EARLY_READERS);
-        let limit = match (early.any(|member| *member == self.own), self.news_read) {
-            (true, None) => 1,
-            (true, Some(_)) => EARLY_VAIN,
-            (false, _) => LATE_VAIN,
+        let limit = match self.is_early() {
+            true => EARLY_VAIN,
+            false => LATE_VAIN,
         };
         self.vain >= limit
     }
 
+    /// Whether this instance is one of the first of its zone.
+    fn is_early(&self) -> bool {
+        let mut early = self.ranked.iter().take(EARLY_READERS);
+        early.any(|member| *member == self.own)
+    }
+
     fn is_awake(&self, member: &InstanceId, now: Instant) -> bool {
         self.rests.get(member).is_none_or(|rest| rest.is_over(now))
     }
@@ -401,10 +409,10 @@
     }
 
     /// Who reads the store for all zones, as far as this instance, the first of its zone, may ask: the first ones of the
-    /// zones before its own. None at the start once one gave no answer, since callers wait, and none while the store does not
-    /// answer this instance: then anybody who has news will do.
+    /// zones before its own. None at the start, since callers wait, and none while the store does not answer this instance:
+    /// then anybody who has news will do.
     fn upper(&self, now: Instant) -> Option<InstanceId> {
-        if self.is_refused() || self.news_read.is_none() && self.vain > 0 {
+        if self.is_refused() || self.news_read.is_none() {
             return None;
         }
         let own = zone_place(&self.zone);
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -29,6 +29,9 @@
 /// Scores of instances in the order of readers lie between these, whatever machines there are.
 const SCORE_BOUNDS: (f64, f64) = (1e2, 1e8);
 
+/// The pause after an instance that gave no answer.
+const FAILED_PAUSE: Duration = Duration::from_millis(20);
+
 /// A source that asks the zone's reader first, and the store where that gives no answer.
 #[derive(Debug)]
 pub struct SharedSource<S> {
@@ -425,7 +428,11 @@
                     };
                     match end {
                         AskEnd::News(reading) => return Ok(reading),
-                        AskEnd::NoAnswer(error) => failed = Some(error),
+                        AskEnd::NoAnswer(error) => {
+                            failed = Some(error);
+                            // One that starts as well may need a moment until it can answer.
+                            time::sleep(FAILED_PAUSE).await;
+                        }
                         AskEnd::NoNews(error) => return Err(error),
                     }
                 }
--- a/crates/spread/src/spread_times.rs
+++ b/crates/spread/src/spread_times.rs
@@ -26,8 +26,9 @@
     /// How long a reader that gave no answer many times is not asked, at most: by then the row of a dead one may go.
     #[builder(default = Duration::from_secs(60))]
     pub longest_rest: Duration,
-    /// How long a member that nobody hears of stays in the directory.
-    #[builder(default = Duration::from_secs(60))]
+    /// How long a member that nobody hears of stays in the directory: a new life asks those before it, and waits for each
+    /// that is gone. One that was only cut off is listed again when it asks.
+    #[builder(default = Duration::from_secs(15))]
     pub member_life: Duration,
     /// How long one reading of the store may take.
     pub read_limit: Duration,
@@ -42,6 +43,6 @@
     pub stale: Duration,
     /// How long an instance waits for one that it has no answer of yet, while it has no news: the way, and the work of both
     /// on small machines.
-    #[builder(default = Duration::from_millis(250))]
+    #[builder(default = Duration::from_millis(200))]
     pub try_limit: Duration,
 }
