--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod upstream_entry;
 pub mod upstream_record;
 pub mod upstream_table;
+pub mod zone_refusals;
 
 pub use {
     closed_spell::ClosedSpell,
@@ -30,4 +31,5 @@
     upstream_entry::{CallVerdict, UpstreamEntry},
     upstream_record::{UpstreamRecord, UpstreamStage},
     upstream_table::{ChoiceQuery, ReaderChoice, UpstreamTable},
+    zone_refusals::ZoneRefusals,
 };
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -1,7 +1,7 @@
 //! The upstreams that this instance may use, and the choice among them. No I/O and no clock.
 
 use {
-    crate::{CallVerdict, ReadPace, UpstreamEntry, UpstreamRecord, UpstreamStage},
+    crate::{CallVerdict, ReadPace, UpstreamEntry, UpstreamRecord, UpstreamStage, ZoneRefusals},
     kernel::{ServiceId, UpstreamId, ZoneId, seeded_rng},
     std::{
         collections::BTreeMap,
@@ -97,12 +97,13 @@
     /// The best upstream for a call; none when there is no upstream to try.
     pub fn choose(&self, query: &ChoiceQuery<'_>, now: Instant) -> Option<Arc<UpstreamRecord>> {
         let mut best: Option<(bool, f64, u64, &UpstreamEntry)> = None;
+        let refusals = self.refusals(query);
         for entry in self.entries.values() {
             if !self.may_take(entry, query) {
                 continue;
             }
             let is_closed = entry.closed.holds(now);
-            let cost = call_cost(entry, query, now);
+            let cost = call_cost(entry, query, now) + refusals.cost(&entry.record.zone);
             let tie = tie_break(query.request, &entry.record.id);
             let better = match &best {
                 Some((closed, least, least_tie, _)) => {
@@ -287,6 +288,20 @@
             .any(|entry| entry.missing_since.is_none() && entry.record.address == address)
     }
 
+    /// Where the engines that this call was tried at are.
+    fn refusals(&self, query: &ChoiceQuery<'_>) -> ZoneRefusals {
+        let mut refusals = ZoneRefusals::default();
+        if query.stage != UpstreamStage::Decode {
+            return refusals;
+        }
+        for id in query.avoid {
+            if let Some(entry) = self.entries.get(id) {
+                refusals.note(entry.record.zone.clone());
+            }
+        }
+        refusals
+    }
+
     fn may_take(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>) -> bool {
         let record = &entry.record;
         !record.leaving
