--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -4,7 +4,7 @@
     crate::{CallVerdict, ReadPace, UpstreamEntry, UpstreamRecord, UpstreamStage, ZoneRefusals},
     kernel::{ServiceId, UpstreamId, ZoneId, seeded_rng},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -21,6 +21,10 @@
 /// What holding the KV cache of the prompt saves, in open calls: more than engines differ by, and less than being full or
 /// failing counts as.
 const HOLDER_GAIN: f64 = 15.0;
+/// What a kept connection saves, in open calls. An instance of many meets each of its zone's engines less often than they
+/// keep connections; so it goes to those first that it knows, as long as none of its own calls runs there. On 59 instances before
+/// 39 engines half of all new connections were for places at engines not met for 10 s.
+const LINK_GAIN: f64 = 0.5;
 /// What having been full a moment ago counts as, in open calls.
 const FULL_COST: f64 = 20.0;
 /// What a transfer from another availability zone counts as, in time of reading: it takes longer and is paid for.
@@ -49,6 +53,8 @@
     pub avoid: &'a [UpstreamId],
     /// Engines that hold the KV cache of the prompt: they go first while they are not full, since they need not read it.
     pub holders: &'a [UpstreamId],
+    /// Upstreams that a kept connection goes to.
+    pub linked: &'a BTreeSet<UpstreamId>,
     /// Breaks ties, so that instances spread their calls.
     pub request: &'a str,
     /// The service.
@@ -325,6 +331,9 @@
     if query.holders.contains(&entry.record.id) {
         cost -= HOLDER_GAIN;
     }
+    if query.linked.contains(&entry.record.id) {
+        cost -= LINK_GAIN;
+    }
     // Small shares don't reorder upstreams that are alike.
     let failure = entry.failure_share(now);
     if failure > 0.05 {
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -3,7 +3,10 @@
 use {
     kernel::{ServiceId, ZoneId},
     policy::{CallVerdict, ChoiceQuery, UpstreamRecord, UpstreamStage, UpstreamTable},
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -28,6 +31,7 @@
     let query = ChoiceQuery {
         avoid: &[],
         holders: &[],
+        linked: &BTreeSet::new(),
         request: "r",
         service: &service,
         stage,
@@ -181,6 +185,7 @@
     let query = ChoiceQuery {
         avoid: &[],
         holders: &[],
+        linked: &BTreeSet::new(),
         request: "r",
         service: &service,
         stage: UpstreamStage::Prefill,
@@ -244,6 +249,7 @@
             let query = ChoiceQuery {
                 avoid: &[],
                 holders: &[],
+                linked: &BTreeSet::new(),
                 request: &request,
                 service: &service,
                 stage: UpstreamStage::Prefill,
@@ -277,6 +283,7 @@
         let query = ChoiceQuery {
             avoid: &[],
             holders: &[],
+            linked: &BTreeSet::new(),
             request: &request,
             service: &service,
             stage: UpstreamStage::Prefill,
@@ -327,6 +334,7 @@
     let query = ChoiceQuery {
         avoid: &["b".into()],
         holders: &[],
+        linked: &BTreeSet::new(),
         request: "r",
         service: &service,
         stage: UpstreamStage::Decode,
--- a/crates/relay/src/link_pool.rs
+++ b/crates/relay/src/link_pool.rs
@@ -16,7 +16,7 @@
     snafu::Snafu,
     socket2::{SockRef, TcpKeepalive},
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -103,6 +103,15 @@
         }
     }
 
+    /// The peers that a kept connection goes to.
+    pub fn linked(&self) -> BTreeSet<LinkKey> {
+        let now = Instant::now();
+        let table = self.idle.lock();
+        let is_live = |links: &[IdleLink]| links.iter().any(|idle| now < idle.until);
+        let linked = table.iter().filter(|(_, links)| is_live(links));
+        linked.map(|(key, _)| key.clone()).collect()
+    }
+
     /// An empty pool.
     pub fn new(times: LinkTimes) -> Self {
         Self {
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -10,7 +10,7 @@
     http_body_util::{BodyExt, Limited},
     kernel::{ResultCode, ServiceId, UpstreamId},
     policy::{CallVerdict, ChoiceQuery, UpstreamStage},
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::time,
 };
 
@@ -108,6 +108,7 @@
         self.core.choose(&ChoiceQuery {
             avoid: &self.tried,
             holders: &[],
+            linked: &BTreeSet::new(),
             request: &self.request.head.id,
             service: self.service,
             stage: UpstreamStage::Plain,
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -9,7 +9,10 @@
     http_body_util::{BodyExt, Limited},
     kernel::{UpstreamId, ZoneId},
     policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, TryEnd, UpstreamStage},
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
     tokio::time,
 };
 
@@ -108,6 +111,7 @@
             &ChoiceQuery {
                 avoid: &[],
                 holders: &self.holders,
+                linked: &BTreeSet::new(),
                 request: &self.request.head.id,
                 service: &self.service,
                 stage: UpstreamStage::Prefill,
