--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -358,6 +358,7 @@
     let query = ChoiceQuery {
         avoid: &[],
         holders: std::slice::from_ref(&holder.id),
+        linked: &BTreeSet::new(),
         request: "r",
         service: &service,
         stage: UpstreamStage::Decode,
@@ -384,6 +385,7 @@
         let query = ChoiceQuery {
             avoid: &[],
             holders: std::slice::from_ref(&holder.id),
+            linked: &BTreeSet::new(),
             request: &request,
             service: &service,
             stage: UpstreamStage::Prefill,
@@ -398,3 +400,87 @@
         assert_eq!(&*choice.upstream.id, "a", "request {number}");
     }
 }
+
+/// Ten engines of each of two zones, all idle.
+fn two_zones(stage: UpstreamStage, now: Instant) -> UpstreamTable {
+    let mut records = Vec::new();
+    for zone in ["a", "b"] {
+        for number in 0..10 {
+            records.push(record(&format!("{zone}-{number}"), zone, stage));
+        }
+    }
+    let mut table = UpstreamTable::default();
+    table.replace(&records, None, now);
+    table
+}
+
+/// Where a request of zone `a` goes that was refused by these.
+fn chosen_after(
+    table: &UpstreamTable,
+    stage: UpstreamStage,
+    avoid: &[&str],
+    now: Instant,
+) -> String {
+    let avoid: Vec<kernel::UpstreamId> = avoid.iter().map(|id| (*id).into()).collect();
+    let (service, zone) = ("s".into(), "a".into());
+    let query = ChoiceQuery {
+        avoid: &avoid,
+        holders: &[],
+        linked: &BTreeSet::new(),
+        request: "r",
+        service: &service,
+        stage,
+        zone: &zone,
+    };
+    table.choose(&query, now).unwrap().zone.to_string()
+}
+
+#[test]
+fn a_burst_that_fills_engines_of_one_zone_sends_requests_to_others() {
+    let now = Instant::now();
+    let table = two_zones(UpstreamStage::Decode, now);
+    let zone = |avoid: &[&str]| chosen_after(&table, UpstreamStage::Decode, avoid, now);
+    assert_eq!(zone(&[]), "a");
+    assert_eq!(zone(&["a-0"]), "a");
+    assert_eq!(zone(&["a-0", "a-1", "a-2"]), "b");
+    // Where the other zone is as full, the own one is looked at again.
+    assert_eq!(zone(&["a-0", "a-1", "a-2", "b-0", "b-1"]), "a");
+}
+
+#[test]
+fn refusals_of_a_plain_service_keep_their_zone() {
+    let now = Instant::now();
+    let table = two_zones(UpstreamStage::Plain, now);
+    let avoid = ["a-0", "a-1", "a-2"];
+    assert_eq!(chosen_after(&table, UpstreamStage::Plain, &avoid, now), "a");
+}
+
+#[test]
+fn an_instance_of_many_goes_to_the_idle_engines_that_it_has_a_connection_to() {
+    let now = Instant::now();
+    let mut table = two_zones(UpstreamStage::Decode, now);
+    let linked = BTreeSet::from(["a-3".into(), "a-7".into()]);
+    let (service, zone): (ServiceId, _) = ("s".into(), "a".into());
+    let choose = |table: &UpstreamTable, request: &str| {
+        let query = ChoiceQuery {
+            avoid: &[],
+            holders: &[],
+            linked: &linked,
+            request,
+            service: &service,
+            stage: UpstreamStage::Decode,
+            zone: &zone,
+        };
+        table.choose(&query, now).unwrap().id.clone()
+    };
+    for request in 0..20 {
+        let id = choose(&table, &request.to_string());
+        assert!(linked.contains(&id), "{id}");
+    }
+    for id in &linked {
+        table.begin(id, 3_000);
+    }
+    // A call runs at each of them: another engine is as good for it, and idle.
+    let id = choose(&table, "r");
+    assert!(!linked.contains(&id), "{id}");
+}
