spread: the first of each zone keeps its row of the directory

Cause, by reading: only who reads the store kept the directory, and of all first ones of the zones one does. The row of another zone would list those of the zone's first seconds for ever; once they are replaced a new life finds nobody to ask there, and takes a larger part of the retry slack than it has.

The first of a zone reads and writes the directory when its members have changed, also while its list comes from another zone. The test of it was not seen red.

--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -180,6 +180,11 @@
         self.rests.insert(from.clone(), ReaderRest::new(span, now));
     }
 
+    /// Whether this instance is the first of its zone that answers.
+    pub fn is_first(&self, now: Instant) -> bool {
+        self.first_awake(now).is_none()
+    }
+
     /// Whether the store does not answer this instance.
     pub fn is_refused(&self) -> bool {
         self.probe.failures() > 0
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -242,16 +242,17 @@
             .state
             .send_modify(|state| state.take_list(&reading, began, now));
         reading.waited = true;
-        self.refresh(now).await;
+        self.refresh(now, true).await;
         Ok(reading)
     }
 
-    /// Reads the directory when it is time, and writes what has changed in the own zone.
-    async fn refresh(&self, now: Instant) {
-        let Some(known) = self.take_refresh(now) else {
+    /// Reads the directory when it is time, and writes what has changed in the own zone. The first of a zone whose list comes
+    /// from another zone does so when something has changed, those that read the store in a period as well.
+    async fn refresh(&self, now: Instant, in_period: bool) {
+        let silent = self.members.plan.lock().silent(now);
+        let Some(known) = self.take_refresh(now, in_period, !silent.is_empty()) else {
             return;
         };
-        let silent = self.members.plan.lock().silent(now);
         let view = match self.within(self.directory.read()).await {
             Ok(view) => view,
             Err(error) => {
@@ -278,12 +279,16 @@
     }
 
     /// Whether the directory is to be read now; if so, gives the key that is known, and the next time is set.
-    fn take_refresh(&self, now: Instant) -> Option<Arc<str>> {
+    fn take_refresh(&self, now: Instant, in_period: bool, any_silent: bool) -> Option<Arc<str>> {
         let members = MemberRow::digest(&self.members.zone_members());
         let mut join = self.join.lock();
         let join = join.as_mut()?;
         let listed = join.view.zones.get(&self.members.own.zone);
-        let is_listed = listed.is_some_and(|listed| MemberRow::digest(listed) == members);
+        let is_listed =
+            !any_silent && listed.is_some_and(|listed| MemberRow::digest(listed) == members);
+        if is_listed && !in_period {
+            return None;
+        }
         let period = match is_listed {
             true => self.times.directory_period,
             false => self.times.directory_settle,
@@ -427,7 +432,13 @@
                         () = self.changed.notified() => continue,
                     };
                     match end {
-                        AskEnd::News(reading) => return Ok(reading),
+                        AskEnd::News(reading) => {
+                            let now = Instant::now();
+                            if self.members.plan.lock().is_first(now) {
+                                self.refresh(now, false).await;
+                            }
+                            return Ok(reading);
+                        }
                         AskEnd::NoAnswer(error) => {
                             failed = Some(error);
                             // One that starts as well may need a moment until it can answer.
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -130,15 +130,22 @@
 
     /// Starts instances of one zone that pass readings on, each with a way of its own to the store.
     pub async fn start_zone(self, count: usize) -> ZoneRun {
+        self.start_zones(&["gijon"], count).await
+    }
+
+    /// The same in several zones, with so many instances each.
+    pub async fn start_zones(self, zones: &[&str], count: usize) -> ZoneRun {
         let store = StoreStandIn::start().await;
         let folder = TempDir::new().unwrap();
         let upstreams = self.start_upstreams(&store).await;
         store.put("op", "config", &self.config());
         let mut instances = Vec::new();
-        for number in 1..=count {
+        for number in 1..=count * zones.len() {
             let name = format!("front-{number}");
+            let zone = format!("zone: {}\n", zones[(number - 1) / count]);
             let way = TcpRelay::start(store.address).await;
             let settings = self.settings(&name, way.address(), ", peers: '127.0.0.1:0'");
+            let settings = settings.replace("zone: gijon\n", &zone);
             let process = start_instance(&name, &settings, &folder).await;
             instances.push(ZoneInstance { process, way });
         }
--- a/crates/trestlewalk/tests/relay_zone.rs
+++ b/crates/trestlewalk/tests/relay_zone.rs
@@ -115,3 +115,23 @@
         assert!(gone(index).await);
     }
 }
+
+#[tokio::test]
+async fn the_directory_lists_the_instances_of_zones_whose_first_reads_nothing_itself() {
+    let zones = ["gijon", "ferrol", "aviles"];
+    let run = RelayTest::new()
+        .plain("carta", 2)
+        .route("/t/", "safe", "carta", &json!({}))
+        .start_zones(&zones, 2)
+        .await;
+    for (index, zone) in zones.iter().enumerate() {
+        wait_until("both instances are listed", async || {
+            let rows = run.store.rows("trestlewalk");
+            let key = format!("peers/zone/{zone}");
+            let row = rows.iter().find(|(of, _)| *of == key);
+            let names = [index * 2 + 1, index * 2 + 2].map(|number| format!("\"front-{number}\""));
+            row.is_some_and(|(_, row)| names.iter().all(|name| row.contains(name)))
+        })
+        .await;
+    }
+}
