relay: a lost run tells whether its upstream ended, and tries of one request can be told

Cause: the logs couldn't tell a request that ends its engines from one that is lost with them: no line said that two tries are one request, or whether an upstream ended or a connection alone. Added: a fingerprint of what a caller sends, worked out when a run is lost; the upstream is asked for a connection then, and one that refuses it has ended. A log line and a counter for it. Nothing is decided by it yet. Ruled out: counting lost answers alone, which would suspect requests at upstreams that are well.

--- a/crates/kernel/src/ranked_lock.rs
+++ b/crates/kernel/src/ranked_lock.rs
@@ -56,6 +56,8 @@
     Services = 55,
     /// The list of upstreams as another instance passed it on.
     Readings = 57,
+    /// The runs that were lost with their connections.
+    Losses = 58,
     /// The view of upstreams: marks, load, prefixes.
     Upstreams = 60,
     /// The idle connections to upstreams and to the store.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,10 +5,13 @@
 //! and asks this crate.
 
 pub mod closed_spell;
+pub mod crash_report;
+pub mod loss_table;
 pub mod part_table;
 pub mod place_pace;
 pub mod read_pace;
 pub mod repeat_rule;
+pub mod request_fingerprint;
 pub mod retry_window;
 pub mod stage_plan;
 pub mod stage_pressure;
@@ -20,10 +23,13 @@
 
 pub use {
     closed_spell::ClosedSpell,
+    crash_report::{CrashMark, CrashReport},
+    loss_table::{LossStep, LossTable, LostRun, UpstreamReach},
     part_table::PartTable,
     place_pace::PlacePace,
     read_pace::ReadPace,
     repeat_rule::RepeatRule,
+    request_fingerprint::{FingerprintParts, RequestFingerprint},
     retry_window::{RetryBounds, RetryWindow},
     stage_plan::{StageGoal, StageMove, StagePlan},
     stage_pressure::StagePressure,
--- /dev/null
+++ b/crates/policy/tests/loss_table.rs
@@ -0,0 +1,116 @@
+//! Runs that are lost with their connections tell something of a request only when their upstream has ended.
+
+use {
+    policy::{
+        CrashMark, CrashReport, FingerprintParts, LossStep, LossTable, LostRun, RequestFingerprint,
+        UpstreamReach,
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+fn fingerprint(target: &str) -> RequestFingerprint {
+    RequestFingerprint::new(&FingerprintParts {
+        body: b"the prompt",
+        caller: "10.0.0.7",
+        host: "shop.example",
+        method: "POST",
+        target,
+    })
+}
+
+fn run(target: &str, ran: u64) -> LostRun {
+    LostRun {
+        fingerprint: fingerprint(target),
+        ran: Duration::from_millis(ran),
+    }
+}
+
+fn report(target: &str, mark: CrashMark) -> CrashReport {
+    CrashReport {
+        fingerprint: fingerprint(target),
+        mark,
+        upstream: Arc::from("i-1"),
+    }
+}
+
+#[test]
+fn all_runs_at_an_upstream_that_ended_are_reported_and_it_is_examined_once() {
+    let (now, upstream) = (Instant::now(), Arc::from("i-1"));
+    let mut table = LossTable::default();
+    assert_eq!(
+        table.note(&upstream, run("/1", 100), now),
+        LossStep::Examine
+    );
+    assert_eq!(table.note(&upstream, run("/2", 2_000), now), LossStep::Wait);
+    let reports = table.examined(&upstream, UpstreamReach::Refuses);
+    let expected = [
+        report("/1", CrashMark::Early),
+        report("/2", CrashMark::Late),
+    ];
+    assert_eq!(reports, expected);
+    let later = table.note(&upstream, run("/3", 5), now);
+    assert_eq!(later, LossStep::Ended(report("/3", CrashMark::Early)));
+}
+
+#[test]
+fn an_upstream_that_answers_or_is_out_of_reach_tells_nothing() {
+    let (now, upstream) = (Instant::now(), Arc::from("i-1"));
+    for reach in [UpstreamReach::Answers, UpstreamReach::Silent] {
+        let mut table = LossTable::default();
+        table.note(&upstream, run("/1", 100), now);
+        assert_eq!(table.examined(&upstream, reach), []);
+        let next = table.note(&upstream, run("/2", 100), now);
+        assert_eq!(next, LossStep::Examine);
+    }
+}
+
+#[test]
+fn an_end_is_forgotten() {
+    let (now, upstream) = (Instant::now(), Arc::from("i-1"));
+    let mut table = LossTable::default();
+    table.note(&upstream, run("/1", 100), now);
+    table.examined(&upstream, UpstreamReach::Refuses);
+    let later = now + Duration::from_secs(10);
+    let next = table.note(&upstream, run("/2", 100), later);
+    assert_eq!(next, LossStep::Examine);
+}
+
+#[test]
+fn requests_differ_by_each_part_and_not_by_where_one_ends_and_the_next_begins() {
+    let parts = FingerprintParts {
+        body: b"bc",
+        caller: "10.0.0.7",
+        host: "shop.example",
+        method: "GET",
+        target: "/a",
+    };
+    let other = [
+        FingerprintParts {
+            body: b"c",
+            target: "/ab",
+            ..parts
+        },
+        FingerprintParts {
+            caller: "10.0.0.8",
+            ..parts
+        },
+        FingerprintParts {
+            host: "shop.test",
+            ..parts
+        },
+        FingerprintParts {
+            method: "PUT",
+            ..parts
+        },
+    ];
+    let own = RequestFingerprint::new(&parts);
+    for other in other {
+        assert_ne!(RequestFingerprint::new(&other), own);
+    }
+    assert_eq!(RequestFingerprint::parse(&own.to_string()), Some(own));
+    assert_eq!(RequestFingerprint::parse("12"), None);
+    assert_eq!(RequestFingerprint::parse(&"+1".repeat(16)), None);
+}
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -3,14 +3,18 @@
 use {
     crate::RequestStory,
     bytes::Bytes,
-    http::{HeaderMap, Method, Uri},
+    http::{HeaderMap, Method, Uri, header},
     kernel::ModelId,
+    policy::{FingerprintParts, RequestFingerprint},
     std::{
-        sync::Arc,
+        net::IpAddr,
+        sync::{Arc, OnceLock},
         time::{Duration, Instant},
     },
 };
 
+/// Names a caller across its connections: where they come from.
+pub type CallerAddress = IpAddr;
 /// Names one try of a caller; the caller's next try has another one.
 pub type RequestId = Arc<str>;
 
@@ -56,8 +60,12 @@
 pub struct CallerRequest {
     /// The body.
     pub body: Bytes,
+    /// Who sends it.
+    pub caller: CallerAddress,
     /// When its caller or its route gives it up.
     pub deadline: Instant,
+    /// What its tries have in common, once somebody has asked for it.
+    pub fingerprint: OnceLock<RequestFingerprint>,
     /// What the head says.
     pub head: CallerHead,
     /// The headers that go on to the upstream.
@@ -73,6 +81,21 @@
 }
 
 impl CallerRequest {
+    /// What its tries have in common. It is worked out when it is asked for the first time: most requests need none.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.headers.get(header::HOST);
+            let target = self.target.path_and_query();
+            RequestFingerprint::new(&FingerprintParts {
+                body: &self.body,
+                caller: &self.caller.to_string(),
+                host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
+                method: self.method.as_str(),
+                target: target.map_or("", |target| target.as_str()),
+            })
+        })
+    }
+
     /// The time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller_request;
 pub mod caller_server;
 pub mod connection_pulse;
+pub mod crash_watch;
 pub mod event_splitter;
 pub mod leftover_guard;
 pub mod link_pool;
@@ -43,9 +44,10 @@
 pub use {
     call_end::{CallEnd, UpstreamAnswer},
     caller_limits::CallerLimits,
-    caller_request::{CallerHead, CallerRequest, PromptInfo, PromptPart, RequestId},
+    caller_request::{CallerAddress, CallerHead, CallerRequest, PromptInfo, PromptPart, RequestId},
     caller_server::CallerServer,
     connection_pulse::ConnectionPulse,
+    crash_watch::CrashWatch,
     event_splitter::{EventRun, EventSplitter},
     leftover_guard::LeftoverGuard,
     link_pool::{LinkError, LinkKey, LinkPool, LinkTimes, OpenLink},
--- a/crates/relay/src/link_pool.rs
+++ b/crates/relay/src/link_pool.rs
@@ -13,10 +13,12 @@
     },
     hyper_util::rt::TokioIo,
     kernel::{LockRank, RankedLock},
+    policy::UpstreamReach,
     snafu::Snafu,
     socket2::{SockRef, TcpKeepalive},
     std::{
         collections::{BTreeSet, HashMap},
+        io::{self, ErrorKind},
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -75,6 +77,15 @@
     until: Instant,
 }
 
+impl IdleLink {
+    fn is_usable(&self, address: SocketAddr, now: Instant) -> bool {
+        now < self.until
+            && self.link.address == address
+            && self.link.sender.is_ready()
+            && !self.link.task.is_finished()
+    }
+}
+
 /// Idle connections by peer.
 #[derive(Debug)]
 pub struct LinkPool {
@@ -120,6 +131,29 @@
         }
     }
 
+    /// Finds out whether a peer still takes connections. A kept connection that is whole tells it without another one; one
+    /// that is made is kept.
+    pub async fn reach(&self, key: &LinkKey, address: SocketAddr) -> UpstreamReach {
+        if self.has_idle(key, address) {
+            return UpstreamReach::Answers;
+        }
+        let stream = match self.dial(address).await {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                return UpstreamReach::Refuses;
+            }
+            Err(error) => {
+                tracing::debug!(%address, %error, "whether an upstream ended is not known");
+                return UpstreamReach::Silent;
+            }
+        };
+        match self.shake_hands(stream, address).await {
+            Ok(link) => self.keep(key, link, None),
+            Err(error) => tracing::debug!(%address, %error, "a new connection is of no use"),
+        }
+        UpstreamReach::Answers
+    }
+
     /// Sends a call and waits for the head of its answer.
     ///
     /// # Errors
@@ -165,22 +199,26 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<OpenLink, LinkError> {
-        let connecting = time::timeout(self.times.connect, TcpStream::connect(address)).await;
-        let stream = match connecting {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => {
-                return UnsentSnafu {
-                    detail: error.to_string(),
-                }
-                .fail();
-            }
-            Err(_) => {
-                return UnsentSnafu {
-                    detail: "no connection in time",
-                }
-                .fail();
+        let stream = self.dial(address).await.map_err(|error| {
+            UnsentSnafu {
+                detail: error.to_string(),
             }
-        };
+            .build()
+        })?;
+        self.shake_hands(stream, address).await
+    }
+
+    async fn dial(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let connecting = time::timeout(self.times.connect, TcpStream::connect(address)).await;
+        let late = |_| io::Error::new(ErrorKind::TimedOut, "no connection in time");
+        connecting.map_err(late)?
+    }
+
+    async fn shake_hands(
+        &self,
+        stream: TcpStream,
+        address: SocketAddr,
+    ) -> Result<OpenLink, LinkError> {
         tune_socket(&stream, self.times.unheard);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| {
@@ -201,16 +239,20 @@
         })
     }
 
+    /// Whether there is a usable connection to this peer.
+    fn has_idle(&self, key: &LinkKey, address: SocketAddr) -> bool {
+        let now = Instant::now();
+        let table = self.idle.lock();
+        let links = table.get(key);
+        links.is_some_and(|links| links.iter().any(|idle| idle.is_usable(address, now)))
+    }
+
     fn take_idle(&self, key: &LinkKey, address: SocketAddr) -> Option<OpenLink> {
         let now = Instant::now();
         let mut table = self.idle.lock();
         let links = table.get_mut(key)?;
         while let Some(idle) = links.pop() {
-            let usable = now < idle.until
-                && idle.link.address == address
-                && idle.link.sender.is_ready()
-                && !idle.link.task.is_finished();
-            if usable {
+            if idle.is_usable(address, now) {
                 return Some(idle.link);
             }
         }
--- a/crates/relay/src/open_call.rs
+++ b/crates/relay/src/open_call.rs
@@ -15,6 +15,8 @@
 pub struct OpenCall {
     board: Arc<UpstreamBoard>,
     counts: RelayCounts,
+    /// When it began.
+    pub since: Instant,
     tokens: u64,
     /// The upstream.
     pub upstream: Arc<UpstreamRecord>,
@@ -38,6 +40,7 @@
         Self {
             board: board.clone(),
             counts: counts.clone(),
+            since: Instant::now(),
             tokens,
             upstream,
             verdict: CallVerdict::Neutral,
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -148,7 +148,10 @@
                     head,
                 })
             }
-            _ => {
+            outcome => {
+                if outcome.is_ok() {
+                    self.core.crashes.note_loss(self.request, &call);
+                }
                 call.close(CallVerdict::Lost);
                 None
             }
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        CallEnd, CallPurpose, CallerRequest, LinkError, LinkPool, LinkTimes, OpenCall, ReaderRole,
-        RelayCounts, RelaySettings, RouteBook, StartGate, UpstreamAnswer, UpstreamBoard,
-        UpstreamCall, UpstreamDialect, WorkRoute, ZoneSize,
+        CallEnd, CallPurpose, CallerRequest, CrashWatch, LinkError, LinkPool, LinkTimes, OpenCall,
+        ReaderRole, RelayCounts, RelaySettings, RouteBook, StartGate, UpstreamAnswer,
+        UpstreamBoard, UpstreamCall, UpstreamDialect, WorkRoute, ZoneSize,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     bytes::Bytes,
@@ -47,6 +47,8 @@
     pub closing: CloseSignal,
     /// The counters.
     pub counts: RelayCounts,
+    /// Which upstreams ended under requests.
+    pub crashes: Arc<CrashWatch>,
     /// How callers and upstreams speak.
     pub dialect: D,
     /// What engines listed a moment ago.
@@ -54,7 +56,7 @@
     paces: RankedLock<HashMap<ServiceId, PlacePace>>,
     pressures: RankedLock<HashMap<ServiceId, StagePressure>>,
     /// The connections to upstreams.
-    pub pool: LinkPool,
+    pub pool: Arc<LinkPool>,
     /// Whether this instance reads the store itself.
     pub reader: ReaderRole,
     /// The settings, which may change while the process runs.
@@ -134,6 +136,7 @@
             }
             Ok(Err(LinkError::Lost { detail })) => {
                 story.note(format_args!("{verb} {id} lost: {detail}"));
+                self.crashes.note_loss(plan.request, &call);
                 call.close(CallVerdict::Lost);
                 return CallEnd::Lost(ResultCode::UpstreamLost);
             }
@@ -206,19 +209,23 @@
             connect: settings.connect,
             unheard: settings.unheard,
         };
+        let board = Arc::new(RankedLock::new(
+            LockRank::Upstreams,
+            UpstreamTable::default(),
+        ));
+        let counts = RelayCounts::new();
+        let pool = Arc::new(LinkPool::new(times));
         Self {
-            board: Arc::new(RankedLock::new(
-                LockRank::Upstreams,
-                UpstreamTable::default(),
-            )),
+            crashes: Arc::new(CrashWatch::new(board.clone(), counts.clone(), pool.clone())),
+            board,
             book: ArcSwapOption::empty(),
             closing: CloseSignal::new(),
-            counts: RelayCounts::new(),
+            counts,
             dialect,
             parts: RankedLock::new(LockRank::Services, PartTable::default()),
             paces: RankedLock::new(LockRank::Services, HashMap::new()),
             pressures: RankedLock::new(LockRank::Services, HashMap::new()),
-            pool: LinkPool::new(times),
+            pool,
             reader: ReaderRole::default(),
             settings: ArcSwap::from_pointee(settings),
             start: StartGate::new(),
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -13,6 +13,9 @@
 /// The upper bounds of the histogram of first bytes, seconds: around the targets of plain and of model services.
 const FIRST_BYTE_BOUNDS: [f64; 10] = [0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 0.9, 1.5, 3.0, 6.0];
 
+/// What may be found out about an upstream after a run was lost there; each is exposed from the start.
+const LOSS_STATES: [&str; 4] = ["answers", "ended", "leaving", "silent"];
+
 /// Counters, registered with the metrics of the process.
 #[derive(Clone, Debug)]
 pub struct RelayCounts {
@@ -20,6 +23,8 @@
     calls: IntCounterVec,
     /// From the request to the first byte of its answer, by row.
     first_byte: HistogramVec,
+    /// Runs lost with their connections, by what became of the upstream.
+    losses: IntCounterVec,
     /// Requests by row and result code.
     requests: IntCounterVec,
     /// Repeated calls to upstreams.
@@ -37,6 +42,14 @@
 impl RelayCounts {
     /// Counters at zero.
     pub fn new() -> Self {
+        let losses = counters(
+            "trestlewalk_relay_losses_total",
+            "Upstreams examined after a lost run, by what was found.",
+            &["upstream_state"],
+        );
+        for state in LOSS_STATES {
+            losses.with_label_values(&[state]);
+        }
         Self {
             calls: counters(
                 "trestlewalk_relay_upstream_calls_total",
@@ -48,6 +61,7 @@
                 "Time from a request to the first byte of its answer, by row.",
                 &["work"],
             ),
+            losses,
             requests: counters(
                 "trestlewalk_relay_requests_total",
                 "Requests by row and result code.",
@@ -93,6 +107,11 @@
         self.calls.with_label_values(&[upstream, label]).inc();
     }
 
+    /// Counts what was found out about an upstream after a run was lost there.
+    pub fn note_loss(&self, state: &str) {
+        self.losses.with_label_values(&[state]).inc();
+    }
+
     /// Drops the counters of an upstream that is gone, so that they don't pile up over a long life.
     pub fn forget_upstream(&self, upstream: &str) {
         for verdict in CallVerdict::ALL {
@@ -114,6 +133,7 @@
     pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
         register(registry, &self.calls)?;
         register(registry, &self.first_byte)?;
+        register(registry, &self.losses)?;
         register(registry, &self.requests)?;
         register(registry, &self.retries)?;
         register(registry, &self.retries_refused)?;
--- a/crates/relay/src/request_story.rs
+++ b/crates/relay/src/request_story.rs
@@ -6,6 +6,7 @@
 use {
     crate::RequestId,
     kernel::{LockRank, RankedLock, ResultCode, ServiceId, TableVersion, WorkId, seeded_rng},
+    policy::RequestFingerprint,
     std::{
         fmt::{self, Write},
         time::{Duration, Instant},
@@ -39,6 +40,8 @@
 #[derive(Debug, Default)]
 struct StoryState {
     code: Option<ResultCode>,
+    /// What its tries have in common; set when a run was lost.
+    fingerprint: Option<RequestFingerprint>,
     first_byte: Option<Duration>,
     is_sent: bool,
     last_piece: Option<Duration>,
@@ -69,6 +72,11 @@
         self.state.lock().first_byte.get_or_insert(since);
     }
 
+    /// A run was lost with its connection: later tries of the same request can be told by this.
+    pub fn lost(&self, fingerprint: RequestFingerprint) {
+        self.state.lock().fingerprint = Some(fingerprint);
+    }
+
     /// A request that came at `since`.
     pub fn new(id: RequestId, since: Instant, start: StoryStart) -> Self {
         Self {
@@ -140,6 +148,7 @@
             longest_pause_ms = state.last_piece.map(|_| state.longest_pause.as_millis() as u64),
             pause_from_ms = state.last_piece.map(|_| state.pause_from.as_millis() as u64),
             total_ms = self.since.elapsed().as_millis() as u64,
+            fingerprint = state.fingerprint.map(tracing::field::display),
             steps = state.steps.trim_end(),
             "request ended"
         );
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -343,6 +343,9 @@
         let mut splitter = EventSplitter::default();
         match self.first_piece(&mut answer.body, &mut splitter).await {
             FirstPiece::Cut(code) => {
+                if code == ResultCode::StreamCut {
+                    self.core.crashes.note_loss(&self.request, &answer.call);
+                }
                 answer.call.close(CallVerdict::Lost);
                 Err(OwnAnswer::new(code))
             }
@@ -364,7 +367,10 @@
         let reading = Limited::new(answer.body, LARGEST_FAILURE).collect();
         let bytes: Bytes = match time::timeout(self.request.left(), reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
-            _ => {
+            outcome => {
+                if outcome.is_ok() {
+                    self.core.crashes.note_loss(&self.request, &answer.call);
+                }
                 answer.call.close(CallVerdict::Lost);
                 return Err(OwnAnswer::new(ResultCode::StreamCut));
             }
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -73,7 +73,10 @@
         let reading = Limited::new(body, LARGEST_READ_REPLY).collect();
         let bytes = match time::timeout(self.request.left(), reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
-            _ => {
+            outcome => {
+                if outcome.is_ok() {
+                    self.core.crashes.note_loss(&self.request, &call);
+                }
                 call.close(CallVerdict::Lost);
                 return None;
             }
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -37,8 +37,11 @@
 
 enum PumpStep {
     CallerGone,
+    /// The connection broke, or the stream ended in the middle of an event.
     Cut,
     Ended,
+    /// The time of the request is over.
+    Expired,
     Piece(Bytes),
     Silent,
 }
@@ -75,10 +78,17 @@
                         return;
                     }
                 }
-                PumpStep::Cut => match self.resume(None).await {
-                    Some(pump) => self = pump,
-                    None => return,
-                },
+                step @ (PumpStep::Cut | PumpStep::Expired) => {
+                    if matches!(step, PumpStep::Cut) {
+                        let core = &self.flow.core;
+                        core.crashes
+                            .note_loss(&self.flow.request, &self.answer.call);
+                    }
+                    match self.resume(None).await {
+                        Some(pump) => self = pump,
+                        None => return,
+                    }
+                }
                 PumpStep::Silent => {
                     let Some(place) = self.other_place().await else {
                         continue;
@@ -170,7 +180,7 @@
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return PumpStep::Cut,
-                Err(_) if self.flow.request.left().is_zero() => return PumpStep::Cut,
+                Err(_) if self.flow.request.left().is_zero() => return PumpStep::Expired,
                 Err(_) => return PumpStep::Silent,
                 Ok(None) if self.splitter.held() > 0 => return PumpStep::Cut,
                 Ok(None) => return PumpStep::Ended,
