Test: a request under which three engines ended is sent to no further one (red)

The incident in small: instances of two zones, engines that end under one body and come back as other lives, a caller whose tries go to one instance after the other. Stand-ins of upstreams can end and be replaced.

--- a/crates/trestlewalk/tests/relay_support/engine_side.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_side.rs
@@ -100,6 +100,7 @@
         );
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
+    let is_deadly = mode == UpstreamMode::Answer && engine.ends_on(&message);
     match mode {
         UpstreamMode::Answer | UpstreamMode::CutAfter(_) | UpstreamMode::PauseAfter(..) => {}
         UpstreamMode::Slow(pause) => tokio::time::sleep(pause).await,
@@ -116,6 +117,9 @@
     if stream.write_all(head.as_bytes()).await.is_err() {
         return false;
     }
+    if is_deadly {
+        return std::future::pending().await;
+    }
     for index in after + 1..=EVENTS {
         let mut text = event_text(index);
         if let UpstreamMode::PauseAfter(count, pause) = mode
--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 pub mod caller;
+pub mod crash_ground;
 pub mod engine_side;
 pub mod relay_test;
 pub mod store;
@@ -21,6 +22,7 @@
 )]
 pub use {
     caller::{Caller, CallerReply},
+    crash_ground::CrashGround,
     relay_test::{RelayRun, RelayTest},
     store::StoreStandIn,
     upstream::{Seen, UpstreamKind, UpstreamMode, UpstreamStandIn},
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -16,8 +16,12 @@
         net::{TcpListener, TcpStream},
         time,
     },
+    tokio_util::sync::CancellationToken,
 };
 
+/// How long a deadly request runs before its upstream ends.
+const RUN_BEFORE_END: Duration = Duration::from_millis(60);
+
 /// What an upstream is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpstreamKind {
@@ -74,6 +78,8 @@
 
 #[derive(Debug)]
 pub struct UpstreamState {
+    /// The body under which it ends.
+    pub ends_on: Option<String>,
     pub held: usize,
     pub kind: UpstreamKind,
     /// The parts of prompts that an engine says it holds.
@@ -87,6 +93,8 @@
 #[derive(Clone, Debug)]
 pub struct UpstreamStandIn {
     pub address: SocketAddr,
+    /// Ends this life.
+    ending: CancellationToken,
     pub id: String,
     pub service: String,
     pub state: Arc<Mutex<UpstreamState>>,
@@ -98,9 +106,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let upstream = Self {
             address: listener.local_addr().unwrap(),
+            ending: CancellationToken::new(),
             id: id.to_owned(),
             service: service.to_owned(),
             state: Arc::new(Mutex::new(UpstreamState {
+                ends_on: None,
                 held: 0,
                 kind,
                 listed: Vec::new(),
@@ -143,18 +153,56 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// Ends this life at once: its connections are reset and nobody listens any more.
+    pub fn end(&self) {
+        self.ending.cancel();
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.ending.is_cancelled()
+    }
+
+    pub async fn wait_ended(&self) {
+        self.ending.cancelled().await;
+    }
+
+    /// Whether a request ends this life; it does so a moment after it began to run.
+    pub fn ends_on(&self, message: &WireMessage) -> bool {
+        let body = self.state.lock().unwrap().ends_on.clone();
+        let is_deadly = body.is_some_and(|body| body.as_bytes() == message.body);
+        if is_deadly {
+            let ending = self.ending.clone();
+            tokio::spawn(async move {
+                time::sleep(RUN_BEFORE_END).await;
+                ending.cancel();
+            });
+        }
+        is_deadly
+    }
+
     async fn accept(self, listener: TcpListener) {
         loop {
-            let (stream, _) = listener.accept().await.unwrap();
+            let stream = tokio::select! {
+                () = self.ending.cancelled() => return,
+                accepted = listener.accept() => accepted.unwrap().0,
+            };
             stream.set_nodelay(true).unwrap();
-            tokio::spawn(self.clone().serve(stream));
+            tokio::spawn(self.clone().serve_life(stream));
         }
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    /// Serves a connection until it ends; at the end of this life it is reset.
+    async fn serve_life(self, mut stream: TcpStream) {
+        tokio::select! {
+            () = self.ending.cancelled() => reset(&stream),
+            () = self.serve(&mut stream) => {}
+        }
+    }
+
+    async fn serve(&self, stream: &mut TcpStream) {
         let mut rest = Vec::new();
-        while let Some(mut message) = read_head(&mut stream, &mut rest).await {
-            if !read_body(&mut stream, &mut rest, &mut message).await {
+        while let Some(mut message) = read_head(stream, &mut rest).await {
+            if !read_body(stream, &mut rest, &mut message).await {
                 return;
             }
             let expected = message.header("x-expect-instance");
@@ -165,8 +213,8 @@
             }
             let kind = self.state.lock().unwrap().kind;
             let goes_on = match kind {
-                UpstreamKind::Plain => self.answer_plain(&mut stream, message).await,
-                _ => answer_engine(&self, &mut stream, message).await,
+                UpstreamKind::Plain => self.answer_plain(stream, message).await,
+                _ => answer_engine(self, stream, message).await,
             };
             if !goes_on {
                 return;
@@ -184,6 +232,10 @@
             .header("x-request-id")
             .unwrap_or_default()
             .to_owned();
+        if self.ends_on(&message) {
+            self.note(message, true);
+            return std::future::pending().await;
+        }
         let mode = self.state.lock().unwrap().mode;
         let is_refused = matches!(mode, UpstreamMode::Shed | UpstreamMode::TurnAway);
         self.note(message, !is_refused);
--- a/crates/trestlewalk/tests/relay_support/zone_run.rs
+++ b/crates/trestlewalk/tests/relay_support/zone_run.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        caller::{Caller, fresh_id, request_text},
+        caller::{Caller, CallerReply, fresh_id, request_text},
         store::StoreStandIn,
         upstream::UpstreamStandIn,
     },
@@ -49,13 +49,26 @@
         value.map_or(0, |value| value.parse().unwrap())
     }
 
-    /// The status of the answer to one request at an instance.
-    pub async fn status(&self, index: usize, path: &str) -> u16 {
+    /// The answer to one try at an instance, on a connection of its own.
+    pub async fn send(
+        &self,
+        index: usize,
+        method: &str,
+        path: &str,
+        more: &str,
+        body: &str,
+    ) -> CallerReply {
         let address = self.instances[index].process.address("callers");
         let mut caller = Caller::connect(address).await;
-        let text = request_text("GET", path, &fresh_id(), "X-Deadline-Ms: 4000\r\n", "");
+        let text = request_text(method, path, &fresh_id(), more, body);
         caller.write(&text).await;
-        caller.read().await.status()
+        caller.read().await
+    }
+
+    /// The status of the answer to one request at an instance.
+    pub async fn status(&self, index: usize, path: &str) -> u16 {
+        let reply = self.send(index, "GET", path, "X-Deadline-Ms: 4000\r\n", "");
+        reply.await.status()
     }
 
     /// Waits until all instances but one get their readings from it; gives the index of that one.
