--- a/crates/kernel/src/ranked_lock.rs
+++ b/crates/kernel/src/ranked_lock.rs
@@ -56,7 +56,7 @@
     Services = 55,
     /// The list of upstreams as another instance passed it on.
     Readings = 57,
-    /// The runs that were lost with their connections.
+    /// The runs that were lost with their connections, and the requests in quarantine.
     Losses = 58,
     /// The view of upstreams: marks, load, prefixes.
     Upstreams = 60,
--- a/crates/kernel/src/result_code.rs
+++ b/crates/kernel/src/result_code.rs
@@ -57,6 +57,7 @@
   KeyTaken = 2016, 409, "not run: this idempotency key belongs to an earlier request";
   ServiceUnknown = 2017, 404, "not run: there is no such service";
   QueueFull = 2018, 429, "not run: the queue is full";
+  RequestQuarantined = 2019, 503, "not run: upstreams ended under this request, it is in quarantine";
   UpstreamLost = 3001, 502, "outcome unknown: the connection to the upstream was lost";
   UpstreamGarbled = 3002, 502, "outcome unknown: the upstream's answer can't be read";
   StreamCut = 3003, 502, "outcome unknown: the upstream's stream ended early";
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod closed_spell;
 pub mod crash_report;
+pub mod crash_table;
 pub mod loss_table;
 pub mod part_table;
 pub mod place_pace;
@@ -23,7 +24,8 @@
 
 pub use {
     closed_spell::ClosedSpell,
-    crash_report::{CrashMark, CrashReport},
+    crash_report::{AgedReport, CrashMark, CrashReport},
+    crash_table::{CrashTable, QuarantineRow},
     loss_table::{LossStep, LossTable, LostRun, UpstreamReach},
     part_table::PartTable,
     place_pace::PlacePace,
--- a/crates/policy/src/stream_tries.rs
+++ b/crates/policy/src/stream_tries.rs
@@ -8,6 +8,8 @@
 /// How a call of a request ended, as far as further calls depend on it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TryEnd {
+    /// The request is in quarantine: nothing was sent, and nothing will be.
+    Held,
     /// An engine accepted the reading of the prompt.
     Read,
     /// An engine had the reading and did not do it.
@@ -31,7 +33,7 @@
     has_read: bool,
     /// A retry was taken out of the budget for the next call.
     is_paid: bool,
-    /// Set when the retry budget allowed no further call.
+    /// Set when no further call may go out: the retry budget allowed none, or the request is in quarantine.
     is_spent: bool,
     refused: u32,
     repeat: RepeatRule,
@@ -69,6 +71,7 @@
     /// A call ended.
     pub fn note(&mut self, end: TryEnd) {
         match end {
+            TryEnd::Held => self.is_spent = true,
             TryEnd::Read => self.has_read = true,
             TryEnd::ReadRefused => {
                 self.has_read = true;
--- /dev/null
+++ b/crates/policy/tests/crash_table.rs
@@ -0,0 +1,162 @@
+//! Which requests are in quarantine, by the ends that were reported of them.
+
+use {
+    policy::{CrashMark, CrashReport, CrashTable, FingerprintParts, RequestFingerprint},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::time::{Duration, Instant},
+};
+
+const LIFE: Duration = Duration::from_secs(600);
+
+fn fingerprint(target: &str) -> RequestFingerprint {
+    RequestFingerprint::new(&FingerprintParts {
+        body: b"the prompt",
+        caller: "10.0.0.7",
+        host: "shop.example",
+        method: "POST",
+        target,
+    })
+}
+
+fn report(target: &str, upstream: u32, mark: CrashMark) -> CrashReport {
+    CrashReport {
+        fingerprint: fingerprint(target),
+        mark,
+        upstream: format!("i-{upstream}").into(),
+    }
+}
+
+fn table_of(marks: &[CrashMark], now: Instant) -> CrashTable {
+    let mut table = CrashTable::new(LIFE);
+    for (upstream, mark) in (0..).zip(marks) {
+        table.take(&report("/1", upstream, *mark), now, now);
+    }
+    table
+}
+
+#[test]
+fn three_early_ends_or_six_late_ones_put_a_request_into_quarantine() {
+    let now = Instant::now();
+    let held = |marks: &[CrashMark]| table_of(marks, now).held(&fingerprint("/1"), now);
+    let (early, late) = (CrashMark::Early, CrashMark::Late);
+    assert_eq!(held(&[early, early]), None);
+    assert_eq!(held(&[early, early, early]), Some(LIFE));
+    assert_eq!(held(&[early, early, late]), None);
+    assert_eq!(held(&[early, early, late, late]), Some(LIFE));
+    assert_eq!(held(&[late; 5]), None);
+    assert_eq!(held(&[late; 6]), Some(LIFE));
+    let other = table_of(&[early; 3], now).held(&fingerprint("/2"), now);
+    assert_eq!(other, None);
+}
+
+#[test]
+fn the_same_end_counts_once() {
+    let now = Instant::now();
+    let mut table = CrashTable::new(LIFE);
+    for _ in 0..9 {
+        table.take(&report("/1", 0, CrashMark::Early), now, now);
+    }
+    assert_eq!(table.held(&fingerprint("/1"), now), None);
+}
+
+#[test]
+fn what_is_answered_in_full_is_cleared_and_later_ends_count_anew() {
+    let now = Instant::now();
+    let mut table = table_of(&[CrashMark::Early; 3], now);
+    let told = table.clear(fingerprint("/1"));
+    assert_eq!(told.len(), 3);
+    assert!(told.iter().all(|report| report.mark == CrashMark::Cleared));
+    assert_eq!(table.held(&fingerprint("/1"), now), None);
+    assert_eq!(table.clear(fingerprint("/1")), []);
+    // An instance that has not heard of it yet tells the old ends again.
+    for upstream in 0..3 {
+        table.take(&report("/1", upstream, CrashMark::Early), now, now);
+    }
+    assert_eq!(table.held(&fingerprint("/1"), now), None);
+    for upstream in 3..6 {
+        table.take(&report("/1", upstream, CrashMark::Early), now, now);
+    }
+    assert_eq!(table.held(&fingerprint("/1"), now), Some(LIFE));
+}
+
+#[test]
+fn a_quarantine_lasts_until_too_few_ends_count_and_one_more_renews_it() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut table = CrashTable::new(LIFE);
+    for upstream in 0..3 {
+        let at = now + second * upstream;
+        table.take(&report("/1", upstream, CrashMark::Early), at, at);
+    }
+    let end = now + LIFE;
+    assert_eq!(table.held(&fingerprint("/1"), end - second), Some(second));
+    assert_eq!(table.held(&fingerprint("/1"), end), None);
+    table.take(&report("/1", 3, CrashMark::Early), end, end);
+    assert!(table.held(&fingerprint("/1"), end).is_some());
+    table.sweep(end + LIFE);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_report_that_comes_late_counts_from_when_it_was_made() {
+    let now = Instant::now();
+    let mut table = table_of(&[CrashMark::Early; 2], now);
+    let old = report("/1", 2, CrashMark::Early);
+    assert!(!table.take(&old, now, now + LIFE));
+    assert!(table.take(&old, now, now + LIFE / 2));
+    let held = table.held(&fingerprint("/1"), now + LIFE / 2);
+    assert_eq!(held, Some(LIFE / 2));
+}
+
+#[test]
+fn many_suspects_push_out_the_one_reported_longest_ago() {
+    let now = Instant::now();
+    let mut table = table_of(&[CrashMark::Early; 3], now);
+    let later = now + Duration::from_secs(1);
+    for number in 0..5_000 {
+        let report = report(&format!("/beside/{number}"), 9, CrashMark::Late);
+        table.take(&report, later, later);
+    }
+    assert_eq!(table.held(&fingerprint("/1"), later), None);
+    assert_eq!(table.rows(later), []);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(27),
+        ..ProptestConfig::default()
+    })]
+
+    /// Two instances that get the same reports, in any order and some of them again, hold the same requests for the same time.
+    #[test]
+    fn the_order_of_reports_makes_no_difference(
+        reports in prop::collection::vec((0..3_u32, 0..6_u32, 0..3_usize, 0..500_u64), 1..40),
+        shuffled in any::<prop::sample::Index>(),
+        again in 0..40_usize,
+    ) {
+        let marks = [CrashMark::Late, CrashMark::Early, CrashMark::Cleared];
+        let start = Instant::now();
+        let end = start + Duration::from_secs(500);
+        let reports: Vec<(CrashReport, Instant)> = reports
+            .into_iter()
+            .map(|(request, upstream, mark, at)| {
+                let report = report(&format!("/{request}"), upstream, marks[mark]);
+                (report, start + Duration::from_secs(at))
+            })
+            .collect();
+        let mut turned = reports.clone();
+        turned.rotate_left(shuffled.index(reports.len()));
+        turned.reverse();
+        turned.extend(reports.iter().take(again).cloned());
+        let fill = |reports: &[(CrashReport, Instant)]| {
+            let mut table = CrashTable::new(LIFE);
+            for (report, since) in reports {
+                table.take(report, *since, end);
+            }
+            table
+        };
+        prop_assert_eq!(fill(&reports).rows(end), fill(&turned).rows(end));
+    }
+}
--- a/crates/relay/src/call_end.rs
+++ b/crates/relay/src/call_end.rs
@@ -5,6 +5,7 @@
     http::response::Parts,
     hyper::body::Incoming,
     kernel::ResultCode,
+    std::time::Duration,
 };
 
 /// The head of an upstream's answer, with its body still to come.
@@ -27,6 +28,8 @@
 pub enum CallEnd {
     /// The upstream answers.
     Answer(Box<UpstreamAnswer>),
+    /// The request is in quarantine for so long; nothing was sent.
+    Held(Duration),
     /// Nobody knows whether the request ran.
     Lost(ResultCode),
     /// The upstream says that it did not run the request.
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -1,37 +1,85 @@
-//! Finds out which upstreams ended under the requests that ran there.
+//! Finds out which upstreams ended under the requests that ran there, and keeps those in quarantine that end them all.
 
 use {
     crate::{CallerRequest, LinkPool, OpenCall, RelayCounts, UpstreamBoard},
     kernel::{LockRank, RankedLock},
-    policy::{CrashReport, LossStep, LossTable, LostRun, UpstreamRecord},
+    policy::{
+        AgedReport, CrashReport, CrashTable, LossStep, LossTable, LostRun, QuarantineRow,
+        UpstreamRecord,
+    },
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time,
+    tokio::{sync::Notify, time},
 };
 
 /// A process that ends closes its connections one after the other, the one that it listens at among them: so long after the
 /// first loss it refuses new ones.
 const EXAMINE_PAUSE: Duration = Duration::from_millis(20);
+/// How many reports wait for a store that is down; further ones are passed on to other instances alone.
+const MOST_UNSENT: usize = 1_000;
+/// The store takes so many rows in one transaction.
+const MOST_WRITES: usize = 100;
 
 /// Watches the losses of one process.
 #[derive(Debug)]
 pub struct CrashWatch {
     board: Arc<UpstreamBoard>,
     counts: RelayCounts,
-    losses: RankedLock<LossTable>,
     pool: Arc<LinkPool>,
+    state: RankedLock<CrashState>,
+    /// Rung when there are reports that nobody else has.
+    unsent: Notify,
+}
+
+#[derive(Debug)]
+struct CrashState {
+    losses: LossTable,
+    table: CrashTable,
+    unsent: Vec<CrashReport>,
 }
 
 impl CrashWatch {
-    /// A watch that has seen nothing.
-    pub fn new(board: Arc<UpstreamBoard>, counts: RelayCounts, pool: Arc<LinkPool>) -> Self {
+    /// A request was answered in full by an upstream, which goes on: it is no cause of ends.
+    pub fn note_answered(&self, request: &CallerRequest) {
+        let mut state = self.state.lock();
+        // Without a suspect nothing is worked out.
+        if state.table.is_empty() {
+            return;
+        }
+        let reports = state.table.clear(request.fingerprint());
+        self.pass_on(&mut state, reports);
+    }
+
+    /// How long a request stays in quarantine; none when it may run. Sent on, it would end further upstreams, and break all
+    /// that runs beside it there.
+    pub fn held(&self, request: &CallerRequest) -> Option<Duration> {
+        let state = self.state.lock();
+        if state.table.is_empty() {
+            return None;
+        }
+        state.table.held(&request.fingerprint(), Instant::now())
+    }
+
+    /// A watch that has seen nothing; a report counts for `life`.
+    pub fn new(
+        board: Arc<UpstreamBoard>,
+        counts: RelayCounts,
+        pool: Arc<LinkPool>,
+        life: Duration,
+    ) -> Self {
+        let state = CrashState {
+            losses: LossTable::default(),
+            table: CrashTable::new(life),
+            unsent: Vec::new(),
+        };
         Self {
             board,
             counts,
-            losses: RankedLock::new(LockRank::Losses, LossTable::default()),
             pool,
+            state: RankedLock::new(LockRank::Losses, state),
+            unsent: Notify::new(),
         }
     }
 
@@ -48,9 +96,9 @@
             ran: call.since.elapsed(),
         };
         request.story.lost(run.fingerprint);
-        let step = self.losses.lock().note(&upstream.id, run, Instant::now());
-        match step {
-            LossStep::Ended(report) => self.report(&[report]),
+        let mut state = self.state.lock();
+        match state.losses.note(&upstream.id, run, Instant::now()) {
+            LossStep::Ended(report) => self.report(&mut state, vec![report]),
             LossStep::Examine => {
                 tokio::spawn(self.clone().examine(upstream.clone()));
             }
@@ -58,22 +106,101 @@
         }
     }
 
+    /// The requests in quarantine.
+    pub fn rows(&self) -> Vec<QuarantineRow> {
+        self.state.lock().table.rows(Instant::now())
+    }
+
+    /// Reports of other instances.
+    pub fn take(&self, reports: &[AgedReport], now: Instant) {
+        let mut state = self.state.lock();
+        for AgedReport { age, report } in reports {
+            let since = now.checked_sub(*age).unwrap_or(now);
+            Self::learn(&mut state, report, since, now);
+        }
+        state.table.sweep(now);
+        self.gauge(&state, now);
+    }
+
+    /// Waits for reports that nobody else has, and takes them.
+    pub async fn take_unsent(&self) -> Vec<CrashReport> {
+        loop {
+            let reports = self.drain_unsent();
+            if !reports.is_empty() {
+                return reports;
+            }
+            self.unsent.notified().await;
+        }
+    }
+
+    fn drain_unsent(&self) -> Vec<CrashReport> {
+        let mut state = self.state.lock();
+        let count = state.unsent.len().min(MOST_WRITES);
+        state.unsent.drain(..count).collect()
+    }
+
+    /// Reports that could not be sent are sent again.
+    pub fn take_back(&self, reports: Vec<CrashReport>) {
+        let mut state = self.state.lock();
+        self.pass_on(&mut state, reports);
+    }
+
     async fn examine(self: Arc<Self>, upstream: Arc<UpstreamRecord>) {
         time::sleep(EXAMINE_PAUSE).await;
         let reach = self.pool.reach(&upstream.id, upstream.address).await;
         self.counts.note_loss(reach.label());
-        let reports = self.losses.lock().examined(&upstream.id, reach);
-        self.report(&reports);
+        let mut state = self.state.lock();
+        let reports = state.losses.examined(&upstream.id, reach);
+        self.report(&mut state, reports);
+    }
+
+    fn gauge(&self, state: &CrashState, now: Instant) {
+        let count = i64::try_from(state.table.rows(now).len()).unwrap_or(i64::MAX);
+        self.counts.quarantined.set(count);
+    }
+
+    fn learn(state: &mut CrashState, report: &CrashReport, since: Instant, now: Instant) {
+        let was_held = state.table.held(&report.fingerprint, now).is_some();
+        state.table.take(report, since, now);
+        let held = state.table.held(&report.fingerprint, now);
+        if held.is_some() != was_held {
+            tracing::warn!(
+                fingerprint = %report.fingerprint,
+                left_s = held.map(|left| left.as_secs()),
+                "the quarantine of a request changes"
+            );
+        }
+    }
+
+    /// Has reports sent to others.
+    fn pass_on(&self, state: &mut CrashState, reports: Vec<CrashReport>) {
+        if reports.is_empty() {
+            return;
+        }
+        let room = MOST_UNSENT.saturating_sub(state.unsent.len());
+        if reports.len() > room {
+            tracing::warn!(
+                count = reports.len() - room,
+                "reports of ended upstreams are dropped, the store takes none"
+            );
+        }
+        state.unsent.extend(reports.into_iter().take(room));
+        self.unsent.notify_one();
     }
 
-    fn report(&self, reports: &[CrashReport]) {
-        for report in reports {
+    /// Upstreams ended under requests of this instance.
+    fn report(&self, state: &mut CrashState, reports: Vec<CrashReport>) {
+        let now = Instant::now();
+        for report in &reports {
             tracing::info!(
                 upstream = %report.upstream,
                 fingerprint = %report.fingerprint,
                 mark = ?report.mark,
                 "an upstream ended under a request"
             );
+            Self::learn(state, report, now, now);
         }
+        self.gauge(state, now);
+        self.pass_on(state, reports);
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller_request;
 pub mod caller_server;
 pub mod connection_pulse;
+pub mod crash_plugin;
 pub mod crash_watch;
 pub mod event_splitter;
 pub mod leftover_guard;
@@ -53,7 +54,8 @@
     link_pool::{LinkError, LinkKey, LinkPool, LinkTimes, OpenLink},
     open_call::{OpenCall, UpstreamBoard},
     operator_source::{
-        BookNews, BookReading, OperatorSource, SourceError, StoreVersion, UpstreamReading,
+        BookNews, BookReading, OperatorSource, ReportMark, ReportReading, SourceError,
+        StoreVersion, UpstreamReading,
     },
     order_dialect::{OrderDialect, OrderState, StageOrder},
     place_finder::{PlaceFinder, ReservedPlace},
--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{CallReason, RouteBook},
-    policy::UpstreamRecord,
+    policy::{AgedReport, CrashReport, UpstreamRecord},
     snafu::Snafu,
     std::{
         future::Future,
@@ -50,6 +50,18 @@
     pub waited: bool,
 }
 
+/// What a source gives to go on from in its reports: it means something to that source alone.
+pub type ReportMark = u64;
+
+/// Upstreams that ended under requests, as instances have reported them.
+#[derive(Clone, Debug, Default)]
+pub struct ReportReading {
+    /// Where to go on from; none when the whole is to be read again.
+    pub next: Option<ReportMark>,
+    /// The reports.
+    pub reports: Vec<AgedReport>,
+}
+
 /// Why the store gave no answer.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -76,6 +88,12 @@
 
 /// The store that the operators write to and the upstreams report to.
 pub trait OperatorSource: Send + Sync + 'static {
+    /// Removes reports that are too old to count.
+    fn drop_reports(
+        &self,
+        reports: &[CrashReport],
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
+
     /// Reads the routes.
     fn read_book(
         &self,
@@ -94,4 +112,17 @@
         after: StoreVersion,
         wait: Duration,
     ) -> impl Future<Output = Result<BookNews, SourceError>> + Send;
+
+    /// Waits for reports after a mark, at most for `wait`; without a mark it gives at once what there is.
+    fn watch_reports(
+        &self,
+        after: Option<ReportMark>,
+        wait: Duration,
+    ) -> impl Future<Output = Result<ReportReading, SourceError>> + Send;
+
+    /// Makes reports known to all instances. Done twice it does no harm.
+    fn write_reports(
+        &self,
+        reports: &[CrashReport],
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
 }
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -29,6 +29,8 @@
     core: &'a RelayCore<D>,
     /// A failure of an upstream's own, to give back when no other upstream does better.
     fallback: Option<Response<RelayBody>>,
+    /// Whether it is in quarantine since a call of it.
+    is_held: bool,
     refused: u32,
     request: &'a CallerRequest,
     route: &'a WorkRoute,
@@ -60,6 +62,7 @@
         Self {
             core,
             fallback: None,
+            is_held: false,
             refused: 0,
             request,
             route,
@@ -123,7 +126,7 @@
     fn may_go_on(&self) -> bool {
         let may_run =
             self.runs < self.route.tries && (self.runs == 0 || self.route.repeat.may_repeat());
-        may_run && self.refused <= REFUSED_TRIES && !self.request.left().is_zero()
+        !self.is_held && may_run && self.refused <= REFUSED_TRIES && !self.request.left().is_zero()
     }
 
     async fn read_whole(&self, answer: UpstreamAnswer) -> Option<WholeAnswer> {
@@ -138,6 +141,7 @@
         match time::timeout(self.request.left(), reading).await {
             Ok(Ok(collected)) => {
                 call.close(status_verdict(head.status));
+                self.core.crashes.note_answered(self.request);
                 if !facts.last_on_connection {
                     self.core
                         .pool
@@ -174,6 +178,10 @@
     async fn take(&mut self, end: CallEnd) -> NextStep {
         match end {
             CallEnd::Answer(answer) => self.take_answer(*answer).await,
+            CallEnd::Held(left) => {
+                self.is_held = true;
+                NextStep::Again(OwnAnswer::later(ResultCode::RequestQuarantined, left))
+            }
             CallEnd::Lost(code) => {
                 self.runs += 1;
                 NextStep::Again(OwnAnswer::new(code))
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -103,6 +103,11 @@
 
     /// Calls an upstream and reads the head of its answer.
     pub async fn call(&self, plan: CallPlan<'_>, upstream: Arc<UpstreamRecord>) -> CallEnd {
+        // At the last moment before each call: news may have come while the request waited.
+        if let Some(held) = self.crashes.held(plan.request) {
+            plan.request.story.note(format_args!("in quarantine"));
+            return CallEnd::Held(held);
+        }
         let left = plan.request.left();
         if left.is_zero() {
             return CallEnd::Unsent;
@@ -216,7 +221,12 @@
         let counts = RelayCounts::new();
         let pool = Arc::new(LinkPool::new(times));
         Self {
-            crashes: Arc::new(CrashWatch::new(board.clone(), counts.clone(), pool.clone())),
+            crashes: Arc::new(CrashWatch::new(
+                board.clone(),
+                counts.clone(),
+                pool.clone(),
+                settings.quarantine,
+            )),
             board,
             book: ArcSwapOption::empty(),
             closing: CloseSignal::new(),
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -25,6 +25,8 @@
     first_byte: HistogramVec,
     /// Runs lost with their connections, by what became of the upstream.
     losses: IntCounterVec,
+    /// The requests in quarantine.
+    pub quarantined: IntGauge,
     /// Requests by row and result code.
     requests: IntCounterVec,
     /// Repeated calls to upstreams.
@@ -62,6 +64,10 @@
                 &["work"],
             ),
             losses,
+            quarantined: gauge(
+                "trestlewalk_relay_quarantined_requests",
+                "The requests in quarantine.",
+            ),
             requests: counters(
                 "trestlewalk_relay_requests_total",
                 "Requests by row and result code.",
@@ -134,6 +140,7 @@
         register(registry, &self.calls)?;
         register(registry, &self.first_byte)?;
         register(registry, &self.losses)?;
+        register(registry, &self.quarantined)?;
         register(registry, &self.requests)?;
         register(registry, &self.retries)?;
         register(registry, &self.retries_refused)?;
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -7,6 +7,8 @@
 pub struct RelaySettings {
     /// How long a connection to an upstream may take to come about.
     pub connect: Duration,
+    /// How long the end of an upstream counts against the requests that ran there.
+    pub quarantine: Duration,
     /// Whether prompts are read by the engines of the prefill stage, or by the decode engine that goes on with them.
     pub reads_apart: bool,
     /// The retry budget of all instances.
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -90,6 +90,9 @@
             since,
             target: parts.uri.clone(),
         };
+        if let Some(left) = self.core.crashes.held(&request) {
+            return Ok(self.quarantine(&request, &routed.route, left));
+        }
         self.core.note_request(&routed.service);
         let outcome = self.serve(request, &routed.route, &routed.service).await;
         Ok(match outcome {
@@ -115,6 +118,20 @@
         }
     }
 
+    /// Refuses a request that is in quarantine: it takes no place, reads no prompt and spends no retry.
+    fn quarantine(
+        &self,
+        request: &CallerRequest,
+        route: &WorkRoute,
+        left: Duration,
+    ) -> Response<RelayBody> {
+        let own = OwnAnswer::later(ResultCode::RequestQuarantined, left);
+        let since = request.since.elapsed();
+        self.core.counts.note(&route.work, own.code, since);
+        request.story.end(own.code);
+        own.into_response()
+    }
+
     /// Refuses a request that has no row, or did not arrive whole.
     fn refuse(&self, parts: &Parts, own: OwnAnswer) -> Response<RelayBody> {
         self.core.counts.note(NO_ROW, own.code, Duration::ZERO);
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        BookNews, CallReason, OperatorSource, RelayCore, RouteBook, SourceError, StoreVersion,
-        UpstreamDialect, UpstreamReading,
+        BookNews, CallReason, OperatorSource, RelayCore, ReportMark, RouteBook, SourceError,
+        StoreVersion, UpstreamDialect, UpstreamReading,
     },
     std::{
         sync::Arc,
@@ -16,6 +16,9 @@
 /// a small part of the bound within which an edit is in force.
 const EDIT_PAUSE: Duration = Duration::from_millis(200);
 
+/// The longest pause between tries to write reports: a store that is down is asked this often, and others know meanwhile.
+const LONGEST_WRITE_PAUSE: Duration = Duration::from_secs(5);
+
 /// The times of a [`SourceWatch`].
 #[derive(Clone, Copy, Debug, bon::Builder)]
 pub struct WatchTimes {
@@ -76,6 +79,46 @@
         }
     }
 
+    /// Keeps the reports of upstreams that ended under requests new.
+    pub async fn watch_reports(&self) {
+        let wait = self.times.watch_wait;
+        let limit = wait + self.times.read_limit;
+        let mut after: Option<ReportMark> = None;
+        loop {
+            let watching = time::timeout(limit, self.source.watch_reports(after, wait));
+            let error = match watching.await {
+                Ok(Ok(reading)) => {
+                    after = reading.next;
+                    if !reading.reports.is_empty() {
+                        self.core.crashes.take(&reading.reports, Instant::now());
+                    }
+                    continue;
+                }
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => "no answer in time".to_owned(),
+            };
+            tracing::debug!(error, "the reports of ended upstreams can't be read");
+            time::sleep(self.times.retry_pause).await;
+        }
+    }
+
+    /// Makes known what this instance finds out of upstreams that ended under its requests.
+    pub async fn write_reports(&self) {
+        let mut pause = self.times.retry_pause;
+        loop {
+            let reports = self.core.crashes.take_unsent().await;
+            match self.source.write_reports(&reports).await {
+                Ok(()) => pause = self.times.retry_pause,
+                Err(error) => {
+                    tracing::info!(%error, "reports of ended upstreams can't be written");
+                    self.core.crashes.take_back(reports);
+                    time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_WRITE_PAUSE);
+                }
+            }
+        }
+    }
+
     /// Keeps the list of upstreams new.
     pub async fn watch_upstreams(&self) {
         let mut clock = time::interval(self.times.list_period);
--- a/crates/relay/src/store_calls.rs
+++ b/crates/relay/src/store_calls.rs
@@ -12,6 +12,8 @@
     Commit,
     /// A reading of rows of the system's own.
     Own,
+    /// A reading or a watch of the reports of ended upstreams.
+    Reports,
     /// A reading of the routes.
     Routes,
     /// A reading of the list of upstreams, or of one page of it.
@@ -40,6 +42,8 @@
 /// Why it was made.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallReason {
+    /// An upstream ended under a request.
+    Crash,
     /// The directory of instances is kept.
     Directory,
     /// A lease is held.
@@ -82,6 +86,7 @@
         match self {
             Self::Commit => "commit",
             Self::Own => "own",
+            Self::Reports => "reports",
             Self::Routes => "routes",
             Self::Upstreams => "upstreams",
             Self::Watch => "watch",
@@ -107,6 +112,7 @@
     /// The word for it in metrics.
     pub fn label(self) -> &'static str {
         match self {
+            Self::Crash => "crash",
             Self::Directory => "directory",
             Self::Lease => "lease",
             Self::Period => "period",
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -269,6 +269,7 @@
         }
         self.tries.note(match end {
             CallEnd::Answer(_) | CallEnd::Lost(_) => TryEnd::Ran,
+            CallEnd::Held(_) => TryEnd::Held,
             CallEnd::NotRun => TryEnd::Refused,
             CallEnd::Unsent => TryEnd::Unsent,
         });
@@ -278,6 +279,7 @@
                 used.into_iter().flatten().for_each(LeftoverGuard::close);
                 self.take_answer(*answer).await
             }
+            CallEnd::Held(left) => Err(OwnAnswer::later(ResultCode::RequestQuarantined, left)),
             CallEnd::Lost(code) => Err(OwnAnswer::new(code)),
             CallEnd::NotRun => Err(OwnAnswer::later(
                 ResultCode::UpstreamRefused,
@@ -311,7 +313,7 @@
         let mut board = self.core.board.lock();
         match end {
             CallEnd::Answer(_) => board.note_run(engine),
-            CallEnd::Lost(_) | CallEnd::Unsent => {}
+            CallEnd::Held(_) | CallEnd::Lost(_) | CallEnd::Unsent => {}
             CallEnd::NotRun => board.note_turned_away(engine, has_kv, Instant::now()),
         }
     }
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -57,6 +57,7 @@
         let end = self.core.call(plan, upstream.clone()).await;
         self.tries.note(match end {
             CallEnd::Answer(_) => TryEnd::Read,
+            CallEnd::Held(_) => TryEnd::Held,
             CallEnd::Lost(_) | CallEnd::NotRun => TryEnd::ReadRefused,
             CallEnd::Unsent => TryEnd::Unsent,
         });
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -107,6 +107,7 @@
 
     fn close(self) {
         self.flow.request.story.end(ResultCode::Answered);
+        self.flow.core.crashes.note_answered(&self.flow.request);
         let held = self.flow.placed_at.elapsed();
         self.flow.core.note_place(&self.flow.service, held);
         let UpstreamAnswer {
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod member_row;
 pub mod reader_plan;
 pub mod reader_rest;
+pub mod report_follower;
+pub mod report_journal;
 pub mod shared_source;
 pub mod spread_message;
 pub mod spread_server;
@@ -30,8 +32,12 @@
     member_row::MemberRow,
     reader_plan::{AskerState, ReadStep, ReaderPlan},
     reader_rest::ReaderRest,
+    report_follower::ReportFollower,
+    report_journal::{ReportJournal, ReportOrigin},
     shared_source::SharedSource,
-    spread_message::{BookCopy, ListChange, ReadingMark, SpreadNews, SpreadReply, SpreadRequest},
+    spread_message::{
+        BookCopy, ListChange, ReadingMark, ReportNews, SpreadNews, SpreadReply, SpreadRequest,
+    },
     spread_server::{SPREAD_TAG, SpreadServer},
     spread_state::SpreadState,
     spread_times::SpreadTimes,
--- a/crates/spread/src/member_board.rs
+++ b/crates/spread/src/member_board.rs
@@ -1,9 +1,10 @@
 //! The instances as one of them knows them, wherever that has to be known.
 
 use {
-    crate::{DirectoryView, MemberRow, ReaderPlan, SpreadState},
+    crate::{DirectoryView, MemberRow, ReaderPlan, ReportOrigin, SpreadState},
     kernel::{InstanceId, RankedLock},
     peer::PeerBook,
+    policy::AgedReport,
     relay::ZoneSize,
     std::{sync::Arc, time::Instant},
     tokio::sync::watch,
@@ -39,6 +40,16 @@
         self.replace(members);
     }
 
+    /// Takes reports of ended upstreams in; whether any was new.
+    pub fn learn(&self, reports: &[AgedReport], origin: ReportOrigin, now: Instant) -> bool {
+        let mut is_news = false;
+        self.state.send_if_modified(|state| {
+            is_news = state.reports.take(reports, origin, now);
+            is_news
+        });
+        is_news
+    }
+
     /// The store was read: other zones are as it says, and the own one has these members and those that are known here,
     /// but for `silent` ones.
     pub fn merge(&self, view: &DirectoryView, silent: &[InstanceId]) {
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -3,15 +3,17 @@
 use {
     crate::{
         AskerState, DirectoryView, ListMirror, MemberBoard, MemberDirectory, MemberRow, ReadStep,
-        ReaderPlan, SPREAD_TAG, SpreadNews, SpreadReply, SpreadRequest, SpreadServer, SpreadState,
-        SpreadTimes, spread_state::is_unchanged,
+        ReaderPlan, ReadingMark, ReportFollower, ReportNews, ReportOrigin, SPREAD_TAG, SpreadNews,
+        SpreadReply, SpreadRequest, SpreadServer, SpreadState, SpreadTimes,
+        spread_state::is_unchanged,
     },
     kernel::{InstanceId, LockRank, RankedLock, WorkerPool},
     peer::{KeyAuthority, PeerEndpoint, PeerKeys},
     plat::{PlatError, RowStore},
+    policy::{AgedReport, CrashReport},
     relay::{
-        BookNews, BookReading, CallReason, OperatorSource, ReaderRole, SourceError, StoreVersion,
-        UpstreamReading, ZoneSize, operator_source::SilentSnafu,
+        BookNews, BookReading, CallReason, OperatorSource, ReaderRole, ReportMark, ReportReading,
+        SourceError, StoreVersion, UpstreamReading, ZoneSize, operator_source::SilentSnafu,
     },
     std::{
         sync::Arc,
@@ -47,6 +49,8 @@
     members: MemberBoard,
     mirror: RankedLock<ListMirror>,
     reader: ReaderRole,
+    /// Whose reports this instance has, and up to where. Two readers may have the same number of their life.
+    report_mark: RankedLock<Option<(InstanceId, ReadingMark)>>,
     store: Arc<S>,
     times: SpreadTimes,
 }
@@ -81,13 +85,19 @@
         keys: PeerKeys,
         own: MemberRow,
         pool: &WorkerPool,
+        quarantine: Duration,
         reader: ReaderRole,
+        report_wait: Duration,
         store: Arc<S>,
         times: SpreadTimes,
         zone_size: ZoneSize,
     ) -> Self {
         let plan = ReaderPlan::new(own.instance.clone(), own.zone.clone(), times);
-        let (state, _) = watch::channel(SpreadState::new(endpoint.incarnation(), own.zone.clone()));
+        let (state, _) = watch::channel(SpreadState::new(
+            endpoint.incarnation(),
+            own.zone.clone(),
+            quarantine,
+        ));
         let members = MemberBoard {
             book: endpoint.book().clone(),
             own: own.clone(),
@@ -103,6 +113,13 @@
             times,
         };
         pool.spawn(server.run(endpoint.register(SPREAD_TAG)));
+        let follower = ReportFollower {
+            read_limit: times.read_limit,
+            state: members.state.clone(),
+            store: store.clone(),
+            wait: report_wait,
+        };
+        pool.spawn(follower.run());
         Self {
             changed,
             directory: MemberDirectory::new(directory_store, own),
@@ -113,6 +130,7 @@
             members,
             mirror: RankedLock::new(LockRank::Readings, ListMirror::default()),
             reader,
+            report_mark: RankedLock::new(LockRank::Readings, None),
             store,
             times,
         }
@@ -135,7 +153,8 @@
         let now = Instant::now();
         match reply {
             Ok(SpreadReply::News(news)) => AskEnd::News(self.take_news(from, *news)),
-            Ok(SpreadReply::Unreadable { age }) => {
+            Ok(SpreadReply::Unreadable { age, reports }) => {
+                self.take_reports(&from, reports, now);
                 let mut plan = self.members.plan.lock();
                 let goes_on = plan.unreadable(&from, age, now);
                 drop(plan);
@@ -160,16 +179,20 @@
         let AskerState { passed_over, reads } = plan.state(Instant::now());
         let is_refused = plan.is_refused();
         drop(plan);
+        let list = self.mirror.lock().mark(to);
+        let reports_known = self.reports_known(to);
         let state = self.members.state.borrow();
         let request = SpreadRequest {
             at_once,
             book: state.book.as_ref().map(|(book, _)| book.version),
             card: self.members.own.clone(),
             is_refused,
-            list: self.mirror.lock().mark(to),
+            list,
             members: state.members_digest(),
             passed_over,
             reads,
+            reports: state.reports.to_tell(Instant::now()),
+            reports_known,
         };
         // Texts, numbers and addresses always have a binary form.
         postcard::to_stdvec(&request).unwrap_or_default()
@@ -335,6 +358,7 @@
             self.members.replace(members);
         }
         self.members.plan.lock().answered(&from, read);
+        self.take_reports(&from, news.reports, now);
         let changed = !is_unchanged(&news.list);
         let mut mirror = self.mirror.lock();
         mirror.apply(from, news.list, news.mark);
@@ -381,6 +405,18 @@
         })
     }
 
+    fn reports_known(&self, of: &InstanceId) -> Option<ReadingMark> {
+        let known = self.report_mark.lock();
+        let (from, mark) = known.as_ref()?;
+        (from == of).then_some(*mark)
+    }
+
+    /// Takes reports of the instance that was asked in.
+    fn take_reports(&self, from: &InstanceId, news: ReportNews, now: Instant) {
+        *self.report_mark.lock() = Some((from.clone(), news.mark));
+        self.members.learn(&news.reports, ReportOrigin::Above, now);
+    }
+
     /// What the store answers within a time.
     async fn within<T>(
         &self,
@@ -395,6 +431,39 @@
 }
 
 impl<S: OperatorSource + RowStore> OperatorSource for SharedSource<S> {
+    async fn drop_reports(&self, reports: &[CrashReport]) -> Result<(), SourceError> {
+        limited(self.times.read_limit, self.store.drop_reports(reports)).await
+    }
+
+    async fn watch_reports(
+        &self,
+        after: Option<ReportMark>,
+        wait: Duration,
+    ) -> Result<ReportReading, SourceError> {
+        let mut state = self.members.state.subscribe();
+        let life = state.borrow().reports.mark().life;
+        let have = after.map(|revision| ReadingMark { life, revision });
+        // Without news the same mark is asked for again.
+        let _ = time::timeout(wait, state.wait_for(|state| state.reports.has_news(have))).await;
+        let news = state.borrow().reports.news_since(have, Instant::now());
+        Ok(ReportReading {
+            next: Some(news.mark.revision),
+            reports: news.reports,
+        })
+    }
+
+    async fn write_reports(&self, reports: &[CrashReport]) -> Result<(), SourceError> {
+        let reports_now: Vec<AgedReport> = reports.iter().cloned().map(AgedReport::new).collect();
+        let is_news = self
+            .members
+            .learn(&reports_now, ReportOrigin::Below, Instant::now());
+        if is_news {
+            // The instance that is asked learns them with the next question: that goes out at once.
+            self.changed.notify_one();
+        }
+        limited(self.times.read_limit, self.store.write_reports(reports)).await
+    }
+
     async fn read_book(&self, reason: CallReason) -> Result<BookReading, SourceError> {
         let mut state = self.members.state.subscribe();
         let may_begin = |state: &SpreadState| state.reads_store || state.book.is_some();
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -3,7 +3,7 @@
 use {
     crate::MemberRow,
     kernel::{Incarnation, TableVersion, UpstreamId},
-    policy::UpstreamRecord,
+    policy::{AgedReport, UpstreamRecord},
     relay::{CallerLimits, RouteBook, ServiceInfo, StoreVersion, WorkRoute},
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -37,6 +37,10 @@
     pub passed_over: bool,
     /// Whether the store answers the asker.
     pub reads: bool,
+    /// Upstreams that ended under requests, which the one asked may not know of.
+    pub reports: Vec<AgedReport>,
+    /// The reports that the asker has from the one asked.
+    pub reports_known: Option<ReadingMark>,
 }
 
 /// The list, or what changed in it.
@@ -62,6 +66,15 @@
     version: TableVersion,
 }
 
+/// Upstreams that ended under requests, as far as the asker does not know them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReportNews {
+    /// The state of the reports at the one asked.
+    pub mark: ReadingMark,
+    /// The reports.
+    pub reports: Vec<AgedReport>,
+}
+
 /// One reading of the store.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SpreadNews {
@@ -77,6 +90,8 @@
     pub members: Option<Vec<MemberRow>>,
     /// How long ago an outage of the store ended, if the reader has seen one.
     pub outage_age: Option<Duration>,
+    /// Upstreams that ended under requests.
+    pub reports: ReportNews,
     /// The version of the store's content that the list was read at.
     pub version: StoreVersion,
 }
@@ -90,6 +105,8 @@
     Unreadable {
         /// How long ago the store was read for what it has; zero when it has nothing.
         age: Duration,
+        /// Upstreams that ended under requests: they are passed on also while nobody can read the store.
+        reports: ReportNews,
     },
 }
 
--- a/crates/spread/src/spread_server.rs
+++ b/crates/spread/src/spread_server.rs
@@ -1,7 +1,7 @@
 //! Answers other instances that ask for the next reading.
 
 use {
-    crate::{AskerState, MemberBoard, SpreadRequest, SpreadState, SpreadTimes},
+    crate::{AskerState, MemberBoard, ReportOrigin, SpreadRequest, SpreadState, SpreadTimes},
     bytes::Bytes,
     kernel::WorkerPool,
     peer::{CallReply, PeerIncoming, ProtocolTag},
@@ -53,6 +53,13 @@
 
     fn take(&self, request: SpreadRequest, reply: CallReply) {
         self.members.add(&request.card);
+        let now = Instant::now();
+        if self
+            .members
+            .learn(&request.reports, ReportOrigin::Below, now)
+        {
+            self.changed.notify_one();
+        }
         let asker = AskerState {
             passed_over: request.passed_over,
             reads: request.reads,
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        BookCopy, ListChange, ListJournal, MemberRow, SpreadNews, SpreadReply, SpreadRequest,
-        SpreadTimes,
+        BookCopy, ListChange, ListJournal, MemberRow, ReportJournal, SpreadNews, SpreadReply,
+        SpreadRequest, SpreadTimes,
     },
     kernel::{Incarnation, ZoneId},
     relay::{RouteBook, StoreVersion, UpstreamReading},
@@ -29,6 +29,8 @@
     pub readings: u64,
     /// Whether the store answered this instance itself the last time.
     pub reads_store: bool,
+    /// Upstreams that ended under requests.
+    pub reports: ReportJournal,
     /// Whether the last try was in vain.
     unreadable: bool,
     version: StoreVersion,
@@ -40,10 +42,12 @@
     /// The answer to an asker by what is known now. The first of another zone is to read the store itself if this one does not.
     pub fn answer(&self, request: &SpreadRequest, stale: Duration, now: Instant) -> SpreadReply {
         let age = self.age(now);
+        let reports = self.reports.news_since(request.reports_known, now);
         let is_news = |age: &Duration| *age <= stale && self.may_pass_on(request);
         let Some(age) = age.filter(is_news) else {
             return SpreadReply::Unreadable {
                 age: age.unwrap_or_default(),
+                reports,
             };
         };
         let book = self.book.as_ref();
@@ -56,6 +60,7 @@
             mark: self.journal.mark(),
             members: (request.members != self.members_digest).then(|| self.members.clone()),
             outage_age: ended.map(|ended| now.saturating_duration_since(ended)),
+            reports,
             version: self.version,
         }))
     }
@@ -76,10 +81,12 @@
         if self.readings > before || !self.may_pass_on(request) {
             return true;
         }
+
         if request.at_once {
             return self.unreadable || self.is_fresh(times.call_limit, now);
         }
-        self.is_fresh(times.stale, now) && self.has_newer_book(request)
+        let has_more = self.has_newer_book(request) || self.reports.has_news(request.reports_known);
+        self.is_fresh(times.stale, now) && has_more
     }
 
     /// The digest of the members.
@@ -87,8 +94,8 @@
         self.members_digest
     }
 
-    /// Nothing was read yet in this life.
-    pub fn new(life: Incarnation, zone: ZoneId) -> Self {
+    /// Nothing was read yet in this life; reports of ended upstreams count for `quarantine`.
+    pub fn new(life: Incarnation, zone: ZoneId, quarantine: Duration) -> Self {
         Self {
             book: None,
             journal: ListJournal::new(life),
@@ -98,6 +105,7 @@
             read: None,
             readings: 0,
             reads_store: false,
+            reports: ReportJournal::new(life, quarantine),
             unreadable: false,
             version: 0,
             zone,
--- a/crates/spread/tests/fleet_fuzz.rs
+++ b/crates/spread/tests/fleet_fuzz.rs
@@ -126,6 +126,40 @@
     }
 }
 
+#[test]
+fn an_end_under_a_request_is_known_to_all_at_once() {
+    let mut model = calm();
+    for node in [0, 7, 33, 59] {
+        model.fault(&FleetFault::End(node));
+        model.run(Duration::from_millis(100));
+        assert_eq!(model.uninformed(), 0, "{node}");
+    }
+}
+
+#[test]
+fn an_end_under_a_request_is_known_to_all_while_the_store_answers_nobody() {
+    for mode in [StoreMode::Refuses, StoreMode::Silent] {
+        let mut model = calm();
+        model.fault(&FleetFault::Store(mode, 0, ZONES * EACH, seconds(20)));
+        model.run(seconds(5));
+        for node in [0, 7, 33, 59] {
+            model.fault(&FleetFault::End(node));
+            model.run(seconds(3));
+            assert_eq!(model.uninformed(), 0, "{mode:?} {node}");
+        }
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_knows_of_ends_elsewhere_as_soon_as_it_reads_the_store() {
+    let mut model = calm();
+    model.fault(&FleetFault::CutZone(1, seconds(5)));
+    model.fault(&FleetFault::End(0));
+    model.run(seconds(5));
+    model.run(seconds(2));
+    assert_eq!(model.uninformed(), 0);
+}
+
 fn fault() -> impl Strategy<Value = FleetFault> {
     let any_node = 0..ZONES * EACH;
     let span = (1..60_u64).prop_map(|tenths| Duration::from_millis(100 * tenths));
@@ -135,6 +169,7 @@
         Just(StoreMode::Slow),
     ];
     prop_oneof![
+        3 => any_node.clone().prop_map(FleetFault::End),
         2 => any_node.clone().prop_map(FleetFault::Kill),
         1 => any_node.clone().prop_map(FleetFault::Die),
         1 => Just(FleetFault::KillAll),
@@ -171,6 +206,7 @@
         }
         model.run(left + SETTLED);
         prop_assert!(model.oldest_news() < Duration::from_millis(1_250), "{:?}", model.oldest_news());
+        prop_assert_eq!(model.uninformed(), 0);
         let most = model.most_calls_a_second();
         prop_assert!(most <= CALLS_A_ZONE_AND_SECOND, "{most} calls in a second");
         model.run(seconds(8));
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -4,10 +4,11 @@
 
 use {
     kernel::{InstanceId, ZoneId},
+    policy::{AgedReport, CrashMark, CrashReport, FingerprintParts, RequestFingerprint},
     relay::{RouteBook, UpstreamReading},
     spread::{
-        AskerState, MemberRow, ReadStep, ReaderPlan, SpreadReply, SpreadRequest, SpreadState,
-        SpreadTimes,
+        AskerState, MemberRow, ReadStep, ReaderPlan, ReadingMark, ReportJournal, ReportNews,
+        ReportOrigin, SpreadReply, SpreadRequest, SpreadState, SpreadTimes,
     },
     std::{
         collections::VecDeque,
@@ -15,6 +16,8 @@
     },
 };
 
+/// Longer than any run.
+const QUARANTINE: Duration = Duration::from_secs(600);
 const TICK: Duration = Duration::from_millis(5);
 /// How long after it was killed a process is there again: another time for each.
 const RESTART: Duration = Duration::from_millis(600);
@@ -33,6 +36,8 @@
 pub enum FleetFault {
     CutZone(usize, Duration),
     Die(usize),
+    /// An upstream ends under a request of this instance.
+    End(usize),
     Freeze(usize, Duration),
     Kill(usize),
     KillAll,
@@ -46,7 +51,9 @@
     pub fn span(&self) -> Duration {
         match self {
             Self::CutZone(_, span) | Self::Freeze(_, span) | Self::Store(_, _, _, span) => *span,
-            Self::Die(_) | Self::Kill(_) | Self::KillAll | Self::KillReader(_) => RESTART * 2,
+            Self::Die(_) | Self::End(_) | Self::Kill(_) | Self::KillAll | Self::KillReader(_) => {
+                RESTART * 2
+            }
         }
     }
 }
@@ -72,6 +79,8 @@
     began: Instant,
     is_refused: bool,
     limit: Duration,
+    reports: Vec<AgedReport>,
+    reports_known: Option<ReadingMark>,
     state: AskerState,
     /// Which life of which instance it went to.
     to: (usize, u32),
@@ -86,10 +95,16 @@
     is_woken: bool,
     life: u32,
     plan: ReaderPlan,
+    /// Whose reports it has, and up to where.
+    report_mark: Option<(InstanceId, ReadingMark)>,
     row: MemberRow,
     starts: Option<Instant>,
     state: SpreadState,
     store: (StoreMode, Instant),
+    /// Up to where it has read the reports of the store.
+    store_mark: Option<ReadingMark>,
+    /// Reports that the store has not taken yet.
+    unsent: Vec<AgedReport>,
 }
 
 /// The whole.
@@ -98,11 +113,15 @@
     /// When each call to the store was made, and by which zone.
     pub calls: Vec<(Instant, usize)>,
     cut_until: Vec<Instant>,
+    /// The reports, with the lives of the instances that made them.
+    ends: Vec<(usize, u32, CrashReport)>,
     each: usize,
     nodes: Vec<Node>,
     now: Instant,
     rows: Vec<MemberRow>,
     start: Instant,
+    /// The reports in the store.
+    store: ReportJournal,
     times: SpreadTimes,
 }
 
@@ -128,10 +147,12 @@
         Self {
             calls: Vec::new(),
             cut_until: vec![now; zones],
+            ends: Vec::new(),
             each,
             nodes: nodes.collect(),
             now,
             start: now,
+            store: ReportJournal::new(1, QUARANTINE),
             times,
             rows,
         }
@@ -143,6 +164,7 @@
         match fault {
             FleetFault::CutZone(zone, span) => self.cut_until[*zone] = now + *span,
             FleetFault::Die(node) => self.kill(*node, Duration::from_secs(1_000_000)),
+            FleetFault::End(node) => self.end_upstream(*node),
             FleetFault::Freeze(node, span) => self.nodes[*node].frozen_until = now + *span,
             FleetFault::Kill(node) => self.kill(*node, RESTART),
             FleetFault::KillAll => {
@@ -180,6 +202,20 @@
         most
     }
 
+    /// How many instances that live lack a report whose instance has lived on.
+    pub fn uninformed(&self) -> usize {
+        let lasting = self.ends.iter();
+        let lasting = lasting.filter(|(node, life, _)| self.nodes[*node].life == *life);
+        let lasting: Vec<&CrashReport> = lasting.map(|(_, _, report)| report).collect();
+        let living = self.nodes.iter().filter(|node| node.starts.is_none());
+        let lacks = |node: &&Node| {
+            let known = node.state.reports.news_since(None, self.now).reports;
+            let known: Vec<CrashReport> = known.into_iter().map(|aged| aged.report).collect();
+            !lasting.iter().all(|report| known.contains(report))
+        };
+        living.filter(lacks).count()
+    }
+
     /// The age of the oldest news of those that live.
     pub fn oldest_news(&self) -> Duration {
         let living = self.nodes.iter().filter(|node| node.starts.is_none());
@@ -215,6 +251,46 @@
         }
     }
 
+    fn end_upstream(&mut self, index: usize) {
+        let number = self.ends.len();
+        let report = CrashReport {
+            fingerprint: RequestFingerprint::new(&FingerprintParts {
+                body: &[],
+                caller: "10.0.0.7",
+                host: "shop.example",
+                method: "GET",
+                target: &format!("/{number}"),
+            }),
+            mark: CrashMark::Early,
+            upstream: format!("i-{number}").into(),
+        };
+        let node = &mut self.nodes[index];
+        if node.starts.is_some() || self.now < node.frozen_until {
+            return;
+        }
+        self.ends.push((index, node.life, report.clone()));
+        let reports = [AgedReport::new(report)];
+        node.state
+            .reports
+            .take(&reports, ReportOrigin::Below, self.now);
+        node.is_woken = true;
+        node.unsent.extend(reports);
+    }
+
+    /// The store takes what it has not yet, if it answers.
+    fn write_reports(&mut self, index: usize) {
+        let now = self.now;
+        let is_cut = self.is_cut(index / self.each);
+        let node = &mut self.nodes[index];
+        let (mode, until) = node.store;
+        let serves = now >= until || matches!(mode, StoreMode::Serves | StoreMode::Slow);
+        if is_cut || !serves || node.unsent.is_empty() {
+            return;
+        }
+        let reports = std::mem::take(&mut node.unsent);
+        self.store.take(&reports, ReportOrigin::Above, now);
+    }
+
     fn kill(&mut self, node: usize, down: Duration) {
         let fresh = Node::new(&self.rows[node], &self.rows, self.times, self.now);
         let before = std::mem::replace(&mut self.nodes[node], fresh);
@@ -245,6 +321,8 @@
             return;
         }
         node.starts = None;
+        self.write_reports(index);
+        let node = &mut self.nodes[index];
         match std::mem::replace(&mut node.doing, Doing::Idle) {
             Doing::Asking(question) => self.wait_answer(index, question),
             Doing::Idle => self.begin(index),
@@ -277,12 +355,16 @@
                     .unwrap();
                 let life = self.nodes[to].life;
                 let node = &mut self.nodes[index];
+                let known = node.report_mark.as_ref();
+                let known = known.filter(|(of, _)| *of == from).map(|(_, mark)| *mark);
                 node.doing = Doing::Asking(Question {
                     arrived: None,
                     at_once,
                     began: now,
                     is_refused: node.plan.is_refused(),
                     limit,
+                    reports: node.state.reports.to_tell(now),
+                    reports_known: known,
                     state: node.plan.state(now),
                     to: (to, life),
                 });
@@ -338,6 +420,11 @@
             ..UpstreamReading::default()
         };
         node.state.take_list(&reading, began, now);
+        let news = self.store.news_since(node.store_mark, now);
+        node.store_mark = Some(news.mark);
+        node.state
+            .reports
+            .take(&news.reports, ReportOrigin::Above, now);
         node.state.take_book(RouteBook::default(), version);
         node.hear(version);
     }
@@ -359,6 +446,7 @@
         match reply {
             Some(SpreadReply::News(news)) => {
                 let read = now - news.age;
+                node.take_reports(from, &news.reports, now);
                 node.failed = false;
                 node.plan.answered(from, read);
                 let reading = UpstreamReading {
@@ -372,7 +460,8 @@
                     node.hear(news.version);
                 }
             }
-            Some(SpreadReply::Unreadable { age }) => {
+            Some(SpreadReply::Unreadable { age, reports }) => {
+                node.take_reports(from, &reports, now);
                 if node.plan.unreadable(from, age, now) {
                     node.failed = true;
                     return;
@@ -406,7 +495,13 @@
             members: 0,
             passed_over: question.state.passed_over,
             reads: question.state.reads,
+            reports: question.reports.clone(),
+            reports_known: question.reports_known,
         };
+        node.is_woken |= node
+            .state
+            .reports
+            .take(&request.reports, ReportOrigin::Below, now);
         let is_held = now < question.began + self.times.answer_hold;
         if is_held && !node.state.has_news(&request, before, &self.times, now) {
             return None;
@@ -427,13 +522,23 @@
             is_woken: false,
             life: 0,
             plan,
+            report_mark: None,
             row: row.clone(),
             starts: None,
-            state: SpreadState::new(1, row.zone.clone()),
+            state: SpreadState::new(1, row.zone.clone(), QUARANTINE),
             store: (StoreMode::Serves, now),
+            store_mark: None,
+            unsent: Vec::new(),
         }
     }
 
+    fn take_reports(&mut self, from: &InstanceId, news: &ReportNews, now: Instant) {
+        self.report_mark = Some((from.clone(), news.mark));
+        self.state
+            .reports
+            .take(&news.reports, ReportOrigin::Above, now);
+    }
+
     fn hear(&mut self, version: u64) {
         assert!(version >= self.heard, "{} goes back", self.row.instance);
         self.heard = version;
--- /dev/null
+++ b/crates/spread/tests/report_journal.rs
@@ -0,0 +1,93 @@
+//! What an instance tells others of upstreams that ended under requests.
+
+use {
+    policy::{AgedReport, CrashMark, CrashReport, FingerprintParts, RequestFingerprint},
+    spread::{ReportJournal, ReportOrigin},
+    std::time::{Duration, Instant},
+};
+
+const COUNTS_FOR: Duration = Duration::from_secs(600);
+
+fn aged(upstream: &str, mark: CrashMark, age: u64) -> AgedReport {
+    AgedReport {
+        age: Duration::from_secs(age),
+        report: CrashReport {
+            fingerprint: RequestFingerprint::new(&FingerprintParts {
+                body: b"the prompt",
+                caller: "10.0.0.7",
+                host: "shop.example",
+                method: "POST",
+                target: "/note/1",
+            }),
+            mark,
+            upstream: upstream.into(),
+        },
+    }
+}
+
+#[test]
+fn an_asker_gets_what_it_lacks_once() {
+    let now = Instant::now();
+    let mut journal = ReportJournal::new(7, COUNTS_FOR);
+    assert!(!journal.has_news(None));
+    assert!(journal.take(
+        &[aged("i-1", CrashMark::Early, 0)],
+        ReportOrigin::Below,
+        now
+    ));
+    let first = journal.news_since(None, now);
+    assert_eq!(first.reports.len(), 1);
+    assert!(!journal.has_news(Some(first.mark)));
+    assert!(!journal.take(&[aged("i-1", CrashMark::Late, 0)], ReportOrigin::Below, now));
+    assert!(journal.take(
+        &[aged("i-1", CrashMark::Cleared, 0)],
+        ReportOrigin::Below,
+        now
+    ));
+    let second = journal.news_since(Some(first.mark), now);
+    assert_eq!(second.reports, [aged("i-1", CrashMark::Cleared, 0)]);
+    // Another life of the one asked has counted anew.
+    let other = ReportJournal::new(8, COUNTS_FOR);
+    assert!(!other.has_news(Some(second.mark)));
+    assert_eq!(journal.news_since(Some(other.mark()), now).reports.len(), 1);
+}
+
+#[test]
+fn what_comes_from_below_is_told_on_for_a_while_and_what_comes_from_above_is_not() {
+    let now = Instant::now();
+    let mut journal = ReportJournal::new(7, COUNTS_FOR);
+    journal.take(
+        &[aged("i-1", CrashMark::Early, 0)],
+        ReportOrigin::Below,
+        now,
+    );
+    journal.take(
+        &[aged("i-2", CrashMark::Early, 0)],
+        ReportOrigin::Above,
+        now,
+    );
+    assert_eq!(journal.to_tell(now), [aged("i-1", CrashMark::Early, 0)]);
+    assert_eq!(journal.to_tell(now + Duration::from_secs(5)), []);
+}
+
+#[test]
+fn reports_keep_their_age_on_their_way_and_go_when_they_no_longer_count() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut journal = ReportJournal::new(7, COUNTS_FOR);
+    journal.take(
+        &[aged("i-1", CrashMark::Early, 590)],
+        ReportOrigin::Above,
+        now,
+    );
+    let told = journal.news_since(None, now + second);
+    assert_eq!(told.reports, [aged("i-1", CrashMark::Early, 591)]);
+    assert_eq!(journal.forget(now + 9 * second), []);
+    assert_eq!(journal.forget(now + 10 * second).len(), 1);
+    let is_news = journal.take(
+        &[aged("i-1", CrashMark::Early, 600)],
+        ReportOrigin::Above,
+        now,
+    );
+    assert!(!is_news);
+}
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -146,6 +146,7 @@
         let calls = StoreCalls::new();
         let map = StateMap::new();
         map.insert(Arc::new(calls.clone()));
+        map.insert(core.crashes.clone());
         PluginEntry::register_metrics(&map, &registry);
         let state = AdminState::builder()
             .board(board.clone())
@@ -187,6 +188,7 @@
         .build();
     RelaySettings::builder()
         .connect(settings.upstreams.connect)
+        .quarantine(settings.quarantine.life)
         .reads_apart(settings.upstreams.reads_apart)
         .retries(bounds)
         .unheard(settings.upstreams.unheard)
@@ -247,7 +249,9 @@
         .keys(end.keys)
         .own(end.row)
         .pool(pool)
+        .quarantine(settings.quarantine.life)
         .reader(core.reader.clone())
+        .report_wait(platform.poll)
         .store(store)
         .times(times)
         .zone_size(core.zone_size.clone())
@@ -271,6 +275,14 @@
         let watch = watch.clone();
         async move { watch.watch_book().await }
     });
+    pool.spawn({
+        let watch = watch.clone();
+        async move { watch.watch_reports().await }
+    });
+    pool.spawn({
+        let watch = watch.clone();
+        async move { watch.write_reports().await }
+    });
     pool.spawn(async move { watch.watch_upstreams().await });
 }
 
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -35,6 +35,8 @@
     pub orders: RelayOrders,
     /// The store.
     pub platform: PlatformSettings,
+    /// The requests under which upstreams end.
+    pub quarantine: RelayQuarantine,
     /// The region of the availability zone.
     pub region: Option<Arc<str>>,
     /// The retry budget.
@@ -161,6 +163,25 @@
     }
 }
 
+/// The section `quarantine`.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayQuarantine {
+    /// How long the end of an upstream counts against a request.
+    #[serde_as(as = "HumanDuration")]
+    pub life: Duration,
+}
+
+impl Default for RelayQuarantine {
+    /// Long enough for operators to look at it, and at most three ends each time that it is over.
+    fn default() -> Self {
+        Self {
+            life: Duration::from_secs(600),
+        }
+    }
+}
+
 /// The section `retries`.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -260,6 +281,7 @@
         ("orders.pause", settings.orders.pause),
         ("platform.list_poll", settings.platform.list_poll),
         ("platform.timeout", settings.platform.timeout),
+        ("quarantine.life", settings.quarantine.life),
         ("retries.window", settings.retries.window),
         ("upstreams.connect", settings.upstreams.connect),
         ("upstreams.unheard", settings.upstreams.unheard),
--- a/crates/trestlewalk/tests/relay_crash.rs
+++ b/crates/trestlewalk/tests/relay_crash.rs
@@ -9,10 +9,12 @@
 mod support;
 
 use {
-    relay_support::{CallerReply, CrashGround, RelayTest, ZoneRun, relay_test::STREAM_HEADERS},
+    relay_support::{
+        CallerReply, CrashGround, RelayTest, UpstreamMode, ZoneRun, relay_test::STREAM_HEADERS,
+    },
     serde_json::json,
     std::time::Duration,
-    support::wait::wait_until,
+    support::{relay_mode::RelayMode, wait::wait_until},
 };
 
 /// The body of the request that ends upstreams.
@@ -25,6 +27,41 @@
 const RESULT: &str = "trestlewalk-result";
 /// The result of a request that is in quarantine.
 const QUARANTINED: &str = "2019";
+/// The table of reports of ended upstreams.
+const REPORTS: &str = "trestlewalk-crashes";
+
+/// Three instances of one zone, before upstreams of a plain service whose calls may be repeated once.
+async fn plain_zone() -> ZoneRun {
+    let more = json!({"MaxAttempts": 2, "TargetLatencyMs": 2000});
+    let run = RelayTest::new()
+        .plain("carta", 5)
+        .route("/t/", "safe", "carta", &more)
+        .start_zone(3)
+        .await;
+    for index in 0..3 {
+        run.wait_status(index, "/t/1", 200).await;
+    }
+    run
+}
+
+impl ZoneRun {
+    /// One try of the deadly request.
+    async fn deadly(&self, index: usize) -> CallerReply {
+        let (path, headers) = match self.config["Routes"][0]["Kind"] == "streaming" {
+            true => ("/note/1", STREAM_HEADERS),
+            false => ("/t/1", "X-Deadline-Ms: 4000\r\n"),
+        };
+        self.send(index, "POST", path, headers, DEADLY).await
+    }
+
+    /// Waits until the store has so many reports or more.
+    async fn wait_reports(&self, count: usize) {
+        wait_until("reports in the store", async || {
+            self.store.rows(REPORTS).len() >= count
+        })
+        .await;
+    }
+}
 
 /// Two instances in each of two zones, before engines of one model service.
 async fn stream_zones() -> ZoneRun {
@@ -52,7 +89,7 @@
 async fn end_some(run: &ZoneRun, ground: &CrashGround, count: usize) {
     let mut index = 0;
     wait_until("upstreams end", async || {
-        stream(run, index % run.instances.len(), DEADLY).await;
+        run.deadly(index % run.instances.len()).await;
         index += 1;
         ground.ended() >= count
     })
@@ -75,9 +112,155 @@
     tokio::time::sleep(NEWS_BOUND).await;
     let (ended, tries) = (ground.ended(), ground.tries());
     for index in 0..12 {
-        let reply = stream(&run, index % 4, DEADLY).await;
+        let reply = run.deadly(index % 4).await;
         assert!(is_quarantined(&reply), "{reply:?}");
         assert_eq!(stream(&run, index % 4, "a prompt").await.status(), 200);
     }
     assert_eq!((ground.ended(), ground.tries()), (ended, tries));
 }
+
+#[tokio::test]
+async fn a_plain_request_that_ends_its_upstreams_is_sent_to_no_further_one() {
+    let run = plain_zone().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    end_some(&run, &ground, ENOUGH_ENDS).await;
+    tokio::time::sleep(NEWS_BOUND).await;
+    let ended = ground.ended();
+    for index in 0..6 {
+        assert!(is_quarantined(&run.deadly(index % 3).await));
+        assert_eq!(run.status(index % 3, "/t/1").await, 200);
+    }
+    assert_eq!(ground.ended(), ended);
+}
+
+#[tokio::test]
+async fn a_quarantine_outlasts_the_instances() {
+    let mut run = plain_zone().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    end_some(&run, &ground, ENOUGH_ENDS).await;
+    tokio::time::sleep(NEWS_BOUND).await;
+    let ended = ground.ended();
+    run.restart_all().await;
+    for index in 0..3 {
+        run.wait_status(index, "/t/1", 200).await;
+    }
+    tokio::time::sleep(NEWS_BOUND).await;
+    for index in 0..3 {
+        assert!(is_quarantined(&run.deadly(index).await));
+    }
+    assert_eq!(ground.ended(), ended);
+}
+
+#[tokio::test]
+async fn instances_that_the_store_turns_away_know_of_ends_from_others() {
+    let run = plain_zone().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    let reader = run.wait_one_reads().await;
+    let others: Vec<usize> = (0..3).filter(|index| *index != reader).collect();
+    for index in &others {
+        run.instances[*index].way.set(RelayMode::Reset);
+    }
+    // All three ends are seen by instances that can't write to the store.
+    wait_until("upstreams end", async || {
+        run.deadly(others[ground.ended() % 2]).await;
+        ground.ended() >= ENOUGH_ENDS
+    })
+    .await;
+    tokio::time::sleep(NEWS_BOUND).await;
+    let ended = ground.ended();
+    for index in 0..3 {
+        assert!(is_quarantined(&run.deadly(index).await), "{index}");
+    }
+    assert_eq!(ground.ended(), ended);
+}
+
+#[tokio::test]
+async fn reports_that_the_store_did_not_take_are_written_when_it_answers_again() {
+    let mut run = plain_zone().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    run.store.set_down(true);
+    end_some(&run, &ground, 1).await;
+    tokio::time::sleep(NEWS_BOUND).await;
+    assert_eq!(run.store.rows(REPORTS).len(), 0);
+    run.store.set_down(false);
+    run.wait_reports(1).await;
+    end_some(&run, &ground, ENOUGH_ENDS).await;
+    run.wait_reports(ENOUGH_ENDS).await;
+    run.restart_all().await;
+    run.wait_status(0, "/t/1", 200).await;
+    tokio::time::sleep(NEWS_BOUND).await;
+    assert!(is_quarantined(&run.deadly(0).await));
+}
+
+#[tokio::test]
+async fn an_operator_who_removes_the_rows_ends_the_quarantine() {
+    let run = plain_zone().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    end_some(&run, &ground, ENOUGH_ENDS).await;
+    run.wait_reports(ENOUGH_ENDS).await;
+    tokio::time::sleep(NEWS_BOUND).await;
+    assert!(is_quarantined(&run.deadly(0).await));
+    for (key, _) in run.store.rows(REPORTS) {
+        run.store.remove(REPORTS, &key);
+    }
+    // A single try: it ends two upstreams again.
+    wait_until("a try is sent on again", async || {
+        !is_quarantined(&run.deadly(1).await)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_request_whose_connections_break_at_upstreams_that_are_well_is_no_suspect() {
+    let run = plain_zone().await;
+    for mode in [UpstreamMode::Reset, UpstreamMode::CutBody] {
+        for upstream in &run.upstreams {
+            upstream.set(mode);
+        }
+        for index in 0..12 {
+            let reply = run.deadly(index % 3).await;
+            assert_eq!(reply.status(), 502, "{reply:?}");
+        }
+    }
+    for upstream in &run.upstreams {
+        upstream.set(UpstreamMode::Answer);
+    }
+    for index in 0..3 {
+        assert_eq!(run.deadly(index).await.status(), 200);
+    }
+    assert_eq!(run.store.rows(REPORTS).len(), 0);
+}
+
+#[tokio::test]
+async fn who_ran_beside_the_cause_is_served_when_it_comes_back() {
+    let run = stream_zones().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    for upstream in &run.upstreams {
+        upstream.set(UpstreamMode::PauseAfter(1, Duration::from_secs(2)));
+    }
+    // Streams run when their engines end, all at the same moment.
+    let ends = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for upstream in &run.upstreams {
+            upstream.end();
+        }
+    };
+    let (first, second, third, ()) = tokio::join!(
+        stream(&run, 0, "prompt 0"),
+        stream(&run, 1, "prompt 1"),
+        stream(&run, 2, "prompt 2"),
+        ends
+    );
+    for reply in [first, second, third] {
+        assert!(!reply.whole, "{reply:?}");
+    }
+    wait_until("other engines take their place", async || {
+        stream(&run, 0, "a prompt").await.status() == 200
+    })
+    .await;
+    assert_eq!(ground.tries(), 0);
+    for index in 0..3 {
+        let reply = stream(&run, index + 1, &format!("prompt {index}")).await;
+        assert_eq!((reply.status(), reply.whole), (200, true));
+    }
+}
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -33,10 +33,11 @@
 #[derive(Debug)]
 pub struct RelayRun {
     config: Value,
-    pub folder: TempDir,
     pub process: FleetProcess,
     pub store: StoreStandIn,
     pub upstreams: Vec<UpstreamStandIn>,
+    /// Holds the log, which a failed test prints when the process is dropped: so it goes last.
+    pub folder: TempDir,
 }
 
 impl RelayTest {
@@ -197,8 +198,13 @@
 }
 
 async fn start_instance(name: &str, settings: &str, folder: &TempDir) -> FleetProcess {
+    fs::write(folder.path().join(format!("{name}.yaml")), settings).unwrap();
+    start_again(name, folder).await
+}
+
+/// Starts an instance whose settings are there already.
+pub async fn start_again(name: &str, folder: &TempDir) -> FleetProcess {
     let file = format!("{name}.yaml");
-    fs::write(folder.path().join(&file), settings).unwrap();
     let args = ["relay".to_owned(), "--settings".to_owned(), file];
     FleetProcess::start(name, &args, folder.path()).await
 }
--- a/crates/trestlewalk/tests/relay_support/store.rs
+++ b/crates/trestlewalk/tests/relay_support/store.rs
@@ -30,6 +30,8 @@
     garbled: bool,
     /// The next writes are done, and their answers are lost.
     lost_answers: usize,
+    /// Rows that are gone, with the version at which they went: feeds tell them.
+    removed: BTreeMap<RowKey, u64>,
     rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
     version: u64,
 }
@@ -94,7 +96,7 @@
         state.version += 1;
         let version = state.version;
         let row = (text.as_bytes().to_vec(), version);
-        state.rows.insert((table.to_owned(), key.to_owned()), row);
+        state.set((table.to_owned(), key.to_owned()), row);
         drop(state);
         self.changed.notify_waiters();
     }
@@ -102,7 +104,7 @@
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
-        state.rows.remove(&(table.to_owned(), key.to_owned()));
+        state.drop_row(&(table.to_owned(), key.to_owned()));
         drop(state);
         self.changed.notify_waiters();
     }
@@ -139,6 +141,17 @@
 }
 
 impl StoreState {
+    fn drop_row(&mut self, key: &RowKey) {
+        if self.rows.remove(key).is_some() {
+            self.removed.insert(key.clone(), self.version);
+        }
+    }
+
+    fn set(&mut self, key: RowKey, row: (Vec<u8>, u64)) {
+        self.removed.remove(&key);
+        self.rows.insert(key, row);
+    }
+
     fn row(&self, key: &RowKey) -> Value {
         let (value, version) = self.rows.get(key).cloned().unwrap_or_default();
         json!({"Table": key.0, "part": "", "Key": key.1, "Value": STANDARD.encode(value), "Ver": version})
@@ -183,7 +196,13 @@
                 .rows
                 .iter()
                 .filter(|((table, _), (_, version))| *table == query["Table"] && *version > after);
-            let rows: Vec<Value> = newer.map(|(key, _)| state.row(key)).collect();
+            let mut rows: Vec<Value> = newer.map(|(key, _)| state.row(key)).collect();
+            let gone = state.removed.iter();
+            let gone =
+                gone.filter(|((table, _), version)| *table == query["Table"] && **version > after);
+            rows.extend(gone.map(|((table, key), version)| {
+                json!({"Table": table, "part": "", "Key": key, "Removed": true, "Ver": version})
+            }));
             if !rows.is_empty() || time::Instant::now() >= end {
                 let reply = json!({"Rows": rows, "Ver": state.version, "NowMs": 1});
                 return Json(reply).into_response();
@@ -226,10 +245,10 @@
     let version = state.version;
     for row in body["SetKeys"].as_array().unwrap() {
         let value = STANDARD.decode(row["Value"].as_str().unwrap()).unwrap();
-        state.rows.insert(key(row), (value, version));
+        state.set(key(row), (value, version));
     }
     for row in body["Remove"].as_array().unwrap() {
-        state.rows.remove(&key(row));
+        state.drop_row(&key(row));
     }
     if state.lost_answers > 0 {
         state.lost_answers -= 1;
--- a/crates/trestlewalk/tests/relay_support/zone_run.rs
+++ b/crates/trestlewalk/tests/relay_support/zone_run.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         caller::{Caller, CallerReply, fresh_id, request_text},
+        relay_test::start_again,
         store::StoreStandIn,
         upstream::UpstreamStandIn,
     },
@@ -22,10 +23,11 @@
 #[derive(Debug)]
 pub struct ZoneRun {
     pub config: Value,
-    pub folder: TempDir,
     pub instances: Vec<ZoneInstance>,
     pub store: StoreStandIn,
     pub upstreams: Vec<UpstreamStandIn>,
+    /// Holds the logs, which a failed test prints when the instances are dropped: so it goes last.
+    pub folder: TempDir,
 }
 
 impl ZoneRun {
@@ -49,6 +51,17 @@
         value.map_or(0, |value| value.parse().unwrap())
     }
 
+    /// Kills all instances and starts them again under their names: nothing of what they knew is left.
+    pub async fn restart_all(&mut self) {
+        for instance in &mut self.instances {
+            instance.process.kill().await;
+        }
+        for (index, instance) in self.instances.iter_mut().enumerate() {
+            let name = format!("front-{}", index + 1);
+            instance.process = start_again(&name, &self.folder).await;
+        }
+    }
+
     /// The answer to one try at an instance, on a connection of its own.
     pub async fn send(
         &self,
