--- a/crates/trestlewalk/tests/relay_crash.rs
+++ b/crates/trestlewalk/tests/relay_crash.rs
@@ -13,7 +13,7 @@
         CallerReply, CrashGround, RelayTest, UpstreamMode, ZoneRun, relay_test::STREAM_HEADERS,
     },
     serde_json::json,
-    std::time::Duration,
+    std::{net::Ipv4Addr, time::Duration},
     support::{relay_mode::RelayMode, wait::wait_until},
 };
 
@@ -133,6 +133,23 @@
     assert_eq!(ground.ended(), ended);
 }
 
+#[tokio::test]
+async fn a_caller_that_comes_back_from_other_addresses_is_known_again() {
+    let run = plain_zone().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    end_some(&run, &ground, ENOUGH_ENDS).await;
+    tokio::time::sleep(NEWS_BOUND).await;
+    let ended = ground.ended();
+    for index in 0..3 {
+        let own = Ipv4Addr::new(127, 0, 1, index);
+        let headers = "X-Deadline-Ms: 4000\r\n";
+        let from = usize::from(index);
+        let reply = run.send_from(own, from, "POST", "/t/1", headers, DEADLY);
+        assert!(is_quarantined(&reply.await));
+    }
+    assert_eq!(ground.ended(), ended);
+}
+
 #[tokio::test]
 async fn a_quarantine_outlasts_the_instances() {
     let mut run = plain_zone().await;
--- a/crates/trestlewalk/tests/relay_support/caller.rs
+++ b/crates/trestlewalk/tests/relay_support/caller.rs
@@ -4,10 +4,13 @@
     super::wire_text::{WireMessage, read_body, read_head},
     crate::support::wait::wait_for,
     std::{
-        net::SocketAddr,
+        net::{Ipv4Addr, SocketAddr},
         sync::atomic::{AtomicU64, Ordering},
     },
-    tokio::{io::AsyncWriteExt, net::TcpStream},
+    tokio::{
+        io::AsyncWriteExt,
+        net::{TcpSocket, TcpStream},
+    },
 };
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -63,7 +66,14 @@
 
 impl Caller {
     pub async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.unwrap();
+        Self::connect_from(Ipv4Addr::LOCALHOST, address).await
+    }
+
+    /// A connection that comes from this address.
+    pub async fn connect_from(own: Ipv4Addr, address: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind((own, 0).into()).unwrap();
+        let stream = socket.connect(address).await.unwrap();
         stream.set_nodelay(true).unwrap();
         Self {
             rest: Vec::new(),
--- a/crates/trestlewalk/tests/relay_support/zone_run.rs
+++ b/crates/trestlewalk/tests/relay_support/zone_run.rs
@@ -9,6 +9,7 @@
     },
     crate::support::{fleet_process::FleetProcess, tcp_relay::TcpRelay, wait::wait_until},
     serde_json::Value,
+    std::net::Ipv4Addr,
     tempfile::TempDir,
 };
 
@@ -70,9 +71,23 @@
         path: &str,
         more: &str,
         body: &str,
+    ) -> CallerReply {
+        self.send_from(Ipv4Addr::LOCALHOST, index, method, path, more, body)
+            .await
+    }
+
+    /// The same from another address of the caller's.
+    pub async fn send_from(
+        &self,
+        own: Ipv4Addr,
+        index: usize,
+        method: &str,
+        path: &str,
+        more: &str,
+        body: &str,
     ) -> CallerReply {
         let address = self.instances[index].process.address("callers");
-        let mut caller = Caller::connect(address).await;
+        let mut caller = Caller::connect_from(own, address).await;
         let text = request_text(method, path, &fresh_id(), more, body);
         caller.write(&text).await;
         caller.read().await
