relay: a request is known again wherever its caller comes from

Cause: the fingerprint held the address that a try came from; a caller has another one in each availability zone. Class: a name that holds something of one try. Mend: credentials in the request's headers take the place of the address. Others who send the same to the same path without credentials share its marks; whatever is answered in full clears them. Ruled out: content alone for requests with a body and the address for those without: the latter would let three ends through a zone.

--- a/crates/policy/src/request_fingerprint.rs
+++ b/crates/policy/src/request_fingerprint.rs
@@ -9,8 +9,8 @@
 /// Half of the digest: nobody finds two contents with the same one, and it is short in logs and rows.
 const LENGTH: usize = 16;
 
-/// Names a request by what its caller sends, whichever try it is and wherever it arrives: the caller, the method, the host,
-/// the target and the body. Headers are left out, since each try has others.
+/// Names a request by what its caller sends, whichever try it is and wherever it arrives: its credentials, the
+/// method, the host, the target and the body. Other headers are left out, since each try has others.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RequestFingerprint([u8; LENGTH]);
 
@@ -19,7 +19,7 @@
 pub struct FingerprintParts<'a> {
     /// The body.
     pub body: &'a [u8],
-    /// Who sends it. Others who send the same are not held responsible for it.
+    /// The credentials of who sends it; empty without any. Others who send the same are not held responsible for it.
     pub caller: &'a str,
     /// The host that is asked.
     pub host: &'a str,
--- a/crates/policy/tests/crash_table.rs
+++ b/crates/policy/tests/crash_table.rs
@@ -11,7 +11,7 @@
 fn fingerprint(target: &str) -> RequestFingerprint {
     RequestFingerprint::new(&FingerprintParts {
         body: b"the prompt",
-        caller: "10.0.0.7",
+        caller: "team-7",
         host: "shop.example",
         method: "POST",
         target,
--- a/crates/policy/tests/loss_table.rs
+++ b/crates/policy/tests/loss_table.rs
@@ -14,7 +14,7 @@
 fn fingerprint(target: &str) -> RequestFingerprint {
     RequestFingerprint::new(&FingerprintParts {
         body: b"the prompt",
-        caller: "10.0.0.7",
+        caller: "team-7",
         host: "shop.example",
         method: "POST",
         target,
@@ -82,7 +82,7 @@
 fn requests_differ_by_each_part_and_not_by_where_one_ends_and_the_next_begins() {
     let parts = FingerprintParts {
         body: b"bc",
-        caller: "10.0.0.7",
+        caller: "team-7",
         host: "shop.example",
         method: "GET",
         target: "/a",
@@ -94,7 +94,7 @@
             ..parts
         },
         FingerprintParts {
-            caller: "10.0.0.8",
+            caller: "team-8",
             ..parts
         },
         FingerprintParts {
--- a/crates/policy/tests/quarantine_errors.rs
+++ b/crates/policy/tests/quarantine_errors.rs
@@ -60,7 +60,7 @@
 fn fingerprint(request: u64) -> RequestFingerprint {
     RequestFingerprint::new(&FingerprintParts {
         body: &request.to_le_bytes(),
-        caller: "10.0.0.7",
+        caller: "team-7",
         host: "shop.example",
         method: "POST",
         target: "/note/1",
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -3,18 +3,15 @@
 use {
     crate::RequestStory,
     bytes::Bytes,
-    http::{HeaderMap, Method, Uri, header},
+    http::{HeaderMap, HeaderValue, Method, Uri, header},
     kernel::ModelId,
     policy::{FingerprintParts, RequestFingerprint},
     std::{
-        net::IpAddr,
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
     },
 };
 
-/// Names a caller across its connections: where they come from.
-pub type CallerAddress = IpAddr;
 /// Names one try of a caller; the caller's next try has another one.
 pub type RequestId = Arc<str>;
 
@@ -60,8 +57,6 @@
 pub struct CallerRequest {
     /// The body.
     pub body: Bytes,
-    /// Who sends it.
-    pub caller: CallerAddress,
     /// When its caller or its route gives it up.
     pub deadline: Instant,
     /// What its tries have in common, once somebody has asked for it.
@@ -82,14 +77,22 @@
 
 impl CallerRequest {
     /// What its tries have in common. It is worked out when it is asked for the first time: most requests need none.
+    ///
+    /// The address that a try comes from is no part of it: a caller that goes to another availability zone has another one there,
+    /// and each would end upstreams anew.
     pub fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
-            let host = self.headers.get(header::HOST);
+            let text = |name| {
+                let value = self.headers.get(name);
+                value
+                    .and_then(|value: &HeaderValue| value.to_str().ok())
+                    .unwrap_or_default()
+            };
             let target = self.target.path_and_query();
             RequestFingerprint::new(&FingerprintParts {
                 body: &self.body,
-                caller: &self.caller.to_string(),
-                host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
+                caller: text(header::AUTHORIZATION),
+                host: text(header::HOST),
                 method: self.method.as_str(),
                 target: target.map_or("", |target| target.as_str()),
             })
--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -113,13 +113,6 @@
 
     /// Serves one connection until it ends, is idle for too long, or the process closes.
     async fn serve(self, stream: TcpStream) {
-        let caller = match stream.peer_addr() {
-            Ok(address) => address.ip(),
-            Err(error) => {
-                tracing::debug!(%error, "a caller's connection ended at once");
-                return;
-            }
-        };
         tune_socket(&stream, CALLER_UNHEARD);
         let pulse = Arc::new(ConnectionPulse::new());
         let head_limit = self
@@ -138,7 +131,7 @@
                 let desk = desk.clone();
                 let leaving = leaving.clone();
                 async move {
-                    let mut answer = desk.answer(request, caller).await;
+                    let mut answer = desk.answer(request).await;
                     if let Ok(response) = &mut answer {
                         response.body_mut().hold(busy);
                         if leaving.is_raised() {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,7 +45,7 @@
 pub use {
     call_end::{CallEnd, UpstreamAnswer},
     caller_limits::CallerLimits,
-    caller_request::{CallerAddress, CallerHead, CallerRequest, PromptInfo, PromptPart, RequestId},
+    caller_request::{CallerHead, CallerRequest, PromptInfo, PromptPart, RequestId},
     caller_server::CallerServer,
     connection_pulse::ConnectionPulse,
     crash_watch::CrashWatch,
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        AnswerCut, CallerAddress, CallerDialect, CallerHead, CallerRequest, OwnAnswer, PlainFlow,
-        RelayBody, RelayCore, RequestStory, RouteBook, StoryStart, StreamFlow, UpstreamDialect,
-        WorkRoute, relay_core::status_code, upstream_dialect::target_path,
+        AnswerCut, CallerDialect, CallerHead, CallerRequest, OwnAnswer, PlainFlow, RelayBody,
+        RelayCore, RequestStory, RouteBook, StoryStart, StreamFlow, UpstreamDialect, WorkRoute,
+        relay_core::status_code, upstream_dialect::target_path,
     },
     bytes::Bytes,
     http::{Request, Response, header, request::Parts},
@@ -61,7 +61,6 @@
     pub async fn answer(
         &self,
         request: Request<Incoming>,
-        caller: CallerAddress,
     ) -> Result<Response<RelayBody>, AnswerCut> {
         let since = Instant::now();
         let (parts, body) = request.into_parts();
@@ -80,7 +79,6 @@
         let story = self.story(&routed, since);
         let request = CallerRequest {
             body,
-            caller,
             deadline,
             fingerprint: OnceLock::new(),
             head: routed.head,
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -256,7 +256,7 @@
         let report = CrashReport {
             fingerprint: RequestFingerprint::new(&FingerprintParts {
                 body: &[],
-                caller: "10.0.0.7",
+                caller: "team-7",
                 host: "shop.example",
                 method: "GET",
                 target: &format!("/{number}"),
--- a/crates/spread/tests/report_journal.rs
+++ b/crates/spread/tests/report_journal.rs
@@ -14,7 +14,7 @@
         report: CrashReport {
             fingerprint: RequestFingerprint::new(&FingerprintParts {
                 body: b"the prompt",
-                caller: "10.0.0.7",
+                caller: "team-7",
                 host: "shop.example",
                 method: "POST",
                 target: "/note/1",
