spread: reports are known before a new life serves, and reach those who read the store by themselves

Cause, three gaps of the repair: a new life served before it had read the reports; a report of an instance that the store turns away went to the reader of its zone and no further where other zones read by themselves; and one that came back to an instance by another way was told on no more. Class: news that one hop holds and no other asks for. Mend: the first reading of the list takes the reports along (300 ms at most); whoever reads the store writes what it lacks after half a second; everything that is not from the store is told on for five seconds. Tests, red before: a_quarantine_outlasts_the_instances with a store that is slow on reports, an_end_seen_by_an_instance_that_the_store_refuses_is_known_to_all.

--- a/crates/spread/src/report_journal.rs
+++ b/crates/spread/src/report_journal.rs
@@ -12,20 +12,26 @@
     },
 };
 
-/// How long an instance goes on telling the one that it asks what it knows from itself and its askers: a few questions.
+/// How long an instance goes on telling those that it asks what it has not from the store: a few questions, since whom it
+/// asks changes while the store answers few.
 const TELL_UP: Duration = Duration::from_secs(5);
 
+/// How long an instance that reads the store waits for whoever found something out to write it.
+const STORE_PATIENCE: Duration = Duration::from_millis(500);
+
 /// Where a report came from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportOrigin {
-    /// From this instance, or from one that asks it: whoever it asks may not know.
-    Below,
-    /// From the store, or from the instance that is asked.
-    Above,
+    /// From this instance or another one.
+    Instance,
+    /// From the store.
+    Store,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct JournalRow {
+    /// Whether the store has it.
+    is_stored: bool,
     /// When it was learned; told on until a while after that.
     learned: Instant,
     mark: CrashMark,
@@ -104,11 +110,15 @@
             let since = now.checked_sub(*age).unwrap_or(now);
             let key = (report.fingerprint, report.upstream.clone());
             let known = self.rows.get(&key).copied();
-            if known.is_some_and(|known| known.mark >= report.mark) {
+            if let Some(known) = known.filter(|known| known.mark >= report.mark) {
+                if origin == ReportOrigin::Store && known.mark == report.mark {
+                    self.note_stored(&key);
+                }
                 continue;
             }
             self.mark.revision = revision;
             let row = JournalRow {
+                is_stored: origin == ReportOrigin::Store,
                 learned: now,
                 mark: report.mark,
                 origin,
@@ -123,12 +133,34 @@
     /// What the instance that is asked may not know.
     pub fn to_tell(&self, now: Instant) -> Vec<AgedReport> {
         let is_fresh = |row: &JournalRow| {
-            row.origin == ReportOrigin::Below
+            row.origin == ReportOrigin::Instance
                 && now.saturating_duration_since(row.learned) < TELL_UP
         };
         self.aged(is_fresh, now)
     }
 
+    /// What the store lacks although it was learned a while ago: whoever found it out may not be able to write.
+    pub fn unstored(&self, now: Instant) -> Vec<CrashReport> {
+        let is_due = |row: &JournalRow| {
+            !row.is_stored && now.saturating_duration_since(row.learned) >= STORE_PATIENCE
+        };
+        let reports = self.aged(is_due, now).into_iter();
+        reports.map(|aged| aged.report).collect()
+    }
+
+    /// The store has taken reports.
+    pub fn stored(&mut self, reports: &[CrashReport]) {
+        for report in reports {
+            self.note_stored(&(report.fingerprint, report.upstream.clone()));
+        }
+    }
+
+    fn note_stored(&mut self, key: &(RequestFingerprint, UpstreamId)) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.is_stored = true;
+        }
+    }
+
     fn aged(&self, wanted: impl Fn(&JournalRow) -> bool, now: Instant) -> Vec<AgedReport> {
         let rows = self.rows.iter().filter(|(_, row)| wanted(row));
         let reports = rows.map(|((fingerprint, upstream), row)| AgedReport {
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -16,7 +16,7 @@
         SourceError, StoreVersion, UpstreamReading, ZoneSize, operator_source::SilentSnafu,
     },
     std::{
-        sync::Arc,
+        sync::{Arc, atomic::AtomicBool},
         time::{Duration, Instant},
     },
     tokio::{
@@ -41,6 +41,7 @@
     changed: Arc<Notify>,
     directory: MemberDirectory<S>,
     endpoint: PeerEndpoint,
+    follower: Arc<ReportFollower<S>>,
     /// Whether the whole system starts for the first time.
     first_start: bool,
     /// None before the directory was read.
@@ -113,18 +114,22 @@
             times,
         };
         pool.spawn(server.run(endpoint.register(SPREAD_TAG)));
-        let follower = ReportFollower {
+        let follower = Arc::new(ReportFollower {
+            after: RankedLock::new(LockRank::Readings, None),
+            has_begun: AtomicBool::new(false),
             read_limit: times.read_limit,
             state: members.state.clone(),
             store: store.clone(),
             wait: report_wait,
-        };
-        pool.spawn(follower.run());
+        });
+        pool.spawn(follower.clone().run());
+        pool.spawn(follower.clone().write_missing());
         Self {
             changed,
             directory: MemberDirectory::new(directory_store, own),
             endpoint,
             first_start,
+            follower,
             join: RankedLock::new(LockRank::Samples, None),
             keys,
             members,
@@ -250,7 +255,8 @@
     async fn read_store(&self) -> Result<UpstreamReading, SourceError> {
         let began = Instant::now();
         let reason = self.members.plan.lock().reason();
-        let reading = limited(self.times.read_limit, self.store.read_upstreams(reason)).await;
+        let reading = limited(self.times.read_limit, self.store.read_upstreams(reason));
+        let (reading, ()) = tokio::join!(reading, self.follower.begin());
         let now = Instant::now();
         let mut reading = match reading {
             Ok(reading) => reading,
@@ -414,7 +420,8 @@
     /// Takes reports of the instance that was asked in.
     fn take_reports(&self, from: &InstanceId, news: ReportNews, now: Instant) {
         *self.report_mark.lock() = Some((from.clone(), news.mark));
-        self.members.learn(&news.reports, ReportOrigin::Above, now);
+        self.members
+            .learn(&news.reports, ReportOrigin::Instance, now);
     }
 
     /// What the store answers within a time.
@@ -456,12 +463,17 @@
         let reports_now: Vec<AgedReport> = reports.iter().cloned().map(AgedReport::new).collect();
         let is_news = self
             .members
-            .learn(&reports_now, ReportOrigin::Below, Instant::now());
+            .learn(&reports_now, ReportOrigin::Instance, Instant::now());
         if is_news {
             // The instance that is asked learns them with the next question: that goes out at once.
             self.changed.notify_one();
         }
-        limited(self.times.read_limit, self.store.write_reports(reports)).await
+        limited(self.times.read_limit, self.store.write_reports(reports)).await?;
+        self.members.state.send_if_modified(|state| {
+            state.reports.stored(reports);
+            false
+        });
+        Ok(())
     }
 
     async fn read_book(&self, reason: CallReason) -> Result<BookReading, SourceError> {
--- a/crates/spread/src/spread_server.rs
+++ b/crates/spread/src/spread_server.rs
@@ -56,7 +56,7 @@
         let now = Instant::now();
         if self
             .members
-            .learn(&request.reports, ReportOrigin::Below, now)
+            .learn(&request.reports, ReportOrigin::Instance, now)
         {
             self.changed.notify_one();
         }
--- a/crates/spread/tests/fleet_fuzz.rs
+++ b/crates/spread/tests/fleet_fuzz.rs
@@ -150,6 +150,24 @@
     }
 }
 
+#[test]
+fn an_end_seen_by_an_instance_that_the_store_refuses_is_known_to_all() {
+    // Each zone's first ones by name are refused; who reads for it is among them or not.
+    for refused in [7, 15, 19] {
+        let mut model = calm();
+        for first in (0..ZONES).map(|zone| zone * EACH) {
+            let until = first + refused;
+            let fault = FleetFault::Store(StoreMode::Refuses, first, until, seconds(20));
+            model.fault(&fault);
+        }
+        for node in [0, 3, 26] {
+            model.fault(&FleetFault::End(node));
+            model.run(SETTLED);
+            assert_eq!(model.uninformed(), 0, "{refused} {node}");
+        }
+    }
+}
+
 #[test]
 fn a_zone_that_is_cut_off_knows_of_ends_elsewhere_as_soon_as_it_reads_the_store() {
     let mut model = calm();
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -272,7 +272,7 @@
         let reports = [AgedReport::new(report)];
         node.state
             .reports
-            .take(&reports, ReportOrigin::Below, self.now);
+            .take(&reports, ReportOrigin::Instance, self.now);
         node.is_woken = true;
         node.unsent.extend(reports);
     }
@@ -284,11 +284,16 @@
         let node = &mut self.nodes[index];
         let (mode, until) = node.store;
         let serves = now >= until || matches!(mode, StoreMode::Serves | StoreMode::Slow);
-        if is_cut || !serves || node.unsent.is_empty() {
+        if is_cut || !serves {
             return;
         }
-        let reports = std::mem::take(&mut node.unsent);
-        self.store.take(&reports, ReportOrigin::Above, now);
+        let mut reports = std::mem::take(&mut node.unsent);
+        if node.state.reads_store {
+            let missing = node.state.reports.unstored(now);
+            node.state.reports.stored(&missing);
+            reports.extend(missing.into_iter().map(AgedReport::new));
+        }
+        self.store.take(&reports, ReportOrigin::Instance, now);
     }
 
     fn kill(&mut self, node: usize, down: Duration) {
@@ -424,7 +429,7 @@
         node.store_mark = Some(news.mark);
         node.state
             .reports
-            .take(&news.reports, ReportOrigin::Above, now);
+            .take(&news.reports, ReportOrigin::Store, now);
         node.state.take_book(RouteBook::default(), version);
         node.hear(version);
     }
@@ -501,7 +506,7 @@
         node.is_woken |= node
             .state
             .reports
-            .take(&request.reports, ReportOrigin::Below, now);
+            .take(&request.reports, ReportOrigin::Instance, now);
         let is_held = now < question.began + self.times.answer_hold;
         if is_held && !node.state.has_news(&request, before, &self.times, now) {
             return None;
@@ -536,7 +541,7 @@
         self.report_mark = Some((from.clone(), news.mark));
         self.state
             .reports
-            .take(&news.reports, ReportOrigin::Above, now);
+            .take(&news.reports, ReportOrigin::Instance, now);
     }
 
     fn hear(&mut self, version: u64) {
--- a/crates/spread/tests/report_journal.rs
+++ b/crates/spread/tests/report_journal.rs
@@ -32,16 +32,20 @@
     assert!(!journal.has_news(None));
     assert!(journal.take(
         &[aged("i-1", CrashMark::Early, 0)],
-        ReportOrigin::Below,
+        ReportOrigin::Instance,
         now
     ));
     let first = journal.news_since(None, now);
     assert_eq!(first.reports.len(), 1);
     assert!(!journal.has_news(Some(first.mark)));
-    assert!(!journal.take(&[aged("i-1", CrashMark::Late, 0)], ReportOrigin::Below, now));
+    assert!(!journal.take(
+        &[aged("i-1", CrashMark::Late, 0)],
+        ReportOrigin::Instance,
+        now
+    ));
     assert!(journal.take(
         &[aged("i-1", CrashMark::Cleared, 0)],
-        ReportOrigin::Below,
+        ReportOrigin::Instance,
         now
     ));
     let second = journal.news_since(Some(first.mark), now);
@@ -53,21 +57,33 @@
 }
 
 #[test]
-fn what_comes_from_below_is_told_on_for_a_while_and_what_comes_from_above_is_not() {
+fn what_the_store_may_lack_is_told_on_for_a_while_and_written_by_who_reads_it() {
     let now = Instant::now();
+    let later = now + Duration::from_millis(500);
     let mut journal = ReportJournal::new(7, COUNTS_FOR);
-    journal.take(
-        &[aged("i-1", CrashMark::Early, 0)],
-        ReportOrigin::Below,
-        now,
+    let (told, stored) = (
+        aged("i-1", CrashMark::Early, 0),
+        aged("i-2", CrashMark::Early, 0),
     );
+    journal.take(std::slice::from_ref(&told), ReportOrigin::Instance, now);
+    journal.take(&[stored], ReportOrigin::Store, now);
+    assert_eq!(journal.to_tell(now), [told.clone()]);
+    assert_eq!(journal.to_tell(now + Duration::from_secs(5)), []);
+    assert_eq!(journal.unstored(now), []);
+    assert_eq!(journal.unstored(later), [told.report.clone()]);
+    journal.take(std::slice::from_ref(&told), ReportOrigin::Store, later);
+    assert_eq!(journal.unstored(later), []);
+    // Whatever else is found out of it has to be written again.
+    let cleared = aged("i-1", CrashMark::Cleared, 0);
     journal.take(
-        &[aged("i-2", CrashMark::Early, 0)],
-        ReportOrigin::Above,
-        now,
+        std::slice::from_ref(&cleared),
+        ReportOrigin::Instance,
+        later,
     );
-    assert_eq!(journal.to_tell(now), [aged("i-1", CrashMark::Early, 0)]);
-    assert_eq!(journal.to_tell(now + Duration::from_secs(5)), []);
+    let last = later + Duration::from_millis(500);
+    assert_eq!(journal.unstored(last), [cleared.report.clone()]);
+    journal.stored(&[cleared.report]);
+    assert_eq!(journal.unstored(last), []);
 }
 
 #[test]
@@ -77,7 +93,7 @@
     let mut journal = ReportJournal::new(7, COUNTS_FOR);
     journal.take(
         &[aged("i-1", CrashMark::Early, 590)],
-        ReportOrigin::Above,
+        ReportOrigin::Instance,
         now,
     );
     let told = journal.news_since(None, now + second);
@@ -86,7 +102,7 @@
     assert_eq!(journal.forget(now + 10 * second).len(), 1);
     let is_news = journal.take(
         &[aged("i-1", CrashMark::Early, 600)],
-        ReportOrigin::Above,
+        ReportOrigin::Instance,
         now,
     );
     assert!(!is_news);
--- a/crates/trestlewalk/tests/relay_crash.rs
+++ b/crates/trestlewalk/tests/relay_crash.rs
@@ -21,6 +21,8 @@
 const DEADLY: &str = "the deadly prompt";
 /// Within this time all instances that the store answers know of a third end.
 const NEWS_BOUND: Duration = Duration::from_secs(2);
+/// The same when the store turns instances away, who reads for the others among them: as for other news.
+const TURNED_AWAY_BOUND: Duration = Duration::from_secs(4);
 /// The ends after which a request is sent on no more.
 const ENOUGH_ENDS: usize = 3;
 /// The header with the numbered result.
@@ -157,13 +159,12 @@
     end_some(&run, &ground, ENOUGH_ENDS).await;
     tokio::time::sleep(NEWS_BOUND).await;
     let ended = ground.ended();
+    run.store.set_slow(REPORTS, Duration::from_millis(150));
     run.restart_all().await;
+    // Who serves knows of it: the first try of each is refused.
     for index in 0..3 {
         run.wait_status(index, "/t/1", 200).await;
-    }
-    tokio::time::sleep(NEWS_BOUND).await;
-    for index in 0..3 {
-        assert!(is_quarantined(&run.deadly(index).await));
+        assert!(is_quarantined(&run.deadly(index).await), "{index}");
     }
     assert_eq!(ground.ended(), ended);
 }
@@ -183,7 +184,7 @@
         ground.ended() >= ENOUGH_ENDS
     })
     .await;
-    tokio::time::sleep(NEWS_BOUND).await;
+    tokio::time::sleep(TURNED_AWAY_BOUND).await;
     let ended = ground.ended();
     for index in 0..3 {
         assert!(is_quarantined(&run.deadly(index).await), "{index}");
@@ -205,7 +206,6 @@
     run.wait_reports(ENOUGH_ENDS).await;
     run.restart_all().await;
     run.wait_status(0, "/t/1", 200).await;
-    tokio::time::sleep(NEWS_BOUND).await;
     assert!(is_quarantined(&run.deadly(0).await));
 }
 
--- a/crates/trestlewalk/tests/relay_support/store.rs
+++ b/crates/trestlewalk/tests/relay_support/store.rs
@@ -33,6 +33,8 @@
     /// Rows that are gone, with the version at which they went: feeds tell them.
     removed: BTreeMap<RowKey, u64>,
     rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
+    /// Readings of this table take so long.
+    slow: Option<(String, Duration)>,
     version: u64,
 }
 
@@ -119,6 +121,11 @@
         .collect()
     }
 
+    /// Has readings of a table take so long.
+    pub fn set_slow(&self, table: &str, pause: Duration) {
+        self.state.lock().unwrap().slow = Some((table.to_owned(), pause));
+    }
+
     /// Refuses all calls with 503, or serves again.
     pub fn set_down(&self, down: bool) {
         self.state.lock().unwrap().down = down;
@@ -165,6 +172,12 @@
     if let Some(refusal) = store.enter("/rows-get") {
         return refusal;
     }
+    let slow = store.state.lock().unwrap().slow.clone();
+    if let Some((table, pause)) = slow
+        && table == query["Table"]
+    {
+        time::sleep(pause).await;
+    }
     let state = store.state.lock().unwrap();
     let from = query.get("From").cloned().unwrap_or_default();
     let to = query.get("To").filter(|to| !to.is_empty());
