--- a/crates/spread/tests/report_journal.rs
+++ b/crates/spread/tests/report_journal.rs
@@ -67,10 +67,10 @@
     );
     journal.take(std::slice::from_ref(&told), ReportOrigin::Instance, now);
     journal.take(&[stored], ReportOrigin::Store, now);
-    assert_eq!(journal.to_tell(now), [told.clone()]);
+    assert_eq!(journal.to_tell(now), std::slice::from_ref(&told));
     assert_eq!(journal.to_tell(now + Duration::from_secs(5)), []);
     assert_eq!(journal.unstored(now), []);
-    assert_eq!(journal.unstored(later), [told.report.clone()]);
+    assert_eq!(journal.unstored(later), std::slice::from_ref(&told.report));
     journal.take(std::slice::from_ref(&told), ReportOrigin::Store, later);
     assert_eq!(journal.unstored(later), []);
     // Whatever else is found out of it has to be written again.
@@ -81,7 +81,10 @@
         later,
     );
     let last = later + Duration::from_millis(500);
-    assert_eq!(journal.unstored(last), [cleared.report.clone()]);
+    assert_eq!(
+        journal.unstored(last),
+        std::slice::from_ref(&cleared.report)
+    );
     journal.stored(&[cleared.report]);
     assert_eq!(journal.unstored(last), []);
 }
