kernel: a steady clock that goes on while the machine is suspended

Cause, found by looking for beliefs that outlast what they rest on: the usual steady clock stands still while a machine is suspended, so that a lease that has lapsed still holds when it goes on, a list that is seconds old is passed on as fresh, and a caller has all the time left that it waited meanwhile. Mend: lease, relay and spread read one clock that adds the suspended time. A pause between its two readings can only make that shorter. Timers of the runtime stay as they are; they bound waits alone. Test red before: what_rests_on_ages_reads_no_clock_that_stands_still. A real suspension was not played: none can be made here.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod result_code;
 pub mod seeded_rng;
 pub mod state_map;
+pub mod steady_clock;
 pub mod unix_time;
 pub mod worker_pool;
 
--- a/crates/lease/src/lease_keeper.rs
+++ b/crates/lease/src/lease_keeper.rs
@@ -12,9 +12,9 @@
         order_sender::{OrderReply, OrderSender},
     },
     engine::wire::{EngineOrder, OrderKind},
-    kernel::{FenceNumber, LockRank, RankedLock, UpstreamId},
+    kernel::{FenceNumber, LockRank, RankedLock, UpstreamId, steady_clock},
     plat::RowStore,
-    std::{sync::Arc, time::Instant},
+    std::sync::Arc,
 };
 
 /// Calls to the platform in one beat: a read, a write, and once more of each after a conflict.
@@ -41,14 +41,14 @@
 
     /// Releases the lease if no order can be at work; otherwise it lapses by itself.
     pub async fn close(self) {
-        if self.state.lock().gate.is_quiet(Instant::now()) {
+        if self.state.lock().gate.is_quiet(steady_clock::now()) {
             self.drive(LeaseEvent::Release).await;
         }
     }
 
     /// What the lease allows now.
     pub fn hold(&self) -> Option<LeaseHold> {
-        self.state.lock().core.hold(Instant::now())
+        self.state.lock().core.hold(steady_clock::now())
     }
 
     /// A keeper that holds nothing yet.
@@ -86,7 +86,7 @@
             OrderReply::Fenced(seen) => {
                 let _wait = state
                     .core
-                    .on_event(Instant::now(), LeaseEvent::FenceRefused(seen));
+                    .on_event(steady_clock::now(), LeaseEvent::FenceRefused(seen));
                 FenceRefusedSnafu {
                     fence,
                     seen,
@@ -130,7 +130,7 @@
         checks_fence: bool,
     ) -> Result<FenceNumber, LeaseError> {
         let mut state = self.state.lock();
-        let now = Instant::now();
+        let now = steady_clock::now();
         let hold = state.core.hold(now);
         match state.gate.decide(now, hold, upstream, checks_fence) {
             GateVerdict::Lost => LeaseLostSnafu {
@@ -148,6 +148,6 @@
 
     fn step(&self, event: LeaseEvent) -> LeaseAction {
         let mut state = self.state.lock();
-        state.core.on_event(Instant::now(), event)
+        state.core.on_event(steady_clock::now(), event)
     }
 }
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -4,7 +4,7 @@
     crate::RequestStory,
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri, header},
-    kernel::ModelId,
+    kernel::{ModelId, steady_clock},
     policy::{FingerprintParts, RequestFingerprint},
     std::{
         sync::{Arc, OnceLock},
@@ -101,7 +101,7 @@
 
     /// The time that is left.
     pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.saturating_duration_since(steady_clock::now())
     }
 
     /// The tokens of the prompt; 0 for plain services.
--- a/crates/relay/src/connection_pulse.rs
+++ b/crates/relay/src/connection_pulse.rs
@@ -1,7 +1,7 @@
 //! Whether a caller's connection is in use, and since when it is not.
 
 use {
-    kernel::{LockRank, RankedLock},
+    kernel::{LockRank, RankedLock, steady_clock},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -44,7 +44,7 @@
     /// A connection that is idle from now on.
     pub fn new() -> Self {
         let state = PulseState {
-            idle_since: Instant::now(),
+            idle_since: steady_clock::now(),
             open: 0,
         };
         Self {
@@ -56,7 +56,7 @@
     pub fn rest(&self, limit: Duration) -> Duration {
         let state = *self.state.lock();
         match state.open {
-            0 => (state.idle_since + limit).saturating_duration_since(Instant::now()),
+            0 => (state.idle_since + limit).saturating_duration_since(steady_clock::now()),
             _ => BUSY_LOOK,
         }
     }
@@ -72,6 +72,6 @@
     fn drop(&mut self) {
         let mut state = self.pulse.state.lock();
         state.open = state.open.saturating_sub(1);
-        state.idle_since = Instant::now();
+        state.idle_since = steady_clock::now();
     }
 }
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{CallerRequest, LinkPool, OpenCall, RelayCounts, UpstreamBoard},
-    kernel::{LockRank, RankedLock},
+    kernel::{LockRank, RankedLock, steady_clock},
     policy::{
         AgedReport, CrashReport, CrashTable, LossStep, LossTable, LostRun, QuarantineRow,
         UpstreamRecord,
@@ -59,7 +59,9 @@
         if state.table.is_empty() {
             return None;
         }
-        state.table.held(&request.fingerprint(), Instant::now())
+        state
+            .table
+            .held(&request.fingerprint(), steady_clock::now())
     }
 
     /// A watch that has seen nothing; a report counts for `life`.
@@ -100,11 +102,11 @@
         let run = LostRun {
             fingerprint: request.fingerprint(),
             has_answered,
-            ran: call.since.elapsed(),
+            ran: steady_clock::elapsed(call.since),
         };
         request.story.lost(run.fingerprint);
         let mut state = self.state.lock();
-        match state.losses.note(&upstream.id, run, Instant::now()) {
+        match state.losses.note(&upstream.id, run, steady_clock::now()) {
             LossStep::Ended(report) => self.report(&mut state, vec![report]),
             LossStep::Examine => {
                 tokio::spawn(self.clone().examine(upstream.clone()));
@@ -115,7 +117,7 @@
 
     /// The requests in quarantine.
     pub fn rows(&self) -> Vec<QuarantineRow> {
-        self.state.lock().table.rows(Instant::now())
+        self.state.lock().table.rows(steady_clock::now())
     }
 
     /// Reports of other instances.
@@ -197,7 +199,7 @@
 
     /// Upstreams ended under requests of this instance.
     fn report(&self, state: &mut CrashState, reports: Vec<CrashReport>) {
-        let now = Instant::now();
+        let now = steady_clock::now();
         for report in &reports {
             tracing::info!(
                 upstream = %report.upstream,
--- a/crates/relay/src/link_pool.rs
+++ b/crates/relay/src/link_pool.rs
@@ -12,7 +12,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    kernel::{LockRank, RankedLock},
+    kernel::{LockRank, RankedLock, steady_clock},
     policy::UpstreamReach,
     snafu::Snafu,
     socket2::{SockRef, TcpKeepalive},
@@ -106,7 +106,7 @@
         if idle.is_zero() {
             return;
         }
-        let until = Instant::now() + idle;
+        let until = steady_clock::now() + idle;
         let mut table = self.idle.lock();
         let links = table.entry(key.clone()).or_default();
         if links.len() < IDLE_LIMIT {
@@ -116,7 +116,7 @@
 
     /// The peers that a kept connection goes to.
     pub fn linked(&self) -> BTreeSet<LinkKey> {
-        let now = Instant::now();
+        let now = steady_clock::now();
         let table = self.idle.lock();
         let is_live = |links: &[IdleLink]| links.iter().any(|idle| now < idle.until);
         let linked = table.iter().filter(|(_, links)| is_live(links));
@@ -241,14 +241,14 @@
 
     /// Whether there is a usable connection to this peer.
     fn has_idle(&self, key: &LinkKey, address: SocketAddr) -> bool {
-        let now = Instant::now();
+        let now = steady_clock::now();
         let table = self.idle.lock();
         let links = table.get(key);
         links.is_some_and(|links| links.iter().any(|idle| idle.is_usable(address, now)))
     }
 
     fn take_idle(&self, key: &LinkKey, address: SocketAddr) -> Option<OpenLink> {
-        let now = Instant::now();
+        let now = steady_clock::now();
         let mut table = self.idle.lock();
         let links = table.get_mut(key)?;
         while let Some(idle) = links.pop() {
--- a/crates/relay/src/open_call.rs
+++ b/crates/relay/src/open_call.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::RelayCounts,
-    kernel::RankedLock,
+    kernel::{RankedLock, steady_clock},
     policy::{CallVerdict, UpstreamRecord, UpstreamTable},
     std::{sync::Arc, time::Instant},
 };
@@ -40,7 +40,7 @@
         Self {
             board: board.clone(),
             counts: counts.clone(),
-            since: Instant::now(),
+            since: steady_clock::now(),
             tokens,
             upstream,
             verdict: CallVerdict::Neutral,
@@ -52,6 +52,11 @@
     fn drop(&mut self) {
         self.counts.note_call(&self.upstream.id, self.verdict);
         let mut table = self.board.lock();
-        table.end(&self.upstream.id, self.tokens, self.verdict, Instant::now());
+        table.end(
+            &self.upstream.id,
+            self.tokens,
+            self.verdict,
+            steady_clock::now(),
+        );
     }
 }
--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -8,7 +8,7 @@
         Leftover, LeftoverGuard, OpenCall, OwnAnswer, PlaceName, RelayCore, StreamFlow,
         UpstreamDialect,
     },
-    kernel::{ResultCode, UpstreamId},
+    kernel::{ResultCode, UpstreamId, steady_clock},
     policy::{ChoiceQuery, UpstreamRecord, UpstreamStage},
     std::{
         sync::Arc,
@@ -77,7 +77,7 @@
             if std::mem::take(&mut is_first_round) {
                 self.core().note_search(&self.flow.service, true);
             }
-            if Instant::now() + pause > until {
+            if steady_clock::now() + pause > until {
                 return Err(OwnAnswer::later(ResultCode::UpstreamRefused, come_back));
             }
             time::sleep(pause).await;
@@ -122,7 +122,7 @@
                 name: None,
             });
         };
-        let asked_at = Instant::now();
+        let asked_at = steady_clock::now();
         let asking = self.ask(&upstream, tokens, life);
         match time::timeout(REPLY_LIMIT, asking).await {
             Ok(PlaceReply::Reserved(name)) => {
--- a/crates/relay/src/prompt_search.rs
+++ b/crates/relay/src/prompt_search.rs
@@ -2,12 +2,9 @@
 
 use {
     crate::{RelayCore, UpstreamDialect},
-    kernel::{ServiceId, UpstreamId},
+    kernel::{ServiceId, UpstreamId, steady_clock},
     policy::UpstreamRecord,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{task::JoinSet, time},
 };
 
@@ -38,7 +35,7 @@
             "engines are slow to list what they hold"
         );
     }
-    core.parts.lock().holders(part, Instant::now())
+    core.parts.lock().holders(part, steady_clock::now())
 }
 
 /// The engines whose lists are too old, of the own availability zone first.
@@ -50,7 +47,7 @@
     let mut engines = core.board.lock().engines(service);
     engines.sort_by_key(|engine| engine.zone != zone);
     engines.truncate(ASK_LIMIT);
-    let now = Instant::now();
+    let now = steady_clock::now();
     let parts = core.parts.lock();
     engines.retain(|engine| parts.is_due(&engine.id, now));
     engines
@@ -67,5 +64,5 @@
         return;
     };
     let mut parts = core.parts.lock();
-    parts.note(engine.id.clone(), listed, Instant::now());
+    parts.note(engine.id.clone(), listed, steady_clock::now());
 }
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -10,7 +10,7 @@
     bytes::Bytes,
     http::{Request, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
-    kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId, UpstreamId},
+    kernel::{CloseSignal, LockRank, RankedLock, ResultCode, ServiceId, UpstreamId, steady_clock},
     policy::{
         CallVerdict, ChoiceQuery, PartTable, PlacePace, RetryWindow, StagePressure, UpstreamRecord,
         UpstreamTable,
@@ -192,7 +192,7 @@
 
     /// The best upstream for a call.
     pub fn choose(&self, query: &ChoiceQuery<'_>) -> Option<Arc<UpstreamRecord>> {
-        self.board.lock().choose(query, Instant::now())
+        self.board.lock().choose(query, steady_clock::now())
     }
 
     /// How many instances there are, as far as this one knows.
@@ -239,7 +239,7 @@
             reader: ReaderRole::default(),
             settings: ArcSwap::from_pointee(settings),
             start: StartGate::new(),
-            started: Instant::now(),
+            started: steady_clock::now(),
             windows: RankedLock::new(LockRank::Services, HashMap::new()),
             zone_size: ZoneSize::default(),
         }
@@ -256,14 +256,14 @@
     pub fn note_search(&self, service: &ServiceId, is_full: bool) {
         let mut pressures = self.pressures.lock();
         let pressure = pressures.entry(service.clone()).or_default();
-        pressure.note_search(is_full, Instant::now());
+        pressure.note_search(is_full, steady_clock::now());
     }
 
     /// A prompt was read for a service, in `took` where its tokens take `alone`.
     pub fn note_reading(&self, service: &ServiceId, alone: Duration, took: Duration) {
         let mut pressures = self.pressures.lock();
         let pressure = pressures.entry(service.clone()).or_default();
-        pressure.note_reading(alone, took, Instant::now());
+        pressure.note_reading(alone, took, steady_clock::now());
     }
 
     /// How hard the engines of a service are pressed, by what requests here met.
@@ -284,12 +284,12 @@
         let window = windows
             .entry(service.clone())
             .or_insert_with(|| RetryWindow::new(self.started));
-        window.note_request(&self.settings.load().retries, Instant::now());
+        window.note_request(&self.settings.load().retries, steady_clock::now());
     }
 
     /// Whether an upstream fails clearly more often than the others of its service.
     pub fn stands_out(&self, upstream: &UpstreamId) -> bool {
-        self.board.lock().stands_out(upstream, Instant::now())
+        self.board.lock().stands_out(upstream, steady_clock::now())
     }
 
     /// Takes one repeated call to a service out of the budget; `false` when it is spent.
@@ -302,7 +302,7 @@
         let taken = window.take(
             &self.settings.load().retries,
             self.instances(),
-            Instant::now(),
+            steady_clock::now(),
         );
         drop(windows);
         let count = match taken {
--- a/crates/relay/src/request_desk.rs
+++ b/crates/relay/src/request_desk.rs
@@ -10,7 +10,7 @@
     http::{Request, Response, header, request::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
-    kernel::{ResultCode, ServiceId},
+    kernel::{ResultCode, ServiceId, steady_clock},
     std::{
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
@@ -62,7 +62,7 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<RelayBody>, AnswerCut> {
-        let since = Instant::now();
+        let since = steady_clock::now();
         let (parts, body) = request.into_parts();
         self.core.start.wait_young().await;
         let routed = match self.route(&parts) {
@@ -106,7 +106,7 @@
         body: Incoming,
     ) -> Result<Bytes, Option<OwnAnswer>> {
         let reading = Limited::new(body, book.limits.body).collect();
-        let left = deadline.saturating_duration_since(Instant::now());
+        let left = deadline.saturating_duration_since(steady_clock::now());
         match time::timeout(left, reading).await {
             Ok(Ok(collected)) => Ok(collected.to_bytes()),
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
@@ -124,7 +124,7 @@
         left: Duration,
     ) -> Response<RelayBody> {
         let own = OwnAnswer::later(ResultCode::RequestQuarantined, left);
-        let since = request.since.elapsed();
+        let since = steady_clock::elapsed(request.since);
         self.core.counts.note(&route.work, own.code, since);
         request.story.end(own.code);
         own.into_response()
@@ -215,7 +215,7 @@
         };
         self.core
             .counts
-            .note(&route.work, code, request.since.elapsed());
+            .note(&route.work, code, steady_clock::elapsed(request.since));
         if let Err(own) = &outcome {
             request.story.end(own.code);
         }
--- a/crates/relay/src/request_story.rs
+++ b/crates/relay/src/request_story.rs
@@ -5,7 +5,9 @@
 
 use {
     crate::RequestId,
-    kernel::{LockRank, RankedLock, ResultCode, ServiceId, TableVersion, WorkId, seeded_rng},
+    kernel::{
+        LockRank, RankedLock, ResultCode, ServiceId, TableVersion, WorkId, seeded_rng, steady_clock,
+    },
     policy::RequestFingerprint,
     std::{
         fmt::{self, Write},
@@ -68,7 +70,7 @@
 
     /// The first byte of the answer is there.
     pub fn first_byte(&self) {
-        let since = self.since.elapsed();
+        let since = steady_clock::elapsed(self.since);
         self.state.lock().first_byte.get_or_insert(since);
     }
 
@@ -94,7 +96,7 @@
 
     /// A piece of a stream is there.
     pub fn piece(&self) {
-        let at = self.since.elapsed();
+        let at = steady_clock::elapsed(self.since);
         let mut state = self.state.lock();
         let before = state.last_piece.replace(at).unwrap_or(at);
         if at - before > state.longest_pause {
@@ -105,7 +107,7 @@
 
     /// Something was decided or came back.
     pub fn note(&self, step: fmt::Arguments<'_>) {
-        let at = self.since.elapsed().as_millis();
+        let at = steady_clock::elapsed(self.since).as_millis();
         let mut state = self.state.lock();
         if state.steps.len() < LONGEST_STEPS {
             // Writing to a text can't fail.
@@ -125,7 +127,9 @@
             true => ResultCode::CallerLeft,
             false => ResultCode::CallerGone,
         });
-        let first = state.first_byte.unwrap_or_else(|| self.since.elapsed());
+        let first = state
+            .first_byte
+            .unwrap_or_else(|| steady_clock::elapsed(self.since));
         let is_steady = self
             .start
             .pause
@@ -147,7 +151,7 @@
             pause_target_ms = self.start.pause.map(|pause| pause.as_millis() as u64),
             longest_pause_ms = state.last_piece.map(|_| state.longest_pause.as_millis() as u64),
             pause_from_ms = state.last_piece.map(|_| state.pause_from.as_millis() as u64),
-            total_ms = self.since.elapsed().as_millis() as u64,
+            total_ms = steady_clock::elapsed(self.since).as_millis() as u64,
             fingerprint = state.fingerprint.map(tracing::field::display),
             steps = state.steps.trim_end(),
             "request ended"
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -5,6 +5,7 @@
         BookNews, CallReason, OperatorSource, RelayCore, ReportMark, RouteBook, SourceError,
         StoreVersion, UpstreamDialect, UpstreamReading,
     },
+    kernel::steady_clock,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -90,7 +91,9 @@
                 Ok(Ok(reading)) => {
                     after = reading.next;
                     if !reading.reports.is_empty() {
-                        self.core.crashes.take(&reading.reports, Instant::now());
+                        self.core
+                            .crashes
+                            .take(&reading.reports, steady_clock::now());
                     }
                     continue;
                 }
@@ -130,7 +133,7 @@
             clock.tick().await;
             let reading = self.source.read_upstreams(reason);
             let reading = time::timeout(self.times.read_limit, reading).await;
-            let now = Instant::now();
+            let now = steady_clock::now();
             let error = match reading {
                 Ok(Ok(reading)) => {
                     let outcome = match reading.passed_on {
--- a/crates/relay/src/stage_keeper.rs
+++ b/crates/relay/src/stage_keeper.rs
@@ -6,15 +6,11 @@
     engine::wire::{EngineOrder, OrderKind, route_role::EngineRole},
     http::{Request, StatusCode},
     http_body_util::Full,
-    kernel::{InstanceId, ServiceId, UpstreamId, seeded_rng},
+    kernel::{InstanceId, ServiceId, UpstreamId, seeded_rng, steady_clock},
     lease::{LeaseKeeper, LeaseSettings, OrderReply, OrderSender},
     plat::RowStore,
     policy::{StageGoal, StageMove, StagePlan, UpstreamRecord, UpstreamStage},
-    std::{
-        collections::BTreeMap,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time,
 };
 
@@ -132,12 +128,12 @@
             &service,
             engines,
             &self.core.pressure(&service),
-            Instant::now(),
+            steady_clock::now(),
         ) else {
             return;
         };
         // Whatever comes of it, the next look waits until the list of upstreams shows the outcome.
-        stages.plan.rest(Instant::now());
+        stages.plan.rest(steady_clock::now());
         carry_out(&self.core, &self.settings, &stages.lease, &plan).await;
     }
 }
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -15,7 +15,7 @@
     http::Response,
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
-    kernel::{ResultCode, ServiceId, UpstreamId},
+    kernel::{ResultCode, ServiceId, UpstreamId, steady_clock},
     policy::{CallVerdict, StreamTries, TryEnd},
     std::{
         sync::Arc,
@@ -106,7 +106,7 @@
         Self {
             core,
             holders: Vec::new(),
-            placed_at: Instant::now(),
+            placed_at: steady_clock::now(),
             request,
             route,
             service,
@@ -224,7 +224,7 @@
             held_until,
             name,
         } = place;
-        self.placed_at = Instant::now();
+        self.placed_at = steady_clock::now();
         let upstream = call.upstream.clone();
         if self.tries.has_run() && !self.pay_ahead() {
             return Err(self.spent());
@@ -264,7 +264,7 @@
         drop(call);
         let id = upstream.id.clone();
         let end = self.core.call(plan, upstream).await;
-        if held_until.is_some_and(|until| Instant::now() < until) {
+        if held_until.is_some_and(|until| steady_clock::now() < until) {
             self.note_place(&id, &end, kv_guard.is_some() || is_held);
         }
         self.tries.note(match end {
@@ -314,7 +314,7 @@
         match end {
             CallEnd::Answer(_) => board.note_run(engine),
             CallEnd::Held(_) | CallEnd::Lost(_) | CallEnd::Unsent => {}
-            CallEnd::NotRun => board.note_turned_away(engine, has_kv, Instant::now()),
+            CallEnd::NotRun => board.note_turned_away(engine, has_kv, steady_clock::now()),
         }
     }
 
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -7,7 +7,7 @@
         UpstreamAnswer, UpstreamDialect, relay_core::status_verdict,
     },
     http_body_util::{BodyExt, Limited},
-    kernel::{UpstreamId, ZoneId},
+    kernel::{UpstreamId, ZoneId, steady_clock},
     policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, TryEnd, UpstreamStage},
     std::{
         collections::BTreeSet,
@@ -53,7 +53,7 @@
             route: &self.route,
             silence: Some(choice.expected * READ_SILENCE + READ_SLACK),
         };
-        let began = Instant::now();
+        let began = steady_clock::now();
         let end = self.core.call(plan, upstream.clone()).await;
         self.tries.note(match end {
             CallEnd::Answer(_) => TryEnd::Read,
@@ -89,7 +89,7 @@
         if !head.status.is_success() {
             return None;
         }
-        let now = Instant::now();
+        let now = steady_clock::now();
         if !choice.is_held {
             self.note_pace(&upstream.id, choice.ahead, now - began, now);
         }
@@ -110,7 +110,7 @@
 
     /// The prefill engine to ask; none when the decode engine is expected to be done sooner.
     fn choose_reader(&self, tokens: u64, zone: &ZoneId) -> Option<ReaderChoice> {
-        let now = Instant::now();
+        let now = steady_clock::now();
         let choice = self.core.board.lock().choose_reader(
             &ChoiceQuery {
                 avoid: &[],
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -7,12 +7,9 @@
     },
     bytes::Bytes,
     http_body_util::BodyExt,
-    kernel::ResultCode,
+    kernel::{ResultCode, steady_clock},
     policy::{CallVerdict, RepeatRule},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time},
 };
 
@@ -108,7 +105,7 @@
     fn close(self) {
         self.flow.request.story.end(ResultCode::Answered);
         self.flow.core.crashes.note_answered(&self.flow.request);
-        let held = self.flow.placed_at.elapsed();
+        let held = steady_clock::elapsed(self.flow.placed_at);
         self.flow.core.note_place(&self.flow.service, held);
         let UpstreamAnswer {
             call, facts, link, ..
@@ -124,7 +121,7 @@
     async fn other_place(&self) -> Option<ReservedPlace<D>> {
         tokio::select! {
             () = self.sender.closed() => None,
-            place = self.flow.find_place(Instant::now()) => place.ok(),
+            place = self.flow.find_place(steady_clock::now()) => place.ok(),
         }
     }
 
@@ -147,7 +144,7 @@
         answer.call.close(CallVerdict::Lost);
         drop(answer.link);
         drop(answer.body);
-        let until = Instant::now() + RESUME_WAIT;
+        let until = steady_clock::now() + RESUME_WAIT;
         if flow.route.repeat == RepeatRule::Resumable && flow.may_go_on() {
             let started = tokio::select! {
                 () = sender.closed() => return None,
--- a/crates/spread/src/member_board.rs
+++ b/crates/spread/src/member_board.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{DirectoryView, MemberRow, ReaderPlan, ReportOrigin, SpreadState},
-    kernel::{InstanceId, RankedLock},
+    kernel::{InstanceId, RankedLock, steady_clock},
     peer::PeerBook,
     policy::AgedReport,
     relay::ZoneSize,
@@ -85,7 +85,7 @@
                 self.book.set(member.instance.clone(), member.address);
             }
         }
-        self.plan.lock().set_members(&listed, Instant::now());
+        self.plan.lock().set_members(&listed, steady_clock::now());
         self.state.send_modify(|state| state.take_members(members));
     }
 
--- a/crates/spread/src/report_follower.rs
+++ b/crates/spread/src/report_follower.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{ReportOrigin, SpreadState},
-    kernel::RankedLock,
+    kernel::{RankedLock, steady_clock},
     policy::CrashReport,
     relay::{OperatorSource, ReportMark, ReportReading},
     std::{
@@ -10,7 +10,7 @@
             Arc,
             atomic::{AtomicBool, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{sync::watch, time},
 };
@@ -99,7 +99,7 @@
             let missing = {
                 let state = self.state.borrow();
                 match state.reads_store {
-                    true => state.reports.unstored(Instant::now()),
+                    true => state.reports.unstored(steady_clock::now()),
                     false => Vec::new(),
                 }
             };
@@ -135,7 +135,7 @@
     fn forget(&self) -> Vec<CrashReport> {
         let mut old = Vec::new();
         self.state.send_if_modified(|state| {
-            old = state.reports.forget(Instant::now());
+            old = state.reports.forget(steady_clock::now());
             false
         });
         old
@@ -143,7 +143,7 @@
 
     fn take(&self, reading: &ReportReading) {
         *self.after.lock() = reading.next;
-        let now = Instant::now();
+        let now = steady_clock::now();
         self.state.send_if_modified(|state| {
             state
                 .reports
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -7,7 +7,7 @@
         SpreadReply, SpreadRequest, SpreadServer, SpreadState, SpreadTimes,
         spread_state::is_unchanged,
     },
-    kernel::{InstanceId, LockRank, RankedLock, WorkerPool},
+    kernel::{InstanceId, LockRank, RankedLock, WorkerPool, steady_clock},
     peer::{KeyAuthority, PeerEndpoint, PeerKeys},
     plat::{PlatError, RowStore},
     policy::{AgedReport, CrashReport},
@@ -155,7 +155,7 @@
         let reply = answer.and_then(|answer| {
             postcard::from_bytes::<SpreadReply>(&answer).map_err(|error| error.to_string())
         });
-        let now = Instant::now();
+        let now = steady_clock::now();
         match reply {
             Ok(SpreadReply::News(news)) => AskEnd::News(self.take_news(from, *news)),
             Ok(SpreadReply::Unreadable { age, reports }) => {
@@ -181,7 +181,7 @@
 
     fn request(&self, to: &InstanceId, at_once: bool) -> Vec<u8> {
         let plan = self.members.plan.lock();
-        let AskerState { passed_over, reads } = plan.state(Instant::now());
+        let AskerState { passed_over, reads } = plan.state(steady_clock::now());
         let is_refused = plan.is_refused();
         drop(plan);
         let list = self.mirror.lock().mark(to);
@@ -196,7 +196,7 @@
             members: state.members_digest(),
             passed_over,
             reads,
-            reports: state.reports.to_tell(Instant::now()),
+            reports: state.reports.to_tell(steady_clock::now()),
             reports_known,
         };
         // Texts, numbers and addresses always have a binary form.
@@ -207,13 +207,13 @@
     async fn join_paced(&self) -> Result<(), SourceError> {
         let due = self.members.plan.lock().store_due();
         if let Some(due) = due {
-            time::sleep_until(time::Instant::from_std(due)).await;
+            time::sleep(due.saturating_duration_since(steady_clock::now())).await;
         }
         let joined = self.join().await;
         let mut plan = self.members.plan.lock();
         match joined {
             Ok(()) => plan.joined(),
-            Err(_) => plan.store_failed(Instant::now()),
+            Err(_) => plan.store_failed(steady_clock::now()),
         }
         drop(plan);
         joined
@@ -253,11 +253,11 @@
 
     /// Reads the list from the store, and the directory when it is time.
     async fn read_store(&self) -> Result<UpstreamReading, SourceError> {
-        let began = Instant::now();
+        let began = steady_clock::now();
         let reason = self.members.plan.lock().reason();
         let reading = limited(self.times.read_limit, self.store.read_upstreams(reason));
         let (reading, ()) = tokio::join!(reading, self.follower.begin());
-        let now = Instant::now();
+        let now = steady_clock::now();
         let mut reading = match reading {
             Ok(reading) => reading,
             Err(error) => {
@@ -332,7 +332,7 @@
     /// Takes a reading of the directory in.
     fn take_view(&self, view: DirectoryView, silent: &[InstanceId]) {
         let next = JoinState {
-            tried: Instant::now(),
+            tried: steady_clock::now(),
             view: view.clone(),
         };
         let before = self.join.lock().replace(next);
@@ -358,7 +358,7 @@
 
     /// Takes a reading of another instance in.
     fn take_news(&self, from: InstanceId, news: SpreadNews) -> UpstreamReading {
-        let now = Instant::now();
+        let now = steady_clock::now();
         let read = now.checked_sub(news.age).unwrap_or(now);
         if let Some(members) = news.members {
             self.members.replace(members);
@@ -452,7 +452,7 @@
         let have = after.map(|revision| ReadingMark { life, revision });
         // Without news the same mark is asked for again.
         let _ = time::timeout(wait, state.wait_for(|state| state.reports.has_news(have))).await;
-        let news = state.borrow().reports.news_since(have, Instant::now());
+        let news = state.borrow().reports.news_since(have, steady_clock::now());
         Ok(ReportReading {
             next: Some(news.mark.revision),
             reports: news.reports,
@@ -463,7 +463,7 @@
         let reports_now: Vec<AgedReport> = reports.iter().cloned().map(AgedReport::new).collect();
         let is_news = self
             .members
-            .learn(&reports_now, ReportOrigin::Instance, Instant::now());
+            .learn(&reports_now, ReportOrigin::Instance, steady_clock::now());
         if is_news {
             // The instance that is asked learns them with the next question: that goes out at once.
             self.changed.notify_one();
@@ -500,7 +500,7 @@
         }
         let mut failed: Option<SourceError> = None;
         loop {
-            let step = self.members.plan.lock().choose(Instant::now());
+            let step = self.members.plan.lock().choose(steady_clock::now());
             self.reader.set(!matches!(step, ReadStep::Ask { .. }));
             match step {
                 ReadStep::Ask {
@@ -514,7 +514,7 @@
                     };
                     match end {
                         AskEnd::News(reading) => {
-                            let now = Instant::now();
+                            let now = steady_clock::now();
                             if self.members.plan.lock().is_first(now) {
                                 self.refresh(now, false).await;
                             }
@@ -532,9 +532,9 @@
                     if let Some(error) = failed.take() {
                         return Err(error);
                     }
-                    let until = time::Instant::from_std(until);
+                    let left = until.saturating_duration_since(steady_clock::now());
                     // Either way the next step is chosen anew.
-                    let _ = time::timeout_at(until, self.changed.notified()).await;
+                    let _ = time::timeout(left, self.changed.notified()).await;
                 }
                 ReadStep::Store => match self.read_store().await {
                     Ok(reading) => return Ok(reading),
--- a/crates/spread/src/spread_server.rs
+++ b/crates/spread/src/spread_server.rs
@@ -3,9 +3,9 @@
 use {
     crate::{AskerState, MemberBoard, ReportOrigin, SpreadRequest, SpreadState, SpreadTimes},
     bytes::Bytes,
-    kernel::WorkerPool,
+    kernel::{WorkerPool, steady_clock},
     peer::{CallReply, PeerIncoming, ProtocolTag},
-    std::{sync::Arc, time::Instant},
+    std::sync::Arc,
     tokio::{
         sync::{Notify, mpsc, watch},
         time,
@@ -53,7 +53,7 @@
 
     fn take(&self, request: SpreadRequest, reply: CallReply) {
         self.members.add(&request.card);
-        let now = Instant::now();
+        let now = steady_clock::now();
         if self
             .members
             .learn(&request.reports, ReportOrigin::Instance, now)
@@ -65,7 +65,7 @@
             reads: request.reads,
         };
         let mut plan = self.members.plan.lock();
-        if plan.asked(&request.card, asker, Instant::now()) {
+        if plan.asked(&request.card, asker, steady_clock::now()) {
             self.changed.notify_one();
         }
         drop(plan);
@@ -88,13 +88,13 @@
 ) -> Option<Bytes> {
     let mut state = state;
     let before = state.borrow().readings;
-    let is_news = |state: &SpreadState| state.has_news(request, before, times, Instant::now());
+    let is_news = |state: &SpreadState| state.has_news(request, before, times, steady_clock::now());
     let waiting = time::timeout(times.answer_hold, state.wait_for(is_news)).await;
     if let Ok(Err(_)) = waiting {
         return None;
     }
     drop(waiting);
-    let now = Instant::now();
+    let now = steady_clock::now();
     let reply = state.borrow().answer(request, times.stale, now);
     // Texts, numbers and times always have a binary form.
     Some(Bytes::from(postcard::to_stdvec(&reply).ok()?))
