--- a/crates/trestlewalk/tests/relay_crash.rs
+++ b/crates/trestlewalk/tests/relay_crash.rs
@@ -135,6 +135,23 @@
     assert_eq!(ground.ended(), ended);
 }
 
+#[tokio::test]
+async fn one_try_that_may_run_on_many_upstreams_stops_as_well() {
+    let more = json!({"MaxAttempts": 9, "TargetLatencyMs": 2000});
+    let run = RelayTest::new()
+        .plain("carta", 9)
+        .route("/t/", "safe", "carta", &more)
+        .start_zone(1)
+        .await;
+    run.wait_status(0, "/t/1", 200).await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    let reply = run.deadly(0).await;
+    // It ran, so that nobody may say it did not.
+    assert_eq!(reply.status(), 502);
+    // The fourth call goes out at once, before it is known that the third upstream ended.
+    assert!((3..=4).contains(&ground.ended()), "{}", ground.ended());
+}
+
 #[tokio::test]
 async fn a_caller_that_comes_back_from_other_addresses_is_known_again() {
     let run = plain_zone().await;
