Test: an end is told at once although earlier ones wait for the store (red)

Found by reading: what could not be written is tried again after a pause of up to five seconds, and ends found meanwhile waited for it too, also on their way to other instances.

--- a/crates/trestlewalk/tests/relay_crash.rs
+++ b/crates/trestlewalk/tests/relay_crash.rs
@@ -13,7 +13,10 @@
         CallerReply, CrashGround, RelayTest, UpstreamMode, ZoneRun, relay_test::STREAM_HEADERS,
     },
     serde_json::json,
-    std::{net::Ipv4Addr, time::Duration},
+    std::{
+        net::Ipv4Addr,
+        time::{Duration, Instant},
+    },
     support::{relay_mode::RelayMode, wait::wait_until},
 };
 
@@ -209,6 +212,23 @@
     assert_eq!(ground.ended(), ended);
 }
 
+#[tokio::test]
+async fn an_end_is_told_at_once_although_earlier_ones_wait_for_the_store() {
+    let run = plain_zone().await;
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    let reader = run.wait_one_reads().await;
+    let other = (reader + 1) % 3;
+    run.instances[other].way.set(RelayMode::Reset);
+    run.deadly(other).await;
+    assert_eq!(ground.ended(), 2);
+    // By now it tries to write them every five seconds alone.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    run.deadly(other).await;
+    let told = Instant::now();
+    run.wait_reports(ENOUGH_ENDS).await;
+    assert!(told.elapsed() < NEWS_BOUND, "{:?}", told.elapsed());
+}
+
 #[tokio::test]
 async fn reports_that_the_store_did_not_take_are_written_when_it_answers_again() {
     let mut run = plain_zone().await;
