relay: what is found while the store takes no reports is told to other instances at once

Cause: one loop told other instances and wrote to the store; the pause after a failed write, up to five seconds, held both up. Mend: a new report ends the pause. What could not be written is kept and wakes nobody. Reports that no longer count leave the gauge with each watch; a cleared request does so at once.

--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -40,6 +40,19 @@
     unsent: Vec<CrashReport>,
 }
 
+impl CrashState {
+    fn keep_unsent(&mut self, reports: Vec<CrashReport>) {
+        let room = MOST_UNSENT.saturating_sub(self.unsent.len());
+        if reports.len() > room {
+            tracing::warn!(
+                count = reports.len() - room,
+                "reports of ended upstreams are dropped, the store takes none"
+            );
+        }
+        self.unsent.extend(reports.into_iter().take(room));
+    }
+}
+
 impl CrashWatch {
     /// A request was answered in full by an upstream, which goes on: it is no cause of ends.
     pub fn note_answered(&self, request: &CallerRequest) {
@@ -49,6 +62,9 @@
             return;
         }
         let reports = state.table.clear(request.fingerprint());
+        if !reports.is_empty() {
+            self.gauge(&state, steady_clock::now());
+        }
         self.pass_on(&mut state, reports);
     }
 
@@ -138,20 +154,24 @@
             if !reports.is_empty() {
                 return reports;
             }
-            self.unsent.notified().await;
+            self.wait_new().await;
         }
     }
 
+    /// Waits until something is found that nobody else knows.
+    pub async fn wait_new(&self) {
+        self.unsent.notified().await;
+    }
+
     fn drain_unsent(&self) -> Vec<CrashReport> {
         let mut state = self.state.lock();
         let count = state.unsent.len().min(MOST_WRITES);
         state.unsent.drain(..count).collect()
     }
 
-    /// Reports that could not be sent are sent again.
+    /// Reports that could not be sent are kept for the next time. That wakes nobody.
     pub fn take_back(&self, reports: Vec<CrashReport>) {
-        let mut state = self.state.lock();
-        self.pass_on(&mut state, reports);
+        self.state.lock().keep_unsent(reports);
     }
 
     async fn examine(self: Arc<Self>, upstream: Arc<UpstreamRecord>) {
@@ -186,14 +206,7 @@
         if reports.is_empty() {
             return;
         }
-        let room = MOST_UNSENT.saturating_sub(state.unsent.len());
-        if reports.len() > room {
-            tracing::warn!(
-                count = reports.len() - room,
-                "reports of ended upstreams are dropped, the store takes none"
-            );
-        }
-        state.unsent.extend(reports.into_iter().take(room));
+        state.keep_unsent(reports);
         self.unsent.notify_one();
     }
 
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -90,11 +90,10 @@
             let error = match watching.await {
                 Ok(Ok(reading)) => {
                     after = reading.next;
-                    if !reading.reports.is_empty() {
-                        self.core
-                            .crashes
-                            .take(&reading.reports, steady_clock::now());
-                    }
+                    // Without reports too: what no longer counts goes.
+                    self.core
+                        .crashes
+                        .take(&reading.reports, steady_clock::now());
                     continue;
                 }
                 Ok(Err(error)) => error.to_string(),
@@ -115,8 +114,11 @@
                 Err(error) => {
                     tracing::info!(%error, "reports of ended upstreams can't be written");
                     self.core.crashes.take_back(reports);
-                    time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_WRITE_PAUSE);
+                    // What is found meanwhile is told to other instances at once.
+                    tokio::select! {
+                        () = time::sleep(pause) => pause = (pause * 2).min(LONGEST_WRITE_PAUSE),
+                        () = self.core.crashes.wait_new() => {}
+                    }
                 }
             }
         }
