--- a/crates/trestlewalk/tests/relay_crash.rs
+++ b/crates/trestlewalk/tests/relay_crash.rs
@@ -1,9 +1,10 @@
 //! A request that ends each upstream that begins to run it, and comes back.
 //!
-//! Seen: on one day one caller's request ended ten engines, another's fourteen, each within a minute; the other streams of
-//! those engines broke with them. How it came about: each try has another id and arrives at another instance, and instances
-//! knew a request by that id alone, so that every try was a new one. Proof: at each of twenty ends exactly one young
-//! stream of the same row was lost, and the tries of one request have the same path, caller and body.
+//! Seen: on one day one caller's request ended ten engines, another's fourteen; the other streams of those engines broke with
+//! them. How it came about: each try has another id and arrives at another instance, and instances
+//! knew a request by that id alone, so that every try was a new one. Proof: at each of twenty ends a young stream of the same
+//! row was lost; with the tries told by what they ask for, three ends are the last. Told by their address as well they were
+//! nine, three for each availability zone.
 
 mod relay_support;
 mod support;
