relay: a call counts for its upstream only while the list has it

Cause: a call that ended after its upstream had left the list counted it once more; nothing dropped that counter again. Mend: counted under the lock of the list.

--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -153,14 +153,21 @@
         choices.min_by_key(|choice| choice.cost)
     }
 
-    /// A call to an upstream ended.
-    pub fn end(&mut self, id: &UpstreamId, tokens: u64, verdict: CallVerdict, now: Instant) {
+    /// A call to an upstream ended; whether the list still has the upstream.
+    pub fn end(
+        &mut self,
+        id: &UpstreamId,
+        tokens: u64,
+        verdict: CallVerdict,
+        now: Instant,
+    ) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
-            return;
+            return false;
         };
         entry.open = entry.open.saturating_sub(1);
         entry.open_tokens = entry.open_tokens.saturating_sub(tokens);
         entry.note(verdict, now);
+        true
     }
 
     /// How long ago the list was read; zero before the first reading.
--- a/crates/relay/src/open_call.rs
+++ b/crates/relay/src/open_call.rs
@@ -50,13 +50,16 @@
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.counts.note_call(&self.upstream.id, self.verdict);
         let mut table = self.board.lock();
-        table.end(
+        // Counted under the lock: the counters of one that has left the list are dropped after that, and would come back.
+        let is_listed = table.end(
             &self.upstream.id,
             self.tokens,
             self.verdict,
             steady_clock::now(),
         );
+        if is_listed {
+            self.counts.note_call(&self.upstream.id, self.verdict);
+        }
     }
 }
