--- a/crates/kernel/src/ids.rs
+++ b/crates/kernel/src/ids.rs
@@ -10,6 +10,8 @@
 pub type UpstreamId = Arc<str>;
 /// Names one service, such as `redactor` or `booking-app`.
 pub type ServiceId = Arc<str>;
+/// Names one customer, as the operators declare it.
+pub type CustomerId = Arc<str>;
 /// Names one model.
 pub type ModelId = Arc<str>;
 /// Names one kind of work: the key of a row of the table.
