--- a/crates/relay/src/customer_counts.rs
+++ b/crates/relay/src/customer_counts.rs
@@ -27,7 +27,7 @@
 impl CustomerCounts {
     /// Counters at zero.
     pub fn new() -> Self {
-        Self {
+        let counts = Self {
             named: Arc::new(RankedLock::new(LockRank::Samples, BTreeSet::new())),
             requests: counters(
                 "trestlewalk_relay_customer_requests_total",
@@ -39,7 +39,12 @@
                 "What requests took out of the quotas of customers, in their units.",
                 &["customer"],
             ),
-        }
+        };
+        // Exposed from the start, also where nobody is refused.
+        let code = ResultCode::KeyUnknown.number().to_string();
+        counts.requests.with_label_values(&[NOBODY, &code]);
+        counts.uses.with_label_values(&[OTHERS]);
+        counts
     }
 
     /// Counts a request.
--- a/crates/spread/src/use_exchange.rs
+++ b/crates/spread/src/use_exchange.rs
@@ -83,6 +83,10 @@
             return;
         }
         let own = self.board.own();
+        if own.is_empty() {
+            // No customer has a limit: there is nothing to share.
+            return;
+        }
         self.board.ledger.lock().note_own(&own, now);
         for _ in 0..TRIES {
             let partners = {
