--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod upstream_table;
 pub mod use_ledger;
 pub mod use_rate;
+mod use_source;
 pub mod zone_refusals;
 
 pub use {
--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -12,9 +12,13 @@
 //! exceptions: a deputy does not ask while it is asked, and one that the store does not answer takes news only, whose age
 //! goes along. Two readers, or none for a moment, are no fault: readings carry the store's version.
 
+mod deputies;
+mod partners;
+mod store_turn;
+
 use {
     crate::{MemberRow, ReaderRest, SpreadTimes, StoreProbe},
-    kernel::{InstanceId, ZoneId, seeded_rng},
+    kernel::{InstanceId, ZoneId},
     relay::CallReason,
     std::{
         collections::BTreeMap,
@@ -22,10 +26,6 @@
     },
 };
 
-/// How many deputies of a zone go on trying while nobody can read; each further one tries once.
-const LASTING_DEPUTIES: usize = 3;
-/// From one try of a lasting deputy to the next.
-const DEPUTY_PERIOD: Duration = Duration::from_secs(2);
 /// How long an instance of another zone that has no news is left alone.
 const HELPER_REST: Duration = Duration::from_secs(1);
 /// How many of a zone read the store themselves at their start, since callers wait and those before them may be gone, and
@@ -37,10 +37,7 @@
 /// question after the first is a short one.
 const LATE_VAIN: u32 = 4;
 
-/// How many of a zone are asked by the first ones of other zones: the reader, and the one after it if that is dead.
-const UPPER_CHOICES: usize = 2;
-/// The seed of the order of zones.
-const ZONE_SEED: u64 = 8;
+pub use partners::UsePartners;
 
 /// What an instance does next.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -69,15 +66,6 @@
     pub reads: bool,
 }
 
-/// The instances that one tells of its use.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct UsePartners {
-    /// The one of the own zone; none for the first itself.
-    pub first: Option<InstanceId>,
-    /// The other zones with the first instance of each, if one answers.
-    pub zones: Vec<(ZoneId, Option<InstanceId>)>,
-}
-
 /// What one instance knows of those that may read for it.
 #[derive(Debug)]
 pub struct ReaderPlan {
@@ -123,15 +111,6 @@
         self.note_news(read);
     }
 
-    /// The store has refused an instance that was to read it for so long, and nobody has read it since: its place is taken
-    /// before its news are old.
-    pub fn reader_refused(&mut self, from: &InstanceId, age: Duration, now: Instant) {
-        if self.is_before(from) {
-            let since = now.checked_sub(age).unwrap_or(now);
-            self.unreadable_since = Some(since);
-        }
-    }
-
     /// An instance asked for news. Gives whether what this one does next changes by it.
     pub fn asked(&mut self, by: &MemberRow, state: AskerState, now: Instant) -> bool {
         self.rests.remove(&by.instance);
@@ -220,20 +199,6 @@
         self.unreadable_since = None;
     }
 
-    /// Whom to tell of use: the first before this instance that answers and does not rest, or else the first ones of other zones.
-    pub fn use_partners(&self, now: Instant, rests: impl Fn(&InstanceId) -> bool) -> UsePartners {
-        let is_asked = |member: &&InstanceId| self.is_awake(member, now) && !rests(member);
-        let before = self.ranked.iter().take_while(|member| **member != self.own);
-        let elsewhere = self.elsewhere.iter().map(|(zone, ranked)| {
-            let first = ranked.iter().find(is_asked);
-            (zone.clone(), first.cloned())
-        });
-        UsePartners {
-            first: before.clone().find(is_asked).cloned(),
-            zones: elsewhere.collect(),
-        }
-    }
-
     /// A plan that knows of no other instance.
     pub fn new(own: InstanceId, zone: ZoneId, times: SpreadTimes) -> Self {
         Self {
@@ -413,79 +378,7 @@
         before.any(|other| other == member)
     }
 
-    fn is_deputy(&self, now: Instant) -> bool {
-        self.deputy_until.is_some_and(|until| now < until)
-    }
-
-    /// Whether it is this instance's turn to try whether the store answers it, in place of its reader.
-    fn is_deputy_due(&self, reader: &InstanceId, now: Instant) -> bool {
-        let Some(since) = self.unreadable_since else {
-            return false;
-        };
-        let place = |member: &InstanceId| self.ranked.iter().position(|other| other == member);
-        let distance = match (place(reader), place(&self.own)) {
-            (Some(reader), Some(own)) => own.saturating_sub(reader),
-            _ => return false,
-        };
-        let turn = u32::try_from(distance).unwrap_or(u32::MAX);
-        if now < since + self.times.deputy_pause.saturating_mul(turn) {
-            return false;
-        }
-        match self.probe.failures() {
-            0 => self.probe.is_due(now),
-            failures => {
-                let wait = DEPUTY_PERIOD * failures.min(4);
-                distance <= LASTING_DEPUTIES
-                    && self.probe.next().is_none_or(|due| now >= due + wait)
-            }
-        }
-    }
-
     fn note_news(&mut self, read: Instant) {
         self.news_read = Some(self.news_read.map_or(read, |before| before.max(read)));
     }
-
-    /// Who reads the store for all zones, as far as this instance, the first of its zone, may ask: the first ones of the
-    /// zones before its own. None at the start, since callers wait, and none while the store does not answer this instance:
-    /// then anybody who has news will do.
-    fn upper(&self, now: Instant) -> Option<InstanceId> {
-        if self.is_refused() || self.news_read.is_none() {
-            return None;
-        }
-        let own = zone_place(&self.zone);
-        let mut before: Vec<_> = self.elsewhere.iter().collect();
-        before.retain(|(zone, _)| zone_place(zone) < own);
-        before.sort_by_key(|(zone, _)| zone_place(zone));
-        let firsts = before.into_iter();
-        let mut firsts = firsts.flat_map(|(_, ranked)| ranked.iter().take(UPPER_CHOICES));
-        firsts.find(|member| self.is_awake(member, now)).cloned()
-    }
-
-    /// Reads for others: from the store while it answers, or else from whoever it answers.
-    fn read(&self, now: Instant) -> ReadStep {
-        if self.probe.is_due(now) {
-            return ReadStep::Store;
-        }
-        let due = self.probe.next().unwrap_or(now);
-        if self.probe.failures() == 0 {
-            return ReadStep::Pause(due);
-        }
-        let deputies = self.deputies.iter().filter(|(_, until)| now < **until);
-        let deputies = deputies.map(|(deputy, _)| deputy);
-        let firsts = self.elsewhere.values().filter_map(|ranked| {
-            let mut awake = ranked.iter().filter(|member| self.is_awake(member, now));
-            awake.next()
-        });
-        let mut helpers = deputies.chain(firsts);
-        let awake = helpers.find(|helper| self.is_awake(helper, now));
-        match awake {
-            Some(helper) => self.ask(helper.clone(), now),
-            None => ReadStep::Pause(due),
-        }
-    }
-}
-
-/// The place of a zone in the order in which their first ones read for all.
-fn zone_place(zone: &ZoneId) -> (u64, &ZoneId) {
-    (seeded_rng::mix(ZONE_SEED, zone.as_bytes()), zone)
 }
--- /dev/null
+++ b/crates/spread/src/shared_source/asking.rs
@@ -0,0 +1,139 @@
+//! How an instance asks another one for its next reading, and takes it in.
+
+use {
+    super::{AskEnd, SharedSource, silent},
+    crate::{
+        AskerState, BookAge, ReadingMark, ReportNews, ReportOrigin, SPREAD_TAG, SpreadNews,
+        SpreadReply, SpreadRequest, spread_state::is_unchanged,
+    },
+    kernel::{InstanceId, steady_clock},
+    plat::RowStore,
+    relay::{OperatorSource, UpstreamReading},
+    std::time::{Duration, Instant},
+    tokio::time,
+};
+
+impl<S: OperatorSource + RowStore> SharedSource<S> {
+    /// Asks an instance for its next reading.
+    pub(super) async fn ask(&self, from: InstanceId, at_once: bool, limit: Duration) -> AskEnd {
+        let request = self.request(&from, at_once);
+        let asked = steady_clock::now();
+        let asking = self.endpoint.call(&from, SPREAD_TAG, &request);
+        let answer = match time::timeout(limit, asking).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err("no answer in time".to_owned()),
+        };
+        let reply = answer.and_then(|answer| {
+            postcard::from_bytes::<SpreadReply>(&answer).map_err(|error| error.to_string())
+        });
+        let now = steady_clock::now();
+        match reply {
+            Ok(SpreadReply::News(news)) => AskEnd::News(self.take_news(from, *news, asked)),
+            Ok(SpreadReply::Unreadable { age, reports }) => {
+                self.take_reports(&from, reports, now);
+                let mut plan = self.members.plan.lock();
+                let goes_on = plan.unreadable(&from, age, now);
+                drop(plan);
+                let error = silent(format!("{from} has no news"));
+                if goes_on {
+                    return AskEnd::NoAnswer(error);
+                }
+                self.note_failure(false);
+                AskEnd::NoNews(error)
+            }
+            Err(detail) => {
+                tracing::info!(reader = %from, detail, "no reading from another instance");
+                self.endpoint.forget(&from);
+                self.members.plan.lock().failed(&from, now);
+                AskEnd::NoAnswer(silent(detail))
+            }
+        }
+    }
+
+    pub(super) fn request(&self, to: &InstanceId, at_once: bool) -> Vec<u8> {
+        let plan = self.members.plan.lock();
+        let AskerState { passed_over, reads } = plan.state(steady_clock::now());
+        let is_refused = plan.is_refused();
+        drop(plan);
+        let list = self.mirror.lock().mark(to);
+        let reports_known = self.reports_known(to);
+        let state = self.members.state.borrow();
+        let request = SpreadRequest {
+            at_once,
+            book: state.book.as_ref().map(|(book, _)| book.version),
+            card: self.members.own.clone(),
+            is_refused,
+            list,
+            members: state.members_digest(),
+            passed_over,
+            reads,
+            reports: state.reports.to_tell(steady_clock::now()),
+            reports_known,
+        };
+        // Texts, numbers and addresses always have a binary form.
+        postcard::to_stdvec(&request).unwrap_or_default()
+    }
+
+    /// Takes a reading of another instance in.
+    pub(super) fn take_news(
+        &self,
+        from: InstanceId,
+        news: SpreadNews,
+        asked: Instant,
+    ) -> UpstreamReading {
+        let now = steady_clock::now();
+        let way = now.saturating_duration_since(asked + news.held);
+        let read = now.checked_sub(news.age).unwrap_or(now);
+        if let Some(members) = news.members {
+            self.members.replace(members);
+        }
+        let mut plan = self.members.plan.lock();
+        plan.answered(&from, read);
+        if let Some(age) = news.refused {
+            plan.reader_refused(&from, age, now);
+        }
+        drop(plan);
+        self.take_reports(&from, news.reports, now);
+        let changed = !is_unchanged(&news.list);
+        let mut mirror = self.mirror.lock();
+        mirror.apply(from, news.list, news.mark);
+        let records = mirror.records();
+        drop(mirror);
+        let reading = UpstreamReading {
+            faults: Vec::new(),
+            outage_ended: news.outage_age.and_then(|age| now.checked_sub(age)),
+            passed_on: true,
+            records,
+            version: news.version,
+            waited: true,
+        };
+        self.members.state.send_modify(|state| {
+            state.take_passed(&reading, read, changed);
+            if let Some((book, version)) = news.book {
+                state.take_book(book.into_book(), version, None);
+            }
+            let Some(BookAge { age, version }) = news.book_age else {
+                return;
+            };
+            if let Some(as_of) = now.checked_sub(age + way) {
+                state.note_newest(version, as_of);
+                self.freshness.note(version, as_of);
+            }
+        });
+        reading
+    }
+
+    pub(super) fn reports_known(&self, of: &InstanceId) -> Option<ReadingMark> {
+        let known = self.report_mark.lock();
+        let (from, mark) = known.as_ref()?;
+        (from == of).then_some(*mark)
+    }
+
+    /// Takes reports of the instance that was asked in.
+    pub(super) fn take_reports(&self, from: &InstanceId, news: ReportNews, now: Instant) {
+        *self.report_mark.lock() = Some((from.clone(), news.mark));
+        self.members
+            .learn(&news.reports, ReportOrigin::Instance, now);
+    }
+}
--- /dev/null
+++ b/crates/spread/src/shared_source/joining.rs
@@ -0,0 +1,158 @@
+//! How an instance joins the directory, and keeps it.
+
+use {
+    super::{JoinState, SharedSource, silent},
+    crate::{DirectoryView, MemberRow},
+    kernel::{InstanceId, steady_clock},
+    peer::KeyAuthority,
+    plat::RowStore,
+    relay::{OperatorSource, SourceError},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// When the whole system starts for the first time nobody knows of the others and nobody serves yet. The instances make
+/// their first calls one after the other within this time, those first that are to read, so that all others find them.
+const FIRST_START_SPREAD: Duration = Duration::from_secs(3);
+/// Scores of instances in the order of readers lie between these, whatever machines there are.
+const SCORE_BOUNDS: (f64, f64) = (1e2, 1e8);
+
+impl<S: OperatorSource + RowStore> SharedSource<S> {
+    /// Becomes one of the instances, with growing pauses while the store does not answer.
+    pub(super) async fn join_paced(&self) -> Result<(), SourceError> {
+        let due = self.members.plan.lock().store_due();
+        if let Some(due) = due {
+            time::sleep(due.saturating_duration_since(steady_clock::now())).await;
+        }
+        let joined = self.join().await;
+        let mut plan = self.members.plan.lock();
+        match joined {
+            Ok(()) => plan.joined(),
+            Err(_) => plan.store_failed(steady_clock::now()),
+        }
+        drop(plan);
+        joined
+    }
+
+    /// Becomes one of the instances: reads who they are and the key that all trust, or founds both.
+    pub(super) async fn join(&self) -> Result<(), SourceError> {
+        if self.first_start {
+            time::sleep(first_start_pause(&self.members.own)).await;
+        }
+        let view = self.within(self.directory.read()).await?;
+        let own = vec![self.members.own.clone()];
+        let is_first = !view.zones.contains_key(&self.members.own.zone);
+        let view = match (&view.authority, is_first) {
+            (Some(_), false) => view,
+            (Some(authority), true) => {
+                let authority = authority.clone();
+                self.within(self.directory.write(view, own, &authority))
+                    .await?
+            }
+            (None, _) => {
+                let authority = KeyAuthority::new().map(|authority| authority.private_key());
+                let authority = authority.map_err(|error| silent(error.to_string()))?;
+                self.within(self.directory.write(view, own, &authority))
+                    .await?
+            }
+        };
+        self.take_view(view, &[]);
+        Ok(())
+    }
+
+    /// Reads the directory when it is time, and writes what has changed in the own zone. The first of a zone whose list comes
+    /// from another zone does so when something has changed, those that read the store in a period as well.
+    pub(super) async fn refresh(&self, now: Instant, in_period: bool) {
+        let silent = self.members.plan.lock().silent(now);
+        let Some(known) = self.take_refresh(now, in_period, !silent.is_empty()) else {
+            return;
+        };
+        let view = match self.within(self.directory.read()).await {
+            Ok(view) => view,
+            Err(error) => {
+                tracing::info!(%error, "the directory can't be read");
+                return;
+            }
+        };
+        self.take_view(view.clone(), &silent);
+        let members = self.members.zone_members();
+        let listed = view.zones.get(&self.members.own.zone);
+        let is_listed =
+            listed.is_some_and(|listed| MemberRow::digest(listed) == MemberRow::digest(&members));
+        if is_listed && view.authority.is_some() {
+            return;
+        }
+        let authority = view.authority.clone().unwrap_or(known);
+        match self
+            .within(self.directory.write(view, members, &authority))
+            .await
+        {
+            Ok(view) => self.take_view(view, &silent),
+            Err(error) => tracing::info!(%error, "the directory can't be written"),
+        }
+    }
+
+    /// Whether the directory is to be read now; if so, gives the key that is known, and the next time is set.
+    pub(super) fn take_refresh(
+        &self,
+        now: Instant,
+        in_period: bool,
+        any_silent: bool,
+    ) -> Option<Arc<str>> {
+        let members = MemberRow::digest(&self.members.zone_members());
+        let mut join = self.join.lock();
+        let join = join.as_mut()?;
+        let listed = join.view.zones.get(&self.members.own.zone);
+        let is_listed =
+            !any_silent && listed.is_some_and(|listed| MemberRow::digest(listed) == members);
+        if is_listed && !in_period {
+            return None;
+        }
+        let period = match is_listed {
+            true => self.times.directory_period,
+            false => self.times.directory_settle,
+        };
+        if now < join.tried + period {
+            return None;
+        }
+        join.tried = now;
+        join.view.authority.clone()
+    }
+
+    /// Takes a reading of the directory in.
+    pub(super) fn take_view(&self, view: DirectoryView, silent: &[InstanceId]) {
+        let next = JoinState {
+            tried: steady_clock::now(),
+            view: view.clone(),
+        };
+        let before = self.join.lock().replace(next);
+        let known = before.and_then(|before| before.view.authority);
+        if known != view.authority
+            && let Some(authority) = &view.authority
+        {
+            self.trust(authority);
+        }
+        self.members.merge(&view, silent);
+    }
+
+    /// Has the own key certified by the key that all trust, and trusts it.
+    pub(super) fn trust(&self, authority: &str) {
+        let instance = &self.members.own.instance;
+        let certified = KeyAuthority::from_private_key(authority)
+            .and_then(|authority| authority.certify(instance, &self.keys))
+            .and_then(|keys| self.endpoint.reload(&keys));
+        if let Err(error) = certified {
+            tracing::warn!(%error, "the key of the directory can't be used");
+        }
+    }
+}
+
+/// How long one instance waits when the whole system starts for the first time.
+fn first_start_pause(own: &MemberRow) -> Duration {
+    let (least, most) = SCORE_BOUNDS;
+    let share = (own.score().clamp(least, most) / least).ln() / (most / least).ln();
+    FIRST_START_SPREAD.mul_f64(1.0 - share)
+}
