--- a/crates/bench/src/bench_command.rs
+++ b/crates/bench/src/bench_command.rs
@@ -4,6 +4,7 @@
     crate::{
         bench_error::BenchError,
         bounds_command::BoundsCommand,
+        customers_command::CustomersCommand,
         decide_command::DecideCommand,
         node_command::NodeCommand,
         once::OnceCommand,
@@ -27,6 +28,8 @@
 enum BenchCommand {
     /// Holds every scenario against its regression bounds.
     Bounds(BoundsCommand),
+    /// Measures what the decisions on a request's key and quota cost.
+    Customers(CustomersCommand),
     /// Measures what a decision of the allocator costs.
     Decide(DecideCommand),
     /// Runs an entry instance: the process that `path` measures.
@@ -48,6 +51,7 @@
     fn run(self) -> Result<ExitCode, BenchError> {
         match self {
             Self::Bounds(command) => command.run(),
+            Self::Customers(command) => command.run(),
             Self::Decide(command) => command.run(),
             Self::Entry(command) => command.run(),
             Self::Node(command) => command.run(),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bench_error;
 pub mod bounds;
 pub mod bounds_command;
+pub mod customers_command;
 pub mod decide_command;
 pub mod node;
 pub mod node_command;
