spread: routes that are known to be the newest again after an outage are told at once

Cause: the age of the declaration went along with the next reading, up to a second later for each instance on the way, and keys waited for it.

--- a/crates/policy/tests/quota_table.rs
+++ b/crates/policy/tests/quota_table.rs
@@ -117,3 +117,13 @@
     now += Duration::from_secs(10);
     assert!(fitting(&mut table, &limit, 10, now) <= 6);
 }
+
+#[test]
+fn a_new_life_that_hears_of_nobody_keeps_to_a_small_part() {
+    let born = Instant::now();
+    let mut table = QuotaTable::new(QuotaRule::default(), false, born);
+    let limit = limit(16_000.0, 16_000.0);
+    // A sixteenth of the rate in half a second.
+    let now = born + Duration::from_millis(500);
+    assert_eq!(fitting(&mut table, &limit, 100, now), 5);
+}
--- a/crates/spread/src/shared_source/passing.rs
+++ b/crates/spread/src/shared_source/passing.rs
@@ -41,14 +41,16 @@
             .send_modify(|state| state.take_book(book, reading.version, reading.as_of));
     }
 
-    /// The routes that are known were the newest at a moment. That wakes nobody: it goes along with the next reading.
+    /// The routes that are known were the newest at a moment. It goes along with the next reading, unless they were not known to
+    /// be for long.
     pub(super) fn note_unchanged(&self, as_of: Instant) {
         self.members.state.send_if_modified(|state| {
             let version = state.book.as_ref().map(|(book, _)| book.version);
+            let before = state.news_count;
             if let Some(version) = version {
                 state.note_newest(version, as_of);
             }
-            false
+            state.news_count > before
         });
     }
 }
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// Routes that were not known to be the newest for so long are told to be at once: after an outage keys may wait for that.
+const LATE_BOOK: Duration = Duration::from_secs(2);
+
 /// The last reading of each kind.
 #[derive(Clone, Debug)]
 pub struct SpreadState {
@@ -177,8 +180,13 @@
     /// A version of the routes was the newest at a moment; that of the known ones counts.
     pub fn note_newest(&mut self, version: TableVersion, as_of: Instant) {
         let is_known = |(book, _): &(Arc<RouteBook>, StoreVersion)| book.version == version;
-        if self.book.as_ref().is_some_and(is_known) {
-            self.book_as_of = self.book_as_of.max(Some(as_of));
+        if !self.book.as_ref().is_some_and(is_known) {
+            return;
+        }
+        let before = self.book_as_of;
+        self.book_as_of = before.max(Some(as_of));
+        if before.is_some_and(|before| as_of.saturating_duration_since(before) >= LATE_BOOK) {
+            self.news_count += 1;
         }
     }
 
