--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -299,6 +299,14 @@
     if !(settings.capacity.cores > 0.0 && settings.capacity.link_mbps > 0.0) {
         list.push(&FieldPath::dotted("capacity"), "has to be greater than 0");
     }
+    for (field, value) in [
+        ("customers.overage", settings.customers.overage),
+        ("customers.slack", settings.customers.slack),
+    ] {
+        if value.is_nan() || value < 0.0 {
+            list.push(&FieldPath::dotted(field), "has to be 0 or more");
+        }
+    }
     if !(0.0..=1.0).contains(&settings.orders.prefill_share) {
         list.push(
             &FieldPath::dotted("orders.prefill_share"),
--- a/crates/trestlewalk/tests/check.rs
+++ b/crates/trestlewalk/tests/check.rs
@@ -294,3 +294,23 @@
         .status(INVALID)
         .run();
 }
+
+#[test]
+fn faults_in_the_settings_of_customers_are_told_by_field() {
+    Test::new()
+        .file(
+            "front.yaml",
+            concat!(
+                "instance: front-1\nzone: gijon\n",
+                "listen: {admin: \"127.0.0.1:0\", callers: \"127.0.0.1:0\"}\n",
+                "platform: {address: \"127.0.0.1:6100\"}\n",
+                "customers: {overage: -0.1, revoked_within: 0s, window: 0s}\n",
+            ),
+        )
+        .args(["check", "--relay", "front.yaml"])
+        .stderr_has("customers.overage: has to be 0 or more")
+        .stderr_has("customers.revoked_within: has to be longer than 0s")
+        .stderr_has("customers.window: has to be longer than 0s")
+        .status(INVALID)
+        .run();
+}
