spread: one reading that took too long is told to nobody

Cause: a reader on a thin link may read a list of 3,000 upstreams too late once; with each such reading smaller instances would try in its place. A refusal is still told at once, a late answer at the second time in a row.

--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -43,7 +43,7 @@
         SpreadRequest,
     },
     spread_server::{SPREAD_TAG, SpreadServer},
-    spread_state::SpreadState,
+    spread_state::{ReadFailure, SpreadState},
     spread_times::SpreadTimes,
     store_probe::StoreProbe,
     use_exchange::UseExchange,
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -6,9 +6,9 @@
 
 use {
     crate::{
-        DirectoryView, ListMirror, MemberBoard, MemberDirectory, MemberRow, ReadStep, ReaderPlan,
-        ReadingMark, ReportFollower, ReportOrigin, SPREAD_TAG, SpreadServer, SpreadState,
-        SpreadTimes, USE_TAG, UseBoard, UseExchange,
+        DirectoryView, ListMirror, MemberBoard, MemberDirectory, MemberRow, ReadFailure, ReadStep,
+        ReaderPlan, ReadingMark, ReportFollower, ReportOrigin, SPREAD_TAG, SpreadServer,
+        SpreadState, SpreadTimes, USE_TAG, UseBoard, UseExchange,
     },
     kernel::{InstanceId, LockRank, RankedLock, WorkerPool, steady_clock},
     peer::{PeerEndpoint, PeerKeys},
@@ -149,10 +149,10 @@
 }
 
 impl<S: OperatorSource + RowStore> SharedSource<S> {
-    fn note_failure(&self, own: bool) {
+    fn note_failure(&self, failure: ReadFailure) {
         self.members
             .state
-            .send_modify(|state| state.note_failure(own, steady_clock::now()));
+            .send_modify(|state| state.note_failure(failure, steady_clock::now()));
     }
 
     /// Reads the list from the store, and the directory when it is time.
@@ -166,7 +166,10 @@
             Ok(reading) => reading,
             Err(error) => {
                 self.members.plan.lock().store_failed(now);
-                self.note_failure(true);
+                self.note_failure(match now >= began + self.times.read_limit {
+                    true => ReadFailure::Late,
+                    false => ReadFailure::Refused,
+                });
                 return Err(error);
             }
         };
--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -3,8 +3,8 @@
 use {
     super::{AskEnd, SharedSource, silent},
     crate::{
-        AskerState, BookAge, ReadingMark, ReportNews, ReportOrigin, SPREAD_TAG, SpreadNews,
-        SpreadReply, SpreadRequest, spread_state::is_unchanged,
+        AskerState, BookAge, ReadFailure, ReadingMark, ReportNews, ReportOrigin, SPREAD_TAG,
+        SpreadNews, SpreadReply, SpreadRequest, spread_state::is_unchanged,
     },
     kernel::{InstanceId, steady_clock},
     plat::RowStore,
@@ -39,7 +39,7 @@
                 if goes_on {
                     return AskEnd::NoAnswer(error);
                 }
-                self.note_failure(false);
+                self.note_failure(ReadFailure::NoNews);
                 AskEnd::NoNews(error)
             }
             Err(detail) => {
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -16,6 +16,21 @@
 /// Routes that were not known to be the newest for so long are told to be at once: after an outage keys may wait for that.
 const LATE_BOOK: Duration = Duration::from_secs(2);
 
+/// From so many late readings in a row on askers are told: one alone may just have taken too long, and those that would try in
+/// its place may be smaller than the reader.
+const TOLD_FAILURES: u32 = 2;
+
+/// Why a try to have news was in vain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadFailure {
+    /// The store gave this instance no answer in time.
+    Late,
+    /// The instance that was asked has no news.
+    NoNews,
+    /// The store refused this instance.
+    Refused,
+}
+
 /// The last reading of each kind.
 #[derive(Clone, Debug)]
 pub struct SpreadState {
@@ -23,6 +38,8 @@
     pub book: Option<(Arc<RouteBook>, StoreVersion)>,
     /// As of when these routes are known to be the newest.
     book_as_of: Option<Instant>,
+    /// How often in a row the store did not answer this instance; a refusal counts like several late answers.
+    failures: u32,
     journal: ListJournal,
     /// The members of all zones.
     pub members: Vec<MemberRow>,
@@ -68,9 +85,7 @@
             list: self.journal.change_since(request.list),
             mark: self.journal.mark(),
             members: (request.members != self.members_digest).then(|| self.members.clone()),
-            refused: self
-                .refused_since
-                .map(|since| now.saturating_duration_since(since)),
+            refused: self.refused_for(now),
             outage_age: ended.map(|ended| now.saturating_duration_since(ended)),
             reports,
             version: self.version,
@@ -119,6 +134,7 @@
             news_count: 0,
             reads_store: false,
             refused_since: None,
+            failures: 0,
             reports: ReportJournal::new(life, quarantine),
             unreadable: false,
             version: 0,
@@ -126,16 +142,20 @@
         }
     }
 
-    /// A try was in vain; `own` when it was the store that did not answer this instance. Askers are told at once, so that
-    /// another one tries before the news are old.
-    pub fn note_failure(&mut self, own: bool, now: Instant) {
+    /// A try was in vain. When it was the store that refused this instance, askers are told at once, so that another one tries
+    /// before the news are old; when a reading took too long, at the second time in a row.
+    pub fn note_failure(&mut self, failure: ReadFailure, now: Instant) {
         self.unreadable = true;
-        if !own {
-            return;
-        }
+        let weight = match failure {
+            ReadFailure::NoNews => return,
+            ReadFailure::Late => 1,
+            ReadFailure::Refused => TOLD_FAILURES,
+        };
         self.reads_store = false;
-        if self.refused_since.is_none() {
-            self.refused_since = Some(now);
+        self.refused_since.get_or_insert(now);
+        let was_told = self.failures >= TOLD_FAILURES;
+        self.failures += weight;
+        if !was_told && self.failures >= TOLD_FAILURES {
             self.news_count += 1;
         }
     }
@@ -219,6 +239,13 @@
         self.read.map(|read| now.saturating_duration_since(read))
     }
 
+    /// How long the store has refused this instance, once that counts.
+    fn refused_for(&self, now: Instant) -> Option<Duration> {
+        let since = self.refused_since?;
+        let is_told = self.failures >= TOLD_FAILURES;
+        is_told.then(|| now.saturating_duration_since(since))
+    }
+
     /// Whether an asker has older routes.
     fn has_newer_book(&self, request: &SpreadRequest) -> bool {
         let book = self.book.as_ref();
@@ -240,6 +267,7 @@
     fn note_read(&mut self, version: StoreVersion, read: Instant) {
         if self.refused_since.is_some_and(|since| read > since) {
             self.refused_since = None;
+            self.failures = 0;
         }
         self.read = Some(self.read.map_or(read, |before| before.max(read)));
         self.news_count += 1;
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -7,8 +7,8 @@
     policy::{AgedReport, CrashMark, CrashReport, FingerprintParts, RequestFingerprint},
     relay::{RouteBook, UpstreamReading},
     spread::{
-        AskerState, MemberRow, ReadStep, ReaderPlan, ReadingMark, ReportJournal, ReportNews,
-        ReportOrigin, SpreadReply, SpreadRequest, SpreadState, SpreadTimes,
+        AskerState, MemberRow, ReadFailure, ReadStep, ReaderPlan, ReadingMark, ReportJournal,
+        ReportNews, ReportOrigin, SpreadReply, SpreadRequest, SpreadState, SpreadTimes,
     },
     std::{
         collections::VecDeque,
@@ -424,7 +424,11 @@
         let node = &mut self.nodes[index];
         if !is_read {
             node.plan.store_failed(now);
-            node.state.note_failure(true, now);
+            let failure = match now >= began + self.times.read_limit {
+                true => ReadFailure::Late,
+                false => ReadFailure::Refused,
+            };
+            node.state.note_failure(failure, now);
             node.failed = true;
             return;
         }
@@ -485,7 +489,7 @@
                     node.failed = true;
                     return;
                 }
-                node.state.note_failure(false, now);
+                node.state.note_failure(ReadFailure::NoNews, now);
                 node.doing = Doing::Resting(now + ERROR_PAUSE);
             }
             None if now >= question.began + question.limit => {
