Tests of customers go by what was sent when, not by how fast the machine is

Three of them slept for fixed times or bounded a duration; on a busy machine a refill or a slow answer could have failed them. The checks are as strict: no key is served that was sent past the bound, no more is served than bucket and rate give.

--- a/crates/trestlewalk/tests/relay_customers.rs
+++ b/crates/trestlewalk/tests/relay_customers.rs
@@ -41,6 +41,15 @@
     run.call_with("GET", path, &fresh_id(), more, "").await
 }
 
+/// Waits until the state dump has a text.
+async fn wait_dumped(run: &RelayRun, text: &str) {
+    wait_until("a text in the dump", async || {
+        let dump = run.process.get("admin", "/dump").send().await;
+        String::from_utf8_lossy(&dump.body).contains(text)
+    })
+    .await;
+}
+
 fn result(reply: &CallerReply) -> (u16, Option<&str>) {
     (reply.status(), reply.header("trestlewalk-result"))
 }
@@ -266,20 +275,20 @@
     run.store.set_down(true);
     let since = Instant::now();
     let mut refused: Option<CallerReply> = None;
+    let mut last_served = Duration::ZERO;
     wait_until("keys are refused", async || {
+        let sent = since.elapsed();
         let reply = call(&run, "/t/1", &with_key(KEY)).await;
         let is_refused = reply.status() != 200;
         if is_refused {
             refused = Some(reply);
+        } else {
+            last_served = sent;
         }
         is_refused
     })
     .await;
-    assert!(
-        since.elapsed() < Duration::from_millis(2_100),
-        "{:?}",
-        since.elapsed()
-    );
+    assert!(last_served < Duration::from_secs(2), "{last_served:?}");
     let reply = refused.unwrap();
     assert_eq!(result(&reply), (503, Some("2022")));
     assert!(reply.header("retry-after").is_some());
@@ -393,15 +402,17 @@
         .await;
     // A new life begins with an empty bucket, and has a full one after 1.5 s.
     time::sleep(Duration::from_millis(1_600)).await;
-    let mut refused = None;
-    for _ in 0..4 {
+    let since = Instant::now();
+    let mut served = 0;
+    let reply = loop {
         let reply = call(&run, "/t/1", &with_key(KEY)).await;
         if reply.status() != 200 {
-            refused = Some(reply);
-            break;
+            break reply;
         }
-    }
-    let reply = refused.expect("the fourth request is one too many");
+        served += 1;
+        let most = 3.0 + 2.0 * since.elapsed().as_secs_f64();
+        assert!(f64::from(served) <= most, "{served} of {most}");
+    };
     assert_eq!(result(&reply), (429, Some("2021")));
     let after: f64 = reply.header("retry-after").unwrap().parse().unwrap();
     assert!((0.05..=0.5).contains(&after), "{after}");
@@ -421,11 +432,12 @@
     let mut run = run;
     // A bucket that fills within the test, and then one that does not.
     run.change(|config| config["Tenants"][0]["RatePerS"] = json!(100_000));
-    time::sleep(Duration::from_millis(700)).await;
+    wait_dumped(&run, "\"rate\":100000.0").await;
+    wait_dumped(&run, "\"room\":1000.0").await;
     assert_eq!(call(&run, "/t/1", &with_key(KEY)).await.status(), 200);
-    time::sleep(Duration::from_millis(200)).await;
+    wait_dumped(&run, "\"room\":1000.0").await;
     run.change(|config| config["Tenants"][0]["RatePerS"] = json!(1));
-    time::sleep(Duration::from_millis(500)).await;
+    wait_dumped(&run, "\"rate\":1.0").await;
     run.upstreams[0].set(UpstreamMode::Shed);
     for _ in 0..5 {
         assert_eq!(
