Test: an engine that turns requests away is the one each request prefers

Of two equal engines the id of the first request draws one, and the kept connection holds all later ones there; ids come from a counter of the process, so the order in which the file's tests start decided.

Ruled out: the product. Both engines were free and in one zone; staying with the kept connection is what it is to do.

Now the other engine is in another zone, so that each request prefers the one that turns it away: as strict, and it holds for all 12 requests.

--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -247,7 +247,14 @@
 
 #[tokio::test]
 async fn an_engine_that_turns_requests_away_from_its_places_is_left_alone() {
-    let run = stream_run(false, 2, 0).await;
+    // The other engine is in another zone: each request prefers the one that turns it away, unless that is left alone.
+    let more = json!({"TargetGapMs": 300, "MaxAttempts": 2});
+    let run = RelayTest::new()
+        .engines("redactor", 2, 0)
+        .elsewhere("i-redactor-d1")
+        .route("/note/", "streaming", "redactor", &more)
+        .start_ready()
+        .await;
     run.upstream("i-redactor-d0").set(UpstreamMode::TurnAway);
     for number in 0..12 {
         let reply = run.stream(&format!("/note/{number}")).await;
