spread: routes are passed on also by instances that have no news of the upstreams

An edit that one zone had read just before the store fell silent was told to no other zone: whoever has no news of the upstreams answered without the routes. Now that answer has them as well, with the age of the knowledge and the way taken into account, and one that waits is told at once.

Test: a_edit that one zone has read goes on while nobody can read the store; without the change the asker waits and gets no routes (the answer had no field for them).

--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -41,8 +41,8 @@
     report_journal::{ReportJournal, ReportOrigin},
     shared_source::SharedSource,
     spread_message::{
-        BookAge, BookCopy, ListChange, ListPart, ReadingMark, ReportNews, SpreadNews, SpreadReply,
-        SpreadRequest,
+        BookAge, BookCopy, HeldReply, ListChange, ListPart, PassedBook, ReadingMark, ReportNews,
+        SpreadNews, SpreadReply, SpreadRequest,
     },
     spread_server::{SPREAD_TAG, SpreadServer},
     spread_state::{ReadFailure, SpreadState},
--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -3,8 +3,8 @@
 use {
     super::{AskEnd, SharedSource, silent},
     crate::{
-        AskerState, BookAge, ReadFailure, ReadingMark, ReportNews, ReportOrigin, SPREAD_TAG,
-        SpreadNews, SpreadReply, SpreadRequest,
+        AskerState, BookAge, HeldReply, PassedBook, ReadFailure, ReadingMark, ReportNews,
+        ReportOrigin, SPREAD_TAG, SpreadNews, SpreadReply, SpreadRequest,
     },
     kernel::{InstanceId, steady_clock},
     plat::RowStore,
@@ -36,15 +36,26 @@
             Err(_) => Err("no answer in time".to_owned()),
         };
         let reply = answer.and_then(|answer| {
-            postcard::from_bytes::<SpreadReply>(&answer).map_err(|error| error.to_string())
+            postcard::from_bytes::<HeldReply>(&answer).map_err(|error| error.to_string())
         });
         let now = steady_clock::now();
+        let HeldReply { held, reply } = match reply {
+            Ok(reply) => reply,
+            Err(detail) => {
+                tracing::info!(reader = %from, detail, "no reading from another instance");
+                self.endpoint.forget(&from);
+                self.members.plan.lock().failed(&from, now);
+                return AskEnd::NoAnswer(silent(detail));
+            }
+        };
+        let way = now.saturating_duration_since(asked + held);
         match reply {
-            Ok(SpreadReply::News(news)) => match self.take_news(from, *news, asked) {
+            SpreadReply::News(news) => match self.take_news(from, *news, way) {
                 Some(reading) => AskEnd::News(reading),
                 None => AskEnd::Part,
             },
-            Ok(SpreadReply::Unreadable { age, reports }) => {
+            SpreadReply::Unreadable { age, book, reports } => {
+                self.take_book(*book, way, now);
                 self.take_reports(&from, reports, now);
                 let mut plan = self.members.plan.lock();
                 let goes_on = plan.unreadable(&from, age, now);
@@ -56,12 +67,6 @@
                 self.note_failure(ReadFailure::NoNews);
                 AskEnd::NoNews(error)
             }
-            Err(detail) => {
-                tracing::info!(reader = %from, detail, "no reading from another instance");
-                self.endpoint.forget(&from);
-                self.members.plan.lock().failed(&from, now);
-                AskEnd::NoAnswer(silent(detail))
-            }
         }
     }
 
@@ -101,10 +106,9 @@
         &self,
         from: InstanceId,
         news: SpreadNews,
-        asked: Instant,
+        way: Duration,
     ) -> Option<UpstreamReading> {
         let now = steady_clock::now();
-        let way = now.saturating_duration_since(asked + news.held);
         let read = now.checked_sub(news.age).unwrap_or(now);
         if let Some(members) = news.members {
             self.members.replace(members);
@@ -136,10 +140,22 @@
             if is_whole {
                 state.take_passed(&reading, read, changed);
             }
-            if let Some((book, version)) = news.book {
+        });
+        self.take_book(news.book, way, now);
+        is_whole.then_some(reading)
+    }
+
+    /// Takes routes of another instance in; what it tells of their age is older by its way.
+    fn take_book(&self, book: PassedBook, way: Duration, now: Instant) {
+        let PassedBook { age, copy } = book;
+        if age.is_none() && copy.is_none() {
+            return;
+        }
+        self.members.state.send_modify(|state| {
+            if let Some((book, version)) = copy {
                 state.take_book(book.into_book(), version, None);
             }
-            let Some(BookAge { age, version }) = news.book_age else {
+            let Some(BookAge { age, version }) = age else {
                 return;
             };
             if let Some(as_of) = now.checked_sub(age + way) {
@@ -147,7 +163,6 @@
                 self.freshness.note(version, as_of);
             }
         });
-        is_whole.then_some(reading)
     }
 
     pub(super) fn reports_known(&self, of: &InstanceId) -> Option<ReadingMark> {
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -95,6 +95,15 @@
     pub version: TableVersion,
 }
 
+/// The routes as far as the asker does not know them.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct PassedBook {
+    /// How old the knowledge of the routes is at the one asked.
+    pub age: Option<BookAge>,
+    /// The routes, when the asker has older ones, with the version of the store's content that they were read at.
+    pub copy: Option<(BookCopy, StoreVersion)>,
+}
+
 /// Upstreams that ended under requests, as far as the asker does not know them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ReportNews {
@@ -109,12 +118,8 @@
 pub struct SpreadNews {
     /// How long ago the store was read for this.
     pub age: Duration,
-    /// The routes, when the asker has others, with the version of the store's content that they were read at.
-    pub book: Option<(BookCopy, StoreVersion)>,
-    /// How old the knowledge of the routes is at the one asked.
-    pub book_age: Option<BookAge>,
-    /// How long the question was held back. What it took beyond that was its way, and makes all that is told older.
-    pub held: Duration,
+    /// The routes.
+    pub book: PassedBook,
     /// The list.
     pub list: ListChange,
     /// The state that the list has after the change, or after its last part.
@@ -131,7 +136,16 @@
     pub version: StoreVersion,
 }
 
-/// The answer to a [`SpreadRequest`].
+/// An answer, and how long it took to be one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HeldReply {
+    /// How long the question was held back. What it took beyond that was its way, and makes all that is told older.
+    pub held: Duration,
+    /// The answer.
+    pub reply: SpreadReply,
+}
+
+/// What one knows that was asked by a [`SpreadRequest`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum SpreadReply {
     /// A reading.
@@ -140,6 +154,8 @@
     Unreadable {
         /// How long ago the store was read for what it has; zero when it has nothing.
         age: Duration,
+        /// The routes: an edit that one zone has read is known to all also while nobody can read the store.
+        book: Box<PassedBook>,
         /// Upstreams that ended under requests: they are passed on also while nobody can read the store.
         reports: ReportNews,
     },
--- a/crates/spread/src/spread_server.rs
+++ b/crates/spread/src/spread_server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AskerState, MemberBoard, ReportOrigin, SpreadReply, SpreadRequest, SpreadState, SpreadTimes,
+        AskerState, HeldReply, MemberBoard, ReportOrigin, SpreadRequest, SpreadState, SpreadTimes,
     },
     bytes::Bytes,
     kernel::{WorkerPool, steady_clock},
@@ -98,10 +98,10 @@
     }
     drop(waiting);
     let now = steady_clock::now();
-    let mut reply = state.borrow().answer(request, times.stale, now);
-    if let SpreadReply::News(news) = &mut reply {
-        news.held = now.saturating_duration_since(began);
-    }
+    let reply = HeldReply {
+        held: now.saturating_duration_since(began),
+        reply: state.borrow().answer(request, times.stale, now),
+    };
     // Texts, numbers and times always have a binary form.
     Some(Bytes::from(postcard::to_stdvec(&reply).ok()?))
 }
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        BookAge, BookCopy, ListJournal, MemberRow, ReportJournal, SpreadNews, SpreadReply,
-        SpreadRequest, SpreadTimes,
+        BookAge, BookCopy, ListJournal, MemberRow, PassedBook, ReportJournal, SpreadNews,
+        SpreadReply, SpreadRequest, SpreadTimes,
     },
     kernel::{Incarnation, TableVersion, ZoneId},
     relay::{BookReading, RouteBook, StoreVersion, UpstreamReading},
@@ -71,17 +71,14 @@
         let Some(age) = age.filter(is_news) else {
             return SpreadReply::Unreadable {
                 age: age.unwrap_or_default(),
+                book: Box::new(self.passed_book(request, now)),
                 reports,
             };
         };
-        let book = self.book.as_ref();
-        let book = book.filter(|(book, _)| request.book.is_none_or(|have| book.version > have));
         let ended = self.outage_ended;
         SpreadReply::News(Box::new(SpreadNews {
             age,
-            book: book.map(|(book, version)| (BookCopy::from(&**book), *version)),
-            book_age: self.book_age(now),
-            held: Duration::ZERO,
+            book: self.passed_book(request, now),
             list: self
                 .journal
                 .change_since(request.list, &request.list_digests),
@@ -114,7 +111,11 @@
         if request.at_once {
             return self.unreadable || self.is_fresh(times.call_limit, now);
         }
-        let has_more = self.has_newer_book(request) || self.reports.has_news(request.reports_known);
+        let has_book = self.newer_book(request).is_some();
+        if self.unreadable && has_book {
+            return true;
+        }
+        let has_more = has_book || self.reports.has_news(request.reports_known);
         self.is_fresh(times.stale, now) && has_more
     }
 
@@ -248,10 +249,19 @@
         is_told.then(|| now.saturating_duration_since(since))
     }
 
-    /// Whether an asker has older routes.
-    fn has_newer_book(&self, request: &SpreadRequest) -> bool {
+    /// The routes, if the asker has older ones.
+    fn newer_book(&self, request: &SpreadRequest) -> Option<&(Arc<RouteBook>, StoreVersion)> {
         let book = self.book.as_ref();
-        book.is_some_and(|(book, _)| request.book.is_none_or(|have| book.version > have))
+        book.filter(|(book, _)| request.book.is_none_or(|have| book.version > have))
+    }
+
+    /// What an asker is told of the routes.
+    fn passed_book(&self, request: &SpreadRequest, now: Instant) -> PassedBook {
+        let newer = self.newer_book(request);
+        PassedBook {
+            age: self.book_age(now),
+            copy: newer.map(|(book, version)| (BookCopy::from(&**book), *version)),
+        }
     }
 
     /// Whether there is news that are not older than this.
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -483,7 +483,7 @@
                     node.hear(news.version);
                 }
             }
-            Some(SpreadReply::Unreadable { age, reports }) => {
+            Some(SpreadReply::Unreadable { age, reports, .. }) => {
                 node.take_reports(from, &reports, now);
                 if node.plan.unreadable(from, age, now) {
                     node.failed = true;
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -2,8 +2,8 @@
 
 use {
     kernel::ZoneId,
-    relay::RouteBook,
-    spread::{MemberRow, SpreadRequest, SpreadState, SpreadTimes},
+    relay::{CallerLimits, RouteBook},
+    spread::{MemberRow, ReadFailure, SpreadReply, SpreadRequest, SpreadState, SpreadTimes},
     std::time::{Duration, Instant},
 };
 
@@ -47,3 +47,46 @@
     state.note_newest(0, late);
     assert!(state.has_news(&request(), before, &times, late));
 }
+
+/// An edit that one zone has read just before the store fell silent: the readers of the others ask it, which has no news of the
+/// upstreams, and theirs ask them.
+#[test]
+fn an_edit_that_one_zone_has_read_goes_on_while_nobody_can_read_the_store() {
+    let start = Instant::now();
+    let times = SpreadTimes::builder()
+        .period(Duration::from_millis(900))
+        .read_limit(Duration::from_millis(700))
+        .build();
+    let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
+    let edited = RouteBook::new(2, Vec::new(), Vec::new(), CallerLimits::default());
+    state.take_book(edited, 3, Some(start));
+    let from_elsewhere = SpreadRequest {
+        book: Some(1),
+        card: MemberRow {
+            zone: "ferrol".into(),
+            ..request().card
+        },
+        is_refused: true,
+        ..request()
+    };
+    let knows_it = SpreadRequest {
+        book: Some(2),
+        ..from_elsewhere.clone()
+    };
+    let before = state.news_count;
+    // Whoever starts is not sent away as long as the store may still answer.
+    assert!(!state.has_news(&from_elsewhere, before, &times, start));
+    let late = start + Duration::from_secs(3);
+    state.note_failure(ReadFailure::Late, late);
+    assert!(state.has_news(&from_elsewhere, before, &times, late));
+    assert!(!state.has_news(&knows_it, before, &times, late));
+    let told = |asker: &SpreadRequest| match state.answer(asker, times.stale, late) {
+        SpreadReply::Unreadable { book, .. } => book,
+        SpreadReply::News(news) => panic!("{news:?}"),
+    };
+    let (copy, version) = told(&from_elsewhere).copy.expect("the routes");
+    assert_eq!((copy.into_book().version, version), (2, 3));
+    assert!(told(&knows_it).copy.is_none());
+    let age = told(&from_elsewhere).age.expect("the age goes along");
+    assert_eq!((age.age, age.version), (late - start, 2));
+}
