relay: prompt tokens read for nothing are counted by their reason

Five reasons, each at the place that knows it: the prefill engine took too long, it ended, the place left, the run was refused, the caller left before the cache was used.

The two kinds of leftovers at engines are made by functions of their own.

Test: a prompt of 1,460 tokens is counted once under its reason for three faults, and not at all where it is used. A stand-in of a prefill engine can reset the connection now.

--- a/crates/relay/src/leftover_guard.rs
+++ b/crates/relay/src/leftover_guard.rs
@@ -1,7 +1,7 @@
 //! A KV cache or a place at an engine, freed when nobody uses it.
 
 use {
-    crate::{Leftover, RelayCore, UpstreamDialect},
+    crate::{KvHandle, Leftover, PlaceName, RelayCore, UpstreamDialect, VainReading},
     policy::UpstreamRecord,
     std::{sync::Arc, time::Duration},
     tokio::time,
@@ -16,6 +16,8 @@
 pub struct LeftoverGuard<D: UpstreamDialect> {
     core: Arc<RelayCore<D>>,
     leftover: Option<Leftover>,
+    /// The tokens of a KV cache, and why it is not used if it is dropped now; none for a place.
+    reading: Option<(u64, VainReading)>,
     upstream: Arc<UpstreamRecord>,
 }
 
@@ -25,11 +27,32 @@
         self.leftover = None;
     }
 
-    /// Guards what is left at an upstream.
-    pub fn new(core: Arc<RelayCore<D>>, upstream: Arc<UpstreamRecord>, leftover: Leftover) -> Self {
+    /// Guards a place at an upstream.
+    pub fn for_place(
+        core: Arc<RelayCore<D>>,
+        upstream: Arc<UpstreamRecord>,
+        name: PlaceName,
+    ) -> Self {
         Self {
             core,
-            leftover: Some(leftover),
+            leftover: Some(Leftover::Place(name)),
+            reading: None,
+            upstream,
+        }
+    }
+
+    /// Guards a KV cache of so many tokens at an upstream.
+    pub fn for_kv(
+        core: Arc<RelayCore<D>>,
+        upstream: Arc<UpstreamRecord>,
+        handle: KvHandle,
+        tokens: u64,
+    ) -> Self {
+        Self {
+            core,
+            leftover: Some(Leftover::Kv(handle)),
+            // Whoever finds another reason says so; a task whose caller is gone just ends.
+            reading: Some((tokens, VainReading::CallerGone)),
             upstream,
         }
     }
@@ -40,6 +63,9 @@
         let Some(leftover) = self.leftover.take() else {
             return;
         };
+        if let Some((tokens, reason)) = self.reading {
+            self.core.counts.note_vain(reason, tokens);
+        }
         let core = self.core.clone();
         let upstream = self.upstream.clone();
         tokio::spawn(async move {
@@ -51,6 +77,16 @@
     }
 }
 
+/// A KV cache that was read, if any, is not used, for this reason.
+pub(crate) fn discard<D: UpstreamDialect>(guard: Option<LeftoverGuard<D>>, reason: VainReading) {
+    let Some(mut guard) = guard else {
+        return;
+    };
+    if let Some((_, before)) = &mut guard.reading {
+        *before = reason;
+    }
+}
+
 async fn free<D: UpstreamDialect>(
     core: &RelayCore<D>,
     upstream: &UpstreamRecord,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod stream_flow;
 pub mod stream_pump;
 pub mod upstream_dialect;
+pub mod vain_reading;
 pub mod work_route;
 pub mod zone_size;
 
@@ -93,6 +94,7 @@
         CallPurpose, CallerDialect, HeadFault, KeyFault, KvHandle, Leftover, PlaceName, ReplyFacts,
         UpstreamCall, UpstreamDialect,
     },
+    vain_reading::VainReading,
     work_route::{RouteTarget, WorkRoute},
     zone_size::ZoneSize,
 };
--- a/crates/relay/src/place_finder.rs
+++ b/crates/relay/src/place_finder.rs
@@ -5,8 +5,7 @@
 
 use {
     crate::{
-        Leftover, LeftoverGuard, OpenCall, OwnAnswer, PlaceName, RelayCore, StreamFlow,
-        UpstreamDialect,
+        LeftoverGuard, OpenCall, OwnAnswer, PlaceName, RelayCore, StreamFlow, UpstreamDialect,
     },
     kernel::{ResultCode, UpstreamId, steady_clock},
     policy::{ChoiceQuery, UpstreamRecord, UpstreamStage},
@@ -127,8 +126,7 @@
         match time::timeout(REPLY_LIMIT, asking).await {
             Ok(PlaceReply::Reserved(name)) => {
                 self.note(&upstream, "reserved");
-                let leftover = Leftover::Place(name.clone());
-                let guard = LeftoverGuard::new(self.core().clone(), upstream, leftover);
+                let guard = LeftoverGuard::for_place(self.core().clone(), upstream, name.clone());
                 let held_until = Some(asked_at + life);
                 Some(ReservedPlace {
                     call,
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -1,7 +1,7 @@
 //! The counters of the request path. `docs/METRICS.md` describes them.
 
 use {
-    crate::CustomerCounts,
+    crate::{CustomerCounts, VainReading},
     kernel::ResultCode,
     policy::CallVerdict,
     prometheus::{
@@ -42,6 +42,8 @@
     pub table_version: IntGauge,
     /// The upstreams in the list.
     pub upstreams: IntGauge,
+    /// Prompt tokens read for nothing, by reason.
+    vain_tokens: IntCounterVec,
 }
 
 impl RelayCounts {
@@ -55,6 +57,14 @@
         for state in LOSS_STATES {
             losses.with_label_values(&[state]);
         }
+        let vain_tokens = counters(
+            "trestlewalk_relay_vain_prompt_tokens_total",
+            "Prompt tokens given to prefill engines whose KV cache no decode engine ran on, by reason.",
+            &["reason"],
+        );
+        for reason in VainReading::ALL {
+            vain_tokens.with_label_values(&[reason.label()]);
+        }
         Self {
             calls: counters(
                 "trestlewalk_relay_upstream_calls_total",
@@ -98,6 +108,7 @@
                 "trestlewalk_relay_upstreams",
                 "The upstreams in the list that was read last.",
             ),
+            vain_tokens,
         }
     }
 
@@ -122,6 +133,12 @@
         self.losses.with_label_values(&[state]).inc();
     }
 
+    /// Counts a prompt that was read for nothing.
+    pub fn note_vain(&self, reason: VainReading, tokens: u64) {
+        let counter = self.vain_tokens.with_label_values(&[reason.label()]);
+        counter.inc_by(tokens);
+    }
+
     /// Drops the counters of an upstream that is gone, so that they don't pile up over a long life.
     pub fn forget_upstream(&self, upstream: &str) {
         for verdict in CallVerdict::ALL {
@@ -151,7 +168,8 @@
         register(registry, &self.retries_refused)?;
         register(registry, &self.store_reads)?;
         register(registry, &self.table_version)?;
-        register(registry, &self.upstreams)
+        register(registry, &self.upstreams)?;
+        register(registry, &self.vain_tokens)
     }
 }
 
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -6,7 +6,8 @@
     crate::{
         CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, EventRun, EventSplitter,
         LeftoverGuard, OwnAnswer, PlaceFinder, RelayBody, RelayCore, ReservedPlace, StreamPump,
-        UpstreamAnswer, UpstreamDialect, WorkRoute,
+        UpstreamAnswer, UpstreamDialect, VainReading, WorkRoute,
+        leftover_guard::discard,
         plain_flow::promises_not_run,
         prompt_search::find_holders,
         relay_core::{status_code, status_verdict},
@@ -238,6 +239,7 @@
         if !self.core.board.lock().takes_work(&upstream.id) {
             // It began to leave while the prompt was read; the place is given back.
             drop(call);
+            discard(kv_guard, VainReading::PlaceLeft);
             let story = &self.request.story;
             story.note(format_args!("place {} leaves", upstream.id));
             return Err(OwnAnswer::later(
@@ -247,6 +249,7 @@
         }
         if !self.may_arrive() {
             drop(call);
+            discard(kv_guard, VainReading::RunRefused);
             return Err(self.spent());
         }
         let purpose = CallPurpose::Run {
@@ -274,11 +277,14 @@
             CallEnd::Unsent => TryEnd::Unsent,
         });
         match end {
-            CallEnd::Answer(answer) => {
-                let used = [guard, kv_guard];
-                used.into_iter().flatten().for_each(LeftoverGuard::close);
-                self.take_answer(*answer).await
-            }
+            CallEnd::Answer(_) => [guard, kv_guard]
+                .into_iter()
+                .flatten()
+                .for_each(LeftoverGuard::close),
+            _ => discard(kv_guard, VainReading::RunRefused),
+        }
+        match end {
+            CallEnd::Answer(answer) => self.take_answer(*answer).await,
             CallEnd::Held(answer) => Err(answer),
             CallEnd::Lost(code) => Err(OwnAnswer::new(code)),
             CallEnd::NotRun => Err(OwnAnswer::later(
--- a/crates/relay/src/stream_flow/prompt_read.rs
+++ b/crates/relay/src/stream_flow/prompt_read.rs
@@ -3,11 +3,11 @@
 use {
     super::StreamFlow,
     crate::{
-        CallEnd, CallPlan, CallPurpose, CallerDialect, KvHandle, Leftover, LeftoverGuard,
-        UpstreamAnswer, UpstreamDialect, relay_core::status_verdict,
+        CallEnd, CallPlan, CallPurpose, CallerDialect, KvHandle, LeftoverGuard, UpstreamAnswer,
+        UpstreamDialect, VainReading, relay_core::status_verdict,
     },
     http_body_util::{BodyExt, Limited},
-    kernel::{UpstreamId, ZoneId, steady_clock},
+    kernel::{ResultCode, UpstreamId, ZoneId, steady_clock},
     policy::{CallVerdict, ChoiceQuery, ReadPace, ReaderChoice, TryEnd, UpstreamStage},
     std::{
         collections::BTreeSet,
@@ -61,8 +61,13 @@
             CallEnd::Lost(_) | CallEnd::NotRun => TryEnd::ReadRefused,
             CallEnd::Unsent => TryEnd::Unsent,
         });
-        let CallEnd::Answer(answer) = end else {
-            return None;
+        let answer = match end {
+            CallEnd::Answer(answer) => answer,
+            CallEnd::Lost(code) => {
+                self.core.counts.note_vain(lost_reason(code), tokens);
+                return None;
+            }
+            CallEnd::Held(_) | CallEnd::NotRun | CallEnd::Unsent => return None,
         };
         let UpstreamAnswer {
             body,
@@ -79,6 +84,11 @@
                     self.core.crashes.note_loss(&self.request, &call, false);
                 }
                 call.close(CallVerdict::Lost);
+                let reason = match outcome {
+                    Ok(_) => VainReading::EngineLost,
+                    Err(_) => VainReading::Silent,
+                };
+                self.core.counts.note_vain(reason, tokens);
                 return None;
             }
         };
@@ -94,8 +104,7 @@
             self.note_pace(&upstream.id, choice.ahead, now - began, now);
         }
         let handle = self.core.dialect.read_reply(&upstream, &bytes)?;
-        let leftover = Leftover::Kv(handle.clone());
-        let guard = LeftoverGuard::new(self.core.clone(), upstream, leftover);
+        let guard = LeftoverGuard::for_kv(self.core.clone(), upstream, handle.clone(), tokens);
         Some((handle, guard))
     }
 
@@ -129,3 +138,11 @@
         (choice.cost <= own).then_some(choice)
     }
 }
+
+/// Why a prompt is lost whose call ended so.
+fn lost_reason(code: ResultCode) -> VainReading {
+    match code {
+        ResultCode::UpstreamSilent => VainReading::Silent,
+        _ => VainReading::EngineLost,
+    }
+}
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -363,3 +363,26 @@
     }
     !holder.runs().is_empty()
 }
+
+/// The prompt of a request is 1,460 tokens.
+#[tokio::test]
+async fn a_prompt_that_is_read_for_nothing_is_counted_by_its_reason() {
+    let cases = [
+        ("i-redactor-d0", UpstreamMode::TurnAway, "run_refused"),
+        ("i-redactor-p0", UpstreamMode::Reset, "engine_lost"),
+        ("i-redactor-p0", UpstreamMode::Mute, "silent"),
+        ("i-redactor-d0", UpstreamMode::Answer, "none"),
+    ];
+    for (engine, mode, reason) in cases {
+        let run = stream_run(false, 1, 1).await;
+        run.upstream(engine).set(mode);
+        run.stream("/note/1").await;
+        let vain = "trestlewalk_relay_vain_prompt_tokens_total";
+        let lines = run.metric_lines(vain).await;
+        let counted: Vec<&String> = lines.iter().filter(|line| !line.ends_with(" 0")).collect();
+        match reason {
+            "none" => assert!(counted.is_empty(), "{counted:?}"),
+            reason => assert_eq!(counted, [&format!("{vain}{{reason=\"{reason}\"}} 1460")]),
+        }
+    }
+}
--- a/crates/trestlewalk/tests/relay_support/engine_side.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_side.rs
@@ -90,8 +90,13 @@
             return answer_json(stream, "421 Misdirected Request", &json!({})).await;
         }
         engine.note(message, false);
-        if mode == UpstreamMode::Mute {
-            return std::future::pending().await;
+        match mode {
+            UpstreamMode::Mute => return std::future::pending().await,
+            UpstreamMode::Reset => {
+                reset(stream);
+                return false;
+            }
+            _ => {}
         }
         let reply = json!({"Handle": format!("kv-{id}"), "Tokens": 1460, "Version": 1}).to_string();
         let text = format!(
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -275,6 +275,14 @@
         String::from_utf8_lossy(&reply.body).contains(&quoted)
     }
 
+    /// The lines of the metrics that begin so.
+    pub async fn metric_lines(&self, start: &str) -> Vec<String> {
+        let reply = self.process.get("admin", "/metrics").send().await;
+        let text = String::from_utf8_lossy(&reply.body);
+        let lines = text.lines().filter(|line| line.starts_with(start));
+        lines.map(str::to_owned).collect()
+    }
+
     /// What `/ready` answers.
     pub async fn ready_status(&self) -> u16 {
         let call = HttpCall::new(Method::GET, self.process.address("admin"), "/ready");
