spread: whether a list is news is told by its content

Cause: an instance kept its list to pass on by whether the answers to it had changed anything. After a reader with an older list, which was refused as older and then was the newest again, nothing changed any more: it served by that list and passed the former one on, with the age of the new one. The compared digests of lists made it simpler: what is known is compared with what was told, and the flag goes.

Parts that are still incomplete no longer build the whole list.

Test: a list that is the newest again is passed on (red before). The random test holds that the digests of reader and follower are the same, beside what it held before.

--- a/crates/spread/src/list_digest.rs
+++ b/crates/spread/src/list_digest.rs
@@ -15,7 +15,7 @@
 pub type PartNumber = u8;
 
 /// The digest of each part: the sum over its rows, whatever their order.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListDigest {
     parts: Vec<u64>,
 }
--- a/crates/spread/src/list_journal.rs
+++ b/crates/spread/src/list_journal.rs
@@ -55,6 +55,11 @@
         ListChange::Changes { changed, gone }
     }
 
+    /// The digest of the list.
+    pub fn digest(&self) -> &ListDigest {
+        &self.digest
+    }
+
     /// The state of the list.
     pub fn mark(&self) -> ReadingMark {
         self.mark
--- a/crates/spread/src/list_mirror.rs
+++ b/crates/spread/src/list_mirror.rs
@@ -11,8 +11,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct ListMirror {
     digest: ListDigest,
-    /// Whether the list changed since it was taken last.
-    differs: bool,
     /// Whose list it is, and its state; none while parts of it are still to come. Two readers that started at the same moment
     /// have the same number of their life, so a mark alone does not tell their lists apart.
     from: Option<(InstanceId, ReadingMark)>,
@@ -49,9 +47,9 @@
         true
     }
 
-    /// The digests of the list, for a reader that can't tell by its mark what this instance has.
-    pub fn digests(&self) -> Vec<u64> {
-        self.digest.parts().to_vec()
+    /// The digest of the list.
+    pub fn digest(&self) -> &ListDigest {
+        &self.digest
     }
 
     /// The state of the list as this reader knows it; none if it came from another one.
@@ -65,18 +63,12 @@
         self.rows.values().cloned().collect()
     }
 
-    /// Whether the list changed since this was asked last.
-    pub fn take_difference(&mut self) -> bool {
-        std::mem::take(&mut self.differs)
-    }
-
     fn insert(&mut self, record: UpstreamRecord) {
         let key = (part_of(&record.id), record.id.clone());
         if self.rows.get(&key) == Some(&record) {
             return;
         }
         self.remove(&key);
-        self.differs = true;
         self.digest.add(&record);
         self.rows.insert(key, record);
     }
@@ -95,10 +87,8 @@
     }
 
     fn remove(&mut self, key: &(PartNumber, UpstreamId)) {
-        let Some(record) = self.rows.remove(key) else {
-            return;
-        };
-        self.differs = true;
-        self.digest.remove(&record);
+        if let Some(record) = self.rows.remove(key) {
+            self.digest.remove(&record);
+        }
     }
 }
--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -79,7 +79,7 @@
         let list = mirror.mark(to);
         let list_digests = match list {
             Some(_) => Vec::new(),
-            None => mirror.digests(),
+            None => mirror.digest().parts().to_vec(),
         };
         drop(mirror);
         let reports_known = self.reports_known(to);
@@ -115,15 +115,17 @@
         }
         self.take_reports(&from, news.reports, now);
         let mut mirror = self.mirror.lock();
-        let is_whole = mirror.apply(from.clone(), news.list, news.mark);
+        if !mirror.apply(from.clone(), news.list, news.mark) {
+            drop(mirror);
+            self.members.plan.lock().answered_in_part(&from);
+            self.take_book(news.book, way, now);
+            return None;
+        }
         let records = mirror.records();
-        let changed = is_whole && mirror.take_difference();
+        let digest = mirror.digest().clone();
         drop(mirror);
         let mut plan = self.members.plan.lock();
-        match is_whole {
-            true => plan.answered(&from, read),
-            false => plan.answered_in_part(&from),
-        }
+        plan.answered(&from, read);
         if let Some(age) = news.refused {
             plan.reader_refused(&from, age, now);
         }
@@ -136,13 +138,11 @@
             version: news.version,
             waited: true,
         };
-        self.members.state.send_modify(|state| {
-            if is_whole {
-                state.take_passed(&reading, read, changed);
-            }
-        });
+        self.members
+            .state
+            .send_modify(|state| state.take_passed(&reading, read, &digest));
         self.take_book(news.book, way, now);
-        is_whole.then_some(reading)
+        Some(reading)
     }
 
     /// Takes routes of another instance in; what it tells of their age is older by its way.
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        BookAge, BookCopy, ListJournal, MemberRow, PassedBook, ReportJournal, SpreadNews,
-        SpreadReply, SpreadRequest, SpreadTimes,
+        BookAge, BookCopy, ListDigest, ListJournal, MemberRow, PassedBook, ReportJournal,
+        SpreadNews, SpreadReply, SpreadRequest, SpreadTimes,
     },
     kernel::{Incarnation, TableVersion, ZoneId},
     relay::{BookReading, RouteBook, StoreVersion, UpstreamReading},
@@ -172,8 +172,9 @@
         self.take_records(reading, began);
     }
 
-    /// Takes a reading that another instance passed on in; `changed` tells whether its list differs from the one before.
-    pub fn take_passed(&mut self, reading: &UpstreamReading, read: Instant, changed: bool) {
+    /// Takes a reading that another instance passed on in, whose list has this digest. A list that is known already is not
+    /// gone through row by row.
+    pub fn take_passed(&mut self, reading: &UpstreamReading, read: Instant, digest: &ListDigest) {
         self.reads_store = false;
         if reading.outage_ended > self.outage_ended {
             self.outage_ended = reading.outage_ended;
@@ -181,8 +182,8 @@
         if reading.version < self.version {
             return;
         }
-        if changed || self.read.is_none() {
-            return self.take_records(reading, read);
+        if self.journal.digest() != digest {
+            self.journal.take(&reading.records);
         }
         self.note_read(reading.version, read);
     }
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -7,8 +7,9 @@
     policy::{AgedReport, CrashMark, CrashReport, FingerprintParts, RequestFingerprint},
     relay::{RouteBook, UpstreamReading},
     spread::{
-        AskerState, MemberRow, ReadFailure, ReadStep, ReaderPlan, ReadingMark, ReportJournal,
-        ReportNews, ReportOrigin, SpreadReply, SpreadRequest, SpreadState, SpreadTimes,
+        AskerState, ListDigest, MemberRow, ReadFailure, ReadStep, ReaderPlan, ReadingMark,
+        ReportJournal, ReportNews, ReportOrigin, SpreadReply, SpreadRequest, SpreadState,
+        SpreadTimes,
     },
     std::{
         collections::VecDeque,
@@ -481,7 +482,9 @@
                     version: news.version,
                     ..UpstreamReading::default()
                 };
-                node.state.take_passed(&reading, read, true);
+                // The model has no upstreams.
+                node.state
+                    .take_passed(&reading, read, &ListDigest::default());
                 node.state
                     .take_book(RouteBook::default(), news.version, None);
                 // An older reading than the one before is not taken.
--- a/crates/spread/tests/list_journal.rs
+++ b/crates/spread/tests/list_journal.rs
@@ -31,7 +31,7 @@
 ) -> Vec<Vec<ListPart>> {
     let mut answers = Vec::new();
     loop {
-        let change = journal.change_since(mirror.mark(reader), &mirror.digests());
+        let change = journal.change_since(mirror.mark(reader), mirror.digest().parts());
         if let ListChange::Parts { parts, .. } = &change {
             answers.push(parts.clone());
         }
@@ -85,9 +85,11 @@
                 Step::Ask(index) => {
                     let mirror = &mut followers[index];
                     let before = sorted(mirror.records());
+                    let digest_before = mirror.digest().clone();
                     let answers = catch_up(mirror, &reader, &journal);
                     let after = sorted(mirror.records());
-                    prop_assert_eq!(mirror.take_difference(), before != after);
+                    prop_assert_eq!(digest_before != *mirror.digest(), before != after);
+                    prop_assert_eq!(mirror.digest(), journal.digest());
                     prop_assert_eq!(after, sorted(list.clone()));
                     let told = answers.iter().flatten().flat_map(|part| &part.records);
                     prop_assert!(told.count() <= UPSTREAMS, "nothing goes over twice");
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -1,9 +1,13 @@
 //! What an instance tells those that wait for its next reading, and when.
 
 use {
-    kernel::ZoneId,
-    relay::{CallerLimits, RouteBook},
-    spread::{MemberRow, ReadFailure, SpreadReply, SpreadRequest, SpreadState, SpreadTimes},
+    kernel::{InstanceId, ZoneId},
+    policy::{UpstreamRecord, UpstreamStage},
+    relay::{CallerLimits, RouteBook, UpstreamReading},
+    spread::{
+        ListJournal, ListMirror, MemberRow, ReadFailure, SpreadReply, SpreadRequest, SpreadState,
+        SpreadTimes,
+    },
     std::time::{Duration, Instant},
 };
 
@@ -90,3 +94,49 @@
     let age = told(&from_elsewhere).age.expect("the age goes along");
     assert_eq!((age.age, age.version), (late - start, 2));
 }
+
+fn upstream(leaving: bool) -> UpstreamRecord {
+    UpstreamRecord {
+        address: ([127, 0, 0, 1], 1_000).into(),
+        id: "i-1".into(),
+        leaving,
+        name: "i-1".into(),
+        service: "s".into(),
+        slots: 6,
+        stage: UpstreamStage::Plain,
+        zone: "z".into(),
+    }
+}
+
+/// An instance goes over to a reader whose list is older, and that list becomes the newest one again: what it passes on then is
+/// that list, though nothing changed in what it was told.
+#[test]
+fn a_list_that_is_the_newest_again_is_passed_on() {
+    let start = Instant::now();
+    let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
+    let mut mirror = ListMirror::default();
+    let told = [
+        ("reader-1", 11, upstream(true)),
+        ("reader-2", 10, upstream(false)),
+        ("reader-2", 12, upstream(false)),
+    ];
+    for (reader, version, record) in told {
+        let mut journal = ListJournal::new(2);
+        journal.take(std::slice::from_ref(&record));
+        let reader = InstanceId::from(reader);
+        let change = journal.change_since(mirror.mark(&reader), mirror.digest().parts());
+        assert!(mirror.apply(reader, change, journal.mark()));
+        let reading = UpstreamReading {
+            records: mirror.records(),
+            version,
+            ..UpstreamReading::default()
+        };
+        state.take_passed(&reading, start, mirror.digest());
+    }
+    let SpreadReply::News(news) = state.answer(&request(), Duration::from_secs(2), start) else {
+        panic!("there is news");
+    };
+    let mut passed = ListMirror::default();
+    assert!(passed.apply("front-1".into(), news.list, news.mark));
+    assert_eq!(passed.records(), [upstream(false)]);
+}
