Tests: one step of the quota model, one fixture, and the caller that is gone

The model told a node of others' use with the same eight lines in two places, and three tests of buckets began alike. A caller that leaves while its KV cache waits is counted by its reason: an assertion is added to the test that has the caller leave.

--- a/crates/policy/tests/quota_model/mod.rs
+++ b/crates/policy/tests/quota_model/mod.rs
@@ -381,14 +381,7 @@
         };
         there.ledger.note_teller(&teller, &rows, now);
         let totals = there.ledger.others_for(&me, &own_there);
-        let is_pressed = rows
-            .iter()
-            .any(|row| there.table.is_scarce(&row.customer, now));
-        there.is_pressed |= is_pressed;
-        let told = rows.iter().map(|row| &row.customer);
-        let others = there.ledger.others_of(told.clone());
-        let assumed = there.ledger.assumed_of(told);
-        there.table.note_others(&others, &assumed, now);
+        there.go_by(&rows, now);
         let assumed = there.ledger.assumed_of(totals.keys());
         let rooms = there.rooms(&totals, now);
         let is_settled = there.table.is_settled(now);
@@ -442,14 +435,7 @@
                 .note_zone(&zone_name(zone), &teller, &told, now);
             let totals = there.ledger.telling(None, &own_there).into_iter();
             let totals: UseTotals = totals.map(|row| (row.customer, row.total)).collect();
-            let is_pressed = rows
-                .iter()
-                .any(|row| there.table.is_scarce(&row.customer, now));
-            there.is_pressed |= is_pressed;
-            let told = rows.iter().map(|row| &row.customer);
-            let others = there.ledger.others_of(told.clone());
-            let assumed = there.ledger.assumed_of(told);
-            there.table.note_others(&others, &assumed, now);
+            there.go_by(&rows, now);
             let rooms = there.rooms(&totals, now);
             let is_settled = there.table.is_settled(now);
             let teller = UseTeller {
@@ -659,6 +645,16 @@
         rooms.collect()
     }
 
+    /// Goes by what others of the told customers used.
+    fn go_by(&mut self, rows: &[UseRow], now: Instant) {
+        let is_scarce = |row: &UseRow| self.table.is_scarce(&row.customer, now);
+        self.is_pressed |= rows.iter().any(is_scarce);
+        let told = rows.iter().map(|row| &row.customer);
+        let others = self.ledger.others_of(told.clone());
+        let assumed = self.ledger.assumed_of(told);
+        self.table.note_others(&others, &assumed, now);
+    }
+
     fn take_rooms(&mut self, is_settled: bool, rooms: &UseTotals, own: &UseTotals, now: Instant) {
         match is_settled {
             true => self.table.follow_rooms(rooms, own, now),
--- a/crates/policy/tests/quota_table.rs
+++ b/crates/policy/tests/quota_table.rs
@@ -18,6 +18,12 @@
     "port-a".into()
 }
 
+/// The buckets of an instance that is alone, and when they were made.
+fn alone() -> (QuotaTable, Instant) {
+    let born = Instant::now();
+    (QuotaTable::new(QuotaRule::default(), true, born), born)
+}
+
 /// How many requests of a size fit at a moment.
 fn fitting(table: &mut QuotaTable, limit: &CustomerLimit, cost: u64, now: Instant) -> usize {
     let takes = std::iter::repeat_with(|| table.take(&customer(), limit, Some(cost), now));
@@ -26,8 +32,7 @@
 
 #[test]
 fn an_instance_that_is_alone_fills_its_bucket_from_empty_and_no_further_than_the_burst() {
-    let born = Instant::now();
-    let mut table = QuotaTable::new(QuotaRule::default(), true, born);
+    let (mut table, born) = alone();
     let limit = limit(1_000.0, 3_000.0);
     assert_eq!(fitting(&mut table, &limit, 500, born), 0);
     assert_eq!(
@@ -42,8 +47,7 @@
 
 #[test]
 fn a_refusal_says_when_there_is_room_and_what_did_not_run_is_given_back() {
-    let born = Instant::now();
-    let mut table = QuotaTable::new(QuotaRule::default(), true, born);
+    let (mut table, born) = alone();
     let limit = limit(1_000.0, 1_000.0);
     let now = born + Duration::from_secs(1);
     assert_eq!(table.take(&customer(), &limit, Some(900), now), Ok(900));
@@ -58,8 +62,7 @@
 
 #[test]
 fn a_request_that_is_larger_than_the_bucket_takes_a_full_one() {
-    let born = Instant::now();
-    let mut table = QuotaTable::new(QuotaRule::default(), true, born);
+    let (mut table, born) = alone();
     let limit = limit(1_000.0, 1_000.0);
     let full = born + Duration::from_secs(1);
     assert!(
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -136,6 +136,8 @@
     };
     wait_until("the KV cache is freed", async || freed("/kv-handle/")).await;
     wait_until("the place is freed", async || freed("/hold-drop/")).await;
+    let vain = "trestlewalk_relay_vain_prompt_tokens_total{reason=\"caller_gone\"}";
+    assert_eq!(run.metric_lines(vain).await, [format!("{vain} 1460")]);
 }
 
 #[tokio::test]
