Test: reports do not put off leaving a silent reader (red)

The zone of the reader is cut off while upstreams end under requests of the other zones, every 300 ms.

--- a/crates/spread/tests/fleet_fuzz.rs
+++ b/crates/spread/tests/fleet_fuzz.rs
@@ -283,3 +283,27 @@
         }
     }
 }
+
+/// A silent reader is left within the time of one question, however often the asker has something else to tell it.
+#[test]
+fn reports_of_ended_upstreams_do_not_put_off_leaving_a_silent_reader() {
+    for each in [2, 3, 20] {
+        for cut in 0..ZONES {
+            let mut model = FleetModel::new(ZONES, each);
+            model.run(seconds(6));
+            model.fault(&FleetFault::CutZone(cut, seconds(6)));
+            let mut oldest = Duration::ZERO;
+            for round in 0..20 {
+                for zone in (0..ZONES).filter(|zone| *zone != cut) {
+                    model.fault(&FleetFault::End(zone * each + round % each));
+                }
+                model.run(Duration::from_millis(300));
+                for zone in (0..ZONES).filter(|zone| *zone != cut) {
+                    oldest = oldest.max(model.oldest_news_in(zone));
+                }
+            }
+            // An edit is in force after two seconds, and an upstream that leaves gets no new work.
+            assert!(oldest < seconds(2), "{each}, {cut}: {oldest:?}");
+        }
+    }
+}
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -221,7 +221,17 @@
 
     /// The age of the oldest news of those that live.
     pub fn oldest_news(&self) -> Duration {
-        let living = self.nodes.iter().filter(|node| node.starts.is_none());
+        self.oldest_of(&self.nodes)
+    }
+
+    /// The same within one zone.
+    pub fn oldest_news_in(&self, zone: usize) -> Duration {
+        let first = zone * self.each;
+        self.oldest_of(&self.nodes[first..first + self.each])
+    }
+
+    fn oldest_of(&self, nodes: &[Node]) -> Duration {
+        let living = nodes.iter().filter(|node| node.starts.is_none());
         let read = living.map(|node| node.heard);
         let now = self.millis(self.now);
         Duration::from_millis(now - read.min().unwrap_or(now))
