spread: the first instances of a zone read the store when their news are overdue

What callers saw: requests at upstreams that had begun to leave more than 2 s before (DRAIN), and 404 on new routes (CONFIG), at instances that reached the store and other zones, while those that read for them did not.

Cause: how old an instance's news may become was the sum of the patience of others: the time limit of a question, a reader that answers "no news" every 300 ms, rests, the turn of a deputy half a second for each place after it is told that the reader is refused, pauses of up to 8 s between the tries of a deputy. An instance never decided by the age of what it has.

Why this works: the first four of a zone (the reader of another zone's news among them) read the store themselves when their news are 1.25 s old and 50 ms for each place, answered or not, held back or not; a pause after "no news" ends then as well. What made up for it before holds this bound open no longer: - a deputy tries every 2.2 s at most while the store does not answer it, in place of up to 8 s, and its failures are forgotten when others are answered; - a refused reader counts on a deputy as long as that answers with new news: it forgot it after 3 s, and the readers of three zones then passed each other's old news on in a ring; - a question tells how long it was waited for, and is held back that much less; - further deputies try 750 ms apart in place of 500, which pays for the calls.

--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -23,6 +23,8 @@
 /// The times of a [`SourceWatch`].
 #[derive(Clone, Copy, Debug, bon::Builder)]
 pub struct WatchTimes {
+    /// The pause after a reading of the list that failed.
+    pub list_retry: Duration,
     /// From one reading of the list to the next. An upstream that leaves gets no new work after this and one call.
     pub list_period: Duration,
     /// How long one reading may take before it is given up and begun again.
@@ -167,7 +169,7 @@
                 tracing::warn!(error, "the list of upstreams can't be read");
                 lost_since = Some(now);
             }
-            clock.reset_after(self.times.retry_pause);
+            clock.reset_after(self.times.list_retry);
         }
     }
 
--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -108,6 +108,11 @@
     pub fn answered(&mut self, from: &InstanceId, read: Instant) {
         if self.is_before(from) {
             self.first_since = None;
+            self.probe.note_answer_to_others(read);
+        }
+        if let Some(until) = self.deputies.get_mut(from) {
+            // While it is asked it asks nobody, so that its answers alone tell that it reads.
+            *until = (*until).max(read + self.times.service);
         }
         self.rests.remove(from);
         self.awaited = None;
@@ -149,15 +154,10 @@
         self.is_stale(now)
     }
 
-    /// The answer that this instance waits for; none while it waits for nobody.
-    pub fn awaited(&self) -> Option<&AwaitedAnswer> {
-        self.awaited.as_ref()
-    }
-
     /// What to do next.
     pub fn choose(&mut self, now: Instant) -> ReadStep {
         let step = self.next_step(now);
-        if !matches!(step, ReadStep::Ask { .. }) {
+        if matches!(step, ReadStep::Pause(_)) {
             self.awaited = None;
         }
         step
@@ -269,6 +269,11 @@
         silent.map(|(member, _)| member.clone()).collect()
     }
 
+    /// How many questions went to an instance since its last answer.
+    pub fn questions(&self, to: &InstanceId) -> u32 {
+        self.awaited(to).map_or(0, |awaited| awaited.questions)
+    }
+
     /// Why the store is called next.
     pub fn reason(&self) -> CallReason {
         if self.unreadable_since.is_some() {
@@ -334,6 +339,19 @@
         false
     }
 
+    /// How long an instance that was asked has given no answer.
+    pub fn waited(&self, from: &InstanceId, now: Instant) -> Duration {
+        let awaited = self.awaited(from);
+        awaited.map_or(Duration::ZERO, |awaited| {
+            now.saturating_duration_since(awaited.since)
+        })
+    }
+
+    fn awaited(&self, from: &InstanceId) -> Option<&AwaitedAnswer> {
+        let awaited = self.awaited.as_ref();
+        awaited.filter(|awaited| awaited.from == *from)
+    }
+
     fn ask(&mut self, from: InstanceId, now: Instant) -> ReadStep {
         let since = self.note_question(&from, now);
         let is_trusted =
@@ -395,8 +413,8 @@
         let Some(first) = first else {
             self.first_since.get_or_insert(now);
             return match self.upper(now) {
-                Some(upper) => self.ask(upper, now),
-                None => self.read(now),
+                Some(upper) if !self.is_overdue(now) => self.ask(upper, now),
+                _ => self.read(now),
             };
         };
         let counts = self.relied_until.is_some_and(|until| now < until);
--- a/crates/spread/src/reader_plan/deputies.rs
+++ b/crates/spread/src/reader_plan/deputies.rs
@@ -1,4 +1,4 @@
-//! Who reads in the place of a reader that the store does not answer.
+//! Who reads in the place of a reader that the store does not answer, or that does not answer itself.
 
 use {
     super::ReaderPlan,
@@ -8,8 +8,14 @@
 
 /// How many deputies of a zone go on trying while nobody can read; each further one tries once.
 const LASTING_DEPUTIES: usize = 3;
-/// From one try of a lasting deputy to the next.
-const DEPUTY_PERIOD: Duration = Duration::from_secs(2);
+/// For each place behind the last of these, how much later one tries: most of the calls of an outage are theirs.
+const FURTHER_PAUSE: Duration = Duration::from_millis(750);
+/// For each place in the zone, how much later an instance whose news are overdue reads the store itself. The first is later by
+/// this as well: it may have asked a while after its last reading.
+const OVERDUE_PAUSE: Duration = Duration::from_millis(50);
+/// From the end of a lasting deputy's probe pause to its next try. Both, and a reading that is given up, take less than the 3 s
+/// after which an instance that the store answers again has to have news.
+const DEPUTY_PERIOD: Duration = Duration::from_millis(1_200);
 
 impl ReaderPlan {
     /// The store has refused an instance that was to read it for so long, and nobody has read it since: its place is taken
@@ -25,29 +31,44 @@
         self.deputy_until.is_some_and(|until| now < until)
     }
 
-    /// The turn of one of the first deputies. A question that the reader holds back for its next reading does not put it off,
-    /// which it would by most of a period: news would be 2.7 s old in zones of two instances, 1.8 s as it is. All others finish
-    /// their questions first, so that not too many try at once.
+    /// The turn of one of the first deputies, or of the first itself while it asks another zone. It cuts a question short that
+    /// the reader holds back for its next reading. All others finish their questions, so that not too many try at once.
     pub(super) fn early_turn(&self, reader: &InstanceId) -> Option<Instant> {
+        let reader = match self.distance(reader) {
+            Some(_) => reader,
+            None if self.is_refused() => return None,
+            None => &self.own,
+        };
         let is_early = self.distance(reader)? <= LASTING_DEPUTIES;
         is_early.then(|| self.deputy_turn(reader)).flatten()
     }
 
-    /// When it is this instance's turn to try whether the store answers it, in place of its reader; none while that is not
-    /// known to be refused.
+    /// When it is this instance's turn to try whether the store answers it, in place of its reader: some time after that is
+    /// known to be refused, and for the first deputies when their news are overdue, whatever the reader does.
     pub(super) fn deputy_turn(&self, reader: &InstanceId) -> Option<Instant> {
-        let since = self.unreadable_since?;
         let distance = self.distance(reader)?;
-        let pauses = u32::try_from(distance).unwrap_or(u32::MAX);
-        let turn = since + self.times.deputy_pause.saturating_mul(pauses);
+        let places = |distance: usize| u32::try_from(distance).unwrap_or(u32::MAX);
+        let first = places(distance.min(LASTING_DEPUTIES));
+        let further = places(distance.saturating_sub(LASTING_DEPUTIES));
+        let pause = self.times.deputy_pause * first + FURTHER_PAUSE.saturating_mul(further);
+        let refused = self.unreadable_since.map(|since| since + pause);
+        let overdue = self.news_read.filter(|_| further == 0);
+        let overdue =
+            overdue.map(|read| read + self.times.call_limit + OVERDUE_PAUSE * (first + 1));
+        let turn = refused.into_iter().chain(overdue).min()?;
         let probe = self.probe.next().unwrap_or(turn);
         match self.probe.failures() {
             0 => Some(turn.max(probe)),
             _ if distance > LASTING_DEPUTIES => None,
-            failures => Some(turn.max(probe + DEPUTY_PERIOD * failures.min(4))),
+            _ => Some(turn.max(probe + DEPUTY_PERIOD)),
         }
     }
 
+    /// Whether this instance, the first of its zone, has waited for another zone's reader for as long as its news may be old.
+    pub(super) fn is_overdue(&self, now: Instant) -> bool {
+        self.deputy_turn(&self.own).is_some_and(|turn| now >= turn)
+    }
+
     /// How many places this instance is behind a reader of its zone.
     fn distance(&self, reader: &InstanceId) -> Option<usize> {
         let place = |member: &InstanceId| self.ranked.iter().position(|other| other == member);
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -29,6 +29,8 @@
     },
 };
 
+/// The pause after an instance that has no news: it looks for some with pauses of this length itself.
+const NO_NEWS_PAUSE: Duration = Duration::from_millis(300);
 /// The pause after an instance that gave no answer.
 const FAILED_PAUSE: Duration = Duration::from_millis(20);
 
@@ -291,7 +293,14 @@
                             // One that starts as well may need a moment until it can answer.
                             time::sleep(FAILED_PAUSE).await;
                         }
-                        AskEnd::NoNews(error) => return Err(error),
+                        AskEnd::NoNews(error) => {
+                            tokio::select! {
+                                () = time::sleep(NO_NEWS_PAUSE) => {}
+                                () = self.changed.notified() => {}
+                                () = sleep_until(turn) => {}
+                            }
+                            return Err(error);
+                        }
                         // The rest is asked for.
                         AskEnd::Part => {}
                     }
--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -75,13 +75,11 @@
     fn note_no_answer(&self, from: &InstanceId, detail: &str, now: Instant) {
         self.counts.note_peer_read("failed");
         let plan = self.members.plan.lock();
-        let awaited = plan.awaited().filter(|awaited| awaited.from == *from);
-        let waited = awaited.map(|awaited| now.saturating_duration_since(awaited.since));
         tracing::info!(
             reader = %from,
             detail,
-            questions = awaited.map_or(0, |awaited| awaited.questions),
-            waited_ms = waited.unwrap_or_default().as_millis() as u64,
+            questions = plan.questions(from),
+            waited_ms = plan.waited(from, now).as_millis() as u64,
             "no reading from another instance"
         );
     }
@@ -90,6 +88,7 @@
         let plan = self.members.plan.lock();
         let AskerState { passed_over, reads } = plan.state(steady_clock::now());
         let is_refused = plan.is_refused();
+        let waited = plan.waited(to, steady_clock::now());
         drop(plan);
         let mirror = self.mirror.lock();
         let list = mirror.mark(to);
@@ -112,6 +111,7 @@
             reads,
             reports: state.reports.to_tell(steady_clock::now()),
             reports_known,
+            waited,
         };
         // Texts, numbers and addresses always have a binary form.
         postcard::to_stdvec(&request).unwrap_or_default()
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -45,6 +45,8 @@
     pub reports: Vec<AgedReport>,
     /// The reports that the asker has from the one asked.
     pub reports_known: Option<ReadingMark>,
+    /// How long the asker has waited for an answer to earlier questions: this one is held back that much less.
+    pub waited: Duration,
 }
 
 /// The list, or what changed in it.
--- a/crates/spread/src/spread_server.rs
+++ b/crates/spread/src/spread_server.rs
@@ -92,7 +92,8 @@
     let began = steady_clock::now();
     let before = state.borrow().news_count;
     let is_news = |state: &SpreadState| state.has_news(request, before, times, steady_clock::now());
-    let waiting = time::timeout(times.answer_hold, state.wait_for(is_news)).await;
+    let hold = times.answer_hold.saturating_sub(request.waited);
+    let waiting = time::timeout(hold, state.wait_for(is_news)).await;
     if let Ok(Err(_)) = waiting {
         return None;
     }
--- a/crates/spread/src/store_probe.rs
+++ b/crates/spread/src/store_probe.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub struct StoreProbe {
     due: Option<Instant>,
+    /// When a call failed last.
+    failed: Option<Instant>,
     failures: u32,
     own: InstanceId,
     period: Duration,
@@ -31,12 +33,20 @@
     pub fn fail(&mut self, now: Instant) {
         let doubled = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
+        self.failed = Some(now);
         let key = format!("{} {}", self.own, self.failures);
         let draw = seeded_rng::mix(JITTER_SEED, key.as_bytes()) as f64 / u64::MAX as f64;
         let pause = doubled.min(LONGEST_PAUSE);
         self.due = Some(now + pause.mul_f64(1.0 - JITTER * draw));
     }
 
+    /// The store answered another instance a reading that began at a moment: an outage before it is over.
+    pub fn note_answer_to_others(&mut self, began: Instant) {
+        if self.failed.is_some_and(|failed| began > failed) {
+            self.failures = 0;
+        }
+    }
+
     /// How many calls have failed since the last answer.
     pub fn failures(&self) -> u32 {
         self.failures
@@ -51,6 +61,7 @@
     pub fn new(own: InstanceId, period: Duration) -> Self {
         Self {
             due: None,
+            failed: None,
             failures: 0,
             own,
             period,
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -29,6 +29,7 @@
         reads: false,
         reports: Vec::new(),
         reports_known: None,
+        waited: Duration::ZERO,
     }
 }
 
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -38,6 +38,8 @@
 const START_CONDITION: &str = "routes";
 /// How long a reading by way of other instances may take. It bounds its own steps; this is for faults in it.
 const SHARED_READ_LIMIT: Duration = Duration::from_secs(10);
+/// The pause after a reading by way of other instances that failed: it paces its own calls.
+const SHARED_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// The pause after a reading of the store that failed.
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -264,7 +266,8 @@
         pool.spawn(keeper.run());
     }
     let Some(end) = peers else {
-        return spawn_watch(core, store, watch_times(settings, platform.timeout), pool);
+        let times = watch_times(settings, platform.timeout, STORE_RETRY_PAUSE);
+        return spawn_watch(core, store, times, pool);
     };
     let times = SpreadTimes::builder()
         .period(platform.list_poll)
@@ -290,7 +293,7 @@
     spawn_watch(
         core,
         Arc::new(shared),
-        watch_times(settings, SHARED_READ_LIMIT),
+        watch_times(settings, SHARED_READ_LIMIT, SHARED_RETRY_PAUSE),
         pool,
     );
 }
@@ -317,12 +320,13 @@
     pool.spawn(async move { watch.watch_upstreams().await });
 }
 
-fn watch_times(settings: &RelayFile, read_limit: Duration) -> WatchTimes {
+fn watch_times(settings: &RelayFile, read_limit: Duration, list_retry: Duration) -> WatchTimes {
     let platform = &settings.platform;
     // Each answer to a watch tells anew that the keys are those in force.
     let within = settings.customers.revoked_within;
     let watch_wait = within.map_or(platform.poll, |within| platform.poll.min(within / 5));
     WatchTimes::builder()
+        .list_retry(list_retry)
         .list_period(platform.list_poll)
         .read_limit(read_limit)
         .retry_pause(STORE_RETRY_PAUSE)
