spread: a watch of the routes ends when the store no longer answers its instance

What callers saw: 404 on new routes at an instance that read for others, up to 2.7 s after the store fell silent to it, although other instances knew them.

Cause: the list of upstreams and the routes are read by two calls. A reading of the list that has no answer is given up after 0.7 s, and the instance goes by others from then on; a watch of the routes that hangs was waited for until its own end, 2 s and 0.7 s. What others passed on meanwhile was kept but not put in force.

Why this works: the watch ends with the first failed reading, and the routes that others have passed on are taken.

--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -331,7 +331,15 @@
             return Ok(self.await_passed(after, wait).await);
         }
         let watching = self.store.watch_book(after, wait);
-        let news = limited(wait + self.times.read_limit, watching).await?;
+        let watching = limited(wait + self.times.read_limit, watching);
+        let mut state = self.members.state.subscribe();
+        let news = tokio::select! {
+            news = watching => news?,
+            // The store no longer answers this instance. A watch that hangs must not keep it from what others know.
+            _ = state.wait_for(|state| !state.reads_store) => {
+                return Ok(BookNews::Unchanged(after, None));
+            }
+        };
         match &news {
             BookNews::Changed(reading) => self.keep_book(reading),
             BookNews::Unchanged(_, Some(as_of)) => self.note_unchanged(*as_of),
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -24,6 +24,7 @@
     engine: Value,
     limits: Value,
     orders: &'static str,
+    poll: &'static str,
     revoked_within: &'static str,
     ratio: u32,
     routes: Vec<Value>,
@@ -50,6 +51,7 @@
             engine: json!({"Slots": 64, "KvCapacityTokens": 37745, "HandleTtlS": 0.5, "HoldMs": 2000.0}),
             limits: json!({"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}),
             orders: "false",
+            poll: "1s",
             revoked_within: "null",
             ratio: 20,
             routes: Vec::new(),
@@ -99,6 +101,12 @@
         self
     }
 
+    /// How long a watch of the routes waits for news.
+    pub fn poll(mut self, time: &'static str) -> Self {
+        self.poll = time;
+        self
+    }
+
     /// A plain service.
     pub fn plain(mut self, service: &str, count: usize) -> Self {
         self.services
@@ -186,12 +194,12 @@
     fn settings(&self, name: &str, store: SocketAddr, listen: &str) -> String {
         format!(
             "instance: {name}\nzone: gijon\nlisten: {{admin: '127.0.0.1:0', callers: '127.0.0.1:0'{listen}}}\n\
-             platform: {{address: '{store}', list_poll: 50ms, poll: 1s, timeout: 2s}}\n\
+             platform: {{address: '{store}', list_poll: 50ms, poll: {}, timeout: 2s}}\n\
              retries: {{ratio: {}, window: 10s}}\n\
              close: {{settle: 50ms, limit: 20s}}\nupstreams: {{connect: 2s, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n\
              customers: {{revoked_within: {}}}\n",
-            self.ratio, self.orders, self.revoked_within
+            self.poll, self.ratio, self.orders, self.revoked_within
         )
     }
 
--- a/crates/trestlewalk/tests/relay_zone.rs
+++ b/crates/trestlewalk/tests/relay_zone.rs
@@ -87,6 +87,24 @@
     }
 }
 
+/// A watch of the routes that hangs does not keep a reader from those that another instance has read.
+#[tokio::test]
+async fn a_reader_that_the_store_leaves_without_an_answer_takes_the_routes_of_others() {
+    let mut run = RelayTest::new()
+        .plain("carta", 2)
+        .route("/t/", "safe", "carta", &json!({}))
+        .poll("300s")
+        .start_zone(3)
+        .await;
+    for index in 0..3 {
+        run.wait_status(index, "/t/1", 200).await;
+    }
+    let reader = run.wait_one_reads().await;
+    run.instances[reader].way.set(RelayMode::Silent);
+    add_route(&mut run, "/new/");
+    run.wait_status(reader, "/new/1", 200).await;
+}
+
 #[tokio::test]
 async fn a_reader_that_wakes_from_a_long_pause_brings_nothing_old_back() {
     let mut run = start_zone().await;
