spread: the age of news includes their way

Found by reading, while lists were traced that were older than they were taken for: an instance dated news by the age that they had when they were sent. The routes had their way added, the list of upstreams had not.

--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -125,7 +125,7 @@
         way: Duration,
     ) -> Option<UpstreamReading> {
         let now = steady_clock::now();
-        let read = now.checked_sub(news.age).unwrap_or(now);
+        let read = news.read_at(way, now);
         if let Some(members) = news.members {
             self.members.replace(members);
         }
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -8,7 +8,7 @@
         CallerLimits, CustomerBook, CustomerRow, RouteBook, ServiceInfo, StoreVersion, WorkRoute,
     },
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// The state of a reader's list: which life of which reader, and how many changes it has seen.
@@ -173,6 +173,13 @@
     }
 }
 
+impl SpreadNews {
+    /// When the store was read for this, at the latest; its way may have been long, as when the asker stood still meanwhile.
+    pub fn read_at(&self, way: Duration, now: Instant) -> Instant {
+        now.checked_sub(self.age + way).unwrap_or(now)
+    }
+}
+
 impl From<&RouteBook> for BookCopy {
     fn from(book: &RouteBook) -> Self {
         let services = book.services.values();
