spread: old news are not asked for again at once

Cause, two of one kind. A reader that can't read answers at once, as long as its news are not 2.15 s old; an asker whose own are over 1.25 s takes them, and asks again.

Why this works: an instance that has old news alone rests for 300 ms, or until it is its turn to read the store. That an instance asks ends the rest of one that was silent, not that of one without news, unless the store answers it.

--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -77,6 +77,9 @@
     deputy_until: Option<Instant>,
     /// Those behind this one that the store answers, each until it has to be heard again.
     deputies: BTreeMap<InstanceId, Instant>,
+    /// Helpers that had no news when they were asked, each until it may be asked again. That they ask themselves changes nothing
+    /// of it, unless the store answers them.
+    empty: BTreeMap<InstanceId, Instant>,
     /// The members of other zones in the order in which they are to read.
     elsewhere: BTreeMap<ZoneId, Vec<InstanceId>>,
     /// Since when this instance is the first that answers: nobody before it has given an answer since.
@@ -115,6 +118,7 @@
             *until = (*until).max(read + self.times.service);
         }
         self.rests.remove(from);
+        self.empty.remove(from);
         self.awaited = None;
         self.unreadable_since = None;
         self.vain = 0;
@@ -131,6 +135,9 @@
     /// An instance asked for news. Gives whether what this one does next changes by it.
     pub fn asked(&mut self, by: &MemberRow, state: AskerState, now: Instant) -> bool {
         self.rests.remove(&by.instance);
+        if state.reads {
+            self.empty.remove(&by.instance);
+        }
         if by.zone != self.zone {
             return false;
         }
@@ -207,6 +214,7 @@
             deputy_until: None,
             deputies: BTreeMap::new(),
             elsewhere: BTreeMap::new(),
+            empty: BTreeMap::new(),
             first_since: None,
             heard: BTreeMap::new(),
             own_read: None,
@@ -252,6 +260,12 @@
         let ranked = &self.ranked;
         self.heard.retain(|member, _| ranked.contains(member));
         self.deputies.retain(|member, _| ranked.contains(member));
+        let elsewhere = &self.elsewhere;
+        let is_known = |member: &InstanceId| {
+            let mut others = elsewhere.values();
+            ranked.contains(member) || others.any(|others| others.contains(member))
+        };
+        self.empty.retain(|member, _| is_known(member));
         for member in ranked {
             self.heard.entry(member.clone()).or_insert(now);
         }
@@ -326,8 +340,7 @@
         self.awaited = None;
         self.rests.remove(from);
         if !self.is_before(from) {
-            self.rests
-                .insert(from.clone(), ReaderRest::new(HELPER_REST, now));
+            self.empty.insert(from.clone(), now + HELPER_REST);
             self.deputies.remove(from);
             return true;
         }
@@ -354,8 +367,8 @@
 
     fn ask(&mut self, from: InstanceId, now: Instant) -> ReadStep {
         let since = self.note_question(&from, now);
-        let is_trusted =
-            self.vain == 0 && self.news_read.is_some() && !self.rests.contains_key(&from);
+        let is_doubted = self.rests.contains_key(&from) || self.empty.contains_key(&from);
+        let is_trusted = self.vain == 0 && self.news_read.is_some() && !is_doubted;
         let patience = match is_trusted {
             true => self.times.call_limit,
             false => self.times.try_limit,
@@ -396,7 +409,8 @@
     }
 
     fn is_awake(&self, member: &InstanceId, now: Instant) -> bool {
-        self.rests.get(member).is_none_or(|rest| rest.is_over(now))
+        let is_empty = self.empty.get(member).is_some_and(|until| now < *until);
+        !is_empty && self.rests.get(member).is_none_or(|rest| rest.is_over(now))
     }
 
     /// Whether a member of the zone is before this instance.
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -29,7 +29,7 @@
     },
 };
 
-/// The pause after an instance that has no news: it looks for some with pauses of this length itself.
+/// The pause after an instance that has no news, or old ones: it looks for new ones with pauses of this length itself.
 const NO_NEWS_PAUSE: Duration = Duration::from_millis(300);
 /// The pause after an instance that gave no answer.
 const FAILED_PAUSE: Duration = Duration::from_millis(20);
@@ -189,6 +189,15 @@
         Ok(reading)
     }
 
+    /// Rests after an instance that has no news, or old ones; not beyond the turn of this one.
+    async fn rest(&self, turn: Option<Instant>) {
+        tokio::select! {
+            () = time::sleep(NO_NEWS_PAUSE) => {}
+            () = self.changed.notified() => {}
+            () = sleep_until(turn) => {}
+        }
+    }
+
     /// What the store answers within a time.
     async fn within<T>(
         &self,
@@ -286,6 +295,9 @@
                             if self.members.plan.lock().is_first(now) {
                                 self.refresh(now, false).await;
                             }
+                            if self.members.plan.lock().is_stale(now) {
+                                self.rest(turn).await;
+                            }
                             return Ok(reading);
                         }
                         AskEnd::NoAnswer(error) => {
@@ -294,11 +306,7 @@
                             time::sleep(FAILED_PAUSE).await;
                         }
                         AskEnd::NoNews(error) => {
-                            tokio::select! {
-                                () = time::sleep(NO_NEWS_PAUSE) => {}
-                                () = self.changed.notified() => {}
-                                () = sleep_until(turn) => {}
-                            }
+                            self.rest(turn).await;
                             return Err(error);
                         }
                         // The rest is asked for.
--- a/crates/spread/tests/fleet_fuzz.rs
+++ b/crates/spread/tests/fleet_fuzz.rs
@@ -344,3 +344,22 @@
         }
     }
 }
+
+/// While its reader has old news alone, an instance does not ask for them again and again.
+#[test]
+fn old_news_are_not_asked_for_again_at_once() {
+    for mode in [StoreMode::Refuses, StoreMode::Silent] {
+        for each in [2, 3, 20] {
+            let mut model = FleetModel::new(ZONES, each);
+            model.run(seconds(6));
+            let all = ZONES * each;
+            model.fault(&FleetFault::Store(mode, 0, all, seconds(6)));
+            for _ in 0..12 {
+                let before = model.questions;
+                model.run(Duration::from_millis(500));
+                let asked = model.questions - before;
+                assert!(asked <= 6 * all, "{mode:?} {each}: {asked} in 0.5 s");
+            }
+        }
+    }
+}
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -127,6 +127,8 @@
     each: usize,
     nodes: Vec<Node>,
     now: Instant,
+    /// How many questions went from one instance to another.
+    pub questions: usize,
     rows: Vec<MemberRow>,
     start: Instant,
     /// The reports in the store.
@@ -160,6 +162,7 @@
             each,
             nodes: nodes.collect(),
             now,
+            questions: 0,
             start: now,
             store: ReportJournal::new(1, QUARANTINE),
             times,
@@ -411,6 +414,7 @@
                     .position(|row| row.instance == from)
                     .unwrap();
                 let life = self.nodes[to].life;
+                self.questions += 1;
                 let node = &mut self.nodes[index];
                 let known = node.report_mark.as_ref();
                 let known = known.filter(|(of, _)| *of == from).map(|(_, mark)| *mark);
@@ -530,6 +534,9 @@
                 if news.version >= node.heard {
                     node.hear(news.version);
                 }
+                if node.plan.is_stale(now) {
+                    node.doing = Doing::Resting(rest_end(now, question.turn));
+                }
             }
             Some(SpreadReply::Unreadable { age, reports, .. }) => {
                 node.take_reports(from, &reports, now);
@@ -538,8 +545,7 @@
                     return;
                 }
                 node.state.note_failure(ReadFailure::NoNews, now);
-                let pause = now + NO_NEWS_PAUSE;
-                node.doing = Doing::Resting(question.turn.map_or(pause, |turn| turn.min(pause)));
+                node.doing = Doing::Resting(rest_end(now, question.turn));
             }
             None if now >= question.began + question.limit => {
                 node.plan.failed(from, now);
@@ -585,6 +591,12 @@
     }
 }
 
+/// Until when an instance rests after one without news, or with old ones.
+fn rest_end(now: Instant, turn: Option<Instant>) -> Instant {
+    let end = now + NO_NEWS_PAUSE;
+    turn.map_or(end, |turn| turn.min(end))
+}
+
 impl Node {
     fn new(row: &MemberRow, rows: &[MemberRow], times: SpreadTimes, now: Instant) -> Self {
         let mut plan = ReaderPlan::new(row.instance.clone(), row.zone.clone(), times);
