relay: an upstream that the list lacks after a short silence has left

What callers saw: requests at an upstream up to 2.9 s after it had left the list (DRAIN), at instances whose list was read 0.7 s before and had not got it any more.

Cause: after an outage of the store upstreams that the list lacks are kept for 1.9 s, since those alive may not have been able to report. Any failed reading counted as an outage, also a question of 1.25 s to one dead reader, and it was told on: a reader that was cut off for a moment made all that asked it keep what had left.

Why this works: an entry lapses after three heartbeats without a report, so no outage of under two heartbeats makes one lapse. Upstreams are kept only where two of these lie between the last two readings. Each instance sees that itself: how long ago an outage ended is told no more.

an_upstream_that_left_during_a_short_outage_gets_no_work failed before (3 of 8 requests went there).

--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -38,10 +38,10 @@
 /// The list of upstreams at one version of the store.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamReading {
+    /// When the store was read; none for just now.
+    pub as_of: Option<Instant>,
     /// Rows that can't be read, with the reason.
     pub faults: Vec<String>,
-    /// When an outage of the store ended, as far as the reader of this list knows of one.
-    pub outage_ended: Option<Instant>,
     /// Whether another instance read it.
     pub passed_on: bool,
     /// The upstreams.
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -23,6 +23,8 @@
 /// The times of a [`SourceWatch`].
 #[derive(Clone, Copy, Debug, bon::Builder)]
 pub struct WatchTimes {
+    /// An outage of the store that is shorter makes no upstream lapse from the list.
+    pub lapse: Duration,
     /// The pause after a reading of the list that failed.
     pub list_retry: Duration,
     /// From one reading of the list to the next. An upstream that leaves gets no new work after this and one call.
@@ -133,6 +135,7 @@
         let mut lost_since: Option<Instant> = None;
         let mut reason = CallReason::Start;
         let mut heard: StoreVersion = 0;
+        let mut last_read: Option<Instant> = None;
         loop {
             clock.tick().await;
             let reading = self.source.read_upstreams(reason);
@@ -146,14 +149,19 @@
                     };
                     self.core.counts.note_read("upstreams", outcome);
                     reason = CallReason::Period;
-                    let outage_ended = lost_since.take().map(|_| now);
-                    if outage_ended.is_some() {
+                    let was_lost = lost_since.take().is_some();
+                    if was_lost {
                         tracing::info!("the store answers again");
                         self.regained.notify_one();
                     }
                     if reading.version >= heard {
                         heard = reading.version;
-                        self.take_list(&reading, outage_ended.or(reading.outage_ended), now);
+                        let read = reading.as_of.unwrap_or(now);
+                        let gap = last_read.map(|last| read.saturating_duration_since(last));
+                        let may_lapse = gap.is_some_and(|gap| gap >= self.times.lapse);
+                        let outage_ended = (was_lost && may_lapse).then_some(now);
+                        last_read = last_read.max(Some(read));
+                        self.take_list(&reading, outage_ended, now);
                     }
                     if reading.waited {
                         clock.reset_immediately();
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -183,7 +183,8 @@
         self.members.plan.lock().store_read(began);
         self.members
             .state
-            .send_modify(|state| state.take_list(&reading, began, now));
+            .send_modify(|state| state.take_list(&reading, began));
+        reading.as_of = Some(began);
         reading.waited = true;
         self.refresh(now, true).await;
         Ok(reading)
--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -147,8 +147,8 @@
         }
         drop(plan);
         let reading = UpstreamReading {
+            as_of: Some(read),
             faults: Vec::new(),
-            outage_ended: news.outage_age.and_then(|age| now.checked_sub(age)),
             passed_on: true,
             records,
             version: news.version,
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -128,8 +128,6 @@
     pub mark: ReadingMark,
     /// The members of all zones, when the asker has others.
     pub members: Option<Vec<MemberRow>>,
-    /// How long ago an outage of the store ended, if the reader has seen one.
-    pub outage_age: Option<Duration>,
     /// How long the store has refused the one asked, which was to read it, without a reading of anybody since.
     pub refused: Option<Duration>,
     /// Upstreams that ended under requests.
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -44,7 +44,6 @@
     /// The members of all zones.
     pub members: Vec<MemberRow>,
     members_digest: u64,
-    outage_ended: Option<Instant>,
     /// When the store was read for what is known; none before the first time.
     read: Option<Instant>,
     /// Counts what askers are told at once: readings, own ones and passed on ones, and that the store refuses.
@@ -75,7 +74,6 @@
                 reports,
             };
         };
-        let ended = self.outage_ended;
         SpreadReply::News(Box::new(SpreadNews {
             age,
             book: self.passed_book(request, now),
@@ -85,7 +83,6 @@
             mark: self.journal.mark(),
             members: (request.members != self.members_digest).then(|| self.members.clone()),
             refused: self.refused_for(now),
-            outage_age: ended.map(|ended| now.saturating_duration_since(ended)),
             reports,
             version: self.version,
         }))
@@ -132,7 +129,6 @@
             journal: ListJournal::new(life),
             members: Vec::new(),
             members_digest: 0,
-            outage_ended: None,
             read: None,
             news_count: 0,
             reads_store: false,
@@ -164,11 +160,8 @@
     }
 
     /// Takes a reading of the store by this instance in.
-    pub fn take_list(&mut self, reading: &UpstreamReading, began: Instant, now: Instant) {
+    pub fn take_list(&mut self, reading: &UpstreamReading, began: Instant) {
         self.reads_store = true;
-        if self.unreadable {
-            self.outage_ended = Some(now);
-        }
         self.take_records(reading, began);
     }
 
@@ -176,9 +169,6 @@
     /// gone through row by row.
     pub fn take_passed(&mut self, reading: &UpstreamReading, read: Instant, digest: &ListDigest) {
         self.reads_store = false;
-        if reading.outage_ended > self.outage_ended {
-            self.outage_ended = reading.outage_ended;
-        }
         if reading.version < self.version {
             return;
         }
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -486,7 +486,7 @@
             version,
             ..UpstreamReading::default()
         };
-        node.state.take_list(&reading, began, now);
+        node.state.take_list(&reading, began);
         let news = self.store.news_since(node.store_mark, now);
         node.store_mark = Some(news.mark);
         node.state
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -147,7 +147,7 @@
 fn news_that_were_long_on_their_way_are_as_old_as_that() {
     let start = Instant::now();
     let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
-    state.take_list(&UpstreamReading::default(), start, start);
+    state.take_list(&UpstreamReading::default(), start);
     let second = Duration::from_secs(1);
     let reply = state.answer(&request(), 2 * second, start + second);
     let SpreadReply::News(news) = reply else {
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -38,6 +38,9 @@
 const START_CONDITION: &str = "routes";
 /// How long a reading by way of other instances may take. It bounds its own steps; this is for faults in it.
 const SHARED_READ_LIMIT: Duration = Duration::from_secs(10);
+/// An entry of the list lapses after three heartbeats without a report, the last of which came within one heartbeat before an
+/// outage.
+const LAPSE_HEARTBEATS: u32 = 2;
 /// The pause after a reading by way of other instances that failed: it paces its own calls.
 const SHARED_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// The pause after a reading of the store that failed.
@@ -326,6 +329,7 @@
     let within = settings.customers.revoked_within;
     let watch_wait = within.map_or(platform.poll, |within| platform.poll.min(within / 5));
     WatchTimes::builder()
+        .lapse(settings.upstreams.heartbeat * LAPSE_HEARTBEATS)
         .list_retry(list_retry)
         .list_period(platform.list_poll)
         .read_limit(read_limit)
--- a/crates/trestlewalk/src/settings/relay_settings.rs
+++ b/crates/trestlewalk/src/settings/relay_settings.rs
@@ -250,6 +250,9 @@
     /// How long a connection may take to come about.
     #[serde_as(as = "HumanDuration")]
     pub connect: Duration,
+    /// How often an upstream reports to the platform's list.
+    #[serde_as(as = "HumanDuration")]
+    pub heartbeat: Duration,
     /// Whether prompts are read by the engines of the prefill stage, or by the decode engine that goes on with them.
     pub reads_apart: bool,
     /// How long an upstream may be unheard before its connection counts as lost.
@@ -261,6 +264,7 @@
     fn default() -> Self {
         Self {
             connect: Duration::from_millis(100),
+            heartbeat: Duration::from_secs(1),
             reads_apart: true,
             unheard: Duration::from_secs(2),
         }
@@ -333,6 +337,7 @@
         ("quarantine.life", settings.quarantine.life),
         ("retries.window", settings.retries.window),
         ("upstreams.connect", settings.upstreams.connect),
+        ("upstreams.heartbeat", settings.upstreams.heartbeat),
         ("upstreams.unheard", settings.upstreams.unheard),
     ] {
         if duration.is_zero() {
--- a/crates/trestlewalk/tests/relay_config.rs
+++ b/crates/trestlewalk/tests/relay_config.rs
@@ -118,6 +118,30 @@
     .await;
 }
 
+/// No upstream lapses while the store is away for less than its heartbeats: one that the list lacks has left.
+#[tokio::test]
+async fn an_upstream_that_left_during_a_short_outage_gets_no_work() {
+    let run = one_route().heartbeat("60s").start_ready().await;
+    run.store.set_down(true);
+    let calls = run.store.calls("/rows-get");
+    wait_until("the outage is noticed", async || {
+        run.store.calls("/rows-get") > calls + 1
+    })
+    .await;
+    run.store.remove("servers", "i-carta-0");
+    run.store.set_down(false);
+    let calls = run.store.calls("/rows-get");
+    wait_until("the list is read and taken", async || {
+        run.store.calls("/rows-get") > calls + 2
+    })
+    .await;
+    let before = run.upstreams[0].runs().len();
+    for _ in 0..8 {
+        assert_eq!(run.call("GET", "/t/1", "").await.status(), 200);
+    }
+    assert_eq!(run.upstreams[0].runs().len(), before);
+}
+
 #[tokio::test]
 async fn a_store_that_talks_nonsense_changes_nothing() {
     let run = one_route().start_ready().await;
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -22,6 +22,7 @@
     customers: Option<Value>,
     elsewhere: Vec<String>,
     engine: Value,
+    heartbeat: &'static str,
     limits: Value,
     orders: &'static str,
     poll: &'static str,
@@ -49,6 +50,7 @@
             customers: None,
             elsewhere: Vec::new(),
             engine: json!({"Slots": 64, "KvCapacityTokens": 37745, "HandleTtlS": 0.5, "HoldMs": 2000.0}),
+            heartbeat: "25ms",
             limits: json!({"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}),
             orders: "false",
             poll: "1s",
@@ -95,6 +97,12 @@
         self
     }
 
+    /// How often upstreams report to the list.
+    pub fn heartbeat(mut self, time: &'static str) -> Self {
+        self.heartbeat = time;
+        self
+    }
+
     /// Lets the instance order engines to change their stage.
     pub fn orders(mut self) -> Self {
         self.orders = "true";
@@ -196,10 +204,10 @@
             "instance: {name}\nzone: gijon\nlisten: {{admin: '127.0.0.1:0', callers: '127.0.0.1:0'{listen}}}\n\
              platform: {{address: '{store}', list_poll: 50ms, poll: {}, timeout: 2s}}\n\
              retries: {{ratio: {}, window: 10s}}\n\
-             close: {{settle: 50ms, limit: 20s}}\nupstreams: {{connect: 2s, unheard: 10s}}\n\
+             close: {{settle: 50ms, limit: 20s}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n\
              customers: {{revoked_within: {}}}\n",
-            self.poll, self.ratio, self.orders, self.revoked_within
+            self.poll, self.ratio, self.heartbeat, self.orders, self.revoked_within
         )
     }
 
