spread: what left while a reader restarted leaves its followers' lists

What callers saw: requests at an upstream that had left the list, for as long as the upstream went on answering (DRAIN: 2.2 to 2.9 s after, and later ones), at an instance whose list was new every 0.9 s.

Cause: an asker tells the mark of the list that it has from this reader, or else the digests of its parts. A reader with another life can't use the mark, took the asker for one that has nothing, and sent what it has: parts that are empty meanwhile were left out. The asker's rows of these stayed until the next change of the same part, or for good.

Why this works: an asker that told a mark alone, which means nothing to the reader, gets an answer without parts, and tells its digests with the next question. That costs one short exchange, and then only what differs goes over, where the whole list did.

--- a/crates/spread/src/list_journal.rs
+++ b/crates/spread/src/list_journal.rs
@@ -35,11 +35,18 @@
 }
 
 impl ListJournal {
-    /// What an asker has to change whose list has this mark, or else these digests of its parts.
+    /// What an asker has to change whose list has this mark, or else these digests of its parts. One that told a mark alone,
+    /// which means nothing here, gets an answer without parts and tells its digests then.
     pub fn change_since(&self, have: Option<ReadingMark>, digests: &[u64]) -> ListChange {
         let known = have.filter(|have| have.life == self.mark.life && have.revision >= self.floor);
         let Some(known) = known else {
-            return self.differing_parts(digests);
+            return match have.is_some() && digests.is_empty() {
+                true => ListChange::Parts {
+                    is_last: false,
+                    parts: Vec::new(),
+                },
+                false => self.differing_parts(digests),
+            };
         };
         let mut changed = Vec::new();
         let mut gone = Vec::new();
@@ -119,7 +126,7 @@
         for number in 0..=PartNumber::MAX {
             let index = usize::from(number);
             let own = self.digest.parts()[index];
-            // An asker that tells no digests has nothing; an empty part has the digest 0.
+            // An empty part has the digest 0.
             if own == digests.get(index).copied().unwrap_or_default() {
                 continue;
             }
--- a/crates/spread/src/list_mirror.rs
+++ b/crates/spread/src/list_mirror.rs
@@ -58,6 +58,14 @@
         (from == reader).then_some(*mark)
     }
 
+    /// What a reader is told of this list: its state there, or else the digests of its parts.
+    pub fn known_at(&self, reader: &InstanceId) -> (Option<ReadingMark>, Vec<u64>) {
+        match self.mark(reader) {
+            Some(mark) => (Some(mark), Vec::new()),
+            None => (None, self.digest.parts().to_vec()),
+        }
+    }
+
     /// The list.
     pub fn records(&self) -> Vec<UpstreamRecord> {
         self.rows.values().cloned().collect()
--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -91,11 +91,7 @@
         let waited = plan.waited(to, steady_clock::now());
         drop(plan);
         let mirror = self.mirror.lock();
-        let list = mirror.mark(to);
-        let list_digests = match list {
-            Some(_) => Vec::new(),
-            None => mirror.digest().parts().to_vec(),
-        };
+        let (list, list_digests) = mirror.known_at(to);
         drop(mirror);
         let reports_known = self.reports_known(to);
         let state = self.members.state.borrow();
