spread: whoever has read something answers an urgent question at once

Cause: an instance without new news asks with 200 ms of patience, to be answered with what is known. One whose own reading hangs for its 0.7 s held such a question back, looked dead, and so did the next ones: after four, each instance of the zone read the store.

Why this works: old news, or that there are none, are an answer too. The asker rests for 300 ms and has not failed in vain. Only one that has never read anything holds the question back, since its first reading is about to come.

the_death_of_a_reader_while_the_store_is_silent_brings_no_herd: 20 calls before.

--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -106,7 +106,7 @@
         }
 
         if request.at_once {
-            return self.unreadable || self.is_fresh(times.call_limit, now);
+            return self.unreadable || self.book.is_some() && self.read.is_some();
         }
         let has_book = self.newer_book(request).is_some();
         if self.unreadable && has_book {
--- a/crates/spread/tests/fleet_fuzz.rs
+++ b/crates/spread/tests/fleet_fuzz.rs
@@ -363,3 +363,15 @@
         }
     }
 }
+
+/// A reader dies while the store is silent: those that ask the next one do not each read the store.
+#[test]
+fn the_death_of_a_reader_while_the_store_is_silent_brings_no_herd() {
+    let mut model = calm();
+    let span = Duration::from_millis(1_400);
+    model.fault(&FleetFault::Store(StoreMode::Silent, 0, 39, span));
+    model.fault(&FleetFault::KillReader(1));
+    model.run(span + SETTLED);
+    let most = model.most_calls_a_second();
+    assert!(most <= CALLS_A_ZONE_AND_SECOND, "{most} calls in a second");
+}
