spread: newer news than the asker's are not held back

Found by fleet_fuzz with 500 cases: news 1.39 s old, four seconds after the last fault, where 1.25 are allowed.

Cause: a question is held back until there is a next reading. A deputy that goes back to its reader, when that reads again, has older news than the reader has already, and waited for the next ones with them.

Why this works: a question tells how old the asker's news are, and is answered at once by one whose own are newer by a quarter of a period.

newer_news_are_not_held_back: 1.39 s before.

--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -283,6 +283,12 @@
         silent.map(|(member, _)| member.clone()).collect()
     }
 
+    /// How long ago the store was read for the news that this instance has.
+    pub fn news_age(&self, now: Instant) -> Option<Duration> {
+        self.news_read
+            .map(|read| now.saturating_duration_since(read))
+    }
+
     /// How many questions went to an instance since its last answer.
     pub fn questions(&self, to: &InstanceId) -> u32 {
         self.awaited(to).map_or(0, |awaited| awaited.questions)
--- a/crates/spread/src/shared_source/asking.rs
+++ b/crates/spread/src/shared_source/asking.rs
@@ -89,6 +89,7 @@
         let AskerState { passed_over, reads } = plan.state(steady_clock::now());
         let is_refused = plan.is_refused();
         let waited = plan.waited(to, steady_clock::now());
+        let news_age = plan.news_age(steady_clock::now());
         drop(plan);
         let mirror = self.mirror.lock();
         let (list, list_digests) = mirror.known_at(to);
@@ -103,6 +104,7 @@
             list,
             list_digests,
             members: state.members_digest(),
+            news_age,
             passed_over,
             reads,
             reports: state.reports.to_tell(steady_clock::now()),
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -37,6 +37,8 @@
     pub list_digests: Vec<u64>,
     /// The digest of the members that the asker has.
     pub members: u64,
+    /// How long ago the store was read for what the asker has; none when it has nothing.
+    pub news_age: Option<Duration>,
     /// Whether instances before the one asked gave the asker no answer.
     pub passed_over: bool,
     /// Whether the store answers the asker.
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -16,6 +16,9 @@
 /// Routes that were not known to be the newest for so long are told to be at once: after an outage keys may wait for that.
 const LATE_BOOK: Duration = Duration::from_secs(2);
 
+/// News are newer than an asker's by at least this part of a period; less than that may be their way.
+const NEWER_SHARE: u32 = 4;
+
 /// From so many late readings in a row on askers are told: one alone may just have taken too long, and those that would try in
 /// its place may be smaller than the reader.
 const TOLD_FAILURES: u32 = 2;
@@ -112,7 +115,11 @@
         if self.unreadable && has_book {
             return true;
         }
-        let has_more = has_book || self.reports.has_news(request.reports_known);
+        let is_behind = request.news_age.is_some_and(|age| {
+            let newer = |own| own + times.period / NEWER_SHARE < age;
+            self.age(now).is_some_and(newer)
+        });
+        let has_more = is_behind || has_book || self.reports.has_news(request.reports_known);
         self.is_fresh(times.stale, now) && has_more
     }
 
--- a/crates/spread/tests/fleet_fuzz.rs
+++ b/crates/spread/tests/fleet_fuzz.rs
@@ -375,3 +375,14 @@
     let most = model.most_calls_a_second();
     assert!(most <= CALLS_A_ZONE_AND_SECOND, "{most} calls in a second");
 }
+
+/// A deputy goes back to its reader, which has newer news: it does not wait for the next ones.
+#[test]
+fn newer_news_are_not_held_back() {
+    let mut model = calm();
+    let span = Duration::from_millis(2_700);
+    model.fault(&FleetFault::Store(StoreMode::Silent, 0, 31, span));
+    model.run(span + SETTLED);
+    let oldest = model.oldest_news();
+    assert!(oldest < Duration::from_millis(1_250), "{oldest:?}");
+}
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -25,6 +25,7 @@
         list: None,
         list_digests: Vec::new(),
         members: 0,
+        news_age: Some(Duration::ZERO),
         passed_over: false,
         reads: false,
         reports: Vec::new(),
