relay: the age of the list of upstreams, as a metric and in the log

How old the list was when a request came (list_age_ms) counted from the moment at which the list arrived: a list that came over others and was 2 s old by then was 0 ms old. It counts from the reading of the store on.

The age of the routes is not told the same way yet: a watch that brings no news says nothing between its ends.

--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -170,6 +170,11 @@
         true
     }
 
+    /// The list that was taken in last was read at this moment.
+    pub fn date_list(&mut self, read: Instant) {
+        self.read_at = Some(read);
+    }
+
     /// How long ago the list was read; zero before the first reading.
     pub fn list_age(&self, now: Instant) -> Duration {
         let read = self.read_at.map(|read| now.saturating_duration_since(read));
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -5,8 +5,8 @@
     kernel::ResultCode,
     policy::CallVerdict,
     prometheus::{
-        HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-        core::Collector,
+        Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+        Registry, core::Collector,
     },
     std::time::Duration,
 };
@@ -17,6 +17,10 @@
 /// How questions for readings of other instances end; each is exposed from the start.
 const PEER_READ_OUTCOMES: [&str; 3] = ["answered", "dropped", "failed"];
 
+/// The upper bounds of the histogram of list ages, seconds: around a period of readings and the time within which an upstream
+/// that leaves gets no new work.
+const LIST_AGE_BOUNDS: [f64; 8] = [0.5, 0.9, 1.0, 1.25, 1.5, 1.75, 2.0, 4.0];
+
 /// What may be found out about an upstream after a run was lost there; each is exposed from the start.
 const LOSS_STATES: [&str; 4] = ["answers", "ended", "leaving", "silent"];
 
@@ -29,6 +33,8 @@
     pub customers: CustomerCounts,
     /// From the request to the first byte of its answer, by row.
     first_byte: HistogramVec,
+    /// How old the list of upstreams was when the next one took its place.
+    list_age: Histogram,
     /// Runs lost with their connections, by what became of the upstream.
     losses: IntCounterVec,
     /// Questions for readings of other instances, by how they ended.
@@ -54,6 +60,12 @@
 impl RelayCounts {
     /// Counters at zero.
     pub fn new() -> Self {
+        let list_age = HistogramOpts::new(
+            "trestlewalk_relay_list_age_seconds",
+            "Age of the list of upstreams when the next one took its place.",
+        );
+        let list_age =
+            Histogram::with_opts(list_age.buckets(LIST_AGE_BOUNDS.to_vec())).expect(WELL_FORMED);
         let losses = counters(
             "trestlewalk_relay_losses_total",
             "Upstreams examined after a lost run, by what was found.",
@@ -90,6 +102,7 @@
                 "Time from a request to the first byte of its answer, by row.",
                 &["work"],
             ),
+            list_age,
             losses,
             peer_reads,
             quarantined: gauge(
@@ -142,6 +155,11 @@
         self.calls.with_label_values(&[upstream, label]).inc();
     }
 
+    /// Notes how old the list of upstreams was when the next one took its place.
+    pub fn note_list_age(&self, age: Duration) {
+        self.list_age.observe(age.as_secs_f64());
+    }
+
     /// Counts what was found out about an upstream after a run was lost there.
     pub fn note_loss(&self, state: &str) {
         self.losses.with_label_values(&[state]).inc();
@@ -180,6 +198,7 @@
         register(registry, &self.calls)?;
         self.customers.register(registry)?;
         register(registry, &self.first_byte)?;
+        register(registry, &self.list_age)?;
         register(registry, &self.losses)?;
         register(registry, &self.peer_reads)?;
         register(registry, &self.quarantined)?;
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -17,6 +17,9 @@
 /// a small part of the bound within which an edit is in force.
 const EDIT_PAUSE: Duration = Duration::from_millis(200);
 
+/// A list that is as old as so many periods before the next one comes is logged.
+const LATE_PERIODS: u32 = 2;
+
 /// The longest pause between tries to write reports: a store that is down is asked this often, and others know meanwhile.
 const LONGEST_WRITE_PAUSE: Duration = Duration::from_secs(5);
 
@@ -160,6 +163,9 @@
                         let gap = last_read.map(|last| read.saturating_duration_since(last));
                         let may_lapse = gap.is_some_and(|gap| gap >= self.times.lapse);
                         let outage_ended = (was_lost && may_lapse).then_some(now);
+                        if let Some(last) = last_read {
+                            self.note_replaced(now.saturating_duration_since(last), &reading);
+                        }
                         last_read = last_read.max(Some(read));
                         self.take_list(&reading, outage_ended, now);
                     }
@@ -214,6 +220,19 @@
         Ok(Some(self.take_reading(reading)))
     }
 
+    /// The list was as old as this when the next one took its place.
+    fn note_replaced(&self, age: Duration, reading: &UpstreamReading) {
+        self.core.counts.note_list_age(age);
+        if age >= self.times.list_period * LATE_PERIODS {
+            tracing::info!(
+                age_ms = age.as_millis() as u64,
+                passed_on = reading.passed_on,
+                version = reading.version,
+                "the list of upstreams was late"
+            );
+        }
+    }
+
     /// The routes in force were the newest at a moment, if the source can tell.
     fn note_unchanged(&self, as_of: Option<Instant>) {
         let book = self.core.book.load();
@@ -258,6 +277,7 @@
         self.core.counts.upstreams.set(count);
         let mut board = self.core.board.lock();
         let gone = board.replace(&reading.records, outage_ended, now);
+        board.date_list(reading.as_of.unwrap_or(now));
         drop(board);
         for upstream in &gone {
             self.core.counts.forget_upstream(upstream);
--- a/crates/trestlewalk/tests/docs.rs
+++ b/crates/trestlewalk/tests/docs.rs
@@ -212,6 +212,10 @@
             "{{#Bounds.StrictRevoke}}{{Bounds.RevokeMs}}ms{{/Bounds.StrictRevoke}}{{^Bounds.StrictRevoke}}null{{/Bounds.StrictRevoke}}",
             "5000ms",
         ),
+        (
+            "{{#HeartbeatMs}}{{HeartbeatMs}}ms{{/HeartbeatMs}}{{^HeartbeatMs}}1s{{/HeartbeatMs}}",
+            "1200ms",
+        ),
         ("{{Listen.Ready|json}}", "\"10.1.0.38:8141\""),
         ("{{Listen.Front|json}}", "\"10.1.0.38:8149\""),
         ("{{Ip}}", "10.1.0.38"),
