spread: an instance without news still takes part in sharing customers' use

Since instances without news are left alone for a second, also when they ask, the first instances of zones that the store does not answer got no use of other zones meanwhile.

Whoever answers can add up, whatever the store does: use goes by that alone.

one_without_news_still_takes_part_in_sharing_use failed before.

--- a/crates/spread/src/reader_plan.rs
+++ b/crates/spread/src/reader_plan.rs
@@ -416,7 +416,12 @@
 
     fn is_awake(&self, member: &InstanceId, now: Instant) -> bool {
         let is_empty = self.empty.get(member).is_some_and(|until| now < *until);
-        !is_empty && self.rests.get(member).is_none_or(|rest| rest.is_over(now))
+        !is_empty && self.answers(member, now)
+    }
+
+    /// Whether a member gave an answer when it was asked last, or that is long ago.
+    fn answers(&self, member: &InstanceId, now: Instant) -> bool {
+        self.rests.get(member).is_none_or(|rest| rest.is_over(now))
     }
 
     /// Whether a member of the zone is before this instance.
--- a/crates/spread/src/reader_plan/partners.rs
+++ b/crates/spread/src/reader_plan/partners.rs
@@ -18,7 +18,8 @@
 impl ReaderPlan {
     /// Whom to tell of use: the first before this instance that answers and does not rest, or else the first ones of other zones.
     pub fn use_partners(&self, now: Instant, rests: impl Fn(&InstanceId) -> bool) -> UsePartners {
-        let is_asked = |member: &&InstanceId| self.is_awake(member, now) && !rests(member);
+        // One that the store does not answer can add up all the same.
+        let is_asked = |member: &&InstanceId| self.answers(member, now) && !rests(member);
         let before = self.ranked.iter().take_while(|member| **member != self.own);
         let elsewhere = self.elsewhere.iter().map(|(zone, ranked)| {
             let first = ranked.iter().find(is_asked);
--- a/crates/spread/tests/reader_plan.rs
+++ b/crates/spread/tests/reader_plan.rs
@@ -424,6 +424,23 @@
     assert_eq!(asked(&mut deputy, now + 4 * SECOND), Some(reader));
 }
 
+/// Customers' use is shared also with an instance of another zone that has no news of the store.
+#[test]
+fn one_without_news_still_takes_part_in_sharing_use() {
+    let now = Instant::now();
+    let own = InstanceId::from("front-1");
+    let elsewhere = InstanceId::from("front-2");
+    let mut plan = ReaderPlan::new(own.clone(), ZoneId::from("gijon"), times());
+    let other = MemberRow {
+        zone: ZoneId::from("ferrol"),
+        ..row(&elsewhere, 1)
+    };
+    plan.set_members(&[row(&own, 1), other], now);
+    assert!(plan.unreadable(&elsewhere, SECOND, now));
+    let partners = plan.use_partners(now, |_| false);
+    assert_eq!(partners.zones, [(ZoneId::from("ferrol"), Some(elsewhere))]);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// The instance reads: the one that it asks may be dead, or cut off from it.
