spread: old news are put in force before the rest that follows them

Found by reading the diff: an instance that got old news alone rested before it handed them on, so that they came into force up to 300 ms later than they were there. The model of the fleet takes them at once. The rest is now where the next reading begins. It has no test of its own: what is late by it can't be told from the way of an answer in a test of processes.

--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -55,6 +55,8 @@
     reader: ReaderRole,
     /// Whose reports this instance has, and up to where. Two readers may have the same number of their life.
     report_mark: RankedLock<Option<(InstanceId, ReadingMark)>>,
+    /// When the next reading may begin; none for at once.
+    rest_end: RankedLock<Option<Instant>>,
     store: Arc<S>,
     times: SpreadTimes,
 }
@@ -149,6 +151,7 @@
             mirror: RankedLock::new(LockRank::Readings, ListMirror::default()),
             reader,
             report_mark: RankedLock::new(LockRank::Readings, None),
+            rest_end: RankedLock::new(LockRank::Readings, None),
             store,
             times,
         }
@@ -190,12 +193,20 @@
         Ok(reading)
     }
 
-    /// Rests after an instance that has no news, or old ones; not beyond the turn of this one.
-    async fn rest(&self, turn: Option<Instant>) {
+    /// The next reading begins after a rest, since the last answer had no news, or old ones; not beyond the turn of this instance.
+    fn rest_until(&self, turn: Option<Instant>) {
+        let end = steady_clock::now() + NO_NEWS_PAUSE;
+        *self.rest_end.lock() = Some(turn.map_or(end, |turn| turn.min(end)));
+    }
+
+    /// Waits for the end of a rest, unless something changes.
+    async fn end_rest(&self) {
+        let Some(end) = self.rest_end.lock().take() else {
+            return;
+        };
         tokio::select! {
-            () = time::sleep(NO_NEWS_PAUSE) => {}
+            () = sleep_until(Some(end)) => {}
             () = self.changed.notified() => {}
-            () = sleep_until(turn) => {}
         }
     }
 
@@ -268,6 +279,7 @@
         if self.join.lock().is_none() {
             self.join_paced().await?;
         }
+        self.end_rest().await;
         let mut failed: Option<SourceError> = None;
         loop {
             let step = self.members.plan.lock().choose(steady_clock::now());
@@ -297,7 +309,7 @@
                                 self.refresh(now, false).await;
                             }
                             if self.members.plan.lock().is_stale(now) {
-                                self.rest(turn).await;
+                                self.rest_until(turn);
                             }
                             return Ok(reading);
                         }
@@ -307,7 +319,7 @@
                             time::sleep(FAILED_PAUSE).await;
                         }
                         AskEnd::NoNews(error) => {
-                            self.rest(turn).await;
+                            self.rest_until(turn);
                             return Err(error);
                         }
                         // The rest is asked for.
