--- a/crates/spread/tests/reader_plan.rs
+++ b/crates/spread/tests/reader_plan.rs
@@ -41,6 +41,19 @@
     plan
 }
 
+/// The plan of the one instance of a zone, and the name of the one of another zone.
+fn beside_another_zone(now: Instant) -> (ReaderPlan, InstanceId) {
+    let own = InstanceId::from("front-1");
+    let elsewhere = InstanceId::from("front-2");
+    let mut plan = ReaderPlan::new(own.clone(), ZoneId::from("gijon"), times());
+    let other = MemberRow {
+        zone: ZoneId::from("ferrol"),
+        ..row(&elsewhere, 1)
+    };
+    plan.set_members(&[row(&own, 1), other], now);
+    (plan, elsewhere)
+}
+
 /// Whom an instance asks; none when it reads the store, or has read it just now.
 fn asked(plan: &mut ReaderPlan, now: Instant) -> Option<InstanceId> {
     match plan.choose(now) {
@@ -337,14 +350,7 @@
 #[test]
 fn a_reader_whose_store_fails_probes_it_ever_less_and_asks_other_zones_meanwhile() {
     let start = Instant::now();
-    let own = InstanceId::from("front-1");
-    let elsewhere = InstanceId::from("front-2");
-    let mut plan = ReaderPlan::new(own.clone(), ZoneId::from("gijon"), times());
-    let other = MemberRow {
-        zone: ZoneId::from("ferrol"),
-        ..row(&elsewhere, 1)
-    };
-    plan.set_members(&[row(&own, 1), other], start);
+    let (mut plan, elsewhere) = beside_another_zone(start);
     let mut probes = 0;
     let mut passed = 0;
     let mut now = start;
@@ -428,14 +434,7 @@
 #[test]
 fn one_without_news_still_takes_part_in_sharing_use() {
     let now = Instant::now();
-    let own = InstanceId::from("front-1");
-    let elsewhere = InstanceId::from("front-2");
-    let mut plan = ReaderPlan::new(own.clone(), ZoneId::from("gijon"), times());
-    let other = MemberRow {
-        zone: ZoneId::from("ferrol"),
-        ..row(&elsewhere, 1)
-    };
-    plan.set_members(&[row(&own, 1), other], now);
+    let (mut plan, elsewhere) = beside_another_zone(now);
     assert!(plan.unreadable(&elsewhere, SECOND, now));
     let partners = plan.use_partners(now, |_| false);
     assert_eq!(partners.zones, [(ZoneId::from("ferrol"), Some(elsewhere))]);
--- a/crates/trestlewalk/tests/relay_config.rs
+++ b/crates/trestlewalk/tests/relay_config.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use {
-    relay_support::RelayTest,
+    relay_support::{RelayRun, RelayTest},
     serde_json::{Value, json},
     std::time::Duration,
     support::wait::wait_until,
@@ -87,15 +87,20 @@
     .await;
 }
 
-#[tokio::test]
-async fn entries_that_lapse_while_the_store_is_away_are_kept_for_a_moment_and_then_gone() {
-    let run = one_route().start_ready().await;
+/// Takes the store down and waits until the instance has noticed.
+async fn take_store_down(run: &RelayRun) {
     run.store.set_down(true);
     let calls = run.store.calls("/rows-get");
     wait_until("the outage is noticed", async || {
         run.store.calls("/rows-get") > calls + 1
     })
     .await;
+}
+
+#[tokio::test]
+async fn entries_that_lapse_while_the_store_is_away_are_kept_for_a_moment_and_then_gone() {
+    let run = one_route().start_ready().await;
+    take_store_down(&run).await;
     run.store.remove("servers", "i-carta-0");
     run.store.remove("servers", "i-carta-1");
     assert_eq!(run.call("GET", "/t/1", "").await.status(), 200);
@@ -122,12 +127,7 @@
 #[tokio::test]
 async fn an_upstream_that_left_during_a_short_outage_gets_no_work() {
     let run = one_route().heartbeat("60s").start_ready().await;
-    run.store.set_down(true);
-    let calls = run.store.calls("/rows-get");
-    wait_until("the outage is noticed", async || {
-        run.store.calls("/rows-get") > calls + 1
-    })
-    .await;
+    take_store_down(&run).await;
     run.store.remove("servers", "i-carta-0");
     run.store.set_down(false);
     let calls = run.store.calls("/rows-get");
