admit, flow: an allocator asks for requests that it dropped

What callers saw: a request without an answer for 60 s and more, until they went away. Listed as codes_agree_with_the_counters_under_each_fault_of_an_engine, after the cases "decode closes after reading".

Cause: when five polls of a decode engine fail, UpstreamGone takes the requests granted to it out of the allocator's books. A call to that engine which then fails unsent, or is refused, makes the entry instance tell DecodeRefused and wait for another place. The allocator did not know the request and dropped the notice; nothing else ends the wait.

Ruled out: calls without a time limit (each has one, resumptions end after five tries), lost sessions (none was lost there).

Fix: a notice of a request that the allocator does not hold, and that is not over, is answered by Resync; the entry instance announces how far it has come, or that it is over. The same question goes out when a place is taken as free for want of news. An announced request of a row that no table has is refused when it waits for a grant, and a later announcement before the first table takes the place of an earlier one. Wire version 9.

Red before: a_request_refused_by_an_engine_that_is_gone_gets_another_place, a_stream_that_outlives_the_loss_of_its_engine_is_counted_again (both sides in one process), a_request_that_an_engine_refuses_after_it_was_held_for_gone_is_answered (real binary, 60 s in vain). The oracle of the allocator's fuzz accepts the new question for requests alone that the allocator may drop; 3,000 cases passed.

--- a/crates/admit/src/admit_action.rs
+++ b/crates/admit/src/admit_action.rs
@@ -32,6 +32,13 @@
         /// When to come back, from the queue's length.
         retry_after: Duration,
     },
+    /// The entry instance is to tell anew how far the request has come, by [`AdmitEvent::Announce`](crate::AdmitEvent),
+    /// [`AdmitEvent::Submit`](crate::AdmitEvent) or [`AdmitEvent::Cancel`](crate::AdmitEvent): the allocator does not
+    /// hold it any more.
+    Resync {
+        /// The request.
+        key: RequestKey,
+    },
     /// Send [`AdmitEvent::Tick`](crate::AdmitEvent) at this time; the earliest one given counts.
     WakeAt(Instant),
 }
--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -32,7 +32,8 @@
 ///
 /// Pure: the same seed and the same events give the same decisions. Every request that was submitted gets exactly one
 /// of: a refusal, a chain of grants, or nothing more after its cancellation. Events of unknown requests, doubled ones and
-/// late ones change nothing.
+/// late ones change nothing; a notice of a request that the allocator lost track of is answered by
+/// [`AdmitAction::Resync`].
 ///
 /// A key that ended by `Finished`, `Cancel` or `HolderGone` can't be submitted again; one that was refused or ended by
 /// `DecodeLost` can. An upstream that is gone requeues what it was reading; the grant that follows takes the place of
@@ -42,7 +43,7 @@
     pub(crate) choice: ReplicaChoice,
     pub(crate) ended: EndedKeys,
     /// Announced requests whose row no table had yet.
-    pub(crate) early: Vec<(HoldPhase, AdmitRequest)>,
+    pub(crate) early: BTreeMap<RequestKey, (HoldPhase, AdmitRequest)>,
     pub(crate) lives: BTreeMap<InstanceId, Incarnation>,
     pub(crate) link: LinkTurns,
     pub(crate) pools: BTreeMap<PoolKey, EnginePool>,
@@ -101,7 +102,7 @@
         };
         Self {
             choice: ReplicaChoice::new(seed),
-            early: Vec::new(),
+            early: BTreeMap::new(),
             ended: EndedKeys::default(),
             link: LinkTurns::default(),
             lives: BTreeMap::new(),
@@ -132,7 +133,9 @@
 impl CellAllocator {
     fn take(&mut self, now: Instant, event: AdmitEvent, actions: &mut Vec<AdmitAction>) {
         match event {
-            AdmitEvent::Announce { phase, request } => self.announce(now, phase, request),
+            AdmitEvent::Announce { phase, request } => {
+                self.announce(now, phase, request, actions);
+            }
             AdmitEvent::CacheEvents {
                 evicted,
                 stored,
@@ -142,14 +145,14 @@
             AdmitEvent::DecodeLost { key } => self.decode_lost(now, &key),
             AdmitEvent::DecodeRefused { key } => self.decode_refused(now, &key, actions),
             AdmitEvent::Finished { key, output_tokens } => self.finished(now, &key, output_tokens),
-            AdmitEvent::FirstToken { key } => self.first_token(now, &key),
+            AdmitEvent::FirstToken { key } => self.first_token(now, &key, actions),
             AdmitEvent::HolderGone { before, instance } => {
                 self.holder_gone(now, before, instance);
             }
             AdmitEvent::KvEvicted { key } => self.kv_evicted(now, &key, actions),
             AdmitEvent::Link(info) => self.link.set_info(info),
             AdmitEvent::Load(report) => self.load(&report),
-            AdmitEvent::PrefillDone { key } => self.prefill_done(now, &key),
+            AdmitEvent::PrefillDone { key } => self.prefill_done(now, &key, actions),
             AdmitEvent::PrefillFailed { key } => self.prefill_failed(now, &key, actions),
             AdmitEvent::Submit(request) => self.submit(now, request, actions),
             AdmitEvent::Table { share, table } => self.set_table(now, share, table, actions),
--- a/crates/admit/src/cell_refusals.rs
+++ b/crates/admit/src/cell_refusals.rs
@@ -101,8 +101,10 @@
                 continue;
             };
             match held.phase {
-                // Its end was not heard of for very long: the place is taken as free.
-                RequestPhase::Decoding { .. } | RequestPhase::Transferring { .. } => {}
+                // Its end was not heard of for very long: the place is free unless the entry instance says otherwise.
+                RequestPhase::Decoding { .. } | RequestPhase::Transferring { .. } => {
+                    self.resync(&key, actions);
+                }
                 RequestPhase::Prefilling { .. } | RequestPhase::Read { .. } => {
                     self.retry(now, held, actions);
                 }
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -14,7 +14,13 @@
 const EARLY_LIMIT: usize = 65_536;
 
 impl CellAllocator {
-    pub(crate) fn announce(&mut self, now: Instant, phase: HoldPhase, request: AdmitRequest) {
+    pub(crate) fn announce(
+        &mut self,
+        now: Instant,
+        phase: HoldPhase,
+        request: AdmitRequest,
+        actions: &mut Vec<AdmitAction>,
+    ) {
         if self.is_over(&request.key) {
             return;
         }
@@ -23,9 +29,7 @@
             return;
         }
         let Some(row) = self.row_ids.get(&request.work).copied() else {
-            if self.table.version == 0 && self.early.len() < EARLY_LIMIT {
-                self.early.push((phase, request));
-            }
+            self.announce_unknown(phase, request, actions);
             return;
         };
         let key = request.key.clone();
@@ -39,6 +43,26 @@
         self.put(now, key, held);
     }
 
+    /// An announced request whose row is not known: it waits for the first table. After that it is refused if it waits
+    /// for a grant.
+    fn announce_unknown(
+        &mut self,
+        phase: HoldPhase,
+        request: AdmitRequest,
+        actions: &mut Vec<AdmitAction>,
+    ) {
+        if self.table.version == 0 {
+            if self.early.len() < EARLY_LIMIT {
+                self.early.insert(request.key.clone(), (phase, request));
+            }
+            return;
+        }
+        if let HoldPhase::Read { .. } = phase {
+            let code = ResultCode::WorkUnknown;
+            actions.push(Self::refuse(request.key, code, Self::UNKNOWN_WAIT));
+        }
+    }
+
     fn announced(&self, phase: HoldPhase, held: &HeldRequest) -> RequestPhase {
         match phase {
             HoldPhase::Decoding { decode, tokens } => RequestPhase::Decoding { decode, tokens },
@@ -79,6 +103,7 @@
         actions: &mut Vec<AdmitAction>,
     ) {
         let Some(RequestPhase::Transferring { decode }) = self.phase(key) else {
+            self.resync(key, actions);
             return;
         };
         let decode = decode.clone();
@@ -122,8 +147,14 @@
         self.ended.insert(key.clone());
     }
 
-    pub(crate) fn first_token(&mut self, now: Instant, key: &RequestKey) {
+    pub(crate) fn first_token(
+        &mut self,
+        now: Instant,
+        key: &RequestKey,
+        actions: &mut Vec<AdmitAction>,
+    ) {
         let Some(RequestPhase::Transferring { decode }) = self.phase(key) else {
+            self.resync(key, actions);
             return;
         };
         let decode = decode.clone();
@@ -194,6 +225,7 @@
     ) {
         let Some(RequestPhase::Read { .. } | RequestPhase::Transferring { .. }) = self.phase(key)
         else {
+            self.resync(key, actions);
             return;
         };
         let Some(held) = self.remove(now, key) else {
@@ -215,8 +247,14 @@
         self.requests.get(key).map(|held| &held.phase)
     }
 
-    pub(crate) fn prefill_done(&mut self, now: Instant, key: &RequestKey) {
+    pub(crate) fn prefill_done(
+        &mut self,
+        now: Instant,
+        key: &RequestKey,
+        actions: &mut Vec<AdmitAction>,
+    ) {
         let Some(RequestPhase::Prefilling { prefill, .. }) = self.phase(key) else {
+            self.resync(key, actions);
             return;
         };
         let prefill = prefill.clone();
@@ -231,6 +269,7 @@
         actions: &mut Vec<AdmitAction>,
     ) {
         let Some(RequestPhase::Prefilling { .. }) = self.phase(key) else {
+            self.resync(key, actions);
             return;
         };
         let Some(held) = self.remove(now, key) else {
@@ -239,6 +278,14 @@
         self.retry(now, held, actions);
     }
 
+    /// Has a request told anew that goes on at its entry instance and is not held here.
+    pub(crate) fn resync(&self, key: &RequestKey, actions: &mut Vec<AdmitAction>) {
+        if self.requests.contains_key(key) || self.is_over(key) {
+            return;
+        }
+        actions.push(AdmitAction::Resync { key: key.clone() });
+    }
+
     /// Puts a request whose try failed back to the front of its row's queue, or refuses it.
     pub(crate) fn retry(
         &mut self,
--- a/crates/admit/src/cell_upstreams.rs
+++ b/crates/admit/src/cell_upstreams.rs
@@ -51,8 +51,8 @@
             state.row = row.clone();
         }
         self.requeue_all(now, actions);
-        for (phase, request) in std::mem::take(&mut self.early) {
-            self.announce(now, phase, request);
+        for (phase, request) in std::mem::take(&mut self.early).into_values() {
+            self.announce(now, phase, request, actions);
         }
     }
 
--- a/crates/admit/tests/cell/grant_oracle.rs
+++ b/crates/admit/tests/cell/grant_oracle.rs
@@ -33,6 +33,12 @@
             AdmitAction::GrantDecode { key, .. }
             | AdmitAction::GrantPrefill { key, .. }
             | AdmitAction::Refuse { key, .. } => key.clone(),
+            AdmitAction::Resync { key } => {
+                let phase = self.phases.get(key).map(|(_, phase)| phase);
+                let is_dropped = matches!(phase, None | Some(Over { again: true }));
+                assert!(is_dropped, "{action:?} in {phase:?}");
+                return;
+            }
             AdmitAction::WakeAt(_) => return,
         };
         let (work, phase) = self.phases.get(&key).expect("the request is known").clone();
@@ -167,7 +173,7 @@
             AdmitAction::GrantDecode { key, .. }
             | AdmitAction::GrantPrefill { key, .. }
             | AdmitAction::Refuse { key, .. } => streams(key),
-            AdmitAction::WakeAt(_) => false,
+            AdmitAction::Resync { .. } | AdmitAction::WakeAt(_) => false,
         })
     }
 
--- a/crates/bench/src/decide_command.rs
+++ b/crates/bench/src/decide_command.rs
@@ -181,7 +181,7 @@
                     self.heard.push_back(AdmitEvent::PrefillDone { key });
                 }
                 AdmitAction::Refuse { .. } => self.waiting -= 1,
-                AdmitAction::WakeAt(_) => {}
+                AdmitAction::Resync { .. } | AdmitAction::WakeAt(_) => {}
             }
         }
     }
--- a/crates/bench/src/node/grant_slope.rs
+++ b/crates/bench/src/node/grant_slope.rs
@@ -162,6 +162,7 @@
                     self.later(Duration::from_millis(190), AdmitEvent::PrefillDone { key });
                 }
                 AdmitAction::Refuse { .. } => self.refused += 1,
+                AdmitAction::Resync { .. } => {}
                 AdmitAction::WakeAt(at) => {
                     self.serial += 1;
                     let at = at.max(self.now + SHORTEST_WAKE);
--- a/crates/bench/src/world/entry_side.rs
+++ b/crates/bench/src/world/entry_side.rs
@@ -121,6 +121,10 @@
                 };
                 self.refused(request);
             }
+            AdmitAction::Resync { key } => match self.known(&key) {
+                Some(request) => self.announce(request),
+                None => self.entry_tells(AdmitEvent::Cancel { key }),
+            },
             AdmitAction::WakeAt(_) => {}
         }
     }
--- a/crates/bench/src/world/fault_side.rs
+++ b/crates/bench/src/world/fault_side.rs
@@ -283,7 +283,7 @@
         }
     }
 
-    fn announce(&mut self, request: RequestIndex) {
+    pub(crate) fn announce(&mut self, request: RequestIndex) {
         let asked = self.admit_request(request);
         let Some(phase) = self.hold_phase(request) else {
             self.entry_tells(AdmitEvent::Submit(asked));
--- a/crates/flow/src/cell_driver.rs
+++ b/crates/flow/src/cell_driver.rs
@@ -151,6 +151,7 @@
                 key,
                 retry_after,
             } => (key, CellGrant::Refuse { code, retry_after }),
+            AdmitAction::Resync { key } => (key, CellGrant::Resync),
             AdmitAction::WakeAt(_) => return,
         };
         self.sink.deliver(&self.model, key, grant);
--- a/crates/flow/src/cell_notice.rs
+++ b/crates/flow/src/cell_notice.rs
@@ -45,6 +45,8 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// The allocator lost track of the request: announce it anew.
+    Resync,
 }
 
 impl CellNotice {
--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -157,6 +157,8 @@
             CellGrant::Decode(decode) => FlowEvent::GrantDecode(decode),
             CellGrant::Prefill(prefill) => FlowEvent::GrantPrefill(prefill),
             CellGrant::Refuse { code, retry_after } => FlowEvent::Refused { code, retry_after },
+            // The table of requests answers it.
+            CellGrant::Resync => return None,
         })
     }
 
--- a/crates/flow/src/request_table.rs
+++ b/crates/flow/src/request_table.rs
@@ -61,7 +61,7 @@
     }
 
     /// Hands a grant to its request. A grant that doesn't fit how far the request has come is dropped; what the request
-    /// holds is then given back, to be announced.
+    /// holds is then given back, to be announced, as it is when the allocator asks for it.
     pub fn deliver(&self, key: &RequestKey, grant: CellGrant) -> Option<CellFrame> {
         let mut requests = self.requests.lock();
         let Some(held) = requests.get_mut(&key.serial) else {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -16,7 +16,7 @@
 
 /// The version of the wire format that this release speaks. Any change of a message's fields raises it, added fields
 /// too: the codec names no fields. 2 added `platform_age` to heartbeats.
-pub const WIRE_VERSION: u16 = 8;
+pub const WIRE_VERSION: u16 = 9;
 
 const HEAD_LENGTH_AT: usize = 2;
 const HEAD_AT: usize = 4;
