relay: an upstream that takes connections after a lost run is examined again

What callers saw: a request that ends upstreams was sent on to further ones, with all that ran beside it there, although three ends are the most.

Cause: an upstream was asked for a connection once, 20 ms after the first lost run. One that still listened then, or whose kept connection the instance still held for whole, was taken for well, and its losses were forgotten.

Ruled out: a report lost on its way (the log has two lines, and they come before the way).

Fix: looks 20, 120 and 620 ms after the first loss, until the upstream refuses.

Red before: ends_are_reported_although_the_listeners_outlive_the_connections (60 s in vain).

--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -5,7 +5,7 @@
     kernel::{LockRank, RankedLock, steady_clock},
     policy::{
         AgedReport, CrashReport, CrashTable, LossStep, LossTable, LostRun, QuarantineRow,
-        UpstreamRecord,
+        UpstreamReach, UpstreamRecord,
     },
     std::{
         sync::Arc,
@@ -14,9 +14,14 @@
     tokio::{sync::Notify, time},
 };
 
-/// A process that ends closes its connections one after the other, the one that it listens at among them: so long after the
-/// first loss it refuses new ones.
-const EXAMINE_PAUSE: Duration = Duration::from_millis(20);
+/// When an upstream is examined after the first loss, each time after the one before. A process that ends closes its
+/// connections one after the other, the one that it listens at among them, and a busy instance sees each close late: one that
+/// takes connections at first may still be ending.
+const EXAMINE_PAUSES: [Duration; 3] = [
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+    Duration::from_millis(500),
+];
 /// How many reports wait for a store that is down; further ones are passed on to other instances alone.
 const MOST_UNSENT: usize = 1_000;
 /// The store takes so many rows in one transaction.
@@ -175,8 +180,14 @@
     }
 
     async fn examine(self: Arc<Self>, upstream: Arc<UpstreamRecord>) {
-        time::sleep(EXAMINE_PAUSE).await;
-        let reach = self.pool.reach(&upstream.id, upstream.address).await;
+        let mut reach = UpstreamReach::Answers;
+        for pause in EXAMINE_PAUSES {
+            time::sleep(pause).await;
+            reach = self.pool.reach(&upstream.id, upstream.address).await;
+            if reach != UpstreamReach::Answers {
+                break;
+            }
+        }
         self.counts.note_loss(reach.label());
         let mut state = self.state.lock();
         let reports = state.losses.examined(&upstream.id, reach);
--- a/crates/trestlewalk/tests/relay_crash.rs
+++ b/crates/trestlewalk/tests/relay_crash.rs
@@ -21,6 +21,8 @@
     support::{relay_mode::RelayMode, wait::wait_until},
 };
 
+/// How long the listener of an upstream outlives its connections: a machine under load closes them one after the other.
+const LINGER: Duration = Duration::from_millis(250);
 /// The body of the request that ends upstreams.
 const DEADLY: &str = "the deadly prompt";
 /// Within this time all instances that the store answers know of a third end.
@@ -265,6 +267,24 @@
     .await;
 }
 
+// Guards against an end that is never reported, since the upstream still took connections when it was examined.
+#[tokio::test]
+async fn ends_are_reported_although_the_listeners_outlive_the_connections() {
+    let run = plain_zone().await;
+    for upstream in &run.upstreams {
+        upstream.state.lock().unwrap().linger = LINGER;
+    }
+    let ground = CrashGround::watch(&run.store, &run.upstreams, DEADLY);
+    end_some(&run, &ground, ENOUGH_ENDS).await;
+    let ended = Instant::now();
+    run.wait_reports(ENOUGH_ENDS).await;
+    assert!(ended.elapsed() < NEWS_BOUND, "{:?}", ended.elapsed());
+    tokio::time::sleep(NEWS_BOUND).await;
+    for index in 0..3 {
+        assert!(is_quarantined(&run.deadly(index).await), "{index}");
+    }
+}
+
 #[tokio::test]
 async fn a_request_whose_connections_break_at_upstreams_that_are_well_is_no_suspect() {
     let run = plain_zone().await;
--- a/crates/trestlewalk/tests/relay_support/crash_ground.rs
+++ b/crates/trestlewalk/tests/relay_support/crash_ground.rs
@@ -60,8 +60,12 @@
             ground.store.remove("servers", &life.id);
             let number = ground.lives.lock().unwrap().len();
             let id = format!("{}-n{number}", life.id.split("-n").next().unwrap());
-            let kind = life.state.lock().unwrap().kind;
+            let (kind, linger) = {
+                let state = life.state.lock().unwrap();
+                (state.kind, state.linger)
+            };
             let next = UpstreamStandIn::start(&id, &life.service, &life.zone, kind).await;
+            next.state.lock().unwrap().linger = linger;
             ground.store.put("servers", &id, &next.report("ready"));
             ground.lives.lock().unwrap().push(next.clone());
             ground.keep(next);
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -82,6 +82,8 @@
     pub ends_on: Option<String>,
     pub held: usize,
     pub kind: UpstreamKind,
+    /// How long it goes on listening after its connections were reset at its end.
+    pub linger: Duration,
     /// The parts of prompts that an engine says it holds.
     pub listed: Vec<String>,
     pub mode: UpstreamMode,
@@ -113,6 +115,7 @@
                 ends_on: None,
                 held: 0,
                 kind,
+                linger: Duration::ZERO,
                 listed: Vec::new(),
                 mode: UpstreamMode::Answer,
                 orders: 0,
@@ -183,12 +186,15 @@
     async fn accept(self, listener: TcpListener) {
         loop {
             let stream = tokio::select! {
-                () = self.ending.cancelled() => return,
+                () = self.ending.cancelled() => break,
                 accepted = listener.accept() => accepted.unwrap().0,
             };
             stream.set_nodelay(true).unwrap();
             tokio::spawn(self.clone().serve_life(stream));
         }
+        // Connections made meanwhile wait in the backlog and are reset with it.
+        let linger = self.state.lock().unwrap().linger;
+        time::sleep(linger).await;
     }
 
     /// Serves a connection until it ends; at the end of this life it is reset.
