flow, admit: what a new session tells of a request counts

What callers would see: a request without an answer, or one that ends after 10 s with "refused", after the connection between its entry instance and the allocator broke.

Cause: a grant that a broken session carried is lost. Over the next session the entry instance announces the request as waiting; the allocator held it as granted and ignored the announcement, so that it waited for news that could not come. A lost grant of reading was retried or refused after 10 s; a lost grant of a decode place was forgotten after 10 s, and the request waited for ever.

Evidence: both sides in one process with a session that loses its grants.

Fix: the first frame of a session names what its instance holds; the first announcement of each of these takes the place of what the allocator had for it (AdmitEvent::Restate), unless both agree. Later frames are as before, so that a doubled submission still changes nothing.

Red before: a_grant_lost_with_its_session_is_given_again. Beside it a_new_session_grants_nothing_anew, green before and after.

--- a/crates/admit/src/admit_event.rs
+++ b/crates/admit/src/admit_event.rs
@@ -115,6 +115,14 @@
         /// The request.
         key: RequestKey,
     },
+    /// An entry instance whose session was lost tells anew how far a request has come. It counts in place of what the
+    /// allocator holds: a grant may have been lost with the session.
+    Restate {
+        /// How far the request has come; none when it waits for its first grant.
+        phase: Option<HoldPhase>,
+        /// The request.
+        request: AdmitRequest,
+    },
     /// A new request. Its answer is [`AdmitAction::GrantPrefill`](crate::AdmitAction) or
     /// [`AdmitAction::Refuse`](crate::AdmitAction), at once or later.
     Submit(AdmitRequest),
--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -154,6 +154,7 @@
             AdmitEvent::Load(report) => self.load(&report),
             AdmitEvent::PrefillDone { key } => self.prefill_done(now, &key, actions),
             AdmitEvent::PrefillFailed { key } => self.prefill_failed(now, &key, actions),
+            AdmitEvent::Restate { phase, request } => self.restate(now, phase, request, actions),
             AdmitEvent::Submit(request) => self.submit(now, request, actions),
             AdmitEvent::Table { share, table } => self.set_table(now, share, table, actions),
             AdmitEvent::Tick => {}
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -286,6 +286,24 @@
         actions.push(AdmitAction::Resync { key: key.clone() });
     }
 
+    pub(crate) fn restate(
+        &mut self,
+        now: Instant,
+        phase: Option<HoldPhase>,
+        request: AdmitRequest,
+        actions: &mut Vec<AdmitAction>,
+    ) {
+        let known = self.phase(&request.key);
+        if known.is_some_and(|known| known.is_told(phase.as_ref())) {
+            return;
+        }
+        self.remove(now, &request.key);
+        match phase {
+            Some(phase) => self.announce(now, phase, request, actions),
+            None => self.submit(now, request, actions),
+        }
+    }
+
     /// Puts a request whose try failed back to the front of its row's queue, or refuses it.
     pub(crate) fn retry(
         &mut self,
--- a/crates/admit/src/request_phase.rs
+++ b/crates/admit/src/request_phase.rs
@@ -1,6 +1,6 @@
 //! How far a request has come, as the allocator sees it.
 
-use {kernel::UpstreamId, std::time::Instant};
+use {crate::admit_event::HoldPhase, kernel::UpstreamId, std::time::Instant};
 
 /// What a request holds now.
 #[derive(Clone, Debug)]
@@ -25,4 +25,23 @@
     pub(crate) fn is_claim(&self) -> bool {
         matches!(self, Self::Prefilling { .. } | Self::Read { .. })
     }
+
+    /// Whether an entry instance tells the same phase at the same engine; none is told of a queued request.
+    pub(crate) fn is_told(&self, told: Option<&HoldPhase>) -> bool {
+        match (self, told) {
+            (Self::Decoding { decode, .. }, Some(HoldPhase::Decoding { decode: told, .. }))
+            | (Self::Transferring { decode }, Some(HoldPhase::Transferring { decode: told, .. })) => {
+                decode == told
+            }
+            (
+                Self::Prefilling { prefill, .. },
+                Some(HoldPhase::Prefilling { prefill: told, .. }),
+            )
+            | (Self::Read { prefill, .. }, Some(HoldPhase::Read { prefill: told, .. })) => {
+                prefill == told
+            }
+            (Self::Queued, None) => true,
+            _ => false,
+        }
+    }
 }
--- a/crates/bench/src/policies/naive_policy.rs
+++ b/crates/bench/src/policies/naive_policy.rs
@@ -72,6 +72,7 @@
             AdmitEvent::CacheEvents { .. }
             | AdmitEvent::Link(_)
             | AdmitEvent::Load(_)
+            | AdmitEvent::Restate { .. }
             | AdmitEvent::Table { .. } => {}
         }
     }
--- a/crates/bench/src/policies/reserve_policy.rs
+++ b/crates/bench/src/policies/reserve_policy.rs
@@ -74,7 +74,8 @@
             AdmitEvent::CacheEvents { .. }
             | AdmitEvent::FirstToken { .. }
             | AdmitEvent::Link(_)
-            | AdmitEvent::Load(_) => {}
+            | AdmitEvent::Load(_)
+            | AdmitEvent::Restate { .. } => {}
         }
         self.grant_read(actions);
         self.grant_queued(actions);
--- a/crates/flow/src/cell_driver.rs
+++ b/crates/flow/src/cell_driver.rs
@@ -93,7 +93,7 @@
             instance, serials, ..
         } = &frame
         {
-            let missing = self.state.lock().open.missing(instance, serials);
+            let missing = self.state.lock().open.begin_session(instance, serials);
             for key in missing {
                 self.on_request(AdmitEvent::Cancel { key });
             }
@@ -102,6 +102,7 @@
         let Some(event) = frame.into_event(now) else {
             return;
         };
+        let event = self.state.lock().open.restate(event);
         self.on_request(event);
     }
 
--- a/crates/flow/src/open_keys.rs
+++ b/crates/flow/src/open_keys.rs
@@ -10,32 +10,48 @@
 #[derive(Debug, Default)]
 pub struct OpenKeys {
     keys: BTreeSet<RequestKey>,
+    /// Those that a new session has to tell anew and has not told yet.
+    untold: BTreeSet<RequestKey>,
 }
 
 impl OpenKeys {
     /// Takes a request out.
     pub fn close(&mut self, key: &RequestKey) {
         self.keys.remove(key);
+        self.untold.remove(key);
     }
 
     /// Takes the requests of ended lives of an entry instance out.
     pub fn close_lives(&mut self, instance: &InstanceId, before: Incarnation) {
-        self.keys
-            .retain(|key| key.instance != *instance || key.incarnation >= before);
+        let goes_on = |key: &RequestKey| key.instance != *instance || key.incarnation >= before;
+        self.keys.retain(goes_on);
+        self.untold.retain(goes_on);
     }
 
-    /// The open requests of an instance that it does not hold any more, by the serials that it does hold.
-    pub fn missing(&self, instance: &InstanceId, held: &BTreeSet<u64>) -> Vec<RequestKey> {
-        let open = self.keys.iter().filter(|key| key.instance == *instance);
-        open.filter(|key| !held.contains(&key.serial))
-            .cloned()
-            .collect()
+    /// A session of an instance begins that holds these serials. Gives the open requests that it does not hold any more;
+    /// the others are to be told anew.
+    pub fn begin_session(
+        &mut self,
+        instance: &InstanceId,
+        held: &BTreeSet<u64>,
+    ) -> Vec<RequestKey> {
+        let mut missing = Vec::new();
+        for key in self.keys.iter().filter(|key| key.instance == *instance) {
+            if held.contains(&key.serial) {
+                self.untold.insert(key.clone());
+                continue;
+            }
+            missing.push(key.clone());
+        }
+        missing
     }
 
     /// Follows an event on its way to the allocator.
     pub fn note(&mut self, event: &AdmitEvent) {
         match event {
-            AdmitEvent::Announce { request, .. } | AdmitEvent::Submit(request) => {
+            AdmitEvent::Announce { request, .. }
+            | AdmitEvent::Restate { request, .. }
+            | AdmitEvent::Submit(request) => {
                 self.keys.insert(request.key.clone());
             }
             AdmitEvent::Cancel { key } | AdmitEvent::Finished { key, .. } => self.close(key),
@@ -43,4 +59,23 @@
             _ => {}
         }
     }
+
+    /// Makes what a new session tells first of an open request take the place of what was known of it.
+    pub fn restate(&mut self, event: AdmitEvent) -> AdmitEvent {
+        match event {
+            AdmitEvent::Announce { phase, request } if self.untold.remove(&request.key) => {
+                AdmitEvent::Restate {
+                    phase: Some(phase),
+                    request,
+                }
+            }
+            AdmitEvent::Submit(request) if self.untold.remove(&request.key) => {
+                AdmitEvent::Restate {
+                    phase: None,
+                    request,
+                }
+            }
+            event => event,
+        }
+    }
 }
--- a/crates/flow/tests/cell_track.rs
+++ b/crates/flow/tests/cell_track.rs
@@ -9,7 +9,10 @@
     kernel::{InstanceId, ModelId, UpstreamId},
     route::{UpstreamInfo, UpstreamRole},
     std::{
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
     table::{WorkRow, WorkTable},
@@ -20,15 +23,21 @@
 const INSTANCE: &str = "gijon-1";
 const MODEL: &str = "glaze";
 const PREFILL: &str = "p1";
+/// Longer than the KV cache of a test's prompt takes.
+const TRANSFER_TIME: Duration = Duration::from_millis(5);
 const WORK: &str = "report";
 
-/// Brings the grants to the hub.
+/// Brings the grants to the hub, or loses them as a broken session does.
 struct HubSink {
     hub: Arc<CellHub>,
+    is_broken: AtomicBool,
 }
 
 impl GrantSink for HubSink {
     fn deliver(&self, model: &ModelId, key: RequestKey, grant: CellGrant) {
+        if self.is_broken.load(Ordering::SeqCst) {
+            return;
+        }
         let frame = GrantFrame {
             grant,
             key,
@@ -43,6 +52,7 @@
     driver: CellDriver<CellAllocator, HubSink>,
     frames: UnboundedReceiver<CellFrame>,
     hub: Arc<CellHub>,
+    sink: Arc<HubSink>,
 }
 
 /// A request as its driver sees it.
@@ -54,9 +64,12 @@
 impl TrackWorld {
     fn new() -> Self {
         let hub = Arc::new(CellHub::new(INSTANCE.into(), 1));
-        let sink = Arc::new(HubSink { hub: hub.clone() });
+        let sink = Arc::new(HubSink {
+            hub: hub.clone(),
+            is_broken: AtomicBool::new(false),
+        });
         let policy = CellAllocator::builder().seed(7).build();
-        let driver = CellDriver::new(MODEL.into(), policy, sink);
+        let driver = CellDriver::new(MODEL.into(), policy, sink.clone());
         let mut table = WorkTable::default();
         table.rows.insert(WORK.into(), row());
         table.version = 1;
@@ -75,6 +88,7 @@
             driver,
             frames,
             hub,
+            sink,
         };
         world.engine_up(PREFILL, UpstreamRole::Prefill);
         world.engine_up(DECODE, UpstreamRole::Decode);
@@ -113,6 +127,12 @@
         self.pump();
     }
 
+    /// Lets the transfer on the link end.
+    fn pass_transfer(&self) {
+        std::thread::sleep(TRANSFER_TIME);
+        self.driver.on_event(AdmitEvent::Tick);
+    }
+
     /// Brings the frames to the allocator.
     fn pump(&mut self) {
         while let Ok(frame) = self.frames.try_recv() {
@@ -120,6 +140,10 @@
         }
     }
 
+    fn set_broken(&self, is_broken: bool) {
+        self.sink.is_broken.store(is_broken, Ordering::SeqCst);
+    }
+
     fn submit(&mut self) -> OpenRequest {
         let key = self.hub.next_key();
         let request = ModelRequest {
@@ -205,3 +229,40 @@
     let counts = world.driver.inspect(CellAllocator::counts);
     assert_eq!((counts.decoding, counts.places), (1, 1));
 }
+
+// Guards against a request that waits for a grant which was lost with its session.
+#[test]
+fn a_grant_lost_with_its_session_is_given_again() {
+    let mut world = TrackWorld::new();
+    world.set_broken(true);
+    let mut request = world.submit();
+    world.set_broken(false);
+    world.open_session();
+    assert_eq!(request.next_grant(), prefill());
+    world.set_broken(true);
+    world.notify(&request, CellNotice::PrefillDone);
+    world.set_broken(false);
+    world.open_session();
+    world.pass_transfer();
+    assert_eq!(request.next_grant(), decode());
+    let counts = world.driver.inspect(CellAllocator::counts);
+    assert_eq!((counts.running, counts.transferring), (1, 1));
+}
+
+// Guards against a second grant to a request that has the one that it needs.
+#[test]
+fn a_new_session_grants_nothing_anew() {
+    let mut world = TrackWorld::new();
+    let mut request = world.submit();
+    assert_eq!(request.next_grant(), prefill());
+    world.open_session();
+    assert_eq!(request.next_grant(), None);
+    world.notify(&request, CellNotice::PrefillDone);
+    assert_eq!(request.next_grant(), decode());
+    world.open_session();
+    world.notify(&request, CellNotice::FirstToken);
+    world.open_session();
+    assert_eq!(request.next_grant(), None);
+    let counts = world.driver.inspect(CellAllocator::counts);
+    assert_eq!((counts.running, counts.decoding), (1, 1));
+}
