flow: an allocator takes what it was told before it was open first

What callers would see: a request without an answer, right after their cell got another allocator. Found by reading, looking for requests that one side drops; no run has shown it.

Cause: CellDriver::open gave the kept events to the allocator one by one, without the lock between them. A notice that came meanwhile went first, was dropped as one of an unknown request, and the announcement before it then counted: the request waited for a grant while the allocator took it for granted.

Fix: the kept events are taken under one lock, and the decisions delivered after it.

Red before: events_from_before_the_opening_come_first (an entry instance that answers a grant at once overtook the second event).

--- a/crates/flow/src/cell_driver.rs
+++ b/crates/flow/src/cell_driver.rs
@@ -74,14 +74,7 @@
 
     /// Gives one event to the allocator and delivers what it decides.
     pub fn on_event(&self, event: AdmitEvent) {
-        let mut actions = Vec::new();
-        {
-            let mut state = self.state.lock();
-            state.open.note(&event);
-            state.policy.on_event(Instant::now(), event, &mut actions);
-            close_refused(&mut state.open, &actions);
-            self.keep_wake(&mut state, &actions);
-        }
+        let actions = self.take(&mut self.state.lock(), event);
         for action in actions {
             self.deliver(action);
         }
@@ -123,9 +116,16 @@
 
     /// Says that the allocator was told of the engines that answer.
     pub fn open(&self) {
-        let early = self.state.lock().early.take();
-        for event in early.unwrap_or_default() {
-            self.on_event(event);
+        let mut actions = Vec::new();
+        {
+            // An event that comes meanwhile is taken after the earlier ones.
+            let mut state = self.state.lock();
+            for event in state.early.take().unwrap_or_default() {
+                actions.extend(self.take(&mut state, event));
+            }
+        }
+        for action in actions {
+            self.deliver(action);
         }
     }
 
@@ -143,6 +143,16 @@
         }
     }
 
+    /// Gives one event to the allocator; its decisions are to be delivered without the lock.
+    fn take(&self, state: &mut CellState<P>, event: AdmitEvent) -> Vec<AdmitAction> {
+        let mut actions = Vec::new();
+        state.open.note(&event);
+        state.policy.on_event(Instant::now(), event, &mut actions);
+        close_refused(&mut state.open, &actions);
+        self.keep_wake(state, &actions);
+        actions
+    }
+
     fn deliver(&self, action: AdmitAction) {
         let (key, grant) = match action {
             AdmitAction::GrantDecode { decode, key } => (key, CellGrant::Decode(decode)),
