flow: a time that an allocator asks for while another one is due is kept

What callers saw: nothing that was told apart; a grant that was due came with the next load report, up to 100 ms late, and not at all before an engine answered again. Found by reading.

Cause: a time that was due and whose timer had not run yet counted as the earlier one, so that a later time asked for by an event in between was dropped; the timer then took the due one out. The allocator does not ask for the same time twice.

Fix: only a time that is still to come counts as earlier, and the timer takes out none that is still to come.

Red before: a_time_asked_for_while_another_one_is_due_is_kept.

--- a/crates/flow/src/cell_driver.rs
+++ b/crates/flow/src/cell_driver.rs
@@ -138,7 +138,11 @@
                 () = self.timer.notified() => continue,
                 () = sleep_until(wake_at) => {}
             }
-            self.state.lock().wake_at = None;
+            // An event may have asked for another time since this one was due.
+            self.state
+                .lock()
+                .wake_at
+                .take_if(|at| *at <= Instant::now());
             self.on_event(AdmitEvent::Tick);
         }
     }
@@ -168,12 +172,15 @@
         self.sink.deliver(&self.model, key, grant);
     }
 
+    /// Keeps the earliest time that was asked for and is still to come.
     fn keep_wake(&self, state: &mut CellState<P>, actions: &[AdmitAction]) {
+        let now = Instant::now();
         for action in actions {
             let AdmitAction::WakeAt(at) = action else {
                 continue;
             };
-            if state.wake_at.is_some_and(|earlier| earlier <= *at) {
+            let is_sooner = |earlier| now < earlier && earlier <= *at;
+            if state.wake_at.is_some_and(is_sooner) {
                 continue;
             }
             state.wake_at = Some(*at);
--- a/crates/flow/tests/cell_driver.rs
+++ b/crates/flow/tests/cell_driver.rs
@@ -1,16 +1,17 @@
-//! The driver of a cell's allocator: the order of events.
+//! The driver of a cell's allocator: the order of events, and the timer.
 
 use {
     admit::{AdmitAction, AdmitEvent, AdmitPolicy, RequestKey},
     flow::{CellDriver, GrantSink, cell_notice::CellGrant},
-    kernel::ModelId,
+    kernel::{CloseSignal, ModelId},
     std::{
         sync::{Arc, Mutex, OnceLock},
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
 const MODEL: &str = "glaze";
+const SOON: Duration = Duration::from_millis(5);
 
 /// Notes the events, and does what the test says at each of them.
 struct NotePolicy {
@@ -91,3 +92,35 @@
     );
     assert!(is_in_order, "{notes:?}");
 }
+
+// Guards against a time that the allocator asked for and that never comes, since an event fell between an earlier
+// time and its tick.
+#[tokio::test]
+async fn a_time_asked_for_while_another_one_is_due_is_kept() {
+    let (driver, notes) = driver(|count, _| {
+        let wake = |wait| Some(AdmitAction::WakeAt(Instant::now() + wait));
+        match count {
+            0 => wake(SOON),
+            1 => wake(10 * SOON),
+            _ => None,
+        }
+    });
+    let signal = CloseSignal::new();
+    let timer = driver.clone();
+    let closing = signal.clone();
+    let running = tokio::spawn(async move { timer.run_timer(closing).await });
+    tokio::task::yield_now().await;
+    driver.on_event(AdmitEvent::FirstToken { key: key(1) });
+    // The timer can't run while its thread is held.
+    std::thread::sleep(2 * SOON);
+    driver.on_event(AdmitEvent::FirstToken { key: key(1) });
+    let asked_for = Instant::now() + 9 * SOON;
+    tokio::time::sleep(40 * SOON).await;
+    signal.raise();
+    running.await.unwrap();
+    let notes = notes.lock().unwrap();
+    let is_kept = notes
+        .iter()
+        .any(|(at, event)| matches!(event, AdmitEvent::Tick) && *at >= asked_for);
+    assert!(is_kept, "{notes:?}");
+}
