flow: a request of an ended life is refused when it is submitted

What callers would see: a request without an answer, at an instance that was held for gone and got a new life at that moment. Found by reading; no run has shown it.

Cause: a request gets its name first and is entered after that. The refusal of what belongs to the ended life looks at the requests that are entered, so that one between the two steps was submitted under the ended life, which no allocator takes.

Fix: the submission looks at the life after it entered the request, as each notice does.

Red before: a_request_named_before_its_instance_has_a_new_life_is_refused.

--- a/crates/flow/src/cell_hub.rs
+++ b/crates/flow/src/cell_hub.rs
@@ -179,6 +179,7 @@
             age: request.arrived.elapsed(),
             ..submit
         }));
+        self.refuse_ended_life(key);
         receiver
     }
 
