admit: a patient request keeps its turn while it probably ends in time

What callers saw: patient requests that were passed over with two thirds of their patience left, and answers that came after it.

Cause: a request went behind all others when the 0.9 quantile of the lengths, with four answers at the caller's bound added, would not have ended in time: after some 18 s of 45 s. The share of the service for work that waited half its patience never took effect: by then a request was late, and the first of its queue was not.

Fix: a request is late when it more probably ends late than in time (median).

--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -80,7 +80,7 @@
         #[builder(default)]
         lookahead: Duration,
         /// The share of the service that goes to work which waited half its patience, whatever its rank: 0 to 1.
-        #[builder(default = 0.02)]
+        #[builder(default = 0.007)]
         patient_share: f64,
         /// How many blocks of prompt prefixes are remembered for each prefill engine.
         #[builder(default = 4096)]
--- a/crates/admit/src/cell_estimates.rs
+++ b/crates/admit/src/cell_estimates.rs
@@ -9,8 +9,9 @@
     std::time::{Duration, Instant},
 };
 
-/// The share of answers that end within the time that counts as a request's service.
-const SERVICE_QUANTILE: f64 = 0.9;
+/// The share of answers that end within the time that counts as a request's service: a request is late when it is more
+/// likely not to end in time than to.
+const SERVICE_QUANTILE: f64 = 0.5;
 /// Up to this many requests ahead are placed on engines one by one; more count as a fluid.
 const PLACED_LIMIT: f64 = 64.0;
 
