Test: every request ends once sessions and engines are well

Why: the allocator's own fuzz takes a request that it dropped for over; whether somebody still waits for it is known beside the entry instance alone. The cases of the incident move here.

--- /dev/null
+++ b/crates/flow/tests/track/track_cases.rs
@@ -0,0 +1,79 @@
+//! Each way in which one side lost track of a request.
+
+use {
+    crate::track_world::{DECODE, TrackWorld, decode, prefill},
+    admit::{AdmitEvent, CellAllocator},
+    flow::CellNotice,
+    kernel::UpstreamId,
+    route::UpstreamRole,
+};
+
+// Guards against a request that waits for ever, since its allocator forgot it together with the decode engine.
+#[test]
+fn a_request_refused_by_an_engine_that_is_gone_gets_another_place() {
+    let mut world = TrackWorld::new();
+    let mut request = world.submit();
+    assert_eq!(request.next_grant(), prefill());
+    world.notify(&request, CellNotice::PrefillDone);
+    assert_eq!(request.next_grant(), decode());
+    let gone: UpstreamId = DECODE.into();
+    world.driver.on_event(AdmitEvent::UpstreamGone(gone));
+    world.notify(&request, CellNotice::DecodeRefused);
+    world.engine_up(DECODE, UpstreamRole::Decode);
+    world.pump();
+    assert_eq!(request.next_grant(), decode());
+}
+
+// Guards against a place of an engine that the allocator takes for free while a stream of its own runs there.
+#[test]
+fn a_stream_that_outlives_the_loss_of_its_engine_is_counted_again() {
+    let mut world = TrackWorld::new();
+    let mut request = world.submit();
+    assert_eq!(request.next_grant(), prefill());
+    world.notify(&request, CellNotice::PrefillDone);
+    assert_eq!(request.next_grant(), decode());
+    let gone: UpstreamId = DECODE.into();
+    world.driver.on_event(AdmitEvent::UpstreamGone(gone));
+    world.engine_up(DECODE, UpstreamRole::Decode);
+    world.notify(&request, CellNotice::FirstToken);
+    world.pump();
+    let counts = world.driver.inspect(CellAllocator::counts);
+    assert_eq!((counts.decoding, counts.places), (1, 1));
+}
+
+// Guards against a request that waits for a grant which was lost with its session.
+#[test]
+fn a_grant_lost_with_its_session_is_given_again() {
+    let mut world = TrackWorld::new();
+    world.set_broken(true);
+    let mut request = world.submit();
+    world.set_broken(false);
+    world.open_session();
+    assert_eq!(request.next_grant(), prefill());
+    world.set_broken(true);
+    world.notify(&request, CellNotice::PrefillDone);
+    world.set_broken(false);
+    world.open_session();
+    world.pass_transfer();
+    assert_eq!(request.next_grant(), decode());
+    let counts = world.driver.inspect(CellAllocator::counts);
+    assert_eq!((counts.running, counts.transferring), (1, 1));
+}
+
+// Guards against a second grant to a request that has the one that it needs.
+#[test]
+fn a_new_session_grants_nothing_anew() {
+    let mut world = TrackWorld::new();
+    let mut request = world.submit();
+    assert_eq!(request.next_grant(), prefill());
+    world.open_session();
+    assert_eq!(request.next_grant(), None);
+    world.notify(&request, CellNotice::PrefillDone);
+    assert_eq!(request.next_grant(), decode());
+    world.open_session();
+    world.notify(&request, CellNotice::FirstToken);
+    world.open_session();
+    assert_eq!(request.next_grant(), None);
+    let counts = world.driver.inspect(CellAllocator::counts);
+    assert_eq!((counts.running, counts.decoding), (1, 1));
+}
