--- a/crates/admit/src/admit_event.rs
+++ b/crates/admit/src/admit_event.rs
@@ -118,7 +118,7 @@
     /// An entry instance whose session was lost tells anew how far a request has come. It counts in place of what the
     /// allocator holds: a grant may have been lost with the session.
     Restate {
-        /// How far the request has come; none when it waits for its first grant.
+        /// How far the request has come; none when it waits for a prefill engine.
         phase: Option<HoldPhase>,
         /// The request.
         request: AdmitRequest,
--- a/crates/flow/tests/cell_driver.rs
+++ b/crates/flow/tests/cell_driver.rs
@@ -1,9 +1,9 @@
-//! The driver of a cell's allocator: the order of events, and the timer; the hub beside it.
+//! The driver of a cell's allocator: the order of events, and the timer.
 
 use {
     admit::{AdmitAction, AdmitEvent, AdmitPolicy, RequestKey},
-    flow::{CellDriver, CellHub, GrantSink, ModelRequest, cell_notice::CellGrant},
-    kernel::{CloseSignal, ModelId, ResultCode},
+    flow::{CellDriver, GrantSink, cell_notice::CellGrant},
+    kernel::{CloseSignal, ModelId},
     std::{
         sync::{Arc, Mutex, OnceLock},
         time::{Duration, Instant},
@@ -124,30 +124,3 @@
         .any(|(at, event)| matches!(event, AdmitEvent::Tick) && *at >= asked_for);
     assert!(is_kept, "{notes:?}");
 }
-
-// Guards against a request of an ended life that waits for an allocator which does not take it.
-#[test]
-fn a_request_named_before_its_instance_has_a_new_life_is_refused() {
-    let hub = CellHub::new("gijon-1".into(), 1);
-    let key = hub.next_key();
-    hub.renew(2);
-    let request = ModelRequest {
-        arrived: Instant::now(),
-        max_tokens: 16,
-        model: MODEL.into(),
-        prompt: "a free kiln?".into(),
-        run_by: None,
-        stream: false,
-        work: "report".into(),
-    };
-    let mut grants = hub.submit(&key, &request);
-    let grant = grants.try_recv();
-    let is_refused = matches!(
-        grant,
-        Ok(CellGrant::Refuse {
-            code: ResultCode::UpstreamMissing,
-            ..
-        })
-    );
-    assert!(is_refused, "{grant:?}");
-}
--- a/crates/flow/tests/track/track_cases.rs
+++ b/crates/flow/tests/track/track_cases.rs
@@ -3,8 +3,8 @@
 use {
     crate::track_world::{DECODE, TrackWorld, decode, prefill},
     admit::{AdmitEvent, CellAllocator},
-    flow::CellNotice,
-    kernel::UpstreamId,
+    flow::{CellNotice, cell_notice::CellGrant},
+    kernel::{ResultCode, UpstreamId},
     route::UpstreamRole,
 };
 
@@ -12,10 +12,7 @@
 #[test]
 fn a_request_refused_by_an_engine_that_is_gone_gets_another_place() {
     let mut world = TrackWorld::new();
-    let mut request = world.submit();
-    assert_eq!(request.next_grant(), prefill());
-    world.notify(&request, CellNotice::PrefillDone);
-    assert_eq!(request.next_grant(), decode());
+    let mut request = world.placed();
     let gone: UpstreamId = DECODE.into();
     world.driver.on_event(AdmitEvent::UpstreamGone(gone));
     world.notify(&request, CellNotice::DecodeRefused);
@@ -28,10 +25,7 @@
 #[test]
 fn a_stream_that_outlives_the_loss_of_its_engine_is_counted_again() {
     let mut world = TrackWorld::new();
-    let mut request = world.submit();
-    assert_eq!(request.next_grant(), prefill());
-    world.notify(&request, CellNotice::PrefillDone);
-    assert_eq!(request.next_grant(), decode());
+    let request = world.placed();
     let gone: UpstreamId = DECODE.into();
     world.driver.on_event(AdmitEvent::UpstreamGone(gone));
     world.engine_up(DECODE, UpstreamRole::Decode);
@@ -77,3 +71,25 @@
     let counts = world.driver.inspect(CellAllocator::counts);
     assert_eq!((counts.running, counts.decoding), (1, 1));
 }
+
+// Guards against a request of an ended life that waits for an allocator which does not take it.
+#[test]
+fn a_request_named_before_its_instance_has_a_new_life_is_refused() {
+    let mut world = TrackWorld::new();
+    let key = world.hub.next_key();
+    world.hub.renew(2);
+    world.driver.on_event(AdmitEvent::HolderGone {
+        before: 2,
+        instance: key.instance.clone(),
+    });
+    let mut request = world.submit_as(key);
+    let grant = request.next_grant();
+    let is_refused = matches!(
+        grant,
+        Some(CellGrant::Refuse {
+            code: ResultCode::UpstreamMissing,
+            ..
+        })
+    );
+    assert!(is_refused, "{grant:?}");
+}
--- a/crates/flow/tests/track/track_world.rs
+++ b/crates/flow/tests/track/track_world.rs
@@ -144,8 +144,22 @@
         self.sink.is_broken.store(is_broken, Ordering::SeqCst);
     }
 
+    /// A request that has its decode place.
+    pub(crate) fn placed(&mut self) -> OpenRequest {
+        let mut request = self.submit();
+        assert_eq!(request.next_grant(), prefill());
+        self.notify(&request, CellNotice::PrefillDone);
+        assert_eq!(request.next_grant(), decode());
+        request
+    }
+
     pub(crate) fn submit(&mut self) -> OpenRequest {
         let key = self.hub.next_key();
+        self.submit_as(key)
+    }
+
+    /// Submits a request that was named before.
+    pub(crate) fn submit_as(&mut self, key: RequestKey) -> OpenRequest {
         let request = ModelRequest {
             arrived: Instant::now(),
             max_tokens: 16,
