policy: a search for cached prompts asks no engines where it covers under half of a zone

Cause: a caller that reconnects had up to 32 engines asked for their lists, by 1,955 engines a zone with a chance of 1 in 60 to find the prompt, and a new connection for each. The decision moved from relay to policy. Up to 64 engines a zone nothing changes.

--- a/crates/policy/src/cache_index.rs
+++ b/crates/policy/src/cache_index.rs
@@ -6,7 +6,8 @@
 //! callers that reconnected found their prompts listed.
 
 use {
-    kernel::UpstreamId,
+    crate::UpstreamRecord,
+    kernel::{UpstreamId, ZoneId},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -18,6 +19,12 @@
 /// prefills about three prompts in that time.
 const LIST_TTL: Duration = Duration::from_secs(1);
 
+/// Maximum number of engines asked for one prompt.
+const MAX_ENGINES_ASKED: usize = 32;
+/// The minimum share of the engines of the own availability zone that a search has to cover. Below it most searches find
+/// nothing, and each costs a call to every engine asked.
+const MIN_SEARCH_SHARE: f64 = 0.5;
+
 /// The latest list of each engine; an entry names the prompt of a KV cache.
 #[derive(Clone, Debug, Default)]
 pub struct CacheIndex {
@@ -38,6 +45,24 @@
         holding.map(|(engine, _)| engine.clone()).collect()
     }
 
+    /// The engines to ask for their lists, those of the own availability zone first; none where there are too many
+    /// engines for a search to be likely to succeed.
+    pub fn search_targets(
+        &self,
+        mut engines: Vec<Arc<UpstreamRecord>>,
+        zone: &ZoneId,
+        now: Instant,
+    ) -> Vec<Arc<UpstreamRecord>> {
+        let own = engines.iter().filter(|engine| engine.zone == *zone).count();
+        if (MAX_ENGINES_ASKED as f64) < own as f64 * MIN_SEARCH_SHARE {
+            return Vec::new();
+        }
+        engines.sort_by_key(|engine| engine.zone != *zone);
+        engines.truncate(MAX_ENGINES_ASKED);
+        engines.retain(|engine| self.needs_refresh(&engine.id, now));
+        engines
+    }
+
     /// Whether the list of an engine is missing or expired and has to be requested.
     pub fn needs_refresh(&self, engine: &UpstreamId, now: Instant) -> bool {
         !self
--- a/crates/policy/tests/part_table.rs
+++ b/crates/policy/tests/part_table.rs
@@ -2,7 +2,7 @@
 
 use {
     kernel::UpstreamId,
-    policy::CacheIndex,
+    policy::{CacheIndex, UpstreamRecord, UpstreamStage},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -48,3 +48,48 @@
     assert!(index.holders("one", now + SECOND / 2).is_empty());
     assert_eq!(index.holders("two", now + SECOND).len(), 1);
 }
+
+fn engines(count: usize, zone: &str) -> Vec<Arc<UpstreamRecord>> {
+    let mut list = Vec::new();
+    for number in 0..count {
+        let id: UpstreamId = format!("{zone}-{number}").into();
+        list.push(Arc::new(UpstreamRecord {
+            address: ([127, 0, 0, 1], 8_080).into(),
+            cold_for: Duration::ZERO,
+            id: id.clone(),
+            leaving: false,
+            name: id,
+            service: "s".into(),
+            slots: 12,
+            stage: UpstreamStage::Decode,
+            zone: zone.into(),
+        }));
+    }
+    list
+}
+
+/// Ten times as many engines must not make a reconnecting caller cost more calls, nor calls that hardly ever help.
+#[test]
+fn a_search_asks_few_engines_and_none_where_it_covers_too_few() {
+    let now = Instant::now();
+    let index = CacheIndex::default();
+    for (count, asked) in [
+        (12, 24),
+        (30, 32),
+        (52, 32),
+        (64, 32),
+        (65, 0),
+        (640, 0),
+        (6_400, 0),
+    ] {
+        let mut all = engines(count, "far");
+        all.extend(engines(count, "near"));
+        let targets = index.search_targets(all, &"near".into(), now);
+        assert_eq!(targets.len(), asked, "{count}");
+        let near = targets
+            .iter()
+            .filter(|engine| &*engine.zone == "near")
+            .count();
+        assert_eq!(near, asked.min(count), "{count}");
+    }
+}
--- a/crates/relay/src/prompt_search.rs
+++ b/crates/relay/src/prompt_search.rs
@@ -8,9 +8,6 @@
     tokio::{task::JoinSet, time},
 };
 
-/// Maximum number of engines asked for one prompt. It covers an availability zone of the usual size; larger zones are
-/// asked in part.
-const MAX_ENGINES_ASKED: usize = 32;
 /// How long to wait for the answers: a few round trips, and less than another prefill takes.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Maximum size of a list, which has an entry for each prompt in the memory of an engine.
@@ -24,7 +21,13 @@
     part: &str,
 ) -> Vec<UpstreamId> {
     let mut asking = JoinSet::new();
-    for engine in engines_to_ask(core, service) {
+    let engines = core.upstreams.lock().engines(service);
+    let settings = core.settings.load();
+    let targets = core
+        .parts
+        .lock()
+        .search_targets(engines, &settings.zone, steady_clock::now());
+    for engine in targets {
         let core = core.clone();
         asking.spawn(async move { note_list(&core, &engine).await });
     }
@@ -40,21 +43,6 @@
     core.parts.lock().holders(part, steady_clock::now())
 }
 
-/// The engines whose lists are due for a refresh, those in this availability zone first.
-fn engines_to_ask<D: UpstreamDialect>(
-    core: &RelayCore<D>,
-    service: &ServiceId,
-) -> Vec<Arc<UpstreamRecord>> {
-    let zone = core.settings.load().zone.clone();
-    let mut engines = core.upstreams.lock().engines(service);
-    engines.sort_by_key(|engine| engine.zone != zone);
-    engines.truncate(MAX_ENGINES_ASKED);
-    let now = steady_clock::now();
-    let parts = core.parts.lock();
-    engines.retain(|engine| parts.needs_refresh(&engine.id, now));
-    engines
-}
-
 async fn note_list<D: UpstreamDialect>(core: &RelayCore<D>, engine: &UpstreamRecord) {
     let call = core.dialect.held_parts_call(engine);
     let Some((status, body)) = core.ask(engine, call, MAX_LIST_BYTES).await else {
