relay: the lease is taken before engines are asked about their orders

Cause: each controller that planned a change asked all engines of the change for their state, then found that another instance held the lease. Evacuated zones get no orders.

--- a/crates/relay/src/stage_controller.rs
+++ b/crates/relay/src/stage_controller.rs
@@ -99,7 +99,8 @@
         let upstreams = self.core.upstreams.lock();
         for entry in upstreams.entries() {
             let record = &entry.record;
-            if record.stage == UpstreamStage::Plain || record.leaving {
+            let is_idle = record.leaving || upstreams.is_evacuated(&record.zone);
+            if record.stage == UpstreamStage::Plain || is_idle {
                 continue;
             }
             // Services that the operators don't declare get no requests, so their engines get no orders either.
@@ -146,6 +147,11 @@
     lease: &LeaseKeeper<S>,
     plan: &StageChange,
 ) {
+    lease.tick().await;
+    if lease.hold().is_none() {
+        tracing::info!(service = %plan.service, "another instance gives the orders");
+        return;
+    }
     let mut sender = StageSender {
         core,
         engines: BTreeMap::new(),
@@ -165,11 +171,6 @@
             None => tracing::info!(upstream = %engine.id, "the engine did not report its orders"),
         }
     }
-    lease.tick().await;
-    if lease.hold().is_none() {
-        tracing::info!(service = %plan.service, "another instance gives the orders");
-        return;
-    }
     let role = match plan.stage {
         UpstreamStage::Prefill => EngineRole::Prefill,
         UpstreamStage::Decode | UpstreamStage::Plain => EngineRole::Decode,
--- a/crates/relay/tests/open_call.rs
+++ b/crates/relay/tests/open_call.rs
@@ -5,13 +5,17 @@
     policy::{CallVerdict, UpstreamRecord, UpstreamStage, UpstreamTable},
     prometheus::{Encoder, Registry, TextEncoder},
     relay::{OpenCall, RelayCounts},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 #[test]
 fn a_call_that_ends_after_its_upstream_is_gone_leaves_no_counter() {
     let record = UpstreamRecord {
         address: ([127, 0, 0, 1], 8_080).into(),
+        cold_for: Duration::ZERO,
         id: "i-1".into(),
         leaving: false,
         name: "i-1".into(),
