spread: a list of upstreams in pages is read by its changes

Cause: each reading of 9,998 upstreams is 50 calls and some 5 MB, one after the other. It takes longer than the 350 ms after which the first four of each zone read the store themselves, so that up to twenty instances did. Ruled out: a longer period (half the cost at best, and twice the size brings it back); readings by key range with a reader each (as many bytes). A reader keeps the list and asks for what was written since; a lost history, a failed or a cancelled read is followed by a whole one. A list of one page is read as before, so the other deployments see no change. Test: ten times as many upstreams cost no more rows for the same changes; order of changes, changes between pages, lost history.

--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{CallReason, RouteTable},
-    policy::{AgedReport, CrashReport, UpstreamRecord},
+    policy::{AgedReport, CrashReport, EvacuationSet, UpstreamRecord},
     snafu::Snafu,
     std::{
         future::Future,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -18,7 +19,9 @@
 pub struct RouteSnapshot {
     /// When the store was last known to have no newer routes; `None` when unknown.
     pub as_of: Option<Instant>,
-    /// The routes; `None` when the operators have declared none yet.
+    /// The evacuated availability zones; `None` when they have not changed.
+    pub evacuations: Option<EvacuationSet>,
+    /// The routes; `None` when the operators have declared none yet, or they have not changed.
     pub table: Option<RouteTable>,
     /// The version of the store that was read.
     pub version: StoreVersion,
@@ -42,6 +45,8 @@
     pub as_of: Option<Instant>,
     /// Unreadable rows, with the reason.
     pub faults: Vec<String>,
+    /// The version of the store at which the first page was read, if it returned the list in several pages.
+    pub first_page: Option<StoreVersion>,
     /// Whether another instance read it and passed it on.
     pub passed_on: bool,
     /// The upstreams.
@@ -52,6 +57,26 @@
     pub waited: bool,
 }
 
+/// A row of the list of upstreams that was written.
+#[derive(Clone, Debug)]
+pub struct UpstreamChange {
+    /// The name of the upstream.
+    pub name: Arc<str>,
+    /// The upstream; `None` when the row was removed or is unreadable.
+    pub record: Option<UpstreamRecord>,
+}
+
+/// What changed in the list of upstreams since a version of the store.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamChanges {
+    /// Unreadable rows, with the reason.
+    pub faults: Vec<String>,
+    /// The rows that were written, in order, whether or not their content differs from before.
+    pub rows: Vec<UpstreamChange>,
+    /// The version of the store up to which the changes are complete.
+    pub version: StoreVersion,
+}
+
 /// A position in the stream of reports, meaningful only to the source that issued it.
 pub type ReportCursor = u64;
 
@@ -102,6 +127,13 @@
         reason: CallReason,
     ) -> impl Future<Output = Result<RouteSnapshot, SourceError>> + Send;
 
+    /// Reads what changed in the list of upstreams after a version; `None` when the store no longer keeps that.
+    fn read_changes(
+        &self,
+        after: StoreVersion,
+        reason: CallReason,
+    ) -> impl Future<Output = Result<Option<UpstreamChanges>, SourceError>> + Send;
+
     /// Reads the list of upstreams.
     fn read_upstreams(
         &self,
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod list_digest;
 pub mod list_journal;
 pub mod list_mirror;
+pub mod list_reader;
 pub mod member_directory;
 pub mod member_registry;
 pub mod member_row;
@@ -36,6 +37,7 @@
     list_digest::{ListDigest, PartNumber},
     list_journal::ListJournal,
     list_mirror::ListMirror,
+    list_reader::ListReader,
     member_directory::MemberDirectory,
     member_registry::MemberRegistry,
     member_row::MemberRow,
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -7,8 +7,8 @@
 
 use {
     crate::{
-        DirectoryView, JournalPosition, ListMirror, MemberDirectory, MemberRegistry, MemberRow,
-        ReadFailure, ReadStep, ReaderElection, ReportOrigin, ReportWatcher, SPREAD_TAG,
+        DirectoryView, JournalPosition, ListMirror, ListReader, MemberDirectory, MemberRegistry,
+        MemberRow, ReadFailure, ReadStep, ReaderElection, ReportOrigin, ReportWatcher, SPREAD_TAG,
         SpreadServer, SpreadState, SpreadTimes, USAGE_TAG, UsageExchange, UsageServer,
     },
     kernel::{InstanceId, LockRank, RankedLock, WorkerPool, steady_clock},
@@ -18,7 +18,7 @@
     relay::{
         CallReason, OperatorSource, QuotaBuckets, ReaderRole, RelayCounts, ReportBatch,
         ReportCursor, RouteFreshness, RouteSnapshot, RouteUpdate, SourceError, StoreVersion,
-        UpstreamSnapshot, ZoneSize, operator_source::SilentSnafu,
+        UpstreamChanges, UpstreamSnapshot, ZoneSize, operator_source::SilentSnafu,
     },
     std::{
         sync::{Arc, atomic::AtomicBool},
@@ -48,6 +48,7 @@
     report_watcher: Arc<ReportWatcher<S>>,
     /// When the routes in force were last known to be the newest.
     freshness: RouteFreshness,
+    list: ListReader<S>,
     /// Whether the whole system starts for the first time.
     first_start: bool,
     /// `None` before the directory was read.
@@ -149,6 +150,7 @@
             first_start,
             report_watcher,
             freshness,
+            list: ListReader::new(store.clone()),
             join: RankedLock::new(LockRank::Samples, None),
             keys,
             members,
@@ -173,7 +175,7 @@
     async fn read_store(&self) -> Result<UpstreamSnapshot, SourceError> {
         let began = steady_clock::now();
         let reason = self.members.election.lock().call_reason();
-        let snapshot = with_timeout(self.times.read_timeout, self.store.read_upstreams(reason));
+        let snapshot = with_timeout(self.times.read_timeout, self.list.read(reason));
         let (snapshot, ()) = tokio::join!(snapshot, self.report_watcher.read_first());
         let now = steady_clock::now();
         let mut snapshot = match snapshot {
@@ -291,6 +293,15 @@
         Ok(snapshot)
     }
 
+    async fn read_changes(
+        &self,
+        after: StoreVersion,
+        reason: CallReason,
+    ) -> Result<Option<UpstreamChanges>, SourceError> {
+        let changes = self.store.read_changes(after, reason);
+        with_timeout(self.times.read_timeout, changes).await
+    }
+
     async fn read_upstreams(&self, _reason: CallReason) -> Result<UpstreamSnapshot, SourceError> {
         if self.join.lock().is_none() {
             self.join_with_backoff().await?;
