--- a/crates/bench/src/customers_command.rs
+++ b/crates/bench/src/customers_command.rs
@@ -95,6 +95,7 @@
                 unit: QuotaUnit::Tokens { plain: 200 },
             }),
             rank: None,
+            regions: None,
         };
         rows.push(CustomerRow {
             info,
--- a/crates/kernel/src/ids.rs
+++ b/crates/kernel/src/ids.rs
@@ -6,6 +6,8 @@
 pub type InstanceId = Arc<str>;
 /// Identifies one availability zone.
 pub type ZoneId = Arc<str>;
+/// Identifies one region: some availability zones close to each other.
+pub type RegionId = Arc<str>;
 /// Identifies one upstream: a model engine or a replica of a plain service.
 pub type UpstreamId = Arc<str>;
 /// Identifies one service, such as `redactor` or `booking-app`.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,9 +6,12 @@
 
 pub mod cache_index;
 pub mod caller_key;
+pub mod cold_phase;
+pub mod cold_rule;
 pub mod crash_report;
 pub mod crash_table;
 pub mod customer_limit;
+pub mod evacuation_set;
 pub mod loss_table;
 pub mod prefill_estimate;
 pub mod quota_bucket;
@@ -30,14 +33,18 @@
 pub mod upstream_table;
 pub mod usage_ledger;
 pub mod usage_rate;
+pub mod zone_filter;
 pub mod zone_refusals;
 
 pub use {
     cache_index::CacheIndex,
     caller_key::{CallerKey, KeyDigest, KeyHasher, KeySalt},
+    cold_phase::ColdPhase,
+    cold_rule::ColdRule,
     crash_report::{AgedReport, CrashMark, CrashReport},
     crash_table::{CrashTable, QuarantineRow},
     customer_limit::{CustomerLimit, QuotaUnit},
+    evacuation_set::{EvacuationChange, EvacuationSet},
     loss_table::{LossAction, LossTable, LostRun, ProbeOutcome},
     prefill_estimate::PrefillEstimate,
     quota_bucket::{QuotaBucket, QuotaSync, QuotaView},
@@ -58,5 +65,6 @@
     upstream_table::{ChoiceQuery, PrefillChoice, UpstreamTable},
     usage_ledger::{UsageLedger, UsageReporter, UsageRow, UsageTotals},
     usage_rate::UsageRate,
+    zone_filter::ZoneFilter,
     zone_refusals::ZoneRefusals,
 };
--- a/crates/policy/src/upstream_entry.rs
+++ b/crates/policy/src/upstream_entry.rs
@@ -1,7 +1,7 @@
 //! The state of one upstream, as observed by one instance.
 
 use {
-    crate::{PrefillEstimate, RefusalCooldown, UpstreamRecord, UpstreamStage},
+    crate::{ColdPhase, PrefillEstimate, RefusalCooldown, UpstreamRecord, UpstreamStage},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -79,6 +79,8 @@
 /// The load, failures and record of one upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamEntry {
+    /// The phase in which it is cold; `None` before the first one.
+    pub cold: Option<ColdPhase>,
     /// The cooldown after it has refused requests with reserved slots.
     pub cooldown: RefusalCooldown,
     failure: f64,
@@ -110,7 +112,8 @@
 
     /// Creates the state of an upstream without observations.
     pub fn new(record: Arc<UpstreamRecord>, now: Instant) -> Self {
-        Self {
+        let mut entry = Self {
+            cold: None,
             cooldown: RefusalCooldown::default(),
             failure: 0.0,
             failure_at: now,
@@ -120,7 +123,29 @@
             in_flight_tokens: 0,
             prefill: PrefillEstimate::new(now),
             record,
+        };
+        entry.note_cold(entry.record.cold_for, now);
+        entry
+    }
+
+    /// Records that the upstream is cold for some time. Other statements do not shorten that.
+    pub fn note_cold(&mut self, duration: Duration, now: Instant) {
+        if duration.is_zero() {
+            return;
+        }
+        let phase = self.cold.filter(|phase| !phase.left(now).is_zero());
+        let mut phase = phase.unwrap_or(ColdPhase::new(now, now));
+        phase.extend(now + duration);
+        self.cold = Some(phase);
+    }
+
+    /// Replaces the record by a newer one.
+    pub fn set_record(&mut self, record: &UpstreamRecord, now: Instant) {
+        if *self.record == *record {
+            return;
         }
+        self.record = Arc::new(record.clone());
+        self.note_cold(record.cold_for, now);
     }
 
     /// Records the verdict of a call.
--- a/crates/policy/src/upstream_record.rs
+++ b/crates/policy/src/upstream_record.rs
@@ -3,7 +3,7 @@
 use {
     kernel::{ServiceId, UpstreamId, ZoneId},
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// One process of an upstream; a restart has another id, even under the same name.
@@ -11,6 +11,8 @@
 pub struct UpstreamRecord {
     /// Where it accepts connections.
     pub address: SocketAddr,
+    /// How much longer it was cold when it last reported; zero when it was warm.
+    pub cold_for: Duration,
     /// The id of this process; changes with each restart.
     pub id: UpstreamId,
     /// Whether it is draining.
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
-        CallVerdict, PrefillEstimate, UpstreamEntry, UpstreamRecord, UpstreamStage, ZoneRefusals,
+        CallVerdict, ColdRule, EvacuationChange, EvacuationSet, PrefillEstimate, UpstreamEntry,
+        UpstreamRecord, UpstreamStage, ZoneFilter, ZoneRefusals,
     },
-    kernel::{ServiceId, UpstreamId, ZoneId, seeded_rng},
+    kernel::{InstanceId, ServiceId, UpstreamId, ZoneId, seeded_rng},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -29,6 +30,10 @@
 /// long as none of the own calls runs there. With 59 instances and 39 engines, half of all new connections were
 /// reservations at engines that had not been called for 10 s.
 const CONNECTED_GAIN: f64 = 0.5;
+/// The cost of being cold, in in-flight calls: more than that of another availability zone, less than that of being full.
+const COLD_COST: f64 = 10.0;
+/// The same in prefill time.
+const COLD_PREFILL: Duration = Duration::from_millis(200);
 /// The cost of having recently been full, in in-flight calls.
 const FULL_COST: f64 = 20.0;
 /// The cost of a KV transfer from another availability zone, in prefill time: it takes longer and its traffic is
@@ -57,6 +62,8 @@
 pub struct ChoiceQuery<'a> {
     /// Upstreams that have already been tried.
     pub avoid: &'a [UpstreamId],
+    /// The availability zones that may process the request.
+    pub filter: &'a ZoneFilter,
     /// Engines that have the KV cache of the prompt: preferred while they are not full, since they need no prefill.
     pub holders: &'a [UpstreamId],
     /// Upstreams with an idle connection.
@@ -89,14 +96,82 @@
 /// The known upstreams, by id.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
+    cold_rules: BTreeMap<ServiceId, ColdRule>,
     entries: BTreeMap<UpstreamId, UpstreamEntry>,
+    evacuations: EvacuationSet,
     grace_until: Option<Instant>,
+    instance: InstanceId,
+    instance_count: Option<usize>,
     read_at: Option<Instant>,
     /// Whether a list has been received.
     pub is_loaded: bool,
 }
 
 impl UpstreamTable {
+    /// An empty table of an instance.
+    pub fn new(instance: InstanceId) -> Self {
+        Self {
+            instance,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the services whose cold upstreams tolerate a limited rate of calls.
+    pub fn set_cold_rules(&mut self, rules: BTreeMap<ServiceId, ColdRule>) {
+        self.cold_rules = rules;
+    }
+
+    /// Sets how many instances share the calls to cold upstreams; `None` while unknown, when this one makes none.
+    pub fn set_instance_count(&mut self, count: Option<usize>) {
+        self.instance_count = count;
+    }
+
+    /// Applies the evacuated availability zones, unless newer ones are known. Upstreams of a zone whose evacuation has
+    /// ended count as cold until a list read after that could say so.
+    pub fn set_evacuations(&mut self, next: &EvacuationSet, now: Instant) -> EvacuationChange {
+        let change = self.evacuations.change_to(next);
+        if next.version > self.evacuations.version {
+            self.evacuations = next.clone();
+        }
+        for entry in self.entries.values_mut() {
+            if !change.ended.contains(&entry.record.zone) {
+                continue;
+            }
+            if let Some(rule) = self.cold_rules.get(&entry.record.service) {
+                entry.note_cold(rule.duration, now);
+            }
+        }
+        change
+    }
+
+    /// Whether the upstreams of an availability zone get no new work.
+    pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
+        self.evacuations.zones.contains(zone)
+    }
+
+    /// Whether there are upstreams, and all of them are in evacuated availability zones.
+    pub fn is_all_evacuated(&self) -> bool {
+        let mut entries = self.entries.values();
+        !self.entries.is_empty() && entries.all(|entry| self.is_evacuated(&entry.record.zone))
+    }
+
+    /// Records a call to an upstream, which takes this instance's turn if the upstream is cold.
+    pub fn note_cold_call(&mut self, id: &UpstreamId, now: Instant) {
+        let entry = self.entries.get_mut(id);
+        if let Some(phase) = entry.and_then(|entry| entry.cold.as_mut()) {
+            phase.note_call(now);
+        }
+    }
+
+    /// The time until this instance may call a cold upstream that matches the query; `None` when there is none.
+    pub fn cold_wait(&self, query: &ChoiceQuery<'_>, now: Instant) -> Option<Duration> {
+        let entries = self.entries.values();
+        let eligible = entries.filter(|entry| self.is_eligible(entry, query));
+        eligible
+            .filter_map(|entry| self.turn_wait(entry, now))
+            .min()
+    }
+
     /// Records the start of a call.
     pub fn begin(&mut self, id: &UpstreamId, tokens: u64) {
         let Some(entry) = self.entries.get_mut(id) else {
@@ -111,11 +186,14 @@
         let mut best: Option<(bool, f64, u64, &UpstreamEntry)> = None;
         let refusals = self.refusals(query);
         for entry in self.entries.values() {
-            if !self.is_suitable(entry, query) {
+            if !self.is_suitable(entry, query, now) {
                 continue;
             }
             let in_cooldown = entry.cooldown.is_active(now);
-            let cost = call_cost(entry, query, now) + refusals.cost(&entry.record.zone);
+            let mut cost = call_cost(entry, query, now) + refusals.cost(&entry.record.zone);
+            if self.turn_wait(entry, now).is_some() {
+                cost += COLD_COST;
+            }
             let tie = tie_break(query.request, &entry.record.id);
             let better = match &best {
                 Some((cooldown, lowest, lowest_tie, _)) => {
@@ -145,10 +223,13 @@
     ) -> Option<PrefillChoice> {
         let mut drawn: BTreeMap<&ZoneId, (Duration, PrefillChoice)> = BTreeMap::new();
         for entry in self.entries.values() {
-            if !self.is_suitable(entry, query) {
+            if !self.is_suitable(entry, query, now) {
                 continue;
             }
-            let choice = prefill_choice(entry, query, tokens, now);
+            let mut choice = prefill_choice(entry, query, tokens, now);
+            if self.turn_wait(entry, now).is_some() {
+                choice.cost += COLD_PREFILL;
+            }
             let cost = with_jitter(choice.cost, query.request, &entry.record.id);
             match drawn.get(&entry.record.zone) {
                 Some((lowest, _)) if *lowest <= cost => continue,
@@ -234,18 +315,26 @@
         entry.failure_share(now) > OUTLIER_FACTOR * mean + OUTLIER_MARGIN
     }
 
-    /// Whether an upstream is known and not draining.
+    /// Whether an upstream is known and not draining, and its availability zone is not evacuated.
     pub fn accepts_work(&self, id: &UpstreamId) -> bool {
-        self.entries
-            .get(id)
-            .is_some_and(|entry| !entry.record.leaving)
+        let zone = self.entries.get(id).map(|entry| &entry.record.zone);
+        self.is_active(id) && zone.is_some_and(|zone| !self.is_evacuated(zone))
+    }
+
+    /// Whether an upstream is known and not draining.
+    pub fn is_active(&self, id: &UpstreamId) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| !entry.record.leaving)
     }
 
-    /// The engines of a service in both stages, without draining ones.
+    /// The engines of a service in both stages, without those that get no new work.
     pub fn engines(&self, service: &ServiceId) -> Vec<Arc<UpstreamRecord>> {
         let records = self.entries.values().map(|entry| &entry.record);
         let engines = records.filter(|record| {
-            record.service == *service && record.stage != UpstreamStage::Plain && !record.leaving
+            record.service == *service
+                && record.stage != UpstreamStage::Plain
+                && !record.leaving
+                && !self.is_evacuated(&record.zone)
         });
         engines.cloned().collect()
     }
@@ -274,9 +363,7 @@
             let entry = match before.remove(&record.id) {
                 Some(mut entry) => {
                     entry.missing_since = None;
-                    if *entry.record != *record {
-                        entry.record = Arc::new(record.clone());
-                    }
+                    entry.set_record(record, now);
                     entry
                 }
                 None => UpstreamEntry::new(Arc::new(record.clone()), now),
@@ -303,8 +390,9 @@
             ..*query
         };
         let mut suitable = self.entries.values();
-        suitable
-            .any(|entry| self.is_suitable(entry, &unrestricted) && !entry.cooldown.is_active(now))
+        suitable.any(|entry| {
+            self.is_suitable(entry, &unrestricted, now) && !entry.cooldown.is_active(now)
+        })
     }
 
     fn is_address_reused(&self, missing: &UpstreamEntry) -> bool {
@@ -328,12 +416,35 @@
         refusals
     }
 
-    fn is_suitable(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>) -> bool {
+    /// Whether an upstream can be called now: it matches the query, and it is warm or this instance has a turn.
+    fn is_suitable(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>, now: Instant) -> bool {
+        let is_due = self.turn_wait(entry, now).is_none_or(|wait| wait.is_zero());
+        is_due && self.is_eligible(entry, query)
+    }
+
+    /// The time until this instance may call a cold upstream; `None` when the upstream is warm or tolerates any rate.
+    fn turn_wait(&self, entry: &UpstreamEntry, now: Instant) -> Option<Duration> {
+        let phase = entry.cold?;
+        let rule = self.cold_rules.get(&entry.record.service)?;
+        let left = phase.left(now);
+        if left.is_zero() {
+            return None;
+        }
+        let Some(count) = self.instance_count else {
+            return Some(left);
+        };
+        let offset = tie_break(&self.instance, &entry.record.id) as f64 / u64::MAX as f64;
+        Some(phase.turn_wait(rule.period(count), offset, now).min(left))
+    }
+
+    fn is_eligible(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>) -> bool {
         let record = &entry.record;
         !record.leaving
             && record.stage == query.stage
             && record.service == *query.service
             && !query.avoid.contains(&record.id)
+            && query.filter.allows(&record.zone)
+            && !self.is_evacuated(&record.zone)
     }
 }
 
--- a/crates/policy/tests/stage_plan.rs
+++ b/crates/policy/tests/stage_plan.rs
@@ -32,6 +32,7 @@
         for index in 0..count {
             list.push(Arc::new(UpstreamRecord {
                 address: ([127, 0, 0, 1], 1000).into(),
+                cold_for: Duration::ZERO,
                 id: format!("{stage:?}-{index}").into(),
                 leaving: false,
                 name: format!("{stage:?}-{index}").into(),
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -2,7 +2,7 @@
 
 use {
     kernel::{ServiceId, ZoneId},
-    policy::{CallVerdict, ChoiceQuery, UpstreamRecord, UpstreamStage, UpstreamTable},
+    policy::{CallVerdict, ChoiceQuery, UpstreamRecord, UpstreamStage, UpstreamTable, ZoneFilter},
     std::{
         collections::BTreeSet,
         time::{Duration, Instant},
@@ -15,6 +15,7 @@
     let number: u16 = id.bytes().map(u16::from).sum();
     UpstreamRecord {
         address: ([127, 0, 0, 1], 1000 + number).into(),
+        cold_for: Duration::ZERO,
         id: id.into(),
         leaving: false,
         name: id.into(),
@@ -30,6 +31,7 @@
     let zone: ZoneId = "near".into();
     let query = ChoiceQuery {
         avoid: &[],
+        filter: &ZoneFilter::default(),
         holders: &[],
         connected: &BTreeSet::new(),
         request: "r",
@@ -184,6 +186,7 @@
     let zone: ZoneId = "near".into();
     let query = ChoiceQuery {
         avoid: &[],
+        filter: &ZoneFilter::default(),
         holders: &[],
         connected: &BTreeSet::new(),
         request: "r",
@@ -251,6 +254,7 @@
             let request = format!("{instance}-{round}");
             let query = ChoiceQuery {
                 avoid: &[],
+                filter: &ZoneFilter::default(),
                 holders: &[],
                 connected: &BTreeSet::new(),
                 request: &request,
@@ -285,6 +289,7 @@
         let request = format!("{round}");
         let query = ChoiceQuery {
             avoid: &[],
+            filter: &ZoneFilter::default(),
             holders: &[],
             connected: &BTreeSet::new(),
             request: &request,
@@ -336,6 +341,7 @@
     table.note_refusal(&"a".into(), false, now);
     let query = ChoiceQuery {
         avoid: &["b".into()],
+        filter: &ZoneFilter::default(),
         holders: &[],
         connected: &BTreeSet::new(),
         request: "r",
@@ -360,6 +366,7 @@
     }
     let query = ChoiceQuery {
         avoid: &[],
+        filter: &ZoneFilter::default(),
         holders: std::slice::from_ref(&holder.id),
         connected: &BTreeSet::new(),
         request: "r",
@@ -387,6 +394,7 @@
         let request = format!("{number}");
         let query = ChoiceQuery {
             avoid: &[],
+            filter: &ZoneFilter::default(),
             holders: std::slice::from_ref(&holder.id),
             connected: &BTreeSet::new(),
             request: &request,
@@ -428,6 +436,7 @@
     let (service, zone) = ("s".into(), "a".into());
     let query = ChoiceQuery {
         avoid: &avoid,
+        filter: &ZoneFilter::default(),
         holders: &[],
         connected: &BTreeSet::new(),
         request: "r",
@@ -467,6 +476,7 @@
     let choose = |table: &UpstreamTable, request: &str| {
         let query = ChoiceQuery {
             avoid: &[],
+            filter: &ZoneFilter::default(),
             holders: &[],
             connected: &connected,
             request,
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -5,12 +5,13 @@
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri, header},
     kernel::{ModelId, steady_clock},
-    policy::{FingerprintParts, RequestFingerprint},
+    policy::{FingerprintParts, RequestFingerprint, ZoneFilter},
     std::{
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
     },
     table::Rank,
+    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// Identifies one attempt of a caller; each retry has a new id.
@@ -60,6 +61,8 @@
     pub access: Option<CustomerAccess>,
     /// The body.
     pub body: Bytes,
+    /// The memory that a large body takes while the request exists.
+    pub body_memory: Option<OwnedSemaphorePermit>,
     /// What the request took from its customer's quota; given back if it did not run.
     pub charge: Option<QuotaCharge>,
     /// When the caller's timeout or the route's patience ends.
@@ -80,6 +83,8 @@
     pub trace: RequestTrace,
     /// Path and query.
     pub target: Uri,
+    /// The availability zones whose upstreams may process the request.
+    pub zones: ZoneFilter,
 }
 
 impl CallerRequest {
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -117,7 +117,7 @@
     ) {
         let upstream = &call.upstream;
         // A draining upstream exits sooner or later, whatever runs there.
-        if !self.upstreams.lock().accepts_work(&upstream.id) {
+        if !self.upstreams.lock().is_active(&upstream.id) {
             self.counts.note_loss("leaving");
             return;
         }
--- a/crates/relay/src/customer_table.rs
+++ b/crates/relay/src/customer_table.rs
@@ -1,11 +1,11 @@
 //! The customers that the operators declare, indexed by their keys.
 
 use {
-    kernel::CustomerId,
+    kernel::{CustomerId, RegionId},
     policy::{CallerKey, CustomerLimit, KeyDigest, KeyHasher, KeySalt},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
     },
     table::Rank,
@@ -20,6 +20,8 @@
     pub limit: Option<CustomerLimit>,
     /// Overrides the rank of the route; `None` keeps that.
     pub rank: Option<Rank>,
+    /// The regions whose upstreams may process its requests; `None` for all, empty for none.
+    pub regions: Option<BTreeSet<RegionId>>,
 }
 
 /// A customer with the digests of its keys, as instances send it to each other.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`UpstreamDialect`].
 
 pub mod access_refusal;
+pub mod buffer_budget;
 pub mod call_end;
 pub mod caller_limits;
 pub mod caller_request;
@@ -23,6 +24,7 @@
 pub mod open_call;
 pub mod operator_source;
 pub mod order_dialect;
+pub mod piece_channel;
 pub mod plain_flow;
 pub mod prompt_search;
 pub mod quota_buckets;
@@ -53,6 +55,7 @@
 
 pub use {
     access_refusal::{AccessRefusal, RefusalReason},
+    buffer_budget::{BufferBudget, BufferedBody, CollectError},
     call_end::{CallEnd, UpstreamAnswer},
     caller_limits::CallerLimits,
     caller_request::{CallerHead, CallerRequest, PromptInfo, PromptPart, RequestId},
@@ -70,9 +73,10 @@
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
         OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate, SourceError,
-        StoreVersion, UpstreamSnapshot,
+        StoreVersion, UpstreamChange, UpstreamChanges, UpstreamSnapshot,
     },
     order_dialect::{OrderDialect, OrderState, StageOrder},
+    piece_channel::{CallerLeft, PieceReceiver, PieceSender, piece_channel},
     plain_flow::PlainFlow,
     quota_buckets::{QuotaBuckets, QuotaCharge},
     reader_role::ReaderRole,
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -2,13 +2,12 @@
 
 use {
     crate::{
-        CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, ErrorResponse, RelayBody,
-        RelayCore, UpstreamAnswer, UpstreamDialect, WorkRoute, relay_core::status_verdict,
+        BufferedBody, CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, CollectError,
+        ErrorResponse, RelayBody, RelayCore, UpstreamAnswer, UpstreamDialect, WorkRoute,
+        relay_core::status_verdict,
     },
-    bytes::Bytes,
     http::{Response, StatusCode},
-    http_body_util::{BodyExt, Limited},
-    kernel::{ResultCode, ServiceId, UpstreamId},
+    kernel::{ResultCode, ServiceId, UpstreamId, ZoneId},
     policy::{CallVerdict, ChoiceQuery, UpstreamStage},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::time,
@@ -21,6 +20,7 @@
 const MAX_REFUSALS: u32 = 2;
 /// Retry delay after a refusal: a few times the usual latency of a plain service.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
+static NO_CONNECTIONS: BTreeSet<UpstreamId> = BTreeSet::new();
 /// An idempotent request moves to another upstream after this many times the route's target without an answer.
 const SILENCE_FACTOR: u32 = 2;
 
@@ -41,7 +41,7 @@
 
 /// An answer read in full.
 struct BufferedAnswer {
-    body: Bytes,
+    body: BufferedBody,
     head: http::response::Parts,
 }
 
@@ -81,7 +81,10 @@
         let mut last = ErrorResponse::with_retry_after(ResultCode::UpstreamMissing, RETRY_AFTER);
         loop {
             let Some(upstream) = self.choose() else {
-                return self.give_up(last);
+                return match self.tried.is_empty() {
+                    true => Err(self.missing_upstream()),
+                    false => self.give_up(last),
+                };
             };
             let repeats = self.runs + self.refused > 0;
             if repeats && !self.core.take_retry(self.service) {
@@ -112,15 +115,27 @@
     }
 
     fn choose(&self) -> Option<Arc<policy::UpstreamRecord>> {
-        self.core.choose(&ChoiceQuery {
+        let settings = self.core.settings.load();
+        self.core.choose(&self.query(&settings.zone))
+    }
+
+    fn missing_upstream(&self) -> ErrorResponse {
+        let settings = self.core.settings.load();
+        self.core
+            .missing_upstream(&self.query(&settings.zone), RETRY_AFTER)
+    }
+
+    fn query<'q>(&'q self, zone: &'q ZoneId) -> ChoiceQuery<'q> {
+        ChoiceQuery {
             avoid: &self.tried,
+            connected: &NO_CONNECTIONS,
+            filter: &self.request.zones,
             holders: &[],
-            connected: &BTreeSet::new(),
             request: &self.request.head.id,
             service: self.service,
             stage: UpstreamStage::Plain,
-            zone: &self.core.settings.load().zone,
-        })
+            zone,
+        }
     }
 
     fn give_up(self, last: ErrorResponse) -> Result<Response<RelayBody>, ErrorResponse> {
@@ -141,9 +156,9 @@
             head,
             connection,
         } = answer;
-        let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let reading = self.core.buffers.collect(body, MAX_ANSWER_BYTES);
         match time::timeout(self.request.left(), reading).await {
-            Ok(Ok(collected)) => {
+            Ok(Ok(body)) => {
                 call.close(status_verdict(head.status));
                 self.core.crashes.note_answered(self.request);
                 if !facts.closes_connection {
@@ -153,13 +168,10 @@
                         facts.idle_timeout,
                     );
                 }
-                Some(BufferedAnswer {
-                    body: collected.to_bytes(),
-                    head,
-                })
+                Some(BufferedAnswer { body, head })
             }
             outcome => {
-                if outcome.is_ok() {
+                if matches!(outcome, Ok(Err(CollectError::Cut))) {
                     self.core.crashes.note_loss(self.request, &call, true);
                 }
                 call.close(CallVerdict::Lost);
@@ -169,7 +181,7 @@
     }
 
     fn respond(&self, answer: BufferedAnswer) -> Response<RelayBody> {
-        let mut response = Response::new(RelayBody::whole(answer.body));
+        let mut response = Response::new(RelayBody::buffered(answer.body));
         *response.status_mut() = answer.head.status;
         *response.headers_mut() = self.core.dialect.returned_headers(&answer.head.headers);
         response
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool, ConnectionTimeouts,
-        CrashWatch, ErrorResponse, OpenCall, QuotaBuckets, ReaderRole, RelayCounts, RelaySettings,
-        RouteFreshness, RouteTable, SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall,
-        UpstreamDialect, WorkRoute, ZoneSize,
+        BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
+        ConnectionTimeouts, CrashWatch, ErrorResponse, OpenCall, QuotaBuckets, ReaderRole,
+        RelayCounts, RelaySettings, RouteFreshness, RouteTable, SharedUpstreams, StartGate,
+        UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute, ZoneSize,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     bytes::Bytes,
@@ -15,8 +15,8 @@
         LockRank, RankedLock, ResultCode, ServiceId, ShutdownSignal, UpstreamId, steady_clock,
     },
     policy::{
-        CacheIndex, CallVerdict, ChoiceQuery, RetryWindow, SlotHoldTime, StagePressure,
-        UpstreamRecord, UpstreamTable,
+        CacheIndex, CallVerdict, ChoiceQuery, PrefillChoice, RetryWindow, SlotHoldTime,
+        StagePressure, UpstreamRecord, UpstreamTable,
     },
     std::{
         collections::HashMap,
@@ -26,6 +26,9 @@
     tokio::time,
 };
 
+/// What a connection to an upstream reads ahead, bytes; also the limit of the head of an answer.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+
 /// A call for which no upstream has been chosen yet.
 #[derive(Clone, Copy, Debug)]
 pub struct CallPlan<'a> {
@@ -46,6 +49,8 @@
     pub upstreams: Arc<SharedUpstreams>,
     /// The routes in force; `None` until they have been read for the first time.
     pub routes: ArcSwapOption<RouteTable>,
+    /// The memory for bodies that wait for slow readers.
+    pub buffers: BufferBudget,
     /// Raised when the process shuts down and no new request can be finished.
     pub closing: ShutdownSignal,
     /// The metrics.
@@ -139,6 +144,11 @@
             plan.request.trace.note(format_args!("{}", refusal.reason));
             return CallEnd::Denied(refusal.error);
         }
+        if !self.upstreams.lock().accepts_work(&upstream.id) {
+            let trace = &plan.request.trace;
+            trace.note(format_args!("{} gets no new work", upstream.id));
+            return CallEnd::Unsent;
+        }
         let left = plan.request.left();
         if left.is_zero() {
             return CallEnd::Unsent;
@@ -223,7 +233,43 @@
 
     /// The best upstream for a call.
     pub fn choose(&self, query: &ChoiceQuery<'_>) -> Option<Arc<UpstreamRecord>> {
-        self.upstreams.lock().choose(query, steady_clock::now())
+        let now = steady_clock::now();
+        let count = self.cold_share_count();
+        let mut upstreams = self.upstreams.lock();
+        upstreams.set_instance_count(count);
+        let upstream = upstreams.choose(query, now)?;
+        upstreams.note_cold_call(&upstream.id, now);
+        Some(upstream)
+    }
+
+    /// The best engine to prefill a prompt of this many tokens.
+    pub fn choose_prefill(&self, query: &ChoiceQuery<'_>, tokens: u64) -> Option<PrefillChoice> {
+        let now = steady_clock::now();
+        let count = self.cold_share_count();
+        let mut upstreams = self.upstreams.lock();
+        upstreams.set_instance_count(count);
+        let choice = upstreams.choose_prefill(query, tokens, now)?;
+        upstreams.note_cold_call(&choice.upstream.id, now);
+        Some(choice)
+    }
+
+    /// The answer to a caller for whose request there is no upstream. It may return when a cold upstream can be called,
+    /// or else after `retry_after`.
+    pub fn missing_upstream(
+        &self,
+        query: &ChoiceQuery<'_>,
+        retry_after: Duration,
+    ) -> ErrorResponse {
+        let wait = self.upstreams.lock().cold_wait(query, steady_clock::now());
+        ErrorResponse::with_retry_after(ResultCode::UpstreamMissing, wait.unwrap_or(retry_after))
+    }
+
+    /// The number of instances that share the calls to cold upstreams; `None` while unknown.
+    fn cold_share_count(&self) -> Option<usize> {
+        match self.settings.load().is_alone {
+            true => Some(1),
+            false => self.instance_count(),
+        }
     }
 
     /// The number of instances, as far as this one knows; zones are taken to be of equal size.
@@ -247,10 +293,10 @@
         };
         let upstreams = Arc::new(RankedLock::new(
             LockRank::Upstreams,
-            UpstreamTable::default(),
+            UpstreamTable::new(settings.instance.clone()),
         ));
         let counts = RelayCounts::new();
-        let pool = Arc::new(ConnectionPool::new(times));
+        let pool = Arc::new(ConnectionPool::new(times).with_read_buffer(READ_BUFFER_BYTES));
         Self {
             crashes: Arc::new(CrashWatch::new(
                 upstreams.clone(),
@@ -260,6 +306,7 @@
             )),
             upstreams,
             routes: ArcSwapOption::empty(),
+            buffers: BufferBudget::new(settings.buffer_bytes),
             closing: ShutdownSignal::new(),
             counts,
             dialect,
--- a/crates/relay/src/relay_settings.rs
+++ b/crates/relay/src/relay_settings.rs
@@ -1,16 +1,23 @@
 //! The settings of the request path.
 
 use {
-    kernel::ZoneId,
-    policy::{QuotaRule, RetryBounds},
-    std::time::Duration,
+    kernel::{InstanceId, RegionId, ZoneId},
+    policy::{QuotaRule, RetryBounds, ZoneFilter},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// The settings of the request path.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct RelaySettings {
+    /// The memory for all bodies that wait for slow readers, bytes.
+    pub buffer_bytes: usize,
     /// Timeout for connecting to an upstream.
     pub connect_timeout: Duration,
+    /// The name of this instance.
+    pub instance: InstanceId,
     /// Whether this is the only instance, which then has the whole of every shared budget.
     pub is_alone: bool,
     /// How long a crash of an upstream counts against the requests that it was running.
@@ -19,6 +26,8 @@
     pub quotas: QuotaRule,
     /// Whether prompts are prefilled by separate prefill engines, or by the decode engine that runs the request.
     pub has_separate_prefill: bool,
+    /// The region of each availability zone; empty when unknown.
+    pub regions: BTreeMap<ZoneId, RegionId>,
     /// The retry budget of all instances together.
     pub retries: RetryBounds,
     /// The time within which a revoked key is refused everywhere, even by instances that are cut off from the store;
@@ -31,3 +40,22 @@
     /// The number of availability zones with instances.
     pub zones: usize,
 }
+
+impl RelaySettings {
+    /// Whether an availability zone is certainly none of this deployment.
+    pub fn is_zone_unknown(&self, zone: &ZoneId) -> bool {
+        !self.regions.is_empty() && !self.regions.contains_key(zone)
+    }
+
+    /// The availability zones that all of several restrictions to regions allow.
+    pub fn zone_filter<const N: usize>(
+        &self,
+        restrictions: [Option<&BTreeSet<RegionId>>; N],
+    ) -> ZoneFilter {
+        let mut filter = ZoneFilter::default();
+        for regions in restrictions.into_iter().flatten() {
+            filter.restrict(regions, &self.regions);
+        }
+        filter
+    }
+}
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -2,14 +2,12 @@
 
 use {
     crate::{
-        AccessRefusal, AnswerCut, CallerDialect, CallerHead, CallerRequest, CustomerAccess,
-        ErrorResponse, PlainFlow, RefusalReason, RelayBody, RelayCore, RequestTrace, RouteTable,
-        StreamFlow, TraceContext, UpstreamDialect, WorkRoute, relay_core::status_code,
-        upstream_dialect::target_path,
+        AccessRefusal, AnswerCut, BufferedBody, CallerDialect, CallerHead, CallerRequest,
+        CollectError, CustomerAccess, ErrorResponse, PlainFlow, RefusalReason, RelayBody,
+        RelayCore, RequestTrace, RouteTable, StreamFlow, TraceContext, UpstreamDialect, WorkRoute,
+        relay_core::status_code, upstream_dialect::target_path,
     },
-    bytes::Bytes,
     http::{Request, Response, header, request::Parts},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     kernel::{ResultCode, ServiceId, steady_clock},
     std::{
@@ -21,6 +19,8 @@
 
 /// Retry delay while this instance shuts down: another one can serve the request at once.
 const CLOSING_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Retry delay while bodies take all memory for them: slow readers need a moment.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The `work` label of requests without a route.
 const NO_ROUTE: &str = "";
 /// Retry delay while an instance has no routes yet: the store is read several times within it.
@@ -109,9 +109,13 @@
         }
         let customer = routed.access.as_ref().map(|access| &access.customer);
         let rank = customer.and_then(|customer| customer.rank);
+        let regions = customer.and_then(|customer| customer.regions.as_ref());
+        let settings = self.core.settings.load();
+        let zones = settings.zone_filter([routed.route.regions.as_ref(), regions]);
         let mut request = CallerRequest {
             access: routed.access,
-            body,
+            body: body.bytes,
+            body_memory: body.share,
             charge: None,
             deadline,
             fingerprint: OnceLock::new(),
@@ -122,6 +126,7 @@
             rank: rank.unwrap_or(routed.route.rank),
             since,
             target: parts.uri.clone(),
+            zones,
         };
         if let Some(left) = self.core.crashes.quarantine_left(&request) {
             return Ok(self.quarantine(&request, &routed.route, left));
@@ -146,15 +151,19 @@
         table: &RouteTable,
         deadline: Instant,
         body: Incoming,
-    ) -> Result<Bytes, Option<ErrorResponse>> {
-        let reading = Limited::new(body, table.limits.body).collect();
+    ) -> Result<BufferedBody, Option<ErrorResponse>> {
+        let reading = self.core.buffers.collect(body, table.limits.body);
         let left = deadline.saturating_duration_since(steady_clock::now());
         match time::timeout(left, reading).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(CollectError::TooLarge)) => {
                 Err(Some(ErrorResponse::new(ResultCode::BodyTooLarge)))
             }
-            Ok(Err(_)) | Err(_) => Err(None),
+            Ok(Err(CollectError::BudgetSpent)) => Err(Some(ErrorResponse::with_retry_after(
+                ResultCode::MemorySpent,
+                MEMORY_RETRY_AFTER,
+            ))),
+            Ok(Err(CollectError::Cut)) | Err(_) => Err(None),
         }
     }
 
--- a/crates/relay/src/route_table.rs
+++ b/crates/relay/src/route_table.rs
@@ -3,6 +3,7 @@
 use {
     crate::{CallerLimits, CustomerTable, ServiceInfo, WorkRoute},
     kernel::{ServiceId, TableVersion},
+    policy::ColdRule,
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -24,6 +25,13 @@
 }
 
 impl RouteTable {
+    /// The services whose cold upstreams tolerate a limited rate of calls.
+    pub fn cold_rules(&self) -> BTreeMap<ServiceId, ColdRule> {
+        let services = self.services.values();
+        let rules = services.filter_map(|service| Some((service.name.clone(), service.cold?)));
+        rules.collect()
+    }
+
     /// The route of a host with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<WorkRoute>> {
         let routes = self.hosts.get(host)?;
--- a/crates/relay/src/service_info.rs
+++ b/crates/relay/src/service_info.rs
@@ -2,6 +2,7 @@
 
 use {
     kernel::ServiceId,
+    policy::ColdRule,
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -9,6 +10,8 @@
 /// A service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceInfo {
+    /// What its upstreams tolerate while they are cold; `None` for any rate of calls.
+    pub cold: Option<ColdRule>,
     /// The properties of its model engines; `None` for plain services.
     pub engine: Option<EngineInfo>,
     /// The unique name.
--- a/crates/relay/src/slot_finder.rs
+++ b/crates/relay/src/slot_finder.rs
@@ -7,9 +7,10 @@
     crate::{
         ErrorResponse, OpenCall, RelayCore, ResourceGuard, SlotName, StreamFlow, UpstreamDialect,
     },
-    kernel::{ResultCode, UpstreamId, steady_clock},
+    kernel::{ResultCode, UpstreamId, ZoneId, steady_clock},
     policy::{ChoiceQuery, UpstreamRecord, UpstreamStage},
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -26,6 +27,7 @@
 const MAX_PAUSE: Duration = Duration::from_millis(160);
 /// How many engines are asked before a pause.
 const ENGINES_PER_ROUND: usize = 4;
+static NO_CONNECTIONS: BTreeSet<UpstreamId> = BTreeSet::new();
 
 /// A reserved slot at a decode engine.
 pub struct ReservedSlot<D: UpstreamDialect> {
@@ -75,10 +77,9 @@
                 }
             }
             if avoid.len() == self.flow.tried.len() {
-                return Err(ErrorResponse::with_retry_after(
-                    ResultCode::UpstreamMissing,
-                    retry_after,
-                ));
+                let settings = self.core().settings.load();
+                let query = self.query(&avoid, &settings.zone);
+                return Err(self.core().missing_upstream(&query, retry_after));
             }
             if std::mem::take(&mut is_first_round) {
                 self.core().note_search(&self.flow.service, true);
@@ -96,14 +97,23 @@
 
     fn choose(&self, avoid: &[UpstreamId]) -> Option<Arc<UpstreamRecord>> {
         self.core().choose(&ChoiceQuery {
+            connected: &self.core().pool.connected(),
+            ..self.query(avoid, &self.core().settings.load().zone)
+        })
+    }
+
+    /// The query for a decode engine, apart from the idle connections.
+    fn query<'q>(&'q self, avoid: &'q [UpstreamId], zone: &'q ZoneId) -> ChoiceQuery<'q> {
+        ChoiceQuery {
             avoid,
+            connected: &NO_CONNECTIONS,
+            filter: &self.flow.request.zones,
             holders: &self.flow.holders,
-            connected: &self.core().pool.connected(),
             request: &self.flow.request.head.id,
             service: &self.flow.service,
             stage: UpstreamStage::Decode,
-            zone: &self.core().settings.load().zone,
-        })
+            zone,
+        }
     }
 
     fn note(&self, upstream: &UpstreamRecord, outcome: &str) {
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -6,6 +6,7 @@
         RouteUpdate, SourceError, StoreVersion, UpstreamDialect, UpstreamSnapshot,
     },
     kernel::steady_clock,
+    policy::EvacuationSet,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -247,12 +248,50 @@
 
     /// Applies a snapshot of the routes and returns the version of the store to watch from.
     fn apply_snapshot(&self, reading: RouteSnapshot) -> StoreVersion {
+        if let Some(evacuations) = &reading.evacuations {
+            self.apply_evacuations(evacuations);
+        }
         if let Some(table) = reading.table {
             self.apply_routes(table, reading.as_of);
         }
         reading.version
     }
 
+    fn apply_evacuations(&self, evacuations: &EvacuationSet) {
+        let mut upstreams = self.core.upstreams.lock();
+        let change = upstreams.set_evacuations(evacuations, steady_clock::now());
+        let is_all_evacuated = upstreams.is_all_evacuated();
+        drop(upstreams);
+        let settings = self.core.settings.load();
+        for zone in &change.began {
+            if settings.is_zone_unknown(zone) {
+                tracing::warn!(%zone, "the evacuated availability zone does not exist");
+            }
+            tracing::info!(%zone, "the availability zone is evacuated");
+        }
+        for zone in &change.ended {
+            tracing::info!(%zone, "the evacuation of the availability zone has ended");
+        }
+        if is_all_evacuated && !change.began.is_empty() {
+            tracing::warn!("all upstreams are in evacuated availability zones");
+        }
+    }
+
+    /// Logs the routes whose requests no availability zone may process.
+    fn report_unservable(&self, table: &RouteTable) {
+        let settings = self.core.settings.load();
+        for route in table.routes() {
+            let filter = settings.zone_filter([route.regions.as_ref()]);
+            if !settings.regions.keys().any(|zone| filter.allows(zone)) && route.regions.is_some() {
+                tracing::warn!(
+                    route = %route.work,
+                    regions = ?route.regions,
+                    "no availability zone is in the regions that the route allows"
+                );
+            }
+        }
+    }
+
     fn apply_routes(&self, table: RouteTable, as_of: Option<Instant>) {
         if let Some(as_of) = as_of {
             self.core.freshness.note(table.version, as_of);
@@ -269,6 +308,11 @@
         let version = i64::try_from(table.version).unwrap_or(i64::MAX);
         self.core.counts.table_version.set(version);
         self.core.quotas.set_customers(&table);
+        self.report_unservable(&table);
+        self.core
+            .upstreams
+            .lock()
+            .set_cold_rules(table.cold_rules());
         self.core.routes.store(Some(Arc::new(table)));
         self.core.open_when_ready();
     }
--- a/crates/relay/src/stream_flow/prefill.rs
+++ b/crates/relay/src/stream_flow/prefill.rs
@@ -126,18 +126,18 @@
     /// The prefill engine to use; `None` when the decode engine is expected to finish sooner.
     fn choose_prefill_engine(&self, tokens: u64, zone: &ZoneId) -> Option<PrefillChoice> {
         let now = steady_clock::now();
-        let choice = self.core.upstreams.lock().choose_prefill(
+        let choice = self.core.choose_prefill(
             &ChoiceQuery {
                 avoid: &[],
                 holders: &self.holders,
                 connected: &BTreeSet::new(),
+                filter: &self.request.zones,
                 request: &self.request.head.id,
                 service: &self.service,
                 stage: UpstreamStage::Prefill,
                 zone,
             },
             tokens,
-            now,
         )?;
         let idle_estimate = PrefillEstimate::new(now).expected(tokens, now);
         let decode_estimate = idle_estimate * DECODE_PREFILL_FACTOR + DECODE_PREFILL_PENALTY;
--- a/crates/relay/src/work_route.rs
+++ b/crates/relay/src/work_route.rs
@@ -1,10 +1,10 @@
 //! One row of the operators' table: a route by host and path.
 
 use {
-    kernel::{ServiceId, WorkId, seeded_rng},
+    kernel::{RegionId, ServiceId, WorkId, seeded_rng},
     policy::RepeatRule,
     serde::{Deserialize, Serialize},
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     table::Rank,
 };
 
@@ -28,6 +28,8 @@
     pub prefix: Arc<str>,
     /// Lower ranks go first.
     pub rank: Rank,
+    /// The regions whose upstreams may process the work; `None` for all, empty for none.
+    pub regions: Option<BTreeSet<RegionId>>,
     /// Whether a request may run again after it may have run.
     pub repeat: RepeatRule,
     /// Whether the answer is a stream of events.
--- a/crates/spread/src/shared_source/requesting.rs
+++ b/crates/spread/src/shared_source/requesting.rs
@@ -116,6 +116,7 @@
         let state = self.members.state.borrow();
         let request = SpreadRequest {
             is_immediate,
+            evacuations: state.evacuations.as_ref().map(|set| set.version),
             routes: state.routes.as_ref().map(|(table, _)| table.version),
             member: self.members.own.clone(),
             is_refused,
@@ -166,6 +167,7 @@
         let snapshot = UpstreamSnapshot {
             as_of: Some(read),
             faults: Vec::new(),
+            first_page: None,
             passed_on: true,
             records,
             version: update.version,
@@ -180,11 +182,18 @@
 
     /// Applies routes of another instance; their age is increased by the transit time.
     fn apply_routes(&self, routes: PeerRoutes, transit: Duration, now: Instant) {
-        let PeerRoutes { age, copy } = routes;
-        if age.is_none() && copy.is_none() {
+        let PeerRoutes {
+            age,
+            copy,
+            evacuations,
+        } = routes;
+        if age.is_none() && copy.is_none() && evacuations.is_none() {
             return;
         }
         self.members.state.send_modify(|state| {
+            if let Some(evacuations) = evacuations {
+                state.apply_evacuations(evacuations);
+            }
             if let Some((table, version)) = copy {
                 state.apply_routes(table.into_table(), version, None);
             }
--- a/crates/spread/src/shared_source/route_sharing.rs
+++ b/crates/spread/src/shared_source/route_sharing.rs
@@ -14,16 +14,13 @@
     /// itself.
     pub(super) async fn wait_for_routes(&self, after: StoreVersion, wait: Duration) -> RouteUpdate {
         let mut state = self.members.state.subscribe();
-        let is_over =
-            |state: &SpreadState| state.reads_store || state.routes_after(after).is_some();
+        let is_over = |state: &SpreadState| state.reads_store || state.has_routes_after(after);
         let waiting = time::timeout(wait, state.wait_for(is_over)).await;
         let Ok(Ok(state)) = waiting else {
             return RouteUpdate::Unchanged(after, None);
         };
-        let snapshot = state
-            .routes_after(after)
-            .and_then(|_| state.routes_snapshot());
-        match snapshot {
+        let is_newer = state.has_routes_after(after);
+        match state.routes_snapshot().filter(|_| is_newer) {
             Some(snapshot) => RouteUpdate::Changed(Box::new(snapshot)),
             None => RouteUpdate::Unchanged(after, None),
         }
@@ -37,12 +34,14 @@
 
     /// Keeps routes read from the store, to pass them on.
     pub(super) fn keep_routes(&self, snapshot: &RouteSnapshot) {
-        let Some(table) = snapshot.table.clone() else {
-            return;
-        };
-        self.members
-            .state
-            .send_modify(|state| state.apply_routes(table, snapshot.version, snapshot.as_of));
+        self.members.state.send_modify(|state| {
+            if let Some(evacuations) = snapshot.evacuations.clone() {
+                state.apply_evacuations(evacuations);
+            }
+            if let Some(table) = snapshot.table.clone() {
+                state.apply_routes(table, snapshot.version, snapshot.as_of);
+            }
+        });
     }
 
     /// Records that the known routes were the newest at `as_of`. Other instances learn it with the
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -4,7 +4,7 @@
 use {
     crate::{MemberRow, PartNumber},
     kernel::{Incarnation, TableVersion, UpstreamId},
-    policy::{AgedReport, KeySalt, UpstreamRecord},
+    policy::{AgedReport, EvacuationSet, KeySalt, UpstreamRecord},
     relay::{
         CallerLimits, CustomerRow, CustomerTable, RouteTable, ServiceInfo, StoreVersion, WorkRoute,
     },
@@ -29,6 +29,8 @@
     /// Whether the requester wants what is known now, without waiting for the next read: it has
     /// nothing, or only stale data.
     pub is_immediate: bool,
+    /// Version of the evacuated availability zones that the requester knows.
+    pub evacuations: Option<StoreVersion>,
     /// Version of the routes that the requester has.
     pub routes: Option<TableVersion>,
     /// The requester.
@@ -114,6 +116,8 @@
     /// The routes, if the requester has older ones, with the version of the store's content at
     /// which they were read.
     pub copy: Option<(RouteTableCopy, StoreVersion)>,
+    /// The evacuated availability zones, if the requester knows older ones.
+    pub evacuations: Option<EvacuationSet>,
 }
 
 /// Crash reports that the requester does not know.
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -6,6 +6,7 @@
         RouteTableCopy, SpreadReply, SpreadRequest, SpreadTimes, SpreadUpdate,
     },
     kernel::{Incarnation, TableVersion, ZoneId},
+    policy::EvacuationSet,
     relay::{RouteSnapshot, RouteTable, StoreVersion, UpstreamSnapshot},
     std::{
         sync::Arc,
@@ -39,6 +40,8 @@
 /// The newest data of each kind.
 #[derive(Clone, Debug)]
 pub struct SpreadState {
+    /// The evacuated availability zones; `None` before they are known.
+    pub evacuations: Option<EvacuationSet>,
     /// The routes with the version of the store's content at which they were read.
     pub routes: Option<(Arc<RouteTable>, StoreVersion)>,
     /// Latest time at which these routes were known to be the newest.
@@ -97,9 +100,17 @@
         }))
     }
 
-    /// The routes, if they were read after a version of the store's content.
-    pub fn routes_after(&self, after: StoreVersion) -> Option<&(Arc<RouteTable>, StoreVersion)> {
-        self.routes.as_ref().filter(|(_, version)| *version > after)
+    /// Whether the routes or the evacuations were read after a version of the store's content.
+    pub fn has_routes_after(&self, after: StoreVersion) -> bool {
+        self.routes_version() > after
+    }
+
+    /// Version of the store's content at which the routes or the evacuations were read, whichever is newer; 0 before
+    /// either is known.
+    fn routes_version(&self) -> StoreVersion {
+        let routes = self.routes.as_ref().map_or(0, |(_, version)| *version);
+        let evacuations = self.evacuations.as_ref().map_or(0, |set| set.version);
+        routes.max(evacuations)
     }
 
     /// Whether a requester that has seen `before` updates is to be answered before its time is up.
@@ -117,7 +128,8 @@
         if request.is_immediate {
             return self.is_unavailable || self.routes.is_some() && self.read_at.is_some();
         }
-        let has_newer_routes = self.newer_routes(request).is_some();
+        let has_newer_routes =
+            self.newer_routes(request).is_some() || self.newer_evacuations(request).is_some();
         if self.is_unavailable && has_newer_routes {
             return true;
         }
@@ -138,6 +150,7 @@
     /// The state before anything is read. Crash reports expire after `quarantine`.
     pub fn new(incarnation: Incarnation, zone: ZoneId, quarantine: Duration) -> Self {
         Self {
+            evacuations: None,
             routes: None,
             routes_as_of: None,
             journal: ListJournal::new(incarnation),
@@ -216,6 +229,14 @@
         }
     }
 
+    /// Applies the evacuated availability zones unless newer ones are known.
+    pub fn apply_evacuations(&mut self, evacuations: EvacuationSet) {
+        let known = self.evacuations.as_ref();
+        if known.is_none_or(|known| evacuations.version > known.version) {
+            self.evacuations = Some(evacuations);
+        }
+    }
+
     /// Records that a version of the routes was the newest at `as_of`. It only applies to the known
     /// version.
     pub fn note_current_routes(&mut self, version: TableVersion, as_of: Instant) {
@@ -233,11 +254,12 @@
 
     /// The known routes.
     pub fn routes_snapshot(&self) -> Option<RouteSnapshot> {
-        let (table, version) = self.routes.as_ref()?;
+        let (table, _) = self.routes.as_ref()?;
         Some(RouteSnapshot {
             as_of: self.routes_as_of,
+            evacuations: self.evacuations.clone(),
             table: Some((**table).clone()),
-            version: *version,
+            version: self.routes_version(),
         })
     }
 
@@ -273,12 +295,19 @@
         table.filter(|(table, _)| request.routes.is_none_or(|have| table.version > have))
     }
 
+    /// The evacuated availability zones, if the requester knows older ones.
+    fn newer_evacuations(&self, request: &SpreadRequest) -> Option<&EvacuationSet> {
+        let known = self.evacuations.as_ref();
+        known.filter(|known| request.evacuations.is_none_or(|have| known.version > have))
+    }
+
     /// What a requester is sent about the routes.
     fn routes_update(&self, request: &SpreadRequest, now: Instant) -> PeerRoutes {
         let newer = self.newer_routes(request);
         PeerRoutes {
             age: self.routes_age(now),
             copy: newer.map(|(table, version)| (RouteTableCopy::from(&**table), *version)),
+            evacuations: self.newer_evacuations(request).cloned(),
         }
     }
 
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -584,6 +584,7 @@
         });
         let request = SpreadRequest {
             is_immediate: pending.is_immediate,
+            evacuations: Some(0),
             routes: Some(0),
             member,
             is_refused: pending.is_refused,
--- a/crates/spread/tests/list_journal.rs
+++ b/crates/spread/tests/list_journal.rs
@@ -6,7 +6,7 @@
     policy::{UpstreamRecord, UpstreamStage},
     proptest::{prelude::*, test_runner::RngSeed},
     spread::{ListChange, ListJournal, ListMirror, ListPart},
-    std::collections::BTreeSet,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 const UPSTREAMS: usize = 6;
@@ -14,6 +14,7 @@
 fn record(number: usize, leaving: bool) -> UpstreamRecord {
     UpstreamRecord {
         address: ([127, 0, 0, 1], 1000 + u16::try_from(number).unwrap()).into(),
+        cold_for: Duration::ZERO,
         id: format!("i-{number}").into(),
         leaving,
         name: format!("i-{number}").into(),
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -2,7 +2,7 @@
 
 use {
     kernel::{InstanceId, ZoneId},
-    policy::{UpstreamRecord, UpstreamStage},
+    policy::{EvacuationSet, UpstreamRecord, UpstreamStage},
     relay::{CallerLimits, RouteTable, UpstreamSnapshot},
     spread::{
         ListJournal, ListMirror, MemberRow, ReadFailure, SpreadReply, SpreadRequest, SpreadState,
@@ -14,6 +14,7 @@
 fn request() -> SpreadRequest {
     SpreadRequest {
         is_immediate: false,
+        evacuations: Some(0),
         routes: Some(0),
         member: MemberRow {
             address: ([127, 0, 0, 1], 7_000).into(),
@@ -99,9 +100,54 @@
     assert_eq!((age.age, age.version), (late - start, 2));
 }
 
+/// An evacuation reaches instances that the store does not answer, the same way as an edit, and an older one does not
+/// replace it.
+#[test]
+fn evacuations_are_passed_on_to_requesters_that_know_older_ones() {
+    let start = Instant::now();
+    let times = SpreadTimes::builder()
+        .period(Duration::from_millis(900))
+        .read_timeout(Duration::from_millis(700))
+        .build();
+    let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
+    state.apply_routes(RouteTable::default(), 3, Some(start));
+    state.apply_store_list(&UpstreamSnapshot::default(), start);
+    let before = state.update_count;
+    assert!(!state.has_updates(&request(), before, &times, start));
+    let evacuated = |version| EvacuationSet {
+        version,
+        zones: ["ferrol".into()].into(),
+    };
+    state.apply_evacuations(evacuated(7));
+    state.apply_evacuations(EvacuationSet {
+        version: 6,
+        ..EvacuationSet::default()
+    });
+    assert!(state.has_updates(&request(), before, &times, start));
+    assert!(state.has_routes_after(6) && !state.has_routes_after(7));
+    let sent = |state: &SpreadState, requester: &SpreadRequest| match state.answer(
+        requester,
+        times.max_staleness,
+        start,
+    ) {
+        SpreadReply::NoUpdate { routes, .. } => routes.evacuations,
+        SpreadReply::Update(update) => update.routes.evacuations,
+    };
+    assert_eq!(sent(&state, &request()), Some(evacuated(7)));
+    let knows = SpreadRequest {
+        evacuations: Some(7),
+        ..request()
+    };
+    assert_eq!(sent(&state, &knows), None);
+    assert!(!state.has_updates(&knows, before, &times, start));
+    state.record_failure(ReadFailure::Refused, start);
+    assert_eq!(sent(&state, &request()), Some(evacuated(7)));
+}
+
 fn upstream(leaving: bool) -> UpstreamRecord {
     UpstreamRecord {
         address: ([127, 0, 0, 1], 1_000).into(),
+        cold_for: Duration::ZERO,
         id: "i-1".into(),
         leaving,
         name: "i-1".into(),
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -9,7 +9,7 @@
         },
         entry::{PeerSocket, ProcessSignal, ProcessSignals, ReadyLine, bind_tcp},
         run_error::{CutByCloseSnafu, MetricsSnafu, RuntimeSnafu},
-        settings::{RelayFile, SettingsReader},
+        settings::{RelayCapacity, RelayFile, SettingsReader},
     },
     kernel::{InstanceId, PluginEntry, StateMap, WorkerPool, unix_time},
     platform::{HttpDialect, RowStore},
@@ -28,6 +28,10 @@
     tokio::time,
 };
 
+const BYTES_PER_MB: f64 = 1e6;
+/// The share of the memory for bodies that wait for slow readers. The list of upstreams, connections and the allocator's
+/// reserve take the rest.
+const BUFFER_SHARE: f64 = 0.25;
 const ADMIN_CLOSE_LIMIT: Duration = Duration::from_millis(200);
 const POOL_CLOSE_LIMIT: Duration = Duration::from_millis(200);
 /// The condition that the instance knows the customers' keys that are in force.
@@ -217,6 +221,8 @@
         .build();
     let customers = &settings.customers;
     RelaySettings::builder()
+        .buffer_bytes(buffer_bytes(&settings.capacity))
+        .instance(settings.instance.clone())
         .is_alone(settings.listen.peers.is_none())
         .maybe_revoked_within(customers.revoked_within)
         .quotas(QuotaRule {
@@ -227,6 +233,7 @@
         .connect_timeout(settings.upstreams.connect)
         .quarantine(settings.quarantine.life)
         .has_separate_prefill(settings.upstreams.reads_apart)
+        .regions(settings.regions.clone())
         .retries(bounds)
         .peer_timeout(settings.upstreams.unheard)
         .zone(settings.zone.clone())
@@ -234,6 +241,11 @@
         .build()
 }
 
+/// The part of the memory that bodies may take while they wait for slow readers, bytes.
+fn buffer_bytes(capacity: &RelayCapacity) -> usize {
+    (capacity.memory_mb * BUFFER_SHARE * BYTES_PER_MB) as usize
+}
+
 fn stage_settings(settings: &RelayFile) -> StageSettings {
     let orders = &settings.orders;
     let goal = StageGoal::builder()
--- a/crates/trestlewalk/src/settings.rs
+++ b/crates/trestlewalk/src/settings.rs
@@ -38,7 +38,7 @@
     log_settings::{LogFormat, LogLevel, LogSettings},
     peer_settings::PeerSettings,
     platform_settings::PlatformSettings,
-    relay_file::{RelayFile, parse_relay_file},
+    relay_file::{RelayCapacity, RelayFile, parse_relay_file},
     setting_override::SettingOverride,
     settings_fault::{FaultPlace, SettingsFault},
     settings_file::{load_settings, parse_settings},
--- a/crates/trestlewalk/src/settings/relay_file.rs
+++ b/crates/trestlewalk/src/settings/relay_file.rs
@@ -9,10 +9,10 @@
         platform_settings::UNSET_ADDRESS,
         settings_file::{parse_tree, read_settings},
     },
-    kernel::{InstanceId, ZoneId},
+    kernel::{InstanceId, RegionId, ZoneId},
     serde::{Deserialize, Serialize},
     serde_with::serde_as,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// The whole settings file of `relay`.
@@ -41,7 +41,9 @@
     /// The quarantine of requests under which upstreams end.
     pub quarantine: RelayQuarantine,
     /// The region of the availability zone; optional.
-    pub region: Option<Arc<str>>,
+    pub region: Option<RegionId>,
+    /// The region of each availability zone. Without it, work that is restricted to regions is served nowhere.
+    pub regions: BTreeMap<ZoneId, RegionId>,
     /// The retry budget.
     pub retries: RelayRetries,
     /// The calls to upstreams.
@@ -58,6 +60,8 @@
     pub cores: f64,
     /// The rate of the network link, in megabits per second.
     pub link_mbps: f64,
+    /// The memory of the host, in megabytes.
+    pub memory_mb: f64,
 }
 
 impl RelayCapacity {
@@ -73,6 +77,7 @@
         Self {
             cores: 0.25,
             link_mbps: 1_000.0,
+            memory_mb: 128.0,
         }
     }
 }
@@ -303,7 +308,8 @@
             list.push(&FieldPath::dotted(field), "missing");
         }
     }
-    if !(settings.capacity.cores > 0.0 && settings.capacity.link_mbps > 0.0) {
+    let capacity = &settings.capacity;
+    if !(capacity.cores > 0.0 && capacity.link_mbps > 0.0 && capacity.memory_mb > 0.0) {
         list.push(&FieldPath::dotted("capacity"), "has to be greater than 0");
     }
     for (field, value) in [
--- a/crates/trestlewalk/tests/docs.rs
+++ b/crates/trestlewalk/tests/docs.rs
@@ -127,6 +127,9 @@
                 flatten(&format!("{path}[]"), item, fields);
             }
         }
+        Value::Object(entries) if entries.is_empty() => {
+            fields.insert(path.to_owned(), "{}".to_owned());
+        }
         Value::Object(entries) => {
             for (key, value) in entries {
                 let path = format!("{path}.{key}");
@@ -221,6 +224,8 @@
         ("{{Ip}}", "10.1.0.38"),
         ("{{Limits.CpuShare}}", "0.25"),
         ("{{Limits.LinkMbps}}", "1000.0"),
+        ("{{Limits.MemoryMb}}", "110"),
+        ("{{Zones|json}}", "{\"gijon\": \"cantabrico\", \"santander\": \"cantabrico\"}"),
         ("{{PortRange.0}}", "7380"),
         ("{{Provider.Address|json}}", "\"10.200.1.7:8142\""),
         ("{{Bounds.RequireFence}}", "true"),
