policy: a change of stages has at most 64 engines

Cause: the surplus of 962 prefill engines of the fleet was one change: its instance opened a connection to each at once. Test: 1,000 and 10,000 engines give changes of the same size. Smaller deployments have surpluses under 64.

--- a/crates/policy/src/stage_planner.rs
+++ b/crates/policy/src/stage_planner.rs
@@ -29,6 +29,10 @@
 /// Decode engines have spare capacity when at most this fraction of requests finds no free slot at once.
 const DECODE_SPARE: f64 = 0.1;
 
+/// The engines of one change. The instance that orders it holds a connection to each, and a surplus of a large service
+/// is corrected in several changes.
+const MAX_ENGINES_PER_CHANGE: usize = 64;
+
 /// The settings of a [`StagePlanner`].
 #[derive(Clone, Debug, PartialEq, bon::Builder)]
 pub struct StageGoal {
@@ -140,7 +144,7 @@
             _ => decode,
         };
         Some(StageChange {
-            engines: from_fullest_zones(donors, count),
+            engines: from_fullest_zones(donors, count.min(MAX_ENGINES_PER_CHANGE)),
             service: service.clone(),
             stage,
         })
--- a/crates/policy/tests/stage_plan.rs
+++ b/crates/policy/tests/stage_plan.rs
@@ -260,3 +260,19 @@
     let planned = changes(&mut planner, &engines(3, 1), (20, 90), (start, 60));
     assert_eq!(planned, [], "the last prefill engine stays");
 }
+
+/// One instance orders a change, with a connection to each engine, so a change must not grow with the service.
+#[test]
+fn a_change_of_ten_times_as_many_engines_has_no_more_orders() {
+    let start = Instant::now();
+    let mut sizes = Vec::new();
+    for size in [1_000, 10_000] {
+        let list = engines(size * 65 / 100, size * 35 / 100);
+        let mut planner = StagePlanner::new(goal(), Duration::ZERO);
+        let planned = changes(&mut planner, &list, (0, 0), (start, 60));
+        let change = &planned.first().expect("a surplus is corrected").1;
+        assert_eq!(change.stage, UpstreamStage::Decode);
+        sizes.push(change.engines.len());
+    }
+    assert_eq!(sizes, [64, 64]);
+}
