policy: bounded periods and times for cold upstreams

Cause, found by reading: a rate near 0 or a huge one, or a report of a very long cold time, overflowed a duration and ended the process. The test panics on the code before.

--- a/crates/policy/src/cold_rule.rs
+++ b/crates/policy/src/cold_rule.rs
@@ -7,6 +7,8 @@
 
 /// The share of the call rate that instances use, so that turns which fall close together stay within it.
 const SAFE_SHARE: f64 = 0.7;
+/// Bounds of the period, for any rate that operators declare.
+const PERIOD_BOUNDS: (f64, f64) = (1e-3, 86_400.0);
 
 /// What a cold upstream tolerates. An upstream is cold after its start, and whenever it says so.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -20,7 +22,8 @@
 impl ColdRule {
     /// The period in which each of `instances` may make one call to a cold upstream.
     pub fn period(&self, instances: usize) -> Duration {
+        let (min, max) = PERIOD_BOUNDS;
         let seconds = instances.max(1) as f64 / (self.call_rate * SAFE_SHARE);
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+        Duration::from_secs_f64(seconds.clamp(min, max))
     }
 }
--- a/crates/policy/src/upstream_entry.rs
+++ b/crates/policy/src/upstream_entry.rs
@@ -20,6 +20,9 @@
 /// each further refusal would turn the run after it into a retry that is charged to the retry budget.
 const MISDIRECTED_COOLDOWN: Duration = Duration::from_millis(2_200);
 
+/// The longest time that an upstream counts as cold for one report.
+const MAX_COLD: Duration = Duration::from_secs(3_600);
+
 /// What the end of a call says about its upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallVerdict {
@@ -128,14 +131,14 @@
         entry
     }
 
-    /// Records that the upstream is cold for some time. Other statements do not shorten that.
+    /// Records that the upstream is cold for some time; a later report does not shorten that.
     pub fn note_cold(&mut self, duration: Duration, now: Instant) {
         if duration.is_zero() {
             return;
         }
         let phase = self.cold.filter(|phase| !phase.left(now).is_zero());
         let mut phase = phase.unwrap_or(ColdPhase::new(now, now));
-        phase.extend(now + duration);
+        phase.extend(now + duration.min(MAX_COLD));
         self.cold = Some(phase);
     }
 
--- a/crates/policy/src/zone_filter.rs
+++ b/crates/policy/src/zone_filter.rs
@@ -18,7 +18,7 @@
         allowed.is_none_or(|allowed| allowed.contains(zone))
     }
 
-    /// Restricts the filter further, to the zones in `allowed`. Zones whose region is unknown are excluded.
+    /// Restricts the filter further, to the zones of the regions in `allowed`. Zones of unknown region are excluded.
     pub fn restrict(&mut self, allowed: &BTreeSet<RegionId>, regions: &BTreeMap<ZoneId, RegionId>) {
         let mut zones = BTreeSet::new();
         for (zone, region) in regions {
--- a/crates/policy/tests/cold_upstreams.rs
+++ b/crates/policy/tests/cold_upstreams.rs
@@ -177,3 +177,25 @@
     assert_eq!(query(|query| table.cold_wait(query, warm)), None);
     assert_eq!(call(&mut table, warm).as_deref(), Some("a"));
 }
+
+/// Rates and times come from operators and upstreams; none of them may end the process.
+#[test]
+fn extreme_rates_and_times_are_bounded() {
+    let start = Instant::now();
+    for call_rate in [f64::MIN_POSITIVE, 1e-9, 1e12, f64::MAX, f64::INFINITY] {
+        for duration in [Duration::ZERO, Duration::MAX] {
+            let rule = ColdRule {
+                call_rate,
+                duration,
+            };
+            let mut table = table(1, Some(1_000));
+            table.set_cold_rules(BTreeMap::from([("s".into(), rule)]));
+            table.replace(&[record("a", duration)], None, start);
+            for second in 0..5 {
+                call(&mut table, start + second * SECOND);
+                let wait = query(|query| table.cold_wait(query, start + second * SECOND));
+                assert!(wait.is_none_or(|wait| wait <= 3_600 * SECOND), "{wait:?}");
+            }
+        }
+    }
+}
