--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -116,10 +116,7 @@
 
     fn choose(&self) -> Option<Arc<policy::UpstreamRecord>> {
         let settings = self.core.settings.load();
-        self.core.choose(&ChoiceQuery {
-            connected: &self.core.pool.connected(),
-            ..self.query(&settings.zone)
-        })
+        self.core.choose(&self.query(&settings.zone))
     }
 
     fn missing_upstream(&self) -> ErrorResponse {
