--- a/crates/spread/tests/list_reader.rs
+++ b/crates/spread/tests/list_reader.rs
@@ -73,6 +73,12 @@
         });
     }
 
+    /// Drops the history up to now.
+    fn forget(&self) {
+        let mut state = self.0.lock().unwrap();
+        state.forgotten = state.version;
+    }
+
     fn take_rows_sent(&self) -> usize {
         std::mem::take(&mut self.0.lock().unwrap().rows_sent)
     }
@@ -236,9 +242,7 @@
     let (store, reader) = start(1_000);
     read(&reader).await;
     store.remove(7);
-    let mut state = store.0.lock().unwrap();
-    state.forgotten = state.version;
-    drop(state);
+    store.forget();
     store.remove(8);
     assert_eq!(read(&reader).await, rows(&store));
     store.0.lock().unwrap().is_down = true;
