admit: only the entry instance counts the retries of a request

What callers saw: a repeatable request to a model was refused with 3008 (ran in part) and Retry-After of 100 ms although a healthy prefill engine was free, when its prefill engines had died one after the other; one whose KV cache was evicted three times as well.

Cause: two counters of one budget. The entry instance takes a retry of the row for each call that failed. The allocator took one for each engine that was gone, each failed prefill and each eviction, and refused the request beyond them. An engine that is gone while it is called was both to the allocator: its loss, and then the notice of the failed call, which by that time counted for the engine granted next. For an eviction the entry instance takes no retry at all.

Why this works: a failed attempt is queued again by the allocator, which counts nothing. Calls that fail are bounded by the row's retries at the entry instance, as before, KV caches that are lost by eviction or with their engine by eight, and the whole by the patience of the row.

--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -37,7 +37,7 @@
 ///
 /// A key that ended by `Finished`, `Cancel` or `HolderGone` can't be submitted again; one that was refused or ended by
 /// `DecodeLost` can. Requests that were being prefilled by an upstream that is gone return to the queue, and the next
-/// grant replaces the earlier one.
+/// grant replaces the earlier one. Retries are limited by the entry instances, not here.
 #[derive(Clone, Debug)]
 pub struct CellAllocator {
     pub(crate) choice: EngineSelector,
@@ -161,7 +161,7 @@
             AdmitEvent::Submit(request) => self.submit(now, request, actions),
             AdmitEvent::Table { share, table } => self.set_table(now, share, table, actions),
             AdmitEvent::Tick => {}
-            AdmitEvent::UpstreamGone(upstream) => self.upstream_gone(now, &upstream, actions),
+            AdmitEvent::UpstreamGone(upstream) => self.upstream_gone(now, &upstream),
             AdmitEvent::UpstreamDraining(upstream, _) => self.upstream_draining(&upstream),
             AdmitEvent::UpstreamUp(info) => self.upstream_up(now, info),
         }
--- a/crates/admit/src/cell_refusals.rs
+++ b/crates/admit/src/cell_refusals.rs
@@ -108,7 +108,7 @@
                     self.resync(&key, actions);
                 }
                 RequestPhase::Prefilling { .. } | RequestPhase::Prefilled { .. } => {
-                    self.retry(now, held, actions);
+                    self.requeue(now, held);
                 }
                 RequestPhase::Queued
                     if held.deadline.is_none()
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -122,7 +122,7 @@
             pool.is_some_and(|pool| pool.prefills.contains_key(prefill))
         });
         let Some((prefill, evicts_at)) = kv else {
-            self.retry(now, held, actions);
+            self.requeue(now, held);
             return;
         };
         held.phase = RequestPhase::Prefilled { evicts_at, prefill };
@@ -200,7 +200,6 @@
             request,
             row,
             timer_at: now,
-            failed_tries: 0,
         }
     }
 
@@ -243,7 +242,7 @@
         let Some(held) = self.remove(now, key) else {
             return;
         };
-        self.retry(now, held, actions);
+        self.requeue(now, held);
     }
 
     /// Moves a request to another phase.
@@ -287,7 +286,7 @@
         let Some(held) = self.remove(now, key) else {
             return;
         };
-        self.retry(now, held, actions);
+        self.requeue(now, held);
     }
 
     /// Asks the entry instance to report a request that is active there and not held here.
@@ -316,20 +315,10 @@
         }
     }
 
-    /// Returns a request whose attempt failed to the front of its row's queue, or refuses it.
-    pub(crate) fn retry(
-        &mut self,
-        now: Instant,
-        mut held: HeldRequest,
-        actions: &mut Vec<AdmitAction>,
-    ) {
+    /// Returns a request whose attempt failed to the front of its row's queue. Its entry instance limits the retries:
+    /// only it knows which failures are of one attempt.
+    pub(crate) fn requeue(&mut self, now: Instant, mut held: HeldRequest) {
         let key = held.request.key.clone();
-        if held.failed_tries >= self.rows[held.row].row.retries {
-            let wait = self.queue_wait(now, held.row);
-            actions.push(Self::refuse(key, ResultCode::UpstreamRefused, wait));
-            return;
-        }
-        held.failed_tries += 1;
         held.kv = None;
         held.phase = RequestPhase::Queued;
         held.position.is_fresh = false;
--- a/crates/admit/src/cell_upstreams.rs
+++ b/crates/admit/src/cell_upstreams.rs
@@ -75,24 +75,18 @@
             requeued.granted_at = held.granted_at;
             requeued.position.is_fresh = held.position.is_fresh;
             requeued.position.serial = held.position.serial;
-            requeued.failed_tries = held.failed_tries;
             self.put(now, key, requeued);
         }
     }
 
-    pub(crate) fn upstream_gone(
-        &mut self,
-        now: Instant,
-        upstream: &UpstreamId,
-        actions: &mut Vec<AdmitAction>,
-    ) {
+    pub(crate) fn upstream_gone(&mut self, now: Instant, upstream: &UpstreamId) {
         self.prefixes.forget(upstream);
         for key in self.held_at(upstream) {
             let Some(held) = self.remove(now, &key) else {
                 continue;
             };
             if held.phase.awaits_place() {
-                self.retry(now, held, actions);
+                self.requeue(now, held);
             }
         }
         for pool in self.pools.values_mut() {
--- a/crates/admit/src/held_request.rs
+++ b/crates/admit/src/held_request.rs
@@ -38,8 +38,6 @@
     pub(crate) row: usize,
     /// When the allocator checks it again if no event arrives.
     pub(crate) timer_at: Instant,
-    /// The number of failed attempts.
-    pub(crate) failed_tries: u8,
 }
 
 impl HeldRequest {
--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -12,9 +12,9 @@
     std::time::Duration,
 };
 
-/// How often a prompt is prefilled again because its KV cache was evicted. This does not count against the row's
-/// retries, because the eviction is caused by this system.
-const EVICTION_LIMIT: u8 = 8;
+/// How often a prompt is prefilled again because its KV cache was lost, by eviction or with its engine. This does not
+/// count against the row's retries, because the request did not cause it.
+const KV_LOSS_LIMIT: u8 = 8;
 /// How often a broken stream is resumed without receiving another token. The pauses in between total less than one
 /// second.
 const RESUME_LIMIT: u8 = 5;
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug)]
 pub struct FlowCore {
     attempt: u32,
-    evictions: u8,
+    kv_losses: u8,
     may_have_run: bool,
     max_tokens: u32,
     phase: FlowPhase,
@@ -72,7 +72,7 @@
     pub fn new(max_tokens: u32, repeat: bool, retries: u8, stream: bool) -> Self {
         Self {
             attempt: 0,
-            evictions: 0,
+            kv_losses: 0,
             may_have_run: false,
             max_tokens,
             phase: FlowPhase::Queued,
@@ -205,10 +205,9 @@
     }
 
     fn on_evicted(&mut self) -> Vec<FlowAction> {
-        if !self.repeat || self.evictions == EVICTION_LIMIT {
+        if !self.take_kv_loss() {
             return self.give_up(ResultCode::PrefillWasted);
         }
-        self.evictions += 1;
         let mut actions = self.cancel_all();
         self.phase = FlowPhase::Queued;
         self.attempt += 1;
@@ -335,7 +334,7 @@
 
     /// The allocator considers the engine that prefilled the prompt gone, so its KV cache is lost.
     fn prefill_again(&mut self, lost: &UpstreamId, prefill: UpstreamId) -> Vec<FlowAction> {
-        if !self.repeat {
+        if !self.take_kv_loss() {
             return self.give_up(ResultCode::PrefillWasted);
         }
         let cancel = self.cancel(lost, false);
@@ -372,6 +371,15 @@
         self.repeat || !failure.may_have_run
     }
 
+    /// Whether the prompt may be prefilled again after its KV cache was lost.
+    fn take_kv_loss(&mut self) -> bool {
+        if !self.repeat || self.kv_losses == KV_LOSS_LIMIT {
+            return false;
+        }
+        self.kv_losses += 1;
+        true
+    }
+
     /// Consumes a retry for a request that may have run in part.
     fn take_retry(&mut self) -> bool {
         self.repeat && self.take_one_retry()
