admit, flow: a notice of a prefill names its engine

What callers saw: after a prefill engine was held for gone while it was called, a request could wait for a grant that its allocator believed to have given, until the allocator took the news for lost (10 s and more); failures of the earlier engine were booked at the later one.

Cause: PrefillDone and PrefillFailed held the request alone. The allocator took them for news of its latest grant, which the entry instance had dropped since it was in a call to the earlier engine. The announcement that answers a dropped grant was ignored.

Why this works: messages of an entry instance keep their order, so an announcement comes before the notice of the call that it announces. A request announced in a call to another engine is held there; a notice about an engine that is not the granted one has crossed an accepted grant and changes nothing.

The tests of the allocator name the engine in their notices, and their oracle follows the same rule; no check is looser.

--- a/crates/admit/src/admit_event.rs
+++ b/crates/admit/src/admit_event.rs
@@ -111,11 +111,15 @@
     PrefillDone {
         /// The request.
         key: RequestKey,
+        /// The engine that prefilled the prompt.
+        prefill: UpstreamId,
     },
-    /// The prefill engine refused or failed, and holds nothing for the request.
+    /// The prefill engine refused or failed, and holds nothing for the request. Its entry instance counts the retries.
     PrefillFailed {
         /// The request.
         key: RequestKey,
+        /// The engine that was called.
+        prefill: UpstreamId,
     },
     /// An entry instance reports the phase of a request again after its session broke. The report replaces the
     /// allocator's state, because a grant may have been lost with the session.
--- a/crates/admit/src/cell_allocator.rs
+++ b/crates/admit/src/cell_allocator.rs
@@ -153,8 +153,12 @@
             AdmitEvent::KvEvicted { key } => self.kv_evicted(now, &key, actions),
             AdmitEvent::Link(info) => self.link.set_info(info),
             AdmitEvent::Load(report) => self.load(&report),
-            AdmitEvent::PrefillDone { key } => self.prefill_done(now, &key, actions),
-            AdmitEvent::PrefillFailed { key } => self.prefill_failed(now, &key, actions),
+            AdmitEvent::PrefillDone { key, prefill } => {
+                self.prefill_done(now, &key, prefill, actions);
+            }
+            AdmitEvent::PrefillFailed { key, prefill } => {
+                self.prefill_failed(now, &key, &prefill, actions);
+            }
             AdmitEvent::Reconcile { phase, request } => {
                 self.reconcile(now, phase, request, actions)
             }
--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -25,7 +25,7 @@
             return;
         }
         let current_phase = self.phase(&request.key);
-        if current_phase.is_some_and(|phase| !matches!(phase, RequestPhase::Queued)) {
+        if current_phase.is_some_and(|current| !current.yields_to(&phase)) {
             return;
         }
         let Some(row) = self.row_ids.get(&request.work).copied() else {
@@ -262,13 +262,13 @@
         &mut self,
         now: Instant,
         key: &RequestKey,
+        prefill: UpstreamId,
         actions: &mut Vec<AdmitAction>,
     ) {
-        let Some(RequestPhase::Prefilling { prefill, .. }) = self.phase(key) else {
+        if !self.is_prefilling_at(key, &prefill) {
             self.resync(key, actions);
             return;
-        };
-        let prefill = prefill.clone();
+        }
         let evicts_at = now + self.link.eviction();
         self.move_to(now, key, RequestPhase::Prefilled { evicts_at, prefill });
     }
@@ -277,18 +277,25 @@
         &mut self,
         now: Instant,
         key: &RequestKey,
+        prefill: &UpstreamId,
         actions: &mut Vec<AdmitAction>,
     ) {
-        let Some(RequestPhase::Prefilling { .. }) = self.phase(key) else {
+        if !self.is_prefilling_at(key, prefill) {
             self.resync(key, actions);
             return;
-        };
+        }
         let Some(held) = self.remove(now, key) else {
             return;
         };
         self.requeue(now, held);
     }
 
+    /// Whether the latest grant of a request is of this engine. A notice about another engine has crossed the grant on
+    /// its way, and the entry instance has accepted the grant since.
+    fn is_prefilling_at(&self, key: &RequestKey, engine: &UpstreamId) -> bool {
+        matches!(self.phase(key), Some(RequestPhase::Prefilling { prefill, .. }) if prefill == engine)
+    }
+
     /// Asks the entry instance to report a request that is active there and not held here.
     pub(crate) fn resync(&self, key: &RequestKey, actions: &mut Vec<AdmitAction>) {
         if self.requests.contains_key(key) || self.is_over(key) {
--- a/crates/admit/src/request_phase.rs
+++ b/crates/admit/src/request_phase.rs
@@ -26,6 +26,21 @@
         matches!(self, Self::Prefilling { .. } | Self::Prefilled { .. })
     }
 
+    /// Whether an announcement replaces this phase within a session. A request that is being prefilled is announced when
+    /// it dropped a grant of another engine.
+    pub(crate) fn yields_to(&self, announced: &AnnouncedPhase) -> bool {
+        match (self, announced) {
+            (Self::Queued, _) => true,
+            (
+                Self::Prefilling { prefill, .. },
+                AnnouncedPhase::Prefilling {
+                    prefill: announced, ..
+                },
+            ) => prefill != announced,
+            _ => false,
+        }
+    }
+
     /// Whether an entry instance announces the same phase at the same engine; `None` stands for a queued request.
     pub(crate) fn matches_announced(&self, announced: Option<&AnnouncedPhase>) -> bool {
         match (self, announced) {
--- a/crates/admit/tests/cell/early_refusal.rs
+++ b/crates/admit/tests/cell/early_refusal.rs
@@ -1,7 +1,7 @@
 //! Which requests are refused immediately, and which wait.
 
 use {
-    crate::small_cell::{Cell, key, patient, refusals, upstream, urgent},
+    crate::small_cell::{Cell, key, patient, prefill_done, refusals, upstream, urgent},
     admit::{AdmitAction, AdmitEvent, AdmitRequest},
     kernel::ResultCode,
     route::{LeavingCause, LoadReport, UpstreamRole},
@@ -27,7 +27,7 @@
 fn fill(cell: &mut Cell) {
     for serial in 100..102 {
         assert!(is_granted(&submit(cell, serial, "report")));
-        cell.send(AdmitEvent::PrefillDone { key: key(serial) });
+        cell.send(prefill_done(key(serial)));
         cell.advance(Duration::from_millis(50));
         cell.send(AdmitEvent::FirstToken { key: key(serial) });
     }
@@ -88,7 +88,7 @@
         cell.row(row);
     }
     submit(&mut cell, 1, "slot");
-    cell.send(AdmitEvent::PrefillDone { key: key(1) });
+    cell.send(prefill_done(key(1)));
     cell.advance(Duration::from_secs(9));
     cell.send(AdmitEvent::Finished {
         key: key(1),
@@ -144,7 +144,7 @@
         "d1".into(),
         LeavingCause::Listed,
     ));
-    let actions = cell.send(AdmitEvent::PrefillDone { key: key(1) });
+    let actions = cell.send(prefill_done(key(1)));
     assert!(!is_placed(&actions), "{actions:?}");
     let back = upstream("d1", UpstreamRole::Decode);
     let actions = cell.send(AdmitEvent::UpstreamUp(back));
@@ -169,7 +169,7 @@
 fn a_refused_decode_goes_back_to_its_kv_cache_and_waits_out_the_full_engine() {
     let mut cell = Cell::small();
     submit(&mut cell, 1, "report");
-    cell.send(AdmitEvent::PrefillDone { key: key(1) });
+    cell.send(prefill_done(key(1)));
     let actions = cell.send(AdmitEvent::DecodeRefused { key: key(1) });
     assert!(
         matches!(actions[..], [AdmitAction::WakeAt(_)]),
@@ -216,7 +216,7 @@
                 last = key;
             }
         }
-        cell.send(AdmitEvent::PrefillDone { key: last.clone() });
+        cell.send(prefill_done(last.clone()));
         cell.advance(Duration::from_millis(10));
     }
     assert!(
--- a/crates/admit/tests/cell/grant_chain.rs
+++ b/crates/admit/tests/cell/grant_chain.rs
@@ -1,7 +1,7 @@
 //! The grants of one request, and the refusal of unknown work.
 
 use {
-    crate::small_cell::{Cell, key, refusals},
+    crate::small_cell::{Cell, key, prefill_done, refusals},
     admit::{AdmitAction, AdmitEvent},
     std::time::Duration,
 };
@@ -16,7 +16,7 @@
     };
     assert!(actions.contains(&grant), "{actions:?}");
     cell.advance(Duration::from_millis(50));
-    let actions = cell.send(AdmitEvent::PrefillDone { key: key(1) });
+    let actions = cell.send(prefill_done(key(1)));
     let grant = AdmitAction::GrantDecode {
         decode: "d1".into(),
         key: key(1),
--- a/crates/admit/tests/cell/grant_oracle.rs
+++ b/crates/admit/tests/cell/grant_oracle.rs
@@ -72,9 +72,14 @@
         match event {
             AdmitEvent::Announce { phase, request } => {
                 let known = self.phases.get(&request.key).map(|(_, phase)| phase);
-                if request.key.incarnation < self.incarnation
-                    || !matches!(known, None | Some(Queued | Ended { may_resubmit: true }))
-                {
+                let is_replaced = match (known, phase) {
+                    (None | Some(Queued | Ended { may_resubmit: true }), _) => true,
+                    (Some(Prefilling(at)), AnnouncedPhase::Prefilling { prefill, .. }) => {
+                        at != prefill
+                    }
+                    _ => false,
+                };
+                if request.key.incarnation < self.incarnation || !is_replaced {
                     return;
                 }
                 let phase = match phase.clone() {
@@ -148,8 +153,8 @@
                     Queued,
                 );
             }
-            AdmitEvent::PrefillFailed { key } => {
-                self.change(key, |phase| matches!(phase, Prefilling(_)), Queued);
+            AdmitEvent::PrefillFailed { key, prefill } => {
+                self.change(key, |phase| *phase == Prefilling(prefill.clone()), Queued);
             }
             AdmitEvent::FirstToken { key } => {
                 if let Some((_, Streaming(_, kv))) = self.phases.get_mut(key) {
@@ -162,11 +167,9 @@
                     self.change(key, |_| true, Prefilled(prefill));
                 }
             }
-            AdmitEvent::PrefillDone { key } => {
-                if let Some((_, Prefilling(prefill))) = self.phases.get(key) {
-                    let prefill = prefill.clone();
-                    self.change(key, |_| true, Prefilled(prefill));
-                }
+            AdmitEvent::PrefillDone { key, prefill } => {
+                let next = Prefilled(prefill.clone());
+                self.change(key, |phase| *phase == Prefilling(prefill.clone()), next);
             }
             _ => {}
         }
@@ -186,7 +189,7 @@
         })
     }
 
-    fn change(&mut self, key: &RequestKey, from: fn(&OraclePhase) -> bool, to: OraclePhase) {
+    fn change(&mut self, key: &RequestKey, from: impl Fn(&OraclePhase) -> bool, to: OraclePhase) {
         let Some((_, phase)) = self.phases.get_mut(key) else {
             return;
         };
--- a/crates/admit/tests/cell/patience.rs
+++ b/crates/admit/tests/cell/patience.rs
@@ -1,7 +1,7 @@
 //! Waiting of patient requests.
 
 use {
-    crate::small_cell::{Cell, key},
+    crate::small_cell::{Cell, key, prefill_done},
     admit::{AdmitAction, AdmitEvent},
     std::time::Duration,
 };
@@ -35,7 +35,7 @@
 fn stream(cell: &mut Cell, serial: u64) {
     assert!(submit(cell, serial), "{serial} waits");
     cell.advance(Duration::from_millis(50));
-    cell.send(AdmitEvent::PrefillDone { key: key(serial) });
+    cell.send(prefill_done(key(serial)));
     cell.send(AdmitEvent::FirstToken { key: key(serial) });
     cell.advance(Duration::from_millis(50));
 }
--- a/crates/admit/tests/cell/small_cell.rs
+++ b/crates/admit/tests/cell/small_cell.rs
@@ -109,6 +109,14 @@
     }
 }
 
+/// The prefill engine of the small cell has prefilled a request.
+pub(crate) fn prefill_done(key: RequestKey) -> AdmitEvent {
+    AdmitEvent::PrefillDone {
+        key,
+        prefill: "p1".into(),
+    }
+}
+
 pub(crate) fn refusals(actions: &[AdmitAction]) -> Vec<ResultCode> {
     let mut codes = Vec::new();
     for action in actions {
--- a/crates/admit/tests/cell/stateful_fuzz.rs
+++ b/crates/admit/tests/cell/stateful_fuzz.rs
@@ -168,10 +168,16 @@
         self.messages.push(match (phase, kind) {
             (_, 0) => AdmitEvent::KvEvicted { key },
             (_, 1) => AdmitEvent::DecodeRefused { key },
-            (_, 2) => AdmitEvent::PrefillFailed { key },
+            (Some(OraclePhase::Prefilling(prefill)), 2) => {
+                AdmitEvent::PrefillFailed { key, prefill }
+            }
+            (_, 2) => {
+                let prefill = ENGINES[2 + at % 2].0.into();
+                AdmitEvent::PrefillFailed { key, prefill }
+            }
             (_, 3) => AdmitEvent::DecodeLost { key },
             (_, 4) => AdmitEvent::FirstToken { key },
-            (Some(OraclePhase::Prefilling(_)), _) => AdmitEvent::PrefillDone { key },
+            (Some(OraclePhase::Prefilling(prefill)), _) => AdmitEvent::PrefillDone { key, prefill },
             (Some(OraclePhase::Streaming(_, Some(_))), _) => AdmitEvent::FirstToken { key },
             _ => AdmitEvent::Finished { key, output_tokens },
         });
--- a/crates/bench/src/decide_command.rs
+++ b/crates/bench/src/decide_command.rs
@@ -176,9 +176,10 @@
                     self.heard.push_back(first);
                     self.running.push_back(last);
                 }
-                AdmitAction::GrantPrefill { key, .. } => {
+                AdmitAction::GrantPrefill { key, prefill } => {
                     self.waiting -= 1;
-                    self.heard.push_back(AdmitEvent::PrefillDone { key });
+                    self.heard
+                        .push_back(AdmitEvent::PrefillDone { key, prefill });
                 }
                 AdmitAction::Refuse { .. } => self.waiting -= 1,
                 AdmitAction::Resync { .. } | AdmitAction::WakeAt(_) => {}
--- a/crates/bench/src/node/grant_slope.rs
+++ b/crates/bench/src/node/grant_slope.rs
@@ -157,9 +157,10 @@
                         },
                     );
                 }
-                AdmitAction::GrantPrefill { key, .. } => {
+                AdmitAction::GrantPrefill { key, prefill } => {
                     self.grants += 1;
-                    self.later(Duration::from_millis(190), AdmitEvent::PrefillDone { key });
+                    let done = AdmitEvent::PrefillDone { key, prefill };
+                    self.later(Duration::from_millis(190), done);
                 }
                 AdmitAction::Refuse { .. } => self.refused += 1,
                 AdmitAction::Resync { .. } => {}
@@ -269,7 +270,9 @@
     let notice = CellFrame::Notice {
         key,
         model,
-        notice: CellNotice::PrefillDone,
+        notice: CellNotice::PrefillDone {
+            prefill: engine_name(3),
+        },
     };
     let size =
         |body: Result<bytes::Bytes, peer::PeerError>| body.map_or(0, |body| body.len()) as f64;
--- a/crates/bench/src/policies/clairvoyant_policy.rs
+++ b/crates/bench/src/policies/clairvoyant_policy.rs
@@ -114,12 +114,12 @@
             AdmitEvent::HolderGone { before, instance } => {
                 self.holder_gone(&instance, before);
             }
-            AdmitEvent::KvEvicted { key } | AdmitEvent::PrefillFailed { key } => {
+            AdmitEvent::KvEvicted { key } | AdmitEvent::PrefillFailed { key, .. } => {
                 let request = truth.attempts[key.serial as usize];
                 self.forget(request);
                 self.wait(request, key, view);
             }
-            AdmitEvent::PrefillDone { key } => {
+            AdmitEvent::PrefillDone { key, .. } => {
                 let request = truth.attempts[key.serial as usize];
                 self.reading.remove(&request);
                 self.read.insert(request, now + truth.file.link.eviction);
--- a/crates/bench/src/policies/naive_policy.rs
+++ b/crates/bench/src/policies/naive_policy.rs
@@ -52,11 +52,11 @@
                     }
                 }
             }
-            AdmitEvent::KvEvicted { key } | AdmitEvent::PrefillFailed { key } => {
+            AdmitEvent::KvEvicted { key } | AdmitEvent::PrefillFailed { key, .. } => {
                 self.release_prefill(&key);
                 self.read(key, actions);
             }
-            AdmitEvent::PrefillDone { key } => {
+            AdmitEvent::PrefillDone { key, .. } => {
                 self.release_prefill(&key);
                 self.decode(key, actions);
             }
--- a/crates/bench/src/policies/reserve_policy.rs
+++ b/crates/bench/src/policies/reserve_policy.rs
@@ -60,10 +60,10 @@
                     }
                 }
             }
-            AdmitEvent::KvEvicted { key } | AdmitEvent::PrefillFailed { key } => {
+            AdmitEvent::KvEvicted { key } | AdmitEvent::PrefillFailed { key, .. } => {
                 self.queue_again(key, actions);
             }
-            AdmitEvent::PrefillDone { key } => self.prefill_done(key, actions),
+            AdmitEvent::PrefillDone { key, .. } => self.prefill_done(key, actions),
             AdmitEvent::Submit(request) => self.submit(request),
             AdmitEvent::Table { table, .. } => self.table = table,
             AdmitEvent::Tick => self.end_patience(now, actions),
--- a/crates/bench/src/world/entry_side.rs
+++ b/crates/bench/src/world/entry_side.rs
@@ -148,7 +148,8 @@
         }
         let Some(EngineName::Prefill(prefill)) = self.truth.engine(prefill) else {
             let key = self.key(request);
-            self.entry_tells(AdmitEvent::PrefillFailed { key });
+            let prefill = prefill.into();
+            self.entry_tells(AdmitEvent::PrefillFailed { key, prefill });
             return;
         };
         let reading = self.truth.readings.len();
@@ -212,14 +213,17 @@
             EngineNote::PrefillDone => {
                 self.requests[request].phase = EntryPhase::Read { since: self.now };
                 let key = self.key(request);
-                self.entry_tells(AdmitEvent::PrefillDone { key });
+                let prefill = EngineName::Prefill(self.truth.readings[reading].prefill);
+                let prefill = self.truth.upstream(prefill);
+                self.entry_tells(AdmitEvent::PrefillDone { key, prefill });
             }
             EngineNote::PrefillFailed => {
-                let prefill = EngineName::Prefill(self.truth.readings[reading].prefill);
-                self.note_failed_call(prefill);
+                let engine = EngineName::Prefill(self.truth.readings[reading].prefill);
+                let prefill = self.truth.upstream(engine);
+                self.note_failed_call(engine);
                 self.wait_again(request);
                 let key = self.key(request);
-                self.entry_tells(AdmitEvent::PrefillFailed { key });
+                self.entry_tells(AdmitEvent::PrefillFailed { key, prefill });
             }
         }
     }
--- a/crates/flow/src/cell_notice.rs
+++ b/crates/flow/src/cell_notice.rs
@@ -27,9 +27,15 @@
     /// The KV cache was evicted before its transfer.
     KvEvicted,
     /// Prefill is complete.
-    PrefillDone,
+    PrefillDone {
+        /// The engine that keeps the KV cache.
+        prefill: UpstreamId,
+    },
     /// The prefill engine refused or failed.
-    PrefillFailed,
+    PrefillFailed {
+        /// The engine that was called.
+        prefill: UpstreamId,
+    },
 }
 
 /// A decision of the allocator on a request.
@@ -60,8 +66,8 @@
             Self::Finished { output_tokens } => AdmitEvent::Finished { key, output_tokens },
             Self::FirstToken => AdmitEvent::FirstToken { key },
             Self::KvEvicted => AdmitEvent::KvEvicted { key },
-            Self::PrefillDone => AdmitEvent::PrefillDone { key },
-            Self::PrefillFailed => AdmitEvent::PrefillFailed { key },
+            Self::PrefillDone { prefill } => AdmitEvent::PrefillDone { key, prefill },
+            Self::PrefillFailed { prefill } => AdmitEvent::PrefillFailed { key, prefill },
         }
     }
 }
--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -240,14 +240,16 @@
             return Vec::new();
         };
         self.may_have_run = true;
-        self.phase = FlowPhase::Prefilled { prefill };
-        vec![FlowAction::Notify(CellNotice::PrefillDone)]
+        self.phase = FlowPhase::Prefilled {
+            prefill: prefill.clone(),
+        };
+        vec![FlowAction::Notify(CellNotice::PrefillDone { prefill })]
     }
 
     fn on_prefill_failed(&mut self, failure: CallFailure) -> Vec<FlowAction> {
-        if !matches!(self.phase, FlowPhase::Prefilling { .. }) {
+        let FlowPhase::Prefilling { prefill } = self.phase.clone() else {
             return Vec::new();
-        }
+        };
         self.may_have_run |= failure.may_have_run;
         let is_retried = self.may_retry(failure) && self.take_one_retry();
         if !is_retried {
@@ -259,7 +261,7 @@
         }
         self.phase = FlowPhase::Queued;
         self.attempt += 1;
-        actions.push(FlowAction::Notify(CellNotice::PrefillFailed));
+        actions.push(FlowAction::Notify(CellNotice::PrefillFailed { prefill }));
         actions
     }
 
--- a/crates/flow/src/request_table.rs
+++ b/crates/flow/src/request_table.rs
@@ -189,7 +189,7 @@
 
     fn apply_notice(&mut self, notice: &CellNotice) {
         match (notice, &self.phase) {
-            (CellNotice::PrefillDone, HeldPhase::Prefilling { prefill, .. }) => {
+            (CellNotice::PrefillDone { .. }, HeldPhase::Prefilling { prefill, .. }) => {
                 let prefill = prefill.clone();
                 self.set_phase(HeldPhase::Prefilled {
                     prefill,
@@ -207,7 +207,10 @@
                     age: Duration::ZERO,
                 });
             }
-            (CellNotice::DecodeLost | CellNotice::KvEvicted | CellNotice::PrefillFailed, _) => {
+            (
+                CellNotice::DecodeLost | CellNotice::KvEvicted | CellNotice::PrefillFailed { .. },
+                _,
+            ) => {
                 self.set_phase(HeldPhase::Queued);
             }
             _ => {}
--- a/crates/flow/tests/cell_driver.rs
+++ b/crates/flow/tests/cell_driver.rs
@@ -38,7 +38,8 @@
 impl GrantSink for ImmediateSink {
     fn deliver(&self, _model: &ModelId, key: RequestKey, _grant: CellGrant) {
         if let Some(driver) = self.driver.get() {
-            driver.on_request(AdmitEvent::PrefillDone { key });
+            let prefill = "p1".into();
+            driver.on_request(AdmitEvent::PrefillDone { key, prefill });
         }
     }
 }
--- a/crates/flow/tests/core/flow_world.rs
+++ b/crates/flow/tests/core/flow_world.rs
@@ -394,8 +394,8 @@
                 &[CellSide::Prefilled, CellSide::Transferring],
                 CellSide::Queued,
             ),
-            CellNotice::PrefillDone => (&[CellSide::Prefilling], CellSide::Prefilled),
-            CellNotice::PrefillFailed => (&[CellSide::Prefilling], CellSide::Queued),
+            CellNotice::PrefillDone { .. } => (&[CellSide::Prefilling], CellSide::Prefilled),
+            CellNotice::PrefillFailed { .. } => (&[CellSide::Prefilling], CellSide::Queued),
         };
         assert!(from.contains(&self.cell), "{notice:?} in {:?}", self.cell);
         self.cell = to;
--- a/crates/flow/tests/track/lost_prefill.rs
+++ b/crates/flow/tests/track/lost_prefill.rs
@@ -206,6 +206,22 @@
     lost.assert_answered_by(THIRD);
 }
 
+// Guards against a KV cache that the allocator places at an engine which did not prefill the prompt.
+#[test]
+fn a_kv_cache_stays_with_its_engine_after_a_later_grant() {
+    let mut lost = LostWorld::prefilling_at(PREFILL);
+    lost.up(THIRD);
+    lost.gone(PREFILL);
+    lost.up(PREFILL);
+    lost.apply(FlowEvent::PrefillDone);
+    assert_eq!(lost.take_calls(), ["decode d1"]);
+    lost.apply(FlowEvent::DecodeFailed(REFUSED));
+    lost.gone(THIRD);
+    lost.decode_reports();
+    // The first engine keeps the KV cache, so the loss of the third one changes nothing.
+    assert_eq!(lost.take_calls(), ["decode d1"]);
+}
+
 // Guards against evictions that are counted against the row's retries.
 #[test]
 fn an_evicted_kv_cache_takes_no_retry() {
--- a/crates/flow/tests/track/track_cases.rs
+++ b/crates/flow/tests/track/track_cases.rs
@@ -1,7 +1,7 @@
 //! The ways in which one side can lose track of a request.
 
 use {
-    crate::track_world::{DECODE, TrackWorld, decode, prefill},
+    crate::track_world::{DECODE, TrackWorld, decode, prefill, prefill_done},
     admit::{AdmitEvent, CellAllocator},
     flow::{CellNotice, cell_notice::CellGrant},
     kernel::{ResultCode, UpstreamId},
@@ -45,7 +45,7 @@
     world.open_session();
     assert_eq!(request.next_grant(), prefill());
     world.set_broken(true);
-    world.notify(&request, CellNotice::PrefillDone);
+    world.notify(&request, prefill_done());
     world.set_broken(false);
     world.open_session();
     world.finish_transfer();
@@ -62,7 +62,7 @@
     assert_eq!(request.next_grant(), prefill());
     world.open_session();
     assert_eq!(request.next_grant(), None);
-    world.notify(&request, CellNotice::PrefillDone);
+    world.notify(&request, prefill_done());
     assert_eq!(request.next_grant(), decode());
     world.open_session();
     world.notify(&request, CellNotice::FirstToken);
--- a/crates/flow/tests/track/track_fuzz.rs
+++ b/crates/flow/tests/track/track_fuzz.rs
@@ -18,6 +18,7 @@
 const MAX_TOKENS: u32 = 2;
 /// More rounds than any request needs for its retries and tokens.
 const ROUNDS: usize = 400;
+const SECOND_PREFILL: &str = "p2";
 const SEED: u64 = 11;
 
 /// One step. Indexes select among the requests.
@@ -32,6 +33,9 @@
     EngineGone(bool),
     /// Grants are lost until the session breaks.
     LoseGrants,
+    /// A further prefill engine.
+    SecondBack,
+    SecondGone,
     Submit(bool),
 }
 
@@ -75,15 +79,13 @@
             TrackStep::CallSucceeds(at) => self.finish_call(at, None),
             TrackStep::CallerGone(at) => self.apply(at, FlowEvent::CallerGone),
             TrackStep::EngineBack(is_decode) => self.engine_up(is_decode),
-            TrackStep::EngineGone(is_decode) => {
-                let gone: UpstreamId = engine(is_decode).0.into();
-                let event = AdmitEvent::UpstreamGone(gone);
-                self.world.driver.on_event(event);
-            }
+            TrackStep::EngineGone(is_decode) => self.engine_gone(engine(is_decode).0),
             TrackStep::LoseGrants => {
                 self.is_lossy = true;
                 self.world.set_broken(true);
             }
+            TrackStep::SecondBack => self.world.engine_up(SECOND_PREFILL, UpstreamRole::Prefill),
+            TrackStep::SecondGone => self.engine_gone(SECOND_PREFILL),
             TrackStep::Submit(repeat) => self.submit(repeat),
         }
         self.take_grants();
@@ -117,6 +119,11 @@
         self.world.engine_up(name, role);
     }
 
+    fn engine_gone(&mut self, name: &str) {
+        let gone: UpstreamId = name.into();
+        self.world.driver.on_event(AdmitEvent::UpstreamGone(gone));
+    }
+
     fn reopen(&mut self) {
         self.is_lossy = false;
         self.world.set_broken(false);
@@ -251,16 +258,24 @@
     ]
 }
 
-// Guards against a request that one side dropped while the other waits for it.
-#[test]
-fn every_request_ends_once_sessions_and_engines_are_well() {
+/// Like [`any_step`], with a second prefill engine, so that a request may be granted one while it is in a call to the
+/// other.
+fn any_step_of_two() -> impl Strategy<Value = TrackStep> {
+    prop_oneof![
+        10 => any_step(),
+        2 => Just(TrackStep::SecondBack),
+        1 => Just(TrackStep::SecondGone),
+    ]
+}
+
+fn check_all_end(step: impl Strategy<Value = TrackStep>) {
     let config = Config {
         cases: CASES,
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(SEED),
         ..Config::default()
     };
-    let outcome = TestRunner::new(config).run(&vec(any_step(), 1..60), |steps| {
+    let outcome = TestRunner::new(config).run(&vec(step, 1..60), |steps| {
         let mut world = FuzzWorld::new();
         for step in steps {
             world.run(step);
@@ -270,3 +285,15 @@
     });
     outcome.unwrap_or_else(|error| panic!("{error}"));
 }
+
+// Guards against a request that one side dropped while the other waits for it.
+#[test]
+fn every_request_ends_once_sessions_and_engines_are_well() {
+    check_all_end(any_step());
+}
+
+// Guards against a notice or an announcement that is taken for one about another engine's grant.
+#[test]
+fn every_request_ends_with_two_prefill_engines() {
+    check_all_end(any_step_of_two());
+}
--- a/crates/flow/tests/track/track_world.rs
+++ b/crates/flow/tests/track/track_world.rs
@@ -148,7 +148,7 @@
     pub(crate) fn submit_and_place(&mut self) -> OpenRequest {
         let mut request = self.submit();
         assert_eq!(request.next_grant(), prefill());
-        self.notify(&request, CellNotice::PrefillDone);
+        self.notify(&request, prefill_done());
         assert_eq!(request.next_grant(), decode());
         request
     }
@@ -189,6 +189,12 @@
     Some(CellGrant::Decode(DECODE.into()))
 }
 
+pub(crate) fn prefill_done() -> CellNotice {
+    CellNotice::PrefillDone {
+        prefill: PREFILL.into(),
+    }
+}
+
 pub(crate) fn prefill() -> Option<CellGrant> {
     Some(CellGrant::Prefill(PREFILL.into()))
 }
