flow: a grant carries the address of its engine

What callers saw: 2011 or 3008 for requests that were granted an engine that had just been listed.

Cause: each entry instance reads the platform's list by itself. A grant named the engine only, so an entry instance that had not read the list yet could not call it, and counted that as a failed call: each grant took a retry of the row.

A call that is not made for want of an address (`CallCause::Unlisted`) takes no retry, since nothing was sent; the allocator refuses the request when its patience ends. A stream whose engine left the list is resumed at the last address; if there is none, the stream counts as one that may have run.

--- a/crates/bench/src/node/grant_slope.rs
+++ b/crates/bench/src/node/grant_slope.rs
@@ -12,6 +12,7 @@
     kernel::UpstreamId,
     route::{LoadReport, UpstreamInfo, UpstreamRole},
     std::{
+        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -262,6 +263,7 @@
         work: "customer-0123-work-4".into(),
     });
     let grant = GrantFrame {
+        address: Some(SocketAddr::from(([10, 0, 0, 3], 8000))),
         grant: CellGrant::Prefill(engine_name(3)),
         key: key.clone(),
         model: model.clone(),
--- a/crates/engine/src/call_error.rs
+++ b/crates/engine/src/call_error.rs
@@ -19,6 +19,8 @@
     Refused,
     /// No answer within the timeout.
     Silent,
+    /// No address of the upstream is known, so nothing was sent.
+    Unlisted,
 }
 
 /// A failed call.
--- a/crates/flow/src/cell_frame.rs
+++ b/crates/flow/src/cell_frame.rs
@@ -8,6 +8,7 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeSet,
+        net::SocketAddr,
         time::{Duration, Instant},
     },
 };
@@ -104,6 +105,9 @@
 /// A frame from an allocator to an entry instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct GrantFrame {
+    /// The address of the granted engine as the allocator's instance lists it. `None` without an engine, or if the engine
+    /// is not listed there.
+    pub address: Option<SocketAddr>,
     /// The decision on the request.
     pub grant: CellGrant,
     /// The request.
--- a/crates/flow/src/cell_hub.rs
+++ b/crates/flow/src/cell_hub.rs
@@ -7,6 +7,7 @@
         model_request::ModelRequest,
         prefix_hashes::{prefix_hashes, prompt_tokens},
         request_table::RequestTable,
+        upstream_registry::UpstreamRegistry,
     },
     admit::RequestKey,
     kernel::{Incarnation, InstanceId, LockRank, ModelId, RankedLock, ResultCode},
@@ -38,6 +39,7 @@
 pub struct CellHub {
     incarnation: AtomicU64,
     instance: InstanceId,
+    registry: Arc<UpstreamRegistry>,
     requests: Arc<RequestTable>,
     routes: RankedLock<BTreeMap<ModelId, CellRoute>>,
     serial: AtomicU64,
@@ -45,10 +47,15 @@
 
 impl CellHub {
     /// Creates a hub without routes. Requests wait until their cell has one.
-    pub fn new(instance: InstanceId, incarnation: Incarnation) -> Self {
+    pub fn new(
+        instance: InstanceId,
+        incarnation: Incarnation,
+        registry: Arc<UpstreamRegistry>,
+    ) -> Self {
         Self {
             incarnation: AtomicU64::new(incarnation),
             instance,
+            registry,
             requests: Arc::new(RequestTable::new()),
             routes: RankedLock::new(LockRank::Seats, BTreeMap::new()),
             serial: AtomicU64::new(1),
@@ -98,6 +105,9 @@
         if route.allocator != *allocator {
             return;
         }
+        if let (Some(upstream), Some(address)) = (frame.grant.upstream(), frame.address) {
+            self.registry.note_granted(upstream, address);
+        }
         let Some(reply) = self.requests.deliver(&frame.key, frame.grant) else {
             return;
         };
--- a/crates/flow/src/cell_notice.rs
+++ b/crates/flow/src/cell_notice.rs
@@ -50,6 +50,16 @@
     Resync,
 }
 
+impl CellGrant {
+    /// The granted engine; `None` if none is granted.
+    pub fn upstream(&self) -> Option<&UpstreamId> {
+        match self {
+            Self::Decode(upstream) | Self::Prefill(upstream) => Some(upstream),
+            Self::Refuse { .. } | Self::Resync => None,
+        }
+    }
+}
+
 impl CellNotice {
     /// Converts the notice to an allocator event.
     pub fn into_event(self, key: RequestKey) -> AdmitEvent {
--- a/crates/flow/src/grant_router.rs
+++ b/crates/flow/src/grant_router.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cell_driver::GrantSink, cell_frame::GrantFrame, cell_hub::CellHub, cell_notice::CellGrant,
+        upstream_registry::UpstreamRegistry,
     },
     admit::RequestKey,
     kernel::{InstanceId, LockRank, ModelId, RankedLock},
@@ -14,6 +15,7 @@
 pub struct GrantRouter {
     hub: Arc<CellHub>,
     instance: InstanceId,
+    registry: Arc<UpstreamRegistry>,
     sessions: RankedLock<BTreeMap<InstanceId, UnboundedSender<GrantFrame>>>,
 }
 
@@ -24,11 +26,12 @@
     }
 
     /// Creates a router without sessions.
-    pub fn new(hub: Arc<CellHub>, instance: InstanceId) -> Self {
+    pub fn new(hub: Arc<CellHub>, instance: InstanceId, registry: Arc<UpstreamRegistry>) -> Self {
         let sessions = RankedLock::new(LockRank::Sessions, BTreeMap::new());
         Self {
             hub,
             instance,
+            registry,
             sessions,
         }
     }
@@ -37,6 +40,9 @@
 impl GrantSink for GrantRouter {
     fn deliver(&self, model: &ModelId, key: RequestKey, grant: CellGrant) {
         let frame = GrantFrame {
+            address: grant
+                .upstream()
+                .and_then(|upstream| self.registry.address(upstream)),
             grant,
             key,
             model: model.clone(),
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -39,6 +39,8 @@
 pub mod stream_sweeper;
 pub mod upstream_registry;
 
+mod unlisted_addresses;
+
 pub use {
     allocator_tracker::{AllocatorTracker, MemberView},
     answer_event::AnswerEvent,
--- a/crates/flow/src/request_driver.rs
+++ b/crates/flow/src/request_driver.rs
@@ -163,7 +163,7 @@
     }
 
     async fn call_decode(&mut self, decode: UpstreamId) -> (Option<FlowEvent>, Option<E::Tokens>) {
-        let Some(address) = self.shared.registry.address(&decode) else {
+        let Some(address) = self.shared.registry.call_address(&decode) else {
             return (
                 Some(FlowEvent::DecodeFailed((&unlisted(&decode)).into())),
                 None,
@@ -185,7 +185,7 @@
     }
 
     async fn call_prefill(&mut self, prefill: UpstreamId) -> FlowEvent {
-        let Some(address) = self.shared.registry.address(&prefill) else {
+        let Some(address) = self.shared.registry.call_address(&prefill) else {
             return FlowEvent::PrefillFailed((&unlisted(&prefill)).into());
         };
         let params = KvTransferParams {
@@ -217,18 +217,15 @@
         decode: UpstreamId,
         offset: u32,
     ) -> (Option<FlowEvent>, Option<E::Tokens>) {
-        let Some(address) = self.shared.registry.address(&decode) else {
-            return (
-                Some(FlowEvent::ResumeFailed((&unlisted(&decode)).into())),
-                None,
-            );
+        let shared = &self.shared;
+        let outcome = match shared.registry.last_address(&decode) {
+            Some(address) => {
+                let name = self.stream_name();
+                shared.engine.resume(address, &name, offset).await
+            }
+            None => Err(unlisted(&decode)),
         };
-        match self
-            .shared
-            .engine
-            .resume(address, &self.stream_name(), offset)
-            .await
-        {
+        match outcome {
             Ok(tokens) => (None, Some(tokens)),
             Err(error) => {
                 // The stream may have run even if the resume call did not.
@@ -380,5 +377,6 @@
 }
 
 fn unlisted(upstream: &UpstreamId) -> CallError {
-    CallError::not_run(CallCause::Lost, format!("{upstream} is no longer listed"))
+    let detail = format!("no address of {upstream} is known");
+    CallError::not_run(CallCause::Unlisted, detail)
 }
--- a/crates/flow/src/upstream_registry.rs
+++ b/crates/flow/src/upstream_registry.rs
@@ -1,6 +1,7 @@
 //! The upstreams known to this instance, and which of them are draining.
 
 use {
+    crate::unlisted_addresses::UnlistedAddresses,
     arc_swap::ArcSwap,
     kernel::{LockRank, RankedLock, UpstreamId},
     plat::{InstanceKind, InstanceRecord, InstanceState},
@@ -12,9 +13,6 @@
     },
 };
 
-/// The number of addresses kept for upstreams that are no longer listed.
-const DEPARTED_LIMIT: usize = 4096;
-
 /// An upstream with its address and drain marks.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamEntry {
@@ -42,8 +40,8 @@
 #[derive(Debug)]
 pub struct UpstreamRegistry {
     current: ArcSwap<UpstreamMap>,
-    departed: RankedLock<BTreeMap<UpstreamId, SocketAddr>>,
     fixed: Vec<InstanceRecord>,
+    unlisted: RankedLock<UnlistedAddresses>,
     writer: RankedLock<()>,
 }
 
@@ -53,6 +51,12 @@
         self.current.load().get(upstream).map(|entry| entry.address)
     }
 
+    /// The address for new calls to an upstream: the listed one, else the one that came with a grant.
+    pub fn call_address(&self, upstream: &str) -> Option<SocketAddr> {
+        let listed = self.address(upstream);
+        listed.or_else(|| self.unlisted.lock().granted(upstream))
+    }
+
     /// Removes a mark from an upstream.
     pub fn clear(&self, upstream: &str, cause: LeavingCause) {
         if !self.is_marked(upstream, cause) {
@@ -93,19 +97,33 @@
     pub fn new(fixed: Vec<InstanceRecord>) -> Self {
         let registry = Self {
             current: ArcSwap::default(),
-            departed: RankedLock::new(LockRank::Samples, BTreeMap::new()),
             fixed,
+            unlisted: RankedLock::new(LockRank::Samples, UnlistedAddresses::default()),
             writer: RankedLock::new(LockRank::Upstreams, ()),
         };
         registry.put_list(&[]);
         registry
     }
 
-    /// The current or last known address of an upstream. Streams it still runs have to be cancelled after it left the
-    /// list.
+    /// The listed or last known address of an upstream, or the one that came with a grant. Streams it still runs have to
+    /// be cancelled after it left the list.
     pub fn last_address(&self, upstream: &str) -> Option<SocketAddr> {
         let listed = self.address(upstream);
-        listed.or_else(|| self.departed.lock().get(upstream).copied())
+        listed.or_else(|| self.unlisted.lock().last(upstream))
+    }
+
+    /// Keeps the address that came with a grant until this instance lists the upstream. Ignored if it lists the upstream,
+    /// or has seen it leave the list.
+    pub fn note_granted(&self, upstream: &UpstreamId, address: SocketAddr) {
+        if self.address(upstream).is_some() {
+            return;
+        }
+        // The list may have changed before the lock was taken.
+        let _guard = self.writer.lock();
+        if self.address(upstream).is_some() {
+            return;
+        }
+        self.unlisted.lock().note_granted(upstream, address);
     }
 
     /// The marks set by this instance, at most one for each upstream.
@@ -146,7 +164,7 @@
                 };
                 next.insert(record.name.clone(), entry);
             }
-            self.note_departed(map, &next);
+            self.unlisted.lock().note_change(map, &next);
             *map = next;
         });
     }
@@ -156,20 +174,6 @@
         self.current.load_full()
     }
 
-    fn note_departed(&self, before: &UpstreamMap, now: &UpstreamMap) {
-        let mut departed = self.departed.lock();
-        departed.retain(|name, _| !now.contains_key(name));
-        for (name, entry) in before {
-            if now.contains_key(name) {
-                continue;
-            }
-            departed.insert(name.clone(), entry.address);
-            if departed.len() > DEPARTED_LIMIT {
-                departed.pop_first();
-            }
-        }
-    }
-
     fn change(&self, edit: impl FnOnce(&mut UpstreamMap)) {
         let _guard = self.writer.lock();
         let mut map = UpstreamMap::clone(&self.current.load());
--- a/crates/flow/tests/core/flow_step.rs
+++ b/crates/flow/tests/core/flow_step.rs
@@ -72,5 +72,6 @@
         Just(CallCause::Lost),
         Just(CallCause::Refused),
         Just(CallCause::Silent),
+        Just(CallCause::Unlisted),
     ]
 }
--- a/crates/flow/tests/track/track_fuzz.rs
+++ b/crates/flow/tests/track/track_fuzz.rs
@@ -233,6 +233,7 @@
         Just(CallCause::Garbled),
         Just(CallCause::Lost),
         Just(CallCause::Silent),
+        Just(CallCause::Unlisted),
     ]
 }
 
--- a/crates/flow/tests/track/track_world.rs
+++ b/crates/flow/tests/track/track_world.rs
@@ -4,7 +4,7 @@
     admit::{AdmitEvent, CellAllocator, LinkInfo, RequestKey},
     flow::{
         CellDriver, CellFrame, CellHub, CellNotice, CellRoute, GrantFrame, GrantSink, ModelRequest,
-        cell_notice::CellGrant,
+        UpstreamRegistry, cell_notice::CellGrant,
     },
     kernel::{InstanceId, ModelId},
     route::{UpstreamInfo, UpstreamRole},
@@ -39,6 +39,7 @@
             return;
         }
         let frame = GrantFrame {
+            address: None,
             grant,
             key,
             model: model.clone(),
@@ -63,7 +64,8 @@
 
 impl TrackWorld {
     pub(crate) fn new() -> Self {
-        let hub = Arc::new(CellHub::new(INSTANCE.into(), 1));
+        let registry = Arc::new(UpstreamRegistry::new(Vec::new()));
+        let hub = Arc::new(CellHub::new(INSTANCE.into(), 1, registry));
         let sink = Arc::new(HubSink {
             hub: hub.clone(),
             is_broken: AtomicBool::new(false),
--- a/crates/trestlewalk/src/entry/control_tasks.rs
+++ b/crates/trestlewalk/src/entry/control_tasks.rs
@@ -69,6 +69,7 @@
         let router = Arc::new(GrantRouter::new(
             components.hub.clone(),
             parts.identity.instance.clone(),
+            components.registry.clone(),
         ));
         let factory = AllocatorFactory::new(
             components.registry.clone(),
--- a/crates/trestlewalk/src/entry/path_components.rs
+++ b/crates/trestlewalk/src/entry/path_components.rs
@@ -75,14 +75,15 @@
         let identity = &parts.identity;
         let platform = make_platform(settings)?;
         let health = PlatformHealth::new(platform.counts()).context(MetricsSnafu)?;
+        let registry = Arc::new(UpstreamRegistry::new(fixed_upstreams(settings)));
         let components = Self {
-            registry: Arc::new(UpstreamRegistry::new(fixed_upstreams(settings))),
             endpoint: bind_endpoint(parts)?,
             engine: make_engine(settings),
             health: Arc::new(health),
             hub: Arc::new(CellHub::new(
                 identity.instance.clone(),
                 identity.incarnation,
+                registry.clone(),
             )),
             limiter: Arc::new(PlainLimiter::new(ShareView {
                 instance: identity.instance.clone(),
@@ -93,6 +94,7 @@
             metrics: Arc::new(FlowMetrics::new().context(MetricsSnafu)?),
             platform,
             pool: parts.pool.clone(),
+            registry,
             current_table: Arc::new(CurrentTable::new()),
         };
         parts.map.insert(components.health.clone());
