--- a/crates/engine/src/call_error.rs
+++ b/crates/engine/src/call_error.rs
@@ -19,12 +19,17 @@
     Refused,
     /// No answer within the timeout.
     Silent,
+    /// No address of the upstream is known, so nothing was sent.
+    Unlisted,
 }
 
 impl CallCause {
     /// Whether the upstream takes no calls at the moment, whatever the request.
     pub fn is_unavailable(self) -> bool {
-        matches!(self, Self::Full | Self::Leaving | Self::Lost | Self::Silent)
+        matches!(
+            self,
+            Self::Full | Self::Leaving | Self::Lost | Self::Silent | Self::Unlisted
+        )
     }
 }
 
