tests: the folder of a fleet outlives its processes

Seen: when a test panics, the logs of the engines and of the platform are printed empty. Cause: fields are dropped in the order of their declaration. `folder` stood before `platform` and `upstreams`, so that the logs were deleted before those processes printed them. Now it stands last.

--- a/crates/trestlewalk/tests/support/fleet.rs
+++ b/crates/trestlewalk/tests/support/fleet.rs
@@ -38,10 +38,11 @@
 pub struct Fleet {
     pub(super) authority: KeyAuthority,
     pub(super) entries: BTreeMap<String, FleetEntry>,
-    pub(super) folder: TempDir,
     pub(super) plan: FleetPlan,
     platform: FleetProcess,
     pub(super) upstreams: BTreeMap<String, FleetUpstream>,
+    // Dropped last: the processes print their logs from it when a test panics.
+    pub(super) folder: TempDir,
 }
 
 impl Fleet {
@@ -175,10 +176,10 @@
         let mut fleet = Self {
             authority: KeyAuthority::new().unwrap(),
             entries: BTreeMap::new(),
-            folder,
             plan: plan.clone(),
             platform,
             upstreams: BTreeMap::new(),
+            folder,
         };
         for zone in &plan.zones {
             fleet.start_zone(zone).await;
