tests: callers go once the engine or the relay has their call

Seen: by reading, after the trace of a call that was never accepted: callers that go in prefill, in transfer and in decode, and the one whose call is held up on its way, left as soon as the entry instance said the phase. Cause: a phase begins with the grant. A caller that goes before its call was written leaves nothing to be freed, so that these tests could pass without showing anything. For the silent relay they wait until it has a call to an engine; its count of what it holds has load reports too. It looks into new connections, as the call may come on one. All other waits and checks are as they were.

--- a/crates/trestlewalk/tests/promise_memory.rs
+++ b/crates/trestlewalk/tests/promise_memory.rs
@@ -66,6 +66,7 @@
     for round in 0..ROUNDS {
         let caller = start_caller(fleet, ENTRY, round, tokens);
         wait_phase(fleet, ENTRY, phase, 1).await;
+        wait_held(fleet, phase).await;
         caller.abort();
         samples.push(fleet.wait_idle(&ENGINES).await);
         wait_phase(fleet, ENTRY, phase, 0).await;
@@ -73,6 +74,16 @@
     print_samples(phase, samples);
 }
 
+/// Waits until the engine of a phase holds a stream. The phase begins with the grant, before the engine has the call.
+async fn wait_held(fleet: &Fleet, phase: &str) {
+    let engine = match phase {
+        "prefilling" => PREFILL,
+        _ => DECODE,
+    };
+    let what = format!("{engine} holds a stream");
+    wait_until(&what, async || fleet.held_streams(engine).await == 1).await;
+}
+
 fn print_samples(what: &str, samples: Vec<Duration>) {
     let count = samples.len();
     let (median, max) = median_and_max(samples);
@@ -179,12 +190,17 @@
     let fleet = Fleet::serving(plan()).await;
     // The allocator may not know the engine before a first answer, and would refuse the request.
     check_short_request(&fleet, ENTRY).await;
-    fleet.upstream_relay(DECODE).set(RelayMode::Silent);
+    let relay = fleet.upstream_relay(DECODE);
+    relay.set(RelayMode::Silent);
     let caller = start_caller(&fleet, ENTRY, 0, 50);
     wait_phase(&fleet, ENTRY, "transferring", 1).await;
+    wait_until("the relay holds the call", async || {
+        relay.silenced_calls() > 0
+    })
+    .await;
     caller.abort();
     wait_phase(&fleet, ENTRY, "transferring", 0).await;
-    fleet.upstream_relay(DECODE).set(RelayMode::Open);
+    relay.set(RelayMode::Open);
     check_short_request(&fleet, ENTRY).await;
     fleet.wait_idle(&ENGINES).await;
 }
--- a/crates/trestlewalk/tests/support/relay_mode.rs
+++ b/crates/trestlewalk/tests/support/relay_mode.rs
@@ -11,6 +11,9 @@
     tokio::sync::watch,
 };
 
+/// Start of a call to a model engine.
+const CALL: &[u8] = b"POST /v1/completions ";
+
 /// How a relay treats the traffic between two processes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RelayMode {
@@ -30,6 +33,7 @@
 pub struct RelaySwitch {
     held: Arc<AtomicUsize>,
     sender: watch::Sender<RelayMode>,
+    silenced_calls: Arc<AtomicUsize>,
 }
 
 impl RelaySwitch {
@@ -48,6 +52,14 @@
         Self {
             held: Arc::default(),
             sender: watch::Sender::new(RelayMode::Open),
+            silenced_calls: Arc::default(),
+        }
+    }
+
+    /// Counts a chunk that starts a call to a model engine while the mode is `Silent`.
+    pub fn note(&self, chunk: &[u8]) {
+        if self.mode() == RelayMode::Silent && chunk.starts_with(CALL) {
+            self.silenced_calls.fetch_add(1, Ordering::SeqCst);
         }
     }
 
@@ -80,4 +92,9 @@
     pub fn set(&self, mode: RelayMode) {
         self.sender.send_replace(mode);
     }
+
+    /// Number of calls to a model engine that have reached the relay while it was silent.
+    pub fn silenced_calls(&self) -> usize {
+        self.silenced_calls.load(Ordering::SeqCst)
+    }
 }
--- a/crates/trestlewalk/tests/support/tcp_relay.rs
+++ b/crates/trestlewalk/tests/support/tcp_relay.rs
@@ -3,6 +3,7 @@
 use {
     super::relay_mode::{RelayMode, RelaySwitch},
     std::{
+        future,
         net::SocketAddr,
         sync::{Arc, Mutex},
     },
@@ -48,6 +49,12 @@
         self.switch.set(mode);
     }
 
+    /// Number of calls to a model engine that have reached the relay while it was silent. Unlike [`Self::held`] it
+    /// leaves out load reports and cancels.
+    pub fn silenced_calls(&self) -> usize {
+        self.switch.silenced_calls()
+    }
+
     /// Starts forwarding connections to `target`.
     pub async fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -78,7 +85,7 @@
 }
 
 async fn forward_connection(inbound: TcpStream, target: SocketAddr, switch: RelaySwitch) {
-    if !switch.pass().await {
+    if !pass_connection(&inbound, &switch).await {
         return;
     }
     let Ok(outbound) = TcpStream::connect(target).await else {
@@ -94,9 +101,26 @@
     }
 }
 
+/// Waits until a new connection may be forwarded, and notes the call that arrives on it meanwhile.
+async fn pass_connection(inbound: &TcpStream, switch: &RelaySwitch) -> bool {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    let note = async {
+        if let Ok(length) = inbound.peek(&mut buffer).await {
+            switch.note(&buffer[..length]);
+        }
+        future::pending().await
+    };
+    tokio::select! {
+        biased;
+        passes = switch.pass() => passes,
+        () = note => false,
+    }
+}
+
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, switch: &RelaySwitch) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length) = from.read(&mut buffer).await {
+        switch.note(&buffer[..length]);
         if length == 0 || !switch.pass().await {
             return;
         }
