fake, tests: a caller goes after its slow engine has the call

Cause: its caller went as soon as the entry instance said the phase, which begins with the grant. Beside load the call was not written yet, or the engine read it together with the close of its connection, and the HTTP server dropped the handler before its first poll. The engine then neither runs nor refuses it. Now the stand-in counts the calls that it holds back (`accepting`), and the test waits for that count before its caller goes. The count begins in the handler, in the same step that starts the task which submits the call, so that a counted call is accepted whatever becomes of its connection. All other waits and checks are as they were.

--- a/crates/fake/src/model/engine_counters.rs
+++ b/crates/fake/src/model/engine_counters.rs
@@ -28,6 +28,8 @@
 #[serde_as]
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineCounters {
+    /// Calls currently held back by the `slow_accept` fault; each is accepted even if its connection is lost.
+    pub accepting: u64,
     /// Runs cancelled before they finished, by request or after a lost connection.
     pub cancelled: u64,
     /// Decode runs by request id, counted when the KV cache is found or a local prefill starts.
--- a/crates/fake/src/model/engine_routes.rs
+++ b/crates/fake/src/model/engine_routes.rs
@@ -176,9 +176,12 @@
         return Some(state.driver.submit(call));
     }
     let driver = state.driver.clone();
+    driver.with(|core| core.counters.accepting += 1);
     let accepting = tokio::spawn(async move {
         tokio::time::sleep(delay).await;
-        driver.submit(call)
+        let subscription = driver.submit(call);
+        driver.with(|core| core.counters.accepting -= 1);
+        subscription
     });
     accepting.await.ok()
 }
--- a/crates/fake/tests/engine_http.rs
+++ b/crates/fake/tests/engine_http.rs
@@ -16,10 +16,20 @@
     http_body_util::BodyExt,
     std::{sync::Arc, time::Duration},
     support::{TestClient, read_body},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
 };
 
 const PROMPT: &str = "the log of kiln 4: cone 6 reached at noon, held for twenty minutes";
 
+/// Longer than any wait of these tests takes.
+const LIMIT: Duration = Duration::from_secs(30);
+
+const POLL: Duration = Duration::from_millis(5);
+
 /// Longer than any test runs.
 const LONG: Duration = Duration::from_secs(3600);
 
@@ -308,6 +318,79 @@
     engine.close().await;
 }
 
+/// Sends a call on a connection that the engine has already accepted. The last step does not yield, so that the engine,
+/// which shares this thread, has not read the call yet.
+async fn write_call(engine: &StandInEngine, id: &str) -> TcpStream {
+    let mut connection = TcpStream::connect(engine.address()).await.unwrap();
+    let probe = b"GET /streams HTTP/1.1\r\nhost: engine\r\n\r\n";
+    connection.write_all(probe).await.unwrap();
+    assert!(connection.read(&mut [0; 1024]).await.unwrap() > 0);
+    let body = serde_json::to_string(&call(PROMPT, None)).unwrap();
+    let length = body.len();
+    let head = format!("host: engine\r\nx-request-id: {id}\r\ncontent-length: {length}");
+    let text = format!("POST /v1/completions HTTP/1.1\r\n{head}\r\n\r\n{body}");
+    assert_eq!(connection.try_write(text.as_bytes()).unwrap(), text.len());
+    connection
+}
+
+/// Ends a connection without yielding, and waits until the engine has closed it too.
+async fn close(mut connection: TcpStream) {
+    connection.shutdown().await.unwrap();
+    connection.read_to_end(&mut Vec::new()).await.unwrap();
+}
+
+async fn start_slow() -> (StandInEngine, TestClient) {
+    let settings = EngineSettings::builder()
+        .decode_base(LONG)
+        .keep_on_disconnect(true)
+        .build();
+    let (engine, client) = start_with(settings).await;
+    engine.set_faults(EngineFaults {
+        slow_accept: Duration::from_secs(2),
+        ..EngineFaults::default()
+    });
+    (engine, client)
+}
+
+async fn wait_accepting(engine: &StandInEngine, count: u64) {
+    let reached = async {
+        while engine.counters().accepting != count {
+            sleep(POLL).await;
+        }
+    };
+    timeout(LIMIT, reached).await.unwrap();
+}
+
+// Guards against a count that forgets a call whose connection closes, or that outlasts its acceptance.
+#[tokio::test]
+async fn a_call_that_is_held_back_is_accepted_after_its_connection_closed() {
+    let (engine, client) = start_slow().await;
+    let connection = write_call(&engine, "r1").await;
+    wait_accepting(&engine, 1).await;
+    close(connection).await;
+    assert_eq!(engine.counters().accepting, 1);
+    assert!(engine.counters().decode_runs.is_empty());
+    wait_accepting(&engine, 0).await;
+    assert_eq!(engine.counters().decode_runs["r1"], 1);
+    assert_eq!(engine.counters().places_without_connection, 1);
+    let streams: Vec<StreamRecord> = client.get("/streams").await;
+    assert_eq!(streams.len(), 1);
+    engine.close().await;
+}
+
+// Guards against taking a call that was written for one that the engine has: it drops what it reads together with the
+// close.
+#[tokio::test]
+async fn a_call_that_is_read_together_with_its_close_is_never_held_back() {
+    let (engine, client) = start_slow().await;
+    close(write_call(&engine, "r1").await).await;
+    assert_eq!(engine.counters().accepting, 0);
+    assert!(engine.counters().decode_runs.is_empty());
+    let streams: Vec<StreamRecord> = client.get("/streams").await;
+    assert!(streams.is_empty());
+    engine.close().await;
+}
+
 #[tokio::test]
 async fn orders_are_checked_and_a_loaded_model_shows() {
     let settings = EngineSettings::builder()
--- a/crates/trestlewalk/tests/promise_memory.rs
+++ b/crates/trestlewalk/tests/promise_memory.rs
@@ -168,6 +168,11 @@
         };
         let caller = start_caller(&fleet, ENTRY, 0, 50);
         wait_phase(&fleet, ENTRY, phase, 1).await;
+        // The engine drops a call that it reads together with the close of its connection.
+        wait_until("the engine holds the call back", async || {
+            fleet.counters(engine).await["accepting"] == 1
+        })
+        .await;
         caller.abort();
         wait_phase(&fleet, ENTRY, phase, 0).await;
         // A late decode call may find its KV cache already cancelled.
