tests: the caller ahead of a queued one is being read

Cause: its first caller goes as soon as the second has left the queue; a phase begins with the grant, so that the call of the first may not be written yet, and no prompt is read where the test expects one. Now it waits until the engine holds the stream of the first caller, which is read for 10 s. All other waits and checks are as they were.

--- a/crates/trestlewalk/tests/promise_memory.rs
+++ b/crates/trestlewalk/tests/promise_memory.rs
@@ -95,6 +95,7 @@
     let fleet = Fleet::serving(plan().engine_set("prefill_rate=100")).await;
     let first = start_caller(&fleet, ENTRY, 0, 1000);
     wait_phase(&fleet, ENTRY, "prefilling", 1).await;
+    wait_held(&fleet, "prefilling").await;
     let second = start_caller(&fleet, "gijon-2", 1, 1000);
     wait_phase(&fleet, "gijon-2", "queued", 1).await;
     second.abort();
