flow: a call without a known address takes a retry again

What callers would have seen: requests of one row held up by one request whose entry instance has seen the granted engine leave the list while the allocator still lists it.

Cause: its failure took no retry, and a failed attempt is queued first, so that the engine was granted to it after each load report.

--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -251,9 +251,7 @@
             return Vec::new();
         };
         self.may_have_run |= failure.may_have_run;
-        let is_unsent = failure.cause == CallCause::Unlisted && !failure.may_have_run;
-        // The retries of the row are for calls that were made.
-        let is_retried = is_unsent || (self.may_retry(failure) && self.take_one_retry());
+        let is_retried = self.may_retry(failure) && self.take_one_retry();
         if !is_retried {
             return self.give_up(failure_code(failure));
         }
--- a/crates/flow/tests/core/flow_cases.rs
+++ b/crates/flow/tests/core/flow_cases.rs
@@ -26,26 +26,19 @@
     core.on_event(FlowEvent::PrefillFailed(failure))
 }
 
-// Guards against a request that fails because its entry instance lists the granted engines later than the allocator.
+// Guards against a request that is first in its queue without end, because its entry instance can't call the engine.
 #[test]
-fn an_engine_without_a_known_address_takes_no_retry() {
+fn a_request_whose_engine_has_no_known_address_ends_after_its_retries() {
     let again = vec![FlowAction::Notify(CellNotice::PrefillFailed {
         is_unavailable: true,
         prefill: "p1".into(),
     })];
     for repeat in [false, true] {
         let mut core = core(repeat, 1);
-        for _ in 0..5 {
-            assert_eq!(fail_prefill(&mut core, UNLISTED), again);
-            assert_eq!(*core.phase(), FlowPhase::Queued);
-        }
-        let lost = CallFailure {
-            cause: CallCause::Lost,
-            may_have_run: false,
-        };
-        assert_eq!(fail_prefill(&mut core, lost), again);
-        fail_prefill(&mut core, lost);
+        assert_eq!(fail_prefill(&mut core, UNLISTED), again);
+        fail_prefill(&mut core, UNLISTED);
         assert_eq!(*core.phase(), FlowPhase::Ended);
+        assert!(!core.may_have_run());
     }
 }
 
