admit: a dropped decode grant brings back the prefill that it met

What callers saw: a request without an answer for 10 s and more, after its prefill engine was held for gone, came back and was granted again while the notice of the finished prefill was on its way.

Cause: the notice names the engine, and matched the second grant. The allocator granted a decode place; the entry instance was in its second prefill, dropped that grant and announced the prefill, which the allocator ignored. The notice of the second prefill then found the request in transfer.

Evidence: a_notice_that_crosses_a_second_grant_of_its_engine_leaves_nobody_waiting is red without the change (run once with it taken out).

Why this works: an announcement of a prefill is only made when a grant was dropped, and comes before the notice that ends that prefill; it can't meet a transfer that belongs to it. The oracle of the fuzz follows the same rule.

With it a test that was missing: a report taken before the failure ends no suspension, for each cause that suspends; red with that rule taken out.

--- a/crates/admit/src/cell_requests.rs
+++ b/crates/admit/src/cell_requests.rs
@@ -290,8 +290,8 @@
         self.requeue(now, held);
     }
 
-    /// Whether the latest grant of a request is of this engine. A notice about another engine has crossed the grant on
-    /// its way, and the entry instance has accepted the grant since.
+    /// Whether the latest grant of a request is of this engine. A notice about another engine has crossed a grant that
+    /// the entry instance accepted.
     fn is_prefilling_at(&self, key: &RequestKey, engine: &UpstreamId) -> bool {
         matches!(self.phase(key), Some(RequestPhase::Prefilling { prefill, .. }) if prefill == engine)
     }
--- a/crates/admit/src/request_phase.rs
+++ b/crates/admit/src/request_phase.rs
@@ -27,10 +27,12 @@
     }
 
     /// Whether an announcement replaces this phase within a session. A request that is being prefilled is announced when
-    /// it dropped a grant of another engine.
+    /// it dropped a grant: of another engine, or of a decode place for the KV cache of an earlier attempt.
     pub(crate) fn yields_to(&self, announced: &AnnouncedPhase) -> bool {
         match (self, announced) {
-            (Self::Queued, _) => true,
+            (Self::Queued, _) | (Self::Transferring { .. }, AnnouncedPhase::Prefilling { .. }) => {
+                true
+            }
             (
                 Self::Prefilling { prefill, .. },
                 AnnouncedPhase::Prefilling {
--- a/crates/admit/tests/cell/grant_oracle.rs
+++ b/crates/admit/tests/cell/grant_oracle.rs
@@ -77,6 +77,7 @@
                     (Some(Prefilling(at)), AnnouncedPhase::Prefilling { prefill, .. }) => {
                         at != prefill
                     }
+                    (Some(Streaming(_, Some(_))), AnnouncedPhase::Prefilling { .. }) => true,
                     _ => false,
                 };
                 if request.key.incarnation < self.incarnation || !is_replaced {
--- a/crates/flow/tests/track/lost_prefill.rs
+++ b/crates/flow/tests/track/lost_prefill.rs
@@ -10,15 +10,11 @@
     },
     kernel::{ResultCode, UpstreamId},
     route::UpstreamRole,
+    std::time::Instant,
 };
 
 const SECOND: &str = "p2";
 const THIRD: &str = "p3";
-/// A call to an engine that is no longer there.
-const LOST: CallFailure = CallFailure {
-    cause: CallCause::Lost,
-    may_have_run: false,
-};
 const EVICTED: CallFailure = CallFailure {
     cause: CallCause::Evicted,
     may_have_run: false,
@@ -161,7 +157,14 @@
     }
 
     fn prefill_fails(&mut self) {
-        self.apply(FlowEvent::PrefillFailed(LOST));
+        self.fail_prefill(CallCause::Lost);
+    }
+
+    fn fail_prefill(&mut self, cause: CallCause) {
+        self.apply(FlowEvent::PrefillFailed(CallFailure {
+            cause,
+            may_have_run: false,
+        }));
     }
 
     /// The request prefills at the engine and ends there with an answer.
@@ -330,23 +333,45 @@
     assert!(rounds > 2, "a lost KV cache takes no retry");
 }
 
-// Guards against an engine that stays out of use after it was full once.
+// Guards against an engine that stays out of use after it took no call once, and against a dead engine that a report
+// from before the failure brings back.
 #[test]
-fn an_engine_that_refused_is_granted_again_after_its_next_load_report() {
-    let mut lost = LostWorld::prefilling_at(PREFILL);
-    lost.apply(FlowEvent::PrefillFailed(REFUSED));
-    assert_eq!(lost.take_calls(), [""; 0]);
-    lost.reports(PREFILL);
-    lost.assert_answered_by(PREFILL);
+fn an_engine_that_takes_no_calls_is_passed_over_until_a_later_load_report() {
+    use CallCause::*;
+    for cause in [Full, Leaving, Lost, Silent, Unlisted] {
+        let asked_at = Instant::now();
+        let mut lost = LostWorld::prefilling_at(PREFILL);
+        lost.fail_prefill(cause);
+        lost.world.report_load_of(PREFILL, asked_at);
+        lost.take_grants();
+        assert_eq!(lost.take_calls(), [""; 0], "{cause:?}");
+        lost.reports(PREFILL);
+        lost.assert_answered_by(PREFILL);
+    }
 }
 
 // Guards against an engine that is passed over by all because of one request that it can't serve.
 #[test]
 fn a_request_that_an_engine_rejects_does_not_suspend_the_engine() {
+    for cause in [CallCause::Garbled, CallCause::Refused] {
+        let mut lost = LostWorld::prefilling_at(PREFILL);
+        lost.fail_prefill(cause);
+        lost.assert_answered_by(PREFILL);
+    }
+}
+
+// Guards against a request that waits for ever because its notice was taken for one about a later grant of the engine.
+#[test]
+fn a_notice_that_crosses_a_second_grant_of_its_engine_leaves_nobody_waiting() {
     let mut lost = LostWorld::prefilling_at(PREFILL);
-    lost.apply(FlowEvent::PrefillFailed(CallFailure {
-        cause: CallCause::Refused,
-        may_have_run: false,
-    }));
+    for action in lost.core.on_event(FlowEvent::PrefillDone) {
+        if let FlowAction::Notify(notice) = action {
+            lost.world.hub.notify(&lost.request.key, notice);
+        }
+    }
+    let gone: UpstreamId = PREFILL.into();
+    lost.world.driver.on_event(AdmitEvent::UpstreamGone(gone));
+    lost.up(PREFILL);
+    lost.world.pump();
     lost.assert_answered_by(PREFILL);
 }
--- a/crates/flow/tests/track/track_world.rs
+++ b/crates/flow/tests/track/track_world.rs
@@ -144,11 +144,16 @@
 
     /// Sends a load report of an engine without work.
     pub(crate) fn report_load(&self, name: &str) {
+        self.report_load_of(name, Instant::now());
+    }
+
+    /// Sends a load report that was taken at a given time.
+    pub(crate) fn report_load_of(&self, name: &str, taken: Instant) {
         self.driver.on_event(AdmitEvent::Load(LoadReport {
             decode_used: 0,
             leaving: false,
             prefill_tokens: 0,
-            taken: Instant::now(),
+            taken,
             upstream: name.into(),
         }));
     }
