flow: a load report counts from the start of its poll

What callers saw: a dead prefill engine could be granted once more, at one retry of the row, while another engine of the cell was silent. Found in review, by reading; not seen in a run.

Cause: the reports of a round of polls were handled when the slowest had come or timed out, and counted as taken at that moment, up to a second late. A report from before a failed call so ended the suspension of its engine, and work sent meanwhile counted as known to the engine.

Why this works: a report describes the engine at some time after its poll began; the start is the latest time that is certain. The rule it feeds is held by an_engine_that_takes_no_calls_is_passed_over_until_a_later_load_report.

--- a/crates/flow/src/load_poller.rs
+++ b/crates/flow/src/load_poller.rs
@@ -78,16 +78,20 @@
         for gone in drop_unlisted(watches, &entries) {
             driver.on_event(AdmitEvent::UpstreamGone(gone));
         }
-        let polls = entries.iter().map(|entry| self.engine.load(entry.address));
+        let polls = entries.iter().map(async |entry| {
+            // A report may arrive long before the slowest one of the round.
+            let asked_at = Instant::now();
+            (asked_at, self.engine.load(entry.address).await)
+        });
         let loads = join_all(polls).await;
-        for (entry, load) in entries.iter().zip(loads) {
+        for (entry, (asked_at, load)) in entries.iter().zip(loads) {
             let name = &entry.record.name;
             let watch = watches.entry(name.clone()).or_default();
             let events = match load {
                 Ok(load) => {
                     sync_own_mark(&self.registry, name, load.leaving);
                     let mark = external_mark(entry);
-                    watch.on_load(Instant::now(), &entry.record, &load, mark)
+                    watch.on_load(asked_at, &entry.record, &load, mark)
                 }
                 Err(_) => watch.on_failure(name),
             };
