tests: lines of a log are waited for

Cause: the log is written by a thread in the background, and the test read it once. In the failed run the instance was ready and had answered five calls, which come after the line, while its log had nothing but its first line, "not ready".

Now the test waits for each line, as the other tests that look for one do; the same for two that read the log once (relay_customers, relay_evacuation). The lines asked for are the same.

--- a/crates/trestlewalk/tests/relay_customers.rs
+++ b/crates/trestlewalk/tests/relay_customers.rs
@@ -232,14 +232,14 @@
             "{key}"
         );
     }
-    let log = run.process.log();
     for place in [
         "Tenants[1].ApiKeys has a key that another customer holds as well",
         "Tenants[1].Unit is unknown: there is no limit",
         "Tenants[2].Name is there twice",
         "Tenants[3].Name is missing",
     ] {
-        assert!(log.contains(place), "{place}: {log}");
+        // Lines are written in the background.
+        wait_until(place, async || run.process.log().contains(place)).await;
     }
 }
 
@@ -303,7 +303,10 @@
         run.ready_status().await == 503
     })
     .await;
-    assert!(run.process.log().contains("was the newest"));
+    wait_until("the reason is logged", async || {
+        run.process.log().contains("was the newest")
+    })
+    .await;
     run.store.set_down(false);
     wait_until("keys are served again", async || {
         call(&run, "/t/1", &with_key(KEY)).await.status() == 200
--- a/crates/trestlewalk/tests/relay_evacuation.rs
+++ b/crates/trestlewalk/tests/relay_evacuation.rs
@@ -62,8 +62,11 @@
         reply.status() == 503 && reply.header("retry-after").is_some()
     })
     .await;
-    let log = run.process.log();
-    assert!(log.contains("all upstreams are in evacuated"), "{log}");
+    wait_until("the reason is logged", async || {
+        let log = run.process.log();
+        log.contains("all upstreams are in evacuated")
+    })
+    .await;
     run.store.remove("op", FAR);
     wait_run(&run.upstreams[1], async || {
         run.call("GET", "/t/1", "").await;
