relay, spread: instances keep to a stated rate limit together

An upstream in need got 33 requests in 4 s from nine instances where its limit allowed 13. No choice of an upstream depended on the limit.

Each instance derives its share from the limit and the members of the fleet: a few regular callers, chosen by rendezvous hashing in the upstream's zone first, space their calls evenly and use 0.7 of the rate; the others get a short turn now and then. Reservations and releases count like runs. Instances tell each other of limits and their ends with the requests for the list. Requests go to other upstreams; where none is left they are refused at once with 2024.

The turns of cold upstreams are the same mechanism, now TurnClock. The members that the request path sees are in FleetView, which takes the place of ZoneSize.

Further: shares of 1 to 1,000 instances, also with views that lack a quarter of the others (property); reservations; learning from others; refusal at once; unreadable values.

--- /dev/null
+++ b/crates/policy/src/fleet_members.rs
@@ -0,0 +1,55 @@
+//! The instances that share what all of them together may do.
+
+use {
+    kernel::{InstanceId, ZoneId, seeded_rng},
+    std::cmp::Reverse,
+};
+
+/// One instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FleetMember {
+    /// The name of the instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+}
+
+/// The instances of all availability zones, as far as one of them knows.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FleetMembers {
+    members: Vec<FleetMember>,
+}
+
+impl FleetMembers {
+    /// The number of instances.
+    pub fn count(&self) -> usize {
+        self.members.len()
+    }
+
+    /// The number of instances of an availability zone.
+    pub fn count_in(&self, zone: &ZoneId) -> usize {
+        let members = self.members.iter();
+        members.filter(|member| member.zone == *zone).count()
+    }
+
+    /// A set of instances.
+    pub fn new(members: Vec<FleetMember>) -> Self {
+        Self { members }
+    }
+
+    /// The position of an instance in the order in which instances call an upstream of `zone`: those of its zone first,
+    /// each zone by rendezvous hashing. `None` for an instance that is not known.
+    pub fn position(&self, instance: &InstanceId, upstream: &str, zone: &ZoneId) -> Option<usize> {
+        let rank = |member: &FleetMember| {
+            let score = seeded_rng::rendezvous_score(upstream, &member.instance);
+            (member.zone != *zone, Reverse(score))
+        };
+        let own = self
+            .members
+            .iter()
+            .find(|member| member.instance == *instance)?;
+        let own_rank = rank(own);
+        let ahead = self.members.iter().filter(|member| rank(member) < own_rank);
+        Some(ahead.count())
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cache_index;
 pub mod call_rate;
+pub mod call_share;
 pub mod caller_key;
 pub mod cold_phase;
 pub mod cold_rule;
@@ -13,11 +14,13 @@
 pub mod crash_table;
 pub mod customer_limit;
 pub mod evacuation_set;
+pub mod fleet_members;
 pub mod loss_table;
 pub mod prefill_estimate;
 pub mod quota_bucket;
 pub mod quota_rule;
 pub mod quota_table;
+pub mod rate_note;
 pub mod rate_statement;
 pub mod rate_table;
 pub mod refusal_cooldown;
@@ -31,6 +34,7 @@
 pub mod store_clock;
 pub mod stream_attempts;
 pub mod table_age;
+pub mod turn_clock;
 pub mod upstream_entry;
 pub mod upstream_record;
 pub mod upstream_table;
@@ -42,6 +46,7 @@
 pub use {
     cache_index::CacheIndex,
     call_rate::CallRate,
+    call_share::CallShare,
     caller_key::{CallerKey, KeyDigest, KeyHasher, KeySalt},
     cold_phase::ColdPhase,
     cold_rule::ColdRule,
@@ -49,11 +54,13 @@
     crash_table::{CrashTable, QuarantineRow},
     customer_limit::{CustomerLimit, QuotaUnit},
     evacuation_set::{EvacuationChange, EvacuationSet},
+    fleet_members::{FleetMember, FleetMembers},
     loss_table::{LossAction, LossTable, LostRun, ProbeOutcome},
     prefill_estimate::PrefillEstimate,
     quota_bucket::{QuotaBucket, QuotaSync, QuotaView},
     quota_rule::QuotaRule,
     quota_table::{QuotaRefusal, QuotaRow, QuotaTable},
+    rate_note::RateNote,
     rate_statement::RateStatement,
     rate_table::{RateChange, RateTable},
     refusal_cooldown::RefusalCooldown,
@@ -66,6 +73,7 @@
     store_clock::StoreClock,
     stream_attempts::{AttemptEnd, StreamAttempts},
     table_age::TableAge,
+    turn_clock::TurnClock,
     upstream_entry::{CallVerdict, UpstreamEntry},
     upstream_record::{UpstreamRecord, UpstreamStage},
     upstream_table::{ChoiceQuery, PrefillChoice, UpstreamTable},
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -30,6 +30,9 @@
 /// long as none of the own calls runs there. With 59 instances and 39 engines, half of all new connections were
 /// reservations at engines that had not been called for 10 s.
 const CONNECTED_GAIN: f64 = 0.5;
+/// The cost saved by a due call to an upstream that states a rate limit, in in-flight calls: more than an idle connection
+/// saves. Only answers show when the limit ends.
+const DUE_GAIN: f64 = 1.0;
 /// The cost of being cold, in in-flight calls: more than that of another availability zone, less than that of being full.
 const COLD_COST: f64 = 10.0;
 /// The same in prefill time.
@@ -113,6 +116,7 @@
     /// An empty table of an instance.
     pub fn new(instance: InstanceId) -> Self {
         Self {
+            rates: RateTable::new(instance.clone()),
             instance,
             ..Self::default()
         }
@@ -157,12 +161,13 @@
         !self.entries.is_empty() && entries.all(|entry| self.is_evacuated(&entry.record.zone))
     }
 
-    /// Records a call to an upstream, which takes this instance's turn if the upstream is cold.
-    pub fn note_cold_call(&mut self, id: &UpstreamId, now: Instant) {
+    /// Records a call to an upstream, which counts if the upstream is cold or states a rate limit.
+    pub fn note_call(&mut self, id: &UpstreamId, now: Instant) {
         let entry = self.entries.get_mut(id);
         if let Some(phase) = entry.and_then(|entry| entry.cold.as_mut()) {
-            phase.note_call(now);
+            phase.turns.note_call(now);
         }
+        self.rates.note_call(id, now);
     }
 
     /// The time until this instance may call a cold upstream that matches the query; `None` when there is none.
@@ -174,6 +179,16 @@
             .min()
     }
 
+    /// When a request may come back that no upstream took because of stated rate limits; `None` when no upstream that
+    /// matches the query states one.
+    pub fn rate_limit_wait(&self, query: &ChoiceQuery<'_>, now: Instant) -> Option<Duration> {
+        let entries = self.entries.values();
+        let eligible = entries.filter(|entry| self.is_eligible(entry, query));
+        eligible
+            .filter_map(|entry| self.rates.retry_after(&entry.record.id, query.request, now))
+            .min()
+    }
+
     /// Records the start of a call.
     pub fn begin(&mut self, id: &UpstreamId, tokens: u64) {
         let Some(entry) = self.entries.get_mut(id) else {
@@ -196,6 +211,9 @@
             if self.turn_wait(entry, now).is_some() {
                 cost += COLD_COST;
             }
+            if self.rates.limit(&entry.record.id).is_some() {
+                cost -= DUE_GAIN;
+            }
             let tie = tie_break(query.request, &entry.record.id);
             let better = match &best {
                 Some((cooldown, lowest, lowest_tie, _)) => {
@@ -374,13 +392,16 @@
         }
         for (id, mut entry) in before {
             if !in_grace || self.is_address_reused(&entry) {
-                self.rates.forget(&id);
                 gone.push(id);
                 continue;
             }
             entry.missing_since.get_or_insert(now);
             self.entries.insert(id, entry);
         }
+        if !self.rates.is_empty() {
+            let listed = self.entries.keys().cloned().collect();
+            self.rates.retain(&listed, now);
+        }
         self.is_loaded = true;
         self.read_at = Some(now);
         gone
@@ -419,10 +440,12 @@
         refusals
     }
 
-    /// Whether an upstream can be called now: it matches the query, and it is warm or this instance has a turn.
+    /// Whether an upstream can be called now: it matches the query, and a call is due where its rate is limited.
     fn is_suitable(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>, now: Instant) -> bool {
-        let is_due = self.turn_wait(entry, now).is_none_or(|wait| wait.is_zero());
-        is_due && self.is_eligible(entry, query)
+        let is_due = |wait: Option<Duration>| wait.is_none_or(|wait| wait.is_zero());
+        is_due(self.rates.wait(&entry.record.id, now))
+            && is_due(self.turn_wait(entry, now))
+            && self.is_eligible(entry, query)
     }
 
     /// The time until this instance may call a cold upstream; `None` when the upstream is warm or tolerates any rate.
@@ -437,7 +460,7 @@
             return Some(left);
         };
         let offset = tie_break(&self.instance, &entry.record.id) as f64 / u64::MAX as f64;
-        Some(phase.turn_wait(rule.period(count), offset, now).min(left))
+        Some(phase.turns.wait(rule.period(count), offset, now).min(left))
     }
 
     fn is_eligible(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>) -> bool {
--- a/crates/policy/tests/cold_upstreams.rs
+++ b/crates/policy/tests/cold_upstreams.rs
@@ -55,7 +55,7 @@
 /// Calls the chosen upstream, if there is one.
 fn call(table: &mut UpstreamTable, now: Instant) -> Option<String> {
     let upstream = query(|query| table.choose(query, now))?;
-    table.note_cold_call(&upstream.id, now);
+    table.note_call(&upstream.id, now);
     Some(upstream.id.to_string())
 }
 
--- a/crates/policy/tests/rate_table.rs
+++ b/crates/policy/tests/rate_table.rs
@@ -1,9 +1,13 @@
-//! The rate limits that upstreams state: what is taken from answers, and in which order.
+//! The rate limits that upstreams state: what is taken from answers, in which order, and what others say.
 
 use {
-    kernel::UpstreamId,
-    policy::{CallRate, RateChange, RateStatement, RateTable},
-    std::time::{Duration, Instant},
+    kernel::{InstanceId, UpstreamId, ZoneId},
+    policy::{CallRate, FleetMember, FleetMembers, RateChange, RateNote, RateStatement, RateTable},
+    std::{
+        collections::BTreeSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -12,6 +16,39 @@
     RateStatement::Limited(CallRate::from(rate))
 }
 
+fn table() -> RateTable {
+    let mut table = RateTable::new(InstanceId::from("front-1"));
+    let alone = FleetMember {
+        instance: "front-1".into(),
+        zone: "near".into(),
+    };
+    table.set_fleet(&Arc::new(FleetMembers::new(vec![alone])), Instant::now());
+    table
+}
+
+fn state(
+    table: &mut RateTable,
+    statement: RateStatement,
+    began: Instant,
+    now: Instant,
+) -> Option<RateChange> {
+    let (id, zone) = (UpstreamId::from("a"), ZoneId::from("near"));
+    table.note_answer((&id, &zone), statement, began, now)
+}
+
+fn limit(table: &RateTable) -> Option<CallRate> {
+    table.limit(&UpstreamId::from("a"))
+}
+
+fn note(rate: Option<f64>, age: Duration) -> RateNote {
+    RateNote {
+        age,
+        rate: rate.map(CallRate::from),
+        upstream: "a".into(),
+        zone: "near".into(),
+    }
+}
+
 #[test]
 fn only_unsigned_decimal_numbers_are_rates() {
     for text in [
@@ -29,42 +66,68 @@
 
 #[test]
 fn a_limit_holds_until_an_answer_to_a_later_call_states_none() {
-    let mut table = RateTable::default();
-    let id = UpstreamId::from("a");
+    let mut table = table();
     let start = Instant::now();
-    let told = table.note_answer(&id, limited(2.0), start, start + 20 * MS);
+    let told = state(&mut table, limited(2.0), start, start + 20 * MS);
     assert_eq!(told, Some(RateChange::Limited(CallRate::from(2.0))));
-    let again = table.note_answer(&id, limited(2.0), start, start + 21 * MS);
+    let again = state(&mut table, limited(2.0), start, start + 21 * MS);
     assert_eq!(again, None);
-    let overtaken = table.note_answer(
-        &id,
-        RateStatement::Unlimited,
-        start + 10 * MS,
-        start + 30 * MS,
-    );
+    let none = RateStatement::Unlimited;
+    let overtaken = state(&mut table, none, start + 10 * MS, start + 30 * MS);
     assert_eq!(overtaken, None);
-    assert_eq!(table.limit(&id), Some(CallRate::from(2.0)));
-    let lifted = table.note_answer(
-        &id,
-        RateStatement::Unlimited,
-        start + 40 * MS,
-        start + 50 * MS,
-    );
+    assert_eq!(limit(&table), Some(CallRate::from(2.0)));
+    let lifted = state(&mut table, none, start + 40 * MS, start + 50 * MS);
     assert_eq!(lifted, Some(RateChange::Lifted));
-    assert_eq!(table.limit(&id), None);
+    assert_eq!(limit(&table), None);
 }
 
 #[test]
 fn an_unreadable_statement_is_reported_once_and_keeps_the_limit() {
-    let mut table = RateTable::default();
+    let mut table = table();
+    let now = Instant::now();
+    state(&mut table, limited(2.0), now, now);
+    let unreadable = state(&mut table, RateStatement::Invalid, now, now);
+    assert_eq!(unreadable, Some(RateChange::Unreadable));
+    assert_eq!(state(&mut table, RateStatement::Invalid, now, now), None);
+    assert_eq!(limit(&table), Some(CallRate::from(2.0)));
+    table.retain(&BTreeSet::new(), now);
+    assert_eq!(limit(&table), None);
+}
+
+#[test]
+fn the_younger_of_two_notes_counts_whatever_their_order() {
+    let mut table = table();
+    let now = Instant::now() + 10_000 * MS;
+    let changes = table.merge(&[note(Some(3.0), 500 * MS)], now);
+    assert_eq!(changes.len(), 1);
+    assert!(table.merge(&[note(None, 800 * MS)], now).is_empty());
+    assert_eq!(limit(&table), Some(CallRate::from(3.0)));
+    assert_eq!(table.merge(&[note(None, 100 * MS)], now).len(), 1);
+    assert!(table.merge(&[note(Some(3.0), 300 * MS)], now).is_empty());
+    assert_eq!(limit(&table), None);
+    assert_eq!(table.digest(), RateTable::default().digest());
+}
+
+#[test]
+fn calls_keep_the_interval_of_the_share_and_further_calls_delay_the_next() {
+    let mut table = table();
     let id = UpstreamId::from("a");
     let now = Instant::now();
-    table.note_answer(&id, limited(2.0), now, now);
-    let unreadable =
-        |table: &mut RateTable| table.note_answer(&id, RateStatement::Invalid, now, now);
-    assert_eq!(unreadable(&mut table), Some(RateChange::Unreadable));
-    assert_eq!(unreadable(&mut table), None);
-    assert_eq!(table.limit(&id), Some(CallRate::from(2.0)));
-    table.forget(&id);
-    assert_eq!(table.limit(&id), None);
+    state(&mut table, limited(2.0), now, now);
+    let wait = table.wait(&id, now).unwrap();
+    assert!(wait > 500 * MS && wait < 1_000 * MS, "{wait:?}");
+    let due = now + wait;
+    assert_eq!(table.wait(&id, due), Some(Duration::ZERO));
+    table.note_call(&id, due);
+    table.note_call(&id, due);
+    assert_eq!(table.wait(&id, due), Some(2 * wait));
+}
+
+#[test]
+fn without_a_view_of_the_fleet_a_limited_upstream_gets_no_call() {
+    let mut table = RateTable::new(InstanceId::from("front-1"));
+    let now = Instant::now();
+    state(&mut table, limited(2.0), now, now);
+    let wait = table.wait(&UpstreamId::from("a"), now + 60_000 * MS);
+    assert!(wait.is_some_and(|wait| !wait.is_zero()));
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod customer_table;
 pub mod error_response;
 pub mod event_splitter;
+pub mod fleet_view;
 pub mod open_call;
 pub mod operator_source;
 pub mod order_dialect;
@@ -29,6 +30,7 @@
 pub mod prompt_search;
 pub mod quota_buckets;
 pub mod quota_plugin;
+pub mod rate_news;
 pub mod reader_role;
 pub mod relay_body;
 pub mod relay_core;
@@ -51,7 +53,6 @@
 pub mod upstream_dialect;
 pub mod wasted_prefill;
 pub mod work_route;
-pub mod zone_size;
 
 pub use {
     access_refusal::{AccessRefusal, RefusalReason},
@@ -70,6 +71,7 @@
     customer_table::{CustomerInfo, CustomerRow, CustomerTable},
     error_response::ErrorResponse,
     event_splitter::{EventBatch, EventSplitter},
+    fleet_view::FleetView,
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
         OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate, SourceError,
@@ -79,6 +81,7 @@
     piece_channel::{CallerLeft, PieceReceiver, PieceSender, piece_channel},
     plain_flow::PlainFlow,
     quota_buckets::{QuotaBuckets, QuotaCharge},
+    rate_news::RateNews,
     reader_role::ReaderRole,
     relay_body::{AnswerCut, RelayBody},
     relay_core::{CallPlan, RelayCore},
@@ -103,5 +106,4 @@
     },
     wasted_prefill::WastedPrefill,
     work_route::{RouteTarget, WorkRoute},
-    zone_size::ZoneSize,
 };
--- a/crates/relay/src/prompt_search.rs
+++ b/crates/relay/src/prompt_search.rs
@@ -21,7 +21,7 @@
     part: &str,
 ) -> Vec<UpstreamId> {
     let mut asking = JoinSet::new();
-    let engines = core.upstreams.lock().engines(service);
+    let engines = unlimited_engines(core, service);
     let settings = core.settings.load();
     let targets = core
         .parts
@@ -56,3 +56,14 @@
     let mut parts = core.parts.lock();
     parts.note(engine.id.clone(), listed, steady_clock::now());
 }
+
+/// The engines of a service that state no rate limit: a request for a list would count towards it.
+fn unlimited_engines<D: UpstreamDialect>(
+    core: &RelayCore<D>,
+    service: &ServiceId,
+) -> Vec<Arc<UpstreamRecord>> {
+    let upstreams = core.upstreams.lock();
+    let mut engines = upstreams.engines(service);
+    engines.retain(|engine| upstreams.rates.limit(&engine.id).is_none());
+    engines
+}
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -3,20 +3,21 @@
 use {
     crate::{
         BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
-        ConnectionTimeouts, CrashWatch, ErrorResponse, OpenCall, QuotaBuckets, ReaderRole,
-        RelayCounts, RelaySettings, ReplyFacts, RouteFreshness, RouteTable, SharedUpstreams,
-        StartGate, UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute, ZoneSize,
+        ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, OpenCall, QuotaBuckets,
+        ReaderRole, RelayCounts, RelaySettings, ReplyFacts, RouteFreshness, RouteTable,
+        SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     bytes::Bytes,
     http::{Request, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
     kernel::{
-        LockRank, RankedLock, ResultCode, ServiceId, ShutdownSignal, UpstreamId, steady_clock,
+        LockRank, RankedLock, ResultCode, ServiceId, ShutdownSignal, UpstreamId,
+        ranked_lock::RankedGuard, steady_clock,
     },
     policy::{
-        CacheIndex, CallVerdict, ChoiceQuery, PrefillChoice, RateStatement, RetryWindow,
-        SlotHoldTime, StagePressure, UpstreamRecord, UpstreamTable,
+        CacheIndex, CallVerdict, ChoiceQuery, FleetMember, FleetMembers, PrefillChoice,
+        RateStatement, RetryWindow, SlotHoldTime, StagePressure, UpstreamRecord, UpstreamTable,
     },
     std::{
         collections::HashMap,
@@ -77,9 +78,10 @@
     pub start: StartGate,
     started: Instant,
     retry_windows: RankedLock<HashMap<ServiceId, RetryWindow>>,
-    /// The number of instances in this availability zone. Zones may differ in size: each has an equal share of what all
-    /// instances share.
-    pub zone_size: ZoneSize,
+    /// The instances that share what all of them together may do.
+    pub fleet: FleetView,
+    /// This instance by itself, where it is the only one.
+    alone: Option<Arc<FleetMembers>>,
 }
 
 impl<D: UpstreamDialect> RelayCore<D> {
@@ -91,6 +93,7 @@
         request: Request<Full<Bytes>>,
         largest: usize,
     ) -> Option<(StatusCode, Bytes)> {
+        let began = steady_clock::now();
         let sending = self.pool.send(&upstream.id, upstream.address, request);
         let (response, connection) = match sending.await {
             Ok(answer) => answer,
@@ -101,6 +104,10 @@
         };
         let status = response.status();
         let idle_timeout = self.dialect.idle_timeout(response.headers());
+        let statement = self.dialect.rate_statement(response.headers());
+        if statement != RateStatement::Unlimited && status != StatusCode::MISDIRECTED_REQUEST {
+            self.apply_statement(upstream, statement, began);
+        }
         let reading = Limited::new(response.into_body(), largest).collect();
         match reading.await {
             Ok(collected) => {
@@ -168,8 +175,12 @@
             request: plan.request,
             upstream: &upstream,
         });
-        if matches!(plan.purpose, CallPurpose::Run { .. }) {
+        if let CallPurpose::Run { slot, .. } = plan.purpose {
             trace.note_sent();
+            if slot.is_some() {
+                // The choice of the engine counted the reservation only.
+                self.count_call(&id);
+            }
         }
         let wait = plan.head_timeout.map_or(left, |timeout| timeout.min(left));
         let sending = self.pool.send(&upstream.id, upstream.address, request);
@@ -197,7 +208,7 @@
         };
         let (head, body) = response.into_parts();
         let facts = self.dialect.reply_facts(&head, &plan.request.head.id);
-        self.note_rate(&id, &facts, call.since);
+        self.note_rate(&upstream, &facts, call.since);
         if facts.is_not_run {
             trace.note(format_args!(
                 "{verb} {id} not run: {}",
@@ -232,54 +243,76 @@
         }))
     }
 
+    /// Counts a call that was not chosen by its load towards the rate limit of its upstream.
+    pub fn count_call(&self, upstream: &UpstreamId) {
+        let mut upstreams = self.upstreams.lock();
+        upstreams.rates.note_call(upstream, steady_clock::now());
+    }
+
     /// Records the rate limit that an answer states. Another upstream at the same address speaks for itself only, and an
     /// answer that need not be the upstream's own lifts no limit.
-    fn note_rate(&self, upstream: &UpstreamId, facts: &ReplyFacts, began: Instant) {
+    fn note_rate(&self, upstream: &UpstreamRecord, facts: &ReplyFacts, began: Instant) {
         let is_own = facts.is_same_request && !facts.is_misdirected;
         if !is_own || facts.rate == RateStatement::Unlimited && facts.is_not_run {
             return;
         }
+        self.apply_statement(upstream, facts.rate, began);
+    }
+
+    fn apply_statement(&self, upstream: &UpstreamRecord, statement: RateStatement, began: Instant) {
         let now = steady_clock::now();
         let mut upstreams = self.upstreams.lock();
-        let change = upstreams
-            .rates
-            .note_answer(upstream, facts.rate, began, now);
+        let change =
+            upstreams
+                .rates
+                .note_answer((&upstream.id, &upstream.zone), statement, began, now);
         drop(upstreams);
         if let Some(change) = change {
-            self.counts.note_rate(upstream, change);
+            self.counts.note_rate(&upstream.id, change);
         }
     }
 
     /// The best upstream for a call.
     pub fn choose(&self, query: &ChoiceQuery<'_>) -> Option<Arc<UpstreamRecord>> {
         let now = steady_clock::now();
-        let count = self.cold_share_count();
-        let mut upstreams = self.upstreams.lock();
-        upstreams.set_instance_count(count);
+        let mut upstreams = self.lock_shared_rates(now);
         let upstream = upstreams.choose(query, now)?;
-        upstreams.note_cold_call(&upstream.id, now);
+        upstreams.note_call(&upstream.id, now);
         Some(upstream)
     }
 
     /// The best engine to prefill a prompt of this many tokens.
     pub fn choose_prefill(&self, query: &ChoiceQuery<'_>, tokens: u64) -> Option<PrefillChoice> {
         let now = steady_clock::now();
+        let mut upstreams = self.lock_shared_rates(now);
+        let choice = upstreams.choose_prefill(query, tokens, now)?;
+        upstreams.note_call(&choice.upstream.id, now);
+        Some(choice)
+    }
+
+    /// Locks the upstreams with the present view of the instances that share their rates.
+    fn lock_shared_rates(&self, now: Instant) -> RankedGuard<'_, UpstreamTable> {
         let count = self.cold_share_count();
+        let fleet = self.alone.clone().unwrap_or_else(|| self.fleet.members());
         let mut upstreams = self.upstreams.lock();
         upstreams.set_instance_count(count);
-        let choice = upstreams.choose_prefill(query, tokens, now)?;
-        upstreams.note_cold_call(&choice.upstream.id, now);
-        Some(choice)
+        upstreams.rates.set_fleet(&fleet, now);
+        upstreams
     }
 
-    /// The answer to a caller for whose request there is no upstream. It may return when a cold upstream can be called,
-    /// or else after `retry_after`.
+    /// The answer to a caller for whose request there is no upstream. It may return when an upstream of limited rate can
+    /// be called, or else after `retry_after`.
     pub fn missing_upstream(
         &self,
         query: &ChoiceQuery<'_>,
         retry_after: Duration,
     ) -> ErrorResponse {
-        let wait = self.upstreams.lock().cold_wait(query, steady_clock::now());
+        let now = steady_clock::now();
+        let upstreams = self.upstreams.lock();
+        if let Some(wait) = upstreams.rate_limit_wait(query, now) {
+            return ErrorResponse::with_retry_after(ResultCode::UpstreamLimited, wait);
+        }
+        let wait = upstreams.cold_wait(query, now);
         ErrorResponse::with_retry_after(ResultCode::UpstreamMissing, wait.unwrap_or(retry_after))
     }
 
@@ -293,8 +326,9 @@
 
     /// The number of instances, as far as this one knows; zones are taken to be of equal size.
     fn instance_count(&self) -> Option<usize> {
-        let zones = self.settings.load().zones;
-        self.zone_size.get().map(|members| members * zones)
+        let settings = self.settings.load();
+        let members = self.fleet.zone_size(&settings.zone);
+        members.map(|members| members * settings.zones)
     }
 
     /// The retry delay for a caller that found no free slot at a service.
@@ -314,6 +348,12 @@
             LockRank::Upstreams,
             UpstreamTable::new(settings.instance.clone()),
         ));
+        let alone = settings.is_alone.then(|| {
+            Arc::new(FleetMembers::new(vec![FleetMember {
+                instance: settings.instance.clone(),
+                zone: settings.zone.clone(),
+            }]))
+        });
         let counts = RelayCounts::new();
         let pool = Arc::new(ConnectionPool::new(times).with_read_buffer(READ_BUFFER_BYTES));
         Self {
@@ -340,7 +380,8 @@
             start: StartGate::new(),
             started: steady_clock::now(),
             retry_windows: RankedLock::new(LockRank::Services, HashMap::new()),
-            zone_size: ZoneSize::default(),
+            fleet: FleetView::default(),
+            alone,
         }
     }
 
--- a/crates/relay/src/resource_guard.rs
+++ b/crates/relay/src/resource_guard.rs
@@ -92,6 +92,7 @@
     upstream: &UpstreamRecord,
     resource: &EngineResource,
 ) {
+    core.count_call(&upstream.id);
     let request = core.dialect.release_call(upstream, resource);
     if core
         .ask(upstream, request, MAX_ANSWER_BYTES)
--- a/crates/spread/src/member_registry.rs
+++ b/crates/spread/src/member_registry.rs
@@ -4,13 +4,13 @@
     crate::{DirectoryView, MemberRow, ReaderElection, ReportOrigin, SpreadState},
     kernel::{InstanceId, RankedLock, steady_clock},
     peer::AddressTable,
-    policy::AgedReport,
-    relay::ZoneSize,
+    policy::{AgedReport, FleetMember, FleetMembers},
+    relay::FleetView,
     std::{sync::Arc, time::Instant},
     tokio::sync::watch,
 };
 
-/// Keeps the election, the shared state, peer addresses and the zone size consistent. Clones share
+/// Keeps the election, the shared state, peer addresses and the fleet consistent. Clones share
 /// their state.
 #[derive(Clone, Debug)]
 pub struct MemberRegistry {
@@ -22,8 +22,8 @@
     pub election: Arc<RankedLock<ReaderElection>>,
     /// State shared with other instances.
     pub state: Arc<watch::Sender<SpreadState>>,
-    /// Number of members of the own zone.
-    pub zone_size: ZoneSize,
+    /// The instances as the request path sees them.
+    pub fleet: FleetView,
 }
 
 impl MemberRegistry {
@@ -82,8 +82,11 @@
             members.retain(|member| member.instance != self.own.instance);
             members.push(self.own.clone());
         }
-        let zone = members.iter().filter(|member| member.zone == self.own.zone);
-        self.zone_size.set(zone.count());
+        let fleet = members.iter().map(|member| FleetMember {
+            instance: member.instance.clone(),
+            zone: member.zone.clone(),
+        });
+        self.fleet.set(FleetMembers::new(fleet.collect()));
         if MemberRow::digest(&members) == self.state.borrow().members_digest() {
             return;
         }
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -16,9 +16,9 @@
     plat::{PlatError, RowStore},
     policy::{AgedReport, CrashReport},
     relay::{
-        CallReason, OperatorSource, QuotaBuckets, ReaderRole, RelayCounts, ReportBatch,
-        ReportCursor, RouteFreshness, RouteSnapshot, RouteUpdate, SourceError, StoreVersion,
-        UpstreamChanges, UpstreamSnapshot, ZoneSize, operator_source::SilentSnafu,
+        CallReason, FleetView, OperatorSource, QuotaBuckets, RateNews, ReaderRole, RelayCounts,
+        ReportBatch, ReportCursor, RouteFreshness, RouteSnapshot, RouteUpdate, SourceError,
+        StoreVersion, UpstreamChanges, UpstreamSnapshot, operator_source::SilentSnafu,
     },
     std::{
         sync::{Arc, atomic::AtomicBool},
@@ -56,6 +56,7 @@
     keys: PeerKeys,
     members: MemberRegistry,
     mirror: RankedLock<ListMirror>,
+    rates: RateNews,
     reader: ReaderRole,
     /// The instance that the crash reports came from, and the position in its journal. Two
     /// instances may have the same incarnation number.
@@ -96,17 +97,18 @@
         directory_store: Arc<S>,
         endpoint: PeerEndpoint,
         first_start: bool,
+        fleet: FleetView,
         freshness: RouteFreshness,
         keys: PeerKeys,
         own: MemberRow,
         pool: &WorkerPool,
         quarantine: Duration,
         quotas: QuotaBuckets,
+        rates: RateNews,
         reader: ReaderRole,
         report_wait: Duration,
         store: Arc<S>,
         times: SpreadTimes,
-        zone_size: ZoneSize,
     ) -> Self {
         let election = ReaderElection::new(own.instance.clone(), own.zone.clone(), times);
         let (state, _) = watch::channel(SpreadState::new(
@@ -119,13 +121,14 @@
             own: own.clone(),
             election: Arc::new(RankedLock::new(LockRank::Members, election)),
             state: Arc::new(state),
-            zone_size,
+            fleet,
         };
         let changed = Arc::new(Notify::new());
         let server = SpreadServer {
             changed: changed.clone(),
             members: members.clone(),
             pool: pool.clone(),
+            rates: rates.clone(),
             times,
         };
         pool.spawn(server.run(endpoint.register(SPREAD_TAG)));
@@ -155,6 +158,7 @@
             keys,
             members,
             mirror: RankedLock::new(LockRank::Readings, ListMirror::default()),
+            rates,
             reader,
             report_position: RankedLock::new(LockRank::Readings, None),
             cooldown_end: RankedLock::new(LockRank::Readings, None),
--- a/crates/spread/src/shared_source/requesting.rs
+++ b/crates/spread/src/shared_source/requesting.rs
@@ -50,7 +50,7 @@
             postcard::from_bytes::<TimedReply>(&answer).map_err(|error| error.to_string())
         });
         let now = steady_clock::now();
-        let TimedReply { held, reply } = match reply {
+        let TimedReply { held, rates, reply } = match reply {
             Ok(reply) => reply,
             Err(detail) => {
                 self.note_no_answer(&from, &detail, now);
@@ -61,6 +61,7 @@
         };
         self.counts.note_peer_read("answered");
         let transit = now.saturating_duration_since(sent_at + held);
+        self.rates.merge_after(rates, transit);
         match reply {
             SpreadReply::Update(update) => match self.apply_update(from, *update, transit) {
                 Some(snapshot) => RequestOutcome::Update(snapshot),
@@ -126,6 +127,8 @@
             update_age,
             has_skipped_readers,
             reads_store,
+            rates: self.rates.recent(),
+            rates_digest: self.rates.digest(),
             reports: state.reports.to_forward(steady_clock::now()),
             reports_position,
             waited,
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -4,7 +4,7 @@
 use {
     crate::{MemberRow, PartNumber},
     kernel::{Incarnation, TableVersion, UpstreamId},
-    policy::{AgedReport, EvacuationSet, KeySalt, UpstreamRecord},
+    policy::{AgedReport, EvacuationSet, KeySalt, RateNote, UpstreamRecord},
     relay::{
         CallerLimits, CustomerRow, CustomerTable, RouteTable, ServiceInfo, StoreVersion, WorkRoute,
     },
@@ -49,6 +49,10 @@
     pub has_skipped_readers: bool,
     /// Whether the store answers the requester.
     pub reads_store: bool,
+    /// Rate limits of upstreams that changed recently.
+    pub rates: Vec<RateNote>,
+    /// Digest of the rate limits that the requester knows.
+    pub rates_digest: u64,
     /// Crash reports that the receiver may lack.
     pub reports: Vec<AgedReport>,
     /// Position up to which the requester has the receiver's crash reports.
@@ -157,6 +161,8 @@
     /// How long the request was held back. The rest of the round trip is network delay and counts
     /// towards the age of everything in the answer.
     pub held: Duration,
+    /// The rate limits of upstreams, if the requester knows others.
+    pub rates: Vec<RateNote>,
     /// The answer itself.
     pub reply: SpreadReply,
 }
--- a/crates/spread/src/spread_server.rs
+++ b/crates/spread/src/spread_server.rs
@@ -8,6 +8,7 @@
     bytes::Bytes,
     kernel::{WorkerPool, steady_clock},
     peer::{CallReply, PeerIncoming, ProtocolTag},
+    relay::RateNews,
     std::sync::Arc,
     tokio::{
         sync::{Notify, mpsc, watch},
@@ -27,6 +28,8 @@
     pub members: MemberRegistry,
     /// Runs one task per request.
     pub pool: WorkerPool,
+    /// The rate limits that upstreams state.
+    pub rates: RateNews,
     /// Timing, such as how long a request is held back.
     pub times: SpreadTimes,
 }
@@ -67,6 +70,7 @@
             has_skipped_readers: request.has_skipped_readers,
             reads_store: request.reads_store,
         };
+        self.rates.merge(&request.rates);
         let mut election = self.members.election.lock();
         if election.record_request(&request.member, requester, steady_clock::now()) {
             self.changed.notify_one();
@@ -74,9 +78,10 @@
         drop(election);
         let state = self.members.state.subscribe();
         let times = self.times;
+        let rates = self.rates.clone();
         self.pool.spawn(async move {
             // Dropping the reply refuses the call, and the requester tries another instance.
-            if let Some(body) = answer(state, &request, &times).await {
+            if let Some(body) = answer(state, &rates, &request, &times).await {
                 reply.send(body);
             }
         });
@@ -87,6 +92,7 @@
 /// ends.
 async fn answer(
     state: watch::Receiver<SpreadState>,
+    rates: &RateNews,
     request: &SpreadRequest,
     times: &SpreadTimes,
 ) -> Option<Bytes> {
@@ -104,6 +110,7 @@
     let now = steady_clock::now();
     let reply = TimedReply {
         held: now.saturating_duration_since(began),
+        rates: rates.missing(request.rates_digest),
         reply: state.borrow().answer(request, times.max_staleness, now),
     };
     // Strings, numbers and durations always serialise.
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -594,6 +594,8 @@
             update_age: pending.update_age,
             has_skipped_readers: pending.state.has_skipped_readers,
             reads_store: pending.state.reads_store,
+            rates: Vec::new(),
+            rates_digest: 0,
             reports: pending.reports.clone(),
             reports_position: pending.reports_position,
             waited: pending.waited,
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -29,6 +29,8 @@
         update_age: Some(Duration::ZERO),
         has_skipped_readers: false,
         reads_store: false,
+        rates: Vec::new(),
+        rates_digest: 0,
         reports: Vec::new(),
         reports_position: None,
         waited: Duration::ZERO,
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -16,8 +16,8 @@
     policy::{QuotaRule, RetryBounds, StageGoal},
     prometheus::Registry,
     relay::{
-        CallReason, CallerServer, ConnectionTimeouts, OperatorSource, RelayCore, RelaySettings,
-        SourceWatch, StageController, StageSettings, StoreCalls, WatchTimes,
+        CallReason, CallerServer, ConnectionTimeouts, OperatorSource, RateNews, RelayCore,
+        RelaySettings, SourceWatch, StageController, StageSettings, StoreCalls, WatchTimes,
     },
     snafu::ResultExt,
     spread::{SharedSource, SpreadTimes},
@@ -297,17 +297,18 @@
         .directory_store(Arc::new(store.for_reason(CallReason::Directory)))
         .endpoint(socket.endpoint)
         .first_start(settings.first_start)
+        .fleet(core.fleet.clone())
         .freshness(core.freshness.clone())
         .keys(socket.keys)
         .own(socket.row)
         .pool(pool)
         .quarantine(settings.quarantine.life)
         .quotas(core.quotas.clone())
+        .rates(RateNews::new(core.upstreams.clone(), core.counts.clone()))
         .reader(core.reader.clone())
         .report_wait(platform.poll)
         .store(store)
         .times(times)
-        .zone_size(core.zone_size.clone())
         .build();
     spawn_watch(
         core,
