relay: an instance notices that it can't reach a service

The steps of single requests told that no connection came about; nothing told that none of a service's upstreams answers this instance, which also happens when they are all dead or all slow. Two silent upstreams with no answer of any in between make three connection attempts; if all fail the service is lost, with a log line and a gauge. One attempt every 250 ms sees the end. Choices don't depend on it yet.

Tests: reach_table (5); instances of one process, each with its own way to the upstreams: a cut is noticed and its end too, slow upstreams are not lost. relay_support gains an address whose connection attempts are never answered.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rate_note;
 pub mod rate_statement;
 pub mod rate_table;
+pub mod reach_table;
 pub mod refusal_cooldown;
 mod remote_usage;
 pub mod repeat_rule;
@@ -63,6 +64,7 @@
     rate_note::RateNote,
     rate_statement::RateStatement,
     rate_table::{RateChange, RateTable},
+    reach_table::{ReachChange, ReachTable},
     refusal_cooldown::RefusalCooldown,
     repeat_rule::RepeatRule,
     request_fingerprint::{FingerprintParts, RequestFingerprint},
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -347,16 +347,20 @@
         entry.is_some_and(|entry| !entry.record.leaving)
     }
 
-    /// The engines of a service in both stages, without those that get no new work.
-    pub fn engines(&self, service: &ServiceId) -> Vec<Arc<UpstreamRecord>> {
+    /// The upstreams of a service in all stages, without those that get no new work.
+    pub fn active_of(&self, service: &ServiceId) -> Vec<Arc<UpstreamRecord>> {
         let records = self.entries.values().map(|entry| &entry.record);
-        let engines = records.filter(|record| {
-            record.service == *service
-                && record.stage != UpstreamStage::Plain
-                && !record.leaving
-                && !self.is_evacuated(&record.zone)
+        let active = records.filter(|record| {
+            record.service == *service && !record.leaving && !self.is_evacuated(&record.zone)
         });
-        engines.cloned().collect()
+        active.cloned().collect()
+    }
+
+    /// The engines of a service in both stages, without those that get no new work.
+    pub fn engines(&self, service: &ServiceId) -> Vec<Arc<UpstreamRecord>> {
+        let mut engines = self.active_of(service);
+        engines.retain(|record| record.stage != UpstreamStage::Plain);
+        engines
     }
 
     /// All known upstreams, sorted by id.
--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -173,6 +173,21 @@
         ProbeOutcome::Accepted
     }
 
+    /// Whether a peer accepts a new connection, which is kept. Idle connections show nothing: they may have gone silent, or
+    /// work while new ones are refused.
+    pub async fn accepts(&self, key: &ConnectionKey, address: SocketAddr) -> bool {
+        match self.connect(address).await {
+            Ok(connection) => {
+                self.keep(key, connection, None);
+                true
+            }
+            Err(error) => {
+                tracing::debug!(%address, %error, "an upstream accepts no connection");
+                false
+            }
+        }
+    }
+
     /// Sends a call and waits for the head of the answer.
     ///
     /// # Errors
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod quota_buckets;
 pub mod quota_plugin;
 pub mod rate_news;
+pub mod reach_watch;
 pub mod reader_role;
 pub mod relay_body;
 pub mod relay_core;
@@ -82,6 +83,7 @@
     plain_flow::PlainFlow,
     quota_buckets::{QuotaBuckets, QuotaCharge},
     rate_news::RateNews,
+    reach_watch::ReachWatch,
     reader_role::ReaderRole,
     relay_body::{AnswerCut, RelayBody},
     relay_core::{CallPlan, RelayCore},
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -4,7 +4,7 @@
     crate::{
         BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
         ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, OpenCall, QuotaBuckets,
-        ReaderRole, RelayCounts, RelaySettings, ReplyFacts, RouteFreshness, RouteTable,
+        ReachWatch, ReaderRole, RelayCounts, RelaySettings, ReplyFacts, RouteFreshness, RouteTable,
         SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
@@ -21,15 +21,19 @@
     },
     std::{
         collections::HashMap,
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time,
+    tokio::time::{self, error::Elapsed},
 };
 
 /// What a connection to an upstream reads ahead, bytes; also the limit of the head of an answer.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// An upstream that has sent nothing for this long may be unreachable.
+const SILENCE_AFTER: Duration = Duration::from_millis(200);
+
 /// A call for which no upstream has been chosen yet.
 #[derive(Clone, Copy, Debug)]
 pub struct CallPlan<'a> {
@@ -70,6 +74,8 @@
     pub pool: Arc<ConnectionPool>,
     /// The quotas of customers.
     pub quotas: QuotaBuckets,
+    /// Whether this instance reaches the upstreams of each service.
+    pub reach: Arc<ReachWatch>,
     /// Whether this instance reads the store itself.
     pub reader: ReaderRole,
     /// The settings, which can be reloaded.
@@ -98,10 +104,14 @@
         let (response, connection) = match sending.await {
             Ok(answer) => answer,
             Err(error) => {
+                if matches!(error, ConnectionError::Unsent { .. }) {
+                    self.reach.note_silence(upstream);
+                }
                 tracing::debug!(upstream = %upstream.id, %error, "an upstream gave no answer");
                 return None;
             }
         };
+        self.reach.note_contact(&upstream.service);
         let status = response.status();
         let idle_timeout = self.dialect.idle_timeout(response.headers());
         let statement = self.dialect.rate_statement(response.headers());
@@ -184,9 +194,10 @@
         }
         let wait = plan.head_timeout.map_or(left, |timeout| timeout.min(left));
         let sending = self.pool.send(&upstream.id, upstream.address, request);
-        let (response, connection) = match time::timeout(wait, sending).await {
+        let (response, connection) = match self.await_head(&upstream, wait, sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(ConnectionError::Unsent { detail })) => {
+                self.reach.note_silence(&upstream);
                 call.close(CallVerdict::Unreachable);
                 trace.note(format_args!("{verb} {id} not sent: {detail}"));
                 return CallEnd::Unsent;
@@ -206,6 +217,7 @@
                 return CallEnd::Lost(ResultCode::UpstreamSilent);
             }
         };
+        self.reach.note_contact(&upstream.service);
         let (head, body) = response.into_parts();
         let facts = self.dialect.reply_facts(&head, &plan.request.head.id);
         self.note_rate(&upstream, &facts, call.since);
@@ -243,6 +255,22 @@
         }))
     }
 
+    /// Waits for the head of an answer. One that takes long is no fault, but counts if other upstreams are silent too.
+    async fn await_head<T>(
+        &self,
+        upstream: &UpstreamRecord,
+        limit: Duration,
+        sending: impl Future<Output = T>,
+    ) -> Result<T, Elapsed> {
+        let mut sending = pin!(sending);
+        let patience = SILENCE_AFTER.min(limit);
+        if let Ok(answer) = time::timeout(patience, sending.as_mut()).await {
+            return Ok(answer);
+        }
+        self.reach.note_silence(upstream);
+        time::timeout(limit - patience, sending).await
+    }
+
     /// Counts a call that was not chosen by its load towards the rate limit of its upstream.
     pub fn count_call(&self, upstream: &UpstreamId) {
         let mut upstreams = self.upstreams.lock();
@@ -356,7 +384,9 @@
         });
         let counts = RelayCounts::new();
         let pool = Arc::new(ConnectionPool::new(times).with_read_buffer(READ_BUFFER_BYTES));
+        let reach = ReachWatch::new(upstreams.clone(), counts.clone(), pool.clone());
         Self {
+            reach: Arc::new(reach),
             crashes: Arc::new(CrashWatch::new(
                 upstreams.clone(),
                 counts.clone(),
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -35,6 +35,8 @@
     first_byte: HistogramVec,
     /// Age of the list of upstreams when a newer one replaced it.
     list_age: Histogram,
+    /// The number of services whose upstreams this instance can't reach.
+    pub lost_services: IntGauge,
     /// Lost connections, by the state of the upstream found afterwards.
     losses: IntCounterVec,
     /// Requests for another instance's snapshot of the store, by outcome.
@@ -105,6 +107,10 @@
                 &["work"],
             ),
             list_age,
+            lost_services: gauge(
+                "trestlewalk_relay_lost_services",
+                "The services of which this instance can reach no upstream.",
+            ),
             losses,
             peer_reads,
             quarantined: gauge(
@@ -238,6 +244,7 @@
         register(registry, &self.first_byte)?;
         register(registry, &self.list_age)?;
         register(registry, &self.losses)?;
+        register(registry, &self.lost_services)?;
         register(registry, &self.peer_reads)?;
         register(registry, &self.quarantined)?;
         register(registry, &self.rate_limits)?;
--- a/crates/relay/src/slot_finder.rs
+++ b/crates/relay/src/slot_finder.rs
@@ -160,7 +160,13 @@
                 call.close(policy::CallVerdict::Full);
                 None
             }
-            Ok(SlotReply::Failed) | Err(_) => {
+            Ok(SlotReply::Failed) => {
+                self.note(&upstream, "no answer");
+                call.close(policy::CallVerdict::Lost);
+                None
+            }
+            Err(_) => {
+                self.core().reach.note_silence(&upstream);
                 self.note(&upstream, "no answer");
                 call.close(policy::CallVerdict::Lost);
                 None
--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -9,6 +9,8 @@
 
 pub mod caller;
 pub mod crash_scenario;
+pub mod dead_port;
+pub mod direct_fleet;
 pub mod engine_answers;
 pub mod relay_test;
 pub mod store;
@@ -23,6 +25,7 @@
 pub use {
     caller::{Caller, CallerReply},
     crash_scenario::CrashScenario,
+    direct_fleet::DirectFleet,
     relay_test::{RelayRun, RelayTest},
     store::StoreStandIn,
     upstream::{ReceivedCall, UpstreamKind, UpstreamMode, UpstreamStandIn},
