--- a/crates/trestlewalk/tests/relay_rates.rs
+++ b/crates/trestlewalk/tests/relay_rates.rs
@@ -117,7 +117,9 @@
     let stated = Instant::now();
     let statuses = stream_steadily(&run, Duration::from_millis(20), GRACE + WINDOW + WINDOW).await;
     let busiest = busiest_window(limited, stated + GRACE);
-    assert!(busiest <= allowed_calls(), "{busiest} calls");
+    // The rate itself, and one stream that begins and one that ends in the window.
+    let stated_calls = (RATE * WINDOW.as_secs_f64()) as usize;
+    assert!(busiest <= stated_calls + 2, "{busiest} calls");
     // The engine with an open connection must not keep the limited one from all calls.
     assert!(busiest > 0);
     assert!(statuses.iter().all(|status| *status == 200));
