--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -5,12 +5,52 @@
 
 use {
     kernel::ServiceId,
-    relay_support::{DirectFleet, UpstreamMode},
+    relay_support::{DirectFleet, UpstreamMode, relay_test::STREAM_HEADERS},
     std::time::Duration,
     support::wait::wait_until,
 };
 
 const DEADLINE: &str = "X-Deadline-Ms: 4000\r\n";
+/// From when on a cut may not show any more.
+const NOTICE_TIME: Duration = Duration::from_secs(3);
+
+/// Guards against an instance that refuses what others could serve: it reaches them and its callers, but no upstream.
+#[tokio::test]
+async fn requests_at_instances_that_reach_no_upstream_are_served_through_others() {
+    let fleet = DirectFleet::start(5).await;
+    let cut = [0, 1, 3];
+    for index in 0..5 {
+        assert_eq!(
+            fleet.send(index, "GET", "/t/1", DEADLINE).await.status(),
+            200
+        );
+        let stream = fleet.send(index, "POST", "/s/1", STREAM_HEADERS).await;
+        assert_eq!(stream.status(), 200);
+    }
+    for index in cut {
+        fleet.cut(index);
+    }
+    let began = tokio::time::Instant::now();
+    while began.elapsed() < NOTICE_TIME {
+        for index in cut {
+            fleet.send(index, "GET", "/t/1", DEADLINE).await;
+            fleet.send(index, "POST", "/s/1", STREAM_HEADERS).await;
+        }
+    }
+    for _ in 0..10 {
+        for index in cut {
+            let safe = fleet.send(index, "GET", "/t/1", DEADLINE).await;
+            assert_eq!((safe.status(), safe.whole), (200, true));
+            assert!(safe.header("x-response-signature").is_some());
+            let booking = fleet.send(index, "POST", "/b/1", DEADLINE).await;
+            assert_eq!((booking.status(), booking.whole), (200, true));
+            let stream = fleet.send(index, "POST", "/s/1", STREAM_HEADERS).await;
+            assert_eq!((stream.status(), stream.whole), (200, true));
+            let events = (1..=5).map(relay_support::engine_answers::event_text);
+            assert_eq!(stream.text(), events.collect::<String>());
+        }
+    }
+}
 
 /// Guards against an instance that learns of its cut with each request anew, or doesn't see its end.
 #[tokio::test]
