forward: requests go through another instance while this one reaches no upstream

Callers of an instance that was cut off from all upstreams got none of 120 first tries served, while its neighbours served 104 of 106: it calls upstreams itself or not at all. The steps of its log lines show three upstreams or four engines tried in vain by each request anew, 100 ms each.

While a service is lost, and after a request that could not reach any upstream of it, the request goes through a session with another instance that says it reaches the service: of the own zone first, spread by open requests, asked every 500 ms among seven. Once sent it counts as a call: only the other's word that it did not run lets a second one try.

Ruled out: not being ready (open connections stay, and nothing changes where most of a zone is cut off), and HTTP to the other's address for callers (keys in the clear, quotas twice). docs/design/forwarding.md.

--- /dev/null
+++ b/crates/forward/src/forward_error.rs
@@ -0,0 +1,30 @@
+//! Why a message of the forwarding protocol can't be used.
+
+use {peer::PeerError, snafu::Snafu};
+
+/// An error of a forwarding session.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ForwardError {
+    /// The other instance left before it had sent all.
+    #[snafu(display("the session ended early"))]
+    EndedEarly,
+    /// A message can't be decoded, or holds a value that HTTP does not allow.
+    #[snafu(display("a message can't be read: {detail}"))]
+    Garbled {
+        /// What is wrong.
+        detail: String,
+    },
+    /// There is no memory for the body.
+    #[snafu(display("no memory for a body of {bytes} bytes"))]
+    NoMemory {
+        /// The size of the body.
+        bytes: usize,
+    },
+    /// The session failed.
+    #[snafu(context(false), display("{source}"))]
+    Session {
+        /// The error of the link.
+        source: PeerError,
+    },
+}
--- a/crates/policy/src/fleet_members.rs
+++ b/crates/policy/src/fleet_members.rs
@@ -32,6 +32,11 @@
         members.filter(|member| member.zone == *zone).count()
     }
 
+    /// The instances, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &FleetMember> {
+        self.members.iter()
+    }
+
     /// A set of instances.
     pub fn new(members: Vec<FleetMember>) -> Self {
         Self { members }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod customer_limit;
 pub mod evacuation_set;
 pub mod fleet_members;
+pub mod helper_table;
 pub mod loss_table;
 pub mod prefill_estimate;
 pub mod quota_bucket;
@@ -56,6 +57,7 @@
     customer_limit::{CustomerLimit, QuotaUnit},
     evacuation_set::{EvacuationChange, EvacuationSet},
     fleet_members::{FleetMember, FleetMembers},
+    helper_table::{HelperTable, ReachReport},
     loss_table::{LossAction, LossTable, LostRun, ProbeOutcome},
     prefill_estimate::PrefillEstimate,
     quota_bucket::{QuotaBucket, QuotaSync, QuotaView},
--- a/crates/relay/src/access_refusal.rs
+++ b/crates/relay/src/access_refusal.rs
@@ -157,7 +157,13 @@
         if table.version == access.version {
             return None;
         }
-        let holder = table.customers.as_ref()?.find(&access.key);
+        let Some(key) = &access.key else {
+            // A newer table may have taken the key away, and only the other instance has it.
+            return (table.version > access.version).then(|| {
+                AccessRefusal::stale(customer, RefusalReason::Stale(table.version, None))
+            });
+        };
+        let holder = table.customers.as_ref()?.find(key);
         let holds = holder.is_some_and(|holder| holder.id == access.customer.id);
         (!holds).then(|| AccessRefusal::unknown(RefusalReason::KeyUnknown(table.version)))
     }
@@ -182,15 +188,20 @@
         if age.is_some_and(|age| age < bound.saturating_sub(REVOCATION_MARGIN)) {
             return None;
         }
-        Some(AccessRefusal {
-            customer: customer.cloned(),
-            error: ErrorResponse::with_retry_after(ResultCode::TableStale, STALE_RETRY_AFTER),
-            reason: RefusalReason::Stale(table.version, age),
-        })
+        let reason = RefusalReason::Stale(table.version, age);
+        Some(AccessRefusal::stale(customer, reason))
     }
 }
 
 impl AccessRefusal {
+    fn stale(customer: Option<&CustomerId>, reason: RefusalReason) -> Self {
+        Self {
+            customer: customer.cloned(),
+            error: ErrorResponse::with_retry_after(ResultCode::TableStale, STALE_RETRY_AFTER),
+            reason,
+        }
+    }
+
     fn unknown(reason: RefusalReason) -> Self {
         Self {
             customer: None,
--- a/crates/relay/src/buffer_budget.rs
+++ b/crates/relay/src/buffer_budget.rs
@@ -78,6 +78,19 @@
         })
     }
 
+    /// Takes memory for a body whose size is known; `None` for a body that is not counted.
+    ///
+    /// # Errors
+    ///
+    /// There is no memory for it.
+    pub fn reserve(&self, bytes: usize) -> Result<Option<OwnedSemaphorePermit>, CollectError> {
+        let mut share = None;
+        if bytes > UNCOUNTED_BYTES {
+            self.extend(&mut share, bytes)?;
+        }
+        Ok(share)
+    }
+
     /// The semaphore with one permit for each free byte.
     pub fn free(&self) -> &Arc<Semaphore> {
         &self.free
--- a/crates/relay/src/call_end.rs
+++ b/crates/relay/src/call_end.rs
@@ -33,6 +33,8 @@
     Lost(ResultCode),
     /// The upstream states that it did not run the request.
     NotRun,
+    /// No connection came about, and nothing was sent.
+    Unreachable,
     /// Nothing of the request was sent.
     Unsent,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,9 @@
 pub mod error_response;
 pub mod event_splitter;
 pub mod fleet_view;
+pub mod flow_failure;
+pub mod forward_desk;
+pub mod forwarded_request;
 pub mod open_call;
 pub mod operator_source;
 pub mod order_dialect;
@@ -73,6 +76,9 @@
     error_response::ErrorResponse,
     event_splitter::{EventBatch, EventSplitter},
     fleet_view::FleetView,
+    flow_failure::FlowFailure,
+    forward_desk::{ForwardDesk, ForwardEnd, ForwardJob},
+    forwarded_request::ForwardedRequest,
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
         OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate, SourceError,
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         BufferedBody, CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, CollectError,
-        ErrorResponse, RelayBody, RelayCore, UpstreamAnswer, UpstreamDialect, WorkRoute,
-        relay_core::status_verdict,
+        ErrorResponse, FlowFailure, RelayBody, RelayCore, UpstreamAnswer, UpstreamDialect,
+        WorkRoute, relay_core::status_verdict,
     },
     http::{Response, StatusCode},
     kernel::{ResultCode, ServiceId, UpstreamId, ZoneId},
@@ -31,6 +31,8 @@
     fallback: Option<Response<RelayBody>>,
     /// Whether the request may no longer run.
     is_denied: bool,
+    /// Whether the last call found no connection.
+    is_unreachable: bool,
     refused: u32,
     request: &'a CallerRequest,
     route: &'a WorkRoute,
@@ -52,21 +54,23 @@
 }
 
 impl<'a, D: CallerDialect + UpstreamDialect> PlainFlow<'a, D> {
-    /// A request that no upstream has received.
+    /// A request that may have run `runs` times at upstreams of another instance.
     pub fn new(
         core: &'a RelayCore<D>,
         request: &'a CallerRequest,
         route: &'a WorkRoute,
         service: &'a ServiceId,
+        runs: u32,
     ) -> Self {
         Self {
             core,
             fallback: None,
             is_denied: false,
+            is_unreachable: false,
             refused: 0,
             request,
             route,
-            runs: 0,
+            runs,
             service,
             tried: Vec::new(),
         }
@@ -77,12 +81,15 @@
     /// # Errors
     ///
     /// The response to the caller when no upstream answered.
-    pub async fn run(mut self) -> Result<Response<RelayBody>, ErrorResponse> {
+    pub async fn run(mut self) -> Result<Response<RelayBody>, FlowFailure> {
         let mut last = ErrorResponse::with_retry_after(ResultCode::UpstreamMissing, RETRY_AFTER);
         loop {
+            if self.is_unreachable && self.core.reach.is_lost(self.service) {
+                return self.give_up(last);
+            }
             let Some(upstream) = self.choose() else {
                 return match self.tried.is_empty() {
-                    true => Err(self.missing_upstream()),
+                    true => Err(self.missing_upstream().into()),
                     false => self.give_up(last),
                 };
             };
@@ -138,8 +145,12 @@
         }
     }
 
-    fn give_up(self, last: ErrorResponse) -> Result<Response<RelayBody>, ErrorResponse> {
-        self.fallback.ok_or(last)
+    fn give_up(self, last: ErrorResponse) -> Result<Response<RelayBody>, FlowFailure> {
+        let may_go_elsewhere = self.is_unreachable && self.refused == 0 && self.can_continue();
+        self.fallback.ok_or(FlowFailure {
+            error: last,
+            runs_if_unreachable: may_go_elsewhere.then_some(self.runs),
+        })
     }
 
     fn can_continue(&self) -> bool {
@@ -194,6 +205,7 @@
     }
 
     async fn take(&mut self, end: CallEnd) -> NextStep {
+        self.is_unreachable = matches!(end, CallEnd::Unreachable);
         match end {
             CallEnd::Answer(answer) => self.take_answer(*answer).await,
             CallEnd::Denied(answer) => {
@@ -211,6 +223,10 @@
                     RETRY_AFTER,
                 ))
             }
+            CallEnd::Unreachable => NextStep::Again(ErrorResponse::with_retry_after(
+                ResultCode::UpstreamUnreachable,
+                RETRY_AFTER,
+            )),
             CallEnd::Unsent => NextStep::Again(ErrorResponse::with_retry_after(
                 ResultCode::UpstreamMissing,
                 RETRY_AFTER,
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
-        ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, OpenCall, QuotaBuckets,
-        ReachWatch, ReaderRole, RelayCounts, RelaySettings, ReplyFacts, RouteFreshness, RouteTable,
-        SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute,
+        ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, ForwardDesk, OpenCall,
+        QuotaBuckets, ReachWatch, ReaderRole, RelayCounts, RelaySettings, ReplyFacts,
+        RouteFreshness, RouteTable, SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall,
+        UpstreamDialect, WorkRoute,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     bytes::Bytes,
@@ -64,6 +65,8 @@
     pub crashes: Arc<CrashWatch>,
     /// The wire protocol of callers and upstreams.
     pub dialect: D,
+    /// Forwards requests to other instances.
+    pub forwarding: ForwardDesk,
     /// When the routes and customers were last confirmed to be the newest.
     pub freshness: RouteFreshness,
     /// The prompt parts that engines recently listed as cached.
@@ -200,7 +203,7 @@
                 self.reach.note_silence(&upstream);
                 call.close(CallVerdict::Unreachable);
                 trace.note(format_args!("{verb} {id} not sent: {detail}"));
-                return CallEnd::Unsent;
+                return CallEnd::Unreachable;
             }
             Ok(Err(ConnectionError::Lost { detail })) => {
                 trace.note(format_args!("{verb} {id} lost: {detail}"));
@@ -399,6 +402,7 @@
             closing: ShutdownSignal::new(),
             counts,
             dialect,
+            forwarding: ForwardDesk::default(),
             freshness: RouteFreshness::default(),
             parts: RankedLock::new(LockRank::Services, CacheIndex::default()),
             hold_times: RankedLock::new(LockRank::Services, HashMap::new()),
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -1,11 +1,13 @@
 //! Handles one request of a caller: finds its route, reads it in full, and passes it to the flow of its service.
 
+mod forwarding;
+
 use {
     crate::{
         AccessRefusal, AnswerCut, BufferedBody, CallerDialect, CallerHead, CallerRequest,
-        CollectError, CustomerAccess, ErrorResponse, PlainFlow, RefusalReason, RelayBody,
-        RelayCore, RequestTrace, RouteTable, StreamFlow, TraceContext, UpstreamDialect, WorkRoute,
-        relay_core::status_code, upstream_dialect::target_path,
+        CollectError, CustomerAccess, ErrorResponse, FlowFailure, PlainFlow, RefusalReason,
+        RelayBody, RelayCore, RequestTrace, RouteTable, StreamFlow, TraceContext, UpstreamDialect,
+        WorkRoute, relay_core::status_code, upstream_dialect::target_path,
     },
     http::{Request, Response, header, request::Parts},
     hyper::body::Incoming,
@@ -296,22 +298,7 @@
         service: &ServiceId,
     ) -> Result<Response<RelayBody>, ErrorResponse> {
         let request = Arc::new(request);
-        let outcome = match route.streams {
-            true => {
-                let core = self.core.clone();
-                let flow = StreamFlow::new(core, request.clone(), route.clone(), service.clone());
-                flow.run().await
-            }
-            false => {
-                let flow = PlainFlow::new(&self.core, &request, route, service);
-                let outcome = flow.run().await;
-                if let Ok(response) = &outcome {
-                    request.trace.note_first_byte();
-                    request.trace.end(status_code(response.status()));
-                }
-                outcome
-            }
-        };
+        let outcome = self.serve_anywhere(&request, route, service).await;
         let code = match &outcome {
             Ok(response) => status_code(response.status()),
             Err(error) => error.code,
@@ -322,4 +309,26 @@
         }
         outcome
     }
+
+    /// Serves a request by the upstreams that this instance calls. It may have run `runs` times before.
+    async fn serve_here(
+        &self,
+        request: &Arc<CallerRequest>,
+        route: &Arc<WorkRoute>,
+        service: &ServiceId,
+        runs: u32,
+    ) -> Result<Response<RelayBody>, FlowFailure> {
+        if route.streams {
+            let core = self.core.clone();
+            let flow = StreamFlow::new(core, request.clone(), route.clone(), service.clone());
+            return flow.run().await;
+        }
+        let flow = PlainFlow::new(&self.core, request, route, service, runs);
+        let outcome = flow.run().await;
+        if let Ok(response) = &outcome {
+            request.trace.note_first_byte();
+            request.trace.end(status_code(response.status()));
+        }
+        outcome
+    }
 }
--- a/crates/relay/src/slot_finder.rs
+++ b/crates/relay/src/slot_finder.rs
@@ -62,6 +62,8 @@
         let retry_after = self.flow.retry_after();
         let mut pause = FIRST_PAUSE;
         let mut is_first_round = true;
+        // Whether any engine answered, if only to refuse.
+        let mut is_answered = false;
         loop {
             let mut avoid = self.flow.tried.clone();
             for _ in 0..ENGINES_PER_ROUND {
@@ -69,11 +71,19 @@
                     break;
                 };
                 avoid.push(upstream.id.clone());
-                if let Some(slot) = self.reserve(upstream).await {
-                    if is_first_round {
-                        self.core().note_search(&self.flow.service, false);
+                match self.reserve(upstream).await {
+                    Reservation::Reserved(slot) => {
+                        if is_first_round {
+                            self.core().note_search(&self.flow.service, false);
+                        }
+                        return Ok(*slot);
+                    }
+                    Reservation::Full => is_answered = true,
+                    Reservation::Silent => {
+                        if self.core().reach.is_lost(&self.flow.service) {
+                            return Err(self.unreachable());
+                        }
                     }
-                    return Ok(slot);
                 }
             }
             if avoid.len() == self.flow.tried.len() {
@@ -81,6 +91,9 @@
                 let query = self.query(&avoid, &settings.zone);
                 return Err(self.core().missing_upstream(&query, retry_after));
             }
+            if !is_answered {
+                return Err(self.unreachable());
+            }
             if std::mem::take(&mut is_first_round) {
                 self.core().note_search(&self.flow.service, true);
             }
@@ -116,6 +129,11 @@
         }
     }
 
+    fn unreachable(&self) -> ErrorResponse {
+        let retry_after = self.flow.retry_after();
+        ErrorResponse::with_retry_after(ResultCode::UpstreamUnreachable, retry_after)
+    }
+
     fn note(&self, upstream: &UpstreamRecord, outcome: &str) {
         let trace = &self.flow.request.trace;
         trace.note(format_args!("place {} {outcome}", upstream.id));
@@ -125,7 +143,7 @@
         &self.flow.core
     }
 
-    async fn reserve(&self, upstream: Arc<UpstreamRecord>) -> Option<ReservedSlot<D>> {
+    async fn reserve(&self, upstream: Arc<UpstreamRecord>) -> Reservation<D> {
         let tokens = self.flow.tokens_at(&upstream.id);
         let call = OpenCall::new(
             &self.core().upstreams,
@@ -134,12 +152,12 @@
             tokens,
         );
         let Some(life) = self.life else {
-            return Some(ReservedSlot {
+            return Reservation::Reserved(Box::new(ReservedSlot {
                 call,
                 guard: None,
                 reserved_until: None,
                 name: None,
-            });
+            }));
         };
         let asked_at = steady_clock::now();
         let asking = self.ask(&upstream, tokens, life);
@@ -148,28 +166,28 @@
                 self.note(&upstream, "reserved");
                 let guard = ResourceGuard::for_slot(self.core().clone(), upstream, name.clone());
                 let reserved_until = Some(asked_at + life);
-                Some(ReservedSlot {
+                Reservation::Reserved(Box::new(ReservedSlot {
                     call,
                     guard: Some(guard),
                     reserved_until,
                     name: Some(name),
-                })
+                }))
             }
             Ok(SlotReply::Full) => {
                 self.note(&upstream, "full");
                 call.close(policy::CallVerdict::Full);
-                None
+                Reservation::Full
             }
             Ok(SlotReply::Failed) => {
                 self.note(&upstream, "no answer");
                 call.close(policy::CallVerdict::Lost);
-                None
+                Reservation::Silent
             }
             Err(_) => {
                 self.core().reach.note_silence(&upstream);
                 self.note(&upstream, "no answer");
                 call.close(policy::CallVerdict::Lost);
-                None
+                Reservation::Silent
             }
         }
     }
@@ -190,6 +208,13 @@
     }
 }
 
+/// How asking one engine ended.
+enum Reservation<D: UpstreamDialect> {
+    Full,
+    Reserved(Box<ReservedSlot<D>>),
+    Silent,
+}
+
 enum SlotReply {
     Failed,
     Full,
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -5,8 +5,8 @@
 use {
     crate::{
         CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, ErrorResponse, EventBatch,
-        EventSplitter, RelayBody, RelayCore, ReservedSlot, ResourceGuard, SlotFinder, StreamPump,
-        UpstreamAnswer, UpstreamDialect, WastedPrefill, WorkRoute, piece_channel,
+        EventSplitter, FlowFailure, RelayBody, RelayCore, ReservedSlot, ResourceGuard, SlotFinder,
+        StreamPump, UpstreamAnswer, UpstreamDialect, WastedPrefill, WorkRoute, piece_channel,
         plain_flow::promises_not_run,
         prompt_search::find_holders,
         relay_core::{status_code, status_verdict},
@@ -119,14 +119,15 @@
     /// # Errors
     ///
     /// The response to the caller when no engine answered.
-    pub async fn run(mut self) -> Result<Response<RelayBody>, ErrorResponse> {
+    pub async fn run(mut self) -> Result<Response<RelayBody>, FlowFailure> {
         let until = self.request.since + self.route.first_byte.mul_f64(SLOT_WAIT_SHARE);
         if self.request.head.after.is_some() {
             self.find_holders().await;
         }
-        let stream = match self.start(None, None, until).await? {
-            StreamStart::Started(stream) => *stream,
-            StreamStart::Other(response) => {
+        let stream = match self.start(None, None, until).await {
+            Err(error) => return Err(self.failure(error)),
+            Ok(StreamStart::Started(stream)) => *stream,
+            Ok(StreamStart::Other(response)) => {
                 self.request.trace.end(status_code(response.status()));
                 return Ok(response);
             }
@@ -143,6 +144,15 @@
         Ok(response)
     }
 
+    /// A request that no engine could be reached for may go elsewhere, unless it may have run.
+    fn failure(&self, error: ErrorResponse) -> FlowFailure {
+        let is_unreachable = error.code == ResultCode::UpstreamUnreachable;
+        FlowFailure {
+            error,
+            runs_if_unreachable: (is_unreachable && !self.attempts.has_run()).then_some(0),
+        }
+    }
+
     /// Asks engines until one streams. `after` is the last event that the caller has and `slot` a slot that is already
     /// reserved; other slots are waited for until `until`.
     ///
@@ -285,7 +295,7 @@
             CallEnd::Answer(_) | CallEnd::Lost(_) => AttemptEnd::Ran,
             CallEnd::Denied(_) => AttemptEnd::Blocked,
             CallEnd::NotRun => AttemptEnd::Refused,
-            CallEnd::Unsent => AttemptEnd::Unsent,
+            CallEnd::Unreachable | CallEnd::Unsent => AttemptEnd::Unsent,
         });
         match end {
             CallEnd::Answer(_) => [guard, kv_guard]
@@ -302,6 +312,10 @@
                 ResultCode::UpstreamRefused,
                 self.retry_after(),
             )),
+            CallEnd::Unreachable => Err(ErrorResponse::with_retry_after(
+                ResultCode::UpstreamUnreachable,
+                self.retry_after(),
+            )),
             CallEnd::Unsent => Err(ErrorResponse::with_retry_after(
                 ResultCode::UpstreamMissing,
                 self.retry_after(),
@@ -330,7 +344,7 @@
         let mut upstreams = self.core.upstreams.lock();
         match end {
             CallEnd::Answer(_) => upstreams.note_run(engine),
-            CallEnd::Denied(_) | CallEnd::Lost(_) | CallEnd::Unsent => {}
+            CallEnd::Denied(_) | CallEnd::Lost(_) | CallEnd::Unreachable | CallEnd::Unsent => {}
             CallEnd::NotRun => upstreams.note_refusal(engine, has_kv, steady_clock::now()),
         }
     }
--- a/crates/relay/src/stream_flow/prefill.rs
+++ b/crates/relay/src/stream_flow/prefill.rs
@@ -59,7 +59,7 @@
             CallEnd::Answer(_) => AttemptEnd::Prefilled,
             CallEnd::Denied(_) => AttemptEnd::Blocked,
             CallEnd::Lost(_) | CallEnd::NotRun => AttemptEnd::PrefillRefused,
-            CallEnd::Unsent => AttemptEnd::Unsent,
+            CallEnd::Unreachable | CallEnd::Unsent => AttemptEnd::Unsent,
         });
         let answer = match end {
             CallEnd::Answer(answer) => answer,
@@ -67,7 +67,9 @@
                 self.core.counts.note_wasted(lost_reason(code), tokens);
                 return None;
             }
-            CallEnd::Denied(_) | CallEnd::NotRun | CallEnd::Unsent => return None,
+            CallEnd::Denied(_) | CallEnd::NotRun | CallEnd::Unreachable | CallEnd::Unsent => {
+                return None;
+            }
         };
         let UpstreamAnswer {
             body,
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -11,6 +11,7 @@
         run_error::{CutByCloseSnafu, MetricsSnafu, RuntimeSnafu},
         settings::{RelayCapacity, RelayFile, SettingsReader},
     },
+    forward::Forwarding,
     kernel::{InstanceId, PluginEntry, StateMap, WorkerPool, unix_time},
     platform::{HttpDialect, RowStore},
     policy::{QuotaRule, RetryBounds, StageGoal},
@@ -60,6 +61,8 @@
     readiness: Arc<ReadinessState>,
     callers: CallerServer,
     core: Arc<PlatformCore>,
+    /// `None` without other instances.
+    forwarding: Option<Forwarding<HttpDialect>>,
     pool: WorkerPool,
     settings: RelayFile,
 }
@@ -91,12 +94,19 @@
         self.readiness
             .block(CLOSING_CONDITION, "this instance is closing");
         let close = &self.settings.close;
-        let cut = self.callers.close(close.settle, close.limit).await;
+        let forwarding = async {
+            match self.forwarding {
+                Some(forwarding) => forwarding.close(close.limit).await,
+                None => 0,
+            }
+        };
+        let callers = self.callers.close(close.settle, close.limit);
+        let (cut, cut_forwarded) = tokio::join!(callers, forwarding);
         if !self.pool.close(POOL_CLOSE_LIMIT).await {
             tracing::warn!("background work did not end in time");
         }
         self.admin.close(ADMIN_CLOSE_LIMIT).await;
-        cut
+        cut + cut_forwarded
     }
 
     /// Reloads the settings. Changes to sockets, the store and the log take effect at the next start only.
@@ -180,6 +190,9 @@
             .build();
         let admin = AdminServer::start(admin, state);
         let pool = WorkerPool::new();
+        let forwarding = peers
+            .as_ref()
+            .map(|socket| Forwarding::start(&core, &socket.endpoint, &pool));
         start_watch(&settings, &core, &pool, peers, calls);
         pool.spawn({
             let readiness = readiness.clone();
@@ -195,6 +208,7 @@
             readiness,
             callers: CallerServer::start(callers, core.clone()),
             core,
+            forwarding,
             pool,
             settings,
         })
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -4,8 +4,13 @@
 mod support;
 
 use {
-    kernel::ServiceId,
-    relay_support::{DirectFleet, UpstreamMode, relay_test::STREAM_HEADERS},
+    kernel::{ResultCode, ServiceId},
+    relay_support::{
+        Caller, DirectFleet, UpstreamMode,
+        caller::{fresh_id, request_text},
+        direct_fleet::DirectInstance,
+        relay_test::STREAM_HEADERS,
+    },
     std::time::Duration,
     support::wait::wait_until,
 };
@@ -93,3 +98,195 @@
         assert!(!fleet.instances[0].core.reach.is_lost(&service));
     }
 }
+
+/// Cuts an instance off and waits until it knows.
+async fn cut_and_wait(fleet: &DirectFleet, index: usize) {
+    fleet.cut(index);
+    let reach = &fleet.instances[index].core.reach;
+    let services = ["carta", "redactor"].map(ServiceId::from);
+    wait_until("the cut is noticed", async || {
+        let requests = tokio::join!(
+            fleet.send(index, "GET", "/t/1", DEADLINE),
+            fleet.send(index, "POST", "/s/1", STREAM_HEADERS)
+        );
+        drop(requests);
+        services.iter().all(|service| reach.is_lost(service))
+    })
+    .await;
+}
+
+/// Guards against a request that is passed from one cut instance to the next, or held until its deadline.
+#[tokio::test]
+async fn when_no_instance_reaches_the_upstreams_requests_are_refused_soon_and_as_not_run() {
+    let fleet = DirectFleet::start(3).await;
+    for index in 0..3 {
+        cut_and_wait(&fleet, index).await;
+    }
+    for (path, more) in [("/b/1", DEADLINE), ("/s/1", STREAM_HEADERS)] {
+        let began = tokio::time::Instant::now();
+        let reply = fleet.send(0, "POST", path, more).await;
+        assert_eq!(reply.status(), 503);
+        let code = ResultCode::UpstreamUnreachable.number().to_string();
+        assert_eq!(reply.header("trestlewalk-result"), Some(code.as_str()));
+        assert!(reply.header("retry-after").is_some());
+        assert!(began.elapsed() < Duration::from_secs(1));
+    }
+    fleet.heal(1);
+    wait_until("one instance serves for the others", async || {
+        fleet.send(0, "GET", "/t/1", DEADLINE).await.status() == 200
+    })
+    .await;
+}
+
+/// Guards against a second run, and against the promise that a request did not run, once another instance has it.
+#[tokio::test]
+async fn a_request_whose_helper_is_lost_runs_once_and_is_not_promised_to_have_not_run() {
+    let fleet = DirectFleet::start(2).await;
+    cut_and_wait(&fleet, 0).await;
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::Mute);
+    }
+    let id = fresh_id();
+    let (reply, ()) = tokio::join!(fleet.send_as(&id, 0, "POST", "/b/1", DEADLINE), async {
+        wait_until("the request runs", async || fleet.runs_of(&id) == 1).await;
+        fleet.instances[1].endpoint.clone().close().await;
+    });
+    assert!([502, 504].contains(&reply.status()), "{}", reply.status());
+    assert_eq!(fleet.runs_of(&id), 1);
+}
+
+/// Guards against work that goes on at an upstream for a caller that has left the instance before it.
+#[tokio::test]
+async fn the_run_of_a_caller_that_leaves_ends_behind_the_helper() {
+    let fleet = DirectFleet::start(2).await;
+    cut_and_wait(&fleet, 0).await;
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::PauseAfter(2, Duration::from_secs(60)));
+    }
+    let mut caller = Caller::connect(fleet.instances[0].callers).await;
+    let text = request_text("POST", "/s/1", &fresh_id(), STREAM_HEADERS, "a prompt");
+    caller.write(&text).await;
+    assert!(caller.read_head().await.is_some());
+    let in_flight = || {
+        let upstreams = fleet.instances[1].core.upstreams.lock();
+        upstreams
+            .entries()
+            .map(|entry| entry.in_flight)
+            .sum::<u32>()
+    };
+    assert_eq!(in_flight(), 1);
+    drop(caller);
+    let began = tokio::time::Instant::now();
+    wait_until("the run has ended", async || in_flight() == 0).await;
+    assert!(began.elapsed() < Duration::from_millis(500));
+}
+
+/// Guards against an answer that looks complete although its helper lost the rest of it.
+#[tokio::test]
+async fn an_answer_that_is_cut_at_the_helper_is_cut_for_the_caller() {
+    let fleet = DirectFleet::start(2).await;
+    cut_and_wait(&fleet, 0).await;
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::CutAfter(2));
+    }
+    let stream = fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
+    assert!(!stream.whole);
+    let booking = fleet.send(0, "POST", "/b/1", DEADLINE).await;
+    assert_eq!(booking.status(), 502);
+}
+
+/// Guards against requests of others that are cut off by a restart.
+#[tokio::test]
+async fn a_helper_that_closes_finishes_what_it_was_handed_and_takes_no_more() {
+    let mut fleet = DirectFleet::start(3).await;
+    cut_and_wait(&fleet, 0).await;
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::PauseAfter(2, Duration::from_millis(1_500)));
+    }
+    let address = fleet.instances[0].callers;
+    let stream = tokio::spawn(async move {
+        let mut caller = Caller::connect(address).await;
+        let text = request_text("POST", "/s/1", &fresh_id(), STREAM_HEADERS, "a prompt");
+        caller.write(&text).await;
+        caller.read().await
+    });
+    let busy = |fleet: &DirectFleet| {
+        let is_busy = |index: &usize| {
+            let upstreams = fleet.instances[*index].core.upstreams.lock();
+            upstreams.entries().any(|entry| entry.in_flight > 0)
+        };
+        [1, 2].into_iter().find(is_busy)
+    };
+    wait_until("a helper runs the stream", async || busy(&fleet).is_some()).await;
+    let helper = busy(&fleet).unwrap();
+    let closing = fleet.instances.remove(helper);
+    let limit = Duration::from_secs(10);
+    let (cut, cut_forwarded) = tokio::join!(
+        closing.server.close(Duration::ZERO, limit),
+        closing.forwarding.close(limit)
+    );
+    assert_eq!((cut, cut_forwarded), (0, 0));
+    let reply = stream.await.unwrap();
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::Answer);
+    }
+    assert_eq!(
+        fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await.status(),
+        200
+    );
+}
+
+/// Guards against one helper that gets the requests of all others.
+#[tokio::test]
+async fn requests_are_spread_over_the_instances_that_reach_the_service() {
+    let fleet = DirectFleet::start(6).await;
+    cut_and_wait(&fleet, 0).await;
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::Slow(Duration::from_secs(1)));
+    }
+    let address = fleet.instances[0].callers;
+    let mut calls = Vec::new();
+    for _ in 0..24 {
+        calls.push(tokio::spawn(async move {
+            let mut caller = Caller::connect(address).await;
+            let text = request_text("POST", "/b/1", &fresh_id(), DEADLINE, "a booking");
+            caller.write(&text).await;
+            caller.read().await.status()
+        }));
+    }
+    for call in calls {
+        assert_eq!(call.await.unwrap(), 200);
+    }
+    let service = ServiceId::from("carta");
+    let has_served =
+        |instance: &&DirectInstance| instance.core.reach.contact_age(&service).is_some();
+    let helper_count = fleet.instances[1..].iter().filter(has_served).count();
+    assert!(helper_count >= 3, "{helper_count}");
+}
+
+/// Guards against a key that reaches another instance's upstream, and against a customer that is lost on the way.
+#[tokio::test]
+async fn a_forwarded_request_carries_its_customer_and_not_its_key() {
+    let fleet = DirectFleet::start(2).await;
+    cut_and_wait(&fleet, 0).await;
+    for index in 0..2 {
+        fleet.declare_customer(index, 8, "harbour", "k-1");
+    }
+    let keyed = |key: &str| format!("{DEADLINE}Authorization: Token {key}\r\nX-Tenant: other\r\n");
+    let id = fresh_id();
+    let reply = fleet.send_as(&id, 0, "POST", "/b/1", &keyed("k-1")).await;
+    assert_eq!(reply.status(), 200);
+    let runs = fleet.upstreams.iter().flat_map(|upstream| upstream.runs());
+    let mut runs = runs.filter(|run| run.message.header("x-request-id") == Some(&id));
+    let message = runs.next().unwrap().message;
+    assert_eq!(message.header("x-tenant"), Some("harbour"));
+    assert_eq!(message.header("authorization"), None);
+    let unknown = fleet.send(0, "POST", "/b/1", &keyed("k-2")).await;
+    assert_eq!(unknown.status(), 401);
+    // The helper knows a newer table, in which the key may be gone.
+    fleet.declare_customer(1, 9, "harbour", "k-3");
+    let revoked = fleet.send(0, "POST", "/b/1", &keyed("k-1")).await;
+    assert_eq!(revoked.status(), 503);
+    assert_eq!(revoked.header("trestlewalk-result"), Some("2022"));
+}
--- a/crates/trestlewalk/tests/relay_support/direct_fleet.rs
+++ b/crates/trestlewalk/tests/relay_support/direct_fleet.rs
@@ -6,16 +6,17 @@
         dead_port::DeadPort,
         upstream::{UpstreamKind, UpstreamStandIn},
     },
-    kernel::{InstanceId, ServiceId, ZoneId},
+    forward::Forwarding,
+    kernel::{InstanceId, ServiceId, TableVersion, WorkerPool, ZoneId},
     peer::{AddressTable, PeerEndpoint, PeerKeys, make_test_keys},
     platform::HttpDialect,
     policy::{
-        FleetMember, FleetMembers, QuotaRule, RepeatRule, RetryBounds, UpstreamRecord,
-        UpstreamStage,
+        CallerKey, FleetMember, FleetMembers, KeyHasher, KeySalt, QuotaRule, RepeatRule,
+        RetryBounds, UpstreamRecord, UpstreamStage,
     },
     relay::{
-        CallerLimits, CallerServer, EngineInfo, RelayCore, RelaySettings, RouteTable, RouteTarget,
-        ServiceInfo, WorkRoute,
+        CallerLimits, CallerServer, CustomerInfo, CustomerRow, CustomerTable, EngineInfo,
+        RelayCore, RelaySettings, RouteTable, RouteTarget, ServiceInfo, WorkRoute,
     },
     std::{
         collections::BTreeMap,
@@ -31,6 +32,8 @@
     pub callers: SocketAddr,
     pub core: Arc<RelayCore<HttpDialect>>,
     pub endpoint: PeerEndpoint,
+    pub forwarding: Forwarding<HttpDialect>,
+    _pool: WorkerPool,
     pub server: CallerServer,
 }
 
@@ -118,6 +121,26 @@
         core.open_when_ready();
     }
 
+    /// Declares a customer with one key at an instance, in this version of the table.
+    pub fn declare_customer(&self, index: usize, version: TableVersion, id: &str, key: &str) {
+        let salt = KeySalt::random().unwrap();
+        let digest = KeyHasher::new(salt).digest(&CallerKey::new(key.as_bytes()));
+        let info = CustomerInfo {
+            id: id.into(),
+            limit: None,
+            rank: None,
+            regions: None,
+        };
+        let rows = vec![CustomerRow {
+            info,
+            keys: vec![digest],
+        }];
+        let mut table = routes().for_customers(Some(CustomerTable::new(salt, rows)));
+        table.version = version;
+        let core = &self.instances[index].core;
+        core.routes.store(Some(Arc::new(table)));
+    }
+
     pub fn upstream(&self, id: &str) -> &UpstreamStandIn {
         let mut upstreams = self.upstreams.iter();
         upstreams.find(|upstream| upstream.id == id).unwrap()
@@ -164,7 +187,10 @@
         let core = Arc::new(RelayCore::new(HttpDialect, settings(name, zone)));
         core.routes.store(Some(Arc::new(routes())));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let pool = WorkerPool::new();
         Self {
+            forwarding: Forwarding::start(&core, &endpoint, &pool),
+            _pool: pool,
             callers: listener.local_addr().unwrap(),
             server: CallerServer::start(listener, core.clone()),
             core,
