relay: the silence of the only upstream of a stage makes a service suspect

A service with one decode engine beside prefill engines was never noticed as lost: requests ask decode engines only, and two silent upstreams were needed of all of the service. Such requests were still forwarded, each after its own attempt. The upstreams that count are those of the stage that was called.

a_cut_is_noticed_by_the_silence_of_the_only_decode_engine: red before (the wait for the notice ran out after 60 s).

--- a/crates/policy/src/reach_table.rs
+++ b/crates/policy/src/reach_table.rs
@@ -67,8 +67,8 @@
         Some(ReachChange::Regained(now.saturating_duration_since(since)))
     }
 
-    /// Records that an upstream accepted no connection or gave no answer; `count` is the number of upstreams of the
-    /// service. Returns whether connection attempts should show if the service is reachable.
+    /// Records that an upstream accepted no connection or gave no answer; `count` is the number of upstreams that could
+    /// have been called in its place, itself included. Returns whether connection attempts should show if the service is reachable.
     #[must_use]
     pub fn note_silence(
         &mut self,
--- a/crates/relay/src/reach_watch.rs
+++ b/crates/relay/src/reach_watch.rs
@@ -61,7 +61,9 @@
     /// Records that an upstream accepted no connection, or gave no answer in time.
     pub fn note_silence(self: &Arc<Self>, upstream: &UpstreamRecord) {
         let service = &upstream.service;
-        let count = self.targets(service).len();
+        // Requests may only ever call the upstreams of one stage.
+        let peers = self.targets(service).into_iter();
+        let count = peers.filter(|peer| peer.stage == upstream.stage).count();
         let mut table = self.table.lock();
         let is_suspect = table.note_silence(service, &upstream.id, count, steady_clock::now());
         drop(table);
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -6,7 +6,7 @@
 use {
     kernel::{ResultCode, ServiceId},
     relay_support::{
-        Caller, DirectFleet, UpstreamMode,
+        Caller, DirectFleet, UpstreamKind, UpstreamMode,
         caller::{fresh_id, request_text},
         direct_fleet::DirectInstance,
         relay_test::STREAM_HEADERS,
@@ -290,3 +290,16 @@
     assert_eq!(revoked.status(), 503);
     assert_eq!(revoked.header("trestlewalk-result"), Some("2022"));
 }
+
+/// Guards against a cut that is never noticed, because requests only ever call one engine of the service.
+#[tokio::test]
+async fn a_cut_is_noticed_by_the_silence_of_the_only_decode_engine() {
+    let fleet = DirectFleet::start(2).await;
+    for engine in ["i-Decode-0", "i-Decode-1", "i-Decode-2"] {
+        fleet.upstream(engine).state.lock().unwrap().kind = UpstreamKind::Prefill;
+    }
+    fleet.heal(1);
+    cut_and_wait(&fleet, 0).await;
+    let stream = fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
+    assert_eq!((stream.status(), stream.whole), (200, true));
+}
