relay: an instance that reaches no engine orders no changes of their stage

It took the lease, its orders failed, and whoever reaches the engines waited for the lease to end: the same fault as with requests, a loss on its own side that it takes for one of the engines.

an_instance_that_reaches_no_engine_leaves_their_orders_to_others: red before (the cut instance holds stages/redactor and the other has none).

--- a/crates/relay/src/stage_controller.rs
+++ b/crates/relay/src/stage_controller.rs
@@ -85,6 +85,10 @@
                 continue;
             }
             for (service, engines) in self.engines() {
+                // Whoever reaches the engines can order them.
+                if self.core.reach.is_lost(&service) {
+                    continue;
+                }
                 self.check(service, &engines).await;
             }
         }
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -5,13 +5,16 @@
 
 use {
     kernel::{ResultCode, ServiceId},
+    platform::RowStore,
+    policy::StageGoal,
+    relay::{ConnectionTimeouts, StageController, StageSettings, StoreCalls},
     relay_support::{
-        Caller, DirectFleet, UpstreamKind, UpstreamMode,
+        Caller, DirectFleet, StoreStandIn, UpstreamKind, UpstreamMode,
         caller::{fresh_id, request_text},
         direct_fleet::DirectInstance,
         relay_test::STREAM_HEADERS,
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     support::wait::wait_until,
 };
 
@@ -303,3 +306,49 @@
     let stream = fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
     assert_eq!((stream.status(), stream.whole), (200, true));
 }
+
+/// The keys of the leases that an instance has taken after some checks of the engines' stages.
+async fn leases_of(fleet: &DirectFleet, index: usize) -> Vec<String> {
+    let store = StoreStandIn::start().await;
+    let times = ConnectionTimeouts::builder()
+        .connect(Duration::from_secs(2))
+        .peer_timeout(Duration::from_secs(2))
+        .build();
+    let rows = RowStore::new(store.address, times, StoreCalls::new());
+    let goal = StageGoal::builder()
+        .patience(Duration::from_millis(100))
+        .pause(Duration::from_secs(60))
+        .pressed_patience(Duration::from_secs(60))
+        .prefill_share(0.25)
+        .spare_floor(1)
+        .build();
+    let settings = StageSettings::builder()
+        .checks_fence(true)
+        .goal(goal)
+        .holder("front/1".into())
+        .lease_life(Duration::from_secs(3))
+        .build();
+    let core = fleet.instances[index].core.clone();
+    let controller = StageController::new(core, Arc::new(rows), settings);
+    let checks = tokio::time::timeout(Duration::from_secs(6), controller.run());
+    assert!(checks.await.is_err());
+    store
+        .rows("trestlewalk")
+        .into_iter()
+        .map(|(key, _)| key)
+        .collect()
+}
+
+/// Guards against an instance that holds the lease on engines which it can't reach, so that nobody can give them orders.
+#[tokio::test]
+async fn an_instance_that_reaches_no_engine_leaves_their_orders_to_others() {
+    let fleet = DirectFleet::start(2).await;
+    for engine in ["i-Decode-0", "i-Decode-1", "i-Decode-2"] {
+        fleet.upstream(engine).state.lock().unwrap().kind = UpstreamKind::Prefill;
+    }
+    fleet.heal(1);
+    cut_and_wait(&fleet, 0).await;
+    let (cut, other) = tokio::join!(leases_of(&fleet, 0), leases_of(&fleet, 1));
+    assert_eq!(cut, Vec::<String>::new());
+    assert_eq!(other, ["stages/redactor"]);
+}
