--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -1,24 +1,26 @@
 //! The state that all requests of a process share.
 
+mod choosing;
+mod rate_limits;
+
 use {
     crate::{
         BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
         ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, ForwardDesk, OpenCall,
-        QuotaBuckets, ReachWatch, ReaderRole, RelayCounts, RelaySettings, ReplyFacts,
-        RouteFreshness, RouteTable, SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall,
-        UpstreamDialect, WorkRoute,
+        QuotaBuckets, ReachWatch, ReaderRole, RelayCounts, RelaySettings, RouteFreshness,
+        RouteTable, SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall, UpstreamDialect,
+        WorkRoute,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     bytes::Bytes,
     http::{Request, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
     kernel::{
-        LockRank, RankedLock, ResultCode, ServiceId, ShutdownSignal, UpstreamId,
-        ranked_lock::RankedGuard, steady_clock,
+        LockRank, RankedLock, ResultCode, ServiceId, ShutdownSignal, UpstreamId, steady_clock,
     },
     policy::{
-        CacheIndex, CallVerdict, ChoiceQuery, FleetMember, FleetMembers, PrefillChoice,
-        RateStatement, RetryWindow, SlotHoldTime, StagePressure, UpstreamRecord, UpstreamTable,
+        CacheIndex, CallVerdict, FleetMember, FleetMembers, RateStatement, RetryWindow,
+        SlotHoldTime, StagePressure, UpstreamRecord, UpstreamTable,
     },
     std::{
         collections::HashMap,
@@ -274,94 +276,6 @@
         time::timeout(limit - patience, sending).await
     }
 
-    /// Counts a call that was not chosen by its load towards the rate limit of its upstream.
-    pub fn count_call(&self, upstream: &UpstreamId) {
-        let mut upstreams = self.upstreams.lock();
-        upstreams.rates.note_call(upstream, steady_clock::now());
-    }
-
-    /// Records the rate limit that an answer states. Another upstream at the same address speaks for itself only, and an
-    /// answer that need not be the upstream's own lifts no limit.
-    fn note_rate(&self, upstream: &UpstreamRecord, facts: &ReplyFacts, began: Instant) {
-        let is_own = facts.is_same_request && !facts.is_misdirected;
-        if !is_own || facts.rate == RateStatement::Unlimited && facts.is_not_run {
-            return;
-        }
-        self.apply_statement(upstream, facts.rate, began);
-    }
-
-    fn apply_statement(&self, upstream: &UpstreamRecord, statement: RateStatement, began: Instant) {
-        let now = steady_clock::now();
-        let mut upstreams = self.upstreams.lock();
-        let change =
-            upstreams
-                .rates
-                .note_answer((&upstream.id, &upstream.zone), statement, began, now);
-        drop(upstreams);
-        if let Some(change) = change {
-            self.counts.note_rate(&upstream.id, change);
-        }
-    }
-
-    /// The best upstream for a call.
-    pub fn choose(&self, query: &ChoiceQuery<'_>) -> Option<Arc<UpstreamRecord>> {
-        let now = steady_clock::now();
-        let mut upstreams = self.lock_shared_rates(now);
-        let upstream = upstreams.choose(query, now)?;
-        upstreams.note_call(&upstream.id, now);
-        Some(upstream)
-    }
-
-    /// The best engine to prefill a prompt of this many tokens.
-    pub fn choose_prefill(&self, query: &ChoiceQuery<'_>, tokens: u64) -> Option<PrefillChoice> {
-        let now = steady_clock::now();
-        let mut upstreams = self.lock_shared_rates(now);
-        let choice = upstreams.choose_prefill(query, tokens, now)?;
-        upstreams.note_call(&choice.upstream.id, now);
-        Some(choice)
-    }
-
-    /// Locks the upstreams with the present view of the instances that share their rates.
-    fn lock_shared_rates(&self, now: Instant) -> RankedGuard<'_, UpstreamTable> {
-        let count = self.cold_share_count();
-        let fleet = self.alone.clone().unwrap_or_else(|| self.fleet.members());
-        let mut upstreams = self.upstreams.lock();
-        upstreams.set_instance_count(count);
-        upstreams.rates.set_fleet(&fleet, now);
-        upstreams
-    }
-
-    /// The answer to a caller for whose request there is no upstream. It may return when an upstream of limited rate can
-    /// be called, or else after `retry_after`.
-    pub fn missing_upstream(
-        &self,
-        query: &ChoiceQuery<'_>,
-        retry_after: Duration,
-    ) -> ErrorResponse {
-        let now = steady_clock::now();
-        let upstreams = self.upstreams.lock();
-        if let Some(wait) = upstreams.rate_limit_wait(query, now) {
-            return ErrorResponse::with_retry_after(ResultCode::UpstreamLimited, wait);
-        }
-        let wait = upstreams.cold_wait(query, now);
-        ErrorResponse::with_retry_after(ResultCode::UpstreamMissing, wait.unwrap_or(retry_after))
-    }
-
-    /// The number of instances that share the calls to cold upstreams; `None` while unknown.
-    fn cold_share_count(&self) -> Option<usize> {
-        match self.settings.load().is_alone {
-            true => Some(1),
-            false => self.instance_count(),
-        }
-    }
-
-    /// The number of instances, as far as this one knows; zones are taken to be of equal size.
-    fn instance_count(&self) -> Option<usize> {
-        let settings = self.settings.load();
-        let members = self.fleet.zone_size(&settings.zone);
-        members.map(|members| members * settings.zones)
-    }
-
     /// The retry delay for a caller that found no free slot at a service.
     pub fn retry_after(&self, service: &ServiceId, request: &str) -> Duration {
         let hold_times = self.hold_times.lock();
