relay: the dump shows the share of an instance in each stated rate limit

Limits were told by a gauge and log lines, and nothing told what an instance may send: whether it calls regularly or by turns, at which interval, and when next.

--- a/crates/policy/src/call_share.rs
+++ b/crates/policy/src/call_share.rs
@@ -87,6 +87,24 @@
         }
     }
 
+    /// The label in the state dump.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Regular { .. } => "regular",
+            Self::Turns { .. } => "turns",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// The interval between calls or turns; `None` while there are none.
+    pub fn interval(&self) -> Option<Duration> {
+        match self {
+            Self::Regular { interval, .. } => Some(*interval),
+            Self::Turns { period, .. } => Some(*period),
+            Self::Unknown => None,
+        }
+    }
+
     /// The time until the next call is allowed; zero when it is now.
     pub fn wait(&self, now: Instant) -> Duration {
         match self {
--- a/crates/policy/src/rate_table.rs
+++ b/crates/policy/src/rate_table.rs
@@ -146,6 +146,12 @@
         self.rows_where(is_recent, now)
     }
 
+    /// The limits in force with the share of this instance, by upstream.
+    pub fn shares(&self) -> impl Iterator<Item = (&UpstreamId, CallRate, CallShare)> {
+        let rows = self.rows.iter();
+        rows.filter_map(|(id, row)| row.limit.map(|(rate, share)| (id, rate, share)))
+    }
+
     /// Digest of the limits in force, independent of their ages.
     pub fn digest(&self) -> u64 {
         let mut digest = 0_u64;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod quota_buckets;
 pub mod quota_plugin;
 pub mod rate_news;
+pub mod rate_plugin;
 pub mod reach_watch;
 pub mod reader_role;
 pub mod relay_body;
--- a/crates/relay/src/rate_news.rs
+++ b/crates/relay/src/rate_news.rs
@@ -4,6 +4,7 @@
     crate::{RelayCounts, SharedUpstreams},
     kernel::steady_clock,
     policy::RateNote,
+    serde_json::{Value, json},
     std::{sync::Arc, time::Duration},
 };
 
@@ -55,6 +56,22 @@
         Self { counts, upstreams }
     }
 
+    /// The limits with the share of this instance, for the state dump.
+    pub fn rows(&self) -> Vec<Value> {
+        let now = steady_clock::now();
+        let upstreams = self.upstreams.lock();
+        let rows = upstreams.rates.shares().map(|(upstream, rate, share)| {
+            json!({
+                "interval_ms": share.interval().map(|interval| interval.as_millis() as u64),
+                "next_call_ms": share.wait(now).as_millis() as u64,
+                "rate": rate.per_second(),
+                "share": share.label(),
+                "upstream": upstream,
+            })
+        });
+        rows.collect()
+    }
+
     /// The notes on what changed recently.
     pub fn recent(&self) -> Vec<RateNote> {
         let upstreams = self.upstreams.lock();
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -178,6 +178,10 @@
         map.insert(core.crashes.clone());
         map.insert(Arc::new(core.freshness.clone()));
         map.insert(Arc::new(core.quotas.clone()));
+        map.insert(Arc::new(RateNews::new(
+            core.upstreams.clone(),
+            core.counts.clone(),
+        )));
         PluginEntry::register_metrics(&map, &registry);
         let state = AdminState::builder()
             .readiness(readiness.clone())
--- a/crates/trestlewalk/tests/relay_rates.rs
+++ b/crates/trestlewalk/tests/relay_rates.rs
@@ -144,6 +144,13 @@
     for index in 1..INSTANCES {
         wait_until("the others know", async || knows(index).await).await;
     }
+    let dump = run.instances[1].process.get("admin", "/dump").send().await;
+    let dump: serde_json::Value = serde_json::from_slice(&dump.body).unwrap();
+    let row = &dump["rate_limits"]["upstreams"][0];
+    assert_eq!(
+        (&row["upstream"], &row["rate"]),
+        (&json!("i-carta-0"), &json!(2.0))
+    );
     run.upstreams[0].state_rate_limit(None);
     wait_until("the first instance is told of the end", async || {
         run.status(0, "/t/1").await;
