forward: a request waits only for answers that are still to come

When the last survey had found nobody, each request until the next one waited 120 ms for answers that had all arrived. It is refused at once now.

--- a/crates/forward/src/forward_client.rs
+++ b/crates/forward/src/forward_client.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Finds an instance that reaches the service, other than those `tried`.
+    /// Finds an instance that reaches the service, other than those `tried`. Waits only for answers that are still to come.
     pub async fn find_helper(
         &self,
         service: &ServiceId,
@@ -83,15 +83,26 @@
             let mut reported = pin!(self.reported.notified());
             reported.as_mut().enable();
             self.survey_when_due(service);
-            let now = steady_clock::now();
-            let helper = self.helpers.lock().choose(service, request, tried, now);
-            if helper.is_some() {
+            let (helper, is_pending) = self.choose(service, request, tried);
+            if helper.is_some() || !is_pending {
                 return helper;
             }
             time::timeout_at(end, reported).await.ok()?;
         }
     }
 
+    /// The instance to forward to, and whether further ones may still report.
+    fn choose(
+        &self,
+        service: &ServiceId,
+        request: &str,
+        tried: &[InstanceId],
+    ) -> (Option<InstanceId>, bool) {
+        let helpers = self.helpers.lock();
+        let helper = helpers.choose(service, request, tried, steady_clock::now());
+        (helper, helpers.has_pending(service))
+    }
+
     /// Asks a few instances whether they reach the service, unless that was done a moment ago.
     fn survey_when_due(&self, service: &ServiceId) {
         let settings = self.core.settings.load();
@@ -139,7 +150,6 @@
 
     /// Records that an instance did not serve a request. It is asked again with the next survey.
     pub(crate) fn note_failure(&self, service: &ServiceId, helper: &InstanceId) {
-        let mut helpers = self.helpers.lock();
-        helpers.note_report(service, helper, None, steady_clock::now());
+        self.helpers.lock().note_failure(service, helper);
     }
 }
--- a/crates/policy/src/helper_table.rs
+++ b/crates/policy/src/helper_table.rs
@@ -8,7 +8,7 @@
     kernel::{InstanceId, ServiceId, ZoneId, seeded_rng},
     serde::{Deserialize, Serialize},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
 };
@@ -52,6 +52,8 @@
 struct ServiceHelpers {
     asked_at: Option<Instant>,
     helpers: BTreeMap<InstanceId, HelperRow>,
+    /// The instances that have not answered the survey yet.
+    pending: BTreeSet<InstanceId>,
     /// The number of surveys that found nobody, to ask others next time.
     vain_surveys: usize,
 }
@@ -108,6 +110,7 @@
             known.vain_surveys += 1;
         }
         known.asked_at = Some(now);
+        known.pending.clear();
         let (near, far) = ordered_others(own, fleet);
         let mut asked = rotated(near, NEAR_COUNT, known.vain_surveys);
         let near_count = asked.len();
@@ -116,6 +119,7 @@
             .helpers
             .retain(|instance, row| row.open_here > 0 || asked.contains(instance));
         for (index, instance) in asked.iter().enumerate() {
+            known.pending.insert(instance.clone());
             let row = known.helpers.entry(instance.clone());
             row.or_insert(HelperRow {
                 is_far: index >= near_count,
@@ -127,6 +131,19 @@
         asked
     }
 
+    /// Whether an answer to the last survey is still to come.
+    pub fn has_pending(&self, service: &ServiceId) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|known| !known.pending.is_empty())
+    }
+
+    /// Records that an instance did not serve a request: it is not chosen before its next report.
+    pub fn note_failure(&mut self, service: &ServiceId, instance: &InstanceId) {
+        if let Some(row) = self.row(service, instance) {
+            row.report = None;
+        }
+    }
+
     /// Records what an instance reported; `None` when it did not answer.
     pub fn note_report(
         &mut self,
@@ -135,6 +152,9 @@
         report: Option<ReachReport>,
         now: Instant,
     ) {
+        if let Some(known) = self.services.get_mut(service) {
+            known.pending.remove(instance);
+        }
         if let Some(row) = self.row(service, instance) {
             row.report = report;
             row.reported_at = now;
--- a/crates/policy/tests/helper_table.rs
+++ b/crates/policy/tests/helper_table.rs
@@ -121,6 +121,21 @@
     report(&mut table, &asked, REACHES, now);
     assert!(choose(&table, "r", now).is_some());
     assert_eq!(choose(&table, "r", now + 10 * INTERVAL), None);
-    table.note_report(&service, &asked[0], None, now);
+    table.note_failure(&service, &asked[0]);
     assert_eq!(choose(&table, "r", now), None);
 }
+
+/// Guards against requests that wait for an answer which is not to come.
+#[test]
+fn answers_are_awaited_until_all_asked_have_answered_or_failed_to() {
+    let mut table = HelperTable::default();
+    let service = ServiceId::from("s");
+    let now = Instant::now();
+    assert!(!table.has_pending(&service));
+    let asked = survey(&mut table, 0, 9, now);
+    for instance in &asked {
+        assert!(table.has_pending(&service));
+        table.note_report(&service, instance, None, now);
+    }
+    assert!(!table.has_pending(&service));
+}
