--- a/crates/forward/src/answer_pump.rs
+++ b/crates/forward/src/answer_pump.rs
@@ -7,7 +7,7 @@
     std::sync::Arc,
 };
 
-/// A body on its way.
+/// Passes one body on.
 #[derive(Debug)]
 pub struct AnswerPump<D: UpstreamDialect> {
     /// Whether the body is passed on as it arrives; its end is then the end of the request.
@@ -18,7 +18,7 @@
     pub request: Arc<CallerRequest>,
     /// Takes the parts of the body.
     pub sender: PieceSender,
-    /// The session that they arrive by.
+    /// The session that delivers them.
     pub session: ForwardSession,
 }
 
--- a/crates/forward/src/forward_client.rs
+++ b/crates/forward/src/forward_client.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Forwards what is left at the desk, each request in its own task.
+    /// Forwards the queued requests, each in its own task.
     pub async fn run(self, jobs: mpsc::Receiver<ForwardJob>) {
         let mut jobs = jobs;
         while let Some(job) = jobs.recv().await {
--- a/crates/forward/src/forward_message.rs
+++ b/crates/forward/src/forward_message.rs
@@ -59,7 +59,7 @@
     pub status: u16,
 }
 
-/// The word of the other instance that it has no answer of an upstream.
+/// The reply of an instance that has no answer of an upstream.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Refusal {
     /// Why, and whether the request may have run.
--- a/crates/forward/src/forward_session.rs
+++ b/crates/forward/src/forward_session.rs
@@ -12,7 +12,7 @@
     peer::{SessionReceiver, SessionSender},
 };
 
-/// The first thing that the other instance says.
+/// How the other instance replies to a request.
 #[derive(Debug)]
 pub enum ForwardReply {
     /// The head of an upstream's answer.
@@ -47,7 +47,7 @@
         Ok(())
     }
 
-    /// Waits for the other instance's first word.
+    /// Waits for the other instance's reply.
     ///
     /// # Errors
     ///
--- a/crates/forward/src/forward_task.rs
+++ b/crates/forward/src/forward_task.rs
@@ -40,7 +40,7 @@
     Answer(AnswerHead, ForwardSession),
     /// The request may have run.
     Lost,
-    /// The word of the other instance.
+    /// The other instance has no answer of an upstream.
     Refused(ErrorResponse),
     /// The request was not sent.
     Unsent,
@@ -165,7 +165,7 @@
         }
     }
 
-    /// Sends the request and waits for the other instance's first word.
+    /// Sends the request and waits for the other instance's reply.
     async fn exchange(&self, session: &mut ForwardSession) -> Result<ForwardReply, ForwardError> {
         let request = &self.request;
         let access = request.access.as_ref();
--- a/crates/forward/src/forwarding.rs
+++ b/crates/forward/src/forwarding.rs
@@ -8,7 +8,7 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Running forwarding.
+/// The running client and server.
 #[derive(Debug)]
 pub struct Forwarding<D> {
     server: ForwardServer<D>,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`ForwardClient`] asks a few instances whether they reach the service, opens a session with one of them and passes the
 //! answer on as it arrives; [`ForwardServer`] serves what others forward. A request goes over one instance at most. Once it
-//! is sent it counts as a call: only the other instance's word that it did not run lets a further one try.
+//! is sent it counts as a call: only the other instance's statement that it did not run lets a further one try.
 
 pub mod answer_pump;
 pub mod forward_client;
--- a/crates/relay/src/forward_desk.rs
+++ b/crates/relay/src/forward_queue.rs
@@ -1,4 +1,4 @@
-//! Hands requests over to whatever forwards them to other instances.
+//! The queue of requests that are to be forwarded to other instances.
 
 use {
     crate::{CallerRequest, ErrorResponse, RelayBody, WorkRoute},
@@ -39,13 +39,13 @@
     Refused(ErrorResponse),
 }
 
-/// Where the request path leaves requests. Clones share it.
+/// Takes requests from the request path. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct ForwardDesk {
+pub struct ForwardQueue {
     jobs: Arc<OnceLock<mpsc::Sender<ForwardJob>>>,
 }
 
-impl ForwardDesk {
+impl ForwardQueue {
     /// Whether requests are forwarded at all.
     pub fn is_open(&self) -> bool {
         self.jobs.get().is_some()
@@ -78,7 +78,7 @@
             .unwrap_or(ForwardEnd::Lost(ResultCode::CutByClose))
     }
 
-    /// Opens the desk; requests are taken from the receiver. `None` if it is open already.
+    /// Opens the queue; requests are taken from the receiver. `None` if it is open already.
     pub fn open(&self) -> Option<mpsc::Receiver<ForwardJob>> {
         let (sender, receiver) = mpsc::channel(MAX_WAITING);
         self.jobs.set(sender).ok()?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod event_splitter;
 pub mod fleet_view;
 pub mod flow_failure;
-pub mod forward_desk;
+pub mod forward_queue;
 pub mod forwarded_request;
 pub mod open_call;
 pub mod operator_source;
@@ -78,7 +78,7 @@
     event_splitter::{EventBatch, EventSplitter},
     fleet_view::FleetView,
     flow_failure::FlowFailure,
-    forward_desk::{ForwardDesk, ForwardEnd, ForwardJob},
+    forward_queue::{ForwardEnd, ForwardJob, ForwardQueue},
     forwarded_request::ForwardedRequest,
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
-        ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, ForwardDesk, OpenCall,
+        ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, ForwardQueue, OpenCall,
         QuotaBuckets, ReachWatch, ReaderRole, RelayCounts, RelaySettings, RouteFreshness,
         RouteTable, SharedUpstreams, StartGate, UpstreamAnswer, UpstreamCall, UpstreamDialect,
         WorkRoute,
@@ -68,7 +68,7 @@
     /// The wire protocol of callers and upstreams.
     pub dialect: D,
     /// Forwards requests to other instances.
-    pub forwarding: ForwardDesk,
+    pub forwarding: ForwardQueue,
     /// When the routes and customers were last confirmed to be the newest.
     pub freshness: RouteFreshness,
     /// The prompt parts that engines recently listed as cached.
@@ -316,7 +316,7 @@
             closing: ShutdownSignal::new(),
             counts,
             dialect,
-            forwarding: ForwardDesk::default(),
+            forwarding: ForwardQueue::default(),
             freshness: RouteFreshness::default(),
             parts: RankedLock::new(LockRank::Services, CacheIndex::default()),
             hold_times: RankedLock::new(LockRank::Services, HashMap::new()),
--- a/crates/relay/src/request_handler/forwarding.rs
+++ b/crates/relay/src/request_handler/forwarding.rs
@@ -26,8 +26,8 @@
         route: &Arc<WorkRoute>,
         service: &ServiceId,
     ) -> Result<Response<RelayBody>, ErrorResponse> {
-        let desk = &self.core.forwarding;
-        if desk.is_open() && self.core.reach.is_lost(service) {
+        let queue = &self.core.forwarding;
+        if queue.is_open() && self.core.reach.is_lost(service) {
             let unreachable =
                 ErrorResponse::with_retry_after(ResultCode::UpstreamUnreachable, RETRY_AFTER);
             return self.forward(request, route, service, 0, unreachable).await;
@@ -37,7 +37,7 @@
             Err(failure) => failure,
         };
         match failure.runs_if_unreachable {
-            Some(runs) if desk.is_open() => {
+            Some(runs) if queue.is_open() => {
                 self.forward(request, route, service, runs, failure.error)
                     .await
             }
@@ -62,8 +62,8 @@
         if let Some(charge) = &request.charge {
             charge.begin_call();
         }
-        let desk = &self.core.forwarding;
-        let end = desk.forward(request, route, service, runs).await;
+        let queue = &self.core.forwarding;
+        let end = queue.forward(request, route, service, runs).await;
         if let Some(charge) = &request.charge {
             charge.end_call(matches!(end, ForwardEnd::Answer(_) | ForwardEnd::Lost(_)));
         }
