relay: an engine that leaves a reservation unanswered is asked again

Since requests are forwarded, a round in which no engine answers ended the search at once, as if none could be reached; with one engine, or a few that are slow, the request was refused. The search goes on for its time again, and ends early only when the service is lost.

--- a/crates/relay/src/slot_finder.rs
+++ b/crates/relay/src/slot_finder.rs
@@ -91,17 +91,16 @@
                 let query = self.query(&avoid, &settings.zone);
                 return Err(self.core().missing_upstream(&query, retry_after));
             }
-            if !is_answered {
-                return Err(self.unreachable());
-            }
             if std::mem::take(&mut is_first_round) {
                 self.core().note_search(&self.flow.service, true);
             }
             if steady_clock::now() + pause > until {
-                return Err(ErrorResponse::with_retry_after(
-                    ResultCode::UpstreamRefused,
-                    retry_after,
-                ));
+                return Err(match is_answered {
+                    true => {
+                        ErrorResponse::with_retry_after(ResultCode::UpstreamRefused, retry_after)
+                    }
+                    false => self.unreachable(),
+                });
             }
             time::sleep(pause).await;
             pause = (pause * 2).min(MAX_PAUSE);
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -395,3 +395,21 @@
         }
     }
 }
+
+/// Guards against a refusal because the only engine was slow to answer once.
+#[tokio::test]
+async fn an_engine_that_leaves_a_reservation_unanswered_is_asked_again() {
+    let run = RelayTest::new()
+        .engines("redactor", 1, 0)
+        .route(
+            "/s/",
+            "streaming",
+            "redactor",
+            &json!({"TargetGapMs": 300, "TargetLatencyMs": 30_000}),
+        )
+        .start_ready()
+        .await;
+    run.upstreams[0].state.lock().unwrap().unanswered_holds = 2;
+    let reply = run.stream("/s/1").await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+}
--- a/crates/trestlewalk/tests/relay_support/engine_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_answers.rs
@@ -48,6 +48,7 @@
             engine.note(message, false);
             answer_json(stream, "202 Accepted", &json!({})).await
         }
+        ("POST", "/hold-take") if leaves_unanswered(engine) => std::future::pending().await,
         ("POST", "/hold-take") => {
             let (full, name) = reserve(engine);
             engine.note(message, false);
@@ -64,6 +65,14 @@
     }
 }
 
+/// Whether this reservation gets no answer.
+fn leaves_unanswered(engine: &UpstreamStandIn) -> bool {
+    let mut state = engine.state.lock().unwrap();
+    let is_left = state.unanswered_holds > 0;
+    state.unanswered_holds = state.unanswered_holds.saturating_sub(1);
+    is_left
+}
+
 /// Reserves a slot: whether the engine is full, and the name of the reservation.
 fn reserve(engine: &UpstreamStandIn) -> (bool, String) {
     let mut state = engine.state.lock().unwrap();
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -94,6 +94,8 @@
     /// The rate limit that its answers state.
     pub rate_limit: Option<String>,
     pub received: Vec<ReceivedCall>,
+    /// How many further reservations an engine leaves without an answer.
+    pub unanswered_holds: usize,
 }
 
 /// The upstream. Clones share it.
@@ -126,6 +128,7 @@
                 orders: 0,
                 rate_limit: None,
                 received: Vec::new(),
+                unanswered_holds: 0,
             })),
             zone: zone.to_owned(),
         };
