--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -133,8 +133,7 @@
         let code = ResultCode::UpstreamUnreachable.number().to_string();
         assert_eq!(reply.header("trestlewalk-result"), Some(code.as_str()));
         assert!(reply.header("retry-after").is_some());
-        // Its deadline is 4 s after it was sent.
-        assert!(began.elapsed() < Duration::from_secs(4));
+        assert!(began.elapsed() < Duration::from_secs(1));
     }
     fleet.heal(1);
     wait_until("one instance serves for the others", async || {
@@ -181,7 +180,9 @@
     };
     assert_eq!(in_flight(), 1);
     drop(caller);
+    let began = tokio::time::Instant::now();
     wait_until("the run has ended", async || in_flight() == 0).await;
+    assert!(began.elapsed() < Duration::from_millis(500));
 }
 
 /// Guards against an answer that looks complete although its helper lost the rest of it.
