policy, relay: a lost run names the shared parts of its prompt

The timeline of the incident can't tell whether the lost requests have a part in common: nothing in the logs names the parts. The line 'an upstream ended under a request' has them now. Decisions are as before.

--- a/crates/policy/src/loss_table.rs
+++ b/crates/policy/src/loss_table.rs
@@ -10,6 +10,7 @@
     kernel::UpstreamId,
     std::{
         collections::BTreeMap,
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -22,12 +23,14 @@
 const LOSS_TTL: Duration = Duration::from_secs(10);
 
 /// A run whose connection was lost before the end of its answer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LostRun {
     /// The request that ran.
     pub fingerprint: RequestFingerprint,
     /// Whether a part of its answer had arrived.
     pub has_answered: bool,
+    /// The parts of its prompt that other requests may share: all but the last.
+    pub parts: Arc<[Arc<str>]>,
     /// The time from its start to the loss.
     pub ran: Duration,
 }
@@ -35,8 +38,8 @@
 /// What the caller has to do about a loss.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LossAction {
-    /// The upstream is known to have crashed: pass the report on.
-    Report(CrashReport),
+    /// The upstream is known to have crashed: report this run.
+    Report(LostRun),
     /// Probe the upstream, and pass the result to [`LossTable::note_probe`].
     Probe,
     /// Nothing: a probe is in progress.
@@ -68,8 +71,8 @@
 }
 
 impl LossTable {
-    /// Records the result of a probe. Returns a report for each lost run if the upstream has crashed.
-    pub fn note_probe(&mut self, upstream: &UpstreamId, outcome: ProbeOutcome) -> Vec<CrashReport> {
+    /// Records the result of a probe. Returns the runs to report: all that were lost, if the upstream has crashed.
+    pub fn note_probe(&mut self, upstream: &UpstreamId, outcome: ProbeOutcome) -> Vec<LostRun> {
         if outcome != ProbeOutcome::Refused {
             self.losses.remove(upstream);
             return Vec::new();
@@ -78,8 +81,7 @@
             return Vec::new();
         };
         losses.has_crashed = true;
-        let runs = std::mem::take(&mut losses.runs);
-        runs.iter().map(|run| report(upstream, run)).collect()
+        std::mem::take(&mut losses.runs)
     }
 
     /// Records a lost run.
@@ -96,7 +98,7 @@
             return LossAction::Probe;
         };
         if losses.has_crashed {
-            return LossAction::Report(report(upstream, &run));
+            return LossAction::Report(run);
         }
         losses.runs.push(run);
         LossAction::AwaitProbe
@@ -114,14 +116,21 @@
     }
 }
 
-fn report(upstream: &UpstreamId, run: &LostRun) -> CrashReport {
-    CrashReport {
-        fingerprint: run.fingerprint,
-        // A run without output may have been queued: it has hardly started, however long ago it was sent.
-        mark: match !run.has_answered || run.ran <= EARLY_CRASH {
+impl LostRun {
+    /// The report of this run after a crash of its upstream.
+    pub fn report(&self, upstream: &UpstreamId) -> CrashReport {
+        CrashReport {
+            fingerprint: self.fingerprint,
+            mark: self.mark(),
+            upstream: upstream.clone(),
+        }
+    }
+
+    /// A run without output may have been queued: it has hardly started, however long ago it was sent.
+    fn mark(&self) -> CrashMark {
+        match !self.has_answered || self.ran <= EARLY_CRASH {
             true => CrashMark::Early,
             false => CrashMark::Late,
-        },
-        upstream: upstream.clone(),
+        }
     }
 }
--- a/crates/policy/tests/loss_table.rs
+++ b/crates/policy/tests/loss_table.rs
@@ -25,6 +25,7 @@
     LostRun {
         fingerprint: fingerprint(target),
         has_answered: true,
+        parts: Arc::default(),
         ran: Duration::from_millis(ran),
     }
 }
@@ -49,14 +50,19 @@
         table.note(&upstream, run("/2", 2_000), now),
         LossAction::AwaitProbe
     );
-    let reports = table.note_probe(&upstream, ProbeOutcome::Refused);
+    let runs = table.note_probe(&upstream, ProbeOutcome::Refused);
+    let reports: Vec<CrashReport> = runs.iter().map(|run| run.report(&upstream)).collect();
     let expected = [
         report("/1", CrashMark::Early),
         report("/2", CrashMark::Late),
     ];
     assert_eq!(reports, expected);
     let later = table.note(&upstream, run("/3", 5), now);
-    assert_eq!(later, LossAction::Report(report("/3", CrashMark::Early)));
+    assert_eq!(later, LossAction::Report(run("/3", 5)));
+    assert_eq!(
+        run("/3", 5).report(&upstream),
+        report("/3", CrashMark::Early)
+    );
 }
 
 #[test]
@@ -68,7 +74,8 @@
         ..run("/1", 5_000)
     };
     table.note(&upstream, waiting, Instant::now());
-    let reports = table.note_probe(&upstream, ProbeOutcome::Refused);
+    let runs = table.note_probe(&upstream, ProbeOutcome::Refused);
+    let reports: Vec<CrashReport> = runs.iter().map(|run| run.report(&upstream)).collect();
     assert_eq!(reports, [report("/1", CrashMark::Early)]);
 }
 
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -124,6 +124,15 @@
         })
     }
 
+    /// The ids of the parts of the prompt that other requests may share. The last part belongs to the request or to its
+    /// session alone.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &Arc<str>> {
+        let prompt = self.head.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.len().saturating_sub(1);
+        parts[..shared].iter().map(|part| &part.id)
+    }
+
     /// The time left until the deadline.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(steady_clock::now())
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{CallerRequest, ConnectionPool, OpenCall, RelayCounts, SharedUpstreams},
-    kernel::{LockRank, RankedLock, steady_clock},
+    kernel::{LockRank, RankedLock, UpstreamId, steady_clock},
     policy::{
         AgedReport, CrashReport, CrashTable, LossAction, LossTable, LostRun, ProbeOutcome,
         QuarantineRow, UpstreamRecord,
@@ -124,12 +124,13 @@
         let run = LostRun {
             fingerprint: request.fingerprint(),
             has_answered,
+            parts: request.shared_parts().cloned().collect(),
             ran: steady_clock::elapsed(call.since),
         };
         request.trace.set_fingerprint(run.fingerprint);
         let mut state = self.state.lock();
         match state.losses.note(&upstream.id, run, steady_clock::now()) {
-            LossAction::Report(report) => self.report(&mut state, vec![report]),
+            LossAction::Report(run) => self.report(&mut state, &upstream.id, &[run]),
             LossAction::Probe => {
                 tokio::spawn(self.clone().probe_upstream(upstream.clone()));
             }
@@ -191,8 +192,8 @@
         }
         self.counts.note_loss(outcome.label());
         let mut state = self.state.lock();
-        let reports = state.losses.note_probe(&upstream.id, outcome);
-        self.report(&mut state, reports);
+        let runs = state.losses.note_probe(&upstream.id, outcome);
+        self.report(&mut state, &upstream.id, &runs);
     }
 
     fn update_gauge(&self, state: &CrashState, now: Instant) {
@@ -225,17 +226,21 @@
         self.unsent.notify_one();
     }
 
-    /// Records crashes of upstreams that ran requests of this instance.
-    fn report(&self, state: &mut CrashState, reports: Vec<CrashReport>) {
+    /// Records the crash of an upstream that ran requests of this instance.
+    fn report(&self, state: &mut CrashState, upstream: &UpstreamId, runs: &[LostRun]) {
         let now = steady_clock::now();
-        for report in &reports {
+        let mut reports = Vec::new();
+        for run in runs {
+            let report = run.report(upstream);
             tracing::info!(
                 upstream = %report.upstream,
                 fingerprint = %report.fingerprint,
                 mark = ?report.mark,
+                parts = run.parts.join(","),
                 "an upstream ended under a request"
             );
-            Self::apply_report(state, report, now, now);
+            Self::apply_report(state, &report, now, now);
+            reports.push(report);
         }
         self.update_gauge(state, now);
         self.queue_reports(state, reports);
