tests: a prompt part that crashes engines, in requests of which no two are alike (red)

By the stand-in: engines crash on a part of the prompt that is not the last; each request has a body and a last part of its own.

--- a/crates/trestlewalk/tests/relay_support/crash_scenario.rs
+++ b/crates/trestlewalk/tests/relay_support/crash_scenario.rs
@@ -1,7 +1,7 @@
 //! Upstreams that crash on one request and restart at other addresses.
 
 use {
-    super::{store::StoreStandIn, upstream::UpstreamStandIn},
+    super::{crash_trigger::CrashTrigger, store::StoreStandIn, upstream::UpstreamStandIn},
     std::{
         collections::BTreeSet,
         sync::{Arc, Mutex},
@@ -16,19 +16,23 @@
 /// All incarnations of the upstreams of a run.
 #[derive(Clone, Debug)]
 pub struct CrashScenario {
-    body: String,
     incarnations: Arc<Mutex<Vec<UpstreamStandIn>>>,
     store: StoreStandIn,
+    trigger: CrashTrigger,
 }
 
 impl CrashScenario {
-    /// From now on a request with this body crashes each upstream that runs it, and a new incarnation replaces the
-    /// upstream.
-    pub fn start(store: &StoreStandIn, upstreams: &[UpstreamStandIn], body: &str) -> Self {
+    /// From now on a request that matches the trigger crashes each upstream that runs it, and a new incarnation replaces
+    /// the upstream.
+    pub fn start(
+        store: &StoreStandIn,
+        upstreams: &[UpstreamStandIn],
+        trigger: impl Into<CrashTrigger>,
+    ) -> Self {
         let scenario = Self {
-            body: body.to_owned(),
             incarnations: Arc::new(Mutex::new(upstreams.to_vec())),
             store: store.clone(),
+            trigger: trigger.into(),
         };
         for upstream in upstreams {
             scenario.replace_on_crash(upstream.clone());
@@ -45,11 +49,11 @@
             .count()
     }
 
-    /// How many tries of the request reached an upstream.
+    /// How many such requests reached an upstream, counted by attempt.
     pub fn tries(&self) -> usize {
         let incarnations = self.incarnations.lock().unwrap();
         let received = incarnations.iter().flat_map(UpstreamStandIn::received);
-        let poison = received.filter(|received| received.message.body == self.body.as_bytes());
+        let poison = received.filter(|received| self.trigger.matches(&received.message));
         let ids = poison
             .filter_map(|received| received.message.header("x-request-id").map(str::to_owned));
         ids.collect::<BTreeSet<String>>().len()
@@ -57,7 +61,7 @@
 
     /// Starts a new incarnation when the upstream crashes.
     fn replace_on_crash(&self, upstream: UpstreamStandIn) {
-        upstream.state.lock().unwrap().crashes_on = Some(self.body.clone());
+        upstream.state.lock().unwrap().crashes_on = Some(self.trigger.clone());
         let scenario = self.clone();
         tokio::spawn(async move {
             upstream.wait_crashed().await;
--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod caller;
 pub mod crash_scenario;
+pub mod crash_trigger;
 pub mod dead_port;
 pub mod direct_fleet;
 pub mod engine_answers;
@@ -25,6 +26,7 @@
 pub use {
     caller::{Caller, CallerReply},
     crash_scenario::CrashScenario,
+    crash_trigger::CrashTrigger,
     direct_fleet::DirectFleet,
     relay_test::{RelayRun, RelayTest},
     store::StoreStandIn,
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        crash_trigger::CrashTrigger,
         engine_answers::answer_engine,
         wire_text::{WireMessage, read_body, read_head},
     },
@@ -83,8 +84,8 @@
 pub struct UpstreamState {
     /// The pause that its refusals ask for.
     pub backoff: Option<String>,
-    /// The body on which the upstream crashes.
-    pub crashes_on: Option<String>,
+    /// The requests that crash the upstream.
+    pub crashes_on: Option<CrashTrigger>,
     pub held: usize,
     pub kind: UpstreamKind,
     /// The statement in its answers that it leaves.
@@ -228,8 +229,8 @@
 
     /// Whether a request crashes the upstream; it does so shortly after it started to run.
     pub fn crashes_on(&self, message: &WireMessage) -> bool {
-        let body = self.state.lock().unwrap().crashes_on.clone();
-        let is_poison = body.is_some_and(|body| body.as_bytes() == message.body);
+        let trigger = self.state.lock().unwrap().crashes_on.clone();
+        let is_poison = trigger.is_some_and(|trigger| trigger.matches(message));
         if is_poison {
             let crashed = self.crashed.clone();
             tokio::spawn(async move {
