policy: reports of crashes name a suspect

RequestFingerprint becomes SuspectId, since a request is not the only thing that can cause a crash. No change of behaviour; messages and rows are as before.

--- a/crates/policy/src/crash_report.rs
+++ b/crates/policy/src/crash_report.rs
@@ -1,7 +1,7 @@
 //! Reports of requests that were running at an upstream when it crashed, as exchanged between instances.
 
 use {
-    crate::RequestFingerprint,
+    crate::SuspectId,
     kernel::UpstreamId,
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
     /// The suspected request.
-    pub fingerprint: RequestFingerprint,
+    pub suspect: SuspectId,
     /// How suspect the request is.
     pub mark: CrashMark,
     /// The upstream; each restart has its own id.
--- a/crates/policy/src/crash_table.rs
+++ b/crates/policy/src/crash_table.rs
@@ -7,7 +7,7 @@
 //! associative and idempotent.
 
 use {
-    crate::{CrashMark, CrashReport, RequestFingerprint},
+    crate::{CrashMark, CrashReport, SuspectId},
     kernel::UpstreamId,
     std::{
         collections::BTreeMap,
@@ -29,18 +29,18 @@
 /// evicted first.
 const MAX_REQUESTS: usize = 4_096;
 
-/// The suspected requests, by fingerprint.
+/// The suspects.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     ttl: Duration,
-    requests: BTreeMap<RequestFingerprint, CrashEntry>,
+    requests: BTreeMap<SuspectId, CrashEntry>,
 }
 
 /// One request in quarantine, for operators.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct QuarantineRow {
     /// The quarantined request.
-    pub fingerprint: RequestFingerprint,
+    pub suspect: SuspectId,
     /// The time until the quarantine ends.
     pub remaining: Duration,
     /// The upstreams that crashed while running it.
@@ -60,8 +60,8 @@
 
 impl CrashTable {
     /// Clears a request that was answered in full. Returns the reports to send to other instances.
-    pub fn clear(&mut self, fingerprint: RequestFingerprint) -> Vec<CrashReport> {
-        let Some(entry) = self.requests.get_mut(&fingerprint) else {
+    pub fn clear(&mut self, suspect: SuspectId) -> Vec<CrashReport> {
+        let Some(entry) = self.requests.get_mut(&suspect) else {
             return Vec::new();
         };
         let mut reports = Vec::new();
@@ -71,7 +71,7 @@
             }
             crash.mark = CrashMark::Cleared;
             reports.push(CrashReport {
-                fingerprint,
+                suspect,
                 mark: CrashMark::Cleared,
                 upstream: upstream.clone(),
             });
@@ -80,12 +80,8 @@
     }
 
     /// The time until the quarantine of a request ends; `None` when it may run.
-    pub fn quarantine_left(
-        &self,
-        fingerprint: &RequestFingerprint,
-        now: Instant,
-    ) -> Option<Duration> {
-        let entry = self.requests.get(fingerprint)?;
+    pub fn quarantine_left(&self, suspect: &SuspectId, now: Instant) -> Option<Duration> {
+        let entry = self.requests.get(suspect)?;
         entry.quarantine_left(self.ttl, now)
     }
 
@@ -102,15 +98,15 @@
         }
     }
 
-    /// The requests in quarantine, sorted by fingerprint.
+    /// The requests in quarantine, sorted by id.
     pub fn rows(&self, now: Instant) -> Vec<QuarantineRow> {
         let mut rows = Vec::new();
-        for (fingerprint, entry) in &self.requests {
+        for (suspect, entry) in &self.requests {
             let Some(left) = entry.quarantine_left(self.ttl, now) else {
                 continue;
             };
             rows.push(QuarantineRow {
-                fingerprint: *fingerprint,
+                suspect: *suspect,
                 remaining: left,
                 upstreams: entry.crashes.keys().cloned().collect(),
             });
@@ -123,7 +119,7 @@
         if now.saturating_duration_since(since) >= self.ttl {
             return false;
         }
-        let entry = self.requests.entry(report.fingerprint).or_default();
+        let entry = self.requests.entry(report.suspect).or_default();
         let mark = report.mark;
         let is_new = match entry.crashes.get_mut(&report.upstream) {
             Some(crash) => {
@@ -158,7 +154,7 @@
     fn evict_oldest(&mut self) {
         let latest = |entry: &CrashEntry| entry.crashes.values().map(|crash| crash.since).max();
         let oldest = self.requests.iter().min_by_key(|(_, entry)| latest(entry));
-        if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+        if let Some(oldest) = oldest.map(|(suspect, _)| *suspect) {
             self.requests.remove(&oldest);
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,7 +37,6 @@
 pub mod refusal_cooldown;
 mod remote_usage;
 pub mod repeat_rule;
-pub mod request_fingerprint;
 pub mod retry_window;
 pub mod slot_hold_time;
 pub mod software_history;
@@ -47,6 +46,7 @@
 pub mod stage_pressure;
 pub mod store_clock;
 pub mod stream_attempts;
+pub mod suspect_id;
 pub mod table_age;
 pub mod turn_clock;
 pub mod upstream_entry;
@@ -90,7 +90,6 @@
     reach_table::{ReachChange, ReachTable},
     refusal_cooldown::RefusalCooldown,
     repeat_rule::RepeatRule,
-    request_fingerprint::{FingerprintParts, RequestFingerprint},
     retry_window::{RetryBounds, RetryWindow},
     slot_hold_time::SlotHoldTime,
     software_history::SoftwareHistory,
@@ -100,6 +99,7 @@
     stage_pressure::StagePressure,
     store_clock::StoreClock,
     stream_attempts::{AttemptEnd, StreamAttempts},
+    suspect_id::{RequestContent, SuspectId},
     table_age::TableAge,
     turn_clock::TurnClock,
     upstream_entry::{CallVerdict, UpstreamEntry},
--- a/crates/policy/src/loss_table.rs
+++ b/crates/policy/src/loss_table.rs
@@ -6,7 +6,7 @@
 //! is reported.
 
 use {
-    crate::{CrashMark, CrashReport, RequestFingerprint},
+    crate::{CrashMark, CrashReport, SuspectId},
     kernel::UpstreamId,
     std::{
         collections::BTreeMap,
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LostRun {
     /// The request that ran.
-    pub fingerprint: RequestFingerprint,
+    pub suspect: SuspectId,
     /// Whether a part of its answer had arrived.
     pub has_answered: bool,
     /// The parts of its prompt that other requests may share: all but the last.
@@ -120,7 +120,7 @@
     /// The report of this run after a crash of its upstream.
     pub fn report(&self, upstream: &UpstreamId) -> CrashReport {
         CrashReport {
-            fingerprint: self.fingerprint,
+            suspect: self.suspect,
             mark: self.mark(),
             upstream: upstream.clone(),
         }
--- a/crates/policy/src/request_fingerprint.rs
+++ b/crates/policy/src/suspect_id.rs
@@ -1,4 +1,4 @@
-//! A hash that identifies a request across retries.
+//! Identifies what may have caused a crash: a request, across its retries.
 
 use {
     ring::digest::{Context, SHA256},
@@ -12,15 +12,15 @@
 /// Identifies a request across retries and instances by what its caller sends: credentials, method, host, target and
 /// body. Other headers are excluded, since they differ between retries.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct RequestFingerprint([u8; LENGTH]);
+pub struct SuspectId([u8; LENGTH]);
 
-/// The parts of a request that are hashed.
+/// The content of a request that is hashed.
 #[derive(Clone, Copy, Debug)]
-pub struct FingerprintParts<'a> {
+pub struct RequestContent<'a> {
     /// The complete body.
     pub body: &'a [u8],
     /// The credentials of the caller; empty without any. Another caller that sends the same content has another
-    /// fingerprint, so that it is not quarantined because of this one.
+    /// id, so that it is not quarantined because of this one.
     pub caller: &'a str,
     /// The requested host.
     pub host: &'a str,
@@ -30,9 +30,9 @@
     pub target: &'a str,
 }
 
-impl RequestFingerprint {
-    /// Computes the fingerprint of a request.
-    pub fn new(parts: &FingerprintParts<'_>) -> Self {
+impl SuspectId {
+    /// The id of a request: the fingerprint of its content.
+    pub fn request(parts: &RequestContent<'_>) -> Self {
         let texts = [parts.caller, parts.method, parts.host, parts.target];
         let mut context = Context::new(&SHA256);
         for part in texts.map(str::as_bytes).into_iter().chain([parts.body]) {
@@ -59,7 +59,7 @@
     }
 }
 
-impl Display for RequestFingerprint {
+impl Display for SuspectId {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         for byte in self.0 {
             write!(formatter, "{byte:02x}")?;
--- a/crates/policy/tests/crash_table.rs
+++ b/crates/policy/tests/crash_table.rs
@@ -1,15 +1,15 @@
 //! Which requests are quarantined, depending on the reported crashes.
 
 use {
-    policy::{CrashMark, CrashReport, CrashTable, FingerprintParts, RequestFingerprint},
+    policy::{CrashMark, CrashReport, CrashTable, RequestContent, SuspectId},
     proptest::{prelude::*, test_runner::RngSeed},
     std::time::{Duration, Instant},
 };
 
 const TTL: Duration = Duration::from_secs(600);
 
-fn fingerprint(target: &str) -> RequestFingerprint {
-    RequestFingerprint::new(&FingerprintParts {
+fn fingerprint(target: &str) -> SuspectId {
+    SuspectId::request(&RequestContent {
         body: b"the prompt",
         caller: "team-7",
         host: "shop.example",
@@ -20,7 +20,7 @@
 
 fn report(target: &str, upstream: u32, mark: CrashMark) -> CrashReport {
     CrashReport {
-        fingerprint: fingerprint(target),
+        suspect: fingerprint(target),
         mark,
         upstream: format!("i-{upstream}").into(),
     }
--- a/crates/policy/tests/loss_table.rs
+++ b/crates/policy/tests/loss_table.rs
@@ -2,8 +2,8 @@
 
 use {
     policy::{
-        CrashMark, CrashReport, FingerprintParts, LossAction, LossTable, LostRun, ProbeOutcome,
-        RequestFingerprint,
+        CrashMark, CrashReport, LossAction, LossTable, LostRun, ProbeOutcome, RequestContent,
+        SuspectId,
     },
     std::{
         sync::Arc,
@@ -11,8 +11,8 @@
     },
 };
 
-fn fingerprint(target: &str) -> RequestFingerprint {
-    RequestFingerprint::new(&FingerprintParts {
+fn fingerprint(target: &str) -> SuspectId {
+    SuspectId::request(&RequestContent {
         body: b"the prompt",
         caller: "team-7",
         host: "shop.example",
@@ -23,7 +23,7 @@
 
 fn run(target: &str, ran: u64) -> LostRun {
     LostRun {
-        fingerprint: fingerprint(target),
+        suspect: fingerprint(target),
         has_answered: true,
         parts: Arc::default(),
         ran: Duration::from_millis(ran),
@@ -32,7 +32,7 @@
 
 fn report(target: &str, mark: CrashMark) -> CrashReport {
     CrashReport {
-        fingerprint: fingerprint(target),
+        suspect: fingerprint(target),
         mark,
         upstream: Arc::from("i-1"),
     }
@@ -104,7 +104,7 @@
 
 #[test]
 fn requests_differ_by_each_part_and_not_by_where_one_ends_and_the_next_begins() {
-    let parts = FingerprintParts {
+    let parts = RequestContent {
         body: b"bc",
         caller: "team-7",
         host: "shop.example",
@@ -112,29 +112,29 @@
         target: "/a",
     };
     let other = [
-        FingerprintParts {
+        RequestContent {
             body: b"c",
             target: "/ab",
             ..parts
         },
-        FingerprintParts {
+        RequestContent {
             caller: "team-8",
             ..parts
         },
-        FingerprintParts {
+        RequestContent {
             host: "shop.test",
             ..parts
         },
-        FingerprintParts {
+        RequestContent {
             method: "PUT",
             ..parts
         },
     ];
-    let own = RequestFingerprint::new(&parts);
+    let own = SuspectId::request(&parts);
     for other in other {
-        assert_ne!(RequestFingerprint::new(&other), own);
+        assert_ne!(SuspectId::request(&other), own);
     }
-    assert_eq!(RequestFingerprint::parse(&own.to_string()), Some(own));
-    assert_eq!(RequestFingerprint::parse("12"), None);
-    assert_eq!(RequestFingerprint::parse(&"+1".repeat(16)), None);
+    assert_eq!(SuspectId::parse(&own.to_string()), Some(own));
+    assert_eq!(SuspectId::parse("12"), None);
+    assert_eq!(SuspectId::parse(&"+1".repeat(16)), None);
 }
--- a/crates/policy/tests/quarantine_errors.rs
+++ b/crates/policy/tests/quarantine_errors.rs
@@ -7,7 +7,7 @@
 
 use {
     kernel::seeded_rng,
-    policy::{CrashMark, CrashReport, CrashTable, FingerprintParts, RequestFingerprint},
+    policy::{CrashMark, CrashReport, CrashTable, RequestContent, SuspectId},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -58,8 +58,8 @@
     bystanders: BTreeMap<u32, u64>,
 }
 
-fn fingerprint(request: u64) -> RequestFingerprint {
-    RequestFingerprint::new(&FingerprintParts {
+fn fingerprint(request: u64) -> SuspectId {
+    SuspectId::request(&RequestContent {
         body: &request.to_le_bytes(),
         caller: "team-7",
         host: "shop.example",
@@ -135,7 +135,7 @@
             runs = left;
             for run in lost {
                 let report = CrashReport {
-                    fingerprint: fingerprint(run.request),
+                    suspect: fingerprint(run.request),
                     mark: match now - run.started <= 1_000 {
                         true => CrashMark::Early,
                         false => CrashMark::Late,
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri, header},
     kernel::{ModelId, steady_clock},
-    policy::{FingerprintParts, RequestFingerprint, ZoneFilter},
+    policy::{RequestContent, SuspectId, ZoneFilter},
     std::{
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
@@ -70,7 +70,7 @@
     /// When the caller's timeout or the route's patience ends.
     pub deadline: Instant,
     /// Computed on first use; see [`Self::fingerprint()`].
-    pub fingerprint: OnceLock<RequestFingerprint>,
+    pub fingerprint: OnceLock<SuspectId>,
     /// What the head says.
     pub head: CallerHead,
     /// The headers to forward to the upstream.
@@ -103,7 +103,7 @@
     ///
     /// The caller's address is left out: a caller that retries through another availability zone has another address
     /// there, and each zone would lose upstreams to the same request anew.
-    pub fn fingerprint(&self) -> RequestFingerprint {
+    pub fn fingerprint(&self) -> SuspectId {
         *self.fingerprint.get_or_init(|| {
             let text = |name| {
                 let value = self.headers.get(name);
@@ -113,7 +113,7 @@
             };
             let target = self.target.path_and_query();
             let customer = self.access.as_ref().map(|access| &*access.customer.id);
-            RequestFingerprint::new(&FingerprintParts {
+            SuspectId::request(&RequestContent {
                 body: &self.body,
                 // Where customers are declared, the headers carry no credentials any more.
                 caller: customer.unwrap_or(text(header::AUTHORIZATION)),
--- a/crates/relay/src/crash_plugin.rs
+++ b/crates/relay/src/crash_plugin.rs
@@ -20,7 +20,7 @@
     let mut requests = Vec::new();
     for row in watch.rows() {
         requests.push(json!({
-            "fingerprint": row.fingerprint.to_string(),
+            "fingerprint": row.suspect.to_string(),
             "left_s": row.remaining.as_secs(),
             "upstreams": row.upstreams,
         }));
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -122,12 +122,12 @@
             return;
         }
         let run = LostRun {
-            fingerprint: request.fingerprint(),
+            suspect: request.fingerprint(),
             has_answered,
             parts: request.shared_parts().cloned().collect(),
             ran: steady_clock::elapsed(call.since),
         };
-        request.trace.set_fingerprint(run.fingerprint);
+        request.trace.set_fingerprint(run.suspect);
         let mut state = self.state.lock();
         match state.losses.note(&upstream.id, run, steady_clock::now()) {
             LossAction::Report(run) => self.report(&mut state, &upstream.id, &[run]),
@@ -202,15 +202,12 @@
     }
 
     fn apply_report(state: &mut CrashState, report: &CrashReport, since: Instant, now: Instant) {
-        let was_held = state
-            .table
-            .quarantine_left(&report.fingerprint, now)
-            .is_some();
+        let was_held = state.table.quarantine_left(&report.suspect, now).is_some();
         state.table.merge(report, since, now);
-        let held = state.table.quarantine_left(&report.fingerprint, now);
+        let held = state.table.quarantine_left(&report.suspect, now);
         if held.is_some() != was_held {
             tracing::warn!(
-                fingerprint = %report.fingerprint,
+                fingerprint = %report.suspect,
                 left_s = held.map(|left| left.as_secs()),
                 "the quarantine of a request changes"
             );
@@ -234,7 +231,7 @@
             let report = run.report(upstream);
             tracing::info!(
                 upstream = %report.upstream,
-                fingerprint = %report.fingerprint,
+                fingerprint = %report.suspect,
                 mark = ?report.mark,
                 parts = run.parts.join(","),
                 "an upstream ended under a request"
--- a/crates/relay/src/request_trace.rs
+++ b/crates/relay/src/request_trace.rs
@@ -9,7 +9,7 @@
         CustomerId, LockRank, RankedLock, ResultCode, ServiceId, TableVersion, WorkId, seeded_rng,
         steady_clock,
     },
-    policy::RequestFingerprint,
+    policy::SuspectId,
     std::{
         fmt::{self, Write},
         time::{Duration, Instant},
@@ -46,7 +46,7 @@
 struct TraceState {
     code: Option<ResultCode>,
     /// Identifies the request across retries; set when a connection was lost.
-    fingerprint: Option<RequestFingerprint>,
+    fingerprint: Option<SuspectId>,
     first_byte: Option<Duration>,
     is_sent: bool,
     last_piece: Option<Duration>,
@@ -78,7 +78,7 @@
     }
 
     /// Records the fingerprint after a lost connection, so that the log relates the retries of the request.
-    pub fn set_fingerprint(&self, fingerprint: RequestFingerprint) {
+    pub fn set_fingerprint(&self, fingerprint: SuspectId) {
         self.state.lock().fingerprint = Some(fingerprint);
     }
 
--- a/crates/spread/src/report_journal.rs
+++ b/crates/spread/src/report_journal.rs
@@ -7,7 +7,7 @@
 use {
     crate::{JournalPosition, ReportUpdate},
     kernel::{Incarnation, UpstreamId},
-    policy::{AgedReport, CrashMark, CrashReport, RequestFingerprint},
+    policy::{AgedReport, CrashMark, CrashReport, SuspectId},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -50,7 +50,7 @@
 pub struct ReportJournal {
     retention: Duration,
     position: JournalPosition,
-    rows: BTreeMap<(RequestFingerprint, UpstreamId), JournalRow>,
+    rows: BTreeMap<(SuspectId, UpstreamId), JournalRow>,
 }
 
 impl ReportJournal {
@@ -58,11 +58,11 @@
     pub fn expire(&mut self, now: Instant) -> Vec<CrashReport> {
         let retention = self.retention;
         let mut expired = Vec::new();
-        self.rows.retain(|(fingerprint, upstream), row| {
+        self.rows.retain(|(suspect, upstream), row| {
             let is_expired = now.saturating_duration_since(row.since) >= retention;
             if is_expired {
                 expired.push(CrashReport {
-                    fingerprint: *fingerprint,
+                    suspect: *suspect,
                     mark: row.mark,
                     upstream: upstream.clone(),
                 });
@@ -116,7 +116,7 @@
                 continue;
             }
             let since = now.checked_sub(*age).unwrap_or(now);
-            let key = (report.fingerprint, report.upstream.clone());
+            let key = (report.suspect, report.upstream.clone());
             let known = self.rows.get(&key).copied();
             if let Some(known) = known.filter(|known| known.mark >= report.mark) {
                 if origin == ReportOrigin::Store && known.mark == report.mark {
@@ -160,11 +160,11 @@
     /// Marks reports as stored.
     pub fn mark_stored(&mut self, reports: &[CrashReport]) {
         for report in reports {
-            self.mark_row_stored(&(report.fingerprint, report.upstream.clone()));
+            self.mark_row_stored(&(report.suspect, report.upstream.clone()));
         }
     }
 
-    fn mark_row_stored(&mut self, key: &(RequestFingerprint, UpstreamId)) {
+    fn mark_row_stored(&mut self, key: &(SuspectId, UpstreamId)) {
         if let Some(row) = self.rows.get_mut(key) {
             row.is_stored = true;
         }
@@ -176,10 +176,10 @@
         now: Instant,
     ) -> Vec<AgedReport> {
         let rows = self.rows.iter().filter(|(_, row)| is_wanted(row));
-        let reports = rows.map(|((fingerprint, upstream), row)| AgedReport {
+        let reports = rows.map(|((suspect, upstream), row)| AgedReport {
             age: now.saturating_duration_since(row.since),
             report: CrashReport {
-                fingerprint: *fingerprint,
+                suspect: *suspect,
                 mark: row.mark,
                 upstream: upstream.clone(),
             },
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -4,7 +4,7 @@
 
 use {
     kernel::{InstanceId, ZoneId},
-    policy::{AgedReport, CrashMark, CrashReport, FingerprintParts, RequestFingerprint},
+    policy::{AgedReport, CrashMark, CrashReport, RequestContent, SuspectId},
     relay::{RouteTable, UpstreamSnapshot},
     spread::{
         JournalPosition, ListDigest, MemberRow, ReadFailure, ReadStep, ReaderElection,
@@ -319,7 +319,7 @@
     fn crash_upstream(&mut self, index: usize) {
         let number = self.crashes.len();
         let report = CrashReport {
-            fingerprint: RequestFingerprint::new(&FingerprintParts {
+            suspect: SuspectId::request(&RequestContent {
                 body: &[],
                 caller: "team-7",
                 host: "shop.example",
--- a/crates/spread/tests/report_journal.rs
+++ b/crates/spread/tests/report_journal.rs
@@ -1,7 +1,7 @@
 //! Crash reports that an instance passes on to others.
 
 use {
-    policy::{AgedReport, CrashMark, CrashReport, FingerprintParts, RequestFingerprint},
+    policy::{AgedReport, CrashMark, CrashReport, RequestContent, SuspectId},
     spread::{ReportJournal, ReportOrigin},
     std::time::{Duration, Instant},
 };
@@ -12,7 +12,7 @@
     AgedReport {
         age: Duration::from_secs(age),
         report: CrashReport {
-            fingerprint: RequestFingerprint::new(&FingerprintParts {
+            suspect: SuspectId::request(&RequestContent {
                 body: b"the prompt",
                 caller: "team-7",
                 host: "shop.example",
