policy, relay: a prompt part that crashes engines is quarantined

Callers saw: 26 and 38 engines crashed one after the other, each with the streams that ran beside the cause, and went on crashing as long as requests with one part in their prompts came.

Cause: the quarantine knew a suspect by the whole content of a request. No two of these requests are alike, so none was ever lost three times. Class: blame is put on the thing that is easy to name, not on what the lost runs have in common.

The shared parts of a prompt, all but the last, are suspects beside the request, in the same reports, rows and messages. A part is convicted by three crashes at different moments or five at any, unless it was answered in full since or within 5 s before. A request is refused for a convicted part if the convicted suspects that it lacks leave two or more of its crashes unexplained: so sound requests that share the other parts go on.

--- a/crates/policy/src/crash_table.rs
+++ b/crates/policy/src/crash_table.rs
@@ -1,113 +1,116 @@
 //! Quarantine of requests that crash upstreams. Free of I/O; times are passed in.
 //!
-//! A request that crashes its upstream is retried, possibly at another instance. Each crash breaks all other requests
-//! running there, so after a few crashes the request is no longer forwarded. The others that ran there are suspects as
-//! well, so a single crash proves little: a request is quarantined after three crashes soon after it started, or five
-//! later ones, and a request that is answered in full is cleared. Reports form a grow-only set: merging is commutative,
-//! associative and idempotent.
+//! Each crash breaks all requests that run at the upstream, so a request that causes crashes is no longer forwarded. The
+//! cause may be one request that its caller retries, or a part of the prompt that requests share of which no two are
+//! alike. Everything that ran at a crashed upstream is a suspect, so a single crash proves little. A suspect is
+//! convicted by several crashes, and cleared by an answer in full. Bystanders of one cause may be convicted beside it: a
+//! request is refused only if the convicted suspects that it lacks do not explain the crashes of those that it has.
+//!
+//! Reports form a grow-only set: merging is commutative, associative and idempotent.
 
 use {
-    crate::{CrashMark, CrashReport, SuspectId},
+    crate::{
+        CrashMark, CrashReport, SuspectId, SuspectPart, SuspectSet,
+        answered_parts::AnsweredParts,
+        crash_entry::{CrashEntry, UpstreamCrash},
+    },
     kernel::UpstreamId,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
 };
 
-/// The score of a crash soon after the request started.
-const EARLY_POINTS: u32 = 3;
-/// The score of a later crash: a stream that has run for seconds is more likely a bystander than the cause. Over 1,000
-/// simulated days for each kind of cause, with 1.6 million bystander requests, a request that crashes engines at once
-/// crashed three, and one that does so after seconds five; none and one of the bystanders were refused. With equal
-/// scores for all crashes 371 and 37 would have been.
-const LATE_POINTS: u32 = 2;
-/// The score at which a request is quarantined: three early crashes, or five late ones. A caller that retries once
-/// causes two at most.
-const QUARANTINE_POINTS: u32 = 9;
-/// The maximum number of requests kept: all that run at a few dozen full engines. Those reported longest ago are
-/// evicted first.
-const MAX_REQUESTS: usize = 4_096;
+/// The maximum number of suspects kept: all requests that run at a few dozen full engines, and their parts. Those
+/// reported longest ago are evicted first.
+const MAX_SUSPECTS: usize = 4_096;
 
 /// The suspects.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
+    answered: AnsweredParts,
+    convicted: BTreeSet<SuspectId>,
+    suspects: BTreeMap<SuspectId, CrashEntry>,
     ttl: Duration,
-    requests: BTreeMap<SuspectId, CrashEntry>,
 }
 
-/// One request in quarantine, for operators.
+/// One convicted suspect, for operators.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct QuarantineRow {
-    /// The quarantined request.
-    pub suspect: SuspectId,
     /// The time until the quarantine ends.
     pub remaining: Duration,
+    /// The request, or the part of prompts.
+    pub suspect: SuspectId,
     /// The upstreams that crashed while running it.
     pub upstreams: Vec<UpstreamId>,
 }
 
-#[derive(Clone, Debug, Default)]
-struct CrashEntry {
-    crashes: BTreeMap<UpstreamId, UpstreamCrash>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct UpstreamCrash {
-    mark: CrashMark,
-    since: Instant,
-}
-
 impl CrashTable {
-    /// Clears a request that was answered in full. Returns the reports to send to other instances.
-    pub fn clear(&mut self, suspect: SuspectId) -> Vec<CrashReport> {
-        let Some(entry) = self.requests.get_mut(&suspect) else {
-            return Vec::new();
-        };
+    /// Clears a request that was answered in full, and its parts. Returns the reports to send to other instances.
+    pub fn clear(&mut self, suspects: &SuspectSet) -> Vec<CrashReport> {
         let mut reports = Vec::new();
-        for (upstream, crash) in &mut entry.crashes {
-            if crash.mark == CrashMark::Cleared {
-                continue;
-            }
-            crash.mark = CrashMark::Cleared;
-            reports.push(CrashReport {
-                suspect,
-                mark: CrashMark::Cleared,
-                upstream: upstream.clone(),
-            });
+        for suspect in suspects.iter() {
+            reports.append(&mut self.clear_suspect(suspect));
         }
         reports
     }
 
+    /// The time until a suspect is no longer convicted; `None` when it is not now.
+    pub fn conviction_left(&self, suspect: &SuspectId, now: Instant) -> Option<Duration> {
+        if !self.convicted.contains(suspect) {
+            return None;
+        }
+        self.suspects.get(suspect)?.remaining(self.ttl, now)
+    }
+
+    /// Records that a request with these parts was answered in full.
+    pub fn note_answered(&mut self, parts: &[SuspectPart], now: Instant) {
+        self.answered.note(parts, now);
+    }
+
     /// The time until the quarantine of a request ends; `None` when it may run.
-    pub fn quarantine_left(&self, suspect: &SuspectId, now: Instant) -> Option<Duration> {
-        let entry = self.requests.get(suspect)?;
-        entry.quarantine_left(self.ttl, now)
+    pub fn quarantine_left(&self, suspects: &SuspectSet, now: Instant) -> Option<Duration> {
+        if self.convicted.is_empty() {
+            return None;
+        }
+        let remaining = |suspect| self.refusal_left(&suspect, suspects, now);
+        suspects.iter().filter_map(remaining).max()
     }
 
     /// Whether the table holds no reports at all.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.suspects.is_empty()
+    }
+
+    /// Whether a part of prompts was answered in full shortly before a crash at `since`, or after it, so that it is no
+    /// suspect.
+    pub fn is_answered(&self, part: &SuspectId, since: Instant) -> bool {
+        self.answered.speaks_for(part, since)
     }
 
     /// Creates an empty table whose reports expire after `ttl`.
     pub fn new(ttl: Duration) -> Self {
         Self {
+            answered: AnsweredParts::default(),
+            convicted: BTreeSet::new(),
+            suspects: BTreeMap::new(),
             ttl,
-            requests: BTreeMap::new(),
         }
     }
 
-    /// The requests in quarantine, sorted by id.
+    /// The convicted suspects, sorted by id.
     pub fn rows(&self, now: Instant) -> Vec<QuarantineRow> {
         let mut rows = Vec::new();
-        for (suspect, entry) in &self.requests {
-            let Some(left) = entry.quarantine_left(self.ttl, now) else {
+        for suspect in &self.convicted {
+            let Some(remaining) = self.conviction_left(suspect, now) else {
+                continue;
+            };
+            let Some(entry) = self.suspects.get(suspect) else {
                 continue;
             };
             rows.push(QuarantineRow {
+                remaining,
                 suspect: *suspect,
-                remaining: left,
                 upstreams: entry.crashes.keys().cloned().collect(),
             });
         }
@@ -119,8 +122,11 @@
         if now.saturating_duration_since(since) >= self.ttl {
             return false;
         }
-        let entry = self.requests.entry(report.suspect).or_default();
-        let mark = report.mark;
+        let mark = match self.is_answered(&report.suspect, since) {
+            true => CrashMark::Cleared,
+            false => report.mark,
+        };
+        let entry = self.suspects.entry(report.suspect).or_default();
         let is_new = match entry.crashes.get_mut(&report.upstream) {
             Some(crash) => {
                 let is_new = mark > crash.mark;
@@ -134,7 +140,8 @@
                 true
             }
         };
-        if self.requests.len() > MAX_REQUESTS {
+        self.reassess(report.suspect);
+        if self.suspects.len() > MAX_SUSPECTS {
             self.evict_oldest();
         }
         is_new
@@ -143,47 +150,68 @@
     /// Removes expired reports.
     pub fn sweep(&mut self, now: Instant) {
         let ttl = self.ttl;
-        for entry in self.requests.values_mut() {
-            entry
-                .crashes
-                .retain(|_, crash| now.saturating_duration_since(crash.since) < ttl);
+        for entry in self.suspects.values_mut() {
+            let is_recent =
+                |crash: &UpstreamCrash| now.saturating_duration_since(crash.since) < ttl;
+            entry.crashes.retain(|_, crash| is_recent(crash));
         }
-        self.requests.retain(|_, entry| !entry.crashes.is_empty());
-    }
-
-    fn evict_oldest(&mut self) {
-        let latest = |entry: &CrashEntry| entry.crashes.values().map(|crash| crash.since).max();
-        let oldest = self.requests.iter().min_by_key(|(_, entry)| latest(entry));
-        if let Some(oldest) = oldest.map(|(suspect, _)| *suspect) {
-            self.requests.remove(&oldest);
+        self.suspects.retain(|_, entry| !entry.crashes.is_empty());
+        for suspect in self.convicted.clone() {
+            self.reassess(suspect);
         }
     }
-}
 
-impl CrashEntry {
-    /// The time until the remaining reports no longer suffice for a quarantine; `None` when they do not now.
-    fn quarantine_left(&self, ttl: Duration, now: Instant) -> Option<Duration> {
-        let mut crashes: Vec<UpstreamCrash> = self.crashes.values().copied().collect();
-        // Latest first: the quarantine lasts until the report that completes the score expires.
-        crashes.sort_by_key(|crash| std::cmp::Reverse(crash.since));
-        let mut points = 0;
-        for crash in crashes {
-            points += crash.mark.points();
-            if points >= QUARANTINE_POINTS {
-                let left = (crash.since + ttl).saturating_duration_since(now);
-                return (!left.is_zero()).then_some(left);
+    fn clear_suspect(&mut self, suspect: SuspectId) -> Vec<CrashReport> {
+        let Some(entry) = self.suspects.get_mut(&suspect) else {
+            return Vec::new();
+        };
+        let mut reports = Vec::new();
+        for (upstream, crash) in &mut entry.crashes {
+            if crash.mark == CrashMark::Cleared {
+                continue;
             }
+            crash.mark = CrashMark::Cleared;
+            reports.push(CrashReport {
+                mark: CrashMark::Cleared,
+                suspect,
+                upstream: upstream.clone(),
+            });
         }
-        None
+        self.convicted.remove(&suspect);
+        reports
     }
-}
 
-impl CrashMark {
-    fn points(self) -> u32 {
-        match self {
-            Self::Cleared => 0,
-            Self::Early => EARLY_POINTS,
-            Self::Late => LATE_POINTS,
+    /// The time until a request is no longer refused because of one of its suspects.
+    fn refusal_left(
+        &self,
+        suspect: &SuspectId,
+        request: &SuspectSet,
+        now: Instant,
+    ) -> Option<Duration> {
+        let remaining = self.conviction_left(suspect, now)?;
+        let entry = self.suspects.get(suspect)?;
+        let others = self.convicted.iter();
+        let others = others.filter(|other| !request.contains(other));
+        let others: Vec<&CrashEntry> = others
+            .filter_map(|other| self.suspects.get(other))
+            .collect();
+        (!entry.is_explained(&others)).then_some(remaining)
+    }
+
+    fn reassess(&mut self, suspect: SuspectId) {
+        let entry = self.suspects.get(&suspect);
+        match entry.is_some_and(|entry| entry.is_convicted(suspect.is_prompt_part())) {
+            true => self.convicted.insert(suspect),
+            false => self.convicted.remove(&suspect),
+        };
+    }
+
+    fn evict_oldest(&mut self) {
+        let suspects = self.suspects.iter();
+        let oldest = suspects.min_by_key(|(_, entry)| entry.latest());
+        if let Some(oldest) = oldest.map(|(suspect, _)| *suspect) {
+            self.suspects.remove(&oldest);
+            self.convicted.remove(&oldest);
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! Free of I/O, clocks and tasks: times are passed in, and the same inputs give the same decision. The `relay` crate
 //! moves the bytes and calls this one.
 
+mod answered_parts;
 pub mod backoff_statement;
 pub mod backoff_table;
 pub mod cache_index;
@@ -15,6 +16,7 @@
 pub mod choice_query;
 pub mod cold_phase;
 pub mod cold_rule;
+mod crash_entry;
 pub mod crash_report;
 pub mod crash_table;
 pub mod customer_limit;
@@ -47,6 +49,7 @@
 pub mod store_clock;
 pub mod stream_attempts;
 pub mod suspect_id;
+pub mod suspect_set;
 pub mod table_age;
 pub mod turn_clock;
 pub mod upstream_entry;
@@ -100,6 +103,7 @@
     store_clock::StoreClock,
     stream_attempts::{AttemptEnd, StreamAttempts},
     suspect_id::{RequestContent, SuspectId},
+    suspect_set::{SuspectPart, SuspectSet, shared_parts},
     table_age::TableAge,
     turn_clock::TurnClock,
     upstream_entry::{CallVerdict, UpstreamEntry},
--- a/crates/policy/src/loss_table.rs
+++ b/crates/policy/src/loss_table.rs
@@ -6,11 +6,10 @@
 //! is reported.
 
 use {
-    crate::{CrashMark, CrashReport, SuspectId},
+    crate::{CrashMark, CrashReport, SuspectId, SuspectSet},
     kernel::UpstreamId,
     std::{
         collections::BTreeMap,
-        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -25,12 +24,10 @@
 /// A run whose connection was lost before the end of its answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LostRun {
-    /// The request that ran.
-    pub suspect: SuspectId,
+    /// The request that ran, with the parts of its prompt.
+    pub suspects: SuspectSet,
     /// Whether a part of its answer had arrived.
     pub has_answered: bool,
-    /// The parts of its prompt that other requests may share: all but the last.
-    pub parts: Arc<[Arc<str>]>,
     /// The time from its start to the loss.
     pub ran: Duration,
 }
@@ -117,17 +114,17 @@
 }
 
 impl LostRun {
-    /// The report of this run after a crash of its upstream.
-    pub fn report(&self, upstream: &UpstreamId) -> CrashReport {
+    /// The report that a suspect of this run was at an upstream when that crashed.
+    pub fn report(&self, suspect: SuspectId, upstream: &UpstreamId) -> CrashReport {
         CrashReport {
-            suspect: self.suspect,
             mark: self.mark(),
+            suspect,
             upstream: upstream.clone(),
         }
     }
 
-    /// A run without output may have been queued: it has hardly started, however long ago it was sent.
-    fn mark(&self) -> CrashMark {
+    /// How strongly the crash suggests that this run caused it. A run without output may have been queued: it has hardly started, however long ago it was sent.
+    pub fn mark(&self) -> CrashMark {
         match !self.has_answered || self.ran <= EARLY_CRASH {
             true => CrashMark::Early,
             false => CrashMark::Late,
--- a/crates/policy/src/suspect_id.rs
+++ b/crates/policy/src/suspect_id.rs
@@ -1,4 +1,4 @@
-//! Identifies what may have caused a crash: a request, across its retries.
+//! Identifies what may have caused a crash: a request, across its retries, or a part that prompts share.
 
 use {
     ring::digest::{Context, SHA256},
@@ -8,9 +8,12 @@
 
 /// Half of a SHA-256 digest, bytes: long enough to prevent collisions, and short in logs and rows.
 const LENGTH: usize = 16;
+/// The bit of the first byte that tells a part of prompts from a request.
+const PART_BIT: u8 = 0x80;
 
-/// Identifies a request across retries and instances by what its caller sends: credentials, method, host, target and
-/// body. Other headers are excluded, since they differ between retries.
+/// Identifies a suspect across retries and instances. For a request it is a hash of what its caller sends: credentials,
+/// method, host, target and body; other headers are excluded, since they differ between retries. For a part of prompts
+/// it is a hash of the part's id.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SuspectId([u8; LENGTH]);
 
@@ -34,8 +37,26 @@
     /// The id of a request: the fingerprint of its content.
     pub fn request(parts: &RequestContent<'_>) -> Self {
         let texts = [parts.caller, parts.method, parts.host, parts.target];
+        let mut id = Self::hash(texts.map(str::as_bytes).into_iter().chain([parts.body]));
+        id.0[0] &= !PART_BIT;
+        id
+    }
+
+    /// The id of a part that prompts share.
+    pub fn prompt_part(part: &str) -> Self {
+        let mut id = Self::hash([part.as_bytes()]);
+        id.0[0] |= PART_BIT;
+        id
+    }
+
+    /// Whether this is a part of prompts.
+    pub fn is_prompt_part(&self) -> bool {
+        self.0[0] & PART_BIT != 0
+    }
+
+    fn hash<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
         let mut context = Context::new(&SHA256);
-        for part in texts.map(str::as_bytes).into_iter().chain([parts.body]) {
+        for part in parts {
             // The length prefix keeps different lists of parts from giving the same bytes.
             context.update(&(part.len() as u64).to_le_bytes());
             context.update(part);
--- a/crates/policy/tests/crash_table.rs
+++ b/crates/policy/tests/crash_table.rs
@@ -1,7 +1,7 @@
 //! Which requests are quarantined, depending on the reported crashes.
 
 use {
-    policy::{CrashMark, CrashReport, CrashTable, RequestContent, SuspectId},
+    policy::{CrashMark, CrashReport, CrashTable, RequestContent, SuspectId, SuspectSet},
     proptest::{prelude::*, test_runner::RngSeed},
     std::time::{Duration, Instant},
 };
@@ -18,6 +18,10 @@
     })
 }
 
+fn suspects(target: &str) -> SuspectSet {
+    SuspectSet::new(fingerprint(target), [].iter())
+}
+
 fn report(target: &str, upstream: u32, mark: CrashMark) -> CrashReport {
     CrashReport {
         suspect: fingerprint(target),
@@ -37,7 +41,7 @@
 #[test]
 fn three_early_ends_or_five_late_ones_put_a_request_into_quarantine() {
     let now = Instant::now();
-    let left = |marks: &[CrashMark]| table_of(marks, now).quarantine_left(&fingerprint("/1"), now);
+    let left = |marks: &[CrashMark]| table_of(marks, now).quarantine_left(&suspects("/1"), now);
     let (early, late) = (CrashMark::Early, CrashMark::Late);
     assert_eq!(left(&[early, early]), None);
     assert_eq!(left(&[early, early, early]), Some(TTL));
@@ -46,7 +50,7 @@
     assert_eq!(left(&[early, late, late, late]), Some(TTL));
     assert_eq!(left(&[late; 4]), None);
     assert_eq!(left(&[late; 5]), Some(TTL));
-    let other = table_of(&[early; 3], now).quarantine_left(&fingerprint("/2"), now);
+    let other = table_of(&[early; 3], now).quarantine_left(&suspects("/2"), now);
     assert_eq!(other, None);
 }
 
@@ -57,31 +61,31 @@
     for _ in 0..9 {
         table.merge(&report("/1", 0, CrashMark::Early), now, now);
     }
-    assert_eq!(table.quarantine_left(&fingerprint("/1"), now), None);
+    assert_eq!(table.quarantine_left(&suspects("/1"), now), None);
 }
 
 #[test]
 fn what_is_answered_in_full_is_cleared_and_later_ends_count_anew() {
     let now = Instant::now();
     let mut table = table_of(&[CrashMark::Early; 3], now);
-    let reports = table.clear(fingerprint("/1"));
+    let reports = table.clear(&suspects("/1"));
     assert_eq!(reports.len(), 3);
     assert!(
         reports
             .iter()
             .all(|report| report.mark == CrashMark::Cleared)
     );
-    assert_eq!(table.quarantine_left(&fingerprint("/1"), now), None);
-    assert_eq!(table.clear(fingerprint("/1")), []);
+    assert_eq!(table.quarantine_left(&suspects("/1"), now), None);
+    assert_eq!(table.clear(&suspects("/1")), []);
     // An instance that has not received the update yet reports the old crashes again.
     for upstream in 0..3 {
         table.merge(&report("/1", upstream, CrashMark::Early), now, now);
     }
-    assert_eq!(table.quarantine_left(&fingerprint("/1"), now), None);
+    assert_eq!(table.quarantine_left(&suspects("/1"), now), None);
     for upstream in 3..6 {
         table.merge(&report("/1", upstream, CrashMark::Early), now, now);
     }
-    assert_eq!(table.quarantine_left(&fingerprint("/1"), now), Some(TTL));
+    assert_eq!(table.quarantine_left(&suspects("/1"), now), Some(TTL));
 }
 
 #[test]
@@ -95,12 +99,12 @@
     }
     let end = now + TTL;
     assert_eq!(
-        table.quarantine_left(&fingerprint("/1"), end - second),
+        table.quarantine_left(&suspects("/1"), end - second),
         Some(second)
     );
-    assert_eq!(table.quarantine_left(&fingerprint("/1"), end), None);
+    assert_eq!(table.quarantine_left(&suspects("/1"), end), None);
     table.merge(&report("/1", 3, CrashMark::Early), end, end);
-    assert!(table.quarantine_left(&fingerprint("/1"), end).is_some());
+    assert!(table.quarantine_left(&suspects("/1"), end).is_some());
     table.sweep(end + TTL);
     assert!(table.is_empty());
 }
@@ -112,7 +116,7 @@
     let old = report("/1", 2, CrashMark::Early);
     assert!(!table.merge(&old, now, now + TTL));
     assert!(table.merge(&old, now, now + TTL / 2));
-    let left = table.quarantine_left(&fingerprint("/1"), now + TTL / 2);
+    let left = table.quarantine_left(&suspects("/1"), now + TTL / 2);
     assert_eq!(left, Some(TTL / 2));
 }
 
@@ -125,7 +129,7 @@
         let report = report(&format!("/beside/{number}"), 9, CrashMark::Late);
         table.merge(&report, later, later);
     }
-    assert_eq!(table.quarantine_left(&fingerprint("/1"), later), None);
+    assert_eq!(table.quarantine_left(&suspects("/1"), later), None);
     assert_eq!(table.rows(later), []);
 }
 
--- a/crates/policy/tests/loss_table.rs
+++ b/crates/policy/tests/loss_table.rs
@@ -3,7 +3,7 @@
 use {
     policy::{
         CrashMark, CrashReport, LossAction, LossTable, LostRun, ProbeOutcome, RequestContent,
-        SuspectId,
+        SuspectId, SuspectSet,
     },
     std::{
         sync::Arc,
@@ -23,9 +23,8 @@
 
 fn run(target: &str, ran: u64) -> LostRun {
     LostRun {
-        suspect: fingerprint(target),
+        suspects: SuspectSet::new(fingerprint(target), [].iter()),
         has_answered: true,
-        parts: Arc::default(),
         ran: Duration::from_millis(ran),
     }
 }
@@ -51,7 +50,10 @@
         LossAction::AwaitProbe
     );
     let runs = table.note_probe(&upstream, ProbeOutcome::Refused);
-    let reports: Vec<CrashReport> = runs.iter().map(|run| run.report(&upstream)).collect();
+    let reports: Vec<CrashReport> = runs
+        .iter()
+        .map(|run| run.report(run.suspects.request, &upstream))
+        .collect();
     let expected = [
         report("/1", CrashMark::Early),
         report("/2", CrashMark::Late),
@@ -60,7 +62,7 @@
     let later = table.note(&upstream, run("/3", 5), now);
     assert_eq!(later, LossAction::Report(run("/3", 5)));
     assert_eq!(
-        run("/3", 5).report(&upstream),
+        run("/3", 5).report(fingerprint("/3"), &upstream),
         report("/3", CrashMark::Early)
     );
 }
@@ -75,7 +77,10 @@
     };
     table.note(&upstream, waiting, Instant::now());
     let runs = table.note_probe(&upstream, ProbeOutcome::Refused);
-    let reports: Vec<CrashReport> = runs.iter().map(|run| run.report(&upstream)).collect();
+    let reports: Vec<CrashReport> = runs
+        .iter()
+        .map(|run| run.report(run.suspects.request, &upstream))
+        .collect();
     assert_eq!(reports, [report("/1", CrashMark::Early)]);
 }
 
--- a/crates/policy/tests/quarantine_errors.rs
+++ b/crates/policy/tests/quarantine_errors.rs
@@ -7,7 +7,7 @@
 
 use {
     kernel::seeded_rng,
-    policy::{CrashMark, CrashReport, CrashTable, RequestContent, SuspectId},
+    policy::{CrashMark, CrashReport, CrashTable, RequestContent, SuspectId, SuspectSet},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -68,6 +68,10 @@
     })
 }
 
+fn suspects(request: u64) -> SuspectSet {
+    SuspectSet::new(fingerprint(request), [].iter())
+}
+
 /// Simulates one day; `lasts` is how long a crashing request runs before its engine crashes.
 fn simulate(seed: u64, lasts: u64) -> DayCount {
     let start = Instant::now();
@@ -93,9 +97,7 @@
             due.into_iter().partition(|(when, _)| *when <= now);
         due = later;
         for (_, request) in arrived {
-            let is_quarantined = table
-                .quarantine_left(&fingerprint(request), at(now))
-                .is_some();
+            let is_quarantined = table.quarantine_left(&suspects(request), at(now)).is_some();
             let available: Vec<usize> = (0..ENGINES)
                 .filter(|engine| restarted_at[*engine] <= now)
                 .collect();
@@ -115,7 +117,7 @@
         }
         let done = |run: &Run| run.request >= CRASHING && now - run.started >= STREAM;
         for run in runs.iter().filter(|run| done(run)) {
-            table.clear(fingerprint(run.request));
+            table.clear(&suspects(run.request));
         }
         runs.retain(|run| !done(run));
         let causes: Vec<Run> = runs
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri, header},
     kernel::{ModelId, steady_clock},
-    policy::{RequestContent, SuspectId, ZoneFilter},
+    policy::{RequestContent, SuspectId, SuspectPart, SuspectSet, ZoneFilter},
     std::{
         sync::{Arc, OnceLock},
         time::{Duration, Instant},
@@ -69,8 +69,6 @@
     pub charge: Option<QuotaCharge>,
     /// When the caller's timeout or the route's patience ends.
     pub deadline: Instant,
-    /// Computed on first use; see [`Self::fingerprint()`].
-    pub fingerprint: OnceLock<SuspectId>,
     /// What the head says.
     pub head: CallerHead,
     /// The headers to forward to the upstream.
@@ -81,6 +79,8 @@
     pub rank: Rank,
     /// When the request arrived.
     pub since: Instant,
+    /// Computed on first use; see [`Self::suspects()`].
+    pub suspects: OnceLock<SuspectSet>,
     /// Collects the steps for the log line at the end of the request.
     pub trace: RequestTrace,
     /// Path and query.
@@ -98,13 +98,18 @@
         }
     }
 
-    /// Identifies the request across retries, which each have another id. Computed on first use, since most requests
-    /// never need it.
+    /// The parts of the prompt that other requests may share; empty for plain services.
+    pub fn shared_parts(&self) -> Arc<[SuspectPart]> {
+        policy::shared_parts(self.part_names())
+    }
+
+    /// What the request casts suspicion on when its upstream crashes; it is the same for retries, which each have another
+    /// id. Computed on first use, since most requests never need it.
     ///
     /// The caller's address is left out: a caller that retries through another availability zone has another address
     /// there, and each zone would lose upstreams to the same request anew.
-    pub fn fingerprint(&self) -> SuspectId {
-        *self.fingerprint.get_or_init(|| {
+    pub fn suspects(&self) -> &SuspectSet {
+        self.suspects.get_or_init(|| {
             let text = |name| {
                 let value = self.headers.get(name);
                 value
@@ -113,24 +118,22 @@
             };
             let target = self.target.path_and_query();
             let customer = self.access.as_ref().map(|access| &*access.customer.id);
-            SuspectId::request(&RequestContent {
+            let request = SuspectId::request(&RequestContent {
                 body: &self.body,
                 // Where customers are declared, the headers carry no credentials any more.
                 caller: customer.unwrap_or(text(header::AUTHORIZATION)),
                 host: text(header::HOST),
                 method: self.method.as_str(),
                 target: target.map_or("", |target| target.as_str()),
-            })
+            });
+            SuspectSet::new(request, self.part_names())
         })
     }
 
-    /// The ids of the parts of the prompt that other requests may share. The last part belongs to the request or to its
-    /// session alone.
-    pub fn shared_parts(&self) -> impl Iterator<Item = &Arc<str>> {
+    fn part_names(&self) -> impl DoubleEndedIterator<Item = &Arc<str>> {
         let prompt = self.head.prompt.as_ref();
         let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
-        let shared = parts.len().saturating_sub(1);
-        parts[..shared].iter().map(|part| &part.id)
+        parts.iter().map(|part| &part.id)
     }
 
     /// The time left until the deadline.
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -63,13 +63,15 @@
     /// Records that an upstream answered a request in full and keeps running: the request does not cause crashes.
     pub fn note_answered(&self, request: &CallerRequest) {
         let mut state = self.state.lock();
-        // Most often there is no suspect, and no fingerprint needs to be computed.
+        let now = steady_clock::now();
+        state.table.note_answered(&request.shared_parts(), now);
+        // Most often there is no suspect, and the content of the request need not be hashed.
         if state.table.is_empty() {
             return;
         }
-        let reports = state.table.clear(request.fingerprint());
+        let reports = state.table.clear(request.suspects());
         if !reports.is_empty() {
-            self.update_gauge(&state, steady_clock::now());
+            self.update_gauge(&state, now);
         }
         self.queue_reports(&mut state, reports);
     }
@@ -83,7 +85,7 @@
         }
         state
             .table
-            .quarantine_left(&request.fingerprint(), steady_clock::now())
+            .quarantine_left(request.suspects(), steady_clock::now())
     }
 
     /// A watch without any report. Reports expire after `life`.
@@ -122,12 +124,11 @@
             return;
         }
         let run = LostRun {
-            suspect: request.fingerprint(),
+            suspects: request.suspects().clone(),
             has_answered,
-            parts: request.shared_parts().cloned().collect(),
             ran: steady_clock::elapsed(call.since),
         };
-        request.trace.set_fingerprint(run.suspect);
+        request.trace.set_fingerprint(run.suspects.request);
         let mut state = self.state.lock();
         match state.losses.note(&upstream.id, run, steady_clock::now()) {
             LossAction::Report(run) => self.report(&mut state, &upstream.id, &[run]),
@@ -202,15 +203,20 @@
     }
 
     fn apply_report(state: &mut CrashState, report: &CrashReport, since: Instant, now: Instant) {
-        let was_held = state.table.quarantine_left(&report.suspect, now).is_some();
+        let was_held = state.table.conviction_left(&report.suspect, now).is_some();
         state.table.merge(report, since, now);
-        let held = state.table.quarantine_left(&report.suspect, now);
-        if held.is_some() != was_held {
-            tracing::warn!(
-                fingerprint = %report.suspect,
-                left_s = held.map(|left| left.as_secs()),
-                "the quarantine of a request changes"
-            );
+        let held = state.table.conviction_left(&report.suspect, now);
+        if held.is_some() == was_held {
+            return;
+        }
+        let left_s = held.map(|left| left.as_secs());
+        match report.suspect.is_prompt_part() {
+            true => {
+                tracing::warn!(fingerprint = %report.suspect, left_s, "the quarantine of a prompt part changes");
+            }
+            false => {
+                tracing::warn!(fingerprint = %report.suspect, left_s, "the quarantine of a request changes");
+            }
         }
     }
 
@@ -228,16 +234,31 @@
         let now = steady_clock::now();
         let mut reports = Vec::new();
         for run in runs {
-            let report = run.report(upstream);
+            let suspects = &run.suspects;
             tracing::info!(
-                upstream = %report.upstream,
-                fingerprint = %report.suspect,
-                mark = ?report.mark,
-                parts = run.parts.join(","),
+                %upstream,
+                fingerprint = %suspects.request,
+                mark = ?run.mark(),
                 "an upstream ended under a request"
             );
-            Self::apply_report(state, &report, now, now);
-            reports.push(report);
+            reports.push(run.report(suspects.request, upstream));
+            for part in suspects.parts.iter() {
+                if state.table.is_answered(&part.id, now) {
+                    continue;
+                }
+                tracing::info!(
+                    %upstream,
+                    request = %suspects.request,
+                    fingerprint = %part.id,
+                    part = %part.name,
+                    mark = ?run.mark(),
+                    "an upstream ended under a prompt part"
+                );
+                reports.push(run.report(part.id, upstream));
+            }
+        }
+        for report in &reports {
+            Self::apply_report(state, report, now, now);
         }
         self.update_gauge(state, now);
         self.queue_reports(state, reports);
