policy: bystanders do not push a convicted suspect out of the table

A suspect was evicted by the age of its last crash alone. Once it is refused it crashes nothing more, so that 4,096 later suspects pushed it out, and it crashed upstreams again. With parts of prompts a crash adds two to three times the suspects.

Convicted suspects are evicted last. The test that had a convicted request pushed out is replaced by two, as strict: a convicted one stays (red before), and one that is not convicted goes.

--- a/crates/policy/src/crash_table.rs
+++ b/crates/policy/src/crash_table.rs
@@ -21,8 +21,8 @@
     },
 };
 
-/// The maximum number of suspects kept: all requests that run at a few dozen full engines, and their parts. Those
-/// reported longest ago are evicted first.
+/// The maximum number of suspects kept: all requests that run at a few dozen full engines, and their parts. Convicted
+/// ones are evicted last, and of the others those reported longest ago first.
 const MAX_SUSPECTS: usize = 4_096;
 
 /// The suspects.
@@ -142,7 +142,7 @@
         };
         self.reassess(report.suspect);
         if self.suspects.len() > MAX_SUSPECTS {
-            self.evict_oldest();
+            self.evict_least();
         }
         is_new
     }
@@ -206,12 +206,15 @@
         };
     }
 
-    fn evict_oldest(&mut self) {
+    fn evict_least(&mut self) {
+        let value = |suspect: &SuspectId, entry: &CrashEntry| {
+            (self.convicted.contains(suspect), entry.latest())
+        };
         let suspects = self.suspects.iter();
-        let oldest = suspects.min_by_key(|(_, entry)| entry.latest());
-        if let Some(oldest) = oldest.map(|(suspect, _)| *suspect) {
-            self.suspects.remove(&oldest);
-            self.convicted.remove(&oldest);
+        let least = suspects.min_by_key(|(suspect, entry)| value(suspect, entry));
+        if let Some(least) = least.map(|(suspect, _)| *suspect) {
+            self.suspects.remove(&least);
+            self.convicted.remove(&least);
         }
     }
 }
--- a/crates/policy/tests/crash_table.rs
+++ b/crates/policy/tests/crash_table.rs
@@ -120,17 +120,33 @@
     assert_eq!(left, Some(TTL / 2));
 }
 
+/// Requests that ran beside one at upstreams that crashed, more than the table holds.
+fn flood(table: &mut CrashTable, at: Instant) {
+    for number in 0..5_000 {
+        let report = report(&format!("/beside/{number}"), 9, CrashMark::Late);
+        table.merge(&report, at, at);
+    }
+}
+
+// Guards against a cause that is forgotten because of its many bystanders, and then crashes upstreams again.
 #[test]
-fn many_suspects_push_out_the_one_reported_longest_ago() {
+fn many_bystanders_do_not_push_out_a_convicted_request() {
     let now = Instant::now();
     let mut table = table_of(&[CrashMark::Early; 3], now);
     let later = now + Duration::from_secs(1);
-    for number in 0..5_000 {
-        let report = report(&format!("/beside/{number}"), 9, CrashMark::Late);
-        table.merge(&report, later, later);
-    }
+    flood(&mut table, later);
+    assert!(table.quarantine_left(&suspects("/1"), later).is_some());
+    assert_eq!(table.rows(later).len(), 1);
+}
+
+#[test]
+fn many_bystanders_push_out_the_suspect_reported_longest_ago() {
+    let now = Instant::now();
+    let mut table = table_of(&[CrashMark::Early; 2], now);
+    let later = now + Duration::from_secs(1);
+    flood(&mut table, later);
+    table.merge(&report("/1", 2, CrashMark::Early), later, later);
     assert_eq!(table.quarantine_left(&suspects("/1"), later), None);
-    assert_eq!(table.rows(later), []);
 }
 
 proptest! {
