relay: a stream without length that ends before its first event is broken off

Callers saw an empty stream, status 200 and complete, when an engine crashed and closed its connections in order; and 200 with a cut where the stream ended inside its first event, though nothing had been delivered.

Cause: the end of a connection was taken for the end of the answer, also where the answer has neither a length nor chunks. Such an answer is broken off if it has no event, or ends inside one; and it never counts as an answer in full for the quarantine.

--- a/crates/relay/src/call_end.rs
+++ b/crates/relay/src/call_end.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{ErrorResponse, OpenCall, OpenConnection, ReplyFacts},
-    http::response::Parts,
+    http::{header, response::Parts},
     hyper::body::Incoming,
     kernel::ResultCode,
 };
@@ -22,6 +22,16 @@
     pub connection: OpenConnection,
 }
 
+impl UpstreamAnswer {
+    /// Whether the answer has a length or chunks. One without ends with its connection, so that its end may be a crash of
+    /// the upstream.
+    pub fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+}
+
 /// The outcome of a call.
 #[derive(Debug)]
 pub enum CallEnd {
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -177,6 +177,7 @@
     }
 
     async fn read_whole(&self, answer: UpstreamAnswer) -> Option<BufferedAnswer> {
+        let is_framed = answer.is_framed();
         let UpstreamAnswer {
             body,
             call,
@@ -188,7 +189,9 @@
         match time::timeout(self.request.left(), reading).await {
             Ok(Ok(body)) => {
                 call.close(status_verdict(head.status));
-                self.core.crashes.note_answered(self.request);
+                if is_framed {
+                    self.core.crashes.note_answered(self.request);
+                }
                 if !facts.closes_connection {
                     self.core.pool.keep(
                         &self.tried[self.tried.len() - 1],
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -16,7 +16,6 @@
     bytes::Bytes,
     http::Response,
     http_body_util::{BodyExt, Limited},
-    hyper::body::Incoming,
     kernel::{ResultCode, ServiceId, SoftwareVersion, UpstreamId, steady_clock},
     policy::{AttemptEnd, CallVerdict, StreamAttempts, UpstreamRecord},
     std::{
@@ -246,11 +245,20 @@
         holders
     }
 
-    async fn first_piece(&self, body: &mut Incoming, splitter: &mut EventSplitter) -> FirstPiece {
+    async fn first_piece(
+        &self,
+        answer: &mut UpstreamAnswer,
+        splitter: &mut EventSplitter,
+    ) -> FirstPiece {
+        let is_framed = answer.is_framed();
         loop {
-            let frame = match time::timeout(self.request.left(), body.frame()).await {
+            let frame = match time::timeout(self.request.left(), answer.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return FirstPiece::Cut(ResultCode::StreamCut),
+                // Without a length or chunks, a crash before the first event looks like an empty stream.
+                Ok(None) if !is_framed || splitter.pending_bytes() > 0 => {
+                    return FirstPiece::Cut(ResultCode::StreamCut);
+                }
                 Ok(None) => return FirstPiece::Ended,
                 Err(_) => return FirstPiece::Cut(ResultCode::UpstreamSilent),
             };
@@ -422,7 +430,7 @@
         }
         let mut answer = answer;
         let mut splitter = EventSplitter::default();
-        match self.first_piece(&mut answer.body, &mut splitter).await {
+        match self.first_piece(&mut answer, &mut splitter).await {
             FirstPiece::Cut(code) => {
                 if code == ResultCode::StreamCut {
                     self.core
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -106,7 +106,9 @@
 
     fn close(self) {
         self.flow.request.trace.end(ResultCode::Answered);
-        self.flow.core.crashes.note_answered(&self.flow.request);
+        if self.answer.is_framed() {
+            self.flow.core.crashes.note_answered(&self.flow.request);
+        }
         let held = steady_clock::elapsed(self.flow.slot_reserved_at);
         self.flow.core.note_slot_time(&self.flow.service, held);
         let UpstreamAnswer {
--- a/crates/trestlewalk/tests/relay_crash_parts.rs
+++ b/crates/trestlewalk/tests/relay_crash_parts.rs
@@ -122,3 +122,23 @@
     let late = scenario.tries() - tries;
     assert!(late <= MAX_LATE, "{late} of 12 reached engines");
 }
+
+// A crash that closes connections in order looks like the end of an answer without length.
+#[tokio::test]
+async fn a_prompt_part_is_known_although_crashes_look_like_ends_of_answers() {
+    let run = stream_zones().await;
+    for upstream in &run.upstreams {
+        upstream.state.lock().unwrap().unframed = true;
+    }
+    let trigger = CrashTrigger::PromptPart(LETHAL_PART.to_owned());
+    let scenario = CrashScenario::start(&run.store, &run.upstreams, trigger);
+    let sent = crash_engines(&run, &scenario, KNOWN_CRASHES).await;
+    tokio::time::sleep(UPDATE_BOUND).await;
+    let tries = scenario.tries();
+    for serial in sent + 1..=sent + 12 {
+        let reply = stream(&run, serial % 4, &[FIRST_PART, LETHAL_PART], serial).await;
+        assert!(!is_whole(&reply), "{reply:?}");
+    }
+    let late = scenario.tries() - tries;
+    assert!(late <= MAX_LATE, "{late} of 12 reached engines");
+}
--- a/crates/trestlewalk/tests/relay_support/crash_scenario.rs
+++ b/crates/trestlewalk/tests/relay_support/crash_scenario.rs
@@ -69,12 +69,16 @@
             scenario.store.remove("servers", &upstream.id);
             let number = scenario.incarnations.lock().unwrap().len();
             let id = format!("{}-n{number}", upstream.id.split("-n").next().unwrap());
-            let (kind, linger) = {
+            let (kind, linger, unframed) = {
                 let state = upstream.state.lock().unwrap();
-                (state.kind, state.linger)
+                (state.kind, state.linger, state.unframed)
             };
             let next = UpstreamStandIn::start(&id, &upstream.service, &upstream.zone, kind).await;
-            next.state.lock().unwrap().linger = linger;
+            {
+                let mut state = next.state.lock().unwrap();
+                state.linger = linger;
+                state.unframed = unframed;
+            }
             scenario.store.put("servers", &id, &next.report("ready"));
             scenario.incarnations.lock().unwrap().push(next.clone());
             scenario.replace_on_crash(next);
--- a/crates/trestlewalk/tests/relay_support/engine_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_answers.rs
@@ -88,9 +88,9 @@
     stream: &mut TcpStream,
     message: WireMessage,
 ) -> bool {
-    let (kind, mode) = {
+    let (kind, mode, unframed) = {
         let state = engine.state.lock().unwrap();
-        (state.kind, state.mode)
+        (state.kind, state.mode, state.unframed)
     };
     let id = message
         .header("x-request-id")
@@ -132,8 +132,12 @@
         .header("last-event-id")
         .map_or(0, |after| after.parse().unwrap());
     engine.note(message, true);
+    let framing = match unframed {
+        true => "",
+        false => "Transfer-Encoding: chunked\r\n",
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{}X-Request-Id: {id}\r\nX-Response-Signature: sig-{}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n{}X-Request-Id: {id}\r\nX-Response-Signature: sig-{}\r\nContent-Type: text/event-stream\r\n{framing}\r\n",
         engine.statement_lines(),
         engine.id
     );
@@ -154,16 +158,24 @@
         if is_cut {
             text.truncate(text.len() / 2);
         }
-        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        let chunk = match unframed {
+            true => text,
+            false => format!("{:x}\r\n{text}\r\n", text.len()),
+        };
         if stream.write_all(chunk.as_bytes()).await.is_err() {
             return false;
         }
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
         if is_cut {
-            reset(stream);
+            if !unframed {
+                reset(stream);
+            }
             return false;
         }
     }
+    if unframed {
+        return false;
+    }
     stream.write_all(b"0\r\n\r\n").await.is_ok()
 }
 
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -103,6 +103,8 @@
     pub software: String,
     /// How many further reservations an engine leaves without an answer.
     pub unanswered_holds: usize,
+    /// Streams have neither a length nor chunks and end with their connection, which is closed in order also by a crash.
+    pub unframed: bool,
 }
 
 /// The upstream. Clones share it.
@@ -139,6 +141,7 @@
                 received: Vec::new(),
                 software: "v1".to_owned(),
                 unanswered_holds: 0,
+                unframed: false,
             })),
             zone: zone.to_owned(),
         };
@@ -258,7 +261,11 @@
     /// Serves a connection until it ends, or resets it when the upstream crashes.
     async fn serve_until_crash(self, mut stream: TcpStream) {
         tokio::select! {
-            () = self.crashed.cancelled() => reset(&stream),
+            () = self.crashed.cancelled() => {
+                if !self.state.lock().unwrap().unframed {
+                    reset(&stream);
+                }
+            }
             () = self.serve(&mut stream) => {}
         }
     }
