--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -141,6 +141,7 @@
         let mut reason = CallReason::Start;
         let mut last_version: StoreVersion = 0;
         let mut last_read_at: Option<Instant> = None;
+        let mut is_passed_over = false;
         loop {
             clock.tick().await;
             let reading = self.source.read_upstreams(reason);
@@ -159,7 +160,17 @@
                         tracing::info!("the store answers again");
                         self.store_recovered.notify_one();
                     }
-                    if reading.version >= last_version {
+                    let is_older = reading.version < last_version;
+                    if is_older && !is_passed_over {
+                        tracing::warn!(
+                            version = reading.version,
+                            last_version,
+                            passed_on = reading.passed_on,
+                            "lists of upstreams older than the last one are passed over"
+                        );
+                    }
+                    is_passed_over = is_older;
+                    if !is_older {
                         last_version = reading.version;
                         let read_at = reading.as_of.unwrap_or(now);
                         let gap = last_read_at.map(|last| read_at.saturating_duration_since(last));
