tests: a store that comes back from an older copy (red)

The stand-in of the store takes a copy and comes back from it with the next era; its versions go back and are given out again, and all its answers state the era.

--- a/crates/trestlewalk/tests/relay_support/store.rs
+++ b/crates/trestlewalk/tests/relay_support/store.rs
@@ -3,8 +3,9 @@
 use {
     axum::{
         Json, Router,
-        extract::{Query, State},
+        extract::{Query, Request, State},
         http::StatusCode,
+        middleware::{self, Next},
         response::{IntoResponse, Response},
         routing::{get, post},
     },
@@ -21,21 +22,40 @@
 
 type RowKey = (String, String);
 
+/// The content at one moment.
+#[derive(Clone, Debug, Default)]
+struct StoreContent {
+    /// Removed rows with the version of their removal, which feeds report.
+    removed: BTreeMap<RowKey, u64>,
+    rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     calls: HashMap<String, usize>,
+    content: StoreContent,
     down: bool,
+    /// How often the store came back from an older copy.
+    era: u64,
     /// Changes up to this version are no longer in the history.
     forgotten: u64,
     garbled: bool,
     /// How many of the next writes are applied without an answer.
     lost_answers: usize,
-    /// Removed rows with the version of their removal, which feeds report.
-    removed: BTreeMap<RowKey, u64>,
-    rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
     /// Delays reads of one table.
     slow: Option<(String, Duration)>,
-    version: u64,
+}
+
+/// An older copy of the content.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(StoreContent);
+
+impl StoreCopy {
+    /// Takes the rows of a table out, as if they were written after the copy.
+    pub fn clear_table(&mut self, table: &str) {
+        self.0.rows.retain(|(of, _), _| of != table);
+    }
 }
 
 /// The store. Clones share it.
@@ -61,6 +81,7 @@
             .route("/rows-feed", get(rows_feed))
             .route("/rows-tx", post(rows_tx))
             .with_state(store.clone());
+        let router = router.layer(middleware::from_fn_with_state(store.clone(), state_era));
         tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
         store
     }
@@ -84,8 +105,22 @@
     /// Drops the history up to now: feeds from an older version get 410.
     pub fn forget(&self) {
         let mut state = self.state.lock().unwrap();
-        state.version += 1;
-        state.forgotten = state.version;
+        state.content.version += 1;
+        state.forgotten = state.content.version;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// The content now, to come back from later.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().unwrap().content.clone())
+    }
+
+    /// Comes back from an older copy. What was written since is gone, and its versions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        state.content = copy.0.clone();
+        state.era += 1;
         drop(state);
         self.changed.notify_waiters();
     }
@@ -102,8 +137,8 @@
 
     pub fn put_text(&self, table: &str, key: &str, text: &str) {
         let mut state = self.state.lock().unwrap();
-        state.version += 1;
-        let version = state.version;
+        state.content.version += 1;
+        let version = state.content.version;
         let row = (text.as_bytes().to_vec(), version);
         state.set((table.to_owned(), key.to_owned()), row);
         drop(state);
@@ -112,7 +147,7 @@
 
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
-        state.version += 1;
+        state.content.version += 1;
         state.drop_row(&(table.to_owned(), key.to_owned()));
         drop(state);
         self.changed.notify_waiters();
@@ -121,7 +156,7 @@
     /// The rows of a table with their content as text.
     pub fn rows(&self, table: &str) -> Vec<(String, String)> {
         let state = self.state.lock().unwrap();
-        let rows = state.rows.iter().filter(|((of, _), _)| of == table);
+        let rows = state.content.rows.iter().filter(|((of, _), _)| of == table);
         rows.map(|((_, key), (value, _))| {
             (key.clone(), String::from_utf8_lossy(value).into_owned())
         })
@@ -156,22 +191,32 @@
 
 impl StoreState {
     fn drop_row(&mut self, key: &RowKey) {
-        if self.rows.remove(key).is_some() {
-            self.removed.insert(key.clone(), self.version);
+        if self.content.rows.remove(key).is_some() {
+            self.content
+                .removed
+                .insert(key.clone(), self.content.version);
         }
     }
 
     fn set(&mut self, key: RowKey, row: (Vec<u8>, u64)) {
-        self.removed.remove(&key);
-        self.rows.insert(key, row);
+        self.content.removed.remove(&key);
+        self.content.rows.insert(key, row);
     }
 
     fn row(&self, key: &RowKey) -> Value {
-        let (value, version) = self.rows.get(key).cloned().unwrap_or_default();
+        let (value, version) = self.content.rows.get(key).cloned().unwrap_or_default();
         json!({"Table": key.0, "part": "", "Key": key.1, "Value": STANDARD.encode(value), "Ver": version})
     }
 }
 
+/// States the era in each answer.
+async fn state_era(State(store): State<StoreStandIn>, request: Request, next: Next) -> Response {
+    let mut response = next.run(request).await;
+    let era = store.state.lock().unwrap().era + 1;
+    response.headers_mut().insert("store-era", era.into());
+    response
+}
+
 async fn rows_get(
     State(store): State<StoreStandIn>,
     Query(query): Query<HashMap<String, String>>,
@@ -188,11 +233,11 @@
     let state = store.state.lock().unwrap();
     let from = query.get("From").cloned().unwrap_or_default();
     let to = query.get("To").filter(|to| !to.is_empty());
-    let keys = state.rows.keys().filter(|(table, key)| {
+    let keys = state.content.rows.keys().filter(|(table, key)| {
         *table == query["Table"] && *key >= from && to.is_none_or(|to| key < to)
     });
     let rows: Vec<Value> = keys.map(|key| state.row(key)).collect();
-    Json(json!({"Rows": rows, "HasMore": false, "Ver": state.version, "NowMs": store.now_ms()}))
+    Json(json!({"Rows": rows, "HasMore": false, "Ver": state.content.version, "NowMs": store.now_ms()}))
         .into_response()
 }
 
@@ -210,22 +255,24 @@
         let changed = store.changed.notified();
         {
             let state = store.state.lock().unwrap();
-            if after < state.forgotten {
+            if after < state.forgotten || after > state.content.version {
                 return StatusCode::GONE.into_response();
             }
             let newer = state
+                .content
                 .rows
                 .iter()
                 .filter(|((table, _), (_, version))| *table == query["Table"] && *version > after);
             let mut rows: Vec<Value> = newer.map(|(key, _)| state.row(key)).collect();
-            let gone = state.removed.iter();
+            let gone = state.content.removed.iter();
             let gone =
                 gone.filter(|((table, _), version)| *table == query["Table"] && **version > after);
             rows.extend(gone.map(|((table, key), version)| {
                 json!({"Table": table, "part": "", "Key": key, "Removed": true, "Ver": version})
             }));
             if !rows.is_empty() || time::Instant::now() >= end {
-                let reply = json!({"Rows": rows, "Ver": state.version, "NowMs": store.now_ms()});
+                let reply =
+                    json!({"Rows": rows, "Ver": state.content.version, "NowMs": store.now_ms()});
                 return Json(reply).into_response();
             }
         }
@@ -254,16 +301,20 @@
     }
     let expected = body["Expected"].as_array().unwrap();
     let holds = expected.iter().all(|row| {
-        let version = state.rows.get(&key(row)).map_or(0, |(_, version)| *version);
+        let version = state
+            .content
+            .rows
+            .get(&key(row))
+            .map_or(0, |(_, version)| *version);
         row["Ver"] == version
     });
     if !holds {
         let rows: Vec<Value> = expected.iter().map(|row| state.row(&key(row))).collect();
-        let reply = json!({"Rows": rows, "Ver": state.version, "NowMs": store.now_ms()});
+        let reply = json!({"Rows": rows, "Ver": state.content.version, "NowMs": store.now_ms()});
         return (StatusCode::PRECONDITION_FAILED, Json(reply)).into_response();
     }
-    state.version += 1;
-    let version = state.version;
+    state.content.version += 1;
+    let version = state.content.version;
     for row in body["SetKeys"].as_array().unwrap() {
         let value = STANDARD.decode(row["Value"].as_str().unwrap()).unwrap();
         state.set(key(row), (value, version));
