--- a/crates/policy/src/crash_table.rs
+++ b/crates/policy/src/crash_table.rs
@@ -3,8 +3,9 @@
 //! Each crash breaks all requests that run at the upstream, so a request that causes crashes is no longer forwarded. The
 //! cause may be one request that its caller retries, or a part of the prompt that requests share of which no two are
 //! alike. Everything that ran at a crashed upstream is a suspect, so a single crash proves little. A suspect is
-//! convicted by several crashes, and cleared by an answer in full. Bystanders of one cause may be convicted beside it: a
-//! request is refused only if the convicted suspects that it lacks do not explain the crashes of those that it has.
+//! convicted by several crashes, and cleared by an answer in full. Parts that stand beside the cause may be convicted
+//! with it: a request is refused for a part only if the convicted suspects that it lacks do not explain the crashes of
+//! that part.
 //!
 //! Reports form a grow-only set: merging is commutative, associative and idempotent.
 
@@ -189,6 +190,10 @@
         now: Instant,
     ) -> Option<Duration> {
         let remaining = self.conviction_left(suspect, now)?;
+        // No other request has this fingerprint, so nobody else is refused for it.
+        if !suspect.is_prompt_part() {
+            return Some(remaining);
+        }
         let entry = self.suspects.get(suspect)?;
         let others = self.convicted.iter();
         let others = others.filter(|other| !request.contains(other));
