relay, spread, platform: versions of the store are ordered by its era

Callers saw: requests at an upstream 2.2 s after it had said that it leaves, and a configuration that was not in force 3.3 s after its acknowledgement.

Cause: the store had come back from an older copy, and its versions went back. A list was taken only if its version was not below the last one, so every reading was passed over for 9.5 and 10.8 s, until the new versions had passed the old ones. Routes went the same way at instances that get them from others: they wait for a version of the store above their own. Class: an order of versions that holds within one life of the store was taken for one that lasts.

StoreVersion is an era and a number, compared as a whole, in every message between instances: a number by itself can't be compared any more. The era is read from each answer. An answer of an earlier era than one seen counts as none; changes since a version of another era are not used, and all is read anew.

What the older copy shows: upstreams that left before the restore, by the list or out of it, get no work for 10 s, longer than the store keeps a silent upstream's row; those that the copy lacks are kept for the 1.9 s of an outage. A configuration never goes back, as before.

Ruled out: readers that the store refuses (its calls succeeded).

--- a/crates/policy/src/evacuation_set.rs
+++ b/crates/policy/src/evacuation_set.rs
@@ -1,6 +1,7 @@
 //! The availability zones that operators have evacuated.
 
 use {
+    crate::StoreVersion,
     kernel::ZoneId,
     serde::{Deserialize, Serialize},
     std::collections::BTreeSet,
@@ -10,7 +11,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EvacuationSet {
     /// The version of the store's content that was read; a set with a greater one replaces this one.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The zones.
     pub zones: BTreeSet<ZoneId>,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod fleet_members;
 pub mod helper_table;
 pub mod keeper_table;
+mod list_history;
 pub mod loss_table;
 pub mod note_table;
 pub mod prefill_choice;
@@ -47,6 +48,7 @@
 pub mod stage_planner;
 pub mod stage_pressure;
 pub mod store_clock;
+pub mod store_version;
 pub mod stream_attempts;
 pub mod suspect_id;
 pub mod suspect_set;
@@ -101,6 +103,7 @@
     stage_planner::{StageChange, StageGoal, StagePlanner},
     stage_pressure::StagePressure,
     store_clock::StoreClock,
+    store_version::StoreVersion,
     stream_attempts::{AttemptEnd, StreamAttempts},
     suspect_id::{RequestContent, SuspectId},
     suspect_set::{SuspectPart, SuspectSet, shared_parts},
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -6,6 +6,7 @@
         EvacuationChange, EvacuationSet, PrefillChoice, PrefillEstimate, RateTable,
         SoftwareHistory, UpstreamEntry, UpstreamRecord, UpstreamStage, ZoneRefusals,
         call_cost::{COLD_COST, DUE_GAIN, call_cost},
+        list_history::ListHistory,
         prefill_choice::{COLD_PREFILL, with_jitter},
     },
     kernel::{InstanceId, ServiceId, UpstreamId, ZoneId, seeded_rng},
@@ -36,6 +37,7 @@
     entries: BTreeMap<UpstreamId, UpstreamEntry>,
     evacuations: EvacuationSet,
     grace_until: Option<Instant>,
+    history: ListHistory,
     instance: InstanceId,
     instance_count: Option<usize>,
     /// The rate limits that upstreams state.
@@ -332,6 +334,13 @@
         self.entries.values()
     }
 
+    /// Records that the next list comes from a store that was restored from an older copy. Upstreams that it lacks are
+    /// kept until they can have reported again, and those that left before get no work.
+    pub fn note_restored(&mut self, now: Instant) {
+        self.grace_until = Some(now + EXPIRY_GRACE);
+        self.history.note_restored(now);
+    }
+
     /// Applies a new list and returns the upstreams removed. `outage_ended` is when an outage of the store ended, if
     /// one did since the last list: upstreams missing from the list are kept for a grace period, since they may have
     /// been unable to report.
@@ -349,6 +358,17 @@
         let in_grace = self.grace_until.is_some_and(|until| now < until);
         let mut before = std::mem::take(&mut self.entries);
         for record in records {
+            let departed = self
+                .history
+                .has_left(&record.id, now)
+                .then(|| UpstreamRecord {
+                    leaving: true,
+                    ..record.clone()
+                });
+            let record = departed.as_ref().unwrap_or(record);
+            if record.leaving {
+                self.history.note_left(&record.id, now);
+            }
             let entry = match before.remove(&record.id) {
                 Some(mut entry) => {
                     entry.missing_since = None;
@@ -361,12 +381,14 @@
         }
         for (id, mut entry) in before {
             if !in_grace || self.is_address_reused(&entry) {
+                self.history.note_left(&id, now);
                 gone.push(id);
                 continue;
             }
             entry.missing_since.get_or_insert(now);
             self.entries.insert(id, entry);
         }
+        self.history.expire(now);
         self.backoffs.drop_ended(now);
         if !self.rates.is_empty() || !self.departures.is_empty() {
             let listed = self.entries.keys().cloned().collect();
--- a/crates/policy/tests/cold_upstreams.rs
+++ b/crates/policy/tests/cold_upstreams.rs
@@ -3,8 +3,8 @@
 use {
     kernel::{InstanceId, ServiceId, ZoneId},
     policy::{
-        ChoiceQuery, ColdRule, EvacuationSet, UpstreamRecord, UpstreamStage, UpstreamTable,
-        ZoneFilter,
+        ChoiceQuery, ColdRule, EvacuationSet, StoreVersion, UpstreamRecord, UpstreamStage,
+        UpstreamTable, ZoneFilter,
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -162,13 +162,13 @@
     let mut table = table(1, Some(1_000));
     table.replace(&[record("a", Duration::ZERO)], None, start);
     let evacuated = EvacuationSet {
-        version: 5,
+        version: StoreVersion { era: 1, number: 5 },
         zones: BTreeSet::from(["near".into()]),
     };
     table.set_evacuations(&evacuated, start);
     assert_eq!(call(&mut table, start), None);
     let ended = EvacuationSet {
-        version: 9,
+        version: StoreVersion { era: 1, number: 9 },
         ..EvacuationSet::default()
     };
     let change = table.set_evacuations(&ended, start + SECOND);
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -3,8 +3,8 @@
 use {
     kernel::{RegionId, ServiceId, ZoneId},
     policy::{
-        ChoiceQuery, EvacuationChange, EvacuationSet, UpstreamRecord, UpstreamStage, UpstreamTable,
-        ZoneFilter,
+        ChoiceQuery, EvacuationChange, EvacuationSet, StoreVersion, UpstreamRecord, UpstreamStage,
+        UpstreamTable, ZoneFilter,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -46,7 +46,10 @@
 
 fn set(version: u64, zones: &[&str]) -> EvacuationSet {
     EvacuationSet {
-        version,
+        version: StoreVersion {
+            era: 1,
+            number: version,
+        },
         zones: zones.iter().map(|zone| ZoneId::from(*zone)).collect(),
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -88,7 +88,7 @@
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
         OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate, SourceError,
-        StoreVersion, UpstreamChange, UpstreamChanges, UpstreamSnapshot,
+        UpstreamChange, UpstreamChanges, UpstreamSnapshot,
     },
     order_dialect::{OrderDialect, OrderState, StageOrder},
     piece_channel::{CallerLeft, PieceReceiver, PieceSender, piece_channel},
--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{CallReason, RouteTable},
-    policy::{AgedReport, CrashReport, EvacuationSet, UpstreamRecord},
+    policy::{AgedReport, CrashReport, EvacuationSet, StoreVersion, UpstreamRecord},
     snafu::Snafu,
     std::{
         future::Future,
@@ -11,9 +11,6 @@
     },
 };
 
-/// The version of the whole store; it grows with each write.
-pub type StoreVersion = u64;
-
 /// The routes at one version of the store.
 #[derive(Clone, Debug)]
 pub struct RouteSnapshot {
@@ -78,7 +75,13 @@
 }
 
 /// A position in the stream of reports, meaningful only to the source that issued it.
-pub type ReportCursor = u64;
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReportCursor {
+    /// Positions of different epochs are unrelated.
+    pub epoch: u64,
+    /// The number of the last change.
+    pub position: u64,
+}
 
 /// Reports of upstreams that crashed while running requests.
 #[derive(Clone, Debug, Default)]
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         CallReason, OperatorSource, RelayCore, ReportCursor, RouteSnapshot, RouteTable,
-        RouteUpdate, SourceError, StoreVersion, UpstreamDialect, UpstreamSnapshot,
+        RouteUpdate, SourceError, UpstreamDialect, UpstreamSnapshot,
     },
     kernel::steady_clock,
-    policy::EvacuationSet,
+    policy::{EvacuationSet, StoreVersion},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -139,7 +139,7 @@
         clock.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut failing_since: Option<Instant> = None;
         let mut reason = CallReason::Start;
-        let mut last_version: StoreVersion = 0;
+        let mut last_version = StoreVersion::default();
         let mut last_read_at: Option<Instant> = None;
         let mut is_passed_over = false;
         loop {
@@ -163,14 +163,24 @@
                     let is_older = reading.version < last_version;
                     if is_older && !is_passed_over {
                         tracing::warn!(
-                            version = reading.version,
-                            last_version,
+                            version = reading.version.number,
+                            last_version = last_version.number,
                             passed_on = reading.passed_on,
                             "lists of upstreams older than the last one are passed over"
                         );
                     }
                     is_passed_over = is_older;
                     if !is_older {
+                        let is_restored =
+                            last_version.era > 0 && reading.version.era > last_version.era;
+                        if is_restored {
+                            tracing::warn!(
+                                era = reading.version.era,
+                                before = last_version.era,
+                                "the list of upstreams comes from a restored store"
+                            );
+                            self.core.upstreams.lock().note_restored(now);
+                        }
                         last_version = reading.version;
                         let read_at = reading.as_of.unwrap_or(now);
                         let gap = last_read_at.map(|last| read_at.saturating_duration_since(last));
@@ -243,7 +253,7 @@
             tracing::info!(
                 age_ms = age.as_millis() as u64,
                 passed_on = reading.passed_on,
-                version = reading.version,
+                version = reading.version.number,
                 "the list of upstreams was late"
             );
         }
--- a/crates/spread/src/list_reader.rs
+++ b/crates/spread/src/list_reader.rs
@@ -2,10 +2,9 @@
 
 use {
     kernel::{LockRank, RankedLock},
-    policy::UpstreamRecord,
+    policy::{StoreVersion, UpstreamRecord},
     relay::{
-        CallReason, OperatorSource, SourceError, StoreVersion, UpstreamChange, UpstreamChanges,
-        UpstreamSnapshot,
+        CallReason, OperatorSource, SourceError, UpstreamChange, UpstreamChanges, UpstreamSnapshot,
     },
     std::{collections::BTreeMap, sync::Arc},
 };
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -15,11 +15,11 @@
     kernel::{InstanceId, LockRank, RankedLock, WorkerPool, steady_clock},
     peer::{PeerEndpoint, PeerKeys},
     plat::{PlatError, RowStore},
-    policy::{AgedReport, CrashReport},
+    policy::{AgedReport, CrashReport, StoreVersion},
     relay::{
         CallReason, FleetView, OperatorSource, QuotaBuckets, RateNews, ReaderRole, RelayCounts,
         ReportBatch, ReportCursor, RouteFreshness, RouteSnapshot, RouteUpdate, SoftwareNotes,
-        SourceError, StoreVersion, UpstreamChanges, UpstreamSnapshot, operator_source::SilentSnafu,
+        SourceError, UpstreamChanges, UpstreamSnapshot, operator_source::SilentSnafu,
     },
     std::{
         sync::{Arc, atomic::AtomicBool},
@@ -256,10 +256,9 @@
         wait: Duration,
     ) -> Result<ReportBatch, SourceError> {
         let mut state = self.members.state.subscribe();
-        let incarnation = state.borrow().reports.position().incarnation;
-        let have = after.map(|revision| JournalPosition {
-            incarnation,
-            revision,
+        let have = after.map(|after| JournalPosition {
+            incarnation: after.epoch,
+            revision: after.position,
         });
         // Without an update the caller asks for the same position again.
         let _ = time::timeout(
@@ -272,7 +271,10 @@
             .reports
             .updates_since(have, steady_clock::now());
         Ok(ReportBatch {
-            next: Some(update.position.revision),
+            next: Some(ReportCursor {
+                epoch: update.position.incarnation,
+                position: update.position.revision,
+            }),
             reports: update.reports,
         })
     }
--- a/crates/spread/src/shared_source/route_sharing.rs
+++ b/crates/spread/src/shared_source/route_sharing.rs
@@ -4,7 +4,8 @@
     super::SharedSource,
     crate::SpreadState,
     plat::RowStore,
-    relay::{OperatorSource, RouteSnapshot, RouteUpdate, StoreVersion},
+    policy::StoreVersion,
+    relay::{OperatorSource, RouteSnapshot, RouteUpdate},
     std::time::{Duration, Instant},
     tokio::time,
 };
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -4,10 +4,8 @@
 use {
     crate::{MemberRow, PartNumber},
     kernel::{Incarnation, TableVersion, UpstreamId},
-    policy::{AgedReport, EvacuationSet, KeySalt, RateNote, UpstreamRecord},
-    relay::{
-        CallerLimits, CustomerRow, CustomerTable, RouteTable, ServiceInfo, StoreVersion, WorkRoute,
-    },
+    policy::{AgedReport, EvacuationSet, KeySalt, RateNote, StoreVersion, UpstreamRecord},
+    relay::{CallerLimits, CustomerRow, CustomerTable, RouteTable, ServiceInfo, WorkRoute},
     serde::{Deserialize, Serialize},
     std::time::{Duration, Instant},
 };
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -6,8 +6,8 @@
         RouteTableCopy, SpreadReply, SpreadRequest, SpreadTimes, SpreadUpdate,
     },
     kernel::{Incarnation, TableVersion, ZoneId},
-    policy::EvacuationSet,
-    relay::{RouteSnapshot, RouteTable, StoreVersion, UpstreamSnapshot},
+    policy::{EvacuationSet, StoreVersion},
+    relay::{RouteSnapshot, RouteTable, UpstreamSnapshot},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -105,12 +105,12 @@
         self.routes_version() > after
     }
 
-    /// Version of the store's content at which the routes or the evacuations were read, whichever is newer; 0 before
-    /// either is known.
+    /// Version of the store's content at which the routes or the evacuations were read, whichever is newer; the least
+    /// version before either is known.
     fn routes_version(&self) -> StoreVersion {
-        let routes = self.routes.as_ref().map_or(0, |(_, version)| *version);
-        let evacuations = self.evacuations.as_ref().map_or(0, |set| set.version);
-        routes.max(evacuations)
+        let routes = self.routes.as_ref().map(|(_, version)| *version);
+        let evacuations = self.evacuations.as_ref().map(|set| set.version);
+        routes.max(evacuations).unwrap_or_default()
     }
 
     /// Whether a requester that has seen `before` updates is to be answered before its time is up.
@@ -163,7 +163,7 @@
             failures: 0,
             reports: ReportJournal::new(incarnation, quarantine),
             is_unavailable: false,
-            version: 0,
+            version: StoreVersion::default(),
             zone,
         }
     }
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -4,7 +4,7 @@
 
 use {
     kernel::{InstanceId, ZoneId},
-    policy::{AgedReport, CrashMark, CrashReport, RequestContent, SuspectId},
+    policy::{AgedReport, CrashMark, CrashReport, RequestContent, StoreVersion, SuspectId},
     relay::{RouteTable, UpstreamSnapshot},
     spread::{
         JournalPosition, ListDigest, MemberRow, ReadFailure, ReadStep, ReaderElection,
@@ -500,8 +500,12 @@
         }
         node.failed = false;
         node.election.record_store_read(began);
+        let store_version = StoreVersion {
+            era: 1,
+            number: version,
+        };
         let snapshot = UpstreamSnapshot {
-            version,
+            version: store_version,
             ..UpstreamSnapshot::default()
         };
         node.state.apply_store_list(&snapshot, began);
@@ -511,7 +515,7 @@
             .reports
             .apply(&update.reports, ReportOrigin::Store, now);
         node.state
-            .apply_routes(RouteTable::default(), version, None);
+            .apply_routes(RouteTable::default(), store_version, None);
         node.set_version(version);
     }
 
@@ -549,8 +553,9 @@
                 node.state
                     .apply_routes(RouteTable::default(), update.version, None);
                 // Older data than before is not applied.
-                if update.version >= node.version {
-                    node.set_version(update.version);
+                let version = update.version.number;
+                if version >= node.version {
+                    node.set_version(version);
                 }
                 if node.election.is_stale(now) {
                     node.activity = Activity::BackingOff(cooldown_end(now, pending.turn));
@@ -584,7 +589,7 @@
         });
         let request = SpreadRequest {
             is_immediate: pending.is_immediate,
-            evacuations: Some(0),
+            evacuations: Some(StoreVersion::default()),
             routes: Some(0),
             member,
             is_refused: pending.is_refused,
--- a/crates/spread/tests/list_reader.rs
+++ b/crates/spread/tests/list_reader.rs
@@ -1,10 +1,10 @@
 //! What a reader transfers of a list that the store returns in pages, and how its list stays complete.
 
 use {
-    policy::{CrashReport, UpstreamRecord, UpstreamStage},
+    policy::{CrashReport, StoreVersion, UpstreamRecord, UpstreamStage},
     relay::{
         CallReason, OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate,
-        SourceError, StoreVersion, UpstreamChange, UpstreamChanges, UpstreamSnapshot,
+        SourceError, UpstreamChange, UpstreamChanges, UpstreamSnapshot,
     },
     spread::ListReader,
     std::{
@@ -50,7 +50,7 @@
 
 impl StoreState {
     fn write(&mut self, change: UpstreamChange) {
-        self.version += 1;
+        self.version.number += 1;
         match &change.record {
             Some(record) => self.rows.insert(change.name.clone(), record.clone()),
             None => self.rows.remove(&change.name),
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -2,7 +2,7 @@
 
 use {
     kernel::{InstanceId, ZoneId},
-    policy::{EvacuationSet, UpstreamRecord, UpstreamStage},
+    policy::{EvacuationSet, StoreVersion, UpstreamRecord, UpstreamStage},
     relay::{CallerLimits, RouteTable, UpstreamSnapshot},
     spread::{
         ListJournal, ListMirror, MemberRow, ReadFailure, SpreadReply, SpreadRequest, SpreadState,
@@ -11,10 +11,14 @@
     std::time::{Duration, Instant},
 };
 
+fn store_version(number: u64) -> StoreVersion {
+    StoreVersion { era: 1, number }
+}
+
 fn request() -> SpreadRequest {
     SpreadRequest {
         is_immediate: false,
-        evacuations: Some(0),
+        evacuations: Some(StoreVersion::default()),
         routes: Some(0),
         member: MemberRow {
             address: ([127, 0, 0, 1], 7_000).into(),
@@ -46,7 +50,7 @@
         .read_timeout(Duration::from_millis(700))
         .build();
     let mut state = SpreadState::new(1, zone, Duration::from_secs(600));
-    state.apply_routes(RouteTable::default(), 3, Some(start));
+    state.apply_routes(RouteTable::default(), store_version(3), Some(start));
     let before = state.update_count;
     // A normal confirmation by a watch is sent with the next update.
     let soon = start + Duration::from_secs(1);
@@ -69,7 +73,7 @@
         .build();
     let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
     let edited = RouteTable::new(2, Vec::new(), Vec::new(), CallerLimits::default());
-    state.apply_routes(edited, 3, Some(start));
+    state.apply_routes(edited, store_version(3), Some(start));
     let from_elsewhere = SpreadRequest {
         routes: Some(1),
         member: MemberRow {
@@ -96,7 +100,7 @@
             SpreadReply::Update(update) => panic!("{update:?}"),
         };
     let (copy, version) = no_update(&from_elsewhere).copy.expect("the routes");
-    assert_eq!((copy.into_table().version, version), (2, 3));
+    assert_eq!((copy.into_table().version, version), (2, store_version(3)));
     assert!(no_update(&has_edit).copy.is_none());
     let age = no_update(&from_elsewhere).age.expect("the age goes along");
     assert_eq!((age.age, age.version), (late - start, 2));
@@ -112,7 +116,7 @@
         .read_timeout(Duration::from_millis(700))
         .build();
     let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
-    state.apply_routes(RouteTable::default(), 3, Some(start));
+    state.apply_routes(RouteTable::default(), store_version(3), Some(start));
     state.apply_store_list(&UpstreamSnapshot::default(), start);
     let before = state.update_count;
     assert!(!state.has_updates(&request(), before, &times, start));
@@ -120,13 +124,13 @@
         version,
         zones: ["ferrol".into()].into(),
     };
-    state.apply_evacuations(evacuated(7));
+    state.apply_evacuations(evacuated(store_version(7)));
     state.apply_evacuations(EvacuationSet {
-        version: 6,
+        version: store_version(6),
         ..EvacuationSet::default()
     });
     assert!(state.has_updates(&request(), before, &times, start));
-    assert!(state.has_routes_after(6) && !state.has_routes_after(7));
+    assert!(state.has_routes_after(store_version(6)) && !state.has_routes_after(store_version(7)));
     let sent = |state: &SpreadState, requester: &SpreadRequest| match state.answer(
         requester,
         times.max_staleness,
@@ -135,15 +139,15 @@
         SpreadReply::NoUpdate { routes, .. } => routes.evacuations,
         SpreadReply::Update(update) => update.routes.evacuations,
     };
-    assert_eq!(sent(&state, &request()), Some(evacuated(7)));
+    assert_eq!(sent(&state, &request()), Some(evacuated(store_version(7))));
     let knows = SpreadRequest {
-        evacuations: Some(7),
+        evacuations: Some(store_version(7)),
         ..request()
     };
     assert_eq!(sent(&state, &knows), None);
     assert!(!state.has_updates(&knows, before, &times, start));
     state.record_failure(ReadFailure::Refused, start);
-    assert_eq!(sent(&state, &request()), Some(evacuated(7)));
+    assert_eq!(sent(&state, &request()), Some(evacuated(store_version(7))));
 }
 
 fn upstream(leaving: bool) -> UpstreamRecord {
@@ -181,7 +185,7 @@
         assert!(mirror.apply(reader, change, journal.position()));
         let snapshot = UpstreamSnapshot {
             records: mirror.records(),
-            version,
+            version: store_version(version),
             ..UpstreamSnapshot::default()
         };
         state.apply_peer_list(&snapshot, start, mirror.digest());
@@ -209,3 +213,35 @@
     let transit = 3 * second;
     assert_eq!(update.read_at(transit, start + second + transit), start);
 }
+
+// A restored store gives its versions out again, so that a number by itself says nothing.
+#[test]
+fn what_a_restored_store_says_is_newer_than_all_before() {
+    let start = Instant::now();
+    let before = StoreVersion {
+        era: 1,
+        number: 900,
+    };
+    let restored = StoreVersion { era: 2, number: 5 };
+    let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
+    let list = |version, records: &[UpstreamRecord]| UpstreamSnapshot {
+        records: records.to_vec(),
+        version,
+        ..UpstreamSnapshot::default()
+    };
+    let count = |state: &SpreadState| match state.answer(&request(), Duration::from_secs(9), start)
+    {
+        SpreadReply::Update(update) => update.version,
+        SpreadReply::NoUpdate { .. } => panic!("no update"),
+    };
+    state.apply_store_list(&list(before, &[upstream(false)]), start);
+    state.apply_routes(RouteTable::default(), before, Some(start));
+    state.apply_store_list(&list(restored, &[upstream(true)]), start);
+    assert_eq!(count(&state), restored);
+    // An instance that has not heard of the restore passes on what it has.
+    state.apply_store_list(&list(before, &[upstream(false)]), start);
+    assert_eq!(count(&state), restored);
+    let edited = RouteTable::new(9, Vec::new(), Vec::new(), CallerLimits::default());
+    state.apply_routes(edited, restored, Some(start));
+    assert!(state.has_routes_after(before));
+}
