platform, relay: the first restore is noticed where eras count from 0

A restore was noticed only if the era before was above 0, so that a store that counts from 0 had its first restore unnoticed: lists were ordered, but what left before got work again and what came since lost it.

Any rise after the first answer counts. The stand-in counts from 0 now: without this change an_upstream_that_left_before_… and …_that_came_before_a_restore_… fail.

--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -172,7 +172,7 @@
                     is_passed_over = is_older;
                     if !is_older {
                         let is_restored =
-                            last_version.era > 0 && reading.version.era > last_version.era;
+                            last_read_at.is_some() && reading.version.era > last_version.era;
                         if is_restored {
                             tracing::warn!(
                                 era = reading.version.era,
--- a/crates/trestlewalk/tests/relay_support/store.rs
+++ b/crates/trestlewalk/tests/relay_support/store.rs
@@ -212,7 +212,7 @@
 /// States the era in each answer.
 async fn state_era(State(store): State<StoreStandIn>, request: Request, next: Next) -> Response {
     let mut response = next.run(request).await;
-    let era = store.state.lock().unwrap().era + 1;
+    let era = store.state.lock().unwrap().era;
     response.headers_mut().insert("store-era", era.into());
     response
 }
