spread: what the instances wrote is written again after a restore of the store

The store lost crash reports and members when it came back from an older copy, and nothing wrote them again: a report counted as stored for good, and the row of a zone is written only when its members change. An instance that started then knew of no quarantine and of fewer instances, and took more of what all share.

When the era of the reports rises, a reader takes none for stored, reads all, and writes what is missing. When the era of the list rises, the first instance of each zone reads the directory at once and writes its row if it differs; other zones keep the members that are known until the next reading. The number of calls goes by zones, not by instances.

--- a/crates/spread/src/member_registry.rs
+++ b/crates/spread/src/member_registry.rs
@@ -57,9 +57,14 @@
     }
 
     /// Applies a view of the directory: other zones have the members listed there; the own zone has
-    /// those listed and those known here, without the `silent` ones.
-    pub fn merge(&self, view: &DirectoryView, silent: &[InstanceId]) {
-        let mut members = self.zone_members();
+    /// those listed and those known here, without the `silent` ones. With `keeps_known` other zones
+    /// keep the members known here as well: their rows may be older, and what instances share by
+    /// their number must not grow for that.
+    pub fn merge(&self, view: &DirectoryView, silent: &[InstanceId], keeps_known: bool) {
+        let mut members = match keeps_known {
+            true => self.state.borrow().members.clone(),
+            false => self.zone_members(),
+        };
         let known: Vec<InstanceId> = members
             .iter()
             .map(|member| member.instance.clone())
--- a/crates/spread/src/report_journal.rs
+++ b/crates/spread/src/report_journal.rs
@@ -157,6 +157,13 @@
         reports.map(|aged| aged.report).collect()
     }
 
+    /// Records that the store came back from an older copy, which may lack any report.
+    pub fn note_restored(&mut self) {
+        for row in self.rows.values_mut() {
+            row.is_stored = false;
+        }
+    }
+
     /// Marks reports as stored.
     pub fn mark_stored(&mut self, reports: &[CrashReport]) {
         for report in reports {
--- a/crates/spread/src/report_watcher.rs
+++ b/crates/spread/src/report_watcher.rs
@@ -34,6 +34,8 @@
 pub struct ReportWatcher<S> {
     /// Position up to which the reports were read; `None` before the first read.
     pub after: RankedLock<Option<ReportCursor>>,
+    /// Epoch of the reports that were read last; `None` before the first read.
+    pub epoch: RankedLock<Option<u64>>,
     /// Whether the first read was attempted.
     pub has_started: AtomicBool,
     /// How long a call to the store may take beyond the requested wait.
@@ -147,10 +149,23 @@
         expired
     }
 
+    /// Records the epoch of reports; returns whether the store came back from an older copy since the last ones.
+    fn note_epoch(&self, batch: &ReportBatch) -> bool {
+        let Some(next) = batch.next else {
+            return false;
+        };
+        let before = self.epoch.lock().replace(next.epoch);
+        before.is_some_and(|before| next.epoch > before)
+    }
+
     fn apply(&self, batch: &ReportBatch) {
         *self.after.lock() = batch.next;
+        let is_restored = self.note_epoch(batch);
         let now = steady_clock::now();
         self.state.send_if_modified(|state| {
+            if is_restored {
+                state.reports.note_restored();
+            }
             state
                 .reports
                 .apply(&batch.reports, ReportOrigin::Store, now)
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -45,6 +45,8 @@
     changed: Arc<Notify>,
     counts: RelayCounts,
     directory: MemberDirectory<S>,
+    /// The latest era of the store that an update named; `None` before the first one.
+    era: RankedLock<Option<u64>>,
     endpoint: PeerEndpoint,
     report_watcher: Arc<ReportWatcher<S>>,
     /// When the routes in force were last known to be the newest.
@@ -84,6 +86,8 @@
 /// The directory as this incarnation of the instance has read it.
 #[derive(Debug)]
 struct JoinState {
+    /// Whether the store came back from an older copy since then: rows may be gone or old.
+    is_restored: bool,
     /// When it was last read, or a read was attempted.
     tried_at: Instant,
     view: DirectoryView,
@@ -148,6 +152,7 @@
         }
         let report_watcher = Arc::new(ReportWatcher {
             after: RankedLock::new(LockRank::Readings, None),
+            epoch: RankedLock::new(LockRank::Samples, None),
             has_started: AtomicBool::new(false),
             read_timeout: times.read_timeout,
             state: members.state.clone(),
@@ -160,6 +165,7 @@
             changed,
             counts,
             directory: MemberDirectory::new(directory_store, own),
+            era: RankedLock::new(LockRank::Samples, None),
             endpoint,
             first_start,
             report_watcher,
@@ -208,6 +214,7 @@
         self.members
             .state
             .send_modify(|state| state.apply_store_list(&snapshot, began));
+        self.note_era(snapshot.version);
         snapshot.as_of = Some(began);
         snapshot.waited = true;
         self.refresh(now, true).await;
@@ -348,6 +355,7 @@
                     };
                     match outcome {
                         RequestOutcome::Update(snapshot) => {
+                            self.note_era(snapshot.version);
                             let now = steady_clock::now();
                             if self.members.election.lock().is_first(now) {
                                 self.refresh(now, false).await;
--- a/crates/spread/src/shared_source/joining.rs
+++ b/crates/spread/src/shared_source/joining.rs
@@ -6,6 +6,7 @@
     kernel::{InstanceId, steady_clock},
     peer::KeyAuthority,
     plat::RowStore,
+    policy::StoreVersion,
     relay::{OperatorSource, SourceError},
     std::{
         sync::Arc,
@@ -61,7 +62,7 @@
                     .await?
             }
         };
-        self.apply_view(view, &[]);
+        self.apply_view(view, &[], false);
         Ok(())
     }
 
@@ -70,6 +71,7 @@
     /// from another zone does so only after a change.
     pub(super) async fn refresh(&self, now: Instant, in_period: bool) {
         let silent = self.members.election.lock().silent_members(now);
+        let is_restored = self.is_restored();
         let Some(known) = self.claim_refresh(now, in_period, !silent.is_empty()) else {
             return;
         };
@@ -80,7 +82,7 @@
                 return;
             }
         };
-        self.apply_view(view.clone(), &silent);
+        self.apply_view(view.clone(), &silent, is_restored);
         let members = self.members.zone_members();
         let listed = view.zones.get(&self.members.own.zone);
         let is_listed =
@@ -93,11 +95,22 @@
             .with_read_timeout(self.directory.write(view, members, &authority))
             .await
         {
-            Ok(view) => self.apply_view(view, &silent),
+            Ok(view) => self.apply_view(view, &silent, is_restored),
             Err(error) => tracing::info!(%error, "failed to write the directory"),
         }
     }
 
+    /// Has the directory read and written at the next opportunity after a restore of the store.
+    pub(super) fn note_era(&self, version: StoreVersion) {
+        let before = self.era.lock().replace(version.era);
+        if before.is_none_or(|before| version.era <= before) {
+            return;
+        }
+        if let Some(join) = self.join.lock().as_mut() {
+            join.is_restored = true;
+        }
+    }
+
     /// If the directory is to be read now, schedules the next read and returns the known key.
     pub(super) fn claim_refresh(
         &self,
@@ -109,8 +122,9 @@
         let mut join = self.join.lock();
         let join = join.as_mut()?;
         let listed = join.view.zones.get(&self.members.own.zone);
-        let is_listed =
-            !has_silent && listed.is_some_and(|listed| MemberRow::digest(listed) == members);
+        let is_listed = !has_silent
+            && !join.is_restored
+            && listed.is_some_and(|listed| MemberRow::digest(listed) == members);
         if is_listed && !in_period {
             return None;
         }
@@ -118,16 +132,23 @@
             true => self.times.directory_period,
             false => self.times.directory_debounce,
         };
-        if now < join.tried_at + period {
+        if now < join.tried_at + period && !join.is_restored {
             return None;
         }
         join.tried_at = now;
         join.view.authority.clone()
     }
 
-    /// Applies a view of the directory.
-    pub(super) fn apply_view(&self, view: DirectoryView, silent: &[InstanceId]) {
+    fn is_restored(&self) -> bool {
+        let join = self.join.lock();
+        join.as_ref().is_some_and(|join| join.is_restored)
+    }
+
+    /// Applies a view of the directory; `is_restored` when it is the first one after a restore of the store, which may
+    /// lack members.
+    pub(super) fn apply_view(&self, view: DirectoryView, silent: &[InstanceId], is_restored: bool) {
         let next = JoinState {
+            is_restored: false,
             tried_at: steady_clock::now(),
             view: view.clone(),
         };
@@ -138,7 +159,7 @@
         {
             self.trust(authority);
         }
-        self.members.merge(&view, silent);
+        self.members.merge(&view, silent, is_restored);
     }
 
     /// Has the key of this instance certified by the key that all instances trust, and trusts that
