lease, platform: a restored store doesn't give fencing tokens out again

After the store came back from an older copy, the row of a lease is gone or names an earlier holder with an earlier token. The next holder took a token that another one had used: 1 and 1 in fencing_tokens_rise_although_the_store_comes_back_older, for two holders within a second. A holder went on with a lease that the store no longer knew of.

Tokens of a later epoch of the rows are all greater than those before. A process that sees the epoch rise holds no lease any more, and nobody that has seen it takes one for a whole life of a lease, and to engines that ignore tokens for the longest order besides. What is left: a process that starts within that time sees the later epoch only, and takes a lease that the copy lacks at once; engines that check tokens refuse the earlier holder then.

--- a/crates/lease/src/lease_core.rs
+++ b/crates/lease/src/lease_core.rs
@@ -1,12 +1,18 @@
 //! Acquiring, renewing and releasing one lease.
 
 use {
-    crate::{lease_hold::LeaseHold, lease_record::LeaseRecord, lease_settings::LeaseSettings},
+    crate::{
+        clock_drift::add_drift_margin, lease_hold::LeaseHold, lease_record::LeaseRecord,
+        lease_settings::LeaseSettings,
+    },
     kernel::FencingToken,
     plat::{RowCondition, RowWrite, StoredRow, Transaction, TransactionReply},
     std::{sync::Arc, time::Instant},
 };
 
+/// The number of fencing tokens of one epoch of the platform's rows: those of a later epoch are all greater, whatever the
+/// rows say of earlier ones.
+const TOKENS_PER_EPOCH: FencingToken = 1_000_000;
 /// Lower than the first fencing token of a lease.
 const NO_TOKEN: FencingToken = 0;
 /// The maximum number of unanswered writes that are remembered; the oldest are dropped first.
@@ -76,9 +82,13 @@
 /// its current version. Wall clocks are not used.
 #[derive(Debug)]
 pub struct LeaseCore {
+    /// `None` before the first answer of the platform.
+    epoch: Option<u64>,
     fence_floor: FencingToken,
     pending: Vec<PendingWrite>,
     phase: LeasePhase,
+    /// Until when a holder that the row does not name may use its lease.
+    quiet_until: Option<Instant>,
     settings: LeaseSettings,
     needs_read: bool,
     writes: u64,
@@ -97,15 +107,30 @@
     /// A lease that nobody is known to hold.
     pub fn new(settings: LeaseSettings) -> Self {
         Self {
+            epoch: None,
             fence_floor: 0,
             pending: Vec::new(),
             phase: LeasePhase::Following(None),
+            quiet_until: None,
             settings,
             needs_read: false,
             writes: 0,
         }
     }
 
+    /// Records the epoch of the platform's rows. After a rise the row may be gone, or name an earlier holder with an
+    /// earlier token: this process stops holding the lease, and waits for as long as another one may go on holding it.
+    pub fn note_epoch(&mut self, epoch: u64, now: Instant) {
+        let before = self.epoch.replace(epoch).unwrap_or(epoch);
+        self.fence_floor = self.fence_floor.max(epoch * TOKENS_PER_EPOCH);
+        if epoch == before {
+            return;
+        }
+        self.pending.clear();
+        self.phase = LeasePhase::Following(None);
+        self.quiet_until = Some(now + add_drift_margin(self.settings.life));
+    }
+
     /// Handles one event and returns the next action.
     pub fn on_event(&mut self, now: Instant, event: LeaseEvent) -> LeaseAction {
         match event {
@@ -142,6 +167,14 @@
         fence: FencingToken,
         unchecked_from: Instant,
     ) -> LeaseAction {
+        let mut unchecked_from = unchecked_from;
+        if let Some(quiet_until) = self.quiet_until {
+            if now < quiet_until {
+                return LeaseAction::Wait;
+            }
+            let longest_order = add_drift_margin(self.settings.longest_order);
+            unchecked_from = unchecked_from.max(quiet_until + longest_order);
+        }
         let next = fence.max(self.fence_floor) + 1;
         self.write_lease(now, version, next, unchecked_from)
     }
--- a/crates/lease/src/lease_keeper.rs
+++ b/crates/lease/src/lease_keeper.rs
@@ -147,7 +147,10 @@
     }
 
     fn step(&self, event: LeaseEvent) -> LeaseAction {
+        let now = steady_clock::now();
+        let epoch = self.store.epoch();
         let mut state = self.state.lock();
-        state.core.on_event(steady_clock::now(), event)
+        state.core.note_epoch(epoch, now);
+        state.core.on_event(now, event)
     }
 }
--- a/crates/lease/tests/lease_core.rs
+++ b/crates/lease/tests/lease_core.rs
@@ -118,3 +118,30 @@
     assert_eq!(released, LeaseAction::Wait);
     assert!(next.hold(taken).is_none());
 }
+
+// Guards against an order after the store came back from a copy in which another process holds the lease, or nobody.
+#[test]
+fn after_a_restore_nobody_holds_the_lease_for_a_whole_life() {
+    let now = Instant::now();
+    let (mut before, row) = holder(now);
+    before.note_epoch(0, now);
+    let restored = now + SECOND;
+    before.note_epoch(1, restored);
+    assert!(before.hold(restored).is_none());
+    for read in [None, Some(row.clone())] {
+        let event = LeaseEvent::Read(read);
+        assert_eq!(before.on_event(restored + LIFE, event), LeaseAction::Wait);
+    }
+    let later = restored + LIFE + SECOND;
+    let row = written(before.on_event(later, LeaseEvent::Read(None)), 1);
+    assert!(row.value.contains(r#""fence":1000001"#), "{}", row.value);
+}
+
+#[test]
+fn a_process_that_starts_after_a_restore_takes_a_greater_token() {
+    let now = Instant::now();
+    let mut next = core("two");
+    next.note_epoch(1, now);
+    let row = written(next.on_event(now, LeaseEvent::Read(None)), 1);
+    assert!(row.value.contains(r#""fence":1000001"#), "{}", row.value);
+}
--- a/crates/trestlewalk/tests/relay_orders.rs
+++ b/crates/trestlewalk/tests/relay_orders.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use {
-    relay_support::{RelayRun, RelayTest},
+    relay_support::{RelayRun, RelayTest, relay_test::start_again},
     serde_json::{Value, json},
     support::wait::wait_until,
 };
@@ -66,3 +66,25 @@
     .await;
     assert_eq!(orders(&run).len(), 0);
 }
+
+// A restored store may lack the lease, or show an earlier holder with an earlier token.
+#[tokio::test]
+async fn fencing_tokens_rise_although_the_store_comes_back_older() {
+    let mut run = RelayTest::new()
+        .engines("redactor", 8, 4)
+        .route("/note/", "streaming", "redactor", &json!({}))
+        .orders()
+        .start_ready()
+        .await;
+    let mut copy = run.store.copy();
+    copy.clear_table("trestlewalk");
+    wait_until("an order", async || !orders(&run).is_empty()).await;
+    let count = orders(&run).len();
+    run.store.restore(&copy);
+    run.process.kill().await;
+    run.process = start_again("front-1", &run.folder).await;
+    wait_until("another order", async || orders(&run).len() > count).await;
+    let all = orders(&run);
+    let fence = |order: &Value| order["Fence"].as_u64().unwrap();
+    assert!(fence(&all[count]) > fence(&all[count - 1]), "{all:?}");
+}
