policy: an evacuation outlasts a restore of the store

When the store came back from a copy older than an evacuation, the zone counted as taken back at once, and got work until operators had declared it again.

--- a/crates/policy/src/list_history.rs
+++ b/crates/policy/src/list_history.rs
@@ -12,8 +12,9 @@
 
 /// How long an upstream that left is remembered. Copies of the store are a few seconds old.
 const RETENTION: Duration = Duration::from_secs(60);
-/// How long a restored store may show what has left: longer than it keeps the row of a silent upstream.
-const RESTORED_SPAN: Duration = Duration::from_secs(10);
+/// How long a restored store may show what has left, and lack what was declared: longer than it keeps the row of a silent
+/// upstream, and than operators need to write again.
+pub(crate) const RESTORED_SPAN: Duration = Duration::from_secs(10);
 
 /// The upstreams that left lately.
 #[derive(Clone, Debug, Default)]
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -146,3 +146,22 @@
     unknown.restrict(&allowed(&["north"]), &BTreeMap::new());
     assert!(!unknown.allows(&"near".into()));
 }
+
+// The copy that a restored store comes back from may be older than an evacuation; operators declare it again.
+#[test]
+fn an_evacuation_outlasts_a_restore_until_it_can_have_been_declared_again() {
+    let now = Instant::now();
+    let mut table = table(now);
+    table.set_evacuations(&set(9, &["near"]), now);
+    let mut restored = set(3, &[]);
+    restored.version.era = 2;
+    let change = table.set_evacuations(&restored, now);
+    assert_eq!(change, EvacuationChange::default());
+    let zone = ZoneId::from("near");
+    let records = [record("near", UpstreamStage::Plain)];
+    let later = now + Duration::from_secs(9);
+    table.replace(&records, None, later);
+    assert!(table.is_evacuated(&zone));
+    table.replace(&records, None, later + Duration::from_secs(2));
+    assert!(!table.is_evacuated(&zone));
+}
