--- a/crates/trestlewalk/tests/relay_restored.rs
+++ b/crates/trestlewalk/tests/relay_restored.rs
@@ -165,6 +165,31 @@
     run.send_some().await;
 }
 
+// Answers of two eras may overtake each other on different connections.
+#[tokio::test]
+async fn an_answer_of_an_earlier_era_is_not_used() {
+    let run = zone(1).await;
+    let copy = run.store.copy();
+    run.store.restore(&copy);
+    run.settle().await;
+    run.store.state_earlier_era(true);
+    run.store
+        .put("servers", "i-carta-0", &run.upstreams[0].report("draining"));
+    run.settle().await;
+    let before = run.received(0);
+    for _ in 0..30 {
+        assert_eq!(run.status(0, "/t/1").await, 200);
+    }
+    assert!(run.received(0) > before);
+    run.store.state_earlier_era(false);
+    run.settle().await;
+    let before = run.received(0);
+    for _ in 0..30 {
+        assert_eq!(run.status(0, "/t/1").await, 200);
+    }
+    assert_eq!(run.received(0), before);
+}
+
 #[tokio::test]
 async fn crash_reports_and_members_are_written_again_after_a_restore() {
     let run = zone(3).await;
--- a/crates/trestlewalk/tests/relay_support/store.rs
+++ b/crates/trestlewalk/tests/relay_support/store.rs
@@ -38,6 +38,8 @@
     down: bool,
     /// How often the store came back from an older copy.
     era: u64,
+    /// Answers state an earlier era, as those that were long on their way.
+    states_earlier_era: bool,
     /// Changes up to this version are no longer in the history.
     forgotten: u64,
     garbled: bool,
@@ -125,6 +127,11 @@
         self.changed.notify_waiters();
     }
 
+    /// States the era before this one in all answers.
+    pub fn state_earlier_era(&self, earlier: bool) {
+        self.state.lock().unwrap().states_earlier_era = earlier;
+    }
+
     /// Applies the next writes without answering them.
     pub fn lose_answers(&self, count: usize) {
         self.state.lock().unwrap().lost_answers = count;
@@ -212,7 +219,10 @@
 /// States the era in each answer.
 async fn state_era(State(store): State<StoreStandIn>, request: Request, next: Next) -> Response {
     let mut response = next.run(request).await;
-    let era = store.state.lock().unwrap().era;
+    let era = {
+        let state = store.state.lock().unwrap();
+        state.era - u64::from(state.states_earlier_era)
+    };
     response.headers_mut().insert("store-era", era.into());
     response
 }
