tests: restores of the store among the faults of the fleet model

A restore takes the versions back by 8,000 and the reports away. Ten restores at different phases of the period, and 60 random cases with restores among the other faults: news stay under 1.8 s old in the first, are current 4 s after the last fault in the second, and reports are in the store again.

--- a/crates/spread/tests/fleet_fuzz.rs
+++ b/crates/spread/tests/fleet_fuzz.rs
@@ -216,6 +216,27 @@
     assert_eq!(model.missing_report_count(), 0);
 }
 
+// Guards against instances that pass over all that a restored store says, since its versions are lower than before.
+#[test]
+fn after_a_restore_of_the_store_everybody_has_news_and_reports() {
+    for phase in 0..10 {
+        let mut model = healthy_fleet();
+        model.fault(&FleetFault::Crash(0));
+        model.run(seconds(2) + Duration::from_millis(100) * phase);
+        model.fault(&FleetFault::Restore);
+        let mut oldest = Duration::ZERO;
+        for _ in 0..40 {
+            model.run(Duration::from_millis(100));
+            oldest = oldest.max(model.oldest_data_age());
+        }
+        assert!(oldest < MAX_AGE, "{oldest:?}");
+        // Whoever starts now reads the reports in the store.
+        model.fault(&FleetFault::KillAll);
+        model.run(RECOVERY_TIME);
+        assert_eq!(model.stored_report_count(), 1);
+    }
+}
+
 fn fault(per_zone: usize) -> impl Strategy<Value = FleetFault> {
     let any_node = 0..ZONES * per_zone;
     let span = (1..60_u64).prop_map(|tenths| Duration::from_millis(100 * tenths));
@@ -308,6 +329,39 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(56),
+        ..ProptestConfig::default()
+    })]
+
+    /// The same with a store that comes back from older copies between the other faults.
+    #[test]
+    fn news_reach_everybody_although_the_store_comes_back_older(
+        faults in prop::collection::vec((prop_oneof![
+            1 => Just(FleetFault::Restore),
+            2 => fault(PER_ZONE),
+        ], 0..25_u64), 1..12),
+    ) {
+        let mut model = healthy_fleet();
+        let mut left = Duration::ZERO;
+        for (fault, pause) in &faults {
+            model.fault(fault);
+            left = left.max(fault.span());
+            let pause = Duration::from_millis(100 * pause);
+            model.run(pause);
+            left = left.saturating_sub(pause);
+        }
+        model.run(left + RECOVERY_TIME);
+        prop_assert!(model.oldest_data_age() < Duration::from_millis(1_250), "{:?}", model.oldest_data_age());
+        prop_assert_eq!(model.missing_report_count(), 0);
+        let most = model.max_calls_per_second();
+        prop_assert!(most <= MAX_ZONE_CALLS_PER_SECOND, "{most} calls in a second");
+    }
+}
+
 /// Guards against stale data in zones of two or three instances when the store refuses all their
 /// readers at once, at any phase of the period: the remaining instance must supply all three zones.
 #[test]
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -28,6 +28,11 @@
 /// store earlier.
 const NO_UPDATE_DELAY: Duration = Duration::from_millis(300);
 
+/// The version of the store at the start.
+const FIRST_VERSION: u64 = 1_000_000;
+/// How far the versions go back with each restore.
+const VERSIONS_LOST: u64 = 8_000;
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreMode {
     Refuses,
@@ -46,6 +51,8 @@
     Kill(usize),
     KillAll,
     KillReader(usize),
+    /// The store comes back from an older copy: its versions go back, and its reports are gone.
+    Restore,
     /// How the store behaves towards a range of instances.
     Store(StoreMode, usize, usize, Duration),
 }
@@ -55,9 +62,12 @@
     pub fn span(&self) -> Duration {
         match self {
             Self::CutZone(_, span) | Self::Freeze(_, span) | Self::Store(_, _, _, span) => *span,
-            Self::Die(_) | Self::Crash(_) | Self::Kill(_) | Self::KillAll | Self::KillReader(_) => {
-                RESTART_DELAY * 2
-            }
+            Self::Die(_)
+            | Self::Crash(_)
+            | Self::Kill(_)
+            | Self::KillAll
+            | Self::KillReader(_)
+            | Self::Restore => RESTART_DELAY * 2,
         }
     }
 }
@@ -133,6 +143,8 @@
     pub requests: usize,
     rows: Vec<MemberRow>,
     start: Instant,
+    /// How often the store came back from an older copy.
+    era: u64,
     /// Reports in the store.
     store: ReportJournal,
     times: SpreadTimes,
@@ -163,6 +175,7 @@
             calls: Vec::new(),
             cut_until: vec![now; zones],
             crashes: Vec::new(),
+            era: 0,
             per_zone,
             nodes: nodes.collect(),
             now,
@@ -190,6 +203,10 @@
                 }
             }
             FleetFault::KillReader(zone) => self.kill(self.reader(*zone), RESTART_DELAY),
+            FleetFault::Restore => {
+                self.era += 1;
+                self.store = ReportJournal::new(self.era + 1, QUARANTINE);
+            }
             FleetFault::Store(mode, from, to, span) => {
                 for node in &mut self.nodes[*from..*to] {
                     node.store = (*mode, now + *span);
@@ -233,6 +250,11 @@
         running.filter(lacks).count()
     }
 
+    /// Number of reports in the store.
+    pub fn stored_report_count(&self) -> usize {
+        self.store.updates_since(None, self.now).reports.len()
+    }
+
     /// Age of the oldest data among running instances.
     pub fn oldest_data_age(&self) -> Duration {
         self.max_data_age(&self.nodes)
@@ -484,8 +506,17 @@
         };
     }
 
+    /// The version of the store's content at a time. A version has the time of its data in it.
+    fn store_version(&self, millis: u64) -> StoreVersion {
+        StoreVersion {
+            era: self.era,
+            number: FIRST_VERSION + millis - self.era * VERSIONS_LOST,
+        }
+    }
+
     fn finish_read(&mut self, index: usize, began: Instant, is_read: bool) {
         let version = self.millis(began);
+        let store_version = self.store_version(version);
         let now = self.now;
         let node = &mut self.nodes[index];
         if !is_read {
@@ -500,17 +531,16 @@
         }
         node.failed = false;
         node.election.record_store_read(began);
-        let store_version = StoreVersion {
-            era: 1,
-            number: version,
-        };
         let snapshot = UpstreamSnapshot {
             version: store_version,
             ..UpstreamSnapshot::default()
         };
         node.state.apply_store_list(&snapshot, began);
         let update = self.store.updates_since(node.store_position, now);
-        node.store_position = Some(update.position);
+        let before = node.store_position.replace(update.position);
+        if before.is_some_and(|before| before.incarnation != update.position.incarnation) {
+            node.state.reports.note_restored();
+        }
         node.state
             .reports
             .apply(&update.reports, ReportOrigin::Store, now);
@@ -553,7 +583,7 @@
                 node.state
                     .apply_routes(RouteTable::default(), update.version, None);
                 // Older data than before is not applied.
-                let version = update.version.number;
+                let version = data_time(update.version);
                 if version >= node.version {
                     node.set_version(version);
                 }
@@ -665,3 +695,8 @@
         self.version = version;
     }
 }
+
+/// The time of the data at a version, milliseconds since the start.
+fn data_time(version: StoreVersion) -> u64 {
+    version.number + version.era * VERSIONS_LOST - FIRST_VERSION
+}
