--- a/crates/trestlewalk/tests/relay_unframed.rs
+++ b/crates/trestlewalk/tests/relay_unframed.rs
@@ -6,9 +6,10 @@
 mod support;
 
 use {
+    kernel::ServiceId,
     relay_support::{
-        RelayRun, RelayTest, UpstreamMode, caller::request_text, engine_answers::event_text,
-        relay_test::STREAM_HEADERS,
+        DirectFleet, RelayRun, RelayTest, UpstreamMode, caller::request_text,
+        engine_answers::event_text, relay_test::STREAM_HEADERS,
     },
     serde_json::json,
     std::time::Duration,
@@ -98,3 +99,35 @@
     let (reply, ()) = tokio::join!(answers, crash);
     assert_eq!(reply.status(), 502, "{reply:?}");
 }
+
+// The instance in between has to tell the same end from the same break.
+#[tokio::test]
+async fn a_stream_without_length_is_told_from_a_broken_one_through_another_instance() {
+    let fleet = DirectFleet::start(2).await;
+    for upstream in &fleet.upstreams {
+        upstream.state.lock().unwrap().unframed = true;
+    }
+    fleet.cut(0);
+    let service = ServiceId::from("redactor");
+    wait_until("the cut is noticed", async || {
+        fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
+        fleet.instances[0].core.reach.is_lost(&service)
+    })
+    .await;
+    let whole = fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
+    assert_eq!((whole.status(), whole.whole), (200, true));
+    let events: Vec<String> = (1..=5).map(event_text).collect();
+    assert_eq!(whole.text(), events.concat());
+    let set_all = |mode| {
+        fleet
+            .upstreams
+            .iter()
+            .for_each(|upstream| upstream.set(mode))
+    };
+    set_all(UpstreamMode::CutAfter(2));
+    let cut = fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
+    assert_eq!((cut.status(), cut.whole), (200, false));
+    set_all(UpstreamMode::CutAfter(0));
+    let empty = fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
+    assert_eq!(empty.status(), 502, "{empty:?}");
+}
