--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod customer_limit;
 pub mod departure_table;
 pub mod evacuation_set;
+mod evacuation_state;
 pub mod fleet_members;
 pub mod helper_table;
 pub mod keeper_table;
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -6,12 +6,13 @@
         EvacuationChange, EvacuationSet, PrefillChoice, PrefillEstimate, RateTable,
         SoftwareHistory, UpstreamEntry, UpstreamRecord, UpstreamStage, ZoneRefusals,
         call_cost::{COLD_COST, DUE_GAIN, call_cost},
-        list_history::{ListHistory, RESTORED_SPAN},
+        evacuation_state::EvacuationState,
+        list_history::ListHistory,
         prefill_choice::{COLD_PREFILL, with_jitter},
     },
     kernel::{InstanceId, ServiceId, UpstreamId, ZoneId, seeded_rng},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -35,9 +36,7 @@
     /// The upstreams that stated that they leave.
     pub departures: DepartureTable,
     entries: BTreeMap<UpstreamId, UpstreamEntry>,
-    evacuations: EvacuationSet,
-    /// Zones whose evacuation a restored store does not show, and until when they stay evacuated.
-    kept_evacuations: Option<(BTreeSet<ZoneId>, Instant)>,
+    evacuations: EvacuationState,
     grace_until: Option<Instant>,
     history: ListHistory,
     instance: InstanceId,
@@ -74,14 +73,7 @@
     /// Applies the evacuated availability zones, unless newer ones are known. Upstreams of a zone whose evacuation has
     /// ended count as cold until a list read after that could say so.
     pub fn set_evacuations(&mut self, next: &EvacuationSet, now: Instant) -> EvacuationChange {
-        let mut change = self.evacuations.change_to(next);
-        if next.version.era > self.evacuations.version.era && !change.ended.is_empty() {
-            let kept = std::mem::take(&mut change.ended).into_iter().collect();
-            self.kept_evacuations = Some((kept, now + RESTORED_SPAN));
-        }
-        if next.version > self.evacuations.version {
-            self.evacuations = next.clone();
-        }
+        let change = self.evacuations.apply(next, now);
         self.note_zones_cold(&change.ended, now);
         change
     }
@@ -97,21 +89,9 @@
         }
     }
 
-    /// Ends evacuations that were not declared again after a restore of the store.
-    fn end_kept_evacuations(&mut self, now: Instant) {
-        let kept = self.kept_evacuations.take_if(|(_, until)| now >= *until);
-        let Some((zones, _)) = kept else {
-            return;
-        };
-        let ended = zones.difference(&self.evacuations.zones);
-        let ended: Vec<ZoneId> = ended.cloned().collect();
-        self.note_zones_cold(&ended, now);
-    }
-
     /// Whether the upstreams of an availability zone get no new work.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
-        let kept = self.kept_evacuations.as_ref();
-        self.evacuations.zones.contains(zone) || kept.is_some_and(|(kept, _)| kept.contains(zone))
+        self.evacuations.contains(zone)
     }
 
     /// Whether there are upstreams, and all of them are in evacuated availability zones.
@@ -411,7 +391,8 @@
             self.entries.insert(id, entry);
         }
         self.history.expire(now);
-        self.end_kept_evacuations(now);
+        let ended = self.evacuations.end_kept(now);
+        self.note_zones_cold(&ended, now);
         self.backoffs.drop_ended(now);
         if !self.rates.is_empty() || !self.departures.is_empty() {
             let listed = self.entries.keys().cloned().collect();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod flow_failure;
 pub mod forward_queue;
 pub mod forwarded_request;
+mod list_progress;
 pub mod open_call;
 pub mod operator_source;
 pub mod order_dialect;
--- /dev/null
+++ b/crates/relay/src/list_progress.rs
@@ -0,0 +1,76 @@
+//! What a watch of the list of upstreams remembers of its readings. Free of I/O; times are passed in.
+
+use {
+    crate::UpstreamSnapshot,
+    policy::StoreVersion,
+    std::time::{Duration, Instant},
+};
+
+/// The progress of a watch.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ListProgress {
+    failing_since: Option<Instant>,
+    is_passed_over: bool,
+    /// When the store was last read for a list that was taken; `None` before the first one.
+    read_at: Option<Instant>,
+    version: StoreVersion,
+}
+
+/// How a reading follows the ones before it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ListStep {
+    /// How long ago the store was read for the list that this one replaces; `None` for the first one.
+    pub(crate) age: Option<Duration>,
+    /// Whether the store came back from an older copy since the last list.
+    pub(crate) is_restored: bool,
+    /// The time between the readings of the last list and of this one; `None` for the first one.
+    pub(crate) gap: Option<Duration>,
+}
+
+impl ListProgress {
+    /// Records a reading that can be used; returns whether the ones before it failed.
+    pub(crate) fn end_failures(&mut self) -> bool {
+        self.failing_since.take().is_some()
+    }
+
+    /// Records a failed reading; returns whether it is the first in a row.
+    pub(crate) fn note_failure(&mut self, now: Instant) -> bool {
+        let is_first = self.failing_since.is_none();
+        self.failing_since.get_or_insert(now);
+        is_first
+    }
+
+    /// Takes a list; `None` if it is older than the last one.
+    pub(crate) fn advance(&mut self, reading: &UpstreamSnapshot, now: Instant) -> Option<ListStep> {
+        if reading.version < self.version {
+            if !self.is_passed_over {
+                tracing::warn!(
+                    version = reading.version.number,
+                    last_version = self.version.number,
+                    passed_on = reading.passed_on,
+                    "lists of upstreams older than the last one are passed over"
+                );
+            }
+            self.is_passed_over = true;
+            return None;
+        }
+        let read_at = reading.as_of.unwrap_or(now);
+        let before = self.read_at;
+        let step = ListStep {
+            age: before.map(|before| now.saturating_duration_since(before)),
+            gap: before.map(|before| read_at.saturating_duration_since(before)),
+            is_restored: before.is_some() && reading.version.era > self.version.era,
+        };
+        if step.is_restored {
+            tracing::warn!(
+                era = reading.version.era,
+                before = self.version.era,
+                "the list of upstreams comes from a restored store"
+            );
+        }
+        self.is_passed_over = false;
+        self.read_at = before.max(Some(read_at));
+        self.version = reading.version;
+        Some(step)
+    }
+}
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CallReason, OperatorSource, RelayCore, ReportCursor, RouteSnapshot, RouteTable,
-        RouteUpdate, SourceError, UpstreamDialect, UpstreamSnapshot,
+        RouteUpdate, SourceError, UpstreamDialect, UpstreamSnapshot, list_progress::ListProgress,
     },
     kernel::steady_clock,
     policy::{EvacuationSet, StoreVersion},
@@ -137,11 +137,8 @@
     pub async fn watch_upstreams(&self) {
         let mut clock = time::interval(self.times.list_period);
         clock.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-        let mut failing_since: Option<Instant> = None;
+        let mut progress = ListProgress::default();
         let mut reason = CallReason::Start;
-        let mut last_version = StoreVersion::default();
-        let mut last_read_at: Option<Instant> = None;
-        let mut is_passed_over = false;
         loop {
             clock.tick().await;
             let reading = self.source.read_upstreams(reason);
@@ -149,49 +146,8 @@
             let now = steady_clock::now();
             let error = match reading {
                 Ok(Ok(reading)) => {
-                    let outcome = match reading.passed_on {
-                        true => "passed_on",
-                        false => "done",
-                    };
-                    self.core.counts.note_read("upstreams", outcome);
                     reason = CallReason::Period;
-                    let was_lost = failing_since.take().is_some();
-                    if was_lost {
-                        tracing::info!("the store answers again");
-                        self.store_recovered.notify_one();
-                    }
-                    let is_older = reading.version < last_version;
-                    if is_older && !is_passed_over {
-                        tracing::warn!(
-                            version = reading.version.number,
-                            last_version = last_version.number,
-                            passed_on = reading.passed_on,
-                            "lists of upstreams older than the last one are passed over"
-                        );
-                    }
-                    is_passed_over = is_older;
-                    if !is_older {
-                        let is_restored =
-                            last_read_at.is_some() && reading.version.era > last_version.era;
-                        if is_restored {
-                            tracing::warn!(
-                                era = reading.version.era,
-                                before = last_version.era,
-                                "the list of upstreams comes from a restored store"
-                            );
-                            self.core.upstreams.lock().note_restored(now);
-                        }
-                        last_version = reading.version;
-                        let read_at = reading.as_of.unwrap_or(now);
-                        let gap = last_read_at.map(|last| read_at.saturating_duration_since(last));
-                        let may_lapse = gap.is_some_and(|gap| gap >= self.times.lapse);
-                        let outage_ended = (was_lost && may_lapse).then_some(now);
-                        if let Some(last) = last_read_at {
-                            self.note_list_age(now.saturating_duration_since(last), &reading);
-                        }
-                        last_read_at = last_read_at.max(Some(read_at));
-                        self.apply_upstreams(&reading, outage_ended, now);
-                    }
+                    self.take_list(&mut progress, &reading, now);
                     if reading.waited {
                         clock.reset_immediately();
                     }
@@ -202,14 +158,39 @@
             };
             self.core.counts.note_read("upstreams", "failed");
             reason = CallReason::Retry;
-            if failing_since.is_none() {
+            if progress.note_failure(now) {
                 tracing::warn!(error, "the list of upstreams can't be read");
-                failing_since = Some(now);
             }
             clock.reset_after(self.times.list_retry);
         }
     }
 
+    /// Applies a list unless it is older than the last one.
+    fn take_list(&self, progress: &mut ListProgress, reading: &UpstreamSnapshot, now: Instant) {
+        let outcome = match reading.passed_on {
+            true => "passed_on",
+            false => "done",
+        };
+        self.core.counts.note_read("upstreams", outcome);
+        let was_lost = progress.end_failures();
+        if was_lost {
+            tracing::info!("the store answers again");
+            self.store_recovered.notify_one();
+        }
+        let Some(step) = progress.advance(reading, now) else {
+            return;
+        };
+        if step.is_restored {
+            self.core.upstreams.lock().note_restored(now);
+        }
+        if let Some(age) = step.age {
+            self.note_list_age(age, reading);
+        }
+        let may_lapse = step.gap.is_some_and(|gap| gap >= self.times.lapse);
+        let outage_ended = (was_lost && may_lapse).then_some(now);
+        self.apply_upstreams(reading, outage_ended, now);
+    }
+
     async fn await_update(&self, after: StoreVersion) -> Result<Option<StoreVersion>, SourceError> {
         let wait = self.times.watch_wait;
         let limit = wait + self.times.read_limit;
