--- a/crates/policy/tests/part_errors.rs
+++ b/crates/policy/tests/part_errors.rs
@@ -30,7 +30,7 @@
 /// How long after the fifth crash three more requests at most may reach engines.
 const KNOWN_AFTER: u64 = 3_000;
 const MAX_LATE: u32 = 3;
-/// The parts that prompts of the three routes begin with, and those that follow.
+/// The parts that prompts begin with, where a day names no other number, and those that follow.
 const FIRST_PARTS: u64 = 3;
 const MIDDLE_PARTS: u64 = 60;
 
@@ -47,6 +47,8 @@
     crash_interval: u64,
     /// How many engines each of these crashes takes.
     crash_size: usize,
+    /// The number of parts that prompts begin with; 0 for the usual one. Lethal requests begin with the first of them.
+    first_parts: u64,
 }
 
 struct Sampler(u64);
@@ -74,7 +76,13 @@
     /// The most requests with one lethal part that reached engines too late.
     most_late: u32,
     refused: u64,
+    /// Refused sound requests that begin like the lethal ones.
+    refused_alike: u64,
     sound: u64,
+    /// Sound requests that begin like the lethal ones, while these come.
+    sound_alike: u64,
+    /// The greatest share of them that was refused on a day that has enough, percent.
+    worst_day: u64,
 }
 
 /// Reports on their way to an instance: arrival, instance, report, time of the crash.
@@ -174,7 +182,13 @@
 
     fn arrive(&mut self, now: u64, lethal: Option<u64>) {
         self.serial += 1;
-        let mut parts = vec![format!("first-{}", self.sampler.below(FIRST_PARTS))];
+        let first_parts = match self.trouble.first_parts {
+            0 => FIRST_PARTS,
+            count => count,
+        };
+        let first = self.sampler.below(first_parts);
+        let is_alike = lethal.is_none() && first == 0 && now >= LETHAL_FROM;
+        let mut parts = vec![format!("first-{first}")];
         match lethal {
             Some(lethal) => {
                 parts[0] = "first-0".to_owned();
@@ -186,12 +200,14 @@
         parts.push(format!("own-{}", self.serial));
         let suspects = self.suspects(&parts);
         let instance = self.sampler.below(INSTANCES as u64) as usize;
-        let is_refused = self.tables[instance]
-            .quarantine_left(&suspects, self.at(now))
-            .is_some();
+        let at = self.at(now);
+        let quarantine = self.tables[instance].quarantine_left(&suspects, at);
+        let is_refused = quarantine.is_some();
         self.count.sound += u64::from(lethal.is_none());
+        self.count.sound_alike += u64::from(is_alike);
         if is_refused {
             self.count.refused += u64::from(lethal.is_none());
+            self.count.refused_alike += u64::from(is_alike);
             return;
         }
         let available: Vec<usize> = (0..ENGINES)
@@ -296,6 +312,11 @@
     }
 }
 
+/// The share of them that may be refused on a day, percent.
+const MAX_REFUSED_ALIKE: u64 = 50;
+/// The number of sound requests from which a day's share counts.
+const MIN_ALIKE: u64 = 20;
+
 fn simulate_all(trouble: Trouble) -> DayCount {
     let mut all = DayCount::default();
     for seed in 0..DAYS {
@@ -303,7 +324,13 @@
         all.most_crashes = all.most_crashes.max(day.most_crashes);
         all.most_late = all.most_late.max(day.most_late);
         all.refused += day.refused;
+        all.refused_alike += day.refused_alike;
         all.sound += day.sound;
+        all.sound_alike += day.sound_alike;
+        if day.sound_alike >= MIN_ALIKE {
+            let share = 100 * day.refused_alike / day.sound_alike;
+            all.worst_day = all.worst_day.max(share);
+        }
     }
     println!("{all:?}");
     all
@@ -387,5 +414,37 @@
         crash_size: 1,
         lethal: 1,
         lethal_interval: 1_000,
+        ..Trouble::default()
     }));
 }
+
+/// Two lethal parts behind a first part that one in `first_parts` of the sound requests shares.
+fn simulate_shared_first(first_parts: u64, lethal_interval: u64) -> DayCount {
+    simulate_all(Trouble {
+        crash_interval: 3_000,
+        crash_size: 1,
+        first_parts,
+        lethal: 2,
+        lethal_interval,
+        ..Trouble::default()
+    })
+}
+
+// Guards against a first part that is convicted before the lethal ones behind it: with it refused, nothing would tell them
+// apart any more.
+#[test]
+fn a_first_part_that_two_lethal_ones_share_is_served() {
+    for first_parts in [10, 20, 30] {
+        let all = simulate_shared_first(first_parts, 900);
+        assert!(all.most_late <= MAX_LATE, "{all:?}");
+        assert!(all.worst_day <= MAX_REFUSED_ALIKE, "{all:?}");
+    }
+}
+
+// The same where few answers speak for the first part.
+#[test]
+fn a_rare_first_part_that_two_lethal_ones_share_is_served() {
+    let all = simulate_shared_first(40, 400);
+    assert!(all.most_late <= MAX_LATE, "{all:?}");
+    assert!(all.worst_day <= MAX_REFUSED_ALIKE, "{all:?}");
+}
