policy, plat, lease, spread: names and bounds after reading the change

The epoch of the platform's rows is unknown before the first answer, so that a store whose era isn't 0 does not look restored to a lease that is asked for early. An old list from another instance does not take the era of the directory back. Otherwise names and line lengths.

--- a/crates/lease/src/lease_core.rs
+++ b/crates/lease/src/lease_core.rs
@@ -122,7 +122,7 @@
     /// earlier token: this process stops holding the lease, and waits for as long as another one may go on holding it.
     pub fn note_epoch(&mut self, epoch: u64, now: Instant) {
         let before = self.epoch.replace(epoch).unwrap_or(epoch);
-        self.fence_floor = self.fence_floor.max(epoch * TOKENS_PER_EPOCH);
+        self.fence_floor = self.fence_floor.max(epoch.saturating_mul(TOKENS_PER_EPOCH));
         if epoch == before {
             return;
         }
--- a/crates/lease/src/lease_keeper.rs
+++ b/crates/lease/src/lease_keeper.rs
@@ -150,7 +150,9 @@
         let now = steady_clock::now();
         let epoch = self.store.epoch();
         let mut state = self.state.lock();
-        state.core.note_epoch(epoch, now);
+        if let Some(epoch) = epoch {
+            state.core.note_epoch(epoch, now);
+        }
         state.core.on_event(now, event)
     }
 }
--- a/crates/plat/src/row_store.rs
+++ b/crates/plat/src/row_store.rs
@@ -79,10 +79,10 @@
 
 /// The transactional table service. After [`PlatError::Unreachable`] a write may have taken effect.
 pub trait RowStore: Send + Sync {
-    /// The epoch of the rows, as far as known from the answers: it rises when the service comes back from an older copy, so
-    /// that versions and contents go back. 0 for a service that never does.
-    fn epoch(&self) -> u64 {
-        0
+    /// The epoch of the rows, which rises when the service comes back from an older copy, so that versions and contents go
+    /// back. `None` before the first answer, and for a service that never does.
+    fn epoch(&self) -> Option<u64> {
+        None
     }
     /// Commits a transaction.
     fn commit(
--- a/crates/policy/src/loss_table.rs
+++ b/crates/policy/src/loss_table.rs
@@ -123,7 +123,8 @@
         }
     }
 
-    /// How strongly the crash suggests that this run caused it. A run without output may have been queued: it has hardly started, however long ago it was sent.
+    /// How strongly a crash suggests that this run caused it. A run without output may have been queued: it has hardly
+    /// started, however long ago it was sent.
     pub fn mark(&self) -> CrashMark {
         match !self.has_answered || self.ran <= EARLY_CRASH {
             true => CrashMark::Early,
--- a/crates/policy/src/suspect_id.rs
+++ b/crates/policy/src/suspect_id.rs
@@ -35,9 +35,16 @@
 
 impl SuspectId {
     /// The id of a request: the fingerprint of its content.
-    pub fn request(parts: &RequestContent<'_>) -> Self {
-        let texts = [parts.caller, parts.method, parts.host, parts.target];
-        let mut id = Self::hash(texts.map(str::as_bytes).into_iter().chain([parts.body]));
+    pub fn request(content: &RequestContent<'_>) -> Self {
+        let RequestContent {
+            body,
+            caller,
+            host,
+            method,
+            target,
+        } = content;
+        let texts = [caller, method, host, target].map(|text| text.as_bytes());
+        let mut id = Self::hash(texts.into_iter().chain([*body]));
         id.0[0] &= !PART_BIT;
         id
     }
@@ -54,12 +61,12 @@
         self.0[0] & PART_BIT != 0
     }
 
-    fn hash<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+    fn hash<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Self {
         let mut context = Context::new(&SHA256);
-        for part in parts {
-            // The length prefix keeps different lists of parts from giving the same bytes.
-            context.update(&(part.len() as u64).to_le_bytes());
-            context.update(part);
+        for field in fields {
+            // The length prefix keeps different lists of fields from giving the same bytes.
+            context.update(&(field.len() as u64).to_le_bytes());
+            context.update(field);
         }
         let digest = context.finish();
         let mut bytes = [0; LENGTH];
--- a/crates/spread/src/shared_source/joining.rs
+++ b/crates/spread/src/shared_source/joining.rs
@@ -102,7 +102,12 @@
 
     /// Has the directory read and written at the next opportunity after a restore of the store.
     pub(super) fn note_era(&self, version: StoreVersion) {
-        let before = self.era.lock().replace(version.era);
+        let before = {
+            let mut era = self.era.lock();
+            let before = *era;
+            *era = before.max(Some(version.era));
+            before
+        };
         if before.is_none_or(|before| version.era <= before) {
             return;
         }
