tests: two tests of the allocator wait for the link

a_request_refused_by_an_engine_that_is_gone_gets_another_place and a_kv_cache_stays_with_its_engine_after_a_later_grant asked for the second grant of a decode place at once.

--- a/crates/flow/tests/track/lost_prefill.rs
+++ b/crates/flow/tests/track/lost_prefill.rs
@@ -246,6 +246,8 @@
     lost.apply(FlowEvent::DecodeFailed(REFUSED));
     lost.gone(THIRD);
     lost.decode_reports();
+    // The refused transfer is expected to occupy the link until it would have ended.
+    lost.wait_for_call();
     // The first engine keeps the KV cache, so the loss of the third one changes nothing.
     assert_eq!(lost.take_calls(), ["decode d1"]);
 }
--- a/crates/flow/tests/track/track_cases.rs
+++ b/crates/flow/tests/track/track_cases.rs
@@ -18,6 +18,8 @@
     world.notify(&request, CellNotice::DecodeRefused);
     world.engine_up(DECODE, UpstreamRole::Decode);
     world.pump();
+    // The refused transfer is expected to occupy the link until it would have ended.
+    world.finish_transfer();
     assert_eq!(request.next_grant(), decode());
 }
 
