--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -147,7 +147,7 @@
     assert!(!unknown.allows(&"near".into()));
 }
 
-// The copy that a restored store comes back from may be older than an evacuation; operators declare it again.
+// Guards against work in a zone whose evacuation the copy of a restored store lacks.
 #[test]
 fn an_evacuation_outlasts_a_restore_until_it_can_have_been_declared_again() {
     let now = Instant::now();
--- a/crates/trestlewalk/tests/relay_crash_parts.rs
+++ b/crates/trestlewalk/tests/relay_crash_parts.rs
@@ -82,6 +82,7 @@
     reply.status() == 200 && reply.whole
 }
 
+// Guards against requests that crash engine after engine, each with another fingerprint.
 #[tokio::test]
 async fn a_prompt_part_under_which_five_engines_crashed_reaches_no_further_engine() {
     let run = stream_zones().await;
@@ -97,6 +98,7 @@
     assert!(late <= MAX_LATE, "{late} of 12 reached engines");
 }
 
+// Guards against the refusal of what stands beside the cause.
 #[tokio::test]
 async fn requests_that_share_other_parts_with_lethal_ones_are_served() {
     let run = stream_zones().await;
@@ -123,7 +125,7 @@
     assert!(late <= MAX_LATE, "{late} of 12 reached engines");
 }
 
-// A crash that closes connections in order looks like the end of an answer without length.
+// Guards against a crash that closes connections in order and is taken for the end of an answer without length.
 #[tokio::test]
 async fn a_prompt_part_is_known_although_crashes_look_like_ends_of_answers() {
     let run = stream_zones().await;
--- a/crates/trestlewalk/tests/relay_orders.rs
+++ b/crates/trestlewalk/tests/relay_orders.rs
@@ -67,7 +67,7 @@
     assert_eq!(orders(&run).len(), 0);
 }
 
-// A restored store may lack the lease, or show an earlier holder with an earlier token.
+// Guards against two holders with one fencing token: a restored store may lack the lease, or show an earlier one.
 #[tokio::test]
 async fn fencing_tokens_rise_although_the_store_comes_back_older() {
     let mut run = RelayTest::new()
--- a/crates/trestlewalk/tests/relay_restored.rs
+++ b/crates/trestlewalk/tests/relay_restored.rs
@@ -74,6 +74,7 @@
     }
 }
 
+// Guards against lists that are passed over until the versions given out again have passed the former ones.
 #[tokio::test]
 async fn an_upstream_that_leaves_after_a_restore_gets_no_work() {
     let run = zone(3).await;
@@ -90,7 +91,8 @@
     assert_eq!(run.received(0), before);
 }
 
-// The operators write the newest configuration again, and then a newer one.
+// Guards against instances that wait for a version above one of before the restore. The operators write the newest
+// configuration again, and then a newer one.
 #[tokio::test]
 async fn a_configuration_written_after_a_restore_comes_into_force() {
     let mut run = zone(MANY).await;
@@ -112,7 +114,7 @@
     }
 }
 
-// An accepted change never reverts, also while the store shows the configuration before it.
+// Guards against a change that reverts while the store shows the configuration before it.
 #[tokio::test]
 async fn a_configuration_does_not_revert_with_the_store() {
     let mut run = zone(3).await;
@@ -128,7 +130,7 @@
     }
 }
 
-// The copy shows the upstream as it was before it left.
+// Guards against work for an upstream that the copy shows as it was before it left.
 #[tokio::test]
 async fn an_upstream_that_left_before_a_restore_gets_no_work_after_it() {
     let run = zone(3).await;
@@ -146,7 +148,7 @@
     assert_eq!((run.received(0), run.received(1)), before);
 }
 
-// The copy lacks upstreams that came since, until they have reported again.
+// Guards against the loss of upstreams that the copy lacks until they have reported again.
 #[tokio::test]
 async fn an_upstream_that_came_before_a_restore_keeps_its_work() {
     let run = zone(3).await;
@@ -165,7 +167,7 @@
     run.send_some().await;
 }
 
-// Answers of two eras may overtake each other on different connections.
+// Guards against an answer of before the restore that arrives after one of after it, on another connection.
 #[tokio::test]
 async fn an_answer_of_an_earlier_era_is_not_used() {
     let run = zone(1).await;
@@ -190,6 +192,7 @@
     assert_eq!(run.received(0), before);
 }
 
+// Guards against rows of the instances' own that are lost for good, since they count as written.
 #[tokio::test]
 async fn crash_reports_and_members_are_written_again_after_a_restore() {
     let run = zone(3).await;
--- a/crates/trestlewalk/tests/relay_unframed.rs
+++ b/crates/trestlewalk/tests/relay_unframed.rs
@@ -58,6 +58,7 @@
     assert_eq!(count_runs(&run), 1);
 }
 
+// Guards against status 200 for a stream of which nothing can be delivered.
 #[tokio::test]
 async fn a_stream_without_length_that_ends_inside_its_first_event_fails() {
     let run = unframed_run(false).await;
@@ -84,7 +85,7 @@
     assert_eq!(reply.text(), events.concat());
 }
 
-// An engine that crashes closes its connections in order.
+// Guards against an empty answer, complete, for an engine that crashed and closed its connections in order.
 #[tokio::test]
 async fn a_stream_without_length_that_ends_without_an_event_fails() {
     let run = unframed_run(false).await;
