review: a body in small pieces takes 64 times its size, and the instance is killed for its memory

Cause: BufferBudget::collect keeps slices that hold the whole read buffer, and counts their length alone.

--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -534,6 +534,8 @@
 /// An instance in a process of its own, started with the command of the deploy file.
 pub struct Relay {
     child: Child,
+    pub name: String,
+    settings: PathBuf,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub log: PathBuf,
@@ -547,17 +549,24 @@
         let settings = folder.join(format!("{name}.yaml"));
         fs::write(&settings, settings_text(name, zone, store, callers, ready)).unwrap();
         let log = folder.join(format!("{name}.log"));
-        let out = File::create(&log).unwrap();
-        let child = Command::new("target/release/trestlewalk")
-            .args(["relay", "--settings"])
-            .arg(&settings)
-            .env("TRESTLEWALK_CONFIG", &settings)
-            .stdin(Stdio::null())
-            .stdout(out.try_clone().unwrap())
-            .stderr(out)
-            .spawn()
-            .unwrap_or_else(|error| cannot_run(&format!("target/release/trestlewalk: {error}")));
-        Self { child, callers, ready, log }
+        let child = spawn(&settings, &log);
+        Self { child, name: name.to_owned(), settings, callers, ready, log }
+    }
+
+    /// Kills the process, and starts it again after a moment.
+    pub fn kill_and_restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        thread::sleep(Duration::from_millis(500));
+        self.child = spawn(&self.settings, &self.log);
+    }
+
+    /// The memory of the process without the pages of files, bytes.
+    pub fn own_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kib.unwrap_or(0) << 10
     }
 
     /// Waits until the instance says that it is ready.
@@ -600,6 +609,19 @@
     }
 }
 
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let out = File::options().create(true).append(true).open(log).unwrap();
+    Command::new("target/release/trestlewalk")
+        .args(["relay", "--settings"])
+        .arg(settings)
+        .env("TRESTLEWALK_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(out.try_clone().unwrap())
+        .stderr(out)
+        .spawn()
+        .unwrap_or_else(|error| cannot_run(&format!("target/release/trestlewalk: {error}")))
+}
+
 fn settings_text(name: &str, zone: &str, store: SocketAddr, callers: SocketAddr, ready: SocketAddr) -> String {
     let peers = free_udp_port();
     format!(
