relay: the log and the metrics say which call an answer names

An answer is now `own`, `other` or `unnamed`, with the other id in the step, `trestlewalk_relay_answers_total` counts them, and a request that met an answer of another call is always logged. What is believed is unchanged.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`UpstreamDialect`].
 
 pub mod access_refusal;
+pub mod answer_owner;
 pub mod buffer_budget;
 pub mod call_end;
 pub mod caller_limits;
@@ -78,6 +79,7 @@
 
 pub use {
     access_refusal::{AccessRefusal, RefusalReason},
+    answer_owner::AnswerOwner,
     buffer_budget::{BufferBudget, BufferedBody, CollectError},
     call_end::{CallEnd, UpstreamAnswer},
     caller_limits::CallerLimits,
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
+        AnswerOwner, BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
         ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, ForwardQueue, OpenCall,
         PlaceClient, PlaceCounts, QuotaBuckets, ReachWatch, ReaderRole, RelayCounts, RelaySettings,
         RouteFreshness, RouteTable, SchedulerHost, SharedUpstreams, SoftwareNotes, StartGate,
@@ -240,14 +240,19 @@
         self.reach.note_contact(&upstream.service);
         let (head, body) = response.into_parts();
         let facts = self.dialect.reply_facts(&head, &plan.request.head.id);
+        self.counts.note_owner(&facts.owner);
+        if facts.owner != AnswerOwner::Own {
+            trace.note_foreign_answer();
+        }
         self.note_headers(&upstream, &head.headers);
         self.note_facts(&upstream, &facts, call.since);
         if facts.is_not_run {
             trace.note(format_args!(
-                "{verb} {id} not run: {}",
-                head.status.as_u16()
+                "{verb} {id} not run: {}{}",
+                head.status.as_u16(),
+                facts.owner
             ));
-            if facts.is_same_request && !facts.closes_connection {
+            if facts.owner == AnswerOwner::Own && !facts.closes_connection {
                 self.pool.keep(&upstream.id, connection, facts.idle_timeout);
             }
             call.close(match facts.is_misdirected {
@@ -256,12 +261,13 @@
             });
             return CallEnd::NotRun;
         }
-        let foreign = !facts.is_same_request || facts.is_encoded;
+        let foreign = facts.owner != AnswerOwner::Own || facts.is_encoded;
         let unsigned = head.status.is_success() && !facts.is_signed;
         if foreign || unsigned && !matches!(plan.purpose, CallPurpose::Prefill) {
             trace.note(format_args!(
-                "{verb} {id} garbled: {}",
-                head.status.as_u16()
+                "{verb} {id} garbled: {}{}",
+                head.status.as_u16(),
+                facts.owner
             ));
             call.close(CallVerdict::Lost);
             return CallEnd::Lost(ResultCode::UpstreamGarbled);
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -1,7 +1,7 @@
 //! The metrics of the request path. `docs/METRICS.md` describes them.
 
 use {
-    crate::{CustomerCounts, ResumedSoftware, UnreadHeaders, WastedPrefill},
+    crate::{AnswerOwner, CustomerCounts, ResumedSoftware, UnreadHeaders, WastedPrefill},
     kernel::ResultCode,
     policy::{BackoffStatement, CallVerdict, RateChange},
     prometheus::{
@@ -30,6 +30,8 @@
 /// The metrics of a process. Clones share them.
 #[derive(Clone, Debug)]
 pub struct RelayCounts {
+    /// Answers of upstreams, by the call to which they belong.
+    answers: IntCounterVec,
     /// Pauses that upstreams asked for, by whether the statement can be read.
     backoffs: IntCounterVec,
     /// Calls to upstreams, by upstream and verdict.
@@ -81,6 +83,14 @@
         );
         let list_age =
             Histogram::with_opts(list_age.buckets(LIST_AGE_BOUNDS.to_vec())).expect(VALID_METRIC);
+        let answers = counters(
+            "trestlewalk_relay_answers_total",
+            "Heads of answers of upstreams by the call that they name.",
+            &["names"],
+        );
+        for label in AnswerOwner::LABELS {
+            answers.with_label_values(&[label]);
+        }
         let backoffs = counters(
             "trestlewalk_relay_backoffs_total",
             "Pauses that upstreams asked this instance for.",
@@ -122,6 +132,7 @@
             wasted_tokens.with_label_values(&[reason.label()]);
         }
         Self {
+            answers,
             backoffs,
             calls: counters(
                 "trestlewalk_relay_upstream_calls_total",
@@ -202,6 +213,11 @@
         }
     }
 
+    /// Counts the head of an answer.
+    pub fn note_owner(&self, owner: &AnswerOwner) {
+        self.answers.with_label_values(&[owner.label()]).inc();
+    }
+
     /// Counts a pause that an upstream asks for, and logs it.
     pub fn note_backoff(&self, upstream: &str, statement: BackoffStatement) {
         let label = match statement {
@@ -304,6 +320,7 @@
     ///
     /// The registry already has one of them.
     pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
+        register(registry, &self.answers)?;
         register(registry, &self.backoffs)?;
         register(registry, &self.calls)?;
         self.customers.register(registry)?;
--- a/crates/relay/src/request_trace.rs
+++ b/crates/relay/src/request_trace.rs
@@ -1,7 +1,7 @@
 //! The trace of a request, written as one log line when the request ends.
 //!
-//! Requests that failed or were late are always logged; of the others one in sixteen is sampled, so that the log volume
-//! stays steady under load.
+//! Requests that failed, were late or met an answer of another call are always logged; of the others one in sixteen is
+//! sampled, so that the log volume stays steady under load.
 
 use {
     crate::RequestId,
@@ -48,6 +48,7 @@
     /// Identifies the request across retries; set when a connection was lost.
     fingerprint: Option<SuspectId>,
     first_byte: Option<Duration>,
+    has_foreign_answer: bool,
     is_sent: bool,
     last_piece: Option<Duration>,
     longest_pause: Duration,
@@ -97,6 +98,11 @@
         self.state.lock().is_sent = true;
     }
 
+    /// Records that an answer came that belongs to another call, so that the request is always logged.
+    pub fn note_foreign_answer(&self) {
+        self.state.lock().has_foreign_answer = true;
+    }
+
     /// Records the arrival of a piece of a stream, for the longest pause.
     pub fn note_piece(&self) {
         let at = steady_clock::elapsed(self.since);
@@ -138,7 +144,8 @@
             .pause
             .is_none_or(|pause| state.longest_pause <= pause);
         let is_on_time = first <= self.context.target && is_steady;
-        let is_ordinary = code == ResultCode::Answered && is_on_time;
+        let is_ordinary =
+            code == ResultCode::Answered && is_on_time && !state.has_foreign_answer;
         if is_ordinary && !self.is_sampled() {
             return;
         }
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -1,7 +1,7 @@
 //! The wire protocols of callers and upstreams, which separate the request path from the names on the wire.
 
 use {
-    crate::{CallerHead, CallerRequest, RequestId},
+    crate::{AnswerOwner, CallerHead, CallerRequest, RequestId},
     bytes::Bytes,
     http::{HeaderMap, HeaderName, Request, StatusCode, Uri, request, response},
     http_body_util::Full,
@@ -85,10 +85,10 @@
     pub is_misdirected: bool,
     /// The upstream states that the request did not run.
     pub is_not_run: bool,
-    /// The answer carries the id of this request.
-    pub is_same_request: bool,
     /// The answer carries the upstream's signature.
     pub is_signed: bool,
+    /// The call to which the answer belongs.
+    pub owner: AnswerOwner,
     /// The upstream closes the connection after the answer.
     pub closes_connection: bool,
     /// What the upstream states about itself.
