relay: an answer that names another request rejects nothing

Cause: `RelayCore::send` took "not run" from the head of an answer before it looked at whose answer it was. An upstream that sends its rejection a second time, where the answer to the next request is due, so rejected the next request, which it was running.

Why it works: whose answer it is comes first. An answer that names another request is neither a rejection nor an answer, so the call is lost: nothing is promised, a request that may run once is not repeated, and the connection is closed.

--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -246,7 +246,13 @@
         }
         self.note_headers(&upstream, &head.headers);
         self.note_facts(&upstream, &facts, call.since);
-        if facts.is_not_run {
+        // An answer of another call says nothing about this one, whatever its status: the request may be running.
+        let is_ours = match facts.owner {
+            AnswerOwner::Other(_) => false,
+            AnswerOwner::Own => true,
+            AnswerOwner::Unnamed => facts.is_not_run,
+        };
+        if is_ours && facts.is_not_run {
             trace.note(format_args!(
                 "{verb} {id} not run: {}{}",
                 head.status.as_u16(),
@@ -261,9 +267,9 @@
             });
             return CallEnd::NotRun;
         }
-        let foreign = facts.owner != AnswerOwner::Own || facts.is_encoded;
         let unsigned = head.status.is_success() && !facts.is_signed;
-        if foreign || unsigned && !matches!(plan.purpose, CallPurpose::Prefill) {
+        let is_prefill = matches!(plan.purpose, CallPurpose::Prefill);
+        if !is_ours || facts.is_encoded || unsigned && !is_prefill {
             trace.note(format_args!(
                 "{verb} {id} garbled: {}{}",
                 head.status.as_u16(),
--- a/crates/trestlewalk/tests/relay_answers.rs
+++ b/crates/trestlewalk/tests/relay_answers.rs
@@ -5,8 +5,10 @@
 mod support;
 
 use {
-    relay_support::{RelayRun, RelayTest, UpstreamMode},
+    relay_support::{RelayRun, RelayTest, UpstreamMode, caller::fresh_id},
     serde_json::json,
+    std::collections::BTreeMap,
+    support::wait::wait_until,
 };
 
 async fn plain_run(kind: &str, count: usize, tries: u32) -> RelayRun {
@@ -126,6 +128,34 @@
     }
 }
 
+// Guards against a second run, or a promise that is not kept, by the late copy of another request's refusal.
+#[tokio::test]
+async fn a_late_refusal_of_another_request_refuses_nothing() {
+    let run = plain_run("unsafe", 2, 2).await;
+    run.upstreams[0].set(UpstreamMode::LateRefusal);
+    let mut statuses = BTreeMap::new();
+    wait_until("a refusal comes twice", async || {
+        let id = fresh_id();
+        let reply = run
+            .call_with("POST", "/t/1", &id, "X-Deadline-Ms: 4000\r\n", "order")
+            .await;
+        statuses.insert(id, reply.status());
+        !run.upstreams[0].runs().is_empty()
+    })
+    .await;
+    let received = run.upstreams.iter().flat_map(|upstream| upstream.runs());
+    let mut ran: Vec<String> = received
+        .map(|call| call.message.header("x-request-id").unwrap().to_owned())
+        .collect();
+    ran.sort();
+    let all = ran.len();
+    ran.dedup();
+    assert_eq!(ran.len(), all, "a request ran twice: {ran:?}");
+    for id in &ran {
+        assert!([200, 502].contains(&statuses[id]), "{statuses:?}");
+    }
+}
+
 #[tokio::test]
 async fn an_answer_without_length_is_whole_when_its_connection_ends_in_order() {
     let run = plain_run("unsafe", 1, 1).await;
@@ -162,7 +192,7 @@
     report["Service"] = json!("carta");
     run.store.remove("servers", "i-carta-0");
     run.store.put("servers", "i-earlier-life", &report);
-    support::wait::wait_until("the list is read", async || {
+    wait_until("the list is read", async || {
         run.call("POST", "/t/1", "order").await.status() == 503
     })
     .await;
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -8,6 +8,7 @@
     },
     serde_json::{Value, json},
     std::{
+        collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
@@ -23,6 +24,9 @@
 /// How long the crashing request runs before its upstream crashes.
 const RUN_BEFORE_CRASH: Duration = Duration::from_millis(60);
 
+/// The pause between a late copy of an answer and the next answer.
+const BETWEEN_ANSWERS: Duration = Duration::from_millis(5);
+
 /// The memory of an engine, tokens: more than the tests use.
 const ENGINE_TOKENS: u64 = 90_000;
 
@@ -55,6 +59,9 @@
     Flood(usize),
     /// An answer with the id of another request.
     Foreign,
+    /// Refuses a request as not run. A second copy of the refusal comes right before the answer to the next request on the
+    /// connection, which runs.
+    LateRefusal,
     /// No answer.
     Mute,
     /// A stream that pauses after this many events.
@@ -91,6 +98,8 @@
     pub crashes_on: Option<CrashTrigger>,
     pub held: usize,
     pub kind: UpstreamKind,
+    /// Second copies of refusals that are still to be sent, by the caller of the connection.
+    pub late_refusals: HashMap<SocketAddr, String>,
     /// The statement in its answers that it leaves.
     pub leaving: Option<String>,
     /// How long the listener stays open after the connections are reset by a crash.
@@ -137,6 +146,7 @@
                 crashes_on: None,
                 held: 0,
                 kind,
+                late_refusals: HashMap::new(),
                 leaving: None,
                 linger: Duration::ZERO,
                 listed: Vec::new(),
@@ -307,6 +317,17 @@
         });
     }
 
+    fn keep_late_refusal(&self, stream: &TcpStream, refusal: &str) {
+        let caller = stream.peer_addr().unwrap();
+        let mut state = self.state.lock().unwrap();
+        state.late_refusals.insert(caller, refusal.to_owned());
+    }
+
+    fn take_late_refusal(&self, stream: &TcpStream) -> Option<String> {
+        let caller = stream.peer_addr().ok()?;
+        self.state.lock().unwrap().late_refusals.remove(&caller)
+    }
+
     /// Answers by the mode; returns whether the connection continues.
     pub async fn answer_plain(&self, stream: &mut TcpStream, message: WireMessage) -> bool {
         let id = message
@@ -318,7 +339,11 @@
             return std::future::pending().await;
         }
         let mode = self.state.lock().unwrap().mode;
-        let is_refused = matches!(mode, UpstreamMode::Shed | UpstreamMode::TurnAway);
+        let late_refusal = self.take_late_refusal(stream);
+        let is_refused = match mode {
+            UpstreamMode::LateRefusal => late_refusal.is_none(),
+            mode => matches!(mode, UpstreamMode::Shed | UpstreamMode::TurnAway),
+        };
         self.note(message, !is_refused);
         let body = format!("answer to {id}");
         let limit = self.statement_lines();
@@ -350,6 +375,20 @@
                 let foreign = signed.replace(&id, "0000000000000bad");
                 format!("{foreign}{length}{body}")
             }
+            UpstreamMode::LateRefusal => match late_refusal {
+                Some(copy) => {
+                    if stream.write_all(copy.as_bytes()).await.is_err() {
+                        return false;
+                    }
+                    time::sleep(BETWEEN_ANSWERS).await;
+                    format!("{signed}{length}{body}")
+                }
+                None => {
+                    let refusal = refusal_text(&id, &limit);
+                    self.keep_late_refusal(stream, &refusal);
+                    refusal
+                }
+            },
             UpstreamMode::Flood(_) => format!("{signed}{length}{body}"),
             UpstreamMode::Mute => {
                 time::sleep(Duration::from_secs(3600)).await;
@@ -359,10 +398,9 @@
                 reset(stream);
                 return false;
             }
-            UpstreamMode::Shed | UpstreamMode::TurnAway => format!(
-                "HTTP/1.1 503 Full\r\n{limit}{}X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-                self.backoff_line()
-            ),
+            UpstreamMode::Shed | UpstreamMode::TurnAway => {
+                refusal_text(&id, &format!("{limit}{}", self.backoff_line()))
+            }
             UpstreamMode::Slow(pause) => {
                 time::sleep(pause).await;
                 format!("{signed}{length}{body}")
@@ -383,6 +421,13 @@
     }
 }
 
+/// A refusal that states that the request did not run.
+fn refusal_text(id: &str, more: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Full\r\n{more}X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 /// Makes the connection reset when it is dropped.
 pub fn reset(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
