--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -5,11 +5,11 @@
 
 use {
     crate::{
-        AnswerOwner, BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError, ConnectionPool,
-        ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, ForwardQueue, OpenCall,
-        PlaceClient, PlaceCounts, QuotaBuckets, ReachWatch, ReaderRole, RelayCounts, RelaySettings,
-        RouteFreshness, RouteTable, SchedulerHost, SharedUpstreams, SoftwareNotes, StartGate,
-        UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute,
+        AnswerOwner, BufferBudget, CallEnd, CallPurpose, CallerRequest, ConnectionError,
+        ConnectionPool, ConnectionTimeouts, CrashWatch, ErrorResponse, FleetView, ForwardQueue,
+        OpenCall, PlaceClient, PlaceCounts, QuotaBuckets, ReachWatch, ReaderRole, RelayCounts,
+        RelaySettings, RouteFreshness, RouteTable, SchedulerHost, SharedUpstreams, SoftwareNotes,
+        StartGate, UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     bytes::Bytes,
--- a/crates/relay/src/request_trace.rs
+++ b/crates/relay/src/request_trace.rs
@@ -144,8 +144,7 @@
             .pause
             .is_none_or(|pause| state.longest_pause <= pause);
         let is_on_time = first <= self.context.target && is_steady;
-        let is_ordinary =
-            code == ResultCode::Answered && is_on_time && !state.has_foreign_answer;
+        let is_ordinary = code == ResultCode::Answered && is_on_time && !state.has_foreign_answer;
         if is_ordinary && !self.is_sampled() {
             return;
         }
