relay: a rejection without an id is believed as the first answer of a connection

Found by reading: answers to the instance's own calls (reservations, lists, orders) name no request and come over the same connections, so that a second copy of one, or of a 421, may come where the answer to a request is due.

Cause: a rejection that names no request was believed on any connection.

Evidence: the stand-in with such a copy, `a_late_refusal_that_names_no_request_refuses_nothing`, red before ("a request ran twice"), green now.

Why it works: the first answer of a connection can't be the copy of an earlier one. Any later one without an id belongs to an unknown call, and the request counts as lost.

--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -69,10 +69,19 @@
 #[derive(Debug)]
 pub struct OpenConnection {
     address: SocketAddr,
+    /// How many answers it has delivered.
+    answers: u64,
     sender: SendRequest<Full<Bytes>>,
     task: AbortOnDropHandle<()>,
 }
 
+impl OpenConnection {
+    /// Whether the last answer was the first one of the connection, so that it can't be the copy of an earlier one.
+    pub fn is_at_first_answer(&self) -> bool {
+        self.answers == 1
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: OpenConnection,
@@ -204,7 +213,10 @@
         while let Some(mut connection) = self.take_idle(key, address) {
             let sending = connection.sender.try_send_request(request).await;
             match sending {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.answers += 1;
+                    return Ok((response, connection));
+                }
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
                     None => return lost(failure.error()),
@@ -213,7 +225,10 @@
         }
         let mut connection = self.connect(address).await?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, connection)),
+            Ok(response) => {
+                connection.answers += 1;
+                Ok((response, connection))
+            }
             Err(mut failure) => match failure.take_message() {
                 Some(_) => UnsentSnafu {
                     detail: failure.error().to_string(),
@@ -273,6 +288,7 @@
         });
         Ok(OpenConnection {
             address,
+            answers: 0,
             sender,
             task: AbortOnDropHandle::new(task),
         })
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -250,7 +250,8 @@
         let is_ours = match facts.owner {
             AnswerOwner::Other(_) => false,
             AnswerOwner::Own => true,
-            AnswerOwner::Unnamed => facts.is_not_run,
+            // Answers to other calls need not name any request. On a used connection it may be the copy of one of these.
+            AnswerOwner::Unnamed => facts.is_not_run && connection.is_at_first_answer(),
         };
         if is_ours && facts.is_not_run {
             trace.note(format_args!(
--- a/crates/trestlewalk/tests/relay_answers.rs
+++ b/crates/trestlewalk/tests/relay_answers.rs
@@ -128,19 +128,20 @@
     }
 }
 
-// Guards against a second run, or a promise that is not kept, by the late copy of another request's refusal.
-#[tokio::test]
-async fn a_late_refusal_of_another_request_refuses_nothing() {
+/// Sends requests that may run once until a second copy of an answer has come, and checks that none ran twice and none that
+/// ran was refused.
+async fn check_late_refusals(mode: UpstreamMode) {
     let run = plain_run("unsafe", 2, 2).await;
-    run.upstreams[0].set(UpstreamMode::LateRefusal);
+    run.upstreams[0].set(mode);
     let mut statuses = BTreeMap::new();
-    wait_until("a refusal comes twice", async || {
+    let late_answers = async || run.upstreams[0].state.lock().unwrap().late_answers;
+    wait_until("a late refusal", async || {
         let id = fresh_id();
         let reply = run
             .call_with("POST", "/t/1", &id, "X-Deadline-Ms: 4000\r\n", "order")
             .await;
         statuses.insert(id, reply.status());
-        !run.upstreams[0].runs().is_empty()
+        late_answers().await > 0
     })
     .await;
     let received = run.upstreams.iter().flat_map(|upstream| upstream.runs());
@@ -156,6 +157,18 @@
     }
 }
 
+// Guards against a second run, or a promise that is not kept, by the late copy of another request's refusal.
+#[tokio::test]
+async fn a_late_refusal_of_another_request_refuses_nothing() {
+    check_late_refusals(UpstreamMode::LateRefusal).await;
+}
+
+// The same by a copy that names no request, as answers to the instance's own calls do.
+#[tokio::test]
+async fn a_late_refusal_that_names_no_request_refuses_nothing() {
+    check_late_refusals(UpstreamMode::LateUnnamedRefusal).await;
+}
+
 #[tokio::test]
 async fn an_answer_without_length_is_whole_when_its_connection_ends_in_order() {
     let run = plain_run("unsafe", 1, 1).await;
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -24,6 +24,9 @@
 /// How long the crashing request runs before its upstream crashes.
 const RUN_BEFORE_CRASH: Duration = Duration::from_millis(60);
 
+/// A refusal that names no request.
+const UNNAMED_REFUSAL: &str = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// The pause between a late copy of an answer and the next answer.
 const BETWEEN_ANSWERS: Duration = Duration::from_millis(5);
 
@@ -62,6 +65,8 @@
     /// Refuses a request as not run. A second copy of the refusal comes right before the answer to the next request on the
     /// connection, which runs.
     LateRefusal,
+    /// A complete answer. Before the next one on the connection comes a refusal that names no request.
+    LateUnnamedRefusal,
     /// No answer.
     Mute,
     /// A stream that pauses after this many events.
@@ -98,6 +103,8 @@
     pub crashes_on: Option<CrashTrigger>,
     pub held: usize,
     pub kind: UpstreamKind,
+    /// How many second copies were sent.
+    pub late_answers: usize,
     /// Second copies of refusals that are still to be sent, by the caller of the connection.
     pub late_refusals: HashMap<SocketAddr, String>,
     /// The statement in its answers that it leaves.
@@ -146,6 +153,7 @@
                 crashes_on: None,
                 held: 0,
                 kind,
+                late_answers: 0,
                 late_refusals: HashMap::new(),
                 leaving: None,
                 linger: Duration::ZERO,
@@ -325,7 +333,10 @@
 
     fn take_late_refusal(&self, stream: &TcpStream) -> Option<String> {
         let caller = stream.peer_addr().ok()?;
-        self.state.lock().unwrap().late_refusals.remove(&caller)
+        let mut state = self.state.lock().unwrap();
+        let copy = state.late_refusals.remove(&caller)?;
+        state.late_answers += 1;
+        Some(copy)
     }
 
     /// Answers by the mode; returns whether the connection continues.
@@ -389,6 +400,16 @@
                     refusal
                 }
             },
+            UpstreamMode::LateUnnamedRefusal => {
+                if let Some(copy) = late_refusal {
+                    if stream.write_all(copy.as_bytes()).await.is_err() {
+                        return false;
+                    }
+                    time::sleep(BETWEEN_ANSWERS).await;
+                }
+                self.keep_late_refusal(stream, UNNAMED_REFUSAL);
+                format!("{signed}{length}{body}")
+            }
             UpstreamMode::Flood(_) => format!("{signed}{length}{body}"),
             UpstreamMode::Mute => {
                 time::sleep(Duration::from_secs(3600)).await;
