relay: an own call takes no answer that names a request

Callers may have been refused while an engine had room: a reservation that met the second copy of a request's rejection counted its engine as full, and pauses or limits in the copy began anew.

Cause: `RelayCore::ask` took the next answer on its connection as that to its call, whatever it named. But an answer that does name a request is another call's.

`a_late_answer_to_a_request_answers_no_own_call` was red before (no call counted as lost) and is green.

Not told apart: the copy of one own call's answer before the answer to another own call.

--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -103,7 +103,7 @@
 
 impl<D: UpstreamDialect> RelayCore<D> {
     /// Sends a request of the system's own to an upstream and reads the whole answer; `None` when there is no answer,
-    /// or one of more than `largest` bytes. Nothing is sent to an upstream that asked for a pause: reservations and KV caches
+    /// or one of more than `largest` bytes or of a request. Nothing is sent to an upstream that asked for a pause: reservations and KV caches
     /// that are not released end by themselves.
     pub async fn ask(
         &self,
@@ -130,6 +130,13 @@
         };
         self.reach.note_contact(&upstream.service);
         let status = response.status();
+        // Answers to own calls name no request. One that does is the copy of an earlier answer.
+        let owner = self.dialect.answer_owner(response.headers(), None);
+        if owner != AnswerOwner::Unnamed {
+            self.counts.note_owner(&owner);
+            tracing::debug!(upstream = %upstream.id, %status, "an own call was answered{owner}");
+            return None;
+        }
         let idle_timeout = self.dialect.idle_timeout(response.headers());
         self.note_headers(upstream, response.headers());
         let statement = self.dialect.statement(status, response.headers());
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -199,6 +199,9 @@
     /// Interprets the head of an answer.
     fn reply_facts(&self, head: &response::Parts, request: &RequestId) -> ReplyFacts;
 
+    /// The call to which an answer belongs that was expected for `request`; `None` for an own call, which has no id.
+    fn answer_owner(&self, headers: &HeaderMap, request: Option<&RequestId>) -> AnswerOwner;
+
     /// Whether this system knows a header of an answer, be it to read it or to leave it alone.
     fn is_known_header(&self, name: &HeaderName) -> bool;
 
--- a/crates/trestlewalk/tests/relay_answers.rs
+++ b/crates/trestlewalk/tests/relay_answers.rs
@@ -169,6 +169,35 @@
     check_late_refusals(UpstreamMode::LateUnnamedRefusal).await;
 }
 
+// Guards against a reservation, list or order that ends as the late copy of a request's answer says.
+#[tokio::test]
+async fn a_late_answer_to_a_request_answers_no_own_call() {
+    let run = RelayTest::new()
+        .engines("redactor", 1, 0)
+        .route("/note/", "streaming", "redactor", &json!({}))
+        .start_ready()
+        .await;
+    let engine = &run.upstreams[0];
+    engine.set(UpstreamMode::LateRefusal);
+    let late_answers = || engine.state.lock().unwrap().late_answers;
+    wait_until(
+        "a refusal comes before the answer to a reservation",
+        async || {
+            run.stream("/note/1").await;
+            late_answers() > 0
+        },
+    )
+    .await;
+    let lost = r#"trestlewalk_relay_upstream_calls_total{upstream="i-redactor-d0",verdict="lost"}"#;
+    let lines = run.metric_lines(lost).await;
+    let count = lines.first().and_then(|line| line.rsplit(' ').next());
+    assert_eq!(
+        count,
+        Some(late_answers().to_string().as_str()),
+        "{lines:?}"
+    );
+}
+
 #[tokio::test]
 async fn an_answer_without_length_is_whole_when_its_connection_ends_in_order() {
     let run = plain_run("unsafe", 1, 1).await;
--- a/crates/trestlewalk/tests/relay_support/engine_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_answers.rs
@@ -54,6 +54,9 @@
         }
         ("POST", "/hold-take") if leaves_unanswered(engine) => std::future::pending().await,
         ("POST", "/hold-take") => {
+            if !engine.send_late_refusal(stream).await {
+                return false;
+            }
             let (full, name) = reserve(engine);
             engine.note(message, false);
             match full {
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -339,6 +339,13 @@
         Some(copy)
     }
 
+    /// Sends the second copy of a refusal that is due on a connection, if there is one; returns whether the connection
+    /// continues.
+    pub async fn send_late_refusal(&self, stream: &mut TcpStream) -> bool {
+        let copy = self.take_late_refusal(stream);
+        send_copy(stream, copy).await
+    }
+
     /// Answers by the mode; returns whether the connection continues.
     pub async fn answer_plain(&self, stream: &mut TcpStream, message: WireMessage) -> bool {
         let id = message
@@ -388,10 +395,9 @@
             }
             UpstreamMode::LateRefusal => match late_refusal {
                 Some(copy) => {
-                    if stream.write_all(copy.as_bytes()).await.is_err() {
+                    if !send_copy(stream, Some(copy)).await {
                         return false;
                     }
-                    time::sleep(BETWEEN_ANSWERS).await;
                     format!("{signed}{length}{body}")
                 }
                 None => {
@@ -401,11 +407,8 @@
                 }
             },
             UpstreamMode::LateUnnamedRefusal => {
-                if let Some(copy) = late_refusal {
-                    if stream.write_all(copy.as_bytes()).await.is_err() {
-                        return false;
-                    }
-                    time::sleep(BETWEEN_ANSWERS).await;
+                if !send_copy(stream, late_refusal).await {
+                    return false;
                 }
                 self.keep_late_refusal(stream, UNNAMED_REFUSAL);
                 format!("{signed}{length}{body}")
@@ -442,6 +445,15 @@
     }
 }
 
+async fn send_copy(stream: &mut TcpStream, copy: Option<String>) -> bool {
+    let Some(copy) = copy else {
+        return true;
+    };
+    let is_sent = stream.write_all(copy.as_bytes()).await.is_ok();
+    time::sleep(BETWEEN_ANSWERS).await;
+    is_sent
+}
+
 /// A refusal that states that the request did not run.
 fn refusal_text(id: &str, more: &str) -> String {
     format!(
