relay: the heads of an answer are bounded in bytes and pieces

What callers would have seen: a call whose upstream sends interim answers (1xx) without end lasts until its deadline, 504 after 4 s, and the instance parses them all the while, for each such call.

Cause: the HTTP client bounds one head (8 KiB here) and skips interim answers without counting them. It also parses an incomplete head anew with each piece that arrives.

Evidence: `a_head_without_end_ends_its_call_early`, on real sockets, with header lines, one header value, interim answers and bytes that are no answer, in pieces of 1, 60, 1,448 and 65,536 bytes, eight at once. Red before for interim answers alone (504), so that the other kinds are ruled out; green after, each call ends with 502 and its connection is closed.

--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -4,12 +4,16 @@
 //! and it is not reused after any irregularity in an answer.
 
 use {
+    crate::{HeadMeter, MeteredStream},
     bytes::Bytes,
     http::Request,
     http_body_util::Full,
     hyper::{
         body::Incoming,
-        client::conn::http1::{self, SendRequest},
+        client::conn::{
+            TrySendError,
+            http1::{self, SendRequest},
+        },
     },
     hyper_util::rt::TokioIo,
     kernel::{LockRank, RankedLock, steady_clock},
@@ -71,6 +75,7 @@
     address: SocketAddr,
     /// How many answers it has delivered.
     answers: u64,
+    meter: HeadMeter,
     sender: SendRequest<Full<Bytes>>,
     task: AbortOnDropHandle<()>,
 }
@@ -80,6 +85,18 @@
     pub fn is_at_first_answer(&self) -> bool {
         self.answers == 1
     }
+
+    /// Sends a call and waits for the head of the answer.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.meter.begin_head();
+        let response = self.sender.try_send_request(request).await?;
+        self.meter.end_head();
+        self.answers += 1;
+        Ok(response)
+    }
 }
 
 #[derive(Debug)]
@@ -211,12 +228,8 @@
     ) -> Result<(http::Response<Incoming>, OpenConnection), ConnectionError> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(key, address) {
-            let sending = connection.sender.try_send_request(request).await;
-            match sending {
-                Ok(response) => {
-                    connection.answers += 1;
-                    return Ok((response, connection));
-                }
+            match connection.exchange(request).await {
+                Ok(response) => return Ok((response, connection)),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
                     None => return lost(failure.error()),
@@ -224,11 +237,8 @@
             }
         }
         let mut connection = self.connect(address).await?;
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => {
-                connection.answers += 1;
-                Ok((response, connection))
-            }
+        match connection.exchange(request).await {
+            Ok(response) => Ok((response, connection)),
             Err(mut failure) => match failure.take_message() {
                 Some(_) => UnsentSnafu {
                     detail: failure.error().to_string(),
@@ -274,6 +284,8 @@
         if let Some(bytes) = self.read_buffer {
             builder.max_buf_size(bytes);
         }
+        let meter = HeadMeter::default();
+        let stream = MeteredStream::new(stream, meter.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| {
             UnsentSnafu {
@@ -289,6 +301,7 @@
         Ok(OpenConnection {
             address,
             answers: 0,
+            meter,
             sender,
             task: AbortOnDropHandle::new(task),
         })
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,9 +27,11 @@
 pub mod flow_failure;
 pub mod forward_queue;
 pub mod forwarded_request;
+pub mod head_meter;
 pub mod held_place;
 mod list_progress;
 pub mod load_gauges;
+pub mod metered_stream;
 pub mod open_call;
 pub mod operator_source;
 pub mod order_dialect;
@@ -100,8 +102,10 @@
     flow_failure::FlowFailure,
     forward_queue::{ForwardEnd, ForwardJob, ForwardQueue},
     forwarded_request::ForwardedRequest,
+    head_meter::HeadMeter,
     held_place::{HeldEntry, HeldPlace},
     load_gauges::LoadGauges,
+    metered_stream::MeteredStream,
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
         OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate, SourceError,
--- /dev/null
+++ b/crates/trestlewalk/tests/relay_endless.rs
@@ -0,0 +1,100 @@
+//! Answers without end, in pieces of any size: what an instance takes of them, and that others are served meanwhile.
+
+mod relay_support;
+mod support;
+
+use {
+    futures_util::future::join_all,
+    relay_support::{
+        EndlessAnswer, EndlessPart, RelayRun, RelayTest, UpstreamMode, caller::fresh_id,
+        relay_test::STREAM_HEADERS,
+    },
+    serde_json::json,
+    std::{sync::atomic::Ordering, time::Duration},
+    support::wait::wait_until,
+    tokio::time::{self, Instant},
+};
+
+/// The memory of the instance as its settings state it.
+const INSTANCE_BYTES: usize = 128_000_000;
+/// How many answers without end there are at once.
+const CALLS: usize = 8;
+/// The sizes of pieces, bytes.
+const PIECES: [usize; 4] = [1, 60, 1_448, 65_536];
+
+async fn start() -> RelayRun {
+    RelayTest::new()
+        .plain("carta", 1)
+        .plain("ledger", 1)
+        .engines("redactor", 1, 0)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .route("/l/", "unsafe", "ledger", &json!({}))
+        .route("/w/", "streaming", "redactor", &json!({"TargetGapMs": 300}))
+        .start_ready()
+        .await
+}
+
+/// What the callers of answers without end get.
+async fn send_calls(run: &RelayRun, path: &str) -> Vec<(u16, bool)> {
+    let calls = (0..CALLS).map(async |_| {
+        let reply = run
+            .call_with("POST", path, &fresh_id(), STREAM_HEADERS, "order")
+            .await;
+        (reply.status(), reply.whole)
+    });
+    join_all(calls).await
+}
+
+/// Serves another service again and again.
+async fn serve_others(run: &RelayRun) {
+    loop {
+        let began = Instant::now();
+        assert_eq!(run.call("POST", "/l/1", "order").await.status(), 200);
+        assert!(began.elapsed() < Duration::from_secs(1));
+        assert!(run.process.memory_bytes() < INSTANCE_BYTES);
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends answers without end and returns what their callers got.
+async fn endless_replies(run: &RelayRun, id: &str, answer: EndlessAnswer) -> Vec<(u16, bool)> {
+    let upstream = run.upstream(id);
+    upstream.set(UpstreamMode::Endless(answer));
+    let path = match answer.part {
+        EndlessPart::Event | EndlessPart::Events => "/w/1",
+        _ => "/t/1",
+    };
+    let replies = tokio::select! {
+        replies = send_calls(run, path) => replies,
+        () = serve_others(run) => unreachable!("others are served without end"),
+    };
+    let record = &upstream.endless;
+    wait_until("the connections are closed", async || {
+        record.closed.load(Ordering::Relaxed) == record.begun.load(Ordering::Relaxed)
+    })
+    .await;
+    upstream.set(UpstreamMode::Answer);
+    replies
+}
+
+// Guards against a connection that is read for as long as an upstream sends bytes that are no head.
+#[tokio::test]
+async fn a_head_without_end_ends_its_call_early() {
+    let run = start().await;
+    for part in [
+        EndlessPart::Head,
+        EndlessPart::Interim,
+        EndlessPart::Noise,
+        EndlessPart::Value,
+    ] {
+        for piece in PIECES {
+            let answer = EndlessAnswer::new(part, piece);
+            let replies = endless_replies(&run, "i-carta-0", answer).await;
+            assert!(
+                replies.iter().all(|(status, _)| *status == 502),
+                "{answer:?}: {replies:?}"
+            );
+        }
+    }
+    assert!(run.process.memory_bytes() < INSTANCE_BYTES);
+}
--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -12,6 +12,7 @@
 pub mod crash_trigger;
 pub mod dead_port;
 pub mod direct_fleet;
+pub mod endless;
 pub mod engine_answers;
 pub mod relay_test;
 pub mod store;
@@ -28,6 +29,7 @@
     crash_scenario::CrashScenario,
     crash_trigger::CrashTrigger,
     direct_fleet::DirectFleet,
+    endless::{EndlessAnswer, EndlessPart, EndlessRecord},
     relay_test::{RelayRun, RelayTest},
     store::StoreStandIn,
     upstream::{ReceivedCall, UpstreamKind, UpstreamMode, UpstreamStandIn},
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         crash_trigger::CrashTrigger,
+        endless::{EndlessAnswer, EndlessRecord},
         engine_answers::answer_engine,
         wire_text::{WireMessage, read_body, read_head},
     },
@@ -54,6 +55,8 @@
     CutBody,
     /// An encoding that was not requested.
     Encoded,
+    /// An answer without end.
+    Endless(EndlessAnswer),
     /// A second answer right after the first.
     Extra,
     /// A signed error of its own.
@@ -134,6 +137,7 @@
     pub address: SocketAddr,
     /// Cancelled when the upstream crashes.
     crashed: CancellationToken,
+    pub endless: EndlessRecord,
     pub id: String,
     pub service: String,
     pub state: Arc<Mutex<UpstreamState>>,
@@ -146,6 +150,7 @@
         let upstream = Self {
             address: listener.local_addr().unwrap(),
             crashed: CancellationToken::new(),
+            endless: EndlessRecord::default(),
             id: id.to_owned(),
             service: service.to_owned(),
             state: Arc::new(Mutex::new(UpstreamState {
@@ -381,6 +386,10 @@
                 return false;
             }
             UpstreamMode::Encoded => format!("{signed}Content-Encoding: gzip\r\n{length}{body}"),
+            UpstreamMode::Endless(answer) => {
+                answer.send(stream, &id, &self.endless).await;
+                return false;
+            }
             UpstreamMode::Extra => format!(
                 "{signed}{length}{body}{}Content-Length: 5\r\n\r\nextra",
                 signed.replace(&id, "0000000000000bad")
