relay: an event and a stream of events are bounded

What callers would have seen: no answer at all, not even at the deadline, from an engine that sends an event without end; a stream without end that goes on beyond its deadline. The instance buffers all of it, and searches it again with each piece.

Cause: `EventSplitter` held a partial event of any size; the timeouts counted from piece to piece, so that an engine that sends pieces at short intervals never meets one; nothing bounded a stream.

Evidence, on real sockets, eight at once, pieces of 1 to 65,536 bytes: `an_event_without_end_ends_its_call_early` and `a_stream_without_end_is_cut` were red before (no answer within 60 s), and are green: 502, or a cut stream, connections closed, another service answered within a second meanwhile.

Why it works: an event ends with 64 KiB or 1,024 pieces, a stream with 16 MiB or 262,144; memory above 8 KiB counts towards that for bodies, in its capacity; each byte is searched once. What exceeds a bound is a broken stream, as if the connection had ended.

--- a/crates/relay/src/buffer_budget.rs
+++ b/crates/relay/src/buffer_budget.rs
@@ -4,6 +4,7 @@
     bytes::{Bytes, BytesMut},
     http_body_util::BodyExt,
     hyper::body::Body,
+    snafu::Snafu,
     std::{pin::pin, sync::Arc},
     tokio::sync::{OwnedSemaphorePermit, Semaphore},
 };
@@ -27,13 +28,16 @@
 }
 
 /// Why a body is not in memory.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum CollectError {
     /// The budget is spent.
+    #[snafu(display("no memory for the body"))]
     BudgetSpent,
     /// The body ended early.
+    #[snafu(display("the body ended early"))]
     Cut,
     /// The body is larger than its limit.
+    #[snafu(display("the body is too large or in too many pieces"))]
     TooLarge,
 }
 
@@ -96,7 +100,12 @@
         &self.free
     }
 
-    fn extend(
+    /// Adds memory to a share.
+    ///
+    /// # Errors
+    ///
+    /// There is no memory for it.
+    pub fn extend(
         &self,
         share: &mut Option<OwnedSemaphorePermit>,
         bytes: usize,
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -1,10 +1,19 @@
 //! Splits a stream of server-sent events at event boundaries.
 
 use {
-    bytes::{Bytes, BytesMut},
+    crate::{BodyAllowance, BufferBudget, CollectError},
+    bytes::Bytes,
     std::sync::Arc,
+    tokio::sync::OwnedSemaphorePermit,
 };
 
+/// Maximum size of an event, bytes: what may wait in the channel to a caller.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+/// Maximum number of pieces in which an event arrives.
+const MAX_EVENT_PIECES: usize = 1 << 10;
+/// The memory of a partial event that is not counted: what a connection reads at a time.
+const UNCOUNTED_BYTES: usize = 8 << 10;
+
 /// The field that carries the id of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -20,37 +29,92 @@
 }
 
 /// Buffers a partial event until it is complete, so that a caller never receives half an event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
-    buffer: BytesMut,
+    allowance: BodyAllowance,
+    budget: BufferBudget,
+    buffer: Vec<u8>,
+    /// The pieces of the buffered partial event.
+    pieces: usize,
+    /// The share of the budget that the buffer takes; `None` while the buffer is not counted.
+    share: Option<OwnedSemaphorePermit>,
 }
 
 impl EventSplitter {
+    /// An empty splitter whose stream may take `allowance`, and whose buffer counts towards `budget`.
+    pub fn new(budget: &BufferBudget, allowance: BodyAllowance) -> Self {
+        Self {
+            allowance,
+            budget: budget.clone(),
+            buffer: Vec::new(),
+            pieces: 0,
+            share: None,
+        }
+    }
+
     /// Size of the buffered partial event, bytes.
     pub fn pending_bytes(&self) -> usize {
         self.buffer.len()
     }
 
     /// Appends bytes and returns the events that are now complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<EventBatch> {
+    ///
+    /// # Errors
+    ///
+    /// The stream or an event of it is too large, or there is no memory for the event.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, CollectError> {
+        self.allowance.take(bytes.len())?;
+        self.reserve(bytes.len())?;
+        let searched = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
-        let end = last_event_end(&self.buffer)?;
-        let bytes = self.buffer.split_to(end).freeze();
-        let count = event_count(&bytes);
-        let last_id = last_id(&bytes);
-        Some(EventBatch {
+        let end = last_event_end(&self.buffer, searched).unwrap_or(0);
+        self.pieces = match end {
+            0 => self.pieces + 1,
+            _ => 1,
+        };
+        if self.buffer.len() - end > MAX_EVENT_BYTES || self.pieces > MAX_EVENT_PIECES {
+            return Err(CollectError::TooLarge);
+        }
+        Ok((end > 0).then(|| self.take_events(end)))
+    }
+
+    /// Makes room for `bytes` more.
+    fn reserve(&mut self, bytes: usize) -> Result<(), CollectError> {
+        let needed = self.buffer.len() + bytes;
+        if needed <= self.buffer.capacity() {
+            return Ok(());
+        }
+        let capacity = needed.next_power_of_two();
+        if capacity > UNCOUNTED_BYTES {
+            let counted = self.share.as_ref().map_or(0, |share| share.num_permits());
+            self.budget
+                .extend(&mut self.share, capacity.saturating_sub(counted))?;
+        }
+        self.buffer.reserve_exact(capacity - self.buffer.len());
+        Ok(())
+    }
+
+    /// Takes the first `end` bytes, which are complete events, in memory of their own size.
+    fn take_events(&mut self, end: usize) -> EventBatch {
+        let bytes = Bytes::copy_from_slice(&self.buffer[..end]);
+        self.buffer = self.buffer[end..].to_vec();
+        if self.buffer.len() <= UNCOUNTED_BYTES {
+            self.share = None;
+        }
+        EventBatch {
+            count: event_count(&bytes),
+            last_id: last_id(&bytes),
             bytes,
-            count,
-            last_id,
-        })
+        }
     }
 }
 
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
+/// The end of the last event that ends behind the first `searched` bytes.
+fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
     let blank = |index: &usize| {
         bytes[..*index].ends_with(b"\n\n") || bytes[..*index].ends_with(b"\r\n\r\n")
     };
-    (1..=bytes.len()).rev().find(blank)
+    (searched + 1..=bytes.len()).rev().find(blank)
 }
 
 /// The number of non-empty blocks between blank lines.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod access_refusal;
 pub mod answer_owner;
+pub mod body_allowance;
 pub mod buffer_budget;
 pub mod call_end;
 pub mod caller_limits;
@@ -82,6 +83,7 @@
 pub use {
     access_refusal::{AccessRefusal, RefusalReason},
     answer_owner::AnswerOwner,
+    body_allowance::BodyAllowance,
     buffer_budget::{BufferBudget, BufferedBody, CollectError},
     call_end::{CallEnd, UpstreamAnswer},
     caller_limits::CallerLimits,
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -4,10 +4,10 @@
 
 use {
     crate::{
-        CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, ErrorResponse, EventBatch,
-        EventSplitter, FlowFailure, HeldPlace, RelayBody, RelayCore, ReservedSlot, ResourceGuard,
-        ResumedSoftware, SlotFinder, SlotWait, StreamPump, UpstreamAnswer, UpstreamDialect,
-        WastedPrefill, WorkRoute, piece_channel,
+        BodyAllowance, CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, ErrorResponse,
+        EventBatch, EventSplitter, FlowFailure, HeldPlace, RelayBody, RelayCore, ReservedSlot,
+        ResourceGuard, ResumedSoftware, SlotFinder, SlotWait, StreamPump, UpstreamAnswer,
+        UpstreamDialect, WastedPrefill, WorkRoute, piece_channel,
         plain_flow::promises_not_run,
         prompt_search::find_holders,
         relay_core::{status_code, status_verdict},
@@ -285,8 +285,17 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if let Some(batch) = splitter.push(&data) {
-                return FirstPiece::Events(batch);
+            match splitter.push(&data) {
+                Ok(Some(batch)) => return FirstPiece::Events(batch),
+                Ok(None) if self.request.left().is_zero() => {
+                    return FirstPiece::Cut(ResultCode::UpstreamSilent);
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    let trace = &self.request.trace;
+                    trace.note(format_args!("{} garbled: {error}", answer.call.upstream.id));
+                    return FirstPiece::Cut(ResultCode::UpstreamGarbled);
+                }
             }
         }
     }
@@ -471,7 +480,7 @@
             return self.take_failure(answer).await;
         }
         let mut answer = answer;
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::new(&self.core.buffers, BodyAllowance::for_answer());
         match self.first_piece(&mut answer, &mut splitter).await {
             FirstPiece::Cut(code) => {
                 if code == ResultCode::StreamCut {
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -189,11 +189,12 @@
     }
 
     async fn step(&mut self) -> PumpStep {
-        let wait = self.longest_wait();
+        // Counted to the next whole event, however many pieces of it arrive meanwhile.
+        let due = time::Instant::now() + self.longest_wait();
         loop {
             let frame = tokio::select! {
                 () = self.sender.closed() => return PumpStep::CallerGone,
-                frame = time::timeout(wait, self.answer.body.frame()) => frame,
+                frame = time::timeout_at(due, self.answer.body.frame()) => frame,
             };
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
@@ -206,12 +207,21 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if let Some(batch) = self.splitter.push(&data) {
-                if let Some(place) = &self.flow.place {
-                    place.note_events(batch.count);
+            match self.splitter.push(&data) {
+                Ok(Some(batch)) => {
+                    if let Some(place) = &self.flow.place {
+                        place.note_events(batch.count);
+                    }
+                    self.last_id = batch.last_id.or(self.last_id.take());
+                    return PumpStep::Piece(batch.bytes);
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    let trace = &self.flow.request.trace;
+                    let engine = &self.answer.call.upstream.id;
+                    trace.note(format_args!("{engine} garbled: {error}"));
+                    return PumpStep::Cut;
                 }
-                self.last_id = batch.last_id.or(self.last_id.take());
-                return PumpStep::Piece(batch.bytes);
             }
         }
     }
--- a/crates/trestlewalk/tests/relay_endless.rs
+++ b/crates/trestlewalk/tests/relay_endless.rs
@@ -17,6 +17,8 @@
 
 /// The memory of the instance as its settings state it.
 const INSTANCE_BYTES: usize = 128_000_000;
+/// The most that an upstream can send of one event: the bound for it, and what the kernel buffers of a connection.
+const MOST_TAKEN_BYTES: u64 = 12 << 20;
 /// How many answers without end there are at once.
 const CALLS: usize = 8;
 /// The sizes of pieces, bytes.
@@ -98,3 +100,35 @@
     }
     assert!(run.process.memory_bytes() < INSTANCE_BYTES);
 }
+
+// Guards against an event that is buffered for as long as an engine sends it.
+#[tokio::test]
+async fn an_event_without_end_ends_its_call_early() {
+    let run = start().await;
+    for piece in PIECES {
+        let answer = EndlessAnswer::new(EndlessPart::Event, piece);
+        let replies = endless_replies(&run, "i-redactor-d0", answer).await;
+        assert!(
+            replies.iter().all(|(status, _)| *status == 502),
+            "{answer:?}: {replies:?}"
+        );
+        let taken = run
+            .upstream("i-redactor-d0")
+            .endless
+            .most_bytes
+            .load(Ordering::Relaxed);
+        assert!(taken < MOST_TAKEN_BYTES, "{answer:?}: {taken}");
+    }
+}
+
+// Guards against a stream that is passed on for as long as an engine sends events.
+#[tokio::test]
+async fn a_stream_without_end_is_cut() {
+    let run = start().await;
+    let answer = EndlessAnswer::new(EndlessPart::Events, 1_448);
+    let replies = endless_replies(&run, "i-redactor-d0", answer).await;
+    assert!(
+        replies.iter().all(|reply| *reply == (200, false)),
+        "{replies:?}"
+    );
+}
