relay: a body takes the memory that is counted for it, in pieces of any size

Cause: `BufferBudget::collect` kept each piece until the end of the body, and a piece is a slice of its connection's read buffer, which it keeps from being freed: 8 KiB or more for 64 bytes. The budget counted the length of the pieces.

Ruled out: too many bodies (an eighth of the budget) and the connections (1,000 slow ones stay below 128 MB).

Why it works: `CountedBuffer` copies pieces into one buffer, so that read buffers are reused at once. Its capacity is what counts towards the budget while it grows, and it shrinks to its size at the end.

--- a/crates/relay/src/buffer_budget.rs
+++ b/crates/relay/src/buffer_budget.rs
@@ -1,7 +1,8 @@
-//! Memory for bodies that wait for a caller or an upstream that reads slowly.
+//! The budget of memory for bodies that wait for a caller or an upstream that reads slowly.
 
 use {
-    bytes::{Bytes, BytesMut},
+    crate::{BodyAllowance, CountedBuffer},
+    bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::Body,
     snafu::Snafu,
@@ -60,26 +61,19 @@
         limit: usize,
     ) -> Result<BufferedBody, CollectError> {
         let mut body = pin!(body);
-        let mut pieces = Vec::new();
-        let mut total = 0;
-        let mut share = None;
+        let stated = body.size_hint().exact();
+        let size = stated.and_then(|size| usize::try_from(size).ok());
+        let largest = size.unwrap_or(limit).min(limit);
+        let mut allowance = BodyAllowance::new(limit);
+        let mut buffer = CountedBuffer::new(self, UNCOUNTED_BYTES);
         while let Some(frame) = body.frame().await {
             let Ok(piece) = frame.map_err(|_| CollectError::Cut)?.into_data() else {
                 continue;
             };
-            total += piece.len();
-            if total > limit {
-                return Err(CollectError::TooLarge);
-            }
-            if total > UNCOUNTED_BYTES {
-                self.extend(&mut share, piece.len())?;
-            }
-            pieces.push(piece);
+            allowance.take(piece.len())?;
+            buffer.extend(&piece, largest)?;
         }
-        Ok(BufferedBody {
-            bytes: join(pieces, total),
-            share,
-        })
+        Ok(buffer.freeze())
     }
 
     /// Takes memory for a body whose size is known; `None` for a body that is not counted.
@@ -120,15 +114,3 @@
         Ok(())
     }
 }
-
-/// Joins the pieces of a body without copying a single one.
-fn join(mut pieces: Vec<Bytes>, total: usize) -> Bytes {
-    if pieces.len() < 2 {
-        return pieces.pop().unwrap_or_default();
-    }
-    let mut whole = BytesMut::with_capacity(total);
-    for piece in pieces {
-        whole.extend_from_slice(&piece);
-    }
-    whole.freeze()
-}
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -1,10 +1,9 @@
 //! Splits a stream of server-sent events at event boundaries.
 
 use {
-    crate::{BodyAllowance, BufferBudget, CollectError},
+    crate::{BodyAllowance, BufferBudget, CollectError, CountedBuffer},
     bytes::Bytes,
     std::sync::Arc,
-    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// Maximum size of an event, bytes: what may wait in the channel to a caller.
@@ -32,12 +31,9 @@
 #[derive(Debug)]
 pub struct EventSplitter {
     allowance: BodyAllowance,
-    budget: BufferBudget,
-    buffer: Vec<u8>,
+    buffer: CountedBuffer,
     /// The pieces of the buffered partial event.
     pieces: usize,
-    /// The share of the budget that the buffer takes; `None` while the buffer is not counted.
-    share: Option<OwnedSemaphorePermit>,
 }
 
 impl EventSplitter {
@@ -45,16 +41,14 @@
     pub fn new(budget: &BufferBudget, allowance: BodyAllowance) -> Self {
         Self {
             allowance,
-            budget: budget.clone(),
-            buffer: Vec::new(),
+            buffer: CountedBuffer::new(budget, UNCOUNTED_BYTES),
             pieces: 0,
-            share: None,
         }
     }
 
     /// Size of the buffered partial event, bytes.
     pub fn pending_bytes(&self) -> usize {
-        self.buffer.len()
+        self.buffer.bytes().len()
     }
 
     /// Appends bytes and returns the events that are now complete, if any.
@@ -64,43 +58,22 @@
     /// The stream or an event of it is too large, or there is no memory for the event.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, CollectError> {
         self.allowance.take(bytes.len())?;
-        self.reserve(bytes.len())?;
-        let searched = self.buffer.len();
-        self.buffer.extend_from_slice(bytes);
-        let end = last_event_end(&self.buffer, searched).unwrap_or(0);
+        let searched = self.pending_bytes();
+        self.buffer.extend(bytes, MAX_EVENT_BYTES)?;
+        let end = last_event_end(self.buffer.bytes(), searched).unwrap_or(0);
         self.pieces = match end {
             0 => self.pieces + 1,
             _ => 1,
         };
-        if self.buffer.len() - end > MAX_EVENT_BYTES || self.pieces > MAX_EVENT_PIECES {
+        if self.pending_bytes() - end > MAX_EVENT_BYTES || self.pieces > MAX_EVENT_PIECES {
             return Err(CollectError::TooLarge);
         }
         Ok((end > 0).then(|| self.take_events(end)))
     }
 
-    /// Makes room for `bytes` more.
-    fn reserve(&mut self, bytes: usize) -> Result<(), CollectError> {
-        let needed = self.buffer.len() + bytes;
-        if needed <= self.buffer.capacity() {
-            return Ok(());
-        }
-        let capacity = needed.next_power_of_two();
-        if capacity > UNCOUNTED_BYTES {
-            let counted = self.share.as_ref().map_or(0, |share| share.num_permits());
-            self.budget
-                .extend(&mut self.share, capacity.saturating_sub(counted))?;
-        }
-        self.buffer.reserve_exact(capacity - self.buffer.len());
-        Ok(())
-    }
-
     /// Takes the first `end` bytes, which are complete events, in memory of their own size.
     fn take_events(&mut self, end: usize) -> EventBatch {
-        let bytes = Bytes::copy_from_slice(&self.buffer[..end]);
-        self.buffer = self.buffer[end..].to_vec();
-        if self.buffer.len() <= UNCOUNTED_BYTES {
-            self.share = None;
-        }
+        let bytes = self.buffer.take_front(end);
         EventBatch {
             count: event_count(&bytes),
             last_id: last_id(&bytes),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod capacity_reader;
 pub mod connection_activity;
 pub mod connection_pool;
+pub mod counted_buffer;
 pub mod crash_plugin;
 pub mod crash_watch;
 pub mod customer_access;
@@ -94,6 +95,7 @@
     connection_pool::{
         ConnectionError, ConnectionKey, ConnectionPool, ConnectionTimeouts, OpenConnection,
     },
+    counted_buffer::CountedBuffer,
     crash_watch::CrashWatch,
     customer_access::CustomerAccess,
     customer_counts::CustomerCounts,
--- a/crates/trestlewalk/tests/relay_slow.rs
+++ b/crates/trestlewalk/tests/relay_slow.rs
@@ -85,6 +85,48 @@
     }
 }
 
+/// How many callers send their bodies slowly, and how.
+const SLOW_SENDERS: usize = 60;
+const SMALL_PIECE_BYTES: usize = 60;
+const SMALL_PIECES: usize = 1_000;
+
+// Guards against small pieces of which each keeps the read buffer of its connection.
+#[tokio::test]
+async fn bodies_in_small_pieces_take_their_size() {
+    let run = one_engine().start_ready().await;
+    let piece = format!(
+        "{SMALL_PIECE_BYTES:x}\r\n{}\r\n",
+        "x".repeat(SMALL_PIECE_BYTES)
+    );
+    let mut callers = Vec::new();
+    for _ in 0..SLOW_SENDERS {
+        let mut caller = run.caller().await;
+        let more = "X-Deadline-Ms: 60000\r\nTransfer-Encoding: chunked\r\n";
+        caller
+            .write(&request_text("POST", "/t/1", &fresh_id(), more, ""))
+            .await;
+        callers.push(caller);
+    }
+    for _ in 0..SMALL_PIECES {
+        for caller in &mut callers {
+            caller.write(&piece).await;
+        }
+        // Each piece is read by itself.
+        time::sleep(Duration::from_millis(2)).await;
+    }
+    let memory = run.process.memory_bytes();
+    assert!(memory < INSTANCE_BYTES, "{memory}");
+    for caller in &mut callers {
+        caller.write("0\r\n\r\n").await;
+        assert_eq!(caller.read().await.status(), 200);
+    }
+    let sent = run.upstream("i-carta-0").runs();
+    assert!(
+        sent.iter()
+            .all(|call| call.message.body.len() == SMALL_PIECES * SMALL_PIECE_BYTES)
+    );
+}
+
 /// Large bodies that wait for an upstream share a part of the memory. What does not fit is refused as not run.
 #[tokio::test]
 async fn bodies_beyond_the_memory_for_them_are_refused_as_not_run() {
