relay: a connection is busy until the last byte of its answer is written

The idle timeout cut such answers as well.

Cause: the mark of a request in progress ended when the HTTP server dropped the body, and it takes a body of one piece at once. What it then still held was dropped with the connection.

Tried and reverted: cutting an answer after an idle timeout without a write. A caller with a small window takes longer than that between two writes, and was cut.

Why it works: the server flushes its socket once its own buffers are empty. From the end of a request to that flush the connection is not idle.

--- a/crates/relay/src/connection_activity.rs
+++ b/crates/relay/src/connection_activity.rs
@@ -1,4 +1,4 @@
-//! Tracks whether a caller's connection has a request in progress, and since when it is idle.
+//! Tracks whether a caller's connection has a request in progress or an answer to write, and since when it is idle.
 
 use {
     kernel::{LockRank, RankedLock, steady_clock},
@@ -13,17 +13,25 @@
 
 #[derive(Clone, Copy, Debug)]
 struct ActivityState {
+    /// Whether the server may still hold a part of an answer that it has taken in full.
+    has_unwritten: bool,
     idle_since: Instant,
     open: u32,
 }
 
+impl ActivityState {
+    fn is_idle(&self) -> bool {
+        self.open == 0 && !self.has_unwritten
+    }
+}
+
 /// The activity of one connection.
 #[derive(Debug)]
 pub struct ConnectionActivity {
     state: RankedLock<ActivityState>,
 }
 
-/// Counts as a request in progress until it is dropped.
+/// Counts as a request in progress until it is dropped, when the server has taken the whole answer.
 #[derive(Debug)]
 pub struct ActiveRequest {
     activity: Arc<ConnectionActivity>,
@@ -36,14 +44,15 @@
         ActiveRequest { activity: self }
     }
 
-    /// Whether no request is in progress.
+    /// Whether no request is in progress and all answers are written.
     pub fn is_idle(&self) -> bool {
-        self.state.lock().open == 0
+        self.state.lock().is_idle()
     }
 
     /// A connection that is idle from now on.
     pub fn new() -> Self {
         let state = ActivityState {
+            has_unwritten: false,
             idle_since: steady_clock::now(),
             open: 0,
         };
@@ -52,12 +61,22 @@
         }
     }
 
-    /// Time left until the idle timeout; zero when it has passed.
+    /// The server has written all that it holds to the socket.
+    pub(crate) fn note_written(&self) {
+        let mut state = self.state.lock();
+        if state.open == 0 && state.has_unwritten {
+            state.has_unwritten = false;
+            state.idle_since = steady_clock::now();
+        }
+    }
+
+    /// Time left until the idle timeout; zero when it has passed. While an answer is being written it does not pass: the
+    /// socket has a timeout of its own for callers that take nothing.
     pub fn idle_left(&self, limit: Duration) -> Duration {
         let state = *self.state.lock();
-        match state.open {
-            0 => (state.idle_since + limit).saturating_duration_since(steady_clock::now()),
-            _ => BUSY_RECHECK,
+        match state.is_idle() {
+            true => (state.idle_since + limit).saturating_duration_since(steady_clock::now()),
+            false => BUSY_RECHECK,
         }
     }
 }
@@ -72,6 +91,6 @@
     fn drop(&mut self) {
         let mut state = self.activity.state.lock();
         state.open = state.open.saturating_sub(1);
-        state.idle_since = steady_clock::now();
+        state.has_unwritten = true;
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod store_plugin;
 pub mod stream_flow;
 pub mod stream_pump;
+pub mod tracked_stream;
 pub mod unread_headers;
 pub mod upstream_dialect;
 pub mod wasted_prefill;
@@ -147,6 +148,7 @@
     store_calls::{CallKind, CallOutcome, CallReason, StoreCallRow, StoreCalls},
     stream_flow::{StartedStream, StreamFlow, StreamStart},
     stream_pump::StreamPump,
+    tracked_stream::TrackedStream,
     unread_headers::UnreadHeaders,
     upstream_dialect::{
         CallPurpose, CallerDialect, EngineResource, HeadFault, KeyFault, KvHandle, ReplyFacts,
--- a/crates/trestlewalk/tests/relay_close.rs
+++ b/crates/trestlewalk/tests/relay_close.rs
@@ -4,13 +4,93 @@
 mod support;
 
 use {
-    relay_support::{RelayTest, UpstreamMode, caller::request_text},
+    relay_support::{Caller, RelayRun, RelayTest, UpstreamMode, caller::request_text},
     rustix::process::Signal,
     serde_json::json,
     std::time::Duration,
     support::wait::wait_until,
+    tokio::time,
 };
 
+/// An answer far larger than what the kernel buffers of a connection.
+const LARGE_BYTES: usize = 12 << 20;
+
+/// A caller that has read nothing yet of a large answer, which the upstream has given in full.
+async fn start_large_answer(run: &RelayRun) -> Caller {
+    run.upstreams[0].set(UpstreamMode::Large(LARGE_BYTES));
+    let mut caller = Caller::connect_slow(run.process.address("callers")).await;
+    caller
+        .write(&request_text("POST", "/t/1", "0001", "", "x"))
+        .await;
+    wait_until("the answer is passed on", async || {
+        let lines = run.metric_lines("trestlewalk_relay_requests_total").await;
+        lines.iter().any(|line| line.contains("1000"))
+    })
+    .await;
+    caller
+}
+
+async fn check_large_answer(mut caller: Caller) {
+    let reply = caller.read().await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    assert_eq!(reply.message.body.len(), LARGE_BYTES);
+}
+
+/// A run whose connections may be idle for a moment only.
+async fn run_with_idle_timeout() -> RelayRun {
+    let mut run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    run.change(|config| config["Limits"]["IdleTimeoutMs"] = json!(400));
+    let version = run.version();
+    wait_until("the limits are in force", async || {
+        let lines = run.metric_lines("trestlewalk_relay_table_version").await;
+        lines
+            .iter()
+            .any(|line| line.ends_with(&format!(" {version}")))
+    })
+    .await;
+    run
+}
+
+// Guards against a connection that counts as idle when the server has taken an answer, and not when it has written it.
+#[tokio::test]
+async fn a_close_waits_for_answers_that_callers_still_read() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    let caller = start_large_answer(&run).await;
+    run.process.signal(Signal::TERM);
+    time::sleep(Duration::from_secs(2)).await;
+    check_large_answer(caller).await;
+}
+
+// The same without a signal.
+#[tokio::test]
+async fn an_answer_may_take_longer_to_read_than_the_idle_timeout() {
+    let run = run_with_idle_timeout().await;
+    let caller = start_large_answer(&run).await;
+    time::sleep(Duration::from_secs(2)).await;
+    check_large_answer(caller).await;
+}
+
+// Guards against a caller that holds memory for as long as it likes.
+#[tokio::test]
+async fn an_answer_that_nobody_reads_is_cut() {
+    let run = run_with_idle_timeout().await;
+    let caller = start_large_answer(&run).await;
+    let before = run.process.memory_bytes();
+    wait_until("the memory of the answer is free", async || {
+        run.process.memory_bytes() + LARGE_BYTES / 2 < before
+    })
+    .await;
+    drop(caller);
+}
+
 #[tokio::test]
 async fn a_close_finishes_what_runs_and_ends_idle_connections() {
     let mut run = RelayTest::new()
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -311,12 +311,17 @@
 
     /// Writes a changed configuration with a higher version.
     pub fn change(&mut self, change: impl FnOnce(&mut Value)) {
-        let version = self.config["Version"].as_u64().unwrap() + 3;
+        let version = self.version() + 3;
         self.config["Version"] = json!(version);
         change(&mut self.config);
         self.store.put("op", "config", &self.config);
     }
 
+    /// The version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.config["Version"].as_u64().unwrap()
+    }
+
     pub fn put_config(&self) {
         self.store.put("op", "config", &self.config);
     }
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -65,6 +65,8 @@
     Flood(usize),
     /// An answer with the id of another request.
     Foreign,
+    /// A complete answer with a body of this many bytes.
+    Large(usize),
     /// Refuses a request as not run. A second copy of the refusal comes right before the answer to the next request on the
     /// connection, which runs.
     LateRefusal,
@@ -408,6 +410,10 @@
                 let foreign = signed.replace(&id, "0000000000000bad");
                 format!("{foreign}{length}{body}")
             }
+            UpstreamMode::Large(bytes) => format!(
+                "{signed}Content-Length: {bytes}\r\n\r\n{}",
+                "x".repeat(bytes)
+            ),
             UpstreamMode::LateRefusal => match late_refusal {
                 Some(copy) => {
                     if !send_copy(stream, Some(copy)).await {
