relay: the timeout of a prefill covers its whole reply

What callers would have seen: a request whose prefill engine sends the body of its reply byte by byte waits until its deadline and is refused (503 after 4 s in the test), though its decode engine could have read the prompt.

Cause: the timeout of a prefill, three times its expected time, ended with the head of the reply; the body was waited for until the deadline of the request.

Evidence: `a_prefill_reply_that_trickles_delays_its_request_as_a_silent_one_does` was red before and is green: the decode engine reads the prompt, as after a prefill without any reply.

--- a/crates/relay/src/stream_flow/prefill.rs
+++ b/crates/relay/src/stream_flow/prefill.rs
@@ -73,11 +73,12 @@
             return None;
         }
         let upstream = choice.upstream;
+        let patience = choice.expected * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK;
         let plan = CallPlan {
             purpose: &CallPurpose::Prefill,
             request: &self.request,
             route: &self.route,
-            head_timeout: Some(choice.expected * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK),
+            head_timeout: Some(patience),
         };
         let began = steady_clock::now();
         let end = self.core.call(plan, upstream.clone()).await;
@@ -106,7 +107,8 @@
         } = *answer;
         let allowance = BodyAllowance::new(MAX_PREFILL_REPLY_BYTES);
         let reading = self.core.buffers.collect(body, allowance);
-        let bytes = match time::timeout(self.request.left(), reading).await {
+        let left = patience.saturating_sub(steady_clock::elapsed(began));
+        let bytes = match time::timeout(left.min(self.request.left()), reading).await {
             Ok(Ok(body)) => body.bytes,
             outcome => {
                 if outcome.is_ok() {
--- a/crates/trestlewalk/tests/relay_endless.rs
+++ b/crates/trestlewalk/tests/relay_endless.rs
@@ -201,3 +201,21 @@
         );
     }
 }
+
+// Guards against a request that waits until its deadline for a prefill whose reply comes byte by byte.
+#[tokio::test]
+async fn a_prefill_reply_that_trickles_delays_its_request_as_a_silent_one_does() {
+    let run = RelayTest::new()
+        .engines("redactor", 1, 1)
+        .route("/w/", "streaming", "redactor", &json!({}))
+        .start_ready()
+        .await;
+    let trickle = EndlessAnswer {
+        pause: Duration::from_millis(20),
+        ..EndlessAnswer::new(EndlessPart::Chunks, 1)
+    };
+    run.upstream("i-redactor-p0")
+        .set(UpstreamMode::Endless(trickle));
+    let reply = run.stream("/w/1").await;
+    assert_eq!((reply.status(), reply.whole), (200, true), "{reply:?}");
+}
--- a/crates/trestlewalk/tests/relay_support/endless.rs
+++ b/crates/trestlewalk/tests/relay_support/endless.rs
@@ -112,7 +112,11 @@
             | EndlessPart::Event
             | EndlessPart::Events
             | EndlessPart::Failure
-            | EndlessPart::Unnamed => self.piece.max(SMALLEST_WRITE),
+            | EndlessPart::Unnamed
+                if self.pause.is_zero() =>
+            {
+                self.piece.max(SMALLEST_WRITE)
+            }
             _ => self.piece,
         }
     }
--- a/crates/trestlewalk/tests/relay_support/engine_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_answers.rs
@@ -112,8 +112,9 @@
             engine.note(message, false);
             return answer_json(engine, stream, "421 Misdirected Request", &json!({})).await;
         }
-        engine.note(message, false);
+        engine.note(message.clone(), false);
         match mode {
+            UpstreamMode::Endless(_) => return engine.answer_plain(stream, message).await,
             UpstreamMode::Mute => return std::future::pending().await,
             UpstreamMode::Reset => {
                 reset(stream);
