--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -128,7 +128,7 @@
     reach_watch::ReachWatch,
     reader_role::ReaderRole,
     relay_body::{AnswerCut, RelayBody},
-    relay_core::{CallPlan, RelayCore},
+    relay_core::{RelayCore, calling::CallPlan},
     relay_counts::RelayCounts,
     relay_settings::RelaySettings,
     request_handler::RequestHandler,
