flow: an allocator takes its first requests once it knows an engine of each stage

Callers were refused with 2004, no engine, though engines were there: in trials at a load of 60 to 94 on 8 processors the first request of `a_killed_decode_engine_truncates_no_answer`, and 68 of 120 of `interleaved_answers_of_all_styles_are_whole`, while the cell moved between allocators several times in 10 s.

Cause: an allocator that had just got its cell took requests after its first round of load polls, whether or not an engine had answered.

Evidence: `an_allocator_takes_requests_once_an_engine_of_each_stage_has_answered`, with engines that leave two polls without an answer, red before (the request came with no engine known), green now.

Why it works: an engine that hasn't answered yet is unknown, not gone.

--- a/crates/flow/src/cell_driver.rs
+++ b/crates/flow/src/cell_driver.rs
@@ -4,7 +4,10 @@
     crate::{cell_frame::CellFrame, cell_notice::CellGrant, open_keys::OpenKeys},
     admit::{AdmitAction, AdmitEvent, AdmitPolicy, RequestKey},
     kernel::{LockRank, ModelId, RankedLock, ShutdownSignal},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     table::WorkTable,
     tokio::{sync::Notify, time},
 };
@@ -18,6 +21,7 @@
 /// The allocator of one cell with its timer.
 pub struct CellDriver<P, S> {
     model: ModelId,
+    since: Instant,
     sink: Arc<S>,
     state: RankedLock<CellState<P>>,
     timer: Notify,
@@ -42,6 +46,7 @@
     pub fn new(model: ModelId, policy: P, sink: Arc<S>) -> Self {
         Self {
             model,
+            since: Instant::now(),
             sink,
             state: RankedLock::new(
                 LockRank::Allocator,
@@ -57,6 +62,11 @@
         }
     }
 
+    /// How long the allocator has had its cell.
+    pub fn age(&self) -> Duration {
+        self.since.elapsed()
+    }
+
     /// Stores the table and returns whether it differs from the previous one.
     pub fn replace_table(&self, table: &Arc<WorkTable>) -> bool {
         let mut state = self.state.lock();
--- a/crates/flow/src/engine_watch.rs
+++ b/crates/flow/src/engine_watch.rs
@@ -27,6 +27,17 @@
         self.info.is_some()
     }
 
+    /// Whether nothing is known of the engine yet: it has not answered, and has not been silent for long enough to count as
+    /// gone.
+    pub fn is_unknown(&self) -> bool {
+        self.info.is_none() && self.failures < FAILURE_LIMIT
+    }
+
+    /// The stage of an engine that answers.
+    pub fn role(&self) -> Option<UpstreamRole> {
+        self.info.as_ref().map(|info| info.role)
+    }
+
     /// Handles a failed poll.
     pub fn on_failure(&mut self, upstream: &UpstreamId) -> Vec<AdmitEvent> {
         self.failures += 1;
--- a/crates/flow/src/load_poller.rs
+++ b/crates/flow/src/load_poller.rs
@@ -12,7 +12,7 @@
     futures_util::future::join_all,
     kernel::{ModelId, UpstreamId, ZoneId},
     plat::InstanceKind,
-    route::load_report::LeavingCause,
+    route::{UpstreamRole, load_report::LeavingCause},
     std::{
         collections::BTreeMap,
         sync::Arc,
@@ -21,6 +21,9 @@
     tokio::time::{self, MissedTickBehavior},
 };
 
+/// How long requests wait for an allocator that has just got its cell and knows too few engines.
+const OPENING_LIMIT: Duration = Duration::from_secs(1);
+
 /// The engines of one cell by name.
 type WatchMap = BTreeMap<UpstreamId, EngineWatch>;
 
@@ -99,10 +102,19 @@
                 driver.on_event(event);
             }
         }
-        driver.open();
+        if knows_engines(watches) || driver.age() >= OPENING_LIMIT {
+            driver.open();
+        }
     }
 }
 
+/// Whether an allocator can decide on requests: an engine of each stage answers, or nothing more is expected of the others.
+fn knows_engines(watches: &WatchMap) -> bool {
+    let has_role = |role| watches.values().any(|watch| watch.role() == Some(role));
+    let has_unknown = watches.values().any(EngineWatch::is_unknown);
+    !has_unknown || has_role(UpstreamRole::Decode) && has_role(UpstreamRole::Prefill)
+}
+
 /// The engines in an availability zone that serve a model.
 pub fn cell_engines(
     registry: &UpstreamRegistry,
