relay: one type watches connections, and the owner of an answer is decided here

The streams that counted reads and flushes were two copies of one type, which is `WatchedStream` with a `StreamWatch`. Checks of `relay_endless` that were written again have a function. No change of behaviour.

--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        CallerDialect, ConnectionActivity, RelayCore, RequestHandler, TrackedStream,
-        UpstreamDialect, connection_pool::tune_socket,
+        CallerDialect, ConnectionActivity, RelayCore, RequestHandler, UpstreamDialect,
+        WatchedStream, connection_pool::tune_socket,
     },
     http::{HeaderValue, Request, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -115,7 +115,7 @@
     async fn serve(self, stream: TcpStream) {
         tune_socket(&stream, CALLER_TIMEOUT);
         let activity = Arc::new(ConnectionActivity::new());
-        let stream = TrackedStream::new(stream, activity.clone());
+        let stream = WatchedStream::new(stream, activity.clone());
         let head_limit = self
             .core
             .routes
--- a/crates/relay/src/connection_activity.rs
+++ b/crates/relay/src/connection_activity.rs
@@ -1,6 +1,7 @@
 //! Tracks whether a caller's connection has a request in progress or an answer to write, and since when it is idle.
 
 use {
+    crate::StreamWatch,
     kernel::{LockRank, RankedLock, steady_clock},
     std::{
         sync::Arc,
@@ -61,15 +62,6 @@
         }
     }
 
-    /// The server has written all that it holds to the socket.
-    pub(crate) fn note_written(&self) {
-        let mut state = self.state.lock();
-        if state.open == 0 && state.has_unwritten {
-            state.has_unwritten = false;
-            state.idle_since = steady_clock::now();
-        }
-    }
-
     /// Time left until the idle timeout; zero when it has passed. While an answer is being written it does not pass: the
     /// socket has a timeout of its own for callers that take nothing.
     pub fn idle_left(&self, limit: Duration) -> Duration {
@@ -87,6 +79,16 @@
     }
 }
 
+impl StreamWatch for Arc<ConnectionActivity> {
+    fn note_flush(&self) {
+        let mut state = self.state.lock();
+        if state.open == 0 && state.has_unwritten {
+            state.has_unwritten = false;
+            state.idle_since = steady_clock::now();
+        }
+    }
+}
+
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         let mut state = self.activity.state.lock();
--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -4,7 +4,7 @@
 //! and it is not reused after any irregularity in an answer.
 
 use {
-    crate::{HeadMeter, MeteredStream},
+    crate::{HeadMeter, WatchedStream},
     bytes::Bytes,
     http::Request,
     http_body_util::Full,
@@ -285,7 +285,7 @@
             builder.max_buf_size(bytes);
         }
         let meter = HeadMeter::default();
-        let stream = MeteredStream::new(stream, meter.clone());
+        let stream = WatchedStream::new(stream, meter.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| {
             UnsentSnafu {
--- a/crates/relay/src/head_meter.rs
+++ b/crates/relay/src/head_meter.rs
@@ -3,11 +3,14 @@
 //! The HTTP client bounds a single head. It skips interim answers, which may come without end, and parses an incomplete head
 //! again whenever a piece of it arrives.
 
-use std::{
-    io::{self, ErrorKind},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+use {
+    crate::StreamWatch,
+    std::{
+        io::{self, ErrorKind},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
     },
 };
 
@@ -42,13 +45,11 @@
     pub fn end_head(&self) {
         self.state.is_in_head.store(false, Ordering::Release);
     }
+}
 
-    /// Counts one read.
-    ///
-    /// # Errors
-    ///
-    /// The head is longer, or comes in more pieces, than any proper one.
-    pub(crate) fn note_read(&self, bytes: usize) -> io::Result<()> {
+impl StreamWatch for HeadMeter {
+    /// Fails when the head is longer, or comes in more pieces, than any proper one.
+    fn note_read(&self, bytes: usize) -> io::Result<()> {
         if !self.state.is_in_head.load(Ordering::Acquire) {
             return Ok(());
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,7 +33,6 @@
 pub mod held_place;
 mod list_progress;
 pub mod load_gauges;
-pub mod metered_stream;
 pub mod open_call;
 pub mod operator_source;
 pub mod order_dialect;
@@ -76,10 +75,10 @@
 pub mod store_plugin;
 pub mod stream_flow;
 pub mod stream_pump;
-pub mod tracked_stream;
 pub mod unread_headers;
 pub mod upstream_dialect;
 pub mod wasted_prefill;
+pub mod watched_stream;
 pub mod work_route;
 
 pub use {
@@ -110,7 +109,6 @@
     head_meter::HeadMeter,
     held_place::{HeldEntry, HeldPlace},
     load_gauges::LoadGauges,
-    metered_stream::MeteredStream,
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
         OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate, SourceError,
@@ -148,12 +146,12 @@
     store_calls::{CallKind, CallOutcome, CallReason, StoreCallRow, StoreCalls},
     stream_flow::{StartedStream, StreamFlow, StreamStart},
     stream_pump::StreamPump,
-    tracked_stream::TrackedStream,
     unread_headers::UnreadHeaders,
     upstream_dialect::{
         CallPurpose, CallerDialect, EngineResource, HeadFault, KeyFault, KvHandle, ReplyFacts,
         SlotName, UpstreamCall, UpstreamDialect,
     },
     wasted_prefill::WastedPrefill,
+    watched_stream::{StreamWatch, WatchedStream},
     work_route::{RouteTarget, WorkRoute},
 };
--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -63,7 +63,7 @@
         self.reach.note_contact(&upstream.service);
         let status = response.status();
         // Answers to own calls name no request. One that does is the copy of an earlier answer.
-        let owner = self.dialect.answer_owner(response.headers(), None);
+        let owner = AnswerOwner::new(response.headers().get_all(D::REQUEST_ID), None);
         if owner != AnswerOwner::Unnamed {
             self.counts.note_owner(&owner);
             tracing::debug!(upstream = %upstream.id, %status, "an own call was answered{owner}");
@@ -197,15 +197,19 @@
         let upstream = &call.upstream.clone();
         let id = &upstream.id;
         let (head, body) = response.into_parts();
-        let facts = self.dialect.reply_facts(&head, &plan.request.head.id);
-        self.counts.note_owner(&facts.owner);
-        if facts.owner != AnswerOwner::Own {
+        let facts = self.dialect.reply_facts(&head);
+        let named = head.headers.get_all(D::REQUEST_ID);
+        let owner = AnswerOwner::new(named, Some(&plan.request.head.id));
+        self.counts.note_owner(&owner);
+        if owner != AnswerOwner::Own {
             trace.note_foreign_answer();
         }
         self.note_headers(upstream, &head.headers);
-        self.note_facts(upstream, &facts, call.since);
+        if owner == AnswerOwner::Own {
+            self.note_facts(upstream, &facts, call.since);
+        }
         // An answer of another call says nothing about this one, whatever its status: the request may be running.
-        let is_ours = match facts.owner {
+        let is_ours = match owner {
             AnswerOwner::Other(_) => false,
             AnswerOwner::Own => true,
             // Answers to other calls need not name any request. On a used connection it may be the copy of one of these.
@@ -215,9 +219,9 @@
             trace.note(format_args!(
                 "{verb} {id} not run: {}{}",
                 head.status.as_u16(),
-                facts.owner
+                owner
             ));
-            if facts.owner == AnswerOwner::Own && !facts.closes_connection {
+            if owner == AnswerOwner::Own && !facts.closes_connection {
                 self.pool.keep(&upstream.id, connection, facts.idle_timeout);
             }
             call.close(match facts.is_misdirected {
@@ -232,7 +236,7 @@
             trace.note(format_args!(
                 "{verb} {id} garbled: {}{}",
                 head.status.as_u16(),
-                facts.owner
+                owner
             ));
             call.close(CallVerdict::Lost);
             return CallEnd::Lost(ResultCode::UpstreamGarbled);
--- a/crates/relay/src/relay_core/statements.rs
+++ b/crates/relay/src/relay_core/statements.rs
@@ -2,7 +2,7 @@
 
 use {
     super::RelayCore,
-    crate::{AnswerOwner, ReplyFacts, UpstreamDialect},
+    crate::{ReplyFacts, UpstreamDialect},
     http::HeaderMap,
     kernel::{UpstreamId, steady_clock},
     policy::{BackoffStatement, RateStatement, UpstreamRecord, UpstreamStatement},
@@ -28,7 +28,7 @@
     /// Records what the answer to a request states. Another upstream at the same address speaks for itself only, and an
     /// answer that need not be the upstream's own lifts no limit.
     pub(super) fn note_facts(&self, upstream: &UpstreamRecord, facts: &ReplyFacts, began: Instant) {
-        if facts.owner == AnswerOwner::Own && !facts.is_misdirected {
+        if !facts.is_misdirected {
             self.note_statement(upstream, facts.statement, !facts.is_not_run, began);
         }
     }
--- a/crates/relay/src/upstream_dialect.rs
+++ b/crates/relay/src/upstream_dialect.rs
@@ -1,7 +1,7 @@
 //! The wire protocols of callers and upstreams, which separate the request path from the names on the wire.
 
 use {
-    crate::{AnswerOwner, CallerHead, CallerRequest, RequestId},
+    crate::{CallerHead, CallerRequest},
     bytes::Bytes,
     http::{HeaderMap, HeaderName, Request, StatusCode, Uri, request, response},
     http_body_util::Full,
@@ -87,8 +87,6 @@
     pub is_not_run: bool,
     /// The answer carries the upstream's signature.
     pub is_signed: bool,
-    /// The call to which the answer belongs.
-    pub owner: AnswerOwner,
     /// The upstream closes the connection after the answer.
     pub closes_connection: bool,
     /// What the upstream states about itself.
@@ -160,6 +158,9 @@
 
 /// The protocol of upstreams.
 pub trait UpstreamDialect: Send + Sync + 'static {
+    /// The header in which an answer names its request.
+    const REQUEST_ID: HeaderName;
+
     /// Builds the request that releases an unused resource.
     fn release_call(
         &self,
@@ -197,10 +198,7 @@
     fn memory_reply(&self, body: &[u8]) -> Option<u64>;
 
     /// Interprets the head of an answer.
-    fn reply_facts(&self, head: &response::Parts, request: &RequestId) -> ReplyFacts;
-
-    /// The call to which an answer belongs that was expected for `request`; `None` for an own call, which has no id.
-    fn answer_owner(&self, headers: &HeaderMap, request: Option<&RequestId>) -> AnswerOwner;
+    fn reply_facts(&self, head: &response::Parts) -> ReplyFacts;
 
     /// Whether this system knows a header of an answer, be it to read it or to leave it alone.
     fn is_known_header(&self, name: &HeaderName) -> bool;
--- a/crates/relay/src/metered_stream.rs
+++ b/crates/relay/src/watched_stream.rs
@@ -1,7 +1,6 @@
-//! A connection to an upstream whose reads are counted.
+//! A TCP connection whose reads and flushes are watched.
 
 use {
-    crate::HeadMeter,
     std::{
         io::{self, IoSlice},
         pin::Pin,
@@ -13,21 +12,36 @@
     },
 };
 
+/// Watches a connection.
+pub trait StreamWatch: Unpin {
+    /// All that the HTTP library had to write is written: it flushes once its own buffers are empty.
+    fn note_flush(&self) {}
+
+    /// Bytes were read.
+    ///
+    /// # Errors
+    ///
+    /// The connection is to be closed.
+    fn note_read(&self, _bytes: usize) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// The connection.
 #[derive(Debug)]
-pub struct MeteredStream {
-    meter: HeadMeter,
+pub struct WatchedStream<W> {
     stream: TcpStream,
+    watch: W,
 }
 
-impl MeteredStream {
-    /// Counts the reads of a connection.
-    pub fn new(stream: TcpStream, meter: HeadMeter) -> Self {
-        Self { meter, stream }
+impl<W: StreamWatch> WatchedStream<W> {
+    /// Watches a connection.
+    pub fn new(stream: TcpStream, watch: W) -> Self {
+        Self { stream, watch }
     }
 }
 
-impl AsyncRead for MeteredStream {
+impl<W: StreamWatch> AsyncRead for WatchedStream<W> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -35,17 +49,19 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        Poll::Ready(self.meter.note_read(buffer.filled().len() - before))
+        Poll::Ready(self.watch.note_read(buffer.filled().len() - before))
     }
 }
 
-impl AsyncWrite for MeteredStream {
+impl<W: StreamWatch> AsyncWrite for WatchedStream<W> {
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.watch.note_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/trestlewalk/tests/relay_endless.rs
+++ b/crates/trestlewalk/tests/relay_endless.rs
@@ -93,6 +93,14 @@
     replies
 }
 
+async fn check_statuses(run: &RelayRun, id: &str, answer: EndlessAnswer, allowed: &[u16]) {
+    let replies = endless_replies(run, id, answer).await;
+    assert!(
+        replies.iter().all(|(status, _)| allowed.contains(status)),
+        "{answer:?}: {replies:?}"
+    );
+}
+
 // Guards against a connection that is read for as long as an upstream sends bytes that are no head.
 #[tokio::test]
 async fn a_head_without_end_ends_its_call_early() {
@@ -105,11 +113,7 @@
     ] {
         for piece in PIECES {
             let answer = EndlessAnswer::new(part, piece);
-            let replies = endless_replies(&run, "i-carta-0", answer).await;
-            assert!(
-                replies.iter().all(|(status, _)| *status == 502),
-                "{answer:?}: {replies:?}"
-            );
+            check_statuses(&run, "i-carta-0", answer, &[502]).await;
         }
     }
     assert!(run.process.memory_bytes() < INSTANCE_BYTES);
@@ -121,11 +125,7 @@
     let run = start().await;
     for piece in PIECES {
         let answer = EndlessAnswer::new(EndlessPart::Event, piece);
-        let replies = endless_replies(&run, "i-redactor-d0", answer).await;
-        assert!(
-            replies.iter().all(|(status, _)| *status == 502),
-            "{answer:?}: {replies:?}"
-        );
+        check_statuses(&run, "i-redactor-d0", answer, &[502]).await;
         let taken = run
             .upstream("i-redactor-d0")
             .endless
@@ -153,11 +153,7 @@
     let run = start().await;
     for piece in PIECES {
         let answer = EndlessAnswer::new(EndlessPart::Chunks, piece);
-        let replies = endless_replies(&run, "i-carta-0", answer).await;
-        assert!(
-            replies.iter().all(|(status, _)| *status == 502),
-            "{answer:?}: {replies:?}"
-        );
+        check_statuses(&run, "i-carta-0", answer, &[502]).await;
         let taken = run
             .upstream("i-carta-0")
             .endless
@@ -170,13 +166,7 @@
     }
     for piece in PIECES {
         let answer = EndlessAnswer::new(EndlessPart::Body, piece);
-        let replies = endless_replies(&run, "i-carta-0", answer).await;
-        assert!(
-            replies
-                .iter()
-                .all(|(status, _)| [502, 504].contains(status)),
-            "{answer:?}: {replies:?}"
-        );
+        check_statuses(&run, "i-carta-0", answer, &[502, 504]).await;
     }
 }
 
@@ -186,19 +176,11 @@
     let run = start().await;
     for piece in PIECES {
         let answer = EndlessAnswer::new(EndlessPart::Failure, piece);
-        let replies = endless_replies(&run, "i-redactor-d0", answer).await;
-        assert!(
-            replies.iter().all(|(status, _)| *status == 502),
-            "{answer:?}: {replies:?}"
-        );
+        check_statuses(&run, "i-redactor-d0", answer, &[502]).await;
     }
     for piece in PIECES {
         let answer = EndlessAnswer::new(EndlessPart::Unnamed, piece);
-        let replies = endless_replies(&run, "i-redactor-d0", answer).await;
-        assert!(
-            replies.iter().all(|(status, _)| *status == 503),
-            "{answer:?}: {replies:?}"
-        );
+        check_statuses(&run, "i-redactor-d0", answer, &[503]).await;
     }
 }
 
