relay: rejections and losses in the log state their connection

Nothing told whether that was the first answer of a connection or the copy of an earlier one, or which requests had shared the connection. A pool now counts the connections that it establishes, and the steps `not run`, `garbled` and `lost` end with the answer and the connection: `run i-x not run: 503, answer 4 of connection 17`, and for a loss the answer that is missing. No decision depends on it.

--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -4,7 +4,7 @@
 //! and it is not reused after any irregularity in an answer.
 
 use {
-    crate::{HeadMeter, WatchedStream},
+    crate::{AnswerPlace, HeadMeter, WatchedStream},
     bytes::Bytes,
     http::Request,
     http_body_util::Full,
@@ -24,6 +24,7 @@
         collections::{BTreeSet, HashMap},
         io::{self, ErrorKind},
         net::SocketAddr,
+        sync::atomic::{AtomicU64, Ordering},
         time::{Duration, Instant},
     },
     tokio::{net::TcpStream, time},
@@ -42,6 +43,9 @@
 /// new connections.
 pub type ConnectionKey = std::sync::Arc<str>;
 
+/// Identifies a connection among all that its pool has established, from 1.
+pub type ConnectionSerial = u64;
+
 /// The timeouts of a pool.
 #[derive(Clone, Copy, Debug, bon::Builder)]
 pub struct ConnectionTimeouts {
@@ -56,10 +60,12 @@
 #[snafu(visibility(pub))]
 pub enum ConnectionError {
     /// At least a part of the call was written, and no complete response head arrived.
-    #[snafu(display("the connection was lost: {detail}"))]
+    #[snafu(display("the connection was lost: {detail}, {place} missing"))]
     Lost {
         /// The cause.
         detail: String,
+        /// The answer that did not come.
+        place: AnswerPlace,
     },
     /// Nothing was written.
     #[snafu(display("no connection: {detail}"))]
@@ -77,6 +83,7 @@
     answers: u64,
     meter: HeadMeter,
     sender: SendRequest<Full<Bytes>>,
+    serial: ConnectionSerial,
     task: AbortOnDropHandle<()>,
 }
 
@@ -86,6 +93,19 @@
         self.answers == 1
     }
 
+    /// The last answer that it has delivered.
+    pub fn last_place(&self) -> AnswerPlace {
+        AnswerPlace {
+            answer: self.answers,
+            connection: self.serial,
+        }
+    }
+
+    /// Its serial number.
+    pub fn serial(&self) -> ConnectionSerial {
+        self.serial
+    }
+
     /// Sends a call and waits for the head of the answer.
     async fn exchange(
         &mut self,
@@ -97,6 +117,18 @@
         self.answers += 1;
         Ok(response)
     }
+
+    /// The error of a call that was written in part at least.
+    fn lost(&self, error: &hyper::Error) -> ConnectionError {
+        LostSnafu {
+            detail: error.to_string(),
+            place: AnswerPlace {
+                answer: self.answers + 1,
+                connection: self.serial,
+            },
+        }
+        .build()
+    }
 }
 
 #[derive(Debug)]
@@ -118,6 +150,7 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     idle: RankedLock<HashMap<ConnectionKey, Vec<IdleConnection>>>,
+    next_serial: AtomicU64,
     /// Limit of the read buffer of each connection, bytes; `None` for the limit of the library.
     read_buffer: Option<usize>,
     times: ConnectionTimeouts,
@@ -163,6 +196,7 @@
     pub fn new(times: ConnectionTimeouts) -> Self {
         Self {
             idle: RankedLock::new(LockRank::Links, HashMap::new()),
+            next_serial: AtomicU64::new(1),
             read_buffer: None,
             times,
         }
@@ -232,7 +266,7 @@
                 Ok(response) => return Ok((response, connection)),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return lost(failure.error()),
+                    None => return Err(connection.lost(failure.error())),
                 },
             }
         }
@@ -244,7 +278,7 @@
                     detail: failure.error().to_string(),
                 }
                 .fail(),
-                None => lost(failure.error()),
+                None => Err(connection.lost(failure.error())),
             },
         }
     }
@@ -303,6 +337,7 @@
             answers: 0,
             meter,
             sender,
+            serial: self.next_serial.fetch_add(1, Ordering::Relaxed),
             task: AbortOnDropHandle::new(task),
         })
     }
@@ -344,10 +379,3 @@
         tracing::debug!(%error, "could not set a socket option; a lost peer is noticed later");
     }
 }
-
-fn lost<T>(error: &hyper::Error) -> Result<T, ConnectionError> {
-    LostSnafu {
-        detail: error.to_string(),
-    }
-    .fail()
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod access_refusal;
 pub mod answer_owner;
+pub mod answer_place;
 pub mod body_allowance;
 pub mod buffer_budget;
 pub mod call_end;
@@ -84,6 +85,7 @@
 pub use {
     access_refusal::{AccessRefusal, RefusalReason},
     answer_owner::AnswerOwner,
+    answer_place::AnswerPlace,
     body_allowance::BodyAllowance,
     buffer_budget::{BufferBudget, BufferedBody, CollectError},
     call_end::{CallEnd, UpstreamAnswer},
@@ -93,7 +95,8 @@
     capacity_reader::CapacityReader,
     connection_activity::ConnectionActivity,
     connection_pool::{
-        ConnectionError, ConnectionKey, ConnectionPool, ConnectionTimeouts, OpenConnection,
+        ConnectionError, ConnectionKey, ConnectionPool, ConnectionSerial, ConnectionTimeouts,
+        OpenConnection,
     },
     counted_buffer::CountedBuffer,
     crash_watch::CrashWatch,
--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -140,8 +140,8 @@
                 trace.note(format_args!("{verb} {id} not sent: {detail}"));
                 return CallEnd::Unreachable;
             }
-            Ok(Err(ConnectionError::Lost { detail })) => {
-                trace.note(format_args!("{verb} {id} lost: {detail}"));
+            Ok(Err(ConnectionError::Lost { detail, place })) => {
+                trace.note(format_args!("{verb} {id} lost: {detail}, {place} missing"));
                 self.crashes.note_loss(plan.request, &call, false);
                 call.close(CallVerdict::Lost);
                 return CallEnd::Lost(ResultCode::UpstreamLost);
@@ -196,6 +196,7 @@
         let verb = plan.purpose.verb();
         let upstream = &call.upstream.clone();
         let id = &upstream.id;
+        let place = connection.last_place();
         let (head, body) = response.into_parts();
         let facts = self.dialect.reply_facts(&head);
         let named = head.headers.get_all(D::REQUEST_ID);
@@ -217,9 +218,8 @@
         };
         if is_ours && facts.is_not_run {
             trace.note(format_args!(
-                "{verb} {id} not run: {}{}",
+                "{verb} {id} not run: {}{owner}, {place}",
                 head.status.as_u16(),
-                owner
             ));
             if owner == AnswerOwner::Own && !facts.closes_connection {
                 self.pool.keep(&upstream.id, connection, facts.idle_timeout);
@@ -234,9 +234,8 @@
         let is_prefill = matches!(plan.purpose, CallPurpose::Prefill);
         if !is_ours || facts.is_encoded || unsigned && !is_prefill {
             trace.note(format_args!(
-                "{verb} {id} garbled: {}{}",
+                "{verb} {id} garbled: {}{owner}, {place}",
                 head.status.as_u16(),
-                owner
             ));
             call.close(CallVerdict::Lost);
             return CallEnd::Lost(ResultCode::UpstreamGarbled);
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -292,7 +292,9 @@
                 Ok(None) => {}
                 Err(error) => {
                     let trace = &self.request.trace;
-                    trace.note(format_args!("{} garbled: {error}", answer.call.upstream.id));
+                    let engine = &answer.call.upstream.id;
+                    let place = answer.connection.last_place();
+                    trace.note(format_args!("{engine} garbled: {error}, {place}"));
                     return FirstPiece::Cut(ResultCode::UpstreamGarbled);
                 }
             }
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -219,7 +219,8 @@
                 Err(error) => {
                     let trace = &self.flow.request.trace;
                     let engine = &self.answer.call.upstream.id;
-                    trace.note(format_args!("{engine} garbled: {error}"));
+                    let place = self.answer.connection.last_place();
+                    trace.note(format_args!("{engine} garbled: {error}, {place}"));
                     return PumpStep::Cut;
                 }
             }
--- a/crates/trestlewalk/tests/relay_explain.rs
+++ b/crates/trestlewalk/tests/relay_explain.rs
@@ -5,7 +5,7 @@
 
 use {
     relay_support::{RelayTest, UpstreamMode, caller::fresh_id, relay_test::STREAM_HEADERS},
-    serde_json::json,
+    serde_json::{Value, json},
     std::{fs, time::Duration},
     support::{Test, wait::wait_until},
 };
@@ -54,6 +54,39 @@
     explain("00ff", "1 of them no log lines");
 }
 
+// Guards against a rejection, or a loss, of which the log doesn't tell over which connection it came, so that the copy of an
+// earlier answer can't be told from an answer.
+#[tokio::test]
+async fn a_rejection_and_a_loss_are_told_with_their_connections() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    let reply = run.call_with("POST", "/t/1", "00c1", "", "x").await;
+    assert_eq!(reply.status(), 200);
+    run.upstreams[0].set(UpstreamMode::Shed);
+    run.call_with("POST", "/t/1", "00c2", "", "x").await;
+    run.upstreams[0].set(UpstreamMode::Reset);
+    run.call_with("POST", "/t/1", "00c3", "", "x").await;
+    let steps = |id| steps(&run.process.log(), id);
+    wait_until("the lines are written", async || {
+        steps("00c2").is_some() && steps("00c3").is_some()
+    })
+    .await;
+    let rejection = steps("00c2").unwrap();
+    let (_, connection) = rejection
+        .split_once("run i-carta-0 not run: 503, answer 2 of connection ")
+        .expect(&rejection);
+    let serial: u64 = connection.trim_end_matches(';').parse().unwrap();
+    assert!(serial > 0);
+    let loss = steps("00c3").unwrap();
+    assert!(
+        loss.contains(&format!(", answer 3 of connection {serial} missing;")),
+        "{loss}"
+    );
+}
+
 #[tokio::test]
 async fn a_log_that_cannot_be_read_is_a_clear_error() {
     Test::new()
@@ -130,6 +163,15 @@
         .run();
 }
 
+/// The steps in the line that ends a request; `None` without that line.
+fn steps(log: &str, id: &str) -> Option<String> {
+    let mut lines = log
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let line = lines.find(|line| line["message"] == "request ended" && line["request"] == id)?;
+    Some(line["steps"].as_str()?.to_owned())
+}
+
 /// The metrics of an instance that schedules decode places, some of which others don't have.
 async fn scheduler_metrics() -> Vec<String> {
     let run = RelayTest::new()
