relay: calls that count as not run are counted by the evidence

The rejections of all upstreams were one verdict, `full`, with or without the id of the request, and calls that a rule of the instance kept back were counted nowhere. `trestlewalk_relay_not_run_total` counts each call that might have run a request and is taken not to have: `rejected`, `rejected_unnamed`, `unsent` or `blocked`, all exposed from the start.

--- /dev/null
+++ b/crates/relay/src/not_run_evidence.rs
@@ -0,0 +1,34 @@
+//! Why a call counts as not run.
+
+/// Why an instance takes it that a call to an upstream did not run the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotRunEvidence {
+    /// A rule of the instance kept it from sending the call.
+    Blocked,
+    /// The upstream rejected it, and the rejection names the request.
+    Rejected,
+    /// The upstream rejected it by the first answer of a connection, which names no request.
+    RejectedUnnamed,
+    /// There was no connection, or nothing was written.
+    Unsent,
+}
+
+impl NotRunEvidence {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [
+        Self::Blocked,
+        Self::Rejected,
+        Self::RejectedUnnamed,
+        Self::Unsent,
+    ];
+
+    /// The label value in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Blocked => "blocked",
+            Self::Rejected => "rejected",
+            Self::RejectedUnnamed => "rejected_unnamed",
+            Self::Unsent => "unsent",
+        }
+    }
+}
--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -4,8 +4,8 @@
     super::RelayCore,
     crate::{
         AnswerOwner, BodyAllowance, BufferedBody, CallEnd, CallPurpose, CallerRequest,
-        ConnectionError, ErrorResponse, OpenCall, OpenConnection, UpstreamAnswer, UpstreamCall,
-        UpstreamDialect, WorkRoute,
+        ConnectionError, ErrorResponse, NotRunEvidence, OpenCall, OpenConnection, UpstreamAnswer,
+        UpstreamCall, UpstreamDialect, WorkRoute,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -105,6 +105,7 @@
 
     async fn send(&self, plan: CallPlan<'_>, upstream: Arc<UpstreamRecord>) -> CallEnd {
         if let Some(refusal) = self.refusal_before(plan, &upstream) {
+            self.note_not_run(plan, NotRunEvidence::Blocked);
             return refusal;
         }
         let left = plan.request.left();
@@ -137,6 +138,7 @@
             Ok(Err(ConnectionError::Unsent { detail })) => {
                 self.reach.note_silence(&upstream);
                 call.close(CallVerdict::Unreachable);
+                self.note_not_run(plan, NotRunEvidence::Unsent);
                 trace.note(format_args!("{verb} {id} not sent: {detail}"));
                 return CallEnd::Unreachable;
             }
@@ -221,6 +223,13 @@
                 "{verb} {id} not run: {}{owner}, {place}",
                 head.status.as_u16(),
             ));
+            self.note_not_run(
+                plan,
+                match owner {
+                    AnswerOwner::Own => NotRunEvidence::Rejected,
+                    AnswerOwner::Other(_) | AnswerOwner::Unnamed => NotRunEvidence::RejectedUnnamed,
+                },
+            );
             if owner == AnswerOwner::Own && !facts.closes_connection {
                 self.pool.keep(&upstream.id, connection, facts.idle_timeout);
             }
@@ -250,6 +259,13 @@
         }))
     }
 
+    /// Counts a call that might have run its request, and did not.
+    fn note_not_run(&self, plan: CallPlan<'_>, evidence: NotRunEvidence) {
+        if matches!(plan.purpose, CallPurpose::Run { .. }) {
+            self.counts.note_not_run(evidence);
+        }
+    }
+
     /// Waits for the head of an answer. One that takes long is no fault, but counts if other upstreams are silent too.
     async fn await_head<T>(
         &self,
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -1,7 +1,9 @@
 //! The metrics of the request path. `docs/METRICS.md` describes them.
 
 use {
-    crate::{AnswerOwner, CustomerCounts, ResumedSoftware, UnreadHeaders, WastedPrefill},
+    crate::{
+        AnswerOwner, CustomerCounts, NotRunEvidence, ResumedSoftware, UnreadHeaders, WastedPrefill,
+    },
     kernel::ResultCode,
     policy::{BackoffStatement, CallVerdict, RateChange},
     prometheus::{
@@ -48,6 +50,8 @@
     pub lost_services: IntGauge,
     /// Lost connections, by the state of the upstream found afterwards.
     losses: IntCounterVec,
+    /// Calls that count as not run, by evidence.
+    not_run: IntCounterVec,
     /// Requests for another instance's snapshot of the store, by outcome.
     peer_reads: IntCounterVec,
     /// The number of requests in quarantine.
@@ -107,6 +111,14 @@
         for state in LOSS_STATES {
             losses.with_label_values(&[state]);
         }
+        let not_run = counters(
+            "trestlewalk_relay_not_run_total",
+            "Calls that might have run a request and count as not run, by the evidence.",
+            &["evidence"],
+        );
+        for evidence in NotRunEvidence::ALL {
+            not_run.with_label_values(&[evidence.label()]);
+        }
         let peer_reads = counters(
             "trestlewalk_relay_peer_reads_total",
             "Questions for readings of other instances, by how they ended.",
@@ -155,6 +167,7 @@
                 "The services of which this instance can reach no upstream.",
             ),
             losses,
+            not_run,
             peer_reads,
             quarantined: gauge(
                 "trestlewalk_relay_quarantined_requests",
@@ -257,6 +270,11 @@
         self.losses.with_label_values(&[state]).inc();
     }
 
+    /// Counts a call that did not run its request.
+    pub fn note_not_run(&self, evidence: NotRunEvidence) {
+        self.not_run.with_label_values(&[evidence.label()]).inc();
+    }
+
     /// Counts a request for another instance's snapshot of the store.
     pub fn note_peer_read(&self, outcome: &str) {
         self.peer_reads.with_label_values(&[outcome]).inc();
@@ -329,6 +347,7 @@
         register(registry, &self.list_age)?;
         register(registry, &self.losses)?;
         register(registry, &self.lost_services)?;
+        register(registry, &self.not_run)?;
         register(registry, &self.peer_reads)?;
         register(registry, &self.quarantined)?;
         register(registry, &self.rate_limits)?;
