relay: a request that was sent more than once is always logged, with its calls

A request that one upstream rejected and another served in time left a line once in sixteen, so that of a request that ran twice the log had most often nothing. The line is now always there for a request with more than one call that may have been written, and `calls` says how many; 0 beside a refusal means that nothing left the instance. A call of which nothing was written is taken back; runs before the request was forwarded count at the instance that it went to. Refusals were always logged. Retries are bounded by the retry budget, and so are the further lines.

--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -263,6 +263,9 @@
     fn note_not_run(&self, plan: CallPlan<'_>, evidence: NotRunEvidence) {
         if matches!(plan.purpose, CallPurpose::Run { .. }) {
             self.counts.note_not_run(evidence);
+            if evidence == NotRunEvidence::Unsent {
+                plan.request.trace.note_unsent();
+            }
         }
     }
 
--- a/crates/relay/src/request_handler/forwarding.rs
+++ b/crates/relay/src/request_handler/forwarding.rs
@@ -152,6 +152,7 @@
             },
         );
         trace.note(format_args!("forwarded by {}", forwarded.from));
+        trace.note_earlier_runs(forwarded.runs);
         let request = CallerRequest {
             access,
             body: forwarded.body.bytes,
--- a/crates/relay/src/request_trace.rs
+++ b/crates/relay/src/request_trace.rs
@@ -1,7 +1,7 @@
 //! The trace of a request, written as one log line when the request ends.
 //!
-//! Requests that failed, were late or met an answer of another call are always logged; of the others one in sixteen is
-//! sampled, so that the log volume stays steady under load.
+//! Requests that failed, were late, met an answer of another call or were sent more than once are always logged; of the
+//! others one in sixteen is sampled, so that the log volume stays steady under load.
 
 use {
     crate::RequestId,
@@ -44,6 +44,8 @@
 
 #[derive(Debug, Default)]
 struct TraceState {
+    /// The calls of which at least a part may have been written.
+    calls: u32,
     code: Option<ResultCode>,
     /// Identifies the request across retries; set when a connection was lost.
     fingerprint: Option<SuspectId>,
@@ -93,9 +95,23 @@
         }
     }
 
+    /// Records calls that may have run the request before it came to this instance.
+    pub fn note_earlier_runs(&self, runs: u32) {
+        let mut state = self.state.lock();
+        state.calls = state.calls.saturating_add(runs);
+    }
+
     /// Records that a call that may run the request is sent.
     pub fn note_sent(&self) {
-        self.state.lock().is_sent = true;
+        let mut state = self.state.lock();
+        state.is_sent = true;
+        state.calls = state.calls.saturating_add(1);
+    }
+
+    /// Records that nothing was written of the call that was sent last.
+    pub fn note_unsent(&self) {
+        let mut state = self.state.lock();
+        state.calls = state.calls.saturating_sub(1);
     }
 
     /// Records that an answer came that belongs to another call, so that the request is always logged.
@@ -144,13 +160,15 @@
             .pause
             .is_none_or(|pause| state.longest_pause <= pause);
         let is_on_time = first <= self.context.target && is_steady;
-        let is_ordinary = code == ResultCode::Answered && is_on_time && !state.has_foreign_answer;
+        let is_answered_once = code == ResultCode::Answered && state.calls <= 1;
+        let is_ordinary = is_answered_once && is_on_time && !state.has_foreign_answer;
         if is_ordinary && !self.is_sampled() {
             return;
         }
         tracing::info!(
             request = %self.id,
             code = code.number(),
+            calls = state.calls,
             customer = self.context.customer.as_deref(),
             work = %self.context.work,
             service = %self.context.service,
--- a/crates/trestlewalk/src/explain/request_trace.rs
+++ b/crates/trestlewalk/src/explain/request_trace.rs
@@ -147,6 +147,7 @@
             "work",
             "service",
             "table_version",
+            "calls",
             "list_age_ms",
             "target_ms",
             "first_byte_ms",
--- a/crates/trestlewalk/tests/relay_explain.rs
+++ b/crates/trestlewalk/tests/relay_explain.rs
@@ -87,6 +87,59 @@
     );
 }
 
+// Guards against a request that went to two upstreams and left no line, since the second one served it in time.
+#[tokio::test]
+async fn a_request_that_was_sent_twice_is_always_logged() {
+    let run = RelayTest::new()
+        .plain("carta", 2)
+        .route("/t/", "unsafe", "carta", &json!({"MaxAttempts": 2}))
+        .start_ready()
+        .await;
+    run.upstreams[0].set(UpstreamMode::Shed);
+    let mut rejected = Vec::new();
+    wait_until("several rejected requests", async || {
+        let reply = run.call("POST", "/t/1", "x").await;
+        assert_eq!(reply.status(), 200);
+        let state = run.upstreams[0].state.lock().unwrap();
+        let ids = state
+            .received
+            .iter()
+            .map(|call| call.message.header("x-request-id"));
+        rejected = ids.map(|id| id.unwrap().to_owned()).collect();
+        rejected.len() >= 6
+    })
+    .await;
+    wait_until("a line for each of them", async || {
+        let log = run.process.log();
+        rejected.iter().all(|id| ended_line(&log, id).is_some())
+    })
+    .await;
+    for id in &rejected {
+        let line = ended_line(&run.process.log(), id).unwrap();
+        assert_eq!(
+            (&line["code"], &line["calls"]),
+            (&json!(1000), &json!(2)),
+            "{line}"
+        );
+        let steps = line["steps"].as_str().unwrap();
+        assert!(
+            steps.contains("run i-carta-0 not run: 503, answer "),
+            "{line}"
+        );
+    }
+    let counted = run.metric_lines("trestlewalk_relay_not_run_total").await;
+    let count = |evidence, calls| {
+        format!("trestlewalk_relay_not_run_total{{evidence=\"{evidence}\"}} {calls}")
+    };
+    let expected = [
+        count("blocked", 0),
+        count("rejected", rejected.len()),
+        count("rejected_unnamed", 0),
+        count("unsent", 0),
+    ];
+    assert_eq!(counted, expected);
+}
+
 #[tokio::test]
 async fn a_log_that_cannot_be_read_is_a_clear_error() {
     Test::new()
@@ -163,12 +216,17 @@
         .run();
 }
 
-/// The steps in the line that ends a request; `None` without that line.
-fn steps(log: &str, id: &str) -> Option<String> {
+/// The line that ends a request.
+fn ended_line(log: &str, id: &str) -> Option<Value> {
     let mut lines = log
         .lines()
         .filter_map(|line| serde_json::from_str::<Value>(line).ok());
-    let line = lines.find(|line| line["message"] == "request ended" && line["request"] == id)?;
+    lines.find(|line| line["message"] == "request ended" && line["request"] == id)
+}
+
+/// The steps in the line that ends a request; `None` without that line.
+fn steps(log: &str, id: &str) -> Option<String> {
+    let line = ended_line(log, id)?;
     Some(line["steps"].as_str()?.to_owned())
 }
 
