relay: a test that a request that found no connection is logged without calls

A call is counted when it is sent and taken back when nothing of it was written; no test showed the second.

--- a/crates/trestlewalk/tests/relay_explain.rs
+++ b/crates/trestlewalk/tests/relay_explain.rs
@@ -8,6 +8,7 @@
     serde_json::{Value, json},
     std::{fs, time::Duration},
     support::{Test, wait::wait_until},
+    tokio::net::TcpStream,
 };
 
 #[tokio::test]
@@ -140,6 +141,35 @@
     assert_eq!(counted, expected);
 }
 
+// Guards against a refusal of which nothing was written, and whose line says that something was.
+#[tokio::test]
+async fn a_request_that_found_no_connection_is_logged_without_calls() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    run.upstreams[0].crash();
+    wait_until("the upstream accepts no connection", async || {
+        TcpStream::connect(run.upstreams[0].address).await.is_err()
+    })
+    .await;
+    let reply = run.call_with("POST", "/t/1", "00d1", "", "x").await;
+    assert_eq!(reply.status(), 503);
+    assert!(run.upstreams[0].received().is_empty());
+    wait_until("the line is written", async || {
+        ended_line(&run.process.log(), "00d1").is_some()
+    })
+    .await;
+    let line = ended_line(&run.process.log(), "00d1").unwrap();
+    assert_eq!(line["calls"], 0, "{line}");
+    let steps = line["steps"].as_str().unwrap();
+    assert!(steps.contains("run i-carta-0 not sent: "), "{line}");
+    let counted = run.metric_lines("trestlewalk_relay_not_run_total").await;
+    let unsent = "trestlewalk_relay_not_run_total{evidence=\"unsent\"} 1";
+    assert!(counted.iter().any(|line| line == unsent), "{counted:?}");
+}
+
 #[tokio::test]
 async fn a_log_that_cannot_be_read_is_a_clear_error() {
     Test::new()
