--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -1,22 +1,19 @@
 //! Serves one request of a model service, up to the first complete event of its stream.
 
+mod answering;
 mod prefill;
 
 use {
     crate::{
-        BodyAllowance, CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, ErrorResponse,
-        EventBatch, EventSplitter, FlowFailure, HeldPlace, RelayBody, RelayCore, ReservedSlot,
-        ResourceGuard, ResumedSoftware, SlotFinder, SlotWait, StreamPump, UpstreamAnswer,
-        UpstreamDialect, WastedPrefill, WorkRoute, piece_channel,
-        plain_flow::promises_not_run,
-        prompt_search::find_holders,
-        relay_core::{status_code, status_verdict},
-        resource_guard::discard,
+        CallEnd, CallPlan, CallPurpose, CallerDialect, CallerRequest, ErrorResponse, EventBatch,
+        EventSplitter, FlowFailure, HeldPlace, RelayBody, RelayCore, ReservedSlot, ResourceGuard,
+        ResumedSoftware, SlotFinder, SlotWait, StreamPump, UpstreamAnswer, UpstreamDialect,
+        WastedPrefill, WorkRoute, piece_channel, prompt_search::find_holders,
+        relay_core::status_code, resource_guard::discard,
     },
     http::Response,
-    http_body_util::BodyExt,
     kernel::{ResultCode, ServiceId, SoftwareVersion, UpstreamId, steady_clock},
-    policy::{AttemptEnd, CallVerdict, StreamAttempts, UpstreamRecord},
+    policy::{AttemptEnd, StreamAttempts, UpstreamRecord},
     std::{
         sync::{
             Arc,
@@ -24,11 +21,8 @@
         },
         time::{Duration, Instant},
     },
-    tokio::time,
 };
 
-/// An engine's answer that is not a stream is a short text.
-const MAX_FAILURE_BYTES: usize = 1 << 20;
 /// The share of the route's first-byte target that a request may spend waiting for a slot. A caller refused early
 /// retries when slots are free again; longer waits are most often wasted or lead to a late answer.
 const SLOT_WAIT_SHARE: f64 = 0.24;
@@ -79,12 +73,6 @@
     Other(Response<RelayBody>),
 }
 
-enum FirstPiece {
-    Cut(ResultCode),
-    Ended,
-    Events(EventBatch),
-}
-
 impl<D: UpstreamDialect> StreamFlow<D> {
     /// The retry delay if the request is refused.
     pub fn retry_after(&self) -> Duration {
@@ -264,43 +252,6 @@
         holders
     }
 
-    async fn first_piece(
-        &self,
-        answer: &mut UpstreamAnswer,
-        splitter: &mut EventSplitter,
-    ) -> FirstPiece {
-        let is_framed = answer.is_framed();
-        loop {
-            let frame = match time::timeout(self.request.left(), answer.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return FirstPiece::Cut(ResultCode::StreamCut),
-                // Without a length or chunks, a crash before the first event looks like an empty stream.
-                Ok(None) if !is_framed || splitter.pending_bytes() > 0 => {
-                    return FirstPiece::Cut(ResultCode::StreamCut);
-                }
-                Ok(None) => return FirstPiece::Ended,
-                Err(_) => return FirstPiece::Cut(ResultCode::UpstreamSilent),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            match splitter.push(&data) {
-                Ok(Some(batch)) => return FirstPiece::Events(batch),
-                Ok(None) if self.request.left().is_zero() => {
-                    return FirstPiece::Cut(ResultCode::UpstreamSilent);
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    let trace = &self.request.trace;
-                    let engine = &answer.call.upstream.id;
-                    let place = answer.connection.last_place();
-                    trace.note(format_args!("{engine} garbled: {error}, {place}"));
-                    return FirstPiece::Cut(ResultCode::UpstreamGarbled);
-                }
-            }
-        }
-    }
-
     /// Waits for a slot at a decode engine.
     ///
     /// # Errors
@@ -475,59 +426,4 @@
         }
         is_reserved
     }
-
-    async fn take_answer(&mut self, answer: UpstreamAnswer) -> Result<StreamStart, ErrorResponse> {
-        if !answer.head.status.is_success() {
-            return self.take_failure(answer).await;
-        }
-        let mut answer = answer;
-        let mut splitter = EventSplitter::new(&self.core.buffers, BodyAllowance::for_stream());
-        match self.first_piece(&mut answer, &mut splitter).await {
-            FirstPiece::Cut(code) => {
-                if code == ResultCode::StreamCut {
-                    self.core
-                        .crashes
-                        .note_loss(&self.request, &answer.call, false);
-                }
-                answer.call.close(CallVerdict::Lost);
-                Err(ErrorResponse::new(code))
-            }
-            FirstPiece::Ended => Ok(StreamStart::Started(Box::new(StartedStream {
-                answer,
-                first: None,
-                splitter,
-            }))),
-            FirstPiece::Events(batch) => Ok(StreamStart::Started(Box::new(StartedStream {
-                answer,
-                first: Some(batch),
-                splitter,
-            }))),
-        }
-    }
-
-    async fn take_failure(&mut self, answer: UpstreamAnswer) -> Result<StreamStart, ErrorResponse> {
-        let status = answer.head.status;
-        let allowance = BodyAllowance::new(MAX_FAILURE_BYTES);
-        let reading = self.core.buffers.collect(answer.body, allowance);
-        let body = match time::timeout(self.request.left(), reading).await {
-            Ok(Ok(body)) => body,
-            outcome => {
-                if outcome.is_ok() {
-                    self.core
-                        .crashes
-                        .note_loss(&self.request, &answer.call, true);
-                }
-                answer.call.close(CallVerdict::Lost);
-                return Err(ErrorResponse::new(ResultCode::StreamCut));
-            }
-        };
-        answer.call.close(status_verdict(status));
-        if promises_not_run(status) {
-            return Err(ErrorResponse::new(ResultCode::UpstreamGarbled));
-        }
-        let mut response = Response::new(RelayBody::buffered(body));
-        *response.status_mut() = status;
-        *response.headers_mut() = self.core.dialect.returned_headers(&answer.head.headers);
-        Ok(StreamStart::Other(response))
-    }
 }
