forward: a refusal after a lost attempt promises nothing

Requests that may run once are not tried again after a lost attempt and are not concerned.

Cause: the end of the last attempt replaced the end of the one before.

Why it works: a lost attempt stays the outcome until an upstream answers.

--- a/crates/forward/src/forward_task.rs
+++ b/crates/forward/src/forward_task.rs
@@ -98,7 +98,10 @@
                 }
                 Attempt::Refused(error) if error.code.not_run() => {
                     open.fail();
-                    end = ForwardEnd::Refused(error);
+                    // It says nothing about an earlier attempt that was lost.
+                    if !matches!(end, ForwardEnd::Lost(_)) {
+                        end = ForwardEnd::Refused(error);
+                    }
                 }
                 Attempt::Refused(error) => return ForwardEnd::Lost(error.code),
                 Attempt::Unsent => open.fail(),
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -119,6 +119,15 @@
     .await;
 }
 
+/// The instance other than the first that has a call to an upstream in progress.
+fn busy_helper(fleet: &DirectFleet) -> Option<usize> {
+    let is_busy = |index: &usize| {
+        let upstreams = fleet.instances[*index].core.upstreams.lock();
+        upstreams.entries().any(|entry| entry.in_flight > 0)
+    };
+    (1..fleet.instances.len()).find(is_busy)
+}
+
 /// Guards against a request that is passed from one cut instance to the next, or held until its deadline.
 #[tokio::test]
 async fn when_no_instance_reaches_the_upstreams_requests_are_refused_soon_and_as_not_run() {
@@ -159,6 +168,28 @@
     assert_eq!(fleet.runs_of(&id), 1);
 }
 
+/// Guards against the promise that an idempotent request did not run, by the refusal of a second helper after the first one
+/// was lost with it.
+#[tokio::test]
+async fn a_refusal_after_a_lost_helper_is_no_promise() {
+    let fleet = DirectFleet::start(3).await;
+    cut_and_wait(&fleet, 0).await;
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::Mute);
+    }
+    let id = fresh_id();
+    let (reply, ()) = tokio::join!(fleet.send_as(&id, 0, "GET", "/t/1", DEADLINE), async {
+        wait_until("the request runs", async || fleet.runs_of(&id) == 1).await;
+        for upstream in &fleet.upstreams {
+            upstream.set(UpstreamMode::Shed);
+        }
+        let helper = busy_helper(&fleet).unwrap();
+        fleet.instances[helper].endpoint.clone().close().await;
+    });
+    assert!([502, 504].contains(&reply.status()), "{}", reply.status());
+    assert_eq!(reply.header("retry-after"), None);
+}
+
 /// Guards against work that goes on at an upstream for a caller that has left the instance before it.
 #[tokio::test]
 async fn the_run_of_a_caller_that_leaves_ends_behind_the_helper() {
@@ -214,15 +245,11 @@
         caller.write(&text).await;
         caller.read().await
     });
-    let busy = |fleet: &DirectFleet| {
-        let is_busy = |index: &usize| {
-            let upstreams = fleet.instances[*index].core.upstreams.lock();
-            upstreams.entries().any(|entry| entry.in_flight > 0)
-        };
-        [1, 2].into_iter().find(is_busy)
-    };
-    wait_until("a helper runs the stream", async || busy(&fleet).is_some()).await;
-    let helper = busy(&fleet).unwrap();
+    wait_until("a helper runs the stream", async || {
+        busy_helper(&fleet).is_some()
+    })
+    .await;
+    let helper = busy_helper(&fleet).unwrap();
     let closing = fleet.instances.remove(helper);
     let limit = Duration::from_secs(10);
     let (cut, cut_forwarded) = tokio::join!(
