relay: no merged response denies a run

But nothing else stood between that and a caller.

Why it works: with a run behind it, a request whose responses both deny that is an unknown outcome.

--- a/crates/forward/src/forward_message.rs
+++ b/crates/forward/src/forward_message.rs
@@ -62,7 +62,7 @@
 /// The reply of an instance that has no answer of an upstream.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Refusal {
-    /// Why, and whether the request may have run.
+    /// Why, and whether the request may have run at upstreams of that instance.
     pub code: ResultCode,
     /// When the caller may come back.
     pub retry_after: Option<Duration>,
--- a/crates/relay/src/error_response.rs
+++ b/crates/relay/src/error_response.rs
@@ -36,12 +36,15 @@
         }
     }
 
-    /// Chooses between this response and a later one of the same request. Once the request may have run, a later
-    /// outcome cannot claim that it did not.
+    /// Chooses between this response and a later one of the same request. Once the request may have run, the outcome is
+    /// never one that states that it did not.
     pub fn merge(self, later: Self, has_run: bool) -> Self {
-        match has_run && later.code.not_run() && !self.code.not_run() {
-            true => self,
-            false => later,
+        if !has_run || !later.code.not_run() {
+            return later;
+        }
+        match self.code.not_run() {
+            true => Self::new(ResultCode::UpstreamLost),
+            false => self,
         }
     }
 
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -24,6 +24,8 @@
 /// A request of a plain service in progress.
 pub struct PlainFlow<'a, D> {
     core: &'a RelayCore<D>,
+    /// How often the request may have run at upstreams of another instance, which knows what came of it.
+    earlier_runs: u32,
     /// An upstream's own error, returned to the caller if no other upstream does better.
     fallback: Option<Response<RelayBody>>,
     /// Whether the request may no longer run.
@@ -51,7 +53,8 @@
 }
 
 impl<'a, D: CallerDialect + UpstreamDialect> PlainFlow<'a, D> {
-    /// A request that may have run `runs` times at upstreams of another instance.
+    /// A request that may have run `runs` times at upstreams of another instance. The response tells what became of it at
+    /// those of this one.
     pub fn new(
         core: &'a RelayCore<D>,
         request: &'a CallerRequest,
@@ -61,6 +64,7 @@
     ) -> Self {
         Self {
             core,
+            earlier_runs: runs,
             fallback: None,
             is_denied: false,
             is_unreachable: false,
@@ -88,7 +92,7 @@
                 return match self.tried.is_empty() {
                     true => Err(self.missing_upstream(&[]).into()),
                     false => {
-                        let last = last.merge(self.exhausted(last), self.runs > 0);
+                        let last = last.merge(self.exhausted(last), self.may_have_run());
                         self.give_up(last)
                     }
                 };
@@ -113,7 +117,7 @@
             let end = self.core.call(plan, upstream).await;
             match self.take(end).await {
                 NextStep::Done(response) => return Ok(*response),
-                NextStep::Again(answer) => last = last.merge(answer, self.runs > 0),
+                NextStep::Again(answer) => last = last.merge(answer, self.may_have_run()),
             }
             if !self.can_continue() {
                 return self.give_up(last);
@@ -167,6 +171,11 @@
         })
     }
 
+    /// Whether an upstream of this instance may have run the request.
+    fn may_have_run(&self) -> bool {
+        self.runs > self.earlier_runs
+    }
+
     fn can_continue(&self) -> bool {
         let may_run =
             self.runs < self.route.tries && (self.runs == 0 || self.route.repeat.may_repeat());
