relay: the test of calls that count as not sent covers the pool of `serve` too

HttpPool has the same rule as ConnectionPool and no test of its own at this level. The crate depends on `engine`, so one server serves both. The checks are the same.

--- a/crates/relay/tests/connection_pool.rs
+++ b/crates/relay/tests/connection_pool.rs
@@ -2,6 +2,7 @@
 
 use {
     bytes::Bytes,
+    engine::HttpPool,
     http::{Method, Request},
     http_body_util::{BodyExt, Full},
     kernel::seeded_rng,
@@ -157,32 +158,70 @@
     address
 }
 
-/// Sends one call; returns whether it counts as not sent.
-async fn call(pool: &ConnectionPool, address: SocketAddr, id: &str, size: usize) -> bool {
-    let mut request = Request::new(Full::new(Bytes::from(vec![b'a'; size])));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = id.parse().unwrap();
-    let key = "i-1".into();
-    match pool.send(&key, address, request).await {
-        Ok((response, connection)) => {
-            if response.into_body().collect().await.is_ok() {
-                pool.keep(&key, connection, Some(Duration::from_secs(10)));
+/// A pool under test.
+trait CallPool: Send + Sync + 'static {
+    /// Sends one call; returns whether it counts as not sent.
+    fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> impl Future<Output = bool> + Send;
+
+    fn new_pool() -> Self;
+}
+
+impl CallPool for ConnectionPool {
+    async fn call(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
+        let key = "i-1".into();
+        match self.send(&key, address, request).await {
+            Ok((response, connection)) => {
+                if response.into_body().collect().await.is_ok() {
+                    self.keep(&key, connection, Some(Duration::from_secs(10)));
+                }
+                false
             }
-            false
+            Err(ConnectionError::Lost { .. }) => false,
+            Err(ConnectionError::Unsent { .. }) => true,
         }
-        Err(ConnectionError::Lost { .. }) => false,
-        Err(ConnectionError::Unsent { .. }) => true,
     }
+
+    fn new_pool() -> Self {
+        let times = ConnectionTimeouts::builder()
+            .connect(Duration::from_secs(5))
+            .peer_timeout(Duration::from_secs(5))
+            .build();
+        Self::new(times)
+    }
+}
+
+impl CallPool for HttpPool<Full<Bytes>> {
+    async fn call(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
+        match self.try_send(address, request, false).await {
+            Ok(response) => {
+                // The connection returns to the pool at the end of the body.
+                let _ = response.into_body().collect().await;
+                false
+            }
+            Err(failure) => failure.unsent.is_some(),
+        }
+    }
+
+    fn new_pool() -> Self {
+        Self::new(Duration::from_secs(5))
+    }
+}
+
+fn post(id: &str, size: usize) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(vec![b'a'; size])));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = id.parse().unwrap();
+    request
 }
 
-async fn run_calls(seed: u64) -> (usize, SeenCalls) {
+async fn run_calls<P: CallPool>(seed: u64) -> (usize, SeenCalls) {
     let seen = SeenCalls::default();
     let address = start_server(seed, seen.clone()).await;
-    let times = ConnectionTimeouts::builder()
-        .connect(Duration::from_secs(5))
-        .peer_timeout(Duration::from_secs(5))
-        .build();
-    let pool = Arc::new(ConnectionPool::new(times));
+    let pool = Arc::new(P::new_pool());
     let mut callers = JoinSet::new();
     for caller in 0..CALLERS {
         let pool = pool.clone();
@@ -194,7 +233,7 @@
                     true => LARGE_BODY,
                     false => SMALL_BODY,
                 };
-                if call(&pool, address, &id, size).await {
+                if pool.call(address, post(&id, size)).await {
                     unsent.push(id);
                 }
             }
@@ -213,12 +252,9 @@
     (unsent.len(), seen)
 }
 
-/// Guards against a second run, or a refusal as not run, of a call that a dying connection had taken: it is sent again over
-/// the next connection only if the HTTP client gives it back.
-#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
-async fn a_call_that_counts_as_not_sent_has_not_arrived_and_none_arrives_twice() {
+async fn check_pool<P: CallPool>() {
     for seed in 0..SEEDS {
-        let (unsent, seen) = run_calls(seed).await;
+        let (unsent, seen) = run_calls::<P>(seed).await;
         let seen = seen.lock().unwrap();
         let twice: Vec<_> = seen.iter().filter(|(_, count)| **count > 1).collect();
         println!("seed {seed}: {} calls seen, {unsent} not sent", seen.len());
@@ -227,3 +263,16 @@
         assert!(seen.len() > CALLERS * CALLS_EACH / 2, "seed {seed}");
     }
 }
+
+/// Guards against a second run, or a refusal as not run, of a call that a dying connection had taken: it is sent again over
+/// the next connection only if the HTTP client gives it back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_call_that_counts_as_not_sent_has_not_arrived_and_none_arrives_twice() {
+    check_pool::<ConnectionPool>().await;
+}
+
+/// The same for the pool of `serve`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_call_of_serve_that_counts_as_not_sent_has_not_arrived_and_none_arrives_twice() {
+    check_pool::<HttpPool<Full<Bytes>>>().await;
+}
