relay: tests that no status of an upstream alone is a promise, for 408 and 429 and for engines

The test of plain requests had 503 alone, and engines had none, though StreamFlow has a check of its own. BareRefusal carries its status now; the case of 503 is the same as before.

--- a/crates/trestlewalk/tests/relay_answers.rs
+++ b/crates/trestlewalk/tests/relay_answers.rs
@@ -35,7 +35,9 @@
         UpstreamMode::Reset,
         UpstreamMode::UnframedReset,
         UpstreamMode::Unsigned,
-        UpstreamMode::BareRefusal,
+        UpstreamMode::BareRefusal(408),
+        UpstreamMode::BareRefusal(429),
+        UpstreamMode::BareRefusal(503),
     ] {
         let run = plain_run("unsafe", 2, 3).await;
         run.upstreams.iter().for_each(|upstream| upstream.set(mode));
@@ -47,6 +49,23 @@
     }
 }
 
+// Guards against a status of an engine that its caller takes for a promise: the engine ran the request and didn't deny it.
+#[tokio::test]
+async fn a_status_of_an_engine_alone_is_no_promise() {
+    for status in [408, 429, 503] {
+        let run = RelayTest::new()
+            .engines("redactor", 2, 0)
+            .route("/note/", "streaming", "redactor", &json!({}))
+            .start_ready()
+            .await;
+        let mode = UpstreamMode::BareRefusal(status);
+        run.upstreams.iter().for_each(|engine| engine.set(mode));
+        let reply = run.stream("/note/1").await;
+        assert_eq!(reply.status(), 502, "{status}");
+        assert_eq!(runs(&run), 1, "{status}");
+    }
+}
+
 #[tokio::test]
 async fn an_idempotent_request_goes_to_another_upstream() {
     for mode in [
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -47,8 +47,8 @@
 pub enum UpstreamMode {
     /// A complete answer with status 200.
     Answer,
-    /// 503 without a statement on whether the request ran.
-    BareRefusal,
+    /// This status without a statement on whether the request ran.
+    BareRefusal(u16),
     /// A stream that stops in the middle of an event, after this many events.
     CutAfter(usize),
     /// A truncated answer.
@@ -385,8 +385,8 @@
             UpstreamMode::Answer | UpstreamMode::PauseAfter(..) => {
                 format!("{signed}X-Kept: yes\r\n{length}{body}")
             }
-            UpstreamMode::BareRefusal => format!(
-                "HTTP/1.1 503 Busy\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
+            UpstreamMode::BareRefusal(status) => format!(
+                "HTTP/1.1 {status} Busy\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
             ),
             UpstreamMode::CutAfter(_) | UpstreamMode::CutBody => {
                 let text = format!("{signed}{length}{}", &body[..4]);
