--- a/crates/forward/src/forward_message.rs
+++ b/crates/forward/src/forward_message.rs
@@ -6,6 +6,7 @@
     http::{HeaderMap, HeaderName, HeaderValue},
     kernel::{CustomerId, ResultCode, ServiceId, TableVersion},
     peer::ProtocolTag,
+    policy::RepeatRule,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::time::Duration,
 };
@@ -46,6 +47,10 @@
     pub runs: u32,
     /// Path and query.
     pub target: String,
+    /// The rule of the route by which the request was taken from its caller.
+    pub repeat: RepeatRule,
+    /// On how many upstreams the request may run by that route.
+    pub tries: u32,
 }
 
 /// The head of an upstream's answer. Its body follows, and the end of the session after it.
--- a/crates/forward/src/forward_server.rs
+++ b/crates/forward/src/forward_server.rs
@@ -177,8 +177,10 @@
             headers: HeaderMap::try_from(head.headers)?,
             left: head.left,
             method: Method::from_bytes(head.method.as_bytes()).map_err(garbled)?,
+            repeat: head.repeat,
             runs: head.runs,
             target: Uri::try_from(head.target).map_err(garbled)?,
+            tries: head.tries,
         })
     }
 
--- a/crates/forward/src/forward_task.rs
+++ b/crates/forward/src/forward_task.rs
@@ -180,6 +180,8 @@
             method: request.method.to_string(),
             runs: self.runs,
             target: target.map_or("/", |target| target.as_str()).to_owned(),
+            repeat: self.route.repeat,
+            tries: self.route.tries,
         };
         session.send(&head, &request.body).await?;
         session.reply().await
--- a/crates/policy/src/repeat_rule.rs
+++ b/crates/policy/src/repeat_rule.rs
@@ -14,6 +14,15 @@
 }
 
 impl RepeatRule {
+    /// The rule for a request whose instances go by two rules, as during a change of the routes: they allow a second run only
+    /// if they agree.
+    pub fn agreed(self, other: Self) -> Self {
+        match self == other {
+            true => self,
+            false => Self::Once,
+        }
+    }
+
     /// Whether a second run is safe.
     pub fn may_repeat(self) -> bool {
         match self {
--- a/crates/relay/src/forwarded_request.rs
+++ b/crates/relay/src/forwarded_request.rs
@@ -4,6 +4,7 @@
     crate::BufferedBody,
     http::{HeaderMap, Method, Uri},
     kernel::{CustomerId, InstanceId, TableVersion},
+    policy::RepeatRule,
     std::time::Duration,
 };
 
@@ -25,8 +26,12 @@
     pub left: Duration,
     /// The method.
     pub method: Method,
+    /// Whether it may run more than once, by the routes of the caller's instance.
+    pub repeat: RepeatRule,
     /// How often it may have run already.
     pub runs: u32,
     /// Path and query.
     pub target: Uri,
+    /// On how many upstreams it may run, by the routes of the caller's instance.
+    pub tries: u32,
 }
--- a/crates/relay/src/request_handler/forwarding.rs
+++ b/crates/relay/src/request_handler/forwarding.rs
@@ -122,6 +122,7 @@
         let route = table.find(host, target_path(&forwarded.target));
         // The other instance has the route: one of the two tables is about to change.
         let route = route.cloned().ok_or(not_ready)?;
+        let route = route.agreed(forwarded.repeat, forwarded.tries);
         let access = read_access(&forwarded, &table).ok_or(not_ready)?;
         let mut parts = Request::new(()).into_parts().0;
         parts.headers = forwarded.headers;
--- a/crates/relay/src/work_route.rs
+++ b/crates/relay/src/work_route.rs
@@ -52,6 +52,21 @@
 }
 
 impl WorkRoute {
+    /// The route for a request that another instance took from its caller by a route with this rule and these tries. The two
+    /// may be of different versions.
+    pub fn agreed(self: Arc<Self>, repeat: RepeatRule, tries: u32) -> Arc<Self> {
+        let repeat = self.repeat.agreed(repeat);
+        let tries = self.tries.min(tries);
+        if (repeat, tries) == (self.repeat, self.tries) {
+            return self;
+        }
+        Arc::new(Self {
+            repeat,
+            tries,
+            ..Self::clone(&self)
+        })
+    }
+
     /// The service for a request, chosen by its id and the weights; `None` when all weights are 0.
     pub fn service_for(&self, request: &str) -> Option<&ServiceId> {
         let total: u64 = self.targets.iter().map(|target| target.weight).sum();
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -6,8 +6,10 @@
 use {
     kernel::{ResultCode, ServiceId},
     platform::RowStore,
-    policy::StageGoal,
-    relay::{ConnectionTimeouts, StageController, StageSettings, StoreCalls},
+    policy::{RepeatRule, StageGoal},
+    relay::{
+        ConnectionTimeouts, RouteTable, StageController, StageSettings, StoreCalls, WorkRoute,
+    },
     relay_support::{
         Caller, DirectFleet, StoreStandIn, UpstreamKind, UpstreamMode,
         caller::{fresh_id, request_text},
@@ -188,6 +190,45 @@
     });
     assert!([502, 504].contains(&reply.status()), "{}", reply.status());
     assert_eq!(reply.header("retry-after"), None);
+    assert_eq!(fleet.runs_of(&id), 1);
+}
+
+/// The routes of an instance, in which all requests are idempotent and may go to three upstreams.
+fn idempotent_routes(instance: &DirectInstance) -> RouteTable {
+    let table = instance.core.routes.load_full().unwrap();
+    let routes = table.routes().map(|route| WorkRoute {
+        repeat: RepeatRule::Safe,
+        tries: 3,
+        ..WorkRoute::clone(route)
+    });
+    let services = table
+        .services
+        .values()
+        .map(|service| service.as_ref().clone());
+    let (routes, services) = (routes.collect(), services.collect());
+    RouteTable::new(table.version + 1, routes, services, table.limits)
+}
+
+/// Guards against a request that runs twice since its helper goes by another version of the routes, in which it may.
+#[tokio::test]
+async fn a_helper_whose_routes_say_otherwise_runs_no_request_twice_that_may_run_once() {
+    let fleet = DirectFleet::start(2).await;
+    cut_and_wait(&fleet, 0).await;
+    // Its own requests fund the retries of an instance that has just started.
+    for _ in 0..40 {
+        let reply = fleet.send(1, "GET", "/t/1", DEADLINE).await;
+        assert_eq!(reply.status(), 200);
+    }
+    let helper = &fleet.instances[1];
+    let table = idempotent_routes(helper);
+    helper.core.routes.store(Some(Arc::new(table)));
+    for upstream in &fleet.upstreams {
+        upstream.set(UpstreamMode::Reset);
+    }
+    let id = fresh_id();
+    let reply = fleet.send_as(&id, 0, "POST", "/b/1", DEADLINE).await;
+    assert!([502, 504].contains(&reply.status()), "{}", reply.status());
+    assert_eq!(fleet.runs_of(&id), 1);
 }
 
 /// Guards against work that goes on at an upstream for a caller that has left the instance before it.
