relay_copies: copies of all kinds of answers, and rejections that contradict themselves

The stand-in could copy a refusal alone, and only before the next answer on the connection. It now copies refusals (503, 421, with and without an id), successes and errors of its own, once or twice, after an interim answer or not, in the segment of the answer, on the idle connection, before the next answer or in its segment. Each plan meets plain requests that may run once, streams without and with reservations, and prefills. Rejections contradict themselves by their ids, a cut body, or a body of the request that is read later.

--- /dev/null
+++ b/crates/trestlewalk/tests/relay_copies.rs
@@ -0,0 +1,249 @@
+//! Copies of an upstream's answers, and rejections that contradict themselves: no request that may run once runs twice, none
+//! that ran is refused as not run, and none gets the answer to another one.
+
+mod relay_support;
+mod support;
+
+use {
+    futures_util::future::join_all,
+    relay_support::{
+        Caller, Contradiction, CopyPlan, DirectFleet, UpstreamMode,
+        caller::{fresh_id, request_text},
+        relay_test::STREAM_HEADERS,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
+    tokio::sync::OnceCell,
+};
+
+const DEADLINE: &str = "X-Deadline-Ms: 4000\r\n";
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// How many callers send requests at the same time, each over one connection.
+const CALLERS: usize = 3;
+const REQUESTS_PER_CALLER: usize = 8;
+
+static COPY_RUNS: OnceCell<Vec<WorkRun>> = OnceCell::const_new();
+static CONTRADICTION_RUNS: OnceCell<Vec<WorkRun>> = OnceCell::const_new();
+
+/// What callers and upstreams saw of some requests.
+#[derive(Debug)]
+struct WorkRun {
+    /// The requests that one upstream received more than once, prefills aside.
+    called_again: Vec<String>,
+    copies: usize,
+    /// The requests that ran, once for each run.
+    ran: Vec<String>,
+    /// Status and body by request.
+    replies: BTreeMap<String, (u16, String)>,
+    what: String,
+}
+
+impl WorkRun {
+    /// Sends requests to upstreams that behave by `mode`.
+    async fn of(mode: UpstreamMode, path: &str) -> Self {
+        let fleet = DirectFleet::start(1).await;
+        fleet.drop_reservations(0);
+        Self::at(&fleet, mode, path).await
+    }
+
+    /// The same with reservations, before whose answers no copy comes.
+    async fn reserved(mode: UpstreamMode) -> Self {
+        let fleet = DirectFleet::start(1).await;
+        for upstream in &fleet.upstreams {
+            upstream.state.lock().unwrap().copies_to_requests_only = true;
+        }
+        let run = Self::at(&fleet, mode, "/s/1").await;
+        let what = format!("{} reserved", run.what);
+        Self { what, ..run }
+    }
+
+    async fn at(fleet: &DirectFleet, mode: UpstreamMode, path: &str) -> Self {
+        fleet.allow_retries(0);
+        fleet
+            .upstreams
+            .iter()
+            .for_each(|upstream| upstream.set(mode));
+        let more = match path {
+            "/s/1" => STREAM_HEADERS,
+            _ => DEADLINE,
+        };
+        let address = fleet.instances[0].callers;
+        let callers = (0..CALLERS).map(|_| send_in_turn(address, path, more));
+        let replies = join_all(callers).await.into_iter().flatten().collect();
+        Self::new(fleet, replies, format!("{mode:?} {path}"))
+    }
+
+    fn new(fleet: &DirectFleet, replies: BTreeMap<String, (u16, String)>, what: String) -> Self {
+        let mut ran = Vec::new();
+        let mut called_again = Vec::new();
+        let mut copies = 0;
+        for upstream in &fleet.upstreams {
+            let mut called = BTreeSet::new();
+            for received in upstream.received() {
+                let id = received.message.header("x-request-id").map(str::to_owned);
+                let id = id.filter(|_| received.message.header("x-stage").is_none());
+                called_again.extend(id.filter(|id| !called.insert(id.clone())));
+            }
+            copies += upstream.state.lock().unwrap().late_answers;
+            for run in upstream.runs() {
+                if run.message.header("x-stage") != Some("prefill") {
+                    ran.push(run.message.header("x-request-id").unwrap().to_owned());
+                }
+            }
+        }
+        Self {
+            called_again,
+            copies,
+            ran,
+            replies,
+            what,
+        }
+    }
+
+    /// The requests that ran more than once.
+    fn repeated(&self) -> Vec<&String> {
+        let count = |id| self.ran.iter().filter(|ran| *ran == id).count();
+        let all = self.replies.keys();
+        all.filter(|id| count(*id) > 1).collect()
+    }
+
+    /// The requests that ran and were refused as not run.
+    fn refused(&self) -> Vec<&String> {
+        let is_refused = |id: &&String| NOT_RUN.contains(&self.replies[*id].0);
+        let refused: BTreeSet<&String> = self.ran.iter().filter(is_refused).collect();
+        refused.into_iter().collect()
+    }
+
+    /// The requests that got the body of another one's answer.
+    fn confused(&self) -> Vec<&String> {
+        let is_confused = |(id, (_, body)): &(&String, &(u16, String))| {
+            body.contains("answer to") && !body.contains(&format!("answer to {id}"))
+        };
+        let confused = self.replies.iter().filter(is_confused);
+        confused.map(|(id, _)| id).collect()
+    }
+}
+
+/// Sends requests over one connection; returns status and body of each.
+async fn send_in_turn(
+    address: SocketAddr,
+    path: &str,
+    more: &str,
+) -> BTreeMap<String, (u16, String)> {
+    let mut caller = Caller::connect(address).await;
+    let mut replies = BTreeMap::new();
+    for _ in 0..REQUESTS_PER_CALLER {
+        let id = fresh_id();
+        let text = request_text("POST", path, &id, more, "a body");
+        caller.write(&text).await;
+        let reply = caller.read().await;
+        replies.insert(id, (reply.status(), reply.text()));
+        if reply.status() == 0 || !reply.whole {
+            caller = Caller::connect(address).await;
+        }
+    }
+    replies
+}
+
+async fn copy_runs() -> &'static [WorkRun] {
+    let run = async || {
+        let mut runs = Vec::new();
+        for plan in CopyPlan::all() {
+            for path in ["/b/1", "/s/1"] {
+                runs.push(WorkRun::of(UpstreamMode::Copies(plan), path).await);
+            }
+            runs.push(WorkRun::reserved(UpstreamMode::Copies(plan)).await);
+        }
+        runs.push(WorkRun::reserved(UpstreamMode::LateUnnamedRefusal).await);
+        runs
+    };
+    COPY_RUNS.get_or_init(run).await
+}
+
+async fn contradiction_runs() -> &'static [WorkRun] {
+    let run = async || {
+        let mut runs = Vec::new();
+        for contradiction in Contradiction::ALL {
+            if contradiction == Contradiction::SignedSuccess {
+                continue;
+            }
+            for path in ["/b/1", "/s/1"] {
+                let mode = UpstreamMode::Contradicts(contradiction);
+                runs.push(WorkRun::of(mode, path).await);
+            }
+        }
+        runs
+    };
+    CONTRADICTION_RUNS.get_or_init(run).await
+}
+
+/// The runs in which a property fails, with the number of requests at fault and one of them.
+fn faults(runs: &[WorkRun], find: impl Fn(&WorkRun) -> Vec<&String>) -> Vec<String> {
+    let mut faults = Vec::new();
+    for run in runs {
+        let found = find(run);
+        let Some(first) = found.first() else {
+            continue;
+        };
+        faults.push(format!("{}: {}, such as {first}", run.what, found.len()));
+    }
+    faults
+}
+
+// Guards against a table whose copies never come where an answer is due.
+#[tokio::test]
+async fn copies_come_in_each_run() {
+    // The connection of a stream that failed is not used again.
+    let is_reused = |run: &&WorkRun| !(run.what.contains("Failure") && run.what.contains("/s/1"));
+    let is_due = |run: &&WorkRun| run.what.contains("Next") && is_reused(run);
+    let due = copy_runs().await.iter().filter(is_due);
+    let without: Vec<&str> = due
+        .filter(|run| run.copies == 0)
+        .map(|run| run.what.as_str())
+        .collect();
+    assert!(without.is_empty(), "{without:#?}");
+}
+
+// Guards against the copy of an upstream's rejection of the very request that it is called for again.
+#[tokio::test]
+async fn no_upstream_is_called_twice_to_run_a_request() {
+    let faults = faults(copy_runs().await, |run| run.called_again.iter().collect());
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+// Guards against a second run after a copy that is taken for a rejection.
+#[tokio::test]
+async fn no_copy_of_an_answer_makes_a_request_run_twice() {
+    let faults = faults(copy_runs().await, WorkRun::repeated);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+// Guards against a promise that a copy makes for a request that runs.
+#[tokio::test]
+async fn no_copy_of_an_answer_refuses_a_request_that_ran() {
+    let faults = faults(copy_runs().await, WorkRun::refused);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+// Guards against the answer to an earlier request on the connection.
+#[tokio::test]
+async fn no_copy_of_an_answer_is_given_to_another_request() {
+    let faults = faults(copy_runs().await, WorkRun::confused);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+// Guards against a second run after a rejection whose head or body contradicts it.
+#[tokio::test]
+async fn no_contradictory_rejection_makes_a_request_run_twice() {
+    let faults = faults(contradiction_runs().await, WorkRun::repeated);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+// Guards against a promise by a rejection that contradicts itself.
+#[tokio::test]
+async fn no_contradictory_rejection_refuses_a_request_that_ran() {
+    let faults = faults(contradiction_runs().await, WorkRun::refused);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
--- a/crates/trestlewalk/tests/relay_support/direct_fleet.rs
+++ b/crates/trestlewalk/tests/relay_support/direct_fleet.rs
@@ -27,6 +27,11 @@
     tokio::net::TcpListener,
 };
 
+/// A retry budget in retries per request.
+const AMPLE_RATIO: f64 = 100.0;
+/// How long engines keep a reservation.
+const HOLD_LIFE: Duration = Duration::from_secs(2);
+
 /// One instance.
 pub struct DirectInstance {
     pub callers: SocketAddr,
@@ -92,12 +97,27 @@
         self.list(index, |_| self.dead.address);
     }
 
-    /// Ends the cut.
+    /// Gives an instance a retry budget that no test uses up.
+    pub fn allow_retries(&self, index: usize) {
+        let core = &self.instances[index].core;
+        let mut settings = RelaySettings::clone(&core.settings.load());
+        settings.retries.ratio = AMPLE_RATIO;
+        core.settings.store(Arc::new(settings));
+    }
+
+    /// Lets an instance call engines without a reservation.
+    pub fn drop_reservations(&self, index: usize) {
+        let core = &self.instances[index].core;
+        core.routes.store(Some(Arc::new(routes(None))));
+    }
+
+    /// Lists the upstreams as they are now; ends a cut.
     pub fn heal(&self, index: usize) {
         self.list(index, |upstream| upstream.address);
     }
 
-    fn list(&self, index: usize, address: impl Fn(&UpstreamStandIn) -> SocketAddr) {
+    /// Lists the upstreams at other addresses.
+    pub fn list(&self, index: usize, address: impl Fn(&UpstreamStandIn) -> SocketAddr) {
         let record = |upstream: &UpstreamStandIn| UpstreamRecord {
             address: address(upstream),
             cold_for: Duration::ZERO,
@@ -136,7 +156,7 @@
             info,
             keys: vec![digest],
         }];
-        let mut table = routes().for_customers(Some(CustomerTable::new(salt, rows)));
+        let mut table = routes(Some(HOLD_LIFE)).for_customers(Some(CustomerTable::new(salt, rows)));
         table.version = version;
         let core = &self.instances[index].core;
         core.routes.store(Some(Arc::new(table)));
@@ -186,7 +206,7 @@
             .build()
             .unwrap();
         let core = Arc::new(RelayCore::new(HttpDialect, settings(name, zone)));
-        core.routes.store(Some(Arc::new(routes())));
+        core.routes.store(Some(Arc::new(routes(Some(HOLD_LIFE)))));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let pool = WorkerPool::new();
         Self {
@@ -227,15 +247,13 @@
         .build()
 }
 
-fn routes() -> RouteTable {
+fn routes(hold_life: Option<Duration>) -> RouteTable {
     let service = |name: &str, engine: Option<EngineInfo>| ServiceInfo {
         cold: None,
         engine,
         name: name.into(),
     };
-    let engine = EngineInfo {
-        hold_life: Some(Duration::from_secs(2)),
-    };
+    let engine = EngineInfo { hold_life };
     let routes = vec![
         route("/t/", "carta", RepeatRule::Safe, 2),
         route("/b/", "carta", RepeatRule::Once, 1),
--- a/crates/trestlewalk/tests/relay_support/engine_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_answers.rs
@@ -112,6 +112,9 @@
             engine.note(message, false);
             return answer_json(engine, stream, "421 Misdirected Request", &json!({})).await;
         }
+        if matches!(mode, UpstreamMode::Copies(_) | UpstreamMode::LateRefusal) {
+            return engine.answer_plain(stream, message).await;
+        }
         engine.note(message.clone(), false);
         match mode {
             UpstreamMode::Endless(_) => return engine.answer_plain(stream, message).await,
--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -8,6 +8,8 @@
 )]
 
 pub mod caller;
+pub mod contradiction;
+pub mod copied_answers;
 pub mod crash_scenario;
 pub mod crash_trigger;
 pub mod dead_port;
@@ -26,6 +28,8 @@
 )]
 pub use {
     caller::{Caller, CallerReply},
+    contradiction::Contradiction,
+    copied_answers::{CopiedAnswer, CopyPlan, CopyTime},
     crash_scenario::CrashScenario,
     crash_trigger::CrashTrigger,
     direct_fleet::DirectFleet,
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -2,6 +2,8 @@
 
 use {
     super::{
+        contradiction::Contradiction,
+        copied_answers::CopyPlan,
         crash_trigger::CrashTrigger,
         endless::{EndlessAnswer, EndlessPart, EndlessRecord},
         engine_answers::answer_engine,
@@ -31,6 +33,9 @@
 /// The pause between a late copy of an answer and the next answer.
 const BETWEEN_ANSWERS: Duration = Duration::from_millis(5);
 
+/// The pause between an early refusal and the reading of the body.
+const BEFORE_BODY: Duration = Duration::from_millis(20);
+
 /// The memory of an engine, tokens: more than the tests use.
 const ENGINE_TOKENS: u64 = 90_000;
 
@@ -49,6 +54,10 @@
     Answer,
     /// This status without a statement on whether the request ran.
     BareRefusal(u16),
+    /// A rejection that contradicts itself.
+    Contradicts(Contradiction),
+    /// Answers that come twice, or as often as the plan says.
+    Copies(CopyPlan),
     /// A stream that stops in the middle of an event, after this many events.
     CutAfter(usize),
     /// A truncated answer.
@@ -88,6 +97,8 @@
     Unframed,
     /// No length; the connection is reset.
     UnframedReset,
+    /// 503 as not run, after a delay.
+    SlowRefusal(Duration),
     /// 200 without a signature.
     Unsigned,
 }
@@ -104,6 +115,8 @@
 pub struct UpstreamState {
     /// The pause that its refusals ask for.
     pub backoff: Option<String>,
+    /// Whether second copies come before answers to requests alone, and not before those to reservations.
+    pub copies_to_requests_only: bool,
     /// The requests that crash the upstream.
     pub crashes_on: Option<CrashTrigger>,
     pub held: usize,
@@ -157,6 +170,7 @@
             service: service.to_owned(),
             state: Arc::new(Mutex::new(UpstreamState {
                 backoff: None,
+                copies_to_requests_only: false,
                 crashes_on: None,
                 held: 0,
                 kind,
@@ -310,9 +324,23 @@
     async fn serve(&self, stream: &mut TcpStream) {
         let mut rest = Vec::new();
         while let Some(mut message) = read_head(stream, &mut rest).await {
+            let mode = self.state.lock().unwrap().mode;
+            let is_early = mode == UpstreamMode::Contradicts(Contradiction::BeforeBody)
+                && message.header("x-request-id").is_some()
+                && self.take_late_refusal(stream).is_none();
+            if is_early {
+                self.keep_late_refusal(stream, "");
+                if !refuse_early(stream, &message).await {
+                    return;
+                }
+            }
             if !read_body(stream, &mut rest, &mut message).await {
                 return;
             }
+            if is_early {
+                self.note(message, false);
+                continue;
+            }
             let expected = message.header("x-expect-instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let answer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
@@ -330,6 +358,17 @@
         }
     }
 
+    /// The body of its answer to a request; one event if it is an engine.
+    pub fn body_text(&self, id: &str) -> String {
+        match self.state.lock().unwrap().kind {
+            UpstreamKind::Plain => format!("answer to {id}"),
+            UpstreamKind::Decode => format!("id: 1\ndata: answer to {id}\n\n"),
+            UpstreamKind::Prefill => {
+                json!({"Handle": format!("kv-{id}"), "Tokens": 1460, "Version": 1}).to_string()
+            }
+        }
+    }
+
     pub fn note(&self, message: WireMessage, ran: bool) {
         self.state.lock().unwrap().received.push(ReceivedCall {
             at: Instant::now(),
@@ -338,13 +377,13 @@
         });
     }
 
-    fn keep_late_refusal(&self, stream: &TcpStream, refusal: &str) {
+    pub fn keep_late_refusal(&self, stream: &TcpStream, refusal: &str) {
         let caller = stream.peer_addr().unwrap();
         let mut state = self.state.lock().unwrap();
         state.late_refusals.insert(caller, refusal.to_owned());
     }
 
-    fn take_late_refusal(&self, stream: &TcpStream) -> Option<String> {
+    pub fn take_late_refusal(&self, stream: &TcpStream) -> Option<String> {
         let caller = stream.peer_addr().ok()?;
         let mut state = self.state.lock().unwrap();
         let copy = state.late_refusals.remove(&caller)?;
@@ -352,9 +391,12 @@
         Some(copy)
     }
 
-    /// Sends the second copy of a refusal that is due on a connection, if there is one; returns whether the connection
-    /// continues.
+    /// Sends the second copy of a refusal that is due before the answer to an own call of the caller, if there is one;
+    /// returns whether the connection continues.
     pub async fn send_late_refusal(&self, stream: &mut TcpStream) -> bool {
+        if self.state.lock().unwrap().copies_to_requests_only {
+            return true;
+        }
         let copy = self.take_late_refusal(stream);
         send_copy(stream, copy).await
     }
@@ -370,10 +412,20 @@
             return std::future::pending().await;
         }
         let mode = self.state.lock().unwrap().mode;
+        match mode {
+            UpstreamMode::Contradicts(contradiction) => {
+                return contradiction.answer(self, stream, message).await;
+            }
+            UpstreamMode::Copies(plan) => return plan.answer(self, stream, message).await,
+            _ => {}
+        }
         let late_refusal = self.take_late_refusal(stream);
         let is_refused = match mode {
             UpstreamMode::LateRefusal => late_refusal.is_none(),
-            mode => matches!(mode, UpstreamMode::Shed | UpstreamMode::TurnAway),
+            mode => matches!(
+                mode,
+                UpstreamMode::Shed | UpstreamMode::SlowRefusal(_) | UpstreamMode::TurnAway
+            ),
         };
         self.note(message, !is_refused);
         let body = format!("answer to {id}");
@@ -388,6 +440,9 @@
             UpstreamMode::BareRefusal(status) => format!(
                 "HTTP/1.1 {status} Busy\r\nX-Request-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
             ),
+            UpstreamMode::Contradicts(_) | UpstreamMode::Copies(_) => {
+                unreachable!("answered above")
+            }
             UpstreamMode::CutAfter(_) | UpstreamMode::CutBody => {
                 let text = format!("{signed}{length}{}", &body[..4]);
                 stream.write_all(text.as_bytes()).await.unwrap();
@@ -446,6 +501,10 @@
             UpstreamMode::Shed | UpstreamMode::TurnAway => {
                 refusal_text(&id, &format!("{limit}{}", self.backoff_line()))
             }
+            UpstreamMode::SlowRefusal(pause) => {
+                time::sleep(pause).await;
+                refusal_text(&id, &limit)
+            }
             UpstreamMode::Slow(pause) => {
                 time::sleep(pause).await;
                 format!("{signed}{length}{body}")
@@ -475,8 +534,17 @@
     is_sent
 }
 
+/// Refuses a request of which only the head has been read; returns whether the connection continues.
+async fn refuse_early(stream: &mut TcpStream, message: &WireMessage) -> bool {
+    let id = message.header("x-request-id").unwrap_or_default();
+    let refusal = refusal_text(id, "");
+    let is_sent = stream.write_all(refusal.as_bytes()).await.is_ok();
+    time::sleep(BEFORE_BODY).await;
+    is_sent
+}
+
 /// A refusal that states that the request did not run.
-fn refusal_text(id: &str, more: &str) -> String {
+pub fn refusal_text(id: &str, more: &str) -> String {
     format!(
         "HTTP/1.1 503 Full\r\n{more}X-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
     )
