relay: a success is no rejection, whatever it states

What callers would see: a request that may run once, whose upstream answers 200 with its signature and the statement that it did not run, is run by each upstream that is tried, and refused as not run in the end. No upstream has been seen to do it; a case of the stand-in.

Cause: the statement alone made an answer a rejection, before its status was looked at.

Why it works: upstreams state it with rejections. `rejection_evidence` has all that makes an answer one, in one place.

--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -4,8 +4,8 @@
     super::RelayCore,
     crate::{
         AnswerOwner, BodyAllowance, BufferedBody, CallEnd, CallPurpose, CallerRequest,
-        ConnectionError, ErrorResponse, NotRunEvidence, OpenCall, OpenConnection, UpstreamAnswer,
-        UpstreamCall, UpstreamDialect, WorkRoute,
+        ConnectionError, ErrorResponse, NotRunEvidence, OpenCall, OpenConnection, ReplyFacts,
+        UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute,
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode},
@@ -211,25 +211,13 @@
         if owner == AnswerOwner::Own {
             self.note_facts(upstream, &facts, call.since);
         }
-        // An answer of another call says nothing about this one, whatever its status: the request may be running.
-        let is_ours = match owner {
-            AnswerOwner::Other(_) => false,
-            AnswerOwner::Own => true,
-            // Answers to other calls need not name any request. On a used connection it may be the copy of one of these.
-            AnswerOwner::Unnamed => facts.is_not_run && connection.is_at_first_answer(),
-        };
-        if is_ours && facts.is_not_run {
+        let is_first = connection.is_at_first_answer();
+        if let Some(evidence) = rejection_evidence(&facts, head.status, &owner, is_first) {
             trace.note(format_args!(
                 "{verb} {id} not run: {}{owner}, {place}",
                 head.status.as_u16(),
             ));
-            self.note_not_run(
-                plan,
-                match owner {
-                    AnswerOwner::Own => NotRunEvidence::Rejected,
-                    AnswerOwner::Other(_) | AnswerOwner::Unnamed => NotRunEvidence::RejectedUnnamed,
-                },
-            );
+            self.note_not_run(plan, evidence);
             if owner == AnswerOwner::Own && !facts.closes_connection {
                 self.pool.keep(&upstream.id, connection, facts.idle_timeout);
             }
@@ -241,7 +229,8 @@
         }
         let unsigned = head.status.is_success() && !facts.is_signed;
         let is_prefill = matches!(plan.purpose, CallPurpose::Prefill);
-        if !is_ours || facts.is_encoded || unsigned && !is_prefill {
+        let is_foreign = owner != AnswerOwner::Own;
+        if is_foreign || facts.is_encoded || unsigned && !is_prefill {
             trace.note(format_args!(
                 "{verb} {id} garbled: {}{owner}, {place}",
                 head.status.as_u16(),
@@ -285,3 +274,22 @@
         time::timeout(limit - patience, sending).await
     }
 }
+
+/// How an answer shows that the call did not run; `None` when it may be running or have run. An answer that names another
+/// request shows nothing, nor does a success, which no upstream gives without a run. One that names no request may be the copy
+/// of an answer to another call, unless it is the first of its connection.
+fn rejection_evidence(
+    facts: &ReplyFacts,
+    status: StatusCode,
+    owner: &AnswerOwner,
+    is_first: bool,
+) -> Option<NotRunEvidence> {
+    if !facts.is_not_run || status.is_success() {
+        return None;
+    }
+    match owner {
+        AnswerOwner::Own => Some(NotRunEvidence::Rejected),
+        AnswerOwner::Unnamed if is_first => Some(NotRunEvidence::RejectedUnnamed),
+        AnswerOwner::Other(_) | AnswerOwner::Unnamed => None,
+    }
+}
--- a/crates/trestlewalk/tests/relay_copies.rs
+++ b/crates/trestlewalk/tests/relay_copies.rs
@@ -247,3 +247,18 @@
     let faults = faults(contradiction_runs().await, WorkRun::refused);
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+// Guards against a statement that is contradicted by the signature on a success.
+#[tokio::test]
+async fn a_signed_success_that_states_that_it_did_not_run_is_no_rejection() {
+    for path in ["/b/1", "/s/1"] {
+        let mode = UpstreamMode::Contradicts(Contradiction::SignedSuccess);
+        let runs = [WorkRun::of(mode, path).await];
+        let repeated = faults(&runs, WorkRun::repeated);
+        let refused = faults(&runs, WorkRun::refused);
+        assert!(
+            repeated.is_empty() && refused.is_empty(),
+            "ran twice: {repeated:?}; refused, though they ran: {refused:?}"
+        );
+    }
+}
