relay: a request goes over a connection once

What callers would see: a stream that may run once is refused as not run while an engine runs it, or runs at two engines. A prefill engine rejects its prefill as it is about to become a decode engine; the decode engine rejects the run; the first engine is then asked to run it, over the connection of its rejection, where the second copy of that rejection comes first.

Cause: whose answer it is was decided by the request's id alone, and two calls of one request have the same.

Ruled out by the other tests of the file: copies of five kinds of answers at four moments, for plain requests, streams, reservations and prefills; no plain request is sent to one upstream twice.

Why it works: each call of a request goes over a connection that has carried none of its calls, so that a copy of an earlier answer can't come there. One request in many has a second call to an upstream; all others take the idle connections as before.

Two premises of the tests changed with it. The engine copies one rejection and runs what comes later, on any connection, where it copied the first answer of each. A copied answer to a prefill no longer loses the run, which is answered by itself; the test asks for that answer in full, or an unknown outcome, and still for no name of a KV cache.

--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -1,7 +1,7 @@
 //! A caller's request, read in full.
 
 use {
-    crate::{CustomerAccess, QuotaCharge, RequestTrace},
+    crate::{CustomerAccess, QuotaCharge, RequestTrace, UsedConnections},
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri, header},
     kernel::{ModelId, steady_clock},
@@ -67,6 +67,8 @@
     pub body_memory: Option<OwnedSemaphorePermit>,
     /// What the request took from its customer's quota; given back if it did not run.
     pub charge: Option<QuotaCharge>,
+    /// The connections over which it was answered so far, be it to reject it.
+    pub connections: UsedConnections,
     /// When the caller's timeout or the route's patience ends.
     pub deadline: Instant,
     /// What the head says.
--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -248,7 +248,7 @@
         }
     }
 
-    /// Sends a call and waits for the head of the answer.
+    /// Sends a call over any connection but those in `avoid`, and waits for the head of the answer.
     ///
     /// # Errors
     ///
@@ -259,9 +259,10 @@
         key: &ConnectionKey,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        avoid: &[ConnectionSerial],
     ) -> Result<(http::Response<Incoming>, OpenConnection), ConnectionError> {
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(key, address) {
+        while let Some(mut connection) = self.take_idle(key, address, avoid) {
             match connection.exchange(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut failure) => match failure.take_message() {
@@ -351,11 +352,18 @@
             .is_some_and(|connections| connections.iter().any(|idle| idle.is_usable(address, now)))
     }
 
-    fn take_idle(&self, key: &ConnectionKey, address: SocketAddr) -> Option<OpenConnection> {
+    fn take_idle(
+        &self,
+        key: &ConnectionKey,
+        address: SocketAddr,
+        avoid: &[ConnectionSerial],
+    ) -> Option<OpenConnection> {
         let now = steady_clock::now();
         let mut table = self.idle.lock();
         let connections = table.get_mut(key)?;
-        while let Some(idle) = connections.pop() {
+        let is_allowed = |idle: &IdleConnection| !avoid.contains(&idle.connection.serial);
+        while let Some(newest) = connections.iter().rposition(is_allowed) {
+            let idle = connections.remove(newest);
             if idle.is_usable(address, now) {
                 return Some(idle.connection);
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod stream_pump;
 pub mod unread_headers;
 pub mod upstream_dialect;
+pub mod used_connections;
 pub mod wasted_prefill;
 pub mod watched_stream;
 pub mod work_route;
@@ -156,6 +157,7 @@
         CallPurpose, CallerDialect, EngineResource, HeadFault, KeyFault, KvHandle, ReplyFacts,
         SlotName, UpstreamCall, UpstreamDialect,
     },
+    used_connections::UsedConnections,
     wasted_prefill::WastedPrefill,
     watched_stream::{StreamWatch, WatchedStream},
     work_route::{RouteTarget, WorkRoute},
--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -49,7 +49,7 @@
             tracing::debug!(upstream = %upstream.id, %block, "an upstream is not called");
             return None;
         }
-        let sending = self.pool.send(&upstream.id, upstream.address, request);
+        let sending = self.pool.send(&upstream.id, upstream.address, request, &[]);
         let (response, connection) = match sending.await {
             Ok(answer) => answer,
             Err(error) => {
@@ -132,7 +132,11 @@
             }
         }
         let wait = plan.head_timeout.map_or(left, |timeout| timeout.min(left));
-        let sending = self.pool.send(&upstream.id, upstream.address, request);
+        // The copy of an earlier answer to this request would be believed, since it names the request.
+        let used = plan.request.connections.list();
+        let sending = self
+            .pool
+            .send(&upstream.id, upstream.address, request, &used);
         let (response, connection) = match self.await_head(&upstream, wait, sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(ConnectionError::Unsent { detail })) => {
@@ -158,6 +162,7 @@
             }
         };
         self.reach.note_contact(&upstream.service);
+        plan.request.connections.note(connection.serial());
         self.judge(plan, call, response, connection)
     }
 
--- a/crates/relay/src/request_handler/forwarding.rs
+++ b/crates/relay/src/request_handler/forwarding.rs
@@ -5,7 +5,7 @@
     crate::{
         CallerDialect, CallerRequest, CustomerAccess, ErrorResponse, FlowFailure, ForwardEnd,
         ForwardedRequest, RelayBody, RequestTrace, RouteTable, TraceContext, UpstreamDialect,
-        WorkRoute, upstream_dialect::target_path,
+        UsedConnections, WorkRoute, upstream_dialect::target_path,
     },
     http::{Request, Response, header},
     kernel::{ResultCode, ServiceId, steady_clock},
@@ -159,6 +159,7 @@
             body: forwarded.body.bytes,
             body_memory: forwarded.body.share,
             charge: None,
+            connections: UsedConnections::default(),
             deadline: now + forwarded.left,
             head,
             headers: parts.headers,
--- a/crates/relay/tests/connection_pool.rs
+++ b/crates/relay/tests/connection_pool.rs
@@ -173,7 +173,7 @@
 impl CallPool for ConnectionPool {
     async fn call(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
         let key = "i-1".into();
-        match self.send(&key, address, request).await {
+        match self.send(&key, address, request, &[]).await {
             Ok((response, connection)) => {
                 if response.into_body().collect().await.is_ok() {
                     self.keep(&key, connection, Some(Duration::from_secs(10)));
--- a/crates/relay/tests/forward_queue.rs
+++ b/crates/relay/tests/forward_queue.rs
@@ -6,7 +6,7 @@
     policy::{RepeatRule, ZoneFilter},
     relay::{
         CallerHead, CallerRequest, ErrorResponse, ForwardEnd, ForwardQueue, RequestTrace,
-        RouteTarget, TraceContext, WorkRoute,
+        RouteTarget, TraceContext, UsedConnections, WorkRoute,
     },
     std::{
         sync::{Arc, OnceLock},
@@ -39,6 +39,7 @@
         body: Bytes::from_static(b"order"),
         body_memory: None,
         charge: None,
+        connections: UsedConnections::default(),
         deadline: since + PATIENCE,
         head: CallerHead {
             after: None,
--- a/crates/trestlewalk/tests/relay_copies.rs
+++ b/crates/trestlewalk/tests/relay_copies.rs
@@ -7,14 +7,17 @@
 use {
     futures_util::future::join_all,
     relay_support::{
-        Caller, Contradiction, CopyPlan, DirectFleet, UpstreamMode,
+        Caller, Contradiction, CopiedAnswer, CopyPlan, CopyTime, DirectFleet, UpstreamKind,
+        UpstreamMode,
         caller::{fresh_id, request_text},
         relay_test::STREAM_HEADERS,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
+        time::Duration,
     },
+    support::wait::wait_until,
     tokio::sync::OnceCell,
 };
 
@@ -24,6 +27,13 @@
 const CALLERS: usize = 3;
 const REQUESTS_PER_CALLER: usize = 8;
 
+/// How long a decode engine takes to reject a run.
+const BEFORE_REFUSAL: Duration = Duration::from_millis(300);
+/// Longer than an engine is avoided that has rejected a prefill.
+const REJECTION_MEMORY: Duration = Duration::from_millis(2_400);
+/// How often a request may go to either of two engines.
+const STAGE_CHANGES: usize = 10;
+
 static COPY_RUNS: OnceCell<Vec<WorkRun>> = OnceCell::const_new();
 static CONTRADICTION_RUNS: OnceCell<Vec<WorkRun>> = OnceCell::const_new();
 
@@ -262,3 +272,121 @@
         );
     }
 }
+
+/// When the copy of a prefill's rejection comes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LateCopy {
+    /// With the answer to the next call on the connection, which is the run, since engines take no reservations.
+    Run,
+    /// With the answer to the run, after that to its reservation.
+    ReservedRun,
+    /// With the answer to the next call on the connection, which is the reservation.
+    Reservation,
+}
+
+/// A prefill engine answers the prefill of a request, and a decode engine rejects its run; meanwhile the prefill engine has changed
+/// its stage, so that the request can run there. Returns what was seen and whether the prefill engine ran the request; with
+/// `has_other` a further decode engine is free.
+async fn run_over_stage_change(
+    answer: CopiedAnswer,
+    copy: LateCopy,
+    has_other: bool,
+) -> (WorkRun, bool) {
+    let fleet = DirectFleet::start(1).await;
+    fleet.allow_retries(0);
+    if copy == LateCopy::Run {
+        fleet.drop_reservations(0);
+    }
+    // Engines of the other kind take no stream.
+    let set_kind = |id: &str, kind| fleet.upstream(id).state.lock().unwrap().kind = kind;
+    for id in ["i-Decode-1", "i-Decode-2", "i-Decode-3"] {
+        set_kind(id, UpstreamKind::Plain);
+    }
+    let (prefill, decode) = (fleet.upstream("i-Prefill-0"), fleet.upstream("i-Decode-0"));
+    prefill.set(UpstreamMode::Copies(CopyPlan {
+        answer,
+        count: 1,
+        has_interim: false,
+        limit: Some(1),
+        time: CopyTime::BeforeNext,
+    }));
+    prefill.state.lock().unwrap().copies_to_requests_only = copy == LateCopy::ReservedRun;
+    // With another engine, this one is chosen only when it is no longer avoided for its rejection.
+    decode.set(UpstreamMode::SlowRefusal(match has_other {
+        true => REJECTION_MEMORY,
+        false => BEFORE_REFUSAL,
+    }));
+    fleet.heal(0);
+    let id = fresh_id();
+    let sending = fleet.send_as(&id, 0, "POST", "/s/1", STREAM_HEADERS);
+    let changing = async {
+        wait_until("the prefill is received", async || {
+            !prefill.received().is_empty()
+        })
+        .await;
+        set_kind("i-Prefill-0", UpstreamKind::Decode);
+        if has_other {
+            set_kind("i-Decode-1", UpstreamKind::Decode);
+        }
+        fleet.heal(0);
+    };
+    let (reply, ()) = tokio::join!(sending, changing);
+    let replies = BTreeMap::from([(id, (reply.status(), reply.text()))]);
+    let run = WorkRun::new(&fleet, replies, format!("{answer:?} {copy:?}"));
+    (run, !prefill.runs().is_empty())
+}
+
+// Guards against the copy of a rejection that names the very request, where an engine is called twice for it.
+#[tokio::test]
+async fn a_copied_refusal_of_a_prefill_refuses_no_run_at_the_same_engine() {
+    for answer in [CopiedAnswer::Misdirected, CopiedAnswer::Refusal] {
+        let (run, ran) = run_over_stage_change(answer, LateCopy::Run, false).await;
+        assert!(ran, "{run:?}");
+        assert!(run.refused().is_empty(), "refused, though it ran: {run:?}");
+    }
+}
+
+// The same, with a copy that comes one answer later.
+#[tokio::test]
+async fn a_copied_refusal_of_a_prefill_refuses_no_reserved_run_at_the_same_engine() {
+    let (run, ran) =
+        run_over_stage_change(CopiedAnswer::Refusal, LateCopy::ReservedRun, false).await;
+    assert!(ran, "{run:?}");
+    assert!(run.refused().is_empty(), "refused, though it ran: {run:?}");
+}
+
+// The same, with a copy that comes where the answer to a reservation is due.
+#[tokio::test]
+async fn a_copied_refusal_of_a_prefill_reserves_nothing_at_the_same_engine() {
+    let (run, ran) =
+        run_over_stage_change(CopiedAnswer::Refusal, LateCopy::Reservation, false).await;
+    assert!(!ran && run.copies == 1, "{run:?}");
+    assert_eq!(run.replies.values().next().unwrap().0, 503, "{run:?}");
+}
+
+// Guards against a KV cache's name that is given to a caller as its stream.
+#[tokio::test]
+async fn a_copied_answer_to_a_prefill_answers_no_run_at_the_same_engine() {
+    for answer in [CopiedAnswer::Failure, CopiedAnswer::Success] {
+        let (run, ran) = run_over_stage_change(answer, LateCopy::Run, false).await;
+        assert!(ran, "{run:?}");
+        let (id, (status, body)) = run.replies.iter().next().unwrap();
+        let is_own = *status == 200 && body.contains(&format!("answer to {id}"));
+        let is_unknown = *status >= 500 && !NOT_RUN.contains(status);
+        assert!(is_own || is_unknown, "{run:?}");
+        assert!(!body.contains("Handle"), "{run:?}");
+    }
+}
+
+// Guards against a second run at another engine after such a copy.
+#[tokio::test]
+async fn a_copied_refusal_of_a_prefill_makes_no_request_run_twice() {
+    let changes = (0..STAGE_CHANGES)
+        .map(|_| run_over_stage_change(CopiedAnswer::Refusal, LateCopy::Run, true));
+    let runs = join_all(changes).await;
+    let has_run_there = runs.iter().any(|(_, ran)| *ran);
+    let all = runs.iter().map(|(run, _)| run);
+    let repeated: Vec<&String> = all.flat_map(WorkRun::repeated).collect();
+    assert!(repeated.is_empty(), "ran twice: {repeated:?}");
+    assert!(has_run_there);
+}
--- a/crates/trestlewalk/tests/relay_support/copied_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/copied_answers.rs
@@ -43,8 +43,8 @@
     WithNext,
 }
 
-/// How an upstream copies its answers. Every other request on a connection is answered with the copied answer and the
-/// others run.
+/// How an upstream copies its answers. Every other request on a connection is answered with the copied answer, up to the
+/// limit, and the others run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CopyPlan {
     pub answer: CopiedAnswer,
@@ -52,6 +52,8 @@
     pub count: usize,
     /// Whether an interim answer precedes each copy.
     pub has_interim: bool,
+    /// How many answers are copied; `None` for all that are due.
+    pub limit: Option<usize>,
     pub time: CopyTime,
 }
 
@@ -77,6 +79,7 @@
                         answer,
                         count,
                         has_interim,
+                        limit: None,
                         time,
                     });
                 }
@@ -98,6 +101,10 @@
             .to_owned();
         let success = answer_text(CopiedAnswer::Success, upstream, &id);
         let Some(copies) = upstream.take_late_refusal(stream) else {
+            if !self.takes_answer(upstream) {
+                upstream.note(message, true);
+                return send(stream, &success).await;
+            }
             let ran = matches!(self.answer, CopiedAnswer::Failure | CopiedAnswer::Success);
             upstream.note(message, ran);
             return self.answer_first(upstream, stream, &id).await;
@@ -114,6 +121,13 @@
         }
     }
 
+    /// Whether a further answer is copied.
+    fn takes_answer(self, upstream: &UpstreamStandIn) -> bool {
+        let mut state = upstream.state.lock().unwrap();
+        state.copied_answers += 1;
+        self.limit.is_none_or(|limit| state.copied_answers <= limit)
+    }
+
     async fn answer_first(
         self,
         upstream: &UpstreamStandIn,
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -117,6 +117,8 @@
     pub backoff: Option<String>,
     /// Whether second copies come before answers to requests alone, and not before those to reservations.
     pub copies_to_requests_only: bool,
+    /// How many answers were due to be copied.
+    pub copied_answers: usize,
     /// The requests that crash the upstream.
     pub crashes_on: Option<CrashTrigger>,
     pub held: usize,
@@ -171,6 +173,7 @@
             state: Arc::new(Mutex::new(UpstreamState {
                 backoff: None,
                 copies_to_requests_only: false,
+                copied_answers: 0,
                 crashes_on: None,
                 held: 0,
                 kind,
