relay_unsent: calls that count as not sent have reached no upstream

Upstreams that close, reset or half-close idle connections in a race with sends, with a runtime that has little processor time beside busy threads: of the calls that they received none counts as unsent, goes to another upstream or is refused as not run.

--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -18,6 +18,7 @@
 pub mod engine_answers;
 pub mod relay_test;
 pub mod store;
+pub mod unsteady_server;
 pub mod upstream;
 pub mod wire_text;
 pub mod zone_run;
@@ -36,6 +37,7 @@
     endless::{EndlessAnswer, EndlessPart, EndlessRecord},
     relay_test::{RelayRun, RelayTest},
     store::StoreStandIn,
+    unsteady_server::UnsteadyServer,
     upstream::{ReceivedCall, UpstreamKind, UpstreamMode, UpstreamStandIn},
     zone_run::ZoneRun,
 };
