--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,7 +34,7 @@
 pub mod held_place;
 mod list_progress;
 pub mod load_gauges;
-pub mod not_run_evidence;
+pub mod not_run_reason;
 pub mod open_call;
 pub mod operator_source;
 pub mod order_dialect;
@@ -114,7 +114,7 @@
     head_meter::HeadMeter,
     held_place::{HeldEntry, HeldPlace},
     load_gauges::LoadGauges,
-    not_run_evidence::NotRunEvidence,
+    not_run_reason::NotRunReason,
     open_call::{OpenCall, SharedUpstreams},
     operator_source::{
         OperatorSource, ReportBatch, ReportCursor, RouteSnapshot, RouteUpdate, SourceError,
--- a/crates/relay/src/not_run_evidence.rs
+++ b/crates/relay/src/not_run_reason.rs
@@ -2,7 +2,7 @@
 
 /// Why an instance takes it that a call to an upstream did not run the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NotRunEvidence {
+pub enum NotRunReason {
     /// A rule of the instance kept it from sending the call.
     Blocked,
     /// The upstream rejected it, and the rejection names the request.
@@ -13,7 +13,7 @@
     Unsent,
 }
 
-impl NotRunEvidence {
+impl NotRunReason {
     /// All kinds.
     pub const ALL: [Self; 4] = [
         Self::Blocked,
--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -4,7 +4,7 @@
     super::RelayCore,
     crate::{
         AnswerOwner, BodyAllowance, BufferedBody, CallEnd, CallPurpose, CallerRequest,
-        ConnectionError, ErrorResponse, NotRunEvidence, OpenCall, OpenConnection, ReplyFacts,
+        ConnectionError, ErrorResponse, NotRunReason, OpenCall, OpenConnection, ReplyFacts,
         UpstreamAnswer, UpstreamCall, UpstreamDialect, WorkRoute,
     },
     bytes::Bytes,
@@ -105,7 +105,7 @@
 
     async fn send(&self, plan: CallPlan<'_>, upstream: Arc<UpstreamRecord>) -> CallEnd {
         if let Some(refusal) = self.refusal_before(plan, &upstream) {
-            self.note_not_run(plan, NotRunEvidence::Blocked);
+            self.note_not_run(plan, NotRunReason::Blocked);
             return refusal;
         }
         let left = plan.request.left();
@@ -142,7 +142,7 @@
             Ok(Err(ConnectionError::Unsent { detail })) => {
                 self.reach.note_silence(&upstream);
                 call.close(CallVerdict::Unreachable);
-                self.note_not_run(plan, NotRunEvidence::Unsent);
+                self.note_not_run(plan, NotRunReason::Unsent);
                 trace.note(format_args!("{verb} {id} not sent: {detail}"));
                 return CallEnd::Unreachable;
             }
@@ -217,12 +217,12 @@
             self.note_facts(upstream, &facts, call.since);
         }
         let is_first = connection.is_at_first_answer();
-        if let Some(evidence) = rejection_evidence(&facts, head.status, &owner, is_first) {
+        if let Some(reason) = rejection_reason(&facts, head.status, &owner, is_first) {
             trace.note(format_args!(
                 "{verb} {id} not run: {}{owner}, {place}",
                 head.status.as_u16(),
             ));
-            self.note_not_run(plan, evidence);
+            self.note_not_run(plan, reason);
             if owner == AnswerOwner::Own && !facts.closes_connection {
                 self.pool.keep(&upstream.id, connection, facts.idle_timeout);
             }
@@ -254,10 +254,10 @@
     }
 
     /// Counts a call that might have run its request, and did not.
-    fn note_not_run(&self, plan: CallPlan<'_>, evidence: NotRunEvidence) {
+    fn note_not_run(&self, plan: CallPlan<'_>, reason: NotRunReason) {
         if matches!(plan.purpose, CallPurpose::Run { .. }) {
-            self.counts.note_not_run(evidence);
-            if evidence == NotRunEvidence::Unsent {
+            self.counts.note_not_run(reason);
+            if reason == NotRunReason::Unsent {
                 plan.request.trace.note_unsent();
             }
         }
@@ -283,18 +283,18 @@
 /// How an answer shows that the call did not run; `None` when it may be running or have run. An answer that names another
 /// request shows nothing, nor does a success, which no upstream gives without a run. One that names no request may be the copy
 /// of an answer to another call, unless it is the first of its connection.
-fn rejection_evidence(
+fn rejection_reason(
     facts: &ReplyFacts,
     status: StatusCode,
     owner: &AnswerOwner,
     is_first: bool,
-) -> Option<NotRunEvidence> {
+) -> Option<NotRunReason> {
     if !facts.is_not_run || status.is_success() {
         return None;
     }
     match owner {
-        AnswerOwner::Own => Some(NotRunEvidence::Rejected),
-        AnswerOwner::Unnamed if is_first => Some(NotRunEvidence::RejectedUnnamed),
+        AnswerOwner::Own => Some(NotRunReason::Rejected),
+        AnswerOwner::Unnamed if is_first => Some(NotRunReason::RejectedUnnamed),
         AnswerOwner::Other(_) | AnswerOwner::Unnamed => None,
     }
 }
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AnswerOwner, CustomerCounts, NotRunEvidence, ResumedSoftware, UnreadHeaders, WastedPrefill,
+        AnswerOwner, CustomerCounts, NotRunReason, ResumedSoftware, UnreadHeaders, WastedPrefill,
     },
     kernel::ResultCode,
     policy::{BackoffStatement, CallVerdict, RateChange},
@@ -116,8 +116,8 @@
             "Calls that might have run a request and count as not run, by the evidence.",
             &["evidence"],
         );
-        for evidence in NotRunEvidence::ALL {
-            not_run.with_label_values(&[evidence.label()]);
+        for reason in NotRunReason::ALL {
+            not_run.with_label_values(&[reason.label()]);
         }
         let peer_reads = counters(
             "trestlewalk_relay_peer_reads_total",
@@ -271,8 +271,8 @@
     }
 
     /// Counts a call that did not run its request.
-    pub fn note_not_run(&self, evidence: NotRunEvidence) {
-        self.not_run.with_label_values(&[evidence.label()]).inc();
+    pub fn note_not_run(&self, reason: NotRunReason) {
+        self.not_run.with_label_values(&[reason.label()]).inc();
     }
 
     /// Counts a request for another instance's snapshot of the store.
