flow: only a request that did not run has a time to come back

Callers of `serve` got `Retry-After` with outcomes that are unknown, such as 3006 at the end of a close, which invites to send a request again that may have run.

Evidence: `one_true_answer_and_nothing_left_at_engines` checks it now and was red ("CutByClose invites the caller to send it again"), green with all tests of `flow`.

Why it works: the delay goes with codes that state "not run", as in docs/CODES.md and as `relay` does.

--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -128,7 +128,7 @@
     }
 
     /// Ends the request. A code that claims that nothing ran is replaced if an engine may have done work, unless the caller
-    /// disconnected.
+    /// disconnected. Only a request that did not run has a time to come back.
     fn end(&mut self, code: ResultCode, retry_after: Option<Duration>) -> FlowAction {
         self.phase = FlowPhase::Ended;
         let code = match code {
@@ -136,6 +136,7 @@
             code if self.may_have_run && code.not_run() => ResultCode::PrefillWasted,
             code => code,
         };
+        let retry_after = retry_after.filter(|_| code.not_run());
         FlowAction::Fail(FlowFailure { code, retry_after })
     }
 
--- a/crates/flow/tests/core/flow_world.rs
+++ b/crates/flow/tests/core/flow_world.rs
@@ -341,6 +341,11 @@
             "{:?}, although it may have run",
             failure.code
         );
+        assert!(
+            failure.code.not_run() || failure.retry_after.is_none(),
+            "{:?} invites the caller to send it again",
+            failure.code
+        );
         assert_ne!(failure.code, ResultCode::Answered);
         self.call = None;
         self.final_codes.push(failure.code);
