--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -84,6 +84,9 @@
     /// The response to the caller when no upstream answered.
     pub async fn run(mut self) -> Result<Response<RelayBody>, FlowFailure> {
         let mut last = ErrorResponse::with_retry_after(ResultCode::UpstreamMissing, RETRY_AFTER);
+        if self.earlier_runs > 0 && !self.can_continue() {
+            return Err(last.into());
+        }
         loop {
             if self.is_unreachable && self.core.reach.is_lost(self.service) {
                 return self.give_up(last);
--- a/crates/relay/src/request_handler/forwarding.rs
+++ b/crates/relay/src/request_handler/forwarding.rs
@@ -57,7 +57,7 @@
         if let Some(access) = &request.access
             && let Some(refusal) = self.core.recheck_access(access, route)
         {
-            return Err(refusal.error);
+            return Err(otherwise.merge(refusal.error, runs > 0));
         }
         if let Some(charge) = &request.charge {
             charge.begin_call();
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -18,10 +18,14 @@
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     support::wait::wait_until,
-    tokio::task::JoinSet,
+    tokio::{net::TcpListener, task::JoinSet},
 };
 
 const DEADLINE: &str = "X-Deadline-Ms: 4000\r\n";
+/// How many requests give an instance a retry budget.
+const FUNDING_REQUESTS: usize = 10;
+/// How many requests are sent so that some are lost at the only upstream that is reached.
+const FORWARD_TRIALS: usize = 40;
 /// From when on a cut may not show any more.
 const NOTICE_TIME: Duration = Duration::from_secs(3);
 
@@ -193,12 +197,12 @@
     assert_eq!(fleet.runs_of(&id), 1);
 }
 
-/// The routes of an instance, in which all requests are idempotent and may go to three upstreams.
-fn idempotent_routes(instance: &DirectInstance) -> RouteTable {
+/// The routes of an instance with another rule and other tries.
+fn changed_routes(instance: &DirectInstance, repeat: RepeatRule, tries: u32) -> RouteTable {
     let table = instance.core.routes.load_full().unwrap();
     let routes = table.routes().map(|route| WorkRoute {
-        repeat: RepeatRule::Safe,
-        tries: 3,
+        repeat,
+        tries,
         ..WorkRoute::clone(route)
     });
     let services = table
@@ -220,7 +224,7 @@
         assert_eq!(reply.status(), 200);
     }
     let helper = &fleet.instances[1];
-    let table = idempotent_routes(helper);
+    let table = changed_routes(helper, RepeatRule::Safe, 3);
     helper.core.routes.store(Some(Arc::new(table)));
     for upstream in &fleet.upstreams {
         upstream.set(UpstreamMode::Reset);
@@ -231,6 +235,49 @@
     assert_eq!(fleet.runs_of(&id), 1);
 }
 
+/// An address that refuses connections.
+async fn refusing_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Guards against a request that its first instance has lost, and that runs again at a helper whose routes let it run once.
+#[tokio::test]
+async fn a_helper_runs_no_request_again_that_its_own_routes_let_run_once() {
+    for repeat in [RepeatRule::Once, RepeatRule::Safe] {
+        let fleet = DirectFleet::start(2).await;
+        for index in 0..2 {
+            fleet.allow_retries(index);
+            // Requests of its own fund the retries of an instance.
+            for _ in 0..FUNDING_REQUESTS {
+                fleet.send(index, "GET", "/t/1", DEADLINE).await;
+            }
+            let rules = [(RepeatRule::Safe, 3), (repeat, 1)];
+            let (repeat, tries) = rules[index];
+            let instance = &fleet.instances[index];
+            let table = changed_routes(instance, repeat, tries);
+            instance.core.routes.store(Some(Arc::new(table)));
+        }
+        for upstream in &fleet.upstreams {
+            upstream.set(UpstreamMode::Reset);
+        }
+        let refusing = refusing_address().await;
+        let mut runs = Vec::new();
+        // The first call has to go to the one upstream that is reached.
+        for _ in 0..FORWARD_TRIALS {
+            fleet.list(0, |upstream| match upstream.id == "i-carta-0" {
+                true => upstream.address,
+                false => refusing,
+            });
+            let id = fresh_id();
+            fleet.send_as(&id, 0, "GET", "/t/1", DEADLINE).await;
+            runs.push(fleet.runs_of(&id));
+        }
+        assert!(runs.contains(&1), "{repeat:?}: {runs:?}");
+        assert!(runs.iter().all(|runs| *runs <= 1), "{repeat:?}: {runs:?}");
+    }
+}
+
 /// Guards against work that goes on at an upstream for a caller that has left the instance before it.
 #[tokio::test]
 async fn the_run_of_a_caller_that_leaves_ends_behind_the_helper() {
