tests: contradictory rejections of requests that run, and copies that are counted when they are sent

The upstream whose rejection names two requests runs them now, a test asks for runs where there are to be some, and copies are counted in all four times at which they come. The run without copies is left out; the table has unnamed copies at all times.

--- a/crates/trestlewalk/tests/relay_copies.rs
+++ b/crates/trestlewalk/tests/relay_copies.rs
@@ -166,7 +166,6 @@
             }
             runs.push(WorkRun::reserved(UpstreamMode::Copies(plan)).await);
         }
-        runs.push(WorkRun::reserved(UpstreamMode::LateUnnamedRefusal).await);
         runs
     };
     COPY_RUNS.get_or_init(run).await
@@ -202,13 +201,15 @@
     faults
 }
 
-// Guards against a table whose copies never come where an answer is due.
+// Guards against a table whose copies never come.
 #[tokio::test]
-async fn copies_come_in_each_run() {
-    // The connection of a stream that failed is not used again.
-    let is_reused = |run: &&WorkRun| !(run.what.contains("Failure") && run.what.contains("/s/1"));
-    let is_due = |run: &&WorkRun| run.what.contains("Next") && is_reused(run);
-    let due = copy_runs().await.iter().filter(is_due);
+async fn copies_come_in_each_run_whose_connections_are_used_again() {
+    // The connection of a stream that failed is not.
+    let is_single = |run: &&WorkRun| {
+        let is_failed = run.what.contains("Failure") && run.what.contains("/s/1");
+        run.what.contains("Next") && is_failed
+    };
+    let due = copy_runs().await.iter().filter(|run| !is_single(run));
     let without: Vec<&str> = due
         .filter(|run| run.copies == 0)
         .map(|run| run.what.as_str())
@@ -244,6 +245,25 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+// Guards against a table in which there is nothing to refuse or to repeat.
+#[tokio::test]
+async fn contradictory_rejections_of_requests_that_run_are_among_them() {
+    let runs = contradiction_runs().await;
+    let count = |contradiction: Contradiction| {
+        let what = format!("{:?}", UpstreamMode::Contradicts(contradiction));
+        let of = runs.iter().filter(|run| run.what.starts_with(&what));
+        of.filter(|run| !run.ran.is_empty()).count()
+    };
+    for contradiction in Contradiction::ALL {
+        let is_here = contradiction != Contradiction::SignedSuccess;
+        let expected = match contradiction.runs_request() && is_here {
+            true => 2,
+            false => 0,
+        };
+        assert_eq!(count(contradiction), expected, "{contradiction:?}");
+    }
+}
+
 // Guards against a second run after a rejection whose head or body contradicts it.
 #[tokio::test]
 async fn no_contradictory_rejection_makes_a_request_run_twice() {
--- a/crates/trestlewalk/tests/relay_support/contradiction.rs
+++ b/crates/trestlewalk/tests/relay_support/contradiction.rs
@@ -15,7 +15,7 @@
     BeforeBody,
     /// Its body is cut.
     CutBody,
-    /// It names the request and another one.
+    /// It names the request, which ran, and another one.
     OtherId,
     /// It is a success, which ran, with a signature.
     SignedSuccess,
@@ -33,6 +33,11 @@
         Self::TwoIds,
     ];
 
+    /// Whether the upstream runs a request all the same.
+    pub fn runs_request(self) -> bool {
+        matches!(self, Self::BeforeBody | Self::OtherId | Self::SignedSuccess)
+    }
+
     /// Answers a request; returns whether the connection continues.
     pub async fn answer(
         self,
@@ -58,8 +63,7 @@
             Self::SignedSuccess => success,
             Self::TwoIds => refusal_text(id, &format!("X-Request-Id: {id}\r\n")),
         };
-        let ran = matches!(self, Self::BeforeBody | Self::SignedSuccess);
-        upstream.note(message, ran);
+        upstream.note(message, self.runs_request());
         let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
         is_sent && self != Self::CutBody
     }
--- a/crates/trestlewalk/tests/relay_support/copied_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/copied_answers.rs
@@ -138,11 +138,15 @@
         let copies = self.copies(&text, id);
         upstream.keep_late_refusal(stream, &copies);
         match self.time {
-            CopyTime::Attached => send(stream, &format!("{text}{copies}")).await,
+            CopyTime::Attached => {
+                upstream.note_copy();
+                send(stream, &format!("{text}{copies}")).await
+            }
             CopyTime::BeforeNext | CopyTime::WithNext => send(stream, &text).await,
             CopyTime::Idle => {
                 let is_sent = send(stream, &text).await;
                 time::sleep(COPY_PAUSE).await;
+                upstream.note_copy();
                 is_sent && send(stream, &copies).await
             }
         }
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -380,6 +380,11 @@
         });
     }
 
+    /// Counts a copy that is sent before another request is.
+    pub fn note_copy(&self) {
+        self.state.lock().unwrap().late_answers += 1;
+    }
+
     pub fn keep_late_refusal(&self, stream: &TcpStream, refusal: &str) {
         let caller = stream.peer_addr().unwrap();
         let mut state = self.state.lock().unwrap();
