--- a/crates/forward/src/forward_message.rs
+++ b/crates/forward/src/forward_message.rs
@@ -43,12 +43,12 @@
     pub left: Duration,
     /// The method.
     pub method: String,
+    /// The rule of the route by which the request was taken from its caller.
+    pub repeat: RepeatRule,
     /// How often the request may have run.
     pub runs: u32,
     /// Path and query.
     pub target: String,
-    /// The rule of the route by which the request was taken from its caller.
-    pub repeat: RepeatRule,
     /// On how many upstreams the request may run by that route.
     pub tries: u32,
 }
--- a/crates/forward/src/forward_task.rs
+++ b/crates/forward/src/forward_task.rs
@@ -178,9 +178,9 @@
             headers: WireHeaders::from(&request.headers),
             left: request.left(),
             method: request.method.to_string(),
+            repeat: self.route.repeat,
             runs: self.runs,
             target: target.map_or("/", |target| target.as_str()).to_owned(),
-            repeat: self.route.repeat,
             tries: self.route.tries,
         };
         session.send(&head, &request.body).await?;
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -67,7 +67,7 @@
     pub body_memory: Option<OwnedSemaphorePermit>,
     /// What the request took from its customer's quota; given back if it did not run.
     pub charge: Option<QuotaCharge>,
-    /// The connections over which it was answered so far, be it to reject it.
+    /// The connections that delivered an answer to it, rejections included.
     pub connections: UsedConnections,
     /// When the caller's timeout or the route's patience ends.
     pub deadline: Instant,
--- a/crates/relay/src/not_run_reason.rs
+++ b/crates/relay/src/not_run_reason.rs
@@ -1,6 +1,6 @@
 //! Why a call counts as not run.
 
-/// Why an instance takes it that a call to an upstream did not run the request.
+/// Why a call to an upstream counts as not run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NotRunReason {
     /// A rule of the instance kept it from sending the call.
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -50,7 +50,7 @@
     pub lost_services: IntGauge,
     /// Lost connections, by the state of the upstream found afterwards.
     losses: IntCounterVec,
-    /// Calls that count as not run, by evidence.
+    /// Calls that count as not run, by the reason.
     not_run: IntCounterVec,
     /// Requests for another instance's snapshot of the store, by outcome.
     peer_reads: IntCounterVec,
@@ -113,8 +113,8 @@
         }
         let not_run = counters(
             "trestlewalk_relay_not_run_total",
-            "Calls that might have run a request and count as not run, by the evidence.",
-            &["evidence"],
+            "Calls that might have run a request and count as not run, by the reason.",
+            &["reason"],
         );
         for reason in NotRunReason::ALL {
             not_run.with_label_values(&[reason.label()]);
--- a/crates/relay/src/used_connections.rs
+++ b/crates/relay/src/used_connections.rs
@@ -1,12 +1,12 @@
-//! The connections that carried one request.
+//! Which connections a further call of a request has to avoid.
 
 use {
     crate::ConnectionSerial,
     kernel::{LockRank, RankedLock},
 };
 
-/// The connections that carried one request. A further call of it uses another one: upstreams may send an answer twice, and the
-/// second copy names this request as well.
+/// The connections that delivered an answer to one request. A further call of it uses another one: upstreams may send an answer
+/// twice, and the second copy names this request as well.
 #[derive(Debug)]
 pub struct UsedConnections {
     serials: RankedLock<Vec<ConnectionSerial>>,
--- a/crates/relay/tests/connection_pool.rs
+++ b/crates/relay/tests/connection_pool.rs
@@ -271,7 +271,7 @@
     check_pool::<ConnectionPool>().await;
 }
 
-/// The same for the pool of `serve`.
+/// Guards against a second run by the pool of `serve`, after a call that arrived and counts as not sent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn a_call_of_serve_that_counts_as_not_sent_has_not_arrived_and_none_arrives_twice() {
     check_pool::<HttpPool<Full<Bytes>>>().await;
--- a/crates/trestlewalk/tests/relay_copies.rs
+++ b/crates/trestlewalk/tests/relay_copies.rs
@@ -58,7 +58,7 @@
         Self::at(&fleet, mode, path).await
     }
 
-    /// The same with reservations, before whose answers no copy comes.
+    /// Sends streams with reservations, before whose answers no copy comes.
     async fn reserved(mode: UpstreamMode) -> Self {
         let fleet = DirectFleet::start(1).await;
         for upstream in &fleet.upstreams {
@@ -366,7 +366,7 @@
     }
 }
 
-// The same, with a copy that comes one answer later.
+// Guards against such a copy that comes one answer later, after that to a reservation.
 #[tokio::test]
 async fn a_copied_refusal_of_a_prefill_refuses_no_reserved_run_at_the_same_engine() {
     let (run, ran) =
@@ -375,7 +375,7 @@
     assert!(run.refused().is_empty(), "refused, though it ran: {run:?}");
 }
 
-// The same, with a copy that comes where the answer to a reservation is due.
+// Guards against a reservation that is made by the copy of a prefill's rejection.
 #[tokio::test]
 async fn a_copied_refusal_of_a_prefill_reserves_nothing_at_the_same_engine() {
     let (run, ran) =
--- a/crates/trestlewalk/tests/relay_explain.rs
+++ b/crates/trestlewalk/tests/relay_explain.rs
@@ -129,9 +129,8 @@
         );
     }
     let counted = run.metric_lines("trestlewalk_relay_not_run_total").await;
-    let count = |evidence, calls| {
-        format!("trestlewalk_relay_not_run_total{{evidence=\"{evidence}\"}} {calls}")
-    };
+    let count =
+        |reason, calls| format!("trestlewalk_relay_not_run_total{{reason=\"{reason}\"}} {calls}");
     let expected = [
         count("blocked", 0),
         count("rejected", rejected.len()),
@@ -166,7 +165,7 @@
     let steps = line["steps"].as_str().unwrap();
     assert!(steps.contains("run i-carta-0 not sent: "), "{line}");
     let counted = run.metric_lines("trestlewalk_relay_not_run_total").await;
-    let unsent = "trestlewalk_relay_not_run_total{evidence=\"unsent\"} 1";
+    let unsent = "trestlewalk_relay_not_run_total{reason=\"unsent\"} 1";
     assert!(counted.iter().any(|line| line == unsent), "{counted:?}");
 }
 
--- a/crates/trestlewalk/tests/relay_unsent.rs
+++ b/crates/trestlewalk/tests/relay_unsent.rs
@@ -204,7 +204,7 @@
     all
 }
 
-// The same for requests of callers: none that reached an upstream is sent to another one or refused as not run.
+// Guards against a second run, or a refusal, of a request that reached an upstream over a connection that was ending.
 #[tokio::test]
 async fn requests_that_reached_an_ending_connection_go_nowhere_else() {
     let _busy = BusyThreads::start();
