--- a/crates/trestlewalk/tests/relay_support/caller.rs
+++ b/crates/trestlewalk/tests/relay_support/caller.rs
@@ -71,6 +71,16 @@
         Self::connect_from(Ipv4Addr::LOCALHOST, address).await
     }
 
+    /// Connects to a server that may be down.
+    pub async fn try_connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Self {
+            rest: Vec::new(),
+            stream,
+        })
+    }
+
     /// Connects from a local address.
     pub async fn connect_from(own: Ipv4Addr, address: SocketAddr) -> Self {
         let socket = TcpSocket::new_v4().unwrap();
--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 pub mod caller;
+pub mod copying_upstream;
 pub mod crash_scenario;
 pub mod crash_trigger;
 pub mod dead_port;
