--- a/review/standin/fleet_copies.rs
+++ b/review/standin/fleet_copies.rs
@@ -4,7 +4,8 @@
 //! faults that overlap. Judged is what callers and replicas saw: a request that may run once runs once at most, a refused one
 //! never, and what looks like a whole answer is the answer to the request.
 //!
-//! `fleet_copies FOLDER SEED [copies|full] [INSTANCES] [SECONDS]`
+//! `fleet_copies FOLDER SEED [copies|full|wide] [INSTANCES] [SECONDS]`. `copies` has no other fault; `wide` adds replicas that answer before they
+//! have read a body, fail after a run without a statement, close idle connections, and send copies in parts.
 
 #[path = "common.rs"]
 mod common;
@@ -41,6 +42,8 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 /// Callers for each 75 instances.
 const CALLERS_OF_75: usize = 400;
+const IDLE: Duration = Duration::from_secs(8);
+const NOT_RUN: &str = "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
 const PAUSE_MS: u64 = 260;
 /// Requests may run until then after the last caller.
 const SETTLE: Duration = Duration::from_millis(2_500);
@@ -60,6 +63,12 @@
     short: f64,
     /// The share of answers with bytes behind them that are no answer.
     junk: f64,
+    /// The share of requests with a body that are answered, or run and reset, before the body has been read.
+    early: f64,
+    /// The share of runs that end with a failure which states nothing on the run.
+    bare: f64,
+    /// Connections are closed, without notice, after this long without a request.
+    idle_ms: u64,
     /// How much longer a run takes.
     slow_ms: u64,
     /// Nothing is read, accepted or answered.
@@ -75,6 +84,7 @@
     faults: [Mutex<Faults>; REPLICAS],
     is_over: AtomicBool,
     is_burst: AtomicBool,
+    is_wide: bool,
     leaving_share: Mutex<f64>,
     copies: AtomicU64,
     draw: Mutex<Draw>,
@@ -239,14 +249,42 @@
 
     fn serve(&self, on: u64, stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(8)));
         let Ok(writer) = stream.try_clone() else {
             return;
         };
         let writer = Arc::new(Mutex::new(writer));
         let mut reader = BufReader::new(stream);
         let mut late: Option<(String, Vec<u8>)> = None;
-        while let Ok(Some(request)) = read_message(&mut reader) {
+        loop {
+            let idle = match self.faults().idle_ms {
+                0 => IDLE,
+                idle => Duration::from_millis(idle),
+            };
+            let _ = stream.set_read_timeout(Some(idle));
+            let Ok(Some(mut request)) = read_head(&mut reader) else {
+                return;
+            };
+            let _ = stream.set_read_timeout(Some(IDLE));
+            let length = request.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+            request.body = vec![0; length];
+            if length > 0 && self.shared.hits(self.faults().early) {
+                let id = request.id();
+                if self.shared.hits(0.5) {
+                    self.line(on, format_args!("runs {id}, and resets before it has read its body"));
+                    self.count_run(&id);
+                    thread::sleep(Duration::from_millis(self.shared.between(0, 10)));
+                    return;
+                }
+                self.line(on, format_args!("rejects {id} before it has read its body"));
+                let answer = Answer::new("503 Service Unavailable", &id, NOT_RUN, "");
+                if writer.lock().unwrap().write_all(&answer.bytes).is_err() || reader.read_exact(&mut request.body).is_err() {
+                    return;
+                }
+                continue;
+            }
+            if reader.read_exact(&mut request.body).is_err() {
+                return;
+            }
             while self.faults().hangs {
                 thread::sleep(Duration::from_millis(5));
             }
@@ -261,7 +299,13 @@
             }
             if let Some((of, copy)) = early {
                 self.line(on, format_args!("sends its second answer to {of}, before it works on {id}"));
-                let _ = writer.lock().unwrap().write_all(&copy);
+                // With the wider mix, a part of it may come at first, and the rest before the answer.
+                let part = match self.shared.is_wide && self.shared.hits(0.3) {
+                    true => copy.len() / 2,
+                    false => copy.len(),
+                };
+                let _ = writer.lock().unwrap().write_all(&copy[..part]);
+                late = (part < copy.len()).then(|| (of, copy[part..].to_vec()));
             }
             let Some(answer) = self.answer(on, &request, &id, stream) else {
                 return;
@@ -326,7 +370,7 @@
 
     /// `None` when the connection is to end without an answer.
     fn answer(&self, on: u64, request: &Message, id: &str, stream: &TcpStream) -> Option<Answer> {
-        let reject = |status: &str| Some(Answer::new(status, id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n", ""));
+        let reject = |status: &str| Some(Answer::new(status, id, NOT_RUN, ""));
         if request.header("x-expect-instance").is_some_and(|name| name != self.name) {
             self.line(on, format_args!("is not the one for {id}"));
             return reject("421 Misdirected Request");
@@ -338,7 +382,10 @@
         if places.running >= SLOTS && places.waiting >= QUEUE {
             drop(places);
             self.line(on, format_args!("rejects {id}: full"));
-            return reject("503 Service Unavailable");
+            return match self.shared.is_wide && self.shared.hits(0.1) {
+                true => reject("429 Too Many Requests"),
+                false => reject("503 Service Unavailable"),
+            };
         }
         places.waiting += 1;
         while places.running >= SLOTS {
@@ -375,6 +422,10 @@
         if Duration::from_millis(work) > left {
             return Some(Answer::new("504 Gateway Timeout", id, "Content-Length: 0\r\n", ""));
         }
+        if self.shared.hits(self.faults().bare) {
+            let status = ["500 Failed", "503 Failed", "429 Failed", "408 Failed"][self.shared.between(0, 4) as usize];
+            return Some(Answer::new(status, id, &format!("X-Response-Signature: s.{id}\r\nContent-Length: 0\r\n"), ""));
+        }
         let filler = "x".repeat(self.shared.between(0, 400) as usize);
         let body = format!("{id} of {} {filler} end of {id}", self.name);
         let signature = format!("X-Response-Signature: s.{id}\r\n");
@@ -394,9 +445,13 @@
 
     fn note_run(&self, on: u64, request: &Message, id: &str) {
         self.line(on, format_args!("runs {id}"));
-        if !id.starts_with('g') && (request.body != format!("tile {id}").as_bytes() || request.start[..2] != ["POST", "/chart/tile"]) {
+        if !id.starts_with('g') && (!is_tile(&request.body, id) || request.start[..2] != ["POST", "/chart/tile"]) {
             self.shared.strange.lock().unwrap().push((id.to_owned(), "ran with another body or path".to_owned()));
         }
+        self.count_run(id);
+    }
+
+    fn count_run(&self, id: &str) {
         let run = format!("{} at {}", self.name, self.shared.record.ms());
         self.shared.runs.lock().unwrap().entry(id.to_owned()).or_default().push(run);
     }
@@ -423,6 +478,12 @@
     }
 }
 
+/// Whether a body is as the caller sent it.
+fn is_tile(body: &[u8], id: &str) -> bool {
+    let start = format!("tile {id}");
+    body.strip_prefix(start.as_bytes()).is_some_and(|rest| rest.iter().all(|byte| *byte == b'.'))
+}
+
 fn has_closed(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
     let peeked = stream.peek(&mut [0]);
@@ -666,6 +727,15 @@
         after
     }
 
+    /// With the wider mix some bodies are long, a few far longer than what sockets hold.
+    fn filler(&mut self) -> usize {
+        match self.shared.is_wide.then(|| self.draw.next() % 400) {
+            Some(0) => 4 << 20,
+            Some(1..40) => 60 << 10,
+            _ => 0,
+        }
+    }
+
     fn exchange(&mut self, id: &str, is_safe: bool, left: Duration, patience: Duration) -> std::io::Result<Message> {
         if let Some(reader) = &mut self.connection {
             let stream = reader.get_mut();
@@ -683,17 +753,18 @@
             stream.set_nodelay(true)?;
             self.connection = Some(BufReader::new(stream));
         }
-        let reader = self.connection.as_mut().unwrap();
-        reader.get_ref().set_read_timeout(Some(patience))?;
         let (method, path, body) = match is_safe {
             true => ("GET", "/view/tile", String::new()),
-            false => ("POST", "/chart/tile", format!("tile {id}")),
+            false => ("POST", "/chart/tile", format!("tile {id}{}", ".".repeat(self.filler()))),
         };
         let text = format!(
             "{method} {path} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
             left.as_millis(),
             body.len()
         );
+        let reader = self.connection.as_mut().unwrap();
+        reader.get_ref().set_read_timeout(Some(patience))?;
+        reader.get_ref().set_write_timeout(Some(patience))?;
         reader.get_mut().write_all(text.as_bytes())?;
         let Some(mut answer) = read_message(reader)? else {
             return Err(ErrorKind::UnexpectedEof.into());
@@ -765,7 +836,7 @@
 }
 
 /// Draws a plan. The copies come first, so that both forms of the case have the same.
-fn plan(seed: u64, is_full: bool, instances: usize, length: Duration) -> Vec<Planned> {
+fn plan(seed: u64, is_full: bool, is_wide: bool, instances: usize, length: Duration) -> Vec<Planned> {
     let mut draw = Draw::new(seed);
     for _ in 0..8 {
         draw.next();
@@ -836,6 +907,13 @@
         add(&mut draw, 100, 1_500, Trouble::Term(taken));
         add(&mut draw, 100, 200, Trouble::Config);
     }
+    for _ in 0..if is_wide { count(2) } else { 0 } {
+        let (part, replica) = (share(&mut draw, 0.02, 0.2), draw.next() as usize % REPLICAS);
+        let idle_ms = 2 + draw.next() % 300;
+        add(&mut draw, 1_000, 5_000.min(span / 3), Trouble::Replicas(replica, Faults { early: part, ..Faults::default() }));
+        add(&mut draw, 1_000, 5_000.min(span / 3), Trouble::Replicas((replica + 1) % REPLICAS, Faults { bare: part, ..Faults::default() }));
+        add(&mut draw, 1_000, 5_000.min(span / 3), Trouble::Replicas((replica + 2) % REPLICAS, Faults { idle_ms, ..Faults::default() }));
+    }
     plan
 }
 
@@ -974,7 +1052,7 @@
         ];
         let config = format!(
             "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{{\"Name\":\"carta\",\"HealthPath\":\"/health\",\"MaxConnections\":{CONNECTIONS}}}],\
-             \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":65536,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}",
+             \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":8388608,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}",
             routes.join(",")
         );
         self.shared.store.put("op", "config", &config);
@@ -989,6 +1067,13 @@
     add(&mut faults.lost, by.lost);
     add(&mut faults.short, by.short);
     add(&mut faults.junk, by.junk);
+    add(&mut faults.early, by.early);
+    add(&mut faults.bare, by.bare);
+    faults.idle_ms = match sign > 0.0 {
+        true => by.idle_ms.max(faults.idle_ms),
+        false if by.idle_ms > 0 => 0,
+        false => faults.idle_ms,
+    };
     faults.slow_ms = match sign > 0.0 {
         true => faults.slow_ms + by.slow_ms,
         false => faults.slow_ms.saturating_sub(by.slow_ms),
@@ -1008,6 +1093,7 @@
     let folder = PathBuf::from(argument(1).unwrap_or_else(|| cannot_run("no folder given")));
     let seed = number(2, 1);
     let is_full = argument(3) != Some("copies");
+    let is_wide = argument(3) == Some("wide");
     let count = number(4, 75) as usize;
     let length = Duration::from_secs(number(5, 25));
     fs::create_dir_all(&folder).unwrap();
@@ -1017,6 +1103,7 @@
         faults: Default::default(),
         is_over: AtomicBool::new(false),
         is_burst: AtomicBool::new(false),
+        is_wide,
         leaving_share: Mutex::new(if is_full { 0.02 } else { 0.0 }),
         copies: AtomicU64::new(0),
         draw: Mutex::new(Draw::new(seed + 1_000)),
@@ -1048,7 +1135,7 @@
     }
     shared.record.line("all instances are ready");
 
-    let planned = plan(seed, is_full, count, length);
+    let planned = plan(seed, is_full, is_wide, count, length);
     let answers: Arc<Answers> = Arc::default();
     let callers: Vec<_> = (0..(CALLERS_OF_75 * count).div_ceil(75).max(24))
         .map(|number| {
@@ -1108,7 +1195,7 @@
     let summary = format!(
         "seed {seed} {} instances {count}: requests {}: {} with 200, {} with 502, {} with 503, {} with 504, {} with none; run {}; rejected as full {}, at the deadline {}, misdirected {}; \
          second answers {}; twice {}; refused though run {}; foreign or cut {}; memory of all instances {} MiB, of one at most {} MiB",
-        if is_full { "full" } else { "copies" },
+        argument(3).unwrap_or("full"),
         answers.len(), with(200), with(502), with(503), with(504), with(0), runs.len(),
         of_kind(": full"), of_kind(": deadline"), of_kind("is not the one for"),
         shared.copies.load(Ordering::Relaxed), counts[0], counts[1], counts[2], memory >> 20, most >> 20
