review: a mix of faults in which many requests go through other instances

`fleet_copies FOLDER SEED forward` has two zones without their replicas for most of the time, while instances that help are stopped, killed and closed; the summary counts the forwarded requests that the logs show.

--- a/review/standin/fleet_copies.rs
+++ b/review/standin/fleet_copies.rs
@@ -4,8 +4,9 @@
 //! faults that overlap. Judged is what callers and replicas saw: a request that may run once runs once at most, a refused one
 //! never, and what looks like a whole answer is the answer to the request.
 //!
-//! `fleet_copies FOLDER SEED [copies|full|wide] [INSTANCES] [SECONDS]`. `copies` has no other fault; `wide` adds replicas that answer before they
-//! have read a body, fail after a run without a statement, close idle connections, and send copies in parts.
+//! `fleet_copies FOLDER SEED [copies|full|wide|forward] [INSTANCES] [SECONDS]`. `copies` has no other fault; `wide` adds replicas that
+//! answer before they have read a body, fail after a run without a statement, close idle connections, and send copies in
+//! parts; `forward` has zones without their replicas for most of the time, while instances that help fail.
 
 #[path = "common.rs"]
 mod common;
@@ -836,7 +837,7 @@
 }
 
 /// Draws a plan. The copies come first, so that both forms of the case have the same.
-fn plan(seed: u64, is_full: bool, is_wide: bool, instances: usize, length: Duration) -> Vec<Planned> {
+fn plan(seed: u64, kind: &str, instances: usize, length: Duration) -> Vec<Planned> {
     let mut draw = Draw::new(seed);
     for _ in 0..8 {
         draw.next();
@@ -861,7 +862,7 @@
         let replica = draw.next() as usize % REPLICAS;
         add(&mut draw, 3_000.min(span / 4), 8_000.min(span / 2), Trouble::Replicas(replica, Faults { copies, ..Faults::default() }));
     }
-    if !is_full {
+    if kind == "copies" {
         return plan;
     }
     let some = |draw: &mut Draw, share: usize| 1 + draw.next() as usize % (instances / share).max(1);
@@ -907,13 +908,23 @@
         add(&mut draw, 100, 1_500, Trouble::Term(taken));
         add(&mut draw, 100, 200, Trouble::Config);
     }
-    for _ in 0..if is_wide { count(2) } else { 0 } {
+    for _ in 0..if kind == "wide" { count(2) } else { 0 } {
         let (part, replica) = (share(&mut draw, 0.02, 0.2), draw.next() as usize % REPLICAS);
         let idle_ms = 2 + draw.next() % 300;
         add(&mut draw, 1_000, 5_000.min(span / 3), Trouble::Replicas(replica, Faults { early: part, ..Faults::default() }));
         add(&mut draw, 1_000, 5_000.min(span / 3), Trouble::Replicas((replica + 1) % REPLICAS, Faults { bare: part, ..Faults::default() }));
         add(&mut draw, 1_000, 5_000.min(span / 3), Trouble::Replicas((replica + 2) % REPLICAS, Faults { idle_ms, ..Faults::default() }));
     }
+    for _ in 0..if kind == "forward" { count(3) } else { 0 } {
+        let zone = draw.next() as usize % 2;
+        add(&mut draw, 3_000.min(span / 4), 8_000.min(span / 3), Trouble::Cut(zone));
+        let taken = some(&mut draw, 3);
+        add(&mut draw, 100, 1_200, Trouble::Freeze(taken));
+        let taken = some(&mut draw, 6);
+        add(&mut draw, 100, 1_000, Trouble::Kill(taken));
+        let taken = some(&mut draw, 6);
+        add(&mut draw, 100, 1_000, Trouble::Term(taken));
+    }
     plan
 }
 
@@ -1092,8 +1103,7 @@
     let number = |index: usize, otherwise: u64| argument(index).map_or(otherwise, |text| text.parse().unwrap_or_else(|_| cannot_run("not a number")));
     let folder = PathBuf::from(argument(1).unwrap_or_else(|| cannot_run("no folder given")));
     let seed = number(2, 1);
-    let is_full = argument(3) != Some("copies");
-    let is_wide = argument(3) == Some("wide");
+    let kind = argument(3).unwrap_or("full");
     let count = number(4, 75) as usize;
     let length = Duration::from_secs(number(5, 25));
     fs::create_dir_all(&folder).unwrap();
@@ -1103,8 +1113,8 @@
         faults: Default::default(),
         is_over: AtomicBool::new(false),
         is_burst: AtomicBool::new(false),
-        is_wide,
-        leaving_share: Mutex::new(if is_full { 0.02 } else { 0.0 }),
+        is_wide: kind == "wide",
+        leaving_share: Mutex::new(if kind == "copies" { 0.0 } else { 0.02 }),
         copies: AtomicU64::new(0),
         draw: Mutex::new(Draw::new(seed + 1_000)),
         record: Record::new(&folder.join("record.txt")),
@@ -1135,7 +1145,7 @@
     }
     shared.record.line("all instances are ready");
 
-    let planned = plan(seed, is_full, is_wide, count, length);
+    let planned = plan(seed, kind, count, length);
     let answers: Arc<Answers> = Arc::default();
     let callers: Vec<_> = (0..(CALLERS_OF_75 * count).div_ceil(75).max(24))
         .map(|number| {
@@ -1192,13 +1202,15 @@
     let with = |wanted: u16| answers.values().filter(|status| **status == wanted).count();
     let rejected = fs::read_to_string(folder.join("record.txt")).unwrap_or_default();
     let of_kind = |part: &str| rejected.lines().filter(|line| line.contains(part)).count();
+    let logs = scene.instances.iter().map(|instance| fs::read_to_string(&instance.log).unwrap_or_default());
+    let forwarded: usize = logs.map(|log| log.matches("passes on 200").count()).sum();
     let summary = format!(
         "seed {seed} {} instances {count}: requests {}: {} with 200, {} with 502, {} with 503, {} with 504, {} with none; run {}; rejected as full {}, at the deadline {}, misdirected {}; \
-         second answers {}; twice {}; refused though run {}; foreign or cut {}; memory of all instances {} MiB, of one at most {} MiB",
-        argument(3).unwrap_or("full"),
+         forwarded (logged) {}; second answers {}; twice {}; refused though run {}; foreign or cut {}; memory of all instances {} MiB, of one at most {} MiB",
+        kind,
         answers.len(), with(200), with(502), with(503), with(504), with(0), runs.len(),
         of_kind(": full"), of_kind(": deadline"), of_kind("is not the one for"),
-        shared.copies.load(Ordering::Relaxed), counts[0], counts[1], counts[2], memory >> 20, most >> 20
+        forwarded, shared.copies.load(Ordering::Relaxed), counts[0], counts[1], counts[2], memory >> 20, most >> 20
     );
     println!("{summary}");
     shared.record.line(&summary);
