--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod contradiction;
 pub mod copied_answers;
+pub mod copying_upstream;
 pub mod crash_scenario;
 pub mod crash_trigger;
 pub mod dead_port;
