--- a/crates/flow/src/flow_core.rs
+++ b/crates/flow/src/flow_core.rs
@@ -128,7 +128,7 @@
     }
 
     /// Ends the request. A code that claims that nothing ran is replaced if an engine may have done work, unless the caller
-    /// disconnected. Only a request that did not run has a time to come back.
+    /// disconnected. Only a request that did not run gets a retry delay.
     fn end(&mut self, code: ResultCode, retry_after: Option<Duration>) -> FlowAction {
         self.phase = FlowPhase::Ended;
         let code = match code {
