tests: the caller of what is to be freed leaves once the prompt has been prefilled

Its instance's log has the request's end after 15 ms with the reservation as its only step: the caller left when the engine had received the prefill, and before the instance had its answer, so that there was no KV cache to release.

It waits for the answered prefill in the metrics; what it asks for is the same.

--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -120,8 +120,10 @@
             "p",
         ))
         .await;
+    let prefilled =
+        r#"trestlewalk_relay_upstream_calls_total{upstream="i-redactor-p0",verdict="answered"}"#;
     wait_until("the prompt is prefilled", async || {
-        !run.upstream("i-redactor-p0").received().is_empty()
+        run.metric_lines(prefilled).await == [format!("{prefilled} 1")]
     })
     .await;
     wait_until("the slot is reserved", async || {
