peer: a link takes kilobytes, not megabytes, and a full one fails calls at once

Cause: a link let its peer open 4,096 calls and sessions and 4,096 messages at once. quinn keeps table entries for all of these from the start, and each slot that was used once keeps its receive state.

Now 256 calls and sessions, as many as an instance takes forwarded requests, 16 messages larger than a packet, and windows of 128 KB a stream and 4 MB a link, which were 1.25 MB and unbounded. A call or session over the bound fails within 50 ms with an error of its own, before anything is sent; sessions would have waited for ever. A message over the bound is dropped after the time of a call.

--- a/crates/forward/src/forward_task.rs
+++ b/crates/forward/src/forward_task.rs
@@ -121,7 +121,6 @@
             Ok(session) => session,
             Err(detail) => {
                 trace.note(format_args!("not forwarded to {helper}: {detail}"));
-                self.client.endpoint.forget(helper);
                 return Attempt::Unsent;
             }
         };
@@ -161,8 +160,16 @@
         let opening = self.client.endpoint.open_session(helper, FORWARD_TAG);
         match time::timeout(CALL_TIMEOUT, opening).await {
             Ok(Ok((sender, receiver))) => Ok(ForwardSession::new(sender, receiver)),
-            Ok(Err(error)) => Err(PeerError::to_string(&error)),
-            Err(_) => Err("no session in time".to_owned()),
+            // Its other sessions go on, and a new connection would only hide how many there are.
+            Ok(Err(error @ PeerError::Busy { .. })) => Err(error.to_string()),
+            Ok(Err(error)) => {
+                self.client.endpoint.forget(helper);
+                Err(error.to_string())
+            }
+            Err(_) => {
+                self.client.endpoint.forget(helper);
+                Err("no session in time".to_owned())
+            }
         }
     }
 
--- a/crates/peer/src/endpoint_dial.rs
+++ b/crates/peer/src/endpoint_dial.rs
@@ -6,7 +6,8 @@
         link_slot::LinkSlot,
         peer_endpoint::PeerEndpoint,
         peer_error::{
-            ConnectSnafu, LostSnafu, PeerError, RefusedSnafu, TooLargeSnafu, UnknownPeerSnafu,
+            BusySnafu, ConnectSnafu, LostSnafu, PeerError, RefusedSnafu, TooLargeSnafu,
+            UnknownPeerSnafu,
         },
         wire,
     },
@@ -106,10 +107,12 @@
             let instance = instance.clone();
             LostSnafu { detail, instance }.build()
         };
-        let (mut sender, receiver) = connection
-            .open_bi()
-            .await
-            .map_err(|error| lost(error.to_string()))?;
+        let opening = tokio::time::timeout(self.settings.stream_wait, connection.open_bi());
+        let Ok(opened) = opening.await else {
+            let instance = instance.clone();
+            return BusySnafu { instance }.fail();
+        };
+        let (mut sender, receiver) = opened.map_err(|error| lost(error.to_string()))?;
         sender
             .write_chunk(frame)
             .await
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -311,8 +311,14 @@
         match connection.send_datagram(message.clone()) {
             Ok(()) => {}
             Err(SendDatagramError::TooLarge) => {
-                let connection = connection.clone();
-                self.pool.spawn(send_stream(connection, message));
+                let sending = send_stream(connection.clone(), message);
+                let limit = self.settings.call_timeout;
+                let dropped = self.metrics.dropped.clone();
+                self.pool.spawn(async move {
+                    if tokio::time::timeout(limit, sending).await.is_err() {
+                        dropped.inc();
+                    }
+                });
             }
             Err(_) => self.metrics.dropped.inc(),
         }
--- a/crates/peer/src/peer_error.rs
+++ b/crates/peer/src/peer_error.rs
@@ -14,6 +14,12 @@
         /// The operating system's error.
         source: std::io::Error,
     },
+    /// The connection has as many calls and sessions as the peer allows; nothing was sent.
+    #[snafu(display("the connection to peer `{instance}` has too many calls and sessions"))]
+    Busy {
+        /// The peer.
+        instance: InstanceId,
+    },
     /// The endpoint is closing.
     #[snafu(display("the peer endpoint is closing"))]
     Closing,
--- a/crates/peer/src/peer_settings.rs
+++ b/crates/peer/src/peer_settings.rs
@@ -20,6 +20,9 @@
     #[builder(default = Duration::from_millis(1_500))]
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub connect_timeout: Duration,
+    /// The best-effort messages that a connection keeps until they are sent or read, in bytes each way.
+    #[builder(default = 1 << 16)]
+    pub datagram_buffer: usize,
     /// The maximum size of a session frame, in bytes.
     #[builder(default = 1 << 20)]
     pub frame_limit: usize,
@@ -38,15 +41,29 @@
     #[builder(default = Duration::from_millis(12_000))]
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub link_idle: Duration,
+    /// What a peer may send over a connection before it is read, in bytes.
+    #[builder(default = 1 << 22)]
+    pub link_window: u32,
     /// The maximum size of a message or request, in bytes.
     #[builder(default = 1 << 18)]
     pub message_limit: usize,
+    /// The maximum number of concurrent messages larger than a packet that a peer may have open over its connection.
+    #[builder(default = 16)]
+    pub message_streams: u32,
     /// The maximum size of an answer to a call, in bytes.
     #[builder(default = 1 << 23)]
     pub reply_limit: usize,
-    /// The maximum number of concurrent calls and sessions per connection.
-    #[builder(default = 4_096)]
+    /// The maximum number of concurrent calls and sessions that a peer may have open over its connection. Each end keeps
+    /// tables for all of them from the start.
+    #[builder(default = 256)]
     pub stream_limit: u32,
+    /// How long a call or session waits while its connection has as many as the peer allows. Milliseconds in settings.
+    #[builder(default = Duration::from_millis(50))]
+    #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
+    pub stream_wait: Duration,
+    /// What a peer may send over a stream before it is read, in bytes.
+    #[builder(default = 1 << 17)]
+    pub stream_window: u32,
 }
 
 impl Default for PeerSettings {
--- a/crates/peer/src/tls_config.rs
+++ b/crates/peer/src/tls_config.rs
@@ -147,10 +147,15 @@
     let idle = IdleTimeout::try_from(settings.idle_timeout).map_err(|error| keys_error(&error))?;
     let mut config = TransportConfig::default();
     config
+        .datagram_receive_buffer_size(Some(settings.datagram_buffer))
+        .datagram_send_buffer_size(settings.datagram_buffer)
         .initial_rtt(INITIAL_RTT)
         .keep_alive_interval(Some(settings.keep_alive))
         .max_concurrent_bidi_streams(settings.stream_limit.into())
-        .max_concurrent_uni_streams(settings.stream_limit.into())
-        .max_idle_timeout(Some(idle));
+        .max_concurrent_uni_streams(settings.message_streams.into())
+        .max_idle_timeout(Some(idle))
+        .receive_window(settings.link_window.into())
+        .send_window(settings.link_window.into())
+        .stream_receive_window(settings.stream_window.into());
     Ok(config)
 }
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -148,3 +148,68 @@
     first.call(&name("b"), TAG, b"two").await.unwrap();
     assert_eq!(first.metrics().links.get(), 2);
 }
+
+// Guards against a link whose bound on streams is too small for what passes between two instances in a burst.
+#[tokio::test]
+async fn hundreds_of_concurrent_calls_over_one_link_are_answered() {
+    let (first, second, _) = make_pair();
+    let mut inbox = second.register(TAG);
+    let mut calling = tokio::task::JoinSet::new();
+    for _ in 0..256 {
+        let endpoint = first.clone();
+        calling.spawn(async move { endpoint.call(&name("b"), TAG, b"place").await });
+    }
+    let mut held = Vec::new();
+    for _ in 0..256 {
+        held.push(next(&mut inbox).await);
+    }
+    for incoming in held {
+        if let PeerIncoming::Call { body, reply, .. } = incoming {
+            reply.send(body);
+        }
+    }
+    for answer in calling.join_all().await {
+        assert_eq!(&answer.unwrap()[..], b"place");
+    }
+}
+
+// Guards against calls and sessions that wait for ever, or for the whole time of a call, on a link that has as many as
+// its other end allows.
+#[tokio::test]
+async fn a_call_over_a_full_link_fails_soon_and_the_next_one_after_the_others_is_answered() {
+    let (_, keys) = peer::make_test_keys(&["a", "b"]).unwrap();
+    let addresses = peer::AddressTable::new();
+    let settings = peer::PeerSettings::builder().stream_limit(8).build();
+    let first = support::make_endpoint("a", &addresses, &keys[0], settings.clone());
+    let second = support::make_endpoint("b", &addresses, &keys[1], settings.clone());
+    let mut inbox = second.register(TAG);
+    let mut sessions = Vec::new();
+    for _ in 0..8 {
+        sessions.push(first.open_session(&name("b"), TAG).await.unwrap());
+        sessions.push(match next(&mut inbox).await {
+            PeerIncoming::Session {
+                sender, receiver, ..
+            } => (sender, receiver),
+            other => panic!("{other:?}"),
+        });
+    }
+    let began = std::time::Instant::now();
+    let call = first.call(&name("b"), TAG, b"place").await;
+    assert!(matches!(call, Err(PeerError::Busy { .. })), "{call:?}");
+    let peer = name("b");
+    let session = tokio::time::timeout(support::TEST_TIMEOUT, first.open_session(&peer, TAG));
+    let session = session.await.expect("the session ends in time");
+    assert!(matches!(session, Err(PeerError::Busy { .. })));
+    assert!(began.elapsed() < settings.call_timeout);
+    drop(sessions);
+    echo(&second, TAG);
+    let answer = async {
+        loop {
+            if let Ok(answer) = first.call(&name("b"), TAG, b"place").await {
+                return answer;
+            }
+        }
+    };
+    let answer = tokio::time::timeout(support::TEST_TIMEOUT, answer).await;
+    assert_eq!(&answer.expect("a call is answered in time")[..], b"place");
+}
