policy, spread: the scheduler of a cell is chosen by what it bears, then by hash

What callers saw: of some 60 instances of a zone, with 88 MB each, one drew the role of its scheduler by plain rendezvous hashing; when it ended for its memory the next weak one took over and ended as well, beside three instances of 512 MB.

Change: the instance with the greatest capacity carries a role, in powers of two, and rendezvous hashing orders equals, as readers are ordered already. Different cells so spread over the strong instances, weaker ones take over when these are silent, and all choose alike without agreeing. The capacity counts memory below 256 MB by its share; it stays one number in the rows of members, so neither the wire nor the stored format changes. While two versions serve they may choose two schedulers for a cell; the engines decide between their grants, as with views that differ.

--- a/crates/policy/src/fleet_members.rs
+++ b/crates/policy/src/fleet_members.rs
@@ -8,6 +8,8 @@
 /// One instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FleetMember {
+    /// Its capacity relative to other instances; 0 counts as 1.
+    pub capacity: u64,
     /// The name of the instance.
     pub instance: InstanceId,
     /// Its availability zone.
@@ -21,6 +23,25 @@
 }
 
 impl FleetMembers {
+    /// The instance that carries a role for its availability zone, of those that are not `excluded`: greater capacity comes
+    /// first, and rendezvous hashing by `key` orders instances whose capacities differ by less than a factor of two. Roles
+    /// with different keys so spread over the strongest instances.
+    pub fn carrier(
+        &self,
+        zone: &ZoneId,
+        key: &str,
+        excluded: impl Fn(&InstanceId) -> bool,
+    ) -> Option<&InstanceId> {
+        let members = self.members.iter();
+        let candidates =
+            members.filter(|member| member.zone == *zone && !excluded(&member.instance));
+        let first = candidates.max_by_key(|member| {
+            let score = seeded_rng::rendezvous_score(key, &member.instance);
+            (member.capacity.max(1).ilog2(), score, &member.instance)
+        });
+        first.map(|member| &member.instance)
+    }
+
     /// The number of instances.
     pub fn count(&self) -> usize {
         self.members.len()
--- a/crates/policy/tests/helper_table.rs
+++ b/crates/policy/tests/helper_table.rs
@@ -23,6 +23,7 @@
 
 fn fleet(count: usize) -> FleetMembers {
     let member = |index: usize| FleetMember {
+        capacity: 1,
         instance: format!("front-{index}").into(),
         zone: ZONES[index % ZONES.len()].into(),
     };
--- a/crates/policy/tests/rate_shares.rs
+++ b/crates/policy/tests/rate_shares.rs
@@ -26,6 +26,7 @@
 
 fn members(count: usize) -> Vec<FleetMember> {
     let member = |index: usize| FleetMember {
+        capacity: 1,
         instance: format!("front-{index}").into(),
         zone: ZONES[index % ZONES.len()].into(),
     };
--- a/crates/policy/tests/rate_table.rs
+++ b/crates/policy/tests/rate_table.rs
@@ -19,6 +19,7 @@
 fn table() -> RateTable {
     let mut table = RateTable::new(InstanceId::from("front-1"));
     let alone = FleetMember {
+        capacity: 1,
         instance: "front-1".into(),
         zone: "near".into(),
     };
--- a/crates/policy/tests/software.rs
+++ b/crates/policy/tests/software.rs
@@ -60,6 +60,7 @@
     for zone in 0..zones {
         for number in 0..size {
             members.push(FleetMember {
+                capacity: 1,
                 instance: format!("front-{zone}-{number}").into(),
                 zone: format!("zone-{zone}").into(),
             });
--- a/crates/policy/tests/software_fuzz.rs
+++ b/crates/policy/tests/software_fuzz.rs
@@ -110,6 +110,7 @@
         let mut members = Vec::new();
         for number in 0..INSTANCES {
             members.push(FleetMember {
+                capacity: 1,
                 instance: format!("front-{number}").into(),
                 zone: format!("zone-{}", number % ZONES).into(),
             });
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -101,6 +101,7 @@
         ));
         let alone = settings.is_alone.then(|| {
             Arc::new(FleetMembers::new(vec![FleetMember {
+                capacity: 1,
                 instance: settings.instance.clone(),
                 zone: settings.zone.clone(),
             }]))
--- a/crates/spread/src/member_registry.rs
+++ b/crates/spread/src/member_registry.rs
@@ -88,6 +88,7 @@
             members.push(self.own.clone());
         }
         let fleet = members.iter().map(|member| FleetMember {
+            capacity: member.capacity,
             instance: member.instance.clone(),
             zone: member.zone.clone(),
         });
--- a/crates/spread/src/place_exchange.rs
+++ b/crates/spread/src/place_exchange.rs
@@ -1,11 +1,11 @@
 //! Passes requests for decode places and reports of places to the schedulers of the availability zone.
 //!
-//! The scheduler of a cell is the first live instance of its zone by rendezvous hashing, so all instances choose the same
-//! one without agreeing on it. While their views differ there are two, and the engines decide between their grants.
+//! The scheduler of a cell is the first live instance of its zone, by capacity and then by rendezvous hashing, so all
+//! instances choose the same one without agreeing on it. While their views differ there are two, and the engines decide between their grants.
 
 use {
     crate::{MemberRow, PLACE_TAG, PlaceCall, PlaceResult, SilentSchedulers},
-    kernel::{InstanceId, LockRank, RankedLock, ZoneId, seeded_rng, steady_clock},
+    kernel::{InstanceId, LockRank, RankedLock, ZoneId, steady_clock},
     peer::PeerEndpoint,
     relay::{
         FleetView, PlaceAnswer, PlaceClient, PlaceJob, PlaceScope, SchedulerHost, SchedulerLife,
@@ -130,12 +130,10 @@
     fn scheduler(&self, scope: &PlaceScope) -> Option<InstanceId> {
         let fleet = self.fleet.members();
         let silent = self.silent.lock();
-        let candidates = fleet.iter().filter(|member| {
-            let is_own = member.instance == self.own.instance;
-            member.zone == scope.zone && (is_own || !silent.is_silent(&member.instance))
-        });
-        let names = candidates.map(|member| &member.instance);
-        seeded_rng::rendezvous(&scope.scheduler_key(), names).cloned()
+        let own = &self.own.instance;
+        let is_excluded = |name: &InstanceId| name != own && silent.is_silent(name);
+        let key = scope.scheduler_key();
+        fleet.carrier(&scope.zone, &key, is_excluded).cloned()
     }
 
     async fn submit(
--- a/crates/spread/tests/place_exchange.rs
+++ b/crates/spread/tests/place_exchange.rs
@@ -139,6 +139,7 @@
         let fakes = [1, 2].map(|index| FakeScheduler::start(NAMES[index], &keys[index]));
         let zone = ZoneId::from("gijon");
         let members = NAMES.map(|name| FleetMember {
+            capacity: 1,
             instance: InstanceId::from(name),
             zone: zone.clone(),
         });
--- a/crates/trestlewalk/src/settings/relay_file.rs
+++ b/crates/trestlewalk/src/settings/relay_file.rs
@@ -67,9 +67,11 @@
 }
 
 impl RelayCapacity {
-    /// The capacity as one number, by which instances are compared.
+    /// The capacity as one number, by which instances are compared. What an instance does for others takes memory as well:
+    /// with less than [`AMPLE_MEMORY_MB`] it counts for less.
     pub fn weight(&self) -> u64 {
-        (self.cores * self.link_mbps * WEIGHT_UNITS).max(1.0) as u64
+        let memory_share = (self.memory_mb / AMPLE_MEMORY_MB).min(1.0);
+        (self.cores * self.link_mbps * memory_share * WEIGHT_UNITS).max(1.0) as u64
     }
 }
 
@@ -84,6 +86,8 @@
     }
 }
 
+/// The memory, megabytes, beyond which more of it adds nothing to what an instance can do for others.
+const AMPLE_MEMORY_MB: f64 = 256.0;
 /// The weight of one core at one megabit per second; large enough that small capacities differ as whole numbers.
 const WEIGHT_UNITS: f64 = 1_000.0;
 
--- a/crates/trestlewalk/tests/relay_support/direct_fleet.rs
+++ b/crates/trestlewalk/tests/relay_support/direct_fleet.rs
@@ -78,6 +78,7 @@
             .iter()
             .enumerate()
             .map(|(index, name)| FleetMember {
+                capacity: 1,
                 instance: InstanceId::from(*name),
                 zone: zone_of(index),
             })
