peer, spread: connections that were given up are let go, and not begun again and again

Cause, by reading, and by tests that were red on the code before: a connection that its peer closed stayed in the table of accepted ones until another was accepted; a caller that left while a connection was made broke the attempt off, so that the next one began anew; and each of many calls that failed together dropped the link, also one made in between, so that a busy scheduler got a new connection from each instance again and again.

Change: a closed connection is let go at once. An attempt goes on when its caller leaves and serves the next one; those that wait leave with their callers. A call that its caller gave up ends there too, where it ran on up to the time of a call. A silent scheduler is forgotten once, and after each probe without an answer; a link that has too many calls is no silence.

Red before: a_connection_that_its_peer_gave_up_is_let_go, a_connection_is_made_once_though_its_callers_leave; green now, with the other tests of links, members, drivers, keys and place_exchange.

--- a/crates/peer/src/accept_loop.rs
+++ b/crates/peer/src/accept_loop.rs
@@ -58,15 +58,24 @@
             name: Arc::default(),
             shared: self,
         };
-        link.run().await;
+        link.clone().run().await;
+        link.shared.drop_closed();
     }
 
-    fn track(&self, connection: &Connection) {
+    /// Lets go of closed connections, whose state lasts as long as anything refers to them.
+    fn drop_closed(&self) {
         let mut accepted = self
             .accepted
             .lock()
             .unwrap_or_else(|poison| poison.into_inner());
         accepted.retain(|known| known.close_reason().is_none());
+    }
+
+    fn track(&self, connection: &Connection) {
+        let mut accepted = self
+            .accepted
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
         accepted.push(connection.clone());
     }
 
--- a/crates/peer/src/endpoint_dial.rs
+++ b/crates/peer/src/endpoint_dial.rs
@@ -6,8 +6,8 @@
         link_slot::LinkSlot,
         peer_endpoint::PeerEndpoint,
         peer_error::{
-            BusySnafu, ConnectSnafu, LostSnafu, PeerError, RefusedSnafu, TooLargeSnafu,
-            UnknownPeerSnafu,
+            BusySnafu, ClosingSnafu, ConnectSnafu, LostSnafu, PeerError, RefusedSnafu,
+            TooLargeSnafu, UnknownPeerSnafu,
         },
         wire,
     },
@@ -16,6 +16,7 @@
     quinn::{Connection, RecvStream, SendStream},
     snafu::OptionExt,
     std::{net::SocketAddr, time::Instant},
+    tokio::sync::oneshot,
 };
 
 impl PeerEndpoint {
@@ -27,15 +28,25 @@
             })
     }
 
+    /// The connection to a peer, a new one if there is none. An attempt goes on when the caller leaves, so that it serves
+    /// the next one; those that wait for it leave with their callers.
     pub(crate) async fn connect(&self, instance: &InstanceId) -> Result<Connection, PeerError> {
         let address = self.address(instance)?;
         let slot = self.links.slot(instance);
-        let mut slot = slot.lock().await;
+        let mut slot = slot.lock_owned().await;
         slot.touch(Instant::now());
         if let Some(connection) = slot.live(address) {
             return Ok(connection);
         }
-        self.connect_slot(instance, address, &mut slot).await
+        let this = self.clone();
+        let peer = instance.clone();
+        let (ended, connecting) = oneshot::channel();
+        self.pool.spawn(async move {
+            // Fails only when the caller has left.
+            let _ = ended.send(this.connect_slot(&peer, address, &mut slot).await);
+        });
+        // The attempt is dropped only when the endpoint closes.
+        connecting.await.unwrap_or_else(|_| ClosingSnafu.fail())
     }
 
     async fn connect_slot(
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -92,6 +92,15 @@
 }
 
 impl PeerEndpoint {
+    /// The number of connections that peers opened to this instance, with those that were closed and still take memory.
+    pub fn accepted_count(&self) -> usize {
+        let accepted = self
+            .accepted
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        accepted.len()
+    }
+
     /// The addresses of the peers.
     pub fn addresses(&self) -> &AddressTable {
         &self.addresses
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -213,3 +213,30 @@
     let answer = tokio::time::timeout(support::TEST_TIMEOUT, answer).await;
     assert_eq!(&answer.expect("a call is answered in time")[..], b"place");
 }
+
+// Guards against an instance that keeps the state of connections which its peers gave up.
+#[tokio::test]
+async fn a_connection_that_its_peer_gave_up_is_let_go() {
+    let (first, second, _) = make_pair();
+    echo(&second, TAG);
+    for _ in 0..4 {
+        first.call(&name("b"), TAG, b"one").await.unwrap();
+        first.forget("b");
+    }
+    until(|| second.accepted_count() == 0).await;
+}
+
+// Guards against connections that are begun and given up again and again while an instance is too busy to answer soon.
+#[tokio::test]
+async fn a_connection_is_made_once_though_its_callers_leave() {
+    let (first, second, _) = make_pair();
+    echo(&second, TAG);
+    for _ in 0..8 {
+        let soon = std::time::Duration::from_micros(50);
+        let _ = tokio::time::timeout(soon, first.call(&name("b"), TAG, b"one")).await;
+    }
+    until(|| first.metrics().links.get() == 1).await;
+    first.call(&name("b"), TAG, b"two").await.unwrap();
+    assert_eq!(first.metrics().links.get(), 1);
+    assert_eq!(second.accepted_count(), 1);
+}
--- a/crates/spread/src/place_exchange.rs
+++ b/crates/spread/src/place_exchange.rs
@@ -6,7 +6,7 @@
 use {
     crate::{MemberRow, PLACE_TAG, PlaceCall, PlaceResult, SilentSchedulers},
     kernel::{InstanceId, LockRank, RankedLock, ZoneId, steady_clock},
-    peer::PeerEndpoint,
+    peer::{PeerEndpoint, PeerError},
     relay::{
         FleetView, PlaceAnswer, PlaceClient, PlaceJob, PlaceScope, SchedulerHost, SchedulerLife,
     },
@@ -313,12 +313,12 @@
     }
 
     async fn probe(&self, instance: &InstanceId) {
-        if self
-            .call(instance, &PlaceCall::Probe, NOTES_TIMEOUT)
-            .await
-            .is_some()
-        {
+        let answer = self.call(instance, &PlaceCall::Probe, NOTES_TIMEOUT).await;
+        if answer.is_some() {
             tracing::info!(%instance, "a silent instance answers calls about places again");
+        } else if self.silent.lock().is_silent(instance) {
+            // Another process may have its address by now.
+            self.endpoint.forget(instance);
         }
     }
 
@@ -331,13 +331,14 @@
     ) -> Option<PlaceResult> {
         // Strings and numbers always serialise.
         let body = postcard::to_stdvec(call).ok()?;
-        let endpoint = self.endpoint.clone();
-        let instance = to.clone();
-        // A task of its own: a connection that takes longer than the limit still serves the next call.
-        let calling = tokio::spawn(async move { endpoint.call(&instance, PLACE_TAG, &body).await });
+        let calling = self.endpoint.call(to, PLACE_TAG, &body);
         let answer = match time::timeout(limit, calling).await {
-            Ok(Ok(Ok(answer))) => postcard::from_bytes(&answer).map_err(|error| error.to_string()),
-            Ok(Ok(Err(error))) => Err(error.to_string()),
+            Ok(Ok(answer)) => postcard::from_bytes(&answer).map_err(|error| error.to_string()),
+            // Its connection works, and it may well answer the calls that it has.
+            Ok(Err(error @ PeerError::Busy { .. })) => {
+                tracing::debug!(scheduler = %to, %error, "a scheduler has too much to do");
+                return None;
+            }
             Ok(Err(error)) => Err(error.to_string()),
             Err(_) => Err("no answer in time".to_owned()),
         };
@@ -348,11 +349,11 @@
                 Some(result)
             }
             Err(detail) => {
-                silent.note_silence(to, steady_clock::now());
-                let is_silent = silent.is_silent(to);
+                let is_new = silent.note_silence(to, steady_clock::now());
                 drop(silent);
-                tracing::debug!(scheduler = %to, detail, is_silent, "a scheduler did not answer");
-                if is_silent {
+                tracing::debug!(scheduler = %to, detail, is_new, "a scheduler did not answer");
+                // Once for all calls that fail together: each connection that is given up takes memory at both ends.
+                if is_new {
                     self.endpoint.forget(to);
                 }
                 None
--- a/crates/spread/src/silent_schedulers.rs
+++ b/crates/spread/src/silent_schedulers.rs
@@ -34,14 +34,15 @@
         self.silences.remove(instance);
     }
 
-    /// Records a call that got no answer.
-    pub fn note_silence(&mut self, instance: &InstanceId, now: Instant) {
+    /// Records a call that got no answer. Returns whether the instance is not to be asked from now on.
+    pub fn note_silence(&mut self, instance: &InstanceId, now: Instant) -> bool {
         let silence = self.silences.entry(instance.clone()).or_insert(Silence {
             calls: 0,
             pause: PROBE_PAUSE,
             probe_at: now + PROBE_PAUSE,
         });
-        silence.calls += 1;
+        silence.calls = silence.calls.saturating_add(1);
+        silence.calls == MAX_SILENT_CALLS
     }
 
     /// Whether an instance is not to be asked.
