sched, relay, spread: what waits for a scheduler has a bound by the instance's memory

The queue's bound was for one cell, whatever the memory of the instance.

Change: requests that wait, in all cells of an instance together, may take a sixteenth of `capacity.memory_mb`, at 4 KB each (1,408 with 88 MB). One beyond it is refused at once, with the time at which its place is expected: it did not run, and keeps its turn. One that waits already keeps its position. Calls are decided as they are read, and only those that are kept have a task, so that a flood fills the inbox and is refused there. At most 8,192 places and 1,024 unfetched decisions a cell. The dump's section `places` and `trestlewalk_relay_scheduler_rows` tell the rows by table.

Red without the bound in the decision: a_request_without_room_to_wait_is_refused_with_the_time_of_its_place; green now, with the other tests of sched's place_scheduler and scheduler_faults and of spread's place_exchange. 4 KB is an estimate, not measured.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -141,7 +141,7 @@
     resumed_software::ResumedSoftware,
     route_freshness::RouteFreshness,
     route_table::RouteTable,
-    scheduler_host::{SchedulerHost, SchedulerLife},
+    scheduler_host::{AskOutcome, HostedRows, KeptCall, SchedulerHost, SchedulerLife},
     service_info::{EngineInfo, ServiceInfo},
     slot_finder::{ReservedSlot, SlotFinder},
     slot_wait::SlotWait,
--- a/crates/relay/src/place_plugin.rs
+++ b/crates/relay/src/place_plugin.rs
@@ -36,7 +36,22 @@
             }));
         }
     }
+    let mut cells = Vec::new();
+    for (scope, rows) in host.rows() {
+        cells.push(json!({
+            "cell": scope.cell,
+            "decisions": rows.decisions,
+            "ended": rows.scheduler.ended,
+            "instances": rows.instances,
+            "kept_calls": rows.kept_calls,
+            "places": rows.scheduler.places,
+            "queue": rows.scheduler.queue,
+            "service": scope.service,
+            "turns": rows.scheduler.turns,
+        }));
+    }
     Some(json!({
+        "cells_here": cells,
         "held_here": client.held_count(),
         "is_shared": client.is_open(),
         "scheduled_here": engines,
--- a/crates/relay/src/scheduler_host.rs
+++ b/crates/relay/src/scheduler_host.rs
@@ -4,14 +4,14 @@
     crate::{LoadGauges, PlaceScope, SharedUpstreams},
     kernel::{InstanceId, LockRank, RankedLock, UpstreamId, ZoneId, steady_clock},
     sched::{
-        EngineInfo, EngineLoad, PlaceDecision, PlaceKey, PlaceNote, PlaceReply, PlaceRequest,
-        PlaceScheduler, ZoneSpare,
+        EngineInfo, EngineLoad, PlaceDecision, PlaceKey, PlaceNote, PlaceQueue, PlaceReply,
+        PlaceRequest, PlaceScheduler, SchedulerRows, ZoneSpare,
     },
     std::{
         collections::BTreeMap,
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -33,9 +33,18 @@
 const SCHEDULER_LIFE: Duration = Duration::from_secs(30);
 /// How long a decision is kept for a request whose next call has not come yet.
 const DECISION_LIFE: Duration = Duration::from_secs(1);
+/// The decisions that a scheduler keeps for requests whose next call has not come yet.
+const MAX_DECISIONS: usize = 1_024;
 /// A scheduler without requests for this long does not tell other zones what it can take over.
 const SPARE_LIFE: Duration = Duration::from_secs(10);
 
+/// What a request that waits takes: its row, the call that is kept for it and the task of that, bytes.
+const WAITING_BYTES: usize = 4_096;
+/// The requests that wait in all cells together, unless the instance's memory is known.
+const DEFAULT_WAITING: usize = 1_024;
+/// However little memory an instance has, this many requests may wait.
+const MIN_WAITING: usize = 64;
+
 /// Distinguishes the schedulers that an instance ran for a cell, one after another, and those of its earlier processes.
 pub type SchedulerLife = u64;
 
@@ -50,6 +59,7 @@
     /// Notified when a request begins to wait.
     waiting: Arc<Notify>,
     next_life: Arc<AtomicU64>,
+    max_waiting: Arc<AtomicUsize>,
     schedulers: Arc<RankedLock<BTreeMap<PlaceScope, HostedScheduler>>>,
     upstreams: Arc<SharedUpstreams>,
 }
@@ -69,6 +79,56 @@
     waiting: BTreeMap<WaitingKey, oneshot::Sender<PlaceReply>>,
 }
 
+/// What became of a call for a place.
+#[derive(Debug)]
+pub enum AskOutcome {
+    /// A decision, or that the request waits.
+    Decided(SchedulerLife, PlaceReply),
+    /// The request waits, and its call is kept.
+    Kept(KeptCall),
+}
+
+/// A call that is kept while its request waits.
+#[derive(Debug)]
+pub struct KeptCall {
+    decided: oneshot::Receiver<PlaceReply>,
+    host: SchedulerHost,
+    key: WaitingKey,
+    life: SchedulerLife,
+    scope: PlaceScope,
+    wait: Duration,
+}
+
+impl KeptCall {
+    /// The decision, or that the request still waits when the time is over.
+    pub async fn decision(self) -> (SchedulerLife, PlaceReply) {
+        if let Ok(Ok(reply)) = time::timeout(self.wait, self.decided).await {
+            return (self.life, reply);
+        }
+        let mut schedulers = self.host.schedulers.lock();
+        let hosted = schedulers.get_mut(&self.scope);
+        let late = hosted.and_then(|hosted| {
+            hosted.waiting.remove(&self.key);
+            hosted.decisions.remove(&self.key)
+        });
+        let reply = late.map_or(PlaceReply::Queued, |(reply, _)| reply);
+        (self.life, reply)
+    }
+}
+
+/// What is remembered for one cell.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HostedRows {
+    /// Decisions on requests whose next call has not come yet.
+    pub decisions: usize,
+    /// Instances that asked or reported lately.
+    pub instances: usize,
+    /// Calls that are kept while their requests wait.
+    pub kept_calls: usize,
+    /// The tables of the scheduler.
+    pub scheduler: SchedulerRows,
+}
+
 /// The loads of the engines of one cell.
 pub type CellLoads = BTreeMap<UpstreamId, EngineLoad>;
 
@@ -79,6 +139,7 @@
             gauges: LoadGauges::new(),
             waiting: Arc::default(),
             next_life: Arc::new(AtomicU64::new(1)),
+            max_waiting: Arc::new(AtomicUsize::new(DEFAULT_WAITING)),
             schedulers: Arc::new(RankedLock::new(LockRank::Schedulers, BTreeMap::new())),
             upstreams,
         }
@@ -89,6 +150,12 @@
         self.next_life.fetch_max(life, Ordering::Relaxed);
     }
 
+    /// Sets the memory that requests may take while they wait, bytes. Those beyond it are refused at once.
+    pub fn bound(&self, bytes: usize) {
+        let count = (bytes / WAITING_BYTES).max(MIN_WAITING);
+        self.max_waiting.store(count, Ordering::Relaxed);
+    }
+
     /// Decides on a request of an instance. While it is queued, waits for at most `wait` for the decision.
     pub async fn submit(
         &self,
@@ -97,35 +164,63 @@
         request: PlaceRequest,
         wait: Duration,
     ) -> (SchedulerLife, PlaceReply) {
+        match self.ask(from, scope, request, wait) {
+            AskOutcome::Decided(life, reply) => (life, reply),
+            AskOutcome::Kept(call) => call.decision().await,
+        }
+    }
+
+    /// Decides on a request of an instance, or keeps its call for at most `wait` while it is queued.
+    pub fn ask(
+        &self,
+        from: &InstanceId,
+        scope: &PlaceScope,
+        request: PlaceRequest,
+        wait: Duration,
+    ) -> AskOutcome {
         let key = (from.clone(), request.key.clone());
-        let (life, decided) = {
-            let now = steady_clock::now();
-            let mut schedulers = self.schedulers.lock();
-            let hosted = self.hosted(&mut schedulers, scope, now);
-            hosted.requested_at = now;
-            hosted.heard.insert(from.clone(), now);
-            if let Some((reply, _)) = hosted.decisions.remove(&key) {
-                return (hosted.life, reply);
-            }
-            let reply = hosted.scheduler.submit(from, request, now);
-            if reply != PlaceReply::Queued || wait.is_zero() {
-                return (hosted.life, reply);
-            }
-            let (sender, decided) = oneshot::channel();
-            hosted.waiting.insert(key.clone(), sender);
-            (hosted.life, decided)
+        let now = steady_clock::now();
+        let mut schedulers = self.schedulers.lock();
+        let has_room = count_waiting(&schedulers) < self.max_waiting.load(Ordering::Relaxed);
+        let hosted = self.hosted(&mut schedulers, scope, now);
+        hosted.requested_at = now;
+        hosted.heard.insert(from.clone(), now);
+        if let Some((reply, _)) = hosted.decisions.remove(&key) {
+            return AskOutcome::Decided(hosted.life, reply);
+        }
+        let scheduler = &mut hosted.scheduler;
+        let reply = scheduler.submit_bounded(from, request, has_room, now);
+        if reply != PlaceReply::Queued || wait.is_zero() {
+            return AskOutcome::Decided(hosted.life, reply);
+        }
+        let (sender, decided) = oneshot::channel();
+        hosted.waiting.insert(key.clone(), sender);
+        let call = KeptCall {
+            decided,
+            host: self.clone(),
+            key,
+            life: hosted.life,
+            scope: scope.clone(),
+            wait,
         };
+        drop(schedulers);
         self.waiting.notify_one();
-        if let Ok(Ok(reply)) = time::timeout(wait, decided).await {
-            return (life, reply);
-        }
-        let mut schedulers = self.schedulers.lock();
-        let hosted = schedulers.get_mut(scope);
-        let late = hosted.and_then(|hosted| {
-            hosted.waiting.remove(&key);
-            hosted.decisions.remove(&key)
+        AskOutcome::Kept(call)
+    }
+
+    /// What this instance remembers for the cells that it schedules.
+    pub fn rows(&self) -> BTreeMap<PlaceScope, HostedRows> {
+        let schedulers = self.schedulers.lock();
+        let rows = schedulers.iter().map(|(scope, hosted)| {
+            let rows = HostedRows {
+                decisions: hosted.decisions.len(),
+                instances: hosted.heard.len(),
+                kept_calls: hosted.waiting.len(),
+                scheduler: hosted.scheduler.rows(),
+            };
+            (scope.clone(), rows)
         });
-        (life, late.map_or(PlaceReply::Queued, |(reply, _)| reply))
+        rows.collect()
     }
 
     /// Records what an instance reports, and decides on what waits.
@@ -163,6 +258,7 @@
             if now >= gauges_at {
                 gauges_at = now + SWEEP_PERIOD;
                 self.gauges.set(&self.loads());
+                self.gauges.set_rows(&self.rows());
             }
         }
     }
@@ -261,6 +357,11 @@
     }
 }
 
+fn count_waiting(schedulers: &BTreeMap<PlaceScope, HostedScheduler>) -> usize {
+    let queues = schedulers.values().map(|hosted| hosted.scheduler.queue());
+    queues.map(PlaceQueue::len).sum()
+}
+
 impl HostedScheduler {
     fn new(life: SchedulerLife, now: Instant) -> Self {
         Self {
@@ -318,7 +419,10 @@
                 Some(sender) => sender.send(reply).err(),
                 None => Some(reply),
             };
-            if let Some(reply) = unsent {
+            // Without its row a request that asks again is decided anew; one that has a place gets the same.
+            if let Some(reply) = unsent
+                && self.decisions.len() < MAX_DECISIONS
+            {
                 self.decisions.insert(key, (reply, now));
             }
         }
--- a/crates/sched/src/ended_places.rs
+++ b/crates/sched/src/ended_places.rs
@@ -23,6 +23,11 @@
         self.keys.contains_key(key)
     }
 
+    /// The number of ends that are remembered, with those of places that were granted again.
+    pub(crate) fn len(&self) -> usize {
+        self.order.len()
+    }
+
     pub(crate) fn insert(&mut self, key: PlaceKey) {
         if self.keys.contains_key(&key) {
             return;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod prefill_queue;
 mod queue_slot;
 pub mod refusal_rule;
+pub mod scheduler_rows;
 mod spare_zones;
 pub mod stream_need;
 pub mod turn_table;
@@ -54,6 +55,7 @@
     place_request::PlaceRequest,
     place_scheduler::PlaceScheduler,
     prefill_queue::PrefillQueue,
+    scheduler_rows::SchedulerRows,
     stream_need::StreamNeed,
     turn_table::{Turn, TurnTable},
     wait_decision::WaitDecision,
--- a/crates/sched/src/place_scheduler.rs
+++ b/crates/sched/src/place_scheduler.rs
@@ -11,10 +11,10 @@
 use {
     crate::{
         EngineInfo, EngineLoad, LengthBelief, LengthModel, PlaceDecision, PlaceGrant, PlaceKey,
-        PlaceNote, PlaceQueue, PlaceReply, PlaceRequest, RefusalReason, TurnTable, WaitDecision,
-        WaitingRequest, ZoneSpare, ended_places::EndedPlaces, engine_state::EngineState,
-        granted_place::GrantedPlace, refusal_rule, spare_zones::SpareZones,
-        unfit_sizes::UnfitSizes,
+        PlaceNote, PlaceQueue, PlaceReply, PlaceRequest, RefusalReason, SchedulerRows, TurnTable,
+        WaitDecision, WaitingRequest, ZoneSpare, ended_places::EndedPlaces,
+        engine_state::EngineState, granted_place::GrantedPlace, place_queue::MAX_WAITING,
+        refusal_rule, spare_zones::SpareZones, unfit_sizes::UnfitSizes,
     },
     kernel::{InstanceId, UpstreamId},
     std::{
@@ -32,6 +32,9 @@
 /// Longer times that callers state are not told apart.
 const MAX_LEFT: Duration = Duration::from_secs(3600);
 
+/// The places that a scheduler knows; what instances report beyond them is left to the engines.
+pub const MAX_PLACES: usize = 8_192;
+
 /// Schedules the decode places of one cell.
 #[derive(Debug)]
 pub struct PlaceScheduler {
@@ -125,12 +128,20 @@
 
     /// Decides on a request, or returns the state of one that waits already. A request that waits has to be submitted
     /// again from time to time, or it is forgotten.
-    pub fn submit(
+    pub fn submit(&mut self, from: &InstanceId, request: PlaceRequest, now: Instant) -> PlaceReply {
+        self.submit_bounded(from, request, true, now)
+    }
+
+    /// Decides like [`Self::submit`]. Without room for one that waits, a request that would wait is refused, with the time
+    /// at which its place is expected.
+    pub fn submit_bounded(
         &mut self,
         from: &InstanceId,
         mut request: PlaceRequest,
+        has_room: bool,
         now: Instant,
     ) -> PlaceReply {
+        let has_room = has_room && self.queue.len() < MAX_WAITING;
         request.need = request.need.bounded();
         if let Some(place) = self.places.get(&request.key) {
             return PlaceReply::Granted(place.grant.clone());
@@ -162,12 +173,17 @@
         let outlook = self.outlook(&waiting.request, &belief, now);
         let expected = outlook.wait(&belief, ahead.tokens);
         match refusal_rule::decide(&waiting, expected, now) {
+            WaitDecision::Wait if !has_room => {
+                self.refuse(&waiting, expected.max(refusal_rule::MIN_RETRY), now)
+            }
             WaitDecision::Wait => {
                 self.queue.push(waiting, now);
                 PlaceReply::Queued
             }
             // Those ahead may be waiting for other engines: the next tick tells.
-            WaitDecision::Refuse { .. } if ahead.requests >= 1.0 && outlook.fits_now() => {
+            WaitDecision::Refuse { .. }
+                if has_room && ahead.requests >= 1.0 && outlook.fits_now() =>
+            {
                 self.queue.push(waiting, now);
                 PlaceReply::Queued
             }
@@ -286,6 +302,16 @@
         }
     }
 
+    /// The number of rows of each table.
+    pub fn rows(&self) -> SchedulerRows {
+        SchedulerRows {
+            ended: self.ended.len(),
+            places: self.places.len(),
+            queue: self.queue.len(),
+            turns: self.turns.len(),
+        }
+    }
+
     /// The load of each engine.
     pub fn loads(&self, now: Instant) -> BTreeMap<UpstreamId, EngineLoad> {
         let mut loads = BTreeMap::new();
--- a/crates/sched/src/place_scheduler/reports.rs
+++ b/crates/sched/src/place_scheduler/reports.rs
@@ -1,7 +1,7 @@
 //! What instances report of their places.
 
 use {
-    super::PlaceScheduler,
+    super::{MAX_PLACES, PlaceScheduler},
     crate::{HeldStream, PlaceGrant, PlaceKey, granted_place::GrantedPlace},
     kernel::InstanceId,
     std::time::Instant,
@@ -46,6 +46,9 @@
             return;
         }
         if !self.places.contains_key(&stream.key) {
+            if self.places.len() >= MAX_PLACES {
+                return;
+            }
             self.add_held(from, stream, now);
         }
         if let Some(place) = self.places.get_mut(&stream.key) {
--- a/crates/sched/tests/place_scheduler.rs
+++ b/crates/sched/tests/place_scheduler.rs
@@ -452,3 +452,43 @@
     let reply = scheduler.submit(&instance(), late, later);
     assert!(!matches!(reply, PlaceReply::Elsewhere(_)), "{reply:?}");
 }
+
+// Guards against requests that are told to wait though nothing keeps them.
+#[test]
+fn a_request_without_room_to_wait_is_refused_with_the_time_of_its_place() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(1, 0, now);
+    let from = InstanceId::from("front-0");
+    let patient = |key: &str| PlaceRequest {
+        first_event_left: Duration::from_secs(60),
+        left: Duration::from_secs(60),
+        target_left: Duration::from_secs(60),
+        ..request(key)
+    };
+    let mut number = 0;
+    let queued = loop {
+        let key = format!("request-{number}");
+        number += 1;
+        match scheduler.submit(&from, patient(&key), now) {
+            PlaceReply::Granted(_) => {}
+            PlaceReply::Queued => break key,
+            other => panic!("{other:?}"),
+        }
+    };
+    let reply = scheduler.submit_bounded(&from, patient("late"), false, now);
+    let PlaceReply::Refused {
+        reason: RefusalReason::Late,
+        retry_after,
+    } = reply
+    else {
+        panic!("{reply:?}");
+    };
+    assert!(retry_after > Duration::ZERO, "{retry_after:?}");
+    assert_eq!(scheduler.rows().queue, 1);
+    let again = scheduler.submit_bounded(&from, patient(&queued), false, now);
+    assert_eq!(
+        again,
+        PlaceReply::Queued,
+        "one that waits keeps its position"
+    );
+}
--- a/crates/spread/src/place_server.rs
+++ b/crates/spread/src/place_server.rs
@@ -3,8 +3,8 @@
 use {
     crate::{PlaceCall, PlaceResult},
     kernel::InstanceId,
-    peer::PeerIncoming,
-    relay::SchedulerHost,
+    peer::{CallReply, PeerIncoming},
+    relay::{AskOutcome, SchedulerHost, SchedulerLife},
     sched::PlaceReply,
     std::time::Duration,
     tokio::sync::mpsc,
@@ -30,14 +30,16 @@
                     let Some(call) = read(&from.instance, &body) else {
                         continue;
                     };
-                    let host = self.host.clone();
-                    tokio::spawn(async move {
-                        let result = answer(&host, &from.instance, call).await;
-                        // Strings and numbers always serialise.
-                        if let Ok(body) = postcard::to_stdvec(&result) {
-                            reply.send(body.into());
+                    match answer(&self.host, &from.instance, call) {
+                        AskOutcome::Decided(life, decision) => send(reply, life, decision),
+                        // The host bounds how many of them there are.
+                        AskOutcome::Kept(call) => {
+                            tokio::spawn(async move {
+                                let (life, decision) = call.decision().await;
+                                send(reply, life, decision);
+                            });
                         }
-                    });
+                    }
                 }
                 PeerIncoming::Message { body, from } => {
                     if let Some(PlaceCall::Spare { scope, spare }) = read(&from.instance, &body) {
@@ -50,21 +52,28 @@
     }
 }
 
-async fn answer(host: &SchedulerHost, from: &InstanceId, call: PlaceCall) -> PlaceResult {
-    let (life, reply) = match call {
+fn answer(host: &SchedulerHost, from: &InstanceId, call: PlaceCall) -> AskOutcome {
+    let life = match call {
         PlaceCall::Submit {
             scope,
             request,
             wait,
-        } => host.submit(from, &scope, request, wait.min(MAX_WAIT)).await,
-        PlaceCall::Notes { scope, notes } => (host.note(from, &scope, notes), PlaceReply::Unknown),
-        PlaceCall::Probe => (0, PlaceReply::Unknown),
+        } => return host.ask(from, &scope, request, wait.min(MAX_WAIT)),
+        PlaceCall::Notes { scope, notes } => host.note(from, &scope, notes),
+        PlaceCall::Probe => 0,
         PlaceCall::Spare { scope, spare } => {
             host.note_spare(&scope, spare);
-            (0, PlaceReply::Unknown)
+            0
         }
     };
-    PlaceResult { life, reply }
+    AskOutcome::Decided(life, PlaceReply::Unknown)
+}
+
+fn send(to: CallReply, life: SchedulerLife, reply: PlaceReply) {
+    // Strings and numbers always serialise.
+    if let Ok(body) = postcard::to_stdvec(&PlaceResult { life, reply }) {
+        to.send(body.into());
+    }
 }
 
 fn read(from: &InstanceId, body: &[u8]) -> Option<PlaceCall> {
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -34,6 +34,8 @@
 /// The share of the memory for bodies that wait for slow readers. The list of upstreams, connections and the allocator's
 /// reserve take the rest.
 const BUFFER_SHARE: f64 = 0.25;
+/// The share of the memory for requests that wait for the schedulers of this instance.
+const WAITING_SHARE: f64 = 1.0 / 16.0;
 const ADMIN_CLOSE_LIMIT: Duration = Duration::from_millis(200);
 const POOL_CLOSE_LIMIT: Duration = Duration::from_millis(200);
 /// The condition that the instance knows the customers' keys that are in force.
@@ -189,6 +191,7 @@
         )));
         map.insert(Arc::new(core.software.clone()));
         map.insert(Arc::new(core.places.clone()));
+        core.schedulers.bound(waiting_bytes(&settings.capacity));
         map.insert(Arc::new(core.schedulers.clone()));
         map.insert(core.upstreams.clone());
         PluginEntry::register_metrics(&map, &registry);
@@ -269,6 +272,11 @@
         .build()
 }
 
+/// The part of the memory that requests may take while they wait for the schedulers of this instance, bytes.
+fn waiting_bytes(capacity: &RelayCapacity) -> usize {
+    (capacity.memory_mb * WAITING_SHARE * BYTES_PER_MB) as usize
+}
+
 /// The part of the memory that bodies may take while they wait for slow readers, bytes.
 fn buffer_bytes(capacity: &RelayCapacity) -> usize {
     (capacity.memory_mb * BUFFER_SHARE * BYTES_PER_MB) as usize
