--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -92,6 +92,15 @@
 }
 
 impl PeerEndpoint {
+    /// The number of connections that peers opened to this instance, with those that were closed and still take memory.
+    pub fn accepted_count(&self) -> usize {
+        let accepted = self
+            .accepted
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        accepted.len()
+    }
+
     /// The addresses of the peers.
     pub fn addresses(&self) -> &AddressTable {
         &self.addresses
@@ -311,8 +320,14 @@
         match connection.send_datagram(message.clone()) {
             Ok(()) => {}
             Err(SendDatagramError::TooLarge) => {
-                let connection = connection.clone();
-                self.pool.spawn(send_stream(connection, message));
+                let sending = send_stream(connection.clone(), message);
+                let limit = self.settings.call_timeout;
+                let dropped = self.metrics.dropped.clone();
+                self.pool.spawn(async move {
+                    if tokio::time::timeout(limit, sending).await.is_err() {
+                        dropped.inc();
+                    }
+                });
             }
             Err(_) => self.metrics.dropped.inc(),
         }
--- a/crates/spread/src/place_exchange.rs
+++ b/crates/spread/src/place_exchange.rs
@@ -1,12 +1,12 @@
 //! Passes requests for decode places and reports of places to the schedulers of the availability zone.
 //!
-//! The scheduler of a cell is the first live instance of its zone by rendezvous hashing, so all instances choose the same
-//! one without agreeing on it. While their views differ there are two, and the engines decide between their grants.
+//! The scheduler of a cell is the first live instance of its zone, by capacity and then by rendezvous hashing, so all
+//! instances choose the same one without agreeing on it. While their views differ there are two, and the engines decide between their grants.
 
 use {
     crate::{MemberRow, PLACE_TAG, PlaceCall, PlaceResult, SilentSchedulers},
-    kernel::{InstanceId, LockRank, RankedLock, ZoneId, seeded_rng, steady_clock},
-    peer::PeerEndpoint,
+    kernel::{InstanceId, LockRank, RankedLock, ZoneId, steady_clock},
+    peer::{PeerEndpoint, PeerError},
     relay::{
         FleetView, PlaceAnswer, PlaceClient, PlaceJob, PlaceScope, SchedulerHost, SchedulerLife,
     },
@@ -130,12 +130,10 @@
     fn scheduler(&self, scope: &PlaceScope) -> Option<InstanceId> {
         let fleet = self.fleet.members();
         let silent = self.silent.lock();
-        let candidates = fleet.iter().filter(|member| {
-            let is_own = member.instance == self.own.instance;
-            member.zone == scope.zone && (is_own || !silent.is_silent(&member.instance))
-        });
-        let names = candidates.map(|member| &member.instance);
-        seeded_rng::rendezvous(&scope.scheduler_key(), names).cloned()
+        let own = &self.own.instance;
+        let is_excluded = |name: &InstanceId| name != own && silent.is_silent(name);
+        let key = scope.scheduler_key();
+        fleet.carrier(&scope.zone, &key, is_excluded).cloned()
     }
 
     async fn submit(
@@ -315,12 +313,12 @@
     }
 
     async fn probe(&self, instance: &InstanceId) {
-        if self
-            .call(instance, &PlaceCall::Probe, NOTES_TIMEOUT)
-            .await
-            .is_some()
-        {
+        let answer = self.call(instance, &PlaceCall::Probe, NOTES_TIMEOUT).await;
+        if answer.is_some() {
             tracing::info!(%instance, "a silent instance answers calls about places again");
+        } else if self.silent.lock().is_silent(instance) {
+            // Another process may have its address by now.
+            self.endpoint.forget(instance);
         }
     }
 
@@ -333,13 +331,14 @@
     ) -> Option<PlaceResult> {
         // Strings and numbers always serialise.
         let body = postcard::to_stdvec(call).ok()?;
-        let endpoint = self.endpoint.clone();
-        let instance = to.clone();
-        // A task of its own: a connection that takes longer than the limit still serves the next call.
-        let calling = tokio::spawn(async move { endpoint.call(&instance, PLACE_TAG, &body).await });
+        let calling = self.endpoint.call(to, PLACE_TAG, &body);
         let answer = match time::timeout(limit, calling).await {
-            Ok(Ok(Ok(answer))) => postcard::from_bytes(&answer).map_err(|error| error.to_string()),
-            Ok(Ok(Err(error))) => Err(error.to_string()),
+            Ok(Ok(answer)) => postcard::from_bytes(&answer).map_err(|error| error.to_string()),
+            // Its connection works, and it may well answer the calls that it has.
+            Ok(Err(error @ PeerError::Busy { .. })) => {
+                tracing::debug!(scheduler = %to, %error, "a scheduler has too much to do");
+                return None;
+            }
             Ok(Err(error)) => Err(error.to_string()),
             Err(_) => Err("no answer in time".to_owned()),
         };
@@ -350,11 +349,11 @@
                 Some(result)
             }
             Err(detail) => {
-                silent.note_silence(to, steady_clock::now());
-                let is_silent = silent.is_silent(to);
+                let is_new = silent.note_silence(to, steady_clock::now());
                 drop(silent);
-                tracing::debug!(scheduler = %to, detail, is_silent, "a scheduler did not answer");
-                if is_silent {
+                tracing::debug!(scheduler = %to, detail, is_new, "a scheduler did not answer");
+                // Once for all calls that fail together: each connection that is given up takes memory at both ends.
+                if is_new {
                     self.endpoint.forget(to);
                 }
                 None
