relay: an idle timeout beyond all clocks does not end a caller's connection

What callers see: the connection closes without an answer, although the upstream has answered.

Cause: the pool adds the time that an upstream states in Keep-Alive to the clock. A number of seconds that no clock holds, which is any whole number up to 2^64, made the addition panic. For plain services that happens in the task of the caller's connection, so that the answer is lost; for reservations and readings of prompts in the same task, and for streams after their end.

Found by reading what a request can reach that panics. Ruled out besides: no unwrap, expect or panic on the request path but for metrics at the start; Retry-After, Server-Limit, X-Deadline-Ms and X-Token-Usage are bounded or saturate.

Mend: an idle connection is kept for an hour at most.

Evidence: an_idle_timeout_beyond_all_clocks_does_not_cost_the_answer is red before (status 0 in place of 200) and green now.

--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -36,6 +36,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Subtracted from the idle timeout that a server states, to cover network latency and the granularity of its timer.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// How long an idle connection is kept at most, whatever its server states.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
 /// Maximum number of idle connections per peer.
 const MAX_IDLE_PER_PEER: usize = 16;
 
@@ -174,7 +176,7 @@
         if idle.is_zero() {
             return;
         }
-        let until = steady_clock::now() + idle;
+        let until = steady_clock::now() + idle.min(MAX_IDLE_TIME);
         let mut table = self.idle.lock();
         let connections = table.entry(key.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_PEER {
--- a/crates/trestlewalk/tests/relay_answers.rs
+++ b/crates/trestlewalk/tests/relay_answers.rs
@@ -261,3 +261,27 @@
     assert_eq!(run.call("POST", "/t/1", "order").await.status(), 503);
     assert_eq!(runs(&run), before);
 }
+
+// Guards against a time that an upstream states and that no clock can hold: adding it ended the task of the caller's
+// connection, which closed without the answer.
+#[tokio::test]
+async fn an_idle_timeout_beyond_all_clocks_does_not_cost_the_answer() {
+    let longest = u64::MAX.to_string();
+    let run = plain_run("unsafe", 1, 1).await;
+    run.upstreams[0].state_idle_timeout(&longest);
+    for _ in 0..3 {
+        let reply = run.call("POST", "/t/1", "order").await;
+        assert_eq!((reply.status(), reply.whole), (200, true));
+    }
+    let run = RelayTest::new()
+        .engines("redactor", 1, 1)
+        .route("/note/", "streaming", "redactor", &json!({}))
+        .start_ready()
+        .await;
+    let upstreams = run.upstreams.iter();
+    upstreams.for_each(|upstream| upstream.state_idle_timeout(&longest));
+    for _ in 0..3 {
+        let reply = run.stream("/note/1").await;
+        assert_eq!((reply.status(), reply.whole), (200, true));
+    }
+}
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -122,6 +122,8 @@
     /// The requests that crash the upstream.
     pub crashes_on: Option<CrashTrigger>,
     pub held: usize,
+    /// How long it keeps idle connections, as its answers state it.
+    pub idle_timeout: Option<String>,
     pub kind: UpstreamKind,
     /// How many second copies were sent.
     pub late_answers: usize,
@@ -176,6 +178,7 @@
                 copied_answers: 0,
                 crashes_on: None,
                 held: 0,
+                idle_timeout: None,
                 kind,
                 late_answers: 0,
                 late_refusals: HashMap::new(),
@@ -253,9 +256,17 @@
         if let Some(leaving) = &state.leaving {
             lines += &format!("Server-Leaving: {leaving}\r\n");
         }
+        if let Some(seconds) = &state.idle_timeout {
+            lines += &format!("Keep-Alive: timeout={seconds}\r\n");
+        }
         lines
     }
 
+    /// States in its answers how many seconds it keeps idle connections.
+    pub fn state_idle_timeout(&self, seconds: &str) {
+        self.state.lock().unwrap().idle_timeout = Some(seconds.to_owned());
+    }
+
     /// States in its answers that it leaves; its row in the list stays as it is.
     pub fn state_leaving(&self, value: &str) {
         self.state.lock().unwrap().leaving = Some(value.to_owned());
