relay: a request that has arrived goes before the end of its idle connection

What callers see: a kept connection closes without an answer although the request was sent well within the idle timeout, or before a closing instance began to close idle connections.

Cause: after a pause of the process (a frozen host, a stopped process) the runtime may notice the timeout, or the time after a signal, before it has asked the kernel what has arrived: the wait for events ends early when the process goes on. The connection then counted as idle and was closed with the request unread.

Ruled out: a fixed order of the branches that are waited for, with the connection first. It was tried first, and both tests stayed red, since the connection does not know of the bytes yet.

Mend: before an idle connection is closed, the runtime asks the kernel once and the connection takes what is there.

--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -10,13 +10,15 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     kernel::ShutdownSignal,
     std::{
+        future::poll_fn,
         pin::{Pin, pin},
         sync::Arc,
+        task::Poll,
         time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        task::JoinHandle,
+        task::{self, JoinHandle},
         time,
     },
     tokio_util::task::TaskTracker,
@@ -163,17 +165,33 @@
                 () = self.stopping.raised() => break,
                 () = time::sleep(left) => {
                     idle_limit = self.idle_limit();
-                    if activity.idle_left(idle_limit).is_zero() {
+                    if !activity.idle_left(idle_limit).is_zero() {
+                        continue;
+                    }
+                    if take_arrived(connection.as_mut()).await {
+                        return;
+                    }
+                    if activity.is_idle() {
                         break;
                     }
                 }
             }
         }
+        if take_arrived(connection.as_mut()).await {
+            return;
+        }
         connection.as_mut().graceful_shutdown();
         end_idle(connection, &activity).await;
     }
 }
 
+/// Takes a request that has arrived by now: after a pause of the process the runtime may notice a timeout or a signal before
+/// it. Returns whether the connection has ended.
+async fn take_arrived(mut connection: Pin<&mut impl Future>) -> bool {
+    task::yield_now().await;
+    poll_fn(|context| Poll::Ready(connection.as_mut().poll(context).is_ready())).await
+}
+
 /// Waits for the request in progress. A connection without one is closed without waiting for the caller.
 async fn end_idle(mut connection: Pin<&mut impl Future>, activity: &ConnectionActivity) {
     loop {
--- a/crates/trestlewalk/tests/relay_close.rs
+++ b/crates/trestlewalk/tests/relay_close.rs
@@ -4,7 +4,10 @@
 mod support;
 
 use {
-    relay_support::{Caller, RelayRun, RelayTest, UpstreamMode, caller::request_text},
+    relay_support::{
+        Caller, RelayRun, RelayTest, UpstreamMode,
+        caller::{fresh_id, request_text},
+    },
     rustix::process::Signal,
     serde_json::json,
     std::time::Duration,
@@ -12,6 +15,9 @@
     tokio::time,
 };
 
+/// Connections on which a request meets a choice between two events.
+const CONNECTIONS: usize = 12;
+
 /// An answer far larger than what the kernel buffers of a connection.
 const LARGE_BYTES: usize = 12 << 20;
 
@@ -164,3 +170,63 @@
     assert!(reply.header("retry-after").is_some());
     assert_eq!(run.upstreams[0].runs().len(), 1);
 }
+
+/// Connections on each of which one request was answered.
+async fn used_connections(run: &RelayRun) -> Vec<Caller> {
+    let mut callers = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut caller = run.caller().await;
+        caller.write(&next_request()).await;
+        assert_eq!(caller.read().await.status(), 200);
+        callers.push(caller);
+    }
+    callers
+}
+
+fn next_request() -> String {
+    request_text("POST", "/t/1", &fresh_id(), "", "x")
+}
+
+// Guards against the end of the idle timeout and a request that are noticed in the same moment, as after a pause of the host:
+// the connection was closed with the request unread.
+#[tokio::test]
+async fn a_request_within_the_idle_timeout_is_answered_although_the_process_stood_still() {
+    let run = run_with_idle_timeout().await;
+    let mut callers = used_connections(&run).await;
+    run.process.pause().await;
+    for caller in &mut callers {
+        caller.write(&next_request()).await;
+    }
+    time::sleep(Duration::from_secs(1)).await;
+    run.process.signal(Signal::CONT);
+    for caller in &mut callers {
+        assert_eq!(caller.read().await.status(), 200);
+    }
+}
+
+// The same with the end of the time in which a closing instance serves new requests.
+#[tokio::test]
+async fn a_request_that_came_before_idle_connections_are_closed_gets_an_answer() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .settle("3s")
+        .start_ready()
+        .await;
+    let mut callers = used_connections(&run).await;
+    run.process.signal(Signal::TERM);
+    wait_until("the instance is not ready", async || {
+        run.ready_status().await == 503
+    })
+    .await;
+    run.process.pause().await;
+    for caller in &mut callers {
+        caller.write(&next_request()).await;
+    }
+    time::sleep(Duration::from_secs(4)).await;
+    run.process.signal(Signal::CONT);
+    for caller in &mut callers {
+        let status = caller.read().await.status();
+        assert!([200, 503].contains(&status), "{status}");
+    }
+}
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -32,6 +32,7 @@
     regions: &'static str,
     routes: Vec<Value>,
     services: Vec<Value>,
+    settle: &'static str,
     software: Vec<(String, String)>,
     upstreams: Vec<(String, String, UpstreamKind)>,
 }
@@ -63,6 +64,7 @@
             regions: "{}",
             routes: Vec::new(),
             services: Vec::new(),
+            settle: "50ms",
             software: Vec::new(),
             upstreams: Vec::new(),
         }
@@ -158,6 +160,12 @@
         self
     }
 
+    /// Sets how long a closing instance serves new requests.
+    pub fn settle(mut self, time: &'static str) -> Self {
+        self.settle = time;
+        self
+    }
+
     /// Sets the software version of an upstream.
     pub fn software(mut self, id: &str, version: &str) -> Self {
         self.software.push((id.to_owned(), version.to_owned()));
@@ -232,13 +240,14 @@
              platform: {{address: '{store}', list_poll: 50ms, poll: {}, timeout: 2s}}\n\
              placement: {{min_engines: 1}}\n\
              retries: {{ratio: {}, window: 10s}}\n\
-             close: {{settle: 50ms, limit: 20s}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
+             close: {{settle: {}, limit: 20s}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n\
              customers: {{revoked_within: {}}}\n",
             self.regions,
             self.memory_mb,
             self.poll,
             self.ratio,
+            self.settle,
             self.heartbeat,
             self.orders,
             self.revoked_within
