relay: a closing instance answers the first request of a new connection

What callers see: a connection to an instance that closes is accepted and ends at once, without a word on whether the request was run, in place of a refusal as not run with a time to come back.

Cause: once idle connections are closed, a connection without any request is closed as soon as it is accepted, and the request arrives a moment later.

--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -31,7 +31,8 @@
 /// A caller's connection counts as lost after this time without an acknowledgement. Distant callers and lossy links
 /// need a few retransmissions.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a connection may take to shut down before its state is checked again.
+/// How long a connection may take to shut down before its state is checked again, and how long one without any request
+/// is kept for the first.
 const CLOSE_GRACE: Duration = Duration::from_millis(300);
 
 /// The running server.
@@ -180,6 +181,13 @@
         if take_arrived(connection.as_mut()).await {
             return;
         }
+        if activity.is_unused()
+            && time::timeout(CLOSE_GRACE, connection.as_mut())
+                .await
+                .is_ok()
+        {
+            return;
+        }
         connection.as_mut().graceful_shutdown();
         end_idle(connection, &activity).await;
     }
--- a/crates/relay/src/connection_activity.rs
+++ b/crates/relay/src/connection_activity.rs
@@ -17,6 +17,8 @@
     /// Whether the server may still hold a part of an answer that it has taken in full.
     has_unwritten: bool,
     idle_since: Instant,
+    /// Whether no request has come yet.
+    is_unused: bool,
     open: u32,
 }
 
@@ -41,7 +43,10 @@
 impl ConnectionActivity {
     /// Marks the start of a request.
     pub fn begin(self: Arc<Self>) -> ActiveRequest {
-        self.state.lock().open += 1;
+        let mut state = self.state.lock();
+        state.is_unused = false;
+        state.open += 1;
+        drop(state);
         ActiveRequest { activity: self }
     }
 
@@ -50,11 +55,17 @@
         self.state.lock().is_idle()
     }
 
+    /// Whether no request has come yet.
+    pub fn is_unused(&self) -> bool {
+        self.state.lock().is_unused
+    }
+
     /// A connection that is idle from now on.
     pub fn new() -> Self {
         let state = ActivityState {
             has_unwritten: false,
             idle_since: steady_clock::now(),
+            is_unused: true,
             open: 0,
         };
         Self {
--- a/crates/trestlewalk/tests/relay_close.rs
+++ b/crates/trestlewalk/tests/relay_close.rs
@@ -230,3 +230,33 @@
         assert!([200, 503].contains(&status), "{status}");
     }
 }
+
+// Guards against a closing instance that ends a new connection before the request on it arrives, so that its caller does not
+// learn that the request was not run.
+#[tokio::test]
+async fn requests_on_new_connections_to_a_closing_instance_are_refused() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    let mut idle = run.caller().await;
+    // A long request keeps the process running.
+    run.upstreams[0].set(UpstreamMode::Slow(Duration::from_secs(15)));
+    let mut busy = run.caller().await;
+    let more = "X-Deadline-Ms: 60000\r\n";
+    busy.write(&request_text("POST", "/t/1", "0001", more, "x"))
+        .await;
+    wait_until("the request runs", async || {
+        run.upstreams[0].runs().len() == 1
+    })
+    .await;
+    run.process.signal(Signal::TERM);
+    assert!(idle.ends().await);
+    for _ in 0..CONNECTIONS {
+        let mut caller = run.caller().await;
+        time::sleep(Duration::from_millis(20)).await;
+        caller.write(&next_request()).await;
+        assert_eq!(caller.read().await.status(), 503);
+    }
+}
