Reports of crashed upstreams: a bound for each request and for what an instance keeps

An instance puts all reports of the last 5 s into its request for news. Every instance also kept every report of the whole fleet for 600 s; one lost run makes up to 65 (one for itself, 64 for parts of its prompt), so that a hundred engines with twenty such runs each make 130,000.

Cause: two collections that remote input fills, without a limit. Class: a table that grows with the traffic of the whole fleet at every instance.

Change: at most 2,048 reports in a request, those learned last; the finder and the readers write the others to the store as before. An evicted report is not removed from the store, since a removal clears it for everybody.

The three others of the file are unchanged and green before and after.

--- a/crates/spread/src/report_journal.rs
+++ b/crates/spread/src/report_journal.rs
@@ -9,6 +9,7 @@
     kernel::{Incarnation, UpstreamId},
     policy::{AgedReport, CrashMark, CrashReport, SuspectId},
     std::{
+        cmp::Reverse,
         collections::BTreeMap,
         time::{Duration, Instant},
     },
@@ -19,6 +20,14 @@
 /// instances.
 const FORWARD_WINDOW: Duration = Duration::from_secs(5);
 
+/// Maximum number of reports in one request: at about 40 bytes each a third of what a message may
+/// have.
+const MAX_FORWARDED: usize = 2_048;
+
+/// Maximum number of reports kept; those made longest ago are evicted first. Every instance keeps
+/// what all of them report.
+const MAX_ROWS: usize = 16_384;
+
 /// How long a reader waits for the instance that found a crash to write the report before writing
 /// it itself.
 const WRITE_GRACE: Duration = Duration::from_millis(500);
@@ -45,12 +54,15 @@
     since: Instant,
 }
 
+/// Identifies a report.
+type ReportKey = (SuspectId, UpstreamId);
+
 /// Known reports; each has the revision of its last change.
 #[derive(Clone, Debug)]
 pub struct ReportJournal {
     retention: Duration,
     position: JournalPosition,
-    rows: BTreeMap<(SuspectId, UpstreamId), JournalRow>,
+    rows: BTreeMap<ReportKey, JournalRow>,
 }
 
 impl ReportJournal {
@@ -104,7 +116,7 @@
         let is_new = |row: &JournalRow| row.revision > have;
         ReportUpdate {
             position: self.position,
-            reports: self.aged_reports(is_new, now),
+            reports: aged_reports(self.rows_where(is_new), now),
         }
     }
 
@@ -135,16 +147,23 @@
             };
             self.rows.insert(key, row);
         }
+        self.evict_oldest();
         self.position.revision == revision
     }
 
-    /// Recent reports that the reader may not have, to be sent with a request.
+    /// Recent reports that the reader may not have, to be sent with a request; of too many, those
+    /// learned last.
     pub fn to_forward(&self, now: Instant) -> Vec<AgedReport> {
         let is_recent = |row: &JournalRow| {
             row.origin == ReportOrigin::Instance
                 && now.saturating_duration_since(row.learned_at) < FORWARD_WINDOW
         };
-        self.aged_reports(is_recent, now)
+        let mut rows: Vec<_> = self.rows_where(is_recent).collect();
+        if rows.len() > MAX_FORWARDED {
+            rows.select_nth_unstable_by_key(MAX_FORWARDED, |(_, row)| Reverse(row.learned_at));
+            rows.truncate(MAX_FORWARDED);
+        }
+        aged_reports(rows, now)
     }
 
     /// Reports that the store still lacks after a grace period: the instance that found the crash
@@ -153,7 +172,7 @@
         let is_due = |row: &JournalRow| {
             !row.is_stored && now.saturating_duration_since(row.learned_at) >= WRITE_GRACE
         };
-        let reports = self.aged_reports(is_due, now).into_iter();
+        let reports = aged_reports(self.rows_where(is_due), now).into_iter();
         reports.map(|aged| aged.report).collect()
     }
 
@@ -171,26 +190,48 @@
         }
     }
 
-    fn mark_row_stored(&mut self, key: &(SuspectId, UpstreamId)) {
+    fn evict_oldest(&mut self) {
+        let surplus = self.rows.len().saturating_sub(MAX_ROWS);
+        if surplus == 0 {
+            return;
+        }
+        let mut rows: Vec<_> = self
+            .rows
+            .iter()
+            .map(|(key, row)| (row.since, key.clone()))
+            .collect();
+        rows.select_nth_unstable(surplus - 1);
+        for (_, key) in &rows[..surplus] {
+            self.rows.remove(key);
+        }
+    }
+
+    fn mark_row_stored(&mut self, key: &ReportKey) {
         if let Some(row) = self.rows.get_mut(key) {
             row.is_stored = true;
         }
     }
 
-    fn aged_reports(
+    fn rows_where(
         &self,
         is_wanted: impl Fn(&JournalRow) -> bool,
-        now: Instant,
-    ) -> Vec<AgedReport> {
-        let rows = self.rows.iter().filter(|(_, row)| is_wanted(row));
-        let reports = rows.map(|((suspect, upstream), row)| AgedReport {
-            age: now.saturating_duration_since(row.since),
-            report: CrashReport {
-                suspect: *suspect,
-                mark: row.mark,
-                upstream: upstream.clone(),
-            },
-        });
-        reports.collect()
+    ) -> impl Iterator<Item = (&ReportKey, &JournalRow)> {
+        self.rows.iter().filter(move |(_, row)| is_wanted(row))
     }
 }
+
+fn aged_reports<'a>(
+    rows: impl IntoIterator<Item = (&'a ReportKey, &'a JournalRow)>,
+    now: Instant,
+) -> Vec<AgedReport> {
+    let rows = rows.into_iter();
+    let reports = rows.map(|((suspect, upstream), row)| AgedReport {
+        age: now.saturating_duration_since(row.since),
+        report: CrashReport {
+            suspect: *suspect,
+            mark: row.mark,
+            upstream: upstream.clone(),
+        },
+    });
+    reports.collect()
+}
--- a/crates/spread/tests/report_journal.rs
+++ b/crates/spread/tests/report_journal.rs
@@ -1,6 +1,7 @@
 //! Crash reports that an instance passes on to others.
 
 use {
+    peer::PeerSettings,
     policy::{AgedReport, CrashMark, CrashReport, RequestContent, SuspectId},
     spread::{ReportJournal, ReportOrigin},
     std::time::{Duration, Instant},
@@ -119,3 +120,45 @@
     );
     assert!(!is_new);
 }
+
+/// One report of each of `count` upstreams, made `age` seconds ago.
+fn storm(name: &str, count: usize, age: u64) -> Vec<AgedReport> {
+    let report = |index| aged(&format!("i-{name}-{index:08}"), CrashMark::Early, age);
+    (0..count).map(report).collect()
+}
+
+// Guards against an instance that gets no news while many upstreams crash: its request has all recent reports, and one
+// that is larger than a message is not sent.
+#[test]
+fn the_reports_in_a_request_fit_into_a_message_whatever_was_reported() {
+    let now = Instant::now();
+    let mut journal = ReportJournal::new(7, RETENTION);
+    journal.apply(&storm("a", 10_000, 0), ReportOrigin::Instance, now);
+    let later = now + Duration::from_secs(1);
+    let latest = storm("b", 100, 0);
+    journal.apply(&latest, ReportOrigin::Instance, later);
+    let forwarded = journal.to_forward(later);
+    let bytes = postcard::to_stdvec(&forwarded).unwrap().len();
+    let limit = PeerSettings::default().message_limit;
+    assert!(bytes < limit / 2, "{bytes} of {limit} bytes");
+    let has = |report: &AgedReport| forwarded.iter().any(|sent| sent.report == report.report);
+    assert!(latest.iter().all(has), "those learned last go first");
+}
+
+// Guards against memory that grows with the crashes of the whole fleet: every instance keeps every report for ten
+// minutes, and sends all of them to one that starts.
+#[test]
+fn reports_beyond_a_bound_evict_those_made_longest_ago() {
+    let now = Instant::now();
+    let mut journal = ReportJournal::new(7, RETENTION);
+    journal.apply(&storm("old", 1_000, 300), ReportOrigin::Store, now);
+    for part in 0..20 {
+        let reports = storm(&format!("{part}"), 1_000, 0);
+        journal.apply(&reports, ReportOrigin::Store, now);
+    }
+    let kept = journal.updates_since(None, now).reports;
+    assert!(kept.len() <= 16_384, "{} reports", kept.len());
+    assert!(kept.len() > 16_000, "{} reports", kept.len());
+    let is_old = |kept: &AgedReport| kept.report.upstream.starts_with("i-old");
+    assert_eq!(kept.iter().filter(|kept| is_old(kept)).count(), 0);
+}
