The software versions of each service outlast all instances

Cause by reading: the versions are in the memory of processes only, all of which had just started, took what they listed as all there is and confirmed it to each other; after an outage the list lacks upstreams whose rows lapsed.

A row under the prefix of the directory, which each start reads anyway, keeps the versions of each service, and when the last upstream of each left by the store's clock. A reader of the list writes it, on condition that it is unchanged, before the list is passed on: no stream begins at a version that the store does not know of, unless that write fails. With one version there is no call: the row is written along with the members. An instance's list is complete if this process has read the row, in the store's present era, and a list after it, or has followed the list for 30 s. One version proves something only with a complete list here or at one that answers.

Remains: a write that fails while the list is read, followed by a kill of all, loses the version; a first list read in pages counts as whole.

--- a/crates/plat/src/row_store.rs
+++ b/crates/plat/src/row_store.rs
@@ -3,7 +3,11 @@
 use {
     crate::{instance_record::InstanceRecord, plat_error::PlatError},
     serde::{Deserialize, Serialize},
-    std::{future::Future, sync::Arc},
+    std::{
+        future::Future,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// A stored row.
@@ -84,6 +88,11 @@
     fn epoch(&self) -> Option<u64> {
         None
     }
+    /// The service's own steady clock at a local time; `None` before the first answer, and for a service without one.
+    fn clock(&self, at: Instant) -> Option<Duration> {
+        let _ = at;
+        None
+    }
     /// Commits a transaction.
     fn commit(
         &self,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod retry_window;
 pub mod slot_hold_time;
 pub mod software_history;
+pub mod software_memory;
 pub mod software_note;
 pub mod software_report;
 pub mod stage_planner;
@@ -102,6 +103,7 @@
     retry_window::{RetryBounds, RetryWindow},
     slot_hold_time::SlotHoldTime,
     software_history::SoftwareHistory,
+    software_memory::SoftwareMemory,
     software_note::{SoftwareNote, StreamKey, stream_key},
     software_report::SoftwareReport,
     stage_planner::{StageChange, StageGoal, StagePlanner},
--- a/crates/policy/src/software_history.rs
+++ b/crates/policy/src/software_history.rs
@@ -1,7 +1,7 @@
 //! The software versions that the list of upstreams named lately. Free of I/O; times are passed in.
 
 use {
-    crate::UpstreamRecord,
+    crate::{SoftwareMemory, UpstreamRecord},
     kernel::{ServiceId, SoftwareVersion},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -19,6 +19,12 @@
     listed_at: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, Instant>>,
     /// When the last list was applied.
     applied_at: Option<Instant>,
+    /// When the first list was applied.
+    followed_since: Option<Instant>,
+    /// When the store was read for the newest list.
+    read_at: Option<Instant>,
+    /// When the store's memory of the versions was first known to this process.
+    remembered_at: Option<Instant>,
 }
 
 impl SoftwareHistory {
@@ -38,6 +44,72 @@
         }
         self.listed_at.retain(|_, versions| !versions.is_empty());
         self.applied_at = Some(now);
+        self.followed_since.get_or_insert(now);
+    }
+
+    /// Whether no version of the last [`RETENTION`] can be missing here: this process has followed the list for that long,
+    /// or knows the store's memory and a list that was read after it.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let is_followed = self
+            .followed_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= RETENTION);
+        let is_remembered = self.remembered_at.is_some() && self.read_at >= self.remembered_at;
+        is_followed || is_remembered
+    }
+
+    /// Records when the store was read for a list.
+    pub fn note_read(&mut self, read: Instant) {
+        self.read_at = self.read_at.max(Some(read));
+    }
+
+    /// Adds the versions in the store's memory, which was read at the local time `now` and at `clock` of the store's own
+    /// clock; `era` is the store's era. `None` for a store that has no memory.
+    pub fn remember(
+        &mut self,
+        memory: Option<&SoftwareMemory>,
+        era: u64,
+        clock: Option<Duration>,
+        now: Instant,
+    ) {
+        for (service, software, gone_for) in
+            memory.into_iter().flat_map(|memory| memory.rows(clock))
+        {
+            let Some(listed_at) = now.checked_sub(gone_for) else {
+                continue;
+            };
+            if !is_recent(listed_at, now) {
+                continue;
+            }
+            let versions = self.listed_at.entry(service.clone()).or_default();
+            let known = versions.entry(software.clone()).or_insert(listed_at);
+            *known = listed_at.max(*known);
+        }
+        if memory.map_or(0, |memory| memory.era) == era {
+            self.remembered_at.get_or_insert(now);
+        }
+    }
+
+    /// For each version of a service that is listed, or was lately, how long ago its last upstream left the list; `None`
+    /// while it is listed.
+    pub fn ages(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&ServiceId, &SoftwareVersion, Option<Duration>)> {
+        let services = self.listed_at.iter();
+        let rows = services.flat_map(|(service, rows)| {
+            rows.iter()
+                .map(move |(software, at)| (service, software, *at))
+        });
+        let applied_at = self.applied_at;
+        rows.filter_map(move |(service, software, at)| {
+            let is_listed = Some(at) == applied_at;
+            let age = now.saturating_duration_since(at);
+            (is_listed || is_recent(at, now)).then_some((
+                service,
+                software,
+                (!is_listed).then_some(age),
+            ))
+        })
     }
 
     /// Whether several versions of a service were listed lately.
--- a/crates/policy/src/store_clock.rs
+++ b/crates/policy/src/store_clock.rs
@@ -34,6 +34,13 @@
         (anchor.at + elapsed).clamp(asked, received)
     }
 
+    /// The clock of the store at a local time. It is too late by the time that the store took for an answer at most; `None`
+    /// before the first answer.
+    pub fn store_time(&self, at: Instant) -> Option<Duration> {
+        let anchor = self.anchor?;
+        Some(anchor.store + at.saturating_duration_since(anchor.at))
+    }
+
     /// Records an answer that the store sent without delay. It replaces earlier ones, since clocks drift.
     pub fn note_answer(&mut self, store: Duration, asked: Instant) {
         self.anchor = Some(ClockAnchor { at: asked, store });
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -261,6 +261,7 @@
     /// Sets when the current list was read from the store.
     pub fn set_list_time(&mut self, read: Instant) {
         self.read_at = Some(read);
+        self.software.note_read(read);
     }
 
     /// The age of the current list; zero before the first one.
--- a/crates/policy/tests/software.rs
+++ b/crates/policy/tests/software.rs
@@ -3,8 +3,8 @@
 use {
     kernel::{InstanceId, SoftwareVersion},
     policy::{
-        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareHistory, SoftwareNote,
-        SoftwareReport, UpstreamRecord, UpstreamStage, stream_key,
+        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareHistory, SoftwareMemory,
+        SoftwareNote, SoftwareReport, UpstreamRecord, UpstreamStage, stream_key,
     },
     std::{
         collections::BTreeSet,
@@ -46,6 +46,7 @@
 fn report(began: Option<&str>, versions: &[&str]) -> SoftwareReport {
     SoftwareReport {
         began: began.map(SoftwareVersion::from),
+        is_complete: true,
         versions: versions
             .iter()
             .copied()
@@ -180,6 +181,104 @@
     }
 }
 
+/// Guards against instances that have all just started, and confirm to each other what they list so far.
+#[test]
+fn one_version_proves_nothing_where_no_list_is_complete() {
+    let incomplete = |began| SoftwareReport {
+        is_complete: false,
+        ..report(began, &["v1"])
+    };
+    let resolved = incomplete(None).resolve(false, &[incomplete(None)]);
+    assert_eq!(resolved, None);
+    assert_eq!(incomplete(None).resolve(true, &[]), None);
+    for began in [Some("v1"), None] {
+        let others = [incomplete(None), report(began, &["v1"])];
+        let resolved = incomplete(None).resolve(false, &others);
+        assert_eq!(resolved.as_deref(), Some("v1"));
+    }
+}
+
+/// Guards against a list that is taken for complete by an instance that knows nothing of the time before its start.
+#[test]
+fn a_list_is_complete_with_the_stores_memory_or_after_the_retention() {
+    let start = Instant::now();
+    let list = [record("a", "v2")];
+    let memory = |era| SoftwareMemory {
+        era,
+        left_ms: [("s".into(), [("v1".into(), None)].into())].into(),
+    };
+    let started = |known: Option<SoftwareMemory>, era| {
+        let mut history = SoftwareHistory::default();
+        history.remember(known.as_ref(), era, None, start);
+        history.apply(&list, start + SECOND);
+        history
+    };
+    let mut history = started(Some(memory(0)), 0);
+    assert!(
+        !history.is_complete(start + SECOND),
+        "the list was read before"
+    );
+    history.note_read(start);
+    assert!(history.is_complete(start + SECOND));
+    assert_eq!(versions(&history, start + SECOND), ["v1", "v2"]);
+    assert_eq!(versions(&history, start + SECOND * 30), ["v2"]);
+    // A restored store lacks what was written since its copy.
+    for (known, era) in [(Some(memory(0)), 1), (None, 1)] {
+        let mut history = started(known, era);
+        history.note_read(start + SECOND);
+        assert!(!history.is_complete(start + SECOND * 30));
+        assert!(history.is_complete(start + SECOND * 31));
+    }
+}
+
+/// Guards against writes while each service has one version, and against a memory that lacks a version in service.
+#[test]
+fn the_stores_memory_is_written_when_a_version_joins_leaves_or_lapses() {
+    let start = Instant::now();
+    let clock = Duration::from_secs(1_000);
+    let lists = [
+        (0, vec!["v1"], false),
+        (1, vec!["v1", "v2"], true),
+        (2, vec!["v1", "v2"], false),
+        (3, vec!["v2"], true),
+        (4, vec!["v2"], false),
+        (34, vec!["v2"], true),
+        (35, vec!["v2"], false),
+    ];
+    let mut history = SoftwareHistory::default();
+    let mut known: Option<SoftwareMemory> = None;
+    for (second, list, is_due) in lists {
+        let now = start + SECOND * second;
+        let clock = clock + SECOND * second;
+        let records: Vec<_> = list
+            .iter()
+            .map(|software| record(software, software))
+            .collect();
+        let draft = SoftwareMemory::draft(
+            &history,
+            Some(&records),
+            known.as_ref(),
+            0,
+            Some(clock),
+            now,
+        );
+        assert_eq!(draft.is_due(known.as_ref()), is_due, "at {second} s");
+        if is_due {
+            known = Some(draft);
+        }
+        history.apply(&records, now);
+        // An instance that starts now.
+        let mut other = SoftwareHistory::default();
+        other.remember(known.as_ref(), 0, Some(clock), now);
+        other.apply(&records, now);
+        assert_eq!(
+            versions(&other, now),
+            versions(&history, now),
+            "at {second} s"
+        );
+    }
+}
+
 /// The share of resumed streams whose version is found, when a share of the instances was restarted meanwhile without their
 /// notes, the one that began the stream among them.
 fn found_share(zones: usize, size: usize, lost_percent: u64) -> f64 {
--- a/crates/policy/tests/software_fuzz.rs
+++ b/crates/policy/tests/software_fuzz.rs
@@ -3,8 +3,8 @@
 use {
     kernel::{SoftwareVersion, seeded_rng},
     policy::{
-        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareHistory, SoftwareNote,
-        SoftwareReport, StreamKey, UpstreamRecord, UpstreamStage,
+        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareHistory, SoftwareMemory,
+        SoftwareNote, SoftwareReport, StreamKey, UpstreamRecord, UpstreamStage,
     },
     proptest::{
         prelude::{ProptestConfig, Strategy, prop_assert, prop_assert_eq, prop_oneof, proptest},
@@ -37,10 +37,18 @@
     Cut(usize, u32),
     /// An instance restarts without its state.
     Kill(usize),
+    /// All instances restart without their state.
+    KillAll,
+    /// The rows of some engines lapse; they report again after some steps.
+    Lapse(usize, u32),
     /// An engine is replaced by one of another version.
     Release(usize),
+    /// All engines are replaced by ones of another version.
+    ReleaseAll,
     /// The caller of a recent stream comes back to an instance.
     Resume(usize, usize),
+    /// The store answers nobody for some steps.
+    Silence(u32),
 }
 
 /// `traffic` streams begin and as many callers come back for each restart and each cut.
@@ -55,8 +63,20 @@
     ]
 }
 
+/// The events of [`event`], and those that spare no instance.
+fn harsh_event(traffic: u32) -> impl Strategy<Value = Event> {
+    prop_oneof![
+        traffic * 2 => event(traffic),
+        2 => proptest::strategy::Just(Event::KillAll),
+        1 => proptest::strategy::Just(Event::ReleaseAll),
+        2 => (0..ENGINES, 1..100_u32).prop_map(|(engines, steps)| Event::Lapse(engines, steps)),
+        2 => (1..100_u32).prop_map(Event::Silence),
+    ]
+}
+
 struct Instance {
     cut_until: Instant,
+    is_joined: bool,
     started_at: Instant,
     history: SoftwareHistory,
     keepers: KeeperTable,
@@ -72,6 +92,13 @@
 }
 
 struct Model {
+    /// The first engines that are missing from the list, and until when.
+    lapsed: (usize, Instant),
+    /// The store's memory of the versions, and the number of writes of it.
+    memory: (Option<SoftwareMemory>, usize),
+    /// The store's clock is the time since then.
+    origin: Instant,
+    silent_until: Instant,
     engines: Vec<UpstreamRecord>,
     fleet: FleetMembers,
     instances: Vec<Instance>,
@@ -117,6 +144,10 @@
         let fleet = FleetMembers::new(members.clone());
         let names = members.iter().enumerate();
         let mut model = Self {
+            lapsed: (0, now),
+            memory: (None, 0),
+            origin: now,
+            silent_until: now,
             engines: (0..ENGINES).map(|number| engine(number, 0)).collect(),
             names: names
                 .map(|(index, member)| (member.instance.to_string(), index))
@@ -135,23 +166,70 @@
         for member in &members {
             model.instances.push(model.started(member, now));
         }
+        // Written along with the members of a zone.
+        let history = &model.instances[0].history;
+        let first = SoftwareMemory::draft(history, None, None, 0, Some(Duration::ZERO), now);
+        model.memory.0 = Some(first);
         model
     }
 
     fn started(&self, member: &FleetMember, cut_until: Instant) -> Instance {
         let mut history = SoftwareHistory::default();
-        history.apply(&self.engines, self.now);
+        let mut list = Vec::new();
+        // Without the store an instance has nothing, and is not ready.
+        if !self.is_silent() {
+            history.remember(self.memory.0.as_ref(), 0, Some(self.clock()), self.now);
+            list = self.listed();
+            history.apply(&list, self.now);
+            history.note_read(self.now);
+        }
         Instance {
             cut_until,
+            is_joined: !self.is_silent(),
             started_at: self.now,
             history,
             keepers: KeeperTable::new(member.instance.clone(), member.zone.clone(), &self.fleet),
-            list: self.engines.clone(),
+            list,
             notes: NoteTable::default(),
             read_at: self.now,
         }
     }
 
+    fn restart(&mut self, index: usize, member: &FleetMember) {
+        let cut_until = self.instances[index].cut_until;
+        self.instances[index] = self.started(member, cut_until);
+        if self.instances[index].is_joined {
+            let list = self.instances[index].list.clone();
+            self.write_memory(index, &list);
+        }
+    }
+
+    fn clock(&self) -> Duration {
+        self.now - self.origin
+    }
+
+    fn is_silent(&self) -> bool {
+        self.now < self.silent_until
+    }
+
+    /// The engines that have a row.
+    fn listed(&self) -> Vec<UpstreamRecord> {
+        let (count, until) = self.lapsed;
+        let missing = if self.now < until { count } else { 0 };
+        self.engines[missing..].to_vec()
+    }
+
+    /// Writes the memory of the versions, as an instance that has just read the list.
+    fn write_memory(&mut self, index: usize, list: &[UpstreamRecord]) {
+        let (now, clock) = (self.now, Some(self.clock()));
+        let known = self.memory.0.as_ref();
+        let history = &self.instances[index].history;
+        let draft = SoftwareMemory::draft(history, Some(list), known, 0, clock, now);
+        if draft.is_due(known) {
+            self.memory = (Some(draft), self.memory.1 + 1);
+        }
+    }
+
     fn is_cut(&self, instance: usize) -> bool {
         self.now < self.instances[instance].cut_until
     }
@@ -180,11 +258,19 @@
     fn read_lists(&mut self) {
         for index in 0..INSTANCES {
             let is_due = self.now >= self.instances[index].read_at + READ_PERIOD;
-            if !is_due || self.is_cut(index) {
+            if !is_due || self.is_cut(index) || self.is_silent() {
                 continue;
             }
-            let (now, engines) = (self.now, self.engines.clone());
+            let (now, engines) = (self.now, self.listed());
+            if !self.instances[index].is_joined {
+                let clock = Some(self.clock());
+                let history = &mut self.instances[index].history;
+                history.remember(self.memory.0.as_ref(), 0, clock, now);
+                self.instances[index].is_joined = true;
+            }
+            self.write_memory(index, &engines);
             let instance = &mut self.instances[index];
+            instance.history.note_read(now);
             instance.history.apply(&engines, now);
             instance.list = engines;
             instance.read_at = now;
@@ -198,7 +284,9 @@
     fn begin(&mut self, index: usize, engine: usize) {
         let now = self.now;
         let instance = &mut self.instances[index];
-        let chosen = instance.list[engine].clone();
+        let Some(chosen) = instance.list.get(engine).cloned() else {
+            return;
+        };
         if !self.engines.contains(&chosen) {
             return;
         }
@@ -225,6 +313,7 @@
         let service = "s".into();
         SoftwareReport {
             began: instance.notes.software(key, self.now).cloned(),
+            is_complete: instance.history.is_complete(self.now),
             versions: instance
                 .history
                 .versions(&service, self.now)
@@ -277,10 +366,24 @@
                 self.instances[*instance].cut_until = self.now + STEP * *steps;
             }
             Event::Kill(instance) => {
-                let mut members = self.fleet.iter();
-                let member = members.nth(*instance).unwrap().clone();
-                let cut_until = self.instances[*instance].cut_until;
-                self.instances[*instance] = self.started(&member, cut_until);
+                let member = self.fleet.iter().nth(*instance).unwrap().clone();
+                self.restart(*instance, &member);
+            }
+            Event::KillAll => {
+                let members: Vec<_> = self.fleet.iter().cloned().collect();
+                for (index, member) in members.iter().enumerate() {
+                    self.restart(index, member);
+                }
+            }
+            Event::Lapse(engines, steps) => self.lapsed = (*engines, self.now + STEP * *steps),
+            Event::Silence(steps) => self.silent_until = self.now + STEP * *steps,
+            Event::ReleaseAll => {
+                // A release that begins with a new version.
+                self.releases = self.releases.next_multiple_of(ENGINES);
+                for number in 0..ENGINES {
+                    self.engines[number] = engine(number, self.releases);
+                    self.releases += 1;
+                }
             }
             Event::Release(number) => {
                 self.engines[*number] = engine(*number, self.releases);
@@ -320,6 +423,24 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(53),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against mixed streams where all instances are killed, and the list that they start with lacks versions.
+    #[test]
+    fn streams_go_on_at_their_version_after_all_instances_were_killed(
+        events in proptest::collection::vec(harsh_event(20), 100..400),
+    ) {
+        let model = played(&events);
+        prop_assert_eq!(model.wrong, 0);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
--- a/crates/relay/src/software_notes.rs
+++ b/crates/relay/src/software_notes.rs
@@ -3,7 +3,10 @@
 use {
     crate::{CallerRequest, SharedUpstreams},
     kernel::{LockRank, RankedLock, ServiceId, SoftwareVersion, steady_clock},
-    policy::{NoteTable, SoftwareNote, SoftwareReport, StreamKey, stream_key},
+    policy::{
+        NoteTable, SoftwareMemory, SoftwareNote, SoftwareReport, StreamKey, UpstreamRecord,
+        stream_key,
+    },
     std::{
         collections::BTreeMap,
         sync::{Arc, OnceLock},
@@ -62,6 +65,27 @@
         self.table.lock().count()
     }
 
+    /// What the store is to keep of the versions, also after a list that was just read from it. `known` is what it keeps,
+    /// `clock` its clock, and `era` its era.
+    pub fn draft_memory(
+        &self,
+        records: Option<&[UpstreamRecord]>,
+        known: Option<&SoftwareMemory>,
+        era: u64,
+        clock: Option<Duration>,
+    ) -> SoftwareMemory {
+        let now = steady_clock::now();
+        let upstreams = self.upstreams.lock();
+        SoftwareMemory::draft(&upstreams.software, records, known, era, clock, now)
+    }
+
+    /// Adds the versions that the store keeps, as just read.
+    pub fn remember(&self, memory: Option<&SoftwareMemory>, era: u64, clock: Option<Duration>) {
+        let now = steady_clock::now();
+        let mut upstreams = self.upstreams.lock();
+        upstreams.software.remember(memory, era, clock, now);
+    }
+
     /// The version at which the stream began that a request resumes; `None` while it is not known.
     pub async fn find(
         &self,
@@ -128,6 +152,7 @@
         let versions = upstreams.software.versions(service, now);
         SoftwareReport {
             began,
+            is_complete: upstreams.software.is_complete(now),
             versions: versions.cloned().collect(),
         }
     }
--- a/crates/spread/src/directory_view.rs
+++ b/crates/spread/src/directory_view.rs
@@ -4,6 +4,7 @@
     crate::MemberRow,
     kernel::ZoneId,
     plat::StoredRow,
+    policy::SoftwareMemory,
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -11,6 +12,8 @@
 pub(crate) const AUTHORITY_KEY: &str = "peers/authority";
 /// Prefix of all keys of the directory.
 pub(crate) const DIRECTORY_PREFIX: &str = "peers/";
+/// Key of the row with the software versions of each service.
+pub(crate) const SOFTWARE_KEY: &str = "peers/software";
 /// Prefix of the keys of zone rows.
 const ZONE_PREFIX: &str = "peers/zone/";
 
@@ -20,6 +23,10 @@
     /// The private key that signs the instances' certificates, PEM; `None` until the very first
     /// instance has written it.
     pub authority: Option<Arc<str>>,
+    /// The software versions to write along with the members, if they differ.
+    pub draft: Option<SoftwareMemory>,
+    /// The software versions of each service; `None` if there is no such row.
+    pub software: Option<SoftwareMemory>,
     versions: BTreeMap<Arc<str>, u64>,
     /// Members by availability zone.
     pub zones: BTreeMap<ZoneId, Vec<MemberRow>>,
@@ -53,6 +60,10 @@
             self.authority = Some(row.value.clone());
             return;
         }
+        if &*row.key == SOFTWARE_KEY {
+            self.software = Some(read_software(row));
+            return;
+        }
         let Some(zone) = row.key.strip_prefix(ZONE_PREFIX) else {
             return;
         };
@@ -67,6 +78,17 @@
     }
 }
 
+/// The versions in a row. One that can't be read counts as written in an era that never is, so that it proves nothing.
+fn read_software(row: &StoredRow) -> SoftwareMemory {
+    serde_json::from_str(&row.value).unwrap_or_else(|error| {
+        tracing::warn!(key = %row.key, %error, "failed to decode the software versions");
+        SoftwareMemory {
+            era: u64::MAX,
+            ..SoftwareMemory::default()
+        }
+    })
+}
+
 /// Key of the row with the members of a zone.
 pub(crate) fn zone_key(zone: &ZoneId) -> Arc<str> {
     format!("{ZONE_PREFIX}{zone}").into()
--- a/crates/spread/src/member_directory.rs
+++ b/crates/spread/src/member_directory.rs
@@ -8,10 +8,14 @@
 use {
     crate::{
         DirectoryView, MemberRow,
-        directory_view::{AUTHORITY_KEY, DIRECTORY_PREFIX, zone_key},
+        directory_view::{AUTHORITY_KEY, DIRECTORY_PREFIX, SOFTWARE_KEY, zone_key},
     },
     plat::{PlatError, RowStore, Transaction, TransactionReply},
-    std::sync::Arc,
+    policy::SoftwareMemory,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Reads the directory and writes the row of the own zone.
@@ -32,6 +36,47 @@
         &self.own
     }
 
+    /// The store's era; 0 for a store without eras.
+    pub fn era(&self) -> u64 {
+        self.store.epoch().unwrap_or_default()
+    }
+
+    /// The store's own steady clock at a local time, if it is known.
+    pub fn clock(&self, at: Instant) -> Option<Duration> {
+        self.store.clock(at)
+    }
+
+    /// Writes the software versions, unless another instance has written them since `view` was read. Returns the resulting
+    /// view. This is a single call, which is harmless if it takes effect late.
+    ///
+    /// # Errors
+    ///
+    /// The store did not answer, or refused.
+    pub async fn write_software(
+        &self,
+        view: DirectoryView,
+        software: SoftwareMemory,
+    ) -> Result<DirectoryView, PlatError> {
+        let mut view = view;
+        let mut changes = Transaction::default();
+        // Strings and numbers always serialise.
+        let value = serde_json::to_string(&software).unwrap_or_default();
+        changes.write(
+            SOFTWARE_KEY.into(),
+            view.version(SOFTWARE_KEY),
+            value.into(),
+        );
+        match self.store.commit(&changes).await? {
+            TransactionReply::Committed => view.software = Some(software),
+            TransactionReply::Conflict { rows } => {
+                for row in &rows {
+                    view.apply(row);
+                }
+            }
+        }
+        Ok(view)
+    }
+
     /// Reads the directory with one call.
     ///
     /// # Errors
@@ -42,9 +87,9 @@
         Ok(DirectoryView::new(&rows))
     }
 
-    /// Writes the members of the own zone, and the key if there is none, unless another instance
-    /// has written since `view` was read. Returns the resulting view. This is a single call, which
-    /// is harmless if it takes effect late.
+    /// Writes the members of the own zone, the software versions, if any are given, and the key if there is none, unless
+    /// another instance has written since `view` was read. Returns the resulting view. This is a single call, which is
+    /// harmless if it takes effect late.
     ///
     /// # Errors
     ///
@@ -61,6 +106,17 @@
         // A list of structs of strings and numbers always serialises.
         let value = serde_json::to_string(&members).unwrap_or_default();
         changes.write(key.clone(), view.version(&key), value.into());
+        let draft = view.draft.take();
+        let draft =
+            draft.filter(|draft| !draft.is_empty() && view.software.as_ref() != Some(draft));
+        if let Some(draft) = &draft {
+            let value = serde_json::to_string(draft).unwrap_or_default();
+            changes.write(
+                SOFTWARE_KEY.into(),
+                view.version(SOFTWARE_KEY),
+                value.into(),
+            );
+        }
         if view.authority.is_none() {
             changes.write(
                 AUTHORITY_KEY.into(),
@@ -72,6 +128,7 @@
             TransactionReply::Committed => {
                 view.authority.get_or_insert_with(|| authority.clone());
                 view.zones.insert(self.own.zone.clone(), members);
+                view.software = draft.or(view.software);
                 tracing::info!("wrote the members of the availability zone");
             }
             TransactionReply::Conflict { rows } => {
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -2,6 +2,7 @@
 //! instance that has read it.
 
 mod joining;
+mod remembering;
 mod requesting;
 mod route_sharing;
 
@@ -62,6 +63,8 @@
     mirror: RankedLock<ListMirror>,
     rates: RateNews,
     reader: ReaderRole,
+    /// The versions of the list in use.
+    software: SoftwareNotes,
     /// The instance that the crash reports came from, and the position in its journal. Two
     /// instances may have the same incarnation number.
     report_position: RankedLock<Option<(InstanceId, JournalPosition)>>,
@@ -198,6 +201,7 @@
             mirror: RankedLock::new(LockRank::Readings, ListMirror::default()),
             rates,
             reader,
+            software,
             report_position: RankedLock::new(LockRank::Readings, None),
             cooldown_end: RankedLock::new(LockRank::Readings, None),
             store,
@@ -231,6 +235,7 @@
                 return Err(error);
             }
         };
+        self.write_versions(&snapshot.records).await;
         self.members.election.lock().record_store_read(began);
         self.members
             .state
@@ -238,7 +243,7 @@
         self.note_era(snapshot.version);
         snapshot.as_of = Some(began);
         snapshot.waited = true;
-        self.refresh(now, true).await;
+        self.refresh(now, true, Some(&snapshot.records)).await;
         Ok(snapshot)
     }
 
@@ -379,7 +384,7 @@
                             self.note_era(snapshot.version);
                             let now = steady_clock::now();
                             if self.members.election.lock().is_first(now) {
-                                self.refresh(now, false).await;
+                                self.refresh(now, false, None).await;
                             }
                             if self.members.election.lock().is_stale(now) {
                                 self.start_cooldown(turn);
--- a/crates/spread/src/shared_source/joining.rs
+++ b/crates/spread/src/shared_source/joining.rs
@@ -6,7 +6,7 @@
     kernel::{InstanceId, steady_clock},
     peer::KeyAuthority,
     plat::RowStore,
-    policy::StoreVersion,
+    policy::{StoreVersion, UpstreamRecord},
     relay::{OperatorSource, SourceError},
     std::{
         sync::Arc,
@@ -69,7 +69,13 @@
     /// Reads the directory when it is due, and writes the row of the own zone if it has changed.
     /// Instances that read the store do so periodically too; the first of a zone whose list comes
     /// from another zone does so only after a change.
-    pub(super) async fn refresh(&self, now: Instant, in_period: bool) {
+    /// `records` is a list that was just read and is not in use yet.
+    pub(super) async fn refresh(
+        &self,
+        now: Instant,
+        in_period: bool,
+        records: Option<&[UpstreamRecord]>,
+    ) {
         let silent = self.members.election.lock().silent_members(now);
         let is_restored = self.is_restored();
         let Some(known) = self.claim_refresh(now, in_period, !silent.is_empty()) else {
@@ -91,6 +97,8 @@
             return;
         }
         let authority = view.authority.clone().unwrap_or(known);
+        let mut view = view;
+        view.draft = Some(self.draft_versions(records, view.software.as_ref()));
         match self
             .with_read_timeout(self.directory.write(view, members, &authority))
             .await
@@ -164,6 +172,7 @@
         {
             self.trust(authority);
         }
+        self.remember_versions(&view);
         self.members.merge(&view, silent, is_restored);
     }
 
--- a/crates/spread/tests/member_directory.rs
+++ b/crates/spread/tests/member_directory.rs
@@ -3,6 +3,7 @@
 
 use {
     plat::{PlatError, RowStore, StoredRow, Transaction, TransactionReply},
+    policy::SoftwareMemory,
     spread::{DirectoryView, MemberDirectory, MemberRow},
     std::{
         collections::BTreeMap,
@@ -189,3 +190,54 @@
     let view = directory.read().await.unwrap();
     assert_eq!(names(&view), ["a"]);
 }
+
+fn software(versions: &[&str]) -> SoftwareMemory {
+    let rows = versions.iter().map(|software| ((*software).into(), None));
+    SoftwareMemory {
+        era: 0,
+        left_ms: [("s".into(), rows.collect())].into(),
+    }
+}
+
+/// Guards against versions that an instance which starts later does not read along with the members, and against one writer
+/// who replaces what another has written meanwhile.
+#[tokio::test]
+async fn of_two_that_write_the_software_versions_the_second_learns_those_of_the_first() {
+    let store = Arc::new(MemoryRows::default());
+    let own = row("a", "gijon");
+    let directory = directory(&store, &own);
+    let empty = directory.read().await.unwrap();
+    for versions in [["v1", "v2"], ["v2", "v3"]] {
+        let written = directory.write_software(empty.clone(), software(&versions));
+        let seen = written.await.unwrap();
+        assert_eq!(seen.software, Some(software(&["v1", "v2"])));
+    }
+    let view = directory.read().await.unwrap();
+    assert_eq!(view.software, Some(software(&["v1", "v2"])));
+}
+
+/// Guards against calls of their own for the versions while there is one of each service.
+#[tokio::test]
+async fn software_versions_are_written_along_with_the_members() {
+    let store = Arc::new(MemoryRows::default());
+    let own = row("a", "gijon");
+    let directory = directory(&store, &own);
+    let mut view = directory.read().await.unwrap();
+    view.draft = Some(software(&["v1"]));
+    let key = "the key".into();
+    let view = directory.write(view, vec![own], &key).await.unwrap();
+    assert_eq!(view.software, Some(software(&["v1"])));
+    let view = directory.read().await.unwrap();
+    assert_eq!(view.software, Some(software(&["v1"])));
+}
+
+/// Guards against a row that can't be read and is taken for one that names no versions.
+#[tokio::test]
+async fn unreadable_software_versions_are_of_no_era() {
+    let store = Arc::new(MemoryRows::default());
+    let mut changes = Transaction::default();
+    changes.write("peers/software".into(), 0, "garbled".into());
+    store.commit(&changes).await.unwrap();
+    let view = directory(&store, &row("a", "gijon")).read().await.unwrap();
+    assert_eq!(view.software.unwrap().era, u64::MAX);
+}
