peer, relay, docs: what an instance's links hold is told by part

What was missing: no log line or metric told what the memory of an instance that schedules is held by; a peak of 84 MB had to be traced by hand.

Now `peer_open`, and the dump's section `links`, tell connections by direction, open calls and streams, and messages that wait; with `trestlewalk_relay_scheduler_rows` these are the parts of the scheduler's role. They are read when they are asked for. Bodies that wait and callers' connections are not among them yet.

--- a/crates/peer/src/accept_loop.rs
+++ b/crates/peer/src/accept_loop.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        link_load::OpenCount,
         peer_error::{NameMismatchSnafu, PeerError},
         peer_identity::PeerIdentity,
         peer_incoming::{CallReply, PeerIncoming},
@@ -154,6 +155,7 @@
     }
 
     async fn handle_uni(self, mut stream: RecvStream) {
+        let _open = OpenCount::new(&self.shared.metrics.open_streams);
         match self.read_first(&mut stream).await {
             Ok(message) => self.handle_message(&message),
             Err(error) => self.shared.count_error(&error),
@@ -174,6 +176,7 @@
     }
 
     async fn handle_bi(self, sender: SendStream, mut receiver: RecvStream) {
+        let _open = OpenCount::new(&self.shared.metrics.open_streams);
         let read = self.read_first(&mut receiver).await;
         let read = read.and_then(|message| self.read_message(&message));
         let (header, body) = match read {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gossip_queue;
 pub mod heartbeat;
 pub mod keys;
+pub mod link_load;
 pub mod link_slot;
 pub mod link_table;
 pub mod link_traffic;
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -6,6 +6,7 @@
         accept_loop::AcceptLoop,
         address_table::AddressTable,
         keys::PeerKeys,
+        link_load::{LinkLoad, OpenCount},
         link_table::LinkTable,
         link_traffic::LinkTraffic,
         peer_error::{BindSnafu, PeerError, TimeoutSnafu, TooLargeSnafu},
@@ -23,6 +24,7 @@
     bon::bon,
     bytes::Bytes,
     kernel::{Incarnation, InstanceId, WorkerPool},
+    prometheus::IntGauge,
     quinn::{Connection, Endpoint, SendDatagramError, VarInt},
     snafu::ResultExt,
     std::{
@@ -119,6 +121,7 @@
         body: &[u8],
     ) -> Result<Bytes, PeerError> {
         let message = self.message(MessageKind::Call, tag, body)?;
+        let _open = OpenCount::new(&self.metrics.open_calls);
         let connection = self.connect(instance).await?;
         let exchange = self.exchange(&connection, instance, tag, &message);
         let answer = tokio::time::timeout(self.settings.call_timeout, exchange).await;
@@ -153,6 +156,18 @@
         self.links.len()
     }
 
+    /// What the links hold.
+    pub fn load(&self) -> LinkLoad {
+        let count = |gauge: &IntGauge| usize::try_from(gauge.get()).unwrap_or_default();
+        LinkLoad {
+            accepted_links: self.accepted_count(),
+            accepted_streams: count(&self.metrics.open_streams),
+            open_calls: count(&self.metrics.open_calls),
+            opened_links: self.links.len(),
+            queued_messages: self.router.queued(),
+        }
+    }
+
     /// The UDP address, with the port that the system chose.
     ///
     /// # Errors
--- a/crates/peer/src/peer_metrics.rs
+++ b/crates/peer/src/peer_metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of the links between instances.
 
 use {
-    prometheus::{IntCounter, IntCounterVec, Opts, Registry},
+    prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry},
     serde_json::{Value, json},
 };
 
@@ -61,6 +61,10 @@
     pub dropped: IntCounter,
     /// Connections opened to peers.
     pub links: IntCounter,
+    /// Calls of this instance that are not over.
+    pub open_calls: IntGauge,
+    /// Calls and larger messages of peers that are not over.
+    pub open_streams: IntGauge,
     /// Messages, calls and sessions that were received and dispatched.
     pub received: IntCounter,
     /// Refused connections and messages, by cause.
@@ -75,6 +79,8 @@
         Self {
             dropped: counter("peer_dropped_total", "Best-effort messages dropped."),
             links: counter("peer_links_total", "Connections made to peers."),
+            open_calls: gauge("peer_open_calls", "Calls that are not over."),
+            open_streams: gauge("peer_open_streams", "Streams of peers that are not over."),
             received: counter("peer_received_total", "Messages taken from peers."),
             refused: refused_counter(),
             sent: counter("peer_sent_total", "Messages sent to peers."),
@@ -126,6 +132,10 @@
     IntCounter::new(name, help).expect("the counter's name is a constant and valid")
 }
 
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("the gauge's name is a constant and valid")
+}
+
 fn refused_counter() -> IntCounterVec {
     let opts = Opts::new("peer_refused_total", "Connections and messages refused.");
     IntCounterVec::new(opts, &["cause"]).expect("the counter's name is a constant and valid")
--- a/crates/peer/src/peer_router.rs
+++ b/crates/peer/src/peer_router.rs
@@ -52,6 +52,18 @@
         receiver
     }
 
+    /// The number of messages, calls and sessions that wait to be taken.
+    pub fn queued(&self) -> usize {
+        let inboxes = self
+            .inboxes
+            .read()
+            .unwrap_or_else(|poison| poison.into_inner());
+        let queued = inboxes
+            .values()
+            .map(|inbox| inbox.max_capacity() - inbox.capacity());
+        queued.sum()
+    }
+
     fn inbox(&self, tag: ProtocolTag) -> Option<mpsc::Sender<PeerIncoming>> {
         let inboxes = self
             .inboxes
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -240,3 +240,28 @@
     assert_eq!(first.metrics().links.get(), 1);
     assert_eq!(second.accepted_count(), 1);
 }
+
+// Guards against memory that no metric tells the holder of.
+#[tokio::test]
+async fn what_links_hold_is_told_by_part_and_direction() {
+    let (first, second, _) = make_pair();
+    let mut inbox = second.register(TAG);
+    let caller = first.clone();
+    let call = tokio::spawn(async move { caller.call(&name("b"), TAG, b"place").await });
+    until(|| second.load().queued_messages == 1).await;
+    let (open, taken) = (first.load(), second.load());
+    assert_eq!((open.open_calls, open.opened_links), (1, 1));
+    assert_eq!((open.accepted_links, open.accepted_streams), (0, 0));
+    assert_eq!((taken.accepted_links, taken.accepted_streams), (1, 1));
+    assert_eq!((taken.open_calls, taken.opened_links), (0, 0));
+    let PeerIncoming::Call { body, reply, .. } = next(&mut inbox).await else {
+        panic!("not a call");
+    };
+    reply.send(body);
+    call.await.unwrap().unwrap();
+    until(|| second.load().accepted_streams == 0).await;
+    assert_eq!(
+        (first.load().open_calls, second.load().queued_messages),
+        (0, 0)
+    );
+}
--- a/crates/relay/src/scheduler_host.rs
+++ b/crates/relay/src/scheduler_host.rs
@@ -257,8 +257,8 @@
             self.tick(now);
             if now >= gauges_at {
                 gauges_at = now + SWEEP_PERIOD;
-                self.gauges.set(&self.loads());
                 self.gauges.set_rows(&self.rows());
+                self.gauges.set(&self.loads());
             }
         }
     }
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -194,6 +194,9 @@
         core.schedulers.bound(waiting_bytes(&settings.capacity));
         map.insert(Arc::new(core.schedulers.clone()));
         map.insert(core.upstreams.clone());
+        if let Some(socket) = &peers {
+            map.insert(Arc::new(socket.endpoint.clone()));
+        }
         PluginEntry::register_metrics(&map, &registry);
         let state = AdminState::builder()
             .readiness(readiness.clone())
