--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -58,6 +58,7 @@
     cell_summary::{CellId, CellSummary},
     heartbeat::{Heartbeat, MemberMessage, SyncReply, SyncRequest},
     keys::{KeyAuthority, PeerKeys, make_test_keys},
+    link_load::LinkLoad,
     member_action::MemberAction,
     member_event::{ListedMember, MemberEvent},
     member_record::{MemberRecord, MemberStanding},
--- a/crates/peer/src/link_load.rs
+++ b/crates/peer/src/link_load.rs
@@ -88,7 +88,7 @@
         return;
     };
     let options = Opts::new(
-        "peer_open",
+        "trestlewalk_relay_link_parts",
         "What the links to other instances hold, by part.",
     );
     let parts = IntGaugeVec::new(options, &["part"]);
