--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gossip_queue;
 pub mod heartbeat;
 pub mod keys;
+pub mod link_load;
 pub mod link_slot;
 pub mod link_table;
 pub mod link_traffic;
@@ -57,6 +58,7 @@
     cell_summary::{CellId, CellSummary},
     heartbeat::{Heartbeat, MemberMessage, SyncReply, SyncRequest},
     keys::{KeyAuthority, PeerKeys, make_test_keys},
+    link_load::LinkLoad,
     member_action::MemberAction,
     member_event::{ListedMember, MemberEvent},
     member_record::{MemberRecord, MemberStanding},
