relay: an answer whose sender ends early never looks complete

What callers would see: a stream that ends in order before its last event, if the task that passes it on ends for any other reason than the end of the stream, as by a panic. Nothing is known to end it so; the panic over an idle timeout came after the last event.

Mend: an answer is complete only when its sender says so; a sender that is dropped before cuts the caller's connection.

Evidence: an_answer_whose_sender_is_dropped_before_its_end_is_truncated is red with the former behaviour of a dropped sender planted, green now.

--- a/crates/forward/src/answer_pump.rs
+++ b/crates/forward/src/answer_pump.rs
@@ -52,5 +52,6 @@
         if self.is_stream {
             self.request.trace.end(ResultCode::Answered);
         }
+        self.sender.end();
     }
 }
--- a/crates/relay/src/piece_channel.rs
+++ b/crates/relay/src/piece_channel.rs
@@ -22,9 +22,11 @@
 #[snafu(display("the caller has left"))]
 pub struct CallerLeft;
 
-/// The sending side. Sending waits while too many bytes are unread, which pauses the upstream.
+/// The sending side. Sending waits while too many bytes are unread, which pauses the upstream. An answer whose sender is
+/// dropped before its end is truncated.
 #[derive(Debug)]
 pub struct PieceSender {
+    is_ended: bool,
     reserved: Arc<Semaphore>,
     sender: mpsc::UnboundedSender<Piece>,
     shared: Arc<Semaphore>,
@@ -48,6 +50,7 @@
 pub fn piece_channel(budget: &BufferBudget) -> (PieceSender, PieceReceiver) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let sender = PieceSender {
+        is_ended: false,
         reserved: Arc::new(Semaphore::new(RESERVED_BYTES)),
         sender,
         shared: budget.free().clone(),
@@ -63,12 +66,13 @@
     }
 
     /// Ends the answer as truncated.
-    pub fn cut(&self) {
-        // Fails only when the caller has left, and nobody is left to notify.
-        let _ = self.sender.send(Piece {
-            content: Err(AnswerCut),
-            _memory: None,
-        });
+    pub fn cut(self) {
+        drop(self);
+    }
+
+    /// Ends the answer, which is complete.
+    pub fn end(mut self) {
+        self.is_ended = true;
     }
 
     /// Sends a piece once there is memory for it.
@@ -104,6 +108,19 @@
     }
 }
 
+impl Drop for PieceSender {
+    fn drop(&mut self) {
+        if self.is_ended {
+            return;
+        }
+        // Fails only when the caller has left, and nobody is left to notify.
+        let _ = self.sender.send(Piece {
+            content: Err(AnswerCut),
+            _memory: None,
+        });
+    }
+}
+
 impl PieceReceiver {
     /// Polls for the next piece; `None` at the end of the answer.
     pub fn poll_piece(
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -130,6 +130,7 @@
                 .pool
                 .keep(&key, connection, facts.idle_timeout);
         }
+        self.sender.end();
     }
 
     /// A slot at another engine, if one is free now.
