relay: a silent stream is left only for an engine that takes it

What callers see: a stream that may be resumed breaks off in the middle although its engine is at work on it.

Cause: a stream that pauses for four times its target is left as soon as another engine has reserved a place. If that engine then refuses the request, or can't be reached, no engine is left and the caller's connection is cut. Found by reading; the trace of the test has "place i-redactor-d0 reserved; stream of i-redactor-d1 (v1) cut after event 2; resume i-redactor-d0 not run: 503".

Mend: the call of the silent stream is kept for up to 200 ms while the other engine may refuse, and goes on if it does. A refusal that comes later, as after a prompt was prefilled apart, is not covered.

--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -8,14 +8,17 @@
     bytes::Bytes,
     http_body_util::BodyExt,
     kernel::{ResultCode, steady_clock},
-    policy::{CallVerdict, RepeatRule},
-    std::{sync::Arc, time::Duration},
+    policy::{CallVerdict, RepeatRule, UpstreamRecord},
+    std::{pin::pin, sync::Arc, time::Duration},
     tokio::time,
 };
 
 /// A resumable stream that pauses for this many times its target resumes at another engine, if one has a free slot. An
 /// engine whose memory is full pauses a stream and continues it later.
 const SILENCE_FACTOR: u32 = 4;
+/// How long the call of a silent stream is kept while the engine that it resumes at may still refuse it: some round trips, and
+/// shorter than two engines may work on one stream.
+const REFUSAL_WAIT: Duration = Duration::from_millis(200);
 /// How long to wait for a slot to resume a broken stream: callers leave a silent stream after two seconds or more.
 const RESUME_WAIT: Duration = Duration::from_millis(1_200);
 
@@ -85,7 +88,7 @@
                         core.crashes
                             .note_loss(&self.flow.request, &self.answer.call, true);
                     }
-                    match self.resume(None).await {
+                    match self.resume().await {
                         Some(pump) => self = pump,
                         None => return,
                     }
@@ -97,7 +100,7 @@
                     if !self.flow.reserve_retry() {
                         continue;
                     }
-                    match self.resume(Some(slot)).await {
+                    match self.leave(slot).await {
                         Some(pump) => self = pump,
                         None => return,
                     }
@@ -143,7 +146,7 @@
 
     /// Resumes the stream at another engine after the last complete event. `None` when that is not allowed or failed;
     /// the caller's connection is then cut.
-    async fn resume(self, slot: Option<ReservedSlot<D>>) -> Option<Self> {
+    async fn resume(self) -> Option<Self> {
         let Self {
             answer,
             mut flow,
@@ -151,44 +154,114 @@
             sender,
             ..
         } = self;
-        let request = flow.request.clone();
-        let last = last_id.as_deref().unwrap_or("none");
         let broken = answer.call.upstream.clone();
-        request.trace.note(format_args!(
-            "stream of {} ({}) cut after event {last}",
-            broken.id, broken.software
-        ));
-        answer.call.close(CallVerdict::Lost);
-        drop(answer.connection);
-        drop(answer.body);
+        note_cut(&flow, &broken, last_id.as_deref());
         drop(flow.place.take());
+        drop_call(answer);
+        Self::resume_after(flow, &broken, last_id, sender).await
+    }
+
+    /// Resumes a broken stream where a slot is found in time.
+    async fn resume_after(
+        mut flow: StreamFlow<D>,
+        broken: &UpstreamRecord,
+        last_id: Option<Arc<str>>,
+        sender: PieceSender,
+    ) -> Option<Self> {
         let until = steady_clock::now() + RESUME_WAIT;
         if flow.route.repeat == RepeatRule::Resumable && flow.can_continue() {
             let started = tokio::select! {
                 () = sender.closed() => return None,
-                started = flow.start(last_id.clone(), slot, SlotWait::until(until)) => started,
+                started = flow.start(last_id.clone(), None, SlotWait::until(until)) => started,
             };
             if let Ok(StreamStart::Started(stream)) = started {
-                let software = &stream.answer.call.upstream.software;
-                let outcome = ResumedSoftware::new(&broken.software, software);
-                flow.core.counts.note_resumed(outcome);
-                request.trace.note(format_args!("goes on at {software}"));
-                let mut pump = Self::new(flow, *stream, sender);
-                pump.last_id = pump.last_id.or(last_id);
-                let first = pump.first.take();
-                if let Some(first) = first
-                    && pump.sender.send(first).await.is_err()
-                {
-                    return None;
-                }
-                return Some(pump);
+                return Self::go_on(flow, *stream, broken, last_id, sender).await;
             }
         }
-        request.trace.end(ResultCode::StreamCut);
+        flow.request.trace.end(ResultCode::StreamCut);
         sender.cut();
         None
     }
 
+    /// Leaves a silent stream for a slot at another engine. Its call is kept for a moment, so that it goes on if the other
+    /// engine refuses. `None` when the caller's connection has ended.
+    async fn leave(self, slot: ReservedSlot<D>) -> Option<Self> {
+        let Self {
+            answer,
+            mut flow,
+            last_id,
+            sender,
+            splitter,
+            ..
+        } = self;
+        let silent = answer.call.upstream.clone();
+        note_cut(&flow, &silent, last_id.as_deref());
+        let mut place = flow.place.take();
+        let mut kept = Some(answer);
+        let wait = SlotWait::until(steady_clock::now());
+        let started = {
+            let mut starting = pin!(flow.start(last_id.clone(), Some(slot), wait));
+            let early = tokio::select! {
+                () = sender.closed() => return None,
+                early = time::timeout(REFUSAL_WAIT, starting.as_mut()) => early,
+            };
+            match early {
+                Ok(started) => started,
+                Err(_) => {
+                    drop(place.take());
+                    kept.take().into_iter().for_each(drop_call);
+                    tokio::select! {
+                        () = sender.closed() => return None,
+                        started = starting => started,
+                    }
+                }
+            }
+        };
+        if let Ok(StreamStart::Started(stream)) = started {
+            drop(place);
+            kept.into_iter().for_each(drop_call);
+            return Self::go_on(flow, *stream, &silent, last_id, sender).await;
+        }
+        let Some(answer) = kept else {
+            return Self::resume_after(flow, &silent, last_id, sender).await;
+        };
+        let trace = &flow.request.trace;
+        trace.note(format_args!("stream of {} kept", silent.id));
+        flow.place = place;
+        Some(Self {
+            answer,
+            first: None,
+            flow,
+            last_id,
+            sender,
+            splitter,
+        })
+    }
+
+    /// Passes the first events of a resumed stream on. `None` when the caller has left.
+    async fn go_on(
+        flow: StreamFlow<D>,
+        stream: StartedStream,
+        broken: &UpstreamRecord,
+        last_id: Option<Arc<str>>,
+        sender: PieceSender,
+    ) -> Option<Self> {
+        let software = &stream.answer.call.upstream.software;
+        let outcome = ResumedSoftware::new(&broken.software, software);
+        flow.core.counts.note_resumed(outcome);
+        let trace = &flow.request.trace;
+        trace.note(format_args!("goes on at {software}"));
+        let mut pump = Self::new(flow, stream, sender);
+        pump.last_id = pump.last_id.or(last_id);
+        let first = pump.first.take();
+        if let Some(first) = first
+            && pump.sender.send(first).await.is_err()
+        {
+            return None;
+        }
+        Some(pump)
+    }
+
     async fn step(&mut self) -> PumpStep {
         // Counted to the next whole event, however many pieces of it arrive meanwhile.
         let due = time::Instant::now() + self.longest_wait();
@@ -238,3 +311,16 @@
         }
     }
 }
+
+fn note_cut<D: UpstreamDialect>(flow: &StreamFlow<D>, broken: &UpstreamRecord, last: Option<&str>) {
+    let last = last.unwrap_or("none");
+    flow.request.trace.note(format_args!(
+        "stream of {} ({}) cut after event {last}",
+        broken.id, broken.software
+    ));
+}
+
+/// Ends a call whose answer is not read any further.
+fn drop_call(answer: UpstreamAnswer) {
+    answer.call.close(CallVerdict::Lost);
+}
--- a/crates/trestlewalk/tests/relay_streams.rs
+++ b/crates/trestlewalk/tests/relay_streams.rs
@@ -174,6 +174,28 @@
     assert_eq!(decode_runs(&run), 1);
 }
 
+// Guards against a stream that is lost because it was left for an engine that then refuses it: a pause is no reason to end it.
+#[tokio::test]
+async fn a_resumable_stream_that_pauses_is_not_lost_when_the_other_engine_turns_it_away() {
+    let run = stream_run(true, 2, 0).await;
+    let pause = Duration::from_millis(1800);
+    run.upstreams
+        .iter()
+        .for_each(|upstream| upstream.set(UpstreamMode::PauseAfter(2, pause)));
+    let mut caller = run.caller().await;
+    let text = request_text("POST", "/note/1", "00aa", STREAM_HEADERS, "p");
+    caller.write(&text).await;
+    wait_until("an engine runs", async || decode_runs(&run) > 0).await;
+    run.upstreams
+        .iter()
+        .filter(|upstream| upstream.runs().is_empty())
+        .for_each(|upstream| upstream.set(UpstreamMode::TurnAway));
+    let reply = caller.read().await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+    let events: Vec<String> = (1..=5).map(event_text).collect();
+    assert_eq!(reply.text(), events.concat());
+}
+
 #[tokio::test]
 async fn a_resumable_stream_that_pauses_is_kept_when_the_retry_budget_is_spent() {
     let more = json!({"TargetGapMs": 100, "Resumable": true, "MaxAttempts": 2});
