--- a/crates/trestlewalk/tests/relay_close.rs
+++ b/crates/trestlewalk/tests/relay_close.rs
@@ -7,6 +7,7 @@
     relay_support::{
         Caller, RelayRun, RelayTest, UpstreamMode,
         caller::{fresh_id, request_text},
+        relay_test::STREAM_HEADERS,
     },
     rustix::process::Signal,
     serde_json::json,
@@ -260,3 +261,54 @@
         assert_eq!(caller.read().await.status(), 503);
     }
 }
+
+// Guards against signals during a close that end the process, and against a close that cuts a stream, a body that arrives slowly
+// or a request that waits for a place.
+#[tokio::test]
+async fn a_close_finishes_streams_slow_bodies_and_waiting_requests_whatever_signals_follow() {
+    let mut run = RelayTest::new()
+        .plain("carta", 1)
+        .engines("redactor", 1, 0)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .route(
+            "/s/",
+            "streaming",
+            "redactor",
+            &json!({"TargetLatencyMs": 20_000}),
+        )
+        .start_ready()
+        .await;
+    let engine = run.upstream("i-redactor-d0").clone();
+    engine.set(UpstreamMode::PauseAfter(2, Duration::from_millis(1200)));
+    let mut streaming = run.caller().await;
+    streaming.write(&next_stream()).await;
+    wait_until("the stream runs", async || engine.runs().len() == 1).await;
+    engine.set(UpstreamMode::Shed);
+    let mut waiting = run.caller().await;
+    waiting.write(&next_stream()).await;
+    let mut slow = run.caller().await;
+    let text = request_text("POST", "/t/1", &fresh_id(), "", &"x".repeat(40_000));
+    let (before, after) = text.split_at(text.len() - 10_000);
+    slow.write(before).await;
+    time::sleep(Duration::from_millis(100)).await;
+    for signal in [Signal::HUP, Signal::TERM, Signal::TERM, Signal::HUP] {
+        run.process.signal(signal);
+    }
+    wait_until("the instance is not ready", async || {
+        run.ready_status().await == 503
+    })
+    .await;
+    time::sleep(Duration::from_millis(300)).await;
+    run.process.signal(Signal::TERM);
+    engine.set(UpstreamMode::Answer);
+    slow.write(after).await;
+    for caller in [&mut streaming, &mut waiting, &mut slow] {
+        let reply = caller.read().await;
+        assert_eq!((reply.status(), reply.whole), (200, true));
+    }
+    assert!(run.process.wait_exit().await.success());
+}
+
+fn next_stream() -> String {
+    request_text("POST", "/s/1", &fresh_id(), STREAM_HEADERS, "the prompt")
+}
--- a/crates/trestlewalk/tests/relay_config.rs
+++ b/crates/trestlewalk/tests/relay_config.rs
@@ -4,7 +4,11 @@
 mod support;
 
 use {
-    relay_support::{RelayRun, RelayTest},
+    relay_support::{
+        RelayRun, RelayTest, UpstreamMode,
+        caller::{fresh_id, request_text},
+        relay_test::STREAM_HEADERS,
+    },
     serde_json::{Value, json},
     std::time::Duration,
     support::wait::wait_until,
@@ -294,3 +298,87 @@
         .map(|received| received.message.header("x-expect-instance"));
     assert!(named.all(|name| name == Some("i-carta-0")));
 }
+
+/// Waits until the configuration that was written last is in force.
+async fn wait_in_force(run: &RelayRun) {
+    let version = format!(" {}", run.version());
+    wait_until("the routes are in force", async || {
+        let lines = run.metric_lines("trestlewalk_relay_table_version").await;
+        lines.iter().any(|line| line.ends_with(&version))
+    })
+    .await;
+}
+
+// Guards against requests that end without an answer because their route or service changed meanwhile.
+#[tokio::test]
+async fn requests_in_progress_are_answered_whatever_becomes_of_their_routes() {
+    let mut run = RelayTest::new()
+        .plain("carta", 1)
+        .plain("other", 1)
+        .engines("redactor", 1, 0)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .route(
+            "/s/",
+            "streaming",
+            "redactor",
+            &json!({"TargetLatencyMs": 20_000}),
+        )
+        .start_ready()
+        .await;
+    let engine = run.upstream("i-redactor-d0").clone();
+    let pause = Duration::from_millis(2_500);
+    run.upstream("i-carta-0").set(UpstreamMode::Slow(pause));
+    engine.set(UpstreamMode::PauseAfter(2, pause));
+    let mut plain = run.caller().await;
+    let text = request_text("POST", "/t/1", &fresh_id(), "", "x");
+    plain.write(&text).await;
+    let mut stream = run.caller().await;
+    let text = request_text("POST", "/s/1", &fresh_id(), STREAM_HEADERS, "p");
+    stream.write(&text).await;
+    wait_until("the stream runs", async || engine.runs().len() == 1).await;
+    engine.set(UpstreamMode::Shed);
+    let mut waiting = run.caller().await;
+    let text = request_text("POST", "/s/2", &fresh_id(), STREAM_HEADERS, "p");
+    waiting.write(&text).await;
+    run.change(|config| {
+        config["Routes"][0]["Service"] = json!("other");
+        config["Routes"][0]["TimeoutMs"] = json!(200);
+        config["Routes"][1]["TimeoutMs"] = json!(200);
+        config["Limits"]["IdleTimeoutMs"] = json!(300);
+    });
+    wait_in_force(&run).await;
+    run.change(|config| {
+        config["Routes"] = json!([config["Routes"][0]]);
+        config["Services"] = json!([config["Services"][1]]);
+    });
+    wait_in_force(&run).await;
+    engine.set(UpstreamMode::Answer);
+    for caller in [&mut plain, &mut stream] {
+        let reply = caller.read().await;
+        assert_eq!((reply.status(), reply.whole), (200, true));
+    }
+    let reply = waiting.read().await;
+    assert!([200, 503].contains(&reply.status()), "{}", reply.status());
+}
+
+// Guards against a kept connection that is lost with an answer that its upstream broke off.
+#[tokio::test]
+async fn a_connection_is_kept_after_an_answer_that_its_upstream_broke_off() {
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    let mut caller = run.caller().await;
+    for (mode, status) in [
+        (UpstreamMode::CutBody, 502),
+        (UpstreamMode::Answer, 200),
+        (UpstreamMode::Reset, 502),
+        (UpstreamMode::Answer, 200),
+    ] {
+        run.upstreams[0].set(mode);
+        let text = request_text("POST", "/t/1", &fresh_id(), "", "x");
+        caller.write(&text).await;
+        assert_eq!(caller.read().await.status(), status, "{mode:?}");
+    }
+}
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -356,6 +356,45 @@
     );
 }
 
+/// Guards against requests that are cut off by the close of the instance that forwarded them.
+#[tokio::test]
+async fn an_instance_that_closes_waits_for_what_it_has_forwarded() {
+    let mut fleet = DirectFleet::start(3).await;
+    cut_and_wait(&fleet, 0).await;
+    let pause = Duration::from_millis(1_500);
+    for upstream in &fleet.upstreams {
+        upstream.set(match upstream.service.as_str() {
+            "carta" => UpstreamMode::Slow(pause),
+            _ => UpstreamMode::PauseAfter(2, pause),
+        });
+    }
+    let runs = |fleet: &DirectFleet| {
+        let upstreams = fleet.upstreams.iter();
+        upstreams
+            .map(|upstream| upstream.runs().len())
+            .sum::<usize>()
+    };
+    let before = runs(&fleet);
+    let mut stream = Caller::connect(fleet.instances[0].callers).await;
+    let text = request_text("POST", "/s/1", &fresh_id(), STREAM_HEADERS, "a prompt");
+    stream.write(&text).await;
+    let mut booking = Caller::connect(fleet.instances[0].callers).await;
+    let text = request_text("POST", "/b/1", &fresh_id(), DEADLINE, "an order");
+    booking.write(&text).await;
+    wait_until("helpers run both", async || runs(&fleet) == before + 2).await;
+    let closing = fleet.instances.remove(0);
+    let limit = Duration::from_secs(10);
+    let (cut, stream, booking) = tokio::join!(
+        closing.server.close(Duration::ZERO, limit),
+        stream.read(),
+        booking.read()
+    );
+    assert_eq!(cut, 0);
+    for reply in [stream, booking] {
+        assert_eq!((reply.status(), reply.whole), (200, true));
+    }
+}
+
 /// Guards against one helper that gets the requests of all others.
 #[tokio::test]
 async fn requests_are_spread_over_the_instances_that_reach_the_service() {
