Notes on stated rates: a bound for each request for news

An instance puts its notes on all rates that changed in the last 5 s into its request for news. When many upstreams state a rate at once, the request grows with them; one larger than a message (256 KiB, some 5,000 notes at 45 bytes, worked out) is not sent, and the instance gets no list and no routes from others meanwhile.

Change: 2,048 notes at most, those on the latest changes first. Whoever has another digest gets all notes in the answer, which may have 8 MiB, as before.

Not measured: bytes of a request on the wire.

--- a/crates/policy/src/rate_table.rs
+++ b/crates/policy/src/rate_table.rs
@@ -8,6 +8,7 @@
     crate::{CallRate, CallShare, FleetMembers, RateNote, RateStatement},
     kernel::{InstanceId, UpstreamId, ZoneId, seeded_rng},
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::{Duration, Instant},
@@ -18,6 +19,8 @@
 const FORWARD_WINDOW: Duration = Duration::from_secs(5);
 /// How long a lifted limit is remembered, so that no older note brings it back.
 const LIFTED_RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of notes on recent changes in one request: at about 45 bytes each a third of what a message may have.
+const MAX_RECENT_NOTES: usize = 2_048;
 /// Seed of the digest.
 const DIGEST_SEED: u64 = 6;
 
@@ -136,14 +139,20 @@
 
     /// All notes, for an instance whose digest differs.
     pub fn notes(&self, now: Instant) -> Vec<RateNote> {
-        self.rows_where(|_| true, now)
+        notes_on(&self.rows, now)
     }
 
-    /// The notes on what changed recently, to be included in requests to other instances.
+    /// The notes on what changed recently, to be included in requests to other instances; of too many, those on the
+    /// latest changes. An instance with another digest gets the others with its own requests.
     pub fn recent_notes(&self, now: Instant) -> Vec<RateNote> {
         let is_recent =
             |row: &RateRow| now.saturating_duration_since(row.changed_at) < FORWARD_WINDOW;
-        self.rows_where(is_recent, now)
+        let mut rows: Vec<_> = self.rows.iter().filter(|(_, row)| is_recent(row)).collect();
+        if rows.len() > MAX_RECENT_NOTES {
+            rows.select_nth_unstable_by_key(MAX_RECENT_NOTES, |(_, row)| Reverse(row.changed_at));
+            rows.truncate(MAX_RECENT_NOTES);
+        }
+        notes_on(rows, now)
     }
 
     /// The limits in force with the share of this instance, by upstream.
@@ -220,17 +229,20 @@
         row.limit = Some((rate, share));
         Some(RateChange::Limited(rate))
     }
+}
 
-    fn rows_where(&self, is_wanted: impl Fn(&RateRow) -> bool, now: Instant) -> Vec<RateNote> {
-        let rows = self.rows.iter().filter(|(_, row)| is_wanted(row));
-        let notes = rows.map(|(id, row)| RateNote {
-            age: now.saturating_duration_since(row.stated_at),
-            rate: row.limit.map(|(rate, _)| rate),
-            upstream: id.clone(),
-            zone: row.zone.clone(),
-        });
-        notes.collect()
-    }
+fn notes_on<'a>(
+    rows: impl IntoIterator<Item = (&'a UpstreamId, &'a RateRow)>,
+    now: Instant,
+) -> Vec<RateNote> {
+    let rows = rows.into_iter();
+    let notes = rows.map(|(id, row)| RateNote {
+        age: now.saturating_duration_since(row.stated_at),
+        rate: row.limit.map(|(rate, _)| rate),
+        upstream: id.clone(),
+        zone: row.zone.clone(),
+    });
+    notes.collect()
 }
 
 impl RateRow {
--- a/crates/policy/tests/rate_table.rs
+++ b/crates/policy/tests/rate_table.rs
@@ -131,3 +131,24 @@
     let wait = table.wait(&UpstreamId::from("a"), now + 60_000 * MS);
     assert!(wait.is_some_and(|wait| !wait.is_zero()));
 }
+
+// Guards against an instance that gets no news while many upstreams state a limit at once: its request has the notes on
+// all recent changes, and one that is larger than a message is not sent.
+#[test]
+fn the_notes_in_a_request_are_bounded_and_the_latest_changes_go_first() {
+    let now = Instant::now();
+    let later = now + MS;
+    let zone = ZoneId::from("near");
+    let mut table = table();
+    for (count, at) in [(10_000, now), (100, later)] {
+        for index in 0..count {
+            let id = UpstreamId::from(format!("i-{count}-{index}"));
+            table.note_answer((&id, &zone), limited(1.6), at, at);
+        }
+    }
+    let notes = table.recent_notes(later);
+    assert!(notes.len() <= 2_048, "{} notes", notes.len());
+    let is_latest = |note: &&RateNote| note.upstream.starts_with("i-100-");
+    assert_eq!(notes.iter().filter(is_latest).count(), 100);
+    assert_eq!(table.notes(later).len(), 10_100);
+}
