--- a/crates/trestlewalk/tests/relay_support/store.rs
+++ b/crates/trestlewalk/tests/relay_support/store.rs
@@ -13,6 +13,7 @@
     serde_json::{Value, json},
     std::{
         collections::{BTreeMap, HashMap},
+        future,
         net::SocketAddr,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
@@ -45,8 +46,14 @@
     garbled: bool,
     /// How many of the next writes are applied without an answer.
     lost_answers: usize,
+    /// Calls get no answer.
+    silent: bool,
     /// Delays reads of one table.
     slow: Option<(String, Duration)>,
+    /// Delays all calls.
+    pause: Duration,
+    /// The table and key of each row that a transaction wrote.
+    written: Vec<RowKey>,
 }
 
 /// An older copy of the content.
@@ -84,6 +91,7 @@
             .route("/rows-tx", post(rows_tx))
             .with_state(store.clone());
         let router = router.layer(middleware::from_fn_with_state(store.clone(), state_era));
+        let router = router.layer(middleware::from_fn_with_state(store.clone(), hold_back));
         tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
         store
     }
@@ -175,6 +183,22 @@
         self.state.lock().unwrap().slow = Some((table.to_owned(), pause));
     }
 
+    /// Delays all calls.
+    pub fn set_pause(&self, pause: Duration) {
+        self.state.lock().unwrap().pause = pause;
+    }
+
+    /// Leaves calls without any answer, or serves again. Calls that came before stay unanswered.
+    pub fn set_silent(&self, silent: bool) {
+        self.state.lock().unwrap().silent = silent;
+        self.changed.notify_waiters();
+    }
+
+    /// The table and key of each row that transactions wrote, in order.
+    pub fn written(&self) -> Vec<(String, String)> {
+        self.state.lock().unwrap().written.clone()
+    }
+
     /// Refuses all calls with 503, or serves again.
     pub fn set_down(&self, down: bool) {
         self.state.lock().unwrap().down = down;
@@ -227,6 +251,21 @@
     response
 }
 
+/// Delays calls, or leaves them without an answer.
+async fn hold_back(State(store): State<StoreStandIn>, request: Request, next: Next) -> Response {
+    let is_silent = || store.state.lock().unwrap().silent;
+    if is_silent() {
+        return future::pending().await;
+    }
+    let pause = store.state.lock().unwrap().pause;
+    time::sleep(pause).await;
+    let response = next.run(request).await;
+    match is_silent() {
+        true => future::pending().await,
+        false => response,
+    }
+}
+
 async fn rows_get(
     State(store): State<StoreStandIn>,
     Query(query): Query<HashMap<String, String>>,
@@ -328,6 +367,7 @@
     for row in body["SetKeys"].as_array().unwrap() {
         let value = STANDARD.decode(row["Value"].as_str().unwrap()).unwrap();
         state.set(key(row), (value, version));
+        state.written.push(key(row));
     }
     for row in body["Remove"].as_array().unwrap() {
         state.drop_row(&key(row));
--- a/crates/trestlewalk/tests/relay_support/zone_run.rs
+++ b/crates/trestlewalk/tests/relay_support/zone_run.rs
@@ -57,9 +57,19 @@
 
     /// Kills all instances and restarts them under the same names, without any of their state.
     pub async fn restart_all(&mut self) {
+        self.kill_all().await;
+        self.start_all().await;
+    }
+
+    /// Kills all instances.
+    pub async fn kill_all(&mut self) {
         for instance in &mut self.instances {
             instance.process.kill().await;
         }
+    }
+
+    /// Starts all instances under the same names, without any of their state.
+    pub async fn start_all(&mut self) {
         for (index, instance) in self.instances.iter_mut().enumerate() {
             let name = format!("front-{}", index + 1);
             instance.process = start_again(&name, &self.folder).await;
