relay: connections from before the first routes have the usual limit of a request's head

What callers see: 431 for a head of 8 to 16 KB, on a connection that was accepted before the instance knew the operators' limits and is kept. Others get 200.

Cause: without a table the limit was 0, not the default of 16 KB, and the minimum of the HTTP library, 8 KB, took its place. The limit of a connection is set when it is accepted.

Evidence: a_connection_from_before_the_first_routes_takes_heads_up_to_the_usual_limit, red before (431), green now. Open: a MaxHeaderBytes that operators raise holds for new connections only.

--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        CallerDialect, ConnectionActivity, RelayCore, RequestHandler, UpstreamDialect,
-        WatchedStream, connection_pool::tune_socket,
+        CallerDialect, CallerLimits, ConnectionActivity, RelayCore, RequestHandler,
+        UpstreamDialect, WatchedStream, connection_pool::tune_socket,
     },
     http::{HeaderValue, Request, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -108,10 +108,10 @@
 }
 
 impl<D: CallerDialect + UpstreamDialect> ConnectionContext<D> {
-    fn idle_limit(&self) -> Duration {
+    /// The limits in force, or the usual ones before they are read.
+    fn limits(&self) -> CallerLimits {
         let table = self.core.routes.load();
-        let limits = table.as_ref().map(|table| table.limits).unwrap_or_default();
-        limits.idle
+        table.as_ref().map(|table| table.limits).unwrap_or_default()
     }
 
     /// Serves one connection until it ends, exceeds the idle timeout, or the process shuts down.
@@ -119,13 +119,7 @@
         tune_socket(&stream, CALLER_TIMEOUT);
         let activity = Arc::new(ConnectionActivity::new());
         let stream = WatchedStream::new(stream, activity.clone());
-        let head_limit = self
-            .core
-            .routes
-            .load()
-            .as_ref()
-            .map(|table| table.limits.headers);
-        let buffer = head_limit.unwrap_or_default().max(MIN_BUFFER_BYTES);
+        let buffer = self.limits().headers.max(MIN_BUFFER_BYTES);
         let service = {
             let activity = activity.clone();
             let handler = self.handler.clone();
@@ -153,7 +147,7 @@
             .max_buf_size(buffer)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        let mut idle_limit = self.idle_limit();
+        let mut idle_limit = self.limits().idle;
         loop {
             let left = activity.idle_left(idle_limit);
             tokio::select! {
@@ -165,7 +159,7 @@
                 }
                 () = self.stopping.raised() => break,
                 () = time::sleep(left) => {
-                    idle_limit = self.idle_limit();
+                    idle_limit = self.limits().idle;
                     if !activity.idle_left(idle_limit).is_zero() {
                         continue;
                     }
--- a/crates/trestlewalk/tests/relay_config.rs
+++ b/crates/trestlewalk/tests/relay_config.rs
@@ -14,6 +14,9 @@
     support::wait::wait_until,
 };
 
+/// A head well within the limit of 16 KB, larger than half of it.
+const LONG_HEAD_BYTES: usize = 12_000;
+
 fn one_route() -> RelayTest {
     RelayTest::new()
         .plain("carta", 2)
@@ -34,6 +37,21 @@
     assert_eq!(run.call("GET", "/t/1", "").await.status(), 200);
 }
 
+/// Guards against a smaller limit for the connections that an instance accepts before it knows the operators' limits.
+#[tokio::test]
+async fn a_connection_from_before_the_first_routes_takes_heads_up_to_the_usual_limit() {
+    let run = one_route().start().await;
+    let mut early = run.caller().await;
+    run.put_config();
+    run.wait_ready().await;
+    let more = format!("X-Long: {}\r\n", "l".repeat(LONG_HEAD_BYTES));
+    for caller in [&mut run.caller().await, &mut early] {
+        let text = request_text("GET", "/t/1", &fresh_id(), &more, "");
+        caller.write(&text).await;
+        assert_eq!(caller.read().await.status(), 200);
+    }
+}
+
 #[tokio::test]
 async fn a_changed_route_comes_into_force_and_an_older_version_never_does() {
     let mut run = one_route().start_ready().await;
