Streams are found in the store after all instances were killed

While versions are mixed, one writer a zone, the first of its keepers, writes notes to a ring of 64 rows a zone, about four times a second; one refused write for each slot of 4 s brings what a writer before left. A resumption that nothing else answers is looked up by a keeper of the zone, which reads each shard once for all that ask. A silent store is no answer: refused, as now. What is not stored can't name a wrong version.

`software_fuzz` with kills of all instances, 1,000 cases: no mixed stream, and at least half of those go on that others were told of while the store answered for a second; those told of less long before, or begun while one version was known, are not counted there.

New metrics: resumed streams by what was known, notes written or dropped.

--- a/crates/plat/src/row_store.rs
+++ b/crates/plat/src/row_store.rs
@@ -100,7 +100,8 @@
     ) -> impl Future<Output = Result<TransactionReply, PlatError>> + Send;
     /// Reads one row; `None` if it does not exist.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<StoredRow>, PlatError>> + Send;
-    /// Reads all rows whose key starts with `prefix`, in key order and from one moment.
+    /// Reads all rows whose key starts with `prefix`, in key order; those that the service returns with one answer, as
+    /// several hundred small ones, are from one moment.
     fn scan(&self, prefix: &str) -> impl Future<Output = Result<Vec<StoredRow>, PlatError>> + Send;
 }
 
--- a/crates/policy/src/keeper_table.rs
+++ b/crates/policy/src/keeper_table.rs
@@ -63,6 +63,18 @@
         told
     }
 
+    /// The instances that read the streams of a shard from the store for the own zone, best first.
+    pub fn readers(&self, shard: u64) -> Vec<InstanceId> {
+        let mut readers = self.writers();
+        readers.sort_by_cached_key(|keeper| Reverse(seeded_rng::mix(shard, keeper.as_bytes())));
+        readers
+    }
+
+    /// The instances that write the streams of the own zone to the store, best first; one does unless it can't be reached.
+    pub fn writers(&self) -> Vec<InstanceId> {
+        self.keepers.get(&self.zone).cloned().unwrap_or_default()
+    }
+
     /// The first keepers of a stream in a zone, without this instance.
     fn keepers_of(&self, stream: StreamKey, zone: &ZoneId, count: usize) -> Vec<InstanceId> {
         let keepers = self.keepers.get(zone).into_iter().flatten();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod keeper_table;
 mod list_history;
 pub mod loss_table;
+pub mod note_index;
+pub mod note_log;
 pub mod note_table;
 pub mod prefill_choice;
 pub mod prefill_estimate;
@@ -87,6 +89,8 @@
     helper_table::{HelperTable, ReachReport},
     keeper_table::KeeperTable,
     loss_table::{LossAction, LossTable, LostRun, ProbeOutcome},
+    note_index::NoteIndex,
+    note_log::{LOG_SHARDS, LOG_SLOTS, LogRow, LoggedNote, NoteLog, log_shard},
     note_table::NoteTable,
     prefill_choice::PrefillChoice,
     prefill_estimate::PrefillEstimate,
--- /dev/null
+++ b/crates/policy/src/note_log.rs
@@ -0,0 +1,177 @@
+//! The notes of streams of one availability zone that are to outlast all instances. Free of I/O; times are those of the
+//! store's clock, which all processes share.
+//!
+//! The rows are a ring: a row has the notes of one shard of streams that were told within one slot of time, and is
+//! overwritten after [`LOG_SLOTS`] of them. So the store keeps a fixed number of rows.
+
+use {
+    crate::{SoftwareNote, StreamKey},
+    kernel::SoftwareVersion,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// How many rows the streams of a slot are spread over.
+pub const LOG_SHARDS: u64 = 8;
+/// How many slots the ring has.
+pub const LOG_SLOTS: u64 = 8;
+/// The time of a slot.
+const SLOT_TIME: Duration = Duration::from_secs(4);
+/// Notes that wait to be written; further ones are dropped.
+const MAX_QUEUED: usize = 8_192;
+/// Notes of a row, which stays below what the store takes; further ones are dropped.
+const MAX_ROW_NOTES: usize = 2_500;
+
+/// A stream in the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoggedNote {
+    /// Until when the caller may come back, in milliseconds of the store's clock.
+    pub expires_ms: u64,
+    /// The version at which the stream began.
+    pub software: SoftwareVersion,
+    /// The stream.
+    pub stream: StreamKey,
+}
+
+/// The row of a shard in a slot.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogRow {
+    /// Whether what others wrote to the row in this slot is part of it. If not, the row may only be written in place of none.
+    pub is_merged: bool,
+    /// Its notes.
+    pub notes: Vec<LoggedNote>,
+    /// The shard.
+    pub shard: u64,
+    /// The slot of the ring.
+    pub slot: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Shard {
+    is_dirty: bool,
+    is_merged: bool,
+    notes: Vec<LoggedNote>,
+}
+
+/// The log as its writer keeps it.
+#[derive(Clone, Debug)]
+pub struct NoteLog {
+    dropped: u64,
+    queued: Vec<LoggedNote>,
+    shards: Vec<Shard>,
+    /// Counts the slots since the start of the store's clock.
+    slot: u64,
+}
+
+/// The shard of a stream.
+pub fn log_shard(stream: StreamKey) -> u64 {
+    stream % LOG_SHARDS
+}
+
+impl NoteLog {
+    /// An empty log.
+    pub fn new() -> Self {
+        Self {
+            dropped: 0,
+            queued: Vec::new(),
+            shards: vec![Shard::default(); LOG_SHARDS as usize],
+            slot: 0,
+        }
+    }
+
+    /// Adds a stream, which is written next.
+    pub fn add(&mut self, note: SoftwareNote, clock: Duration) {
+        if self.queued.len() >= MAX_QUEUED {
+            self.dropped += 1;
+            return;
+        }
+        self.queued.push(LoggedNote {
+            expires_ms: (clock + note.life).as_millis() as u64,
+            software: note.software,
+            stream: note.stream,
+        });
+    }
+
+    /// The rows to write now. They are written again until [`Self::note_written`].
+    pub fn rows(&mut self, clock: Duration) -> Vec<LogRow> {
+        let slot = clock.as_millis() as u64 / SLOT_TIME.as_millis() as u64;
+        if slot != self.slot {
+            self.slot = slot;
+            for shard in &mut self.shards {
+                let unwritten = std::mem::take(shard);
+                if unwritten.is_dirty {
+                    self.queued.extend(unwritten.notes);
+                }
+            }
+        }
+        for note in std::mem::take(&mut self.queued) {
+            self.insert(note, clock);
+        }
+        if !self.shards.iter().any(|shard| shard.is_dirty) {
+            return Vec::new();
+        }
+        // The first write of a slot names all rows, so that one refusal brings what others wrote to any of them.
+        let shards = self.shards.iter().zip(0..);
+        let due = shards.filter(|(shard, _)| shard.is_dirty || !shard.is_merged);
+        let rows = due.map(|(shard, number)| LogRow {
+            is_merged: shard.is_merged,
+            notes: shard.notes.clone(),
+            shard: number,
+            slot: slot % LOG_SLOTS,
+        });
+        rows.collect()
+    }
+
+    /// Merges what others wrote to a row of the present slot.
+    pub fn merge(&mut self, shard: u64, notes: Vec<LoggedNote>, clock: Duration) {
+        for note in notes {
+            if log_shard(note.stream) == shard {
+                self.insert(note, clock);
+            }
+        }
+    }
+
+    /// Records that the rows of these shards have all that others wrote.
+    pub fn note_merged(&mut self, rows: &[LogRow]) {
+        for row in rows {
+            self.shards[row.shard as usize].is_merged = true;
+        }
+    }
+
+    /// Records that rows were written.
+    pub fn note_written(&mut self, rows: &[LogRow]) {
+        self.note_merged(rows);
+        for row in rows {
+            self.shards[row.shard as usize].is_dirty = false;
+        }
+    }
+
+    /// Whether there is something to write.
+    pub fn is_pending(&self) -> bool {
+        !self.queued.is_empty() || self.shards.iter().any(|shard| shard.is_dirty)
+    }
+
+    /// Takes the number of notes that were dropped since the last time.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped)
+    }
+
+    fn insert(&mut self, note: LoggedNote, clock: Duration) {
+        if u128::from(note.expires_ms) <= clock.as_millis() {
+            return;
+        }
+        let shard = &mut self.shards[log_shard(note.stream) as usize];
+        if shard.notes.len() >= MAX_ROW_NOTES {
+            self.dropped += 1;
+            return;
+        }
+        shard.is_dirty = true;
+        shard.notes.push(note);
+    }
+}
+
+impl Default for NoteLog {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/policy/tests/software_fuzz.rs
+++ b/crates/policy/tests/software_fuzz.rs
@@ -28,6 +28,10 @@
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// How long a caller waits.
 const PATIENCE: Duration = Duration::from_secs(14);
+/// After which time a stream counts as stored.
+const STORED_AFTER: Duration = Duration::from_secs(1);
+/// How long it takes a note to get to the store: it is collected here and at the writer.
+const STORE_TIME: Duration = Duration::from_millis(450);
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -87,6 +91,10 @@
 
 struct Stream {
     began_at: Instant,
+    /// Whether all instances were killed before the store had answered for [`STORED_AFTER`] since others were told of it.
+    is_caught: bool,
+    /// When others were told of it; `None` while one version is known.
+    told_at: Option<Instant>,
     key: StreamKey,
     software: SoftwareVersion,
 }
@@ -96,6 +104,9 @@
     lapsed: (usize, Instant),
     /// The store's memory of the versions, and the number of writes of it.
     memory: (Option<SoftwareMemory>, usize),
+    /// The streams in the store's log, and those on the way there with the time at which they arrive.
+    stored: BTreeMap<StreamKey, SoftwareVersion>,
+    unstored: Vec<(Instant, StreamKey, SoftwareVersion)>,
     /// The store's clock is the time since then.
     origin: Instant,
     silent_until: Instant,
@@ -109,6 +120,9 @@
     /// Resumptions at instances in touch, while two engines of the version serve: at that version, and refused.
     right_in_touch: usize,
     refused_in_touch: usize,
+    /// Resumptions at that version, and refused ones, where neither the instance nor the store is cut off.
+    right_with_store: usize,
+    refused_with_store: usize,
     /// Resumptions at that version, and refused ones at instances that are not cut off.
     right: usize,
     refused: usize,
@@ -148,6 +162,10 @@
             memory: (None, 0),
             origin: now,
             silent_until: now,
+            stored: BTreeMap::new(),
+            unstored: Vec::new(),
+            right_with_store: 0,
+            refused_with_store: 0,
             engines: (0..ENGINES).map(|number| engine(number, 0)).collect(),
             names: names
                 .map(|(index, member)| (member.instance.to_string(), index))
@@ -245,6 +263,16 @@
         if self.is_cut(teller) {
             return;
         }
+        if let Some(stream) = self
+            .streams
+            .iter_mut()
+            .find(|stream| stream.key == note.stream)
+        {
+            stream.told_at = Some(self.now);
+        }
+        let arrives_at = self.now + STORE_TIME;
+        self.unstored
+            .push((arrives_at, note.stream, note.software.clone()));
         for keeper in keepers {
             let keeper = self.names[&*keeper];
             if !self.is_cut(keeper) {
@@ -298,6 +326,8 @@
         };
         self.streams.push(Stream {
             began_at: now,
+            is_caught: false,
+            told_at: None,
             key,
             software: chosen.software,
         });
@@ -343,7 +373,15 @@
         let serving = serving.filter(|engine| engine.software == stream.software);
         let is_cut = self.is_cut(index);
         let counts = self.is_in_touch(index) && serving.count() >= 2;
-        match own.resolve(false, &others) {
+        let has_store = !is_cut && !self.is_silent();
+        let began = own.resolve(false, &others);
+        let stored = self.stored.get(&stream.key).filter(|_| has_store);
+        let began = began.or_else(|| stored.cloned());
+        let is_right = began.as_ref() == Some(&stream.software);
+        let counts_stored = has_store && !stream.is_caught && stream.told_at.is_some();
+        self.right_with_store += usize::from(counts_stored && is_right);
+        self.refused_with_store += usize::from(counts_stored && began.is_none());
+        match began {
             Some(software) if software == stream.software => {
                 self.right += 1;
                 self.right_in_touch += usize::from(counts);
@@ -360,6 +398,12 @@
     fn apply(&mut self, event: &Event) {
         self.now += STEP;
         self.read_lists();
+        if !self.is_silent() {
+            let now = self.now;
+            let arrived = self.unstored.extract_if(.., |(at, ..)| now >= *at);
+            self.stored
+                .extend(arrived.map(|(_, key, software)| (key, software)));
+        }
         match event {
             Event::Begin(instance, engine) => self.begin(*instance, *engine),
             Event::Cut(instance, steps) => {
@@ -370,6 +414,12 @@
                 self.restart(*instance, &member);
             }
             Event::KillAll => {
+                self.unstored.clear();
+                for stream in &mut self.streams {
+                    let told_at = stream.told_at;
+                    stream.is_caught |= told_at
+                        .is_none_or(|at| self.now < at.max(self.silent_until) + STORED_AFTER);
+                }
                 let members: Vec<_> = self.fleet.iter().cloned().collect();
                 for (index, member) in members.iter().enumerate() {
                     self.restart(index, member);
@@ -431,13 +481,17 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against mixed streams where all instances are killed, and the list that they start with lacks versions.
+    /// Guards against mixed streams where all instances are killed, and the list that they start with lacks versions; and
+    /// against streams that are lost although others were told of them long enough before.
     #[test]
     fn streams_go_on_at_their_version_after_all_instances_were_killed(
         events in proptest::collection::vec(harsh_event(20), 100..400),
     ) {
         let model = played(&events);
         prop_assert_eq!(model.wrong, 0);
+        let right = model.right_with_store;
+        let tried = right + model.refused_with_store;
+        prop_assert!(tried < 12 || right * 2 >= tried, "{} of {}", right, tried);
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod slot_wait;
 pub mod software_notes;
 pub mod software_plugin;
+pub mod software_source;
 pub mod source_watch;
 pub mod stage_controller;
 pub mod start_gate;
@@ -146,6 +147,7 @@
     slot_finder::{ReservedSlot, SlotFinder},
     slot_wait::SlotWait,
     software_notes::{NoteJob, SoftwareNotes},
+    software_source::SoftwareSource,
     source_watch::{SourceWatch, WatchTimes},
     stage_controller::{StageController, StageSettings},
     start_gate::StartGate,
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        AnswerOwner, CustomerCounts, NotRunReason, ResumedSoftware, UnreadHeaders, WastedPrefill,
+        AnswerOwner, CustomerCounts, NotRunReason, ResumedSoftware, SoftwareSource, UnreadHeaders,
+        WastedPrefill,
     },
     kernel::ResultCode,
     policy::{BackoffStatement, CallVerdict, RateChange},
@@ -62,6 +63,10 @@
     requests: IntCounterVec,
     /// Resumed streams, by what is known of the software version that began them.
     resumed: IntCounterVec,
+    /// Streams that callers resume, by what was known of them.
+    resumed_by: IntCounterVec,
+    /// Notes of streams in the store.
+    stored_notes: IntCounterVec,
     /// Retries.
     pub retries: IntCounter,
     /// Retries that the budget did not allow.
@@ -135,6 +140,22 @@
         for software in ResumedSoftware::ALL {
             resumed.with_label_values(&[software.label()]);
         }
+        let resumed_by = counters(
+            "trestlewalk_relay_resumed_known_total",
+            "Streams that callers resume, by what was known of the software version that began them.",
+            &["by"],
+        );
+        for source in SoftwareSource::ALL {
+            resumed_by.with_label_values(&[source.label()]);
+        }
+        let stored_notes = counters(
+            "trestlewalk_relay_stored_notes_total",
+            "Notes of streams for the store: transactions written, and notes dropped.",
+            &["outcome"],
+        );
+        for outcome in ["dropped", "writes"] {
+            stored_notes.with_label_values(&[outcome]);
+        }
         let wasted_tokens = counters(
             "trestlewalk_relay_vain_prompt_tokens_total",
             "Prompt tokens given to prefill engines whose KV cache no decode engine ran on, by reason.",
@@ -187,6 +208,8 @@
                 &["work", "code"],
             ),
             resumed,
+            resumed_by,
+            stored_notes,
             retries: counter(
                 "trestlewalk_relay_retries_total",
                 "Repeated calls to upstreams.",
@@ -285,6 +308,18 @@
         self.resumed.with_label_values(&[software.label()]).inc();
     }
 
+    /// Counts a stream that its caller resumes.
+    pub fn note_resumed_by(&self, source: SoftwareSource) {
+        self.resumed_by.with_label_values(&[source.label()]).inc();
+    }
+
+    /// Counts writes of notes of streams to the store, or notes that were dropped.
+    pub fn note_stored(&self, outcome: &str, count: u64) {
+        self.stored_notes
+            .with_label_values(&[outcome])
+            .inc_by(count);
+    }
+
     /// Counts a wasted prefill.
     pub fn note_wasted(&self, reason: WastedPrefill, tokens: u64) {
         let counter = self.wasted_tokens.with_label_values(&[reason.label()]);
@@ -353,6 +388,8 @@
         register(registry, &self.rate_limits)?;
         register(registry, &self.requests)?;
         register(registry, &self.resumed)?;
+        register(registry, &self.resumed_by)?;
+        register(registry, &self.stored_notes)?;
         register(registry, &self.retries)?;
         register(registry, &self.retries_refused)?;
         register(registry, &self.store_reads)?;
--- a/crates/relay/src/software_notes.rs
+++ b/crates/relay/src/software_notes.rs
@@ -1,7 +1,7 @@
 //! At which software versions recent streams began, so that callers who resume them get the same version.
 
 use {
-    crate::{CallerRequest, SharedUpstreams},
+    crate::{CallerRequest, SharedUpstreams, SoftwareSource},
     kernel::{LockRank, RankedLock, ServiceId, SoftwareVersion, steady_clock},
     policy::{
         NoteTable, SoftwareMemory, SoftwareNote, SoftwareReport, StreamKey, UpstreamRecord,
@@ -12,7 +12,10 @@
         sync::{Arc, OnceLock},
         time::Duration,
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::{
+        sync::{mpsc, oneshot},
+        time,
+    },
 };
 
 /// Jobs that may wait to be taken; further ones are dropped, and their streams are not resumed elsewhere.
@@ -22,6 +25,9 @@
 /// How long to wait for a note of the stream, or for the first answer.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long to wait for what the store knows of a stream.
+const STORED_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What other instances have to do with the notes.
 #[derive(Debug)]
 pub enum NoteJob {
@@ -38,6 +44,13 @@
         /// After which time any answer suffices.
         settle: Duration,
     },
+    /// Has the stream looked up in the store.
+    AskStored {
+        /// Takes the version at which it began, if that is found.
+        reply: oneshot::Sender<Option<SoftwareVersion>>,
+        /// The stream.
+        stream: StreamKey,
+    },
     /// Tells them where a stream began.
     Tell(SoftwareNote),
 }
@@ -86,25 +99,41 @@
         upstreams.software.remember(memory, era, clock, now);
     }
 
-    /// The version at which the stream began that a request resumes; `None` while it is not known.
+    /// The version at which the stream began that a request resumes, and how it was found; `None` while it is not known.
     pub async fn find(
         &self,
         request: &CallerRequest,
         service: &ServiceId,
-    ) -> Option<SoftwareVersion> {
+    ) -> (Option<SoftwareVersion>, SoftwareSource) {
         let head = &request.head;
         // Nobody has a note of an attempt that is just beginning, but others tell which versions they list.
         let stream = stream_key(head.resumes.as_ref().unwrap_or(&head.id));
         let own = self.report(service, stream);
         if own.began.is_some() {
-            return own.began;
+            return (own.began, SoftwareSource::Own);
         }
         let settle = match own.versions.len() {
             0 | 1 => CONFIRM_TIME,
             _ => SEARCH_TIMEOUT,
         };
         let others = self.ask(service, stream, settle).await;
-        own.resolve(others.is_none(), &others.unwrap_or_default())
+        let is_alone = others.is_none();
+        let others = others.unwrap_or_default();
+        let source = match others.iter().any(|report| report.began.is_some()) {
+            true => SoftwareSource::Keeper,
+            false => SoftwareSource::OneVersion,
+        };
+        if let Some(began) = own.resolve(is_alone, &others) {
+            return (Some(began), source);
+        }
+        let stored = match head.resumes.is_some() {
+            true => self.ask_stored(stream).await,
+            false => None,
+        };
+        match stored {
+            Some(began) => (Some(began), SoftwareSource::Store),
+            None => (None, SoftwareSource::Nothing),
+        }
     }
 
     /// Notes without any stream.
@@ -209,6 +238,14 @@
         }
     }
 
+    /// Looks a stream up in the store.
+    async fn ask_stored(&self, stream: StreamKey) -> Option<SoftwareVersion> {
+        let (reply, software) = oneshot::channel();
+        let job = NoteJob::AskStored { reply, stream };
+        self.jobs.get()?.try_send(job).ok()?;
+        time::timeout(STORED_TIMEOUT, software).await.ok()?.ok()?
+    }
+
     /// Has other instances told of a stream; whether that was possible.
     fn tell(&self, note: SoftwareNote) -> bool {
         let jobs = self.jobs.get();
--- a/crates/relay/src/store_calls.rs
+++ b/crates/relay/src/store_calls.rs
@@ -48,6 +48,8 @@
     Directory,
     /// A lease is acquired or renewed.
     Lease,
+    /// Notes of streams are written or read.
+    Notes,
     /// A periodic call is due.
     Period,
     /// The previous call failed.
@@ -115,6 +117,7 @@
             Self::Crash => "crash",
             Self::Directory => "directory",
             Self::Lease => "lease",
+            Self::Notes => "notes",
             Self::Period => "period",
             Self::Retry => "retry",
             Self::Start => "start",
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -164,7 +164,8 @@
     /// The version is not known.
     async fn find_origin(&mut self) -> Result<(), FlowFailure> {
         let finding = self.core.software.find(&self.request, &self.service);
-        let (software, holders) = tokio::join!(finding, self.find_holders());
+        let ((software, source), holders) = tokio::join!(finding, self.find_holders());
+        self.core.counts.note_resumed_by(source);
         self.holders = holders;
         let trace = &self.request.trace;
         let resumed = self.request.head.resumes.as_deref().unwrap_or("none");
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -14,12 +14,14 @@
 pub mod list_journal;
 pub mod list_mirror;
 pub mod list_reader;
+mod log_rows;
 pub mod member_directory;
 pub mod member_registry;
 pub mod member_row;
 pub mod note_exchange;
 pub mod note_message;
 pub mod note_server;
+pub mod note_store;
 pub mod peer_cooldown;
 pub mod pending_request;
 pub mod place_exchange;
@@ -51,6 +53,7 @@
     note_exchange::NoteExchange,
     note_message::{NOTE_TAG, NoteReply, NoteRequest},
     note_server::NoteServer,
+    note_store::NoteStore,
     peer_cooldown::PeerCooldown,
     pending_request::PendingRequest,
     place_exchange::PlaceExchange,
--- a/crates/spread/src/note_exchange.rs
+++ b/crates/spread/src/note_exchange.rs
@@ -1,10 +1,10 @@
 //! Tells keepers at which software versions streams of this instance began, and asks them for those of others.
 
 use {
-    crate::{MemberRow, NoteReply, NoteRequest, note_message::NOTE_TAG},
-    kernel::InstanceId,
+    crate::{MemberRow, NoteReply, NoteRequest, NoteStore, note_message::NOTE_TAG},
+    kernel::{InstanceId, SoftwareVersion},
     peer::PeerEndpoint,
-    policy::{FleetMembers, KeeperTable, SoftwareNote, SoftwareReport},
+    policy::{FleetMembers, KeeperTable, SoftwareNote, SoftwareReport, StreamKey, log_shard},
     relay::{FleetView, NoteJob},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::{sync::mpsc, task::JoinSet, time},
@@ -12,6 +12,12 @@
 
 /// How long notes for one keeper are collected. Callers take longer to come back.
 const COLLECT_PERIOD: Duration = Duration::from_millis(20);
+/// How long notes for the store are collected.
+const STORE_PERIOD: Duration = Duration::from_millis(100);
+/// How many instances are tried to write notes to the store, or to read one, each with the time limit.
+const MAX_TRIES: usize = 2;
+/// How long an instance may take to read a note from the store.
+const STORED_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long a keeper may take to take notes.
 const TELL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -23,16 +29,23 @@
     /// The keepers, and the instances that they were chosen from.
     keepers: Option<(Arc<FleetMembers>, Arc<KeeperTable>)>,
     own: MemberRow,
+    stored: NoteStore,
 }
 
 impl NoteExchange {
     /// An exchange of the instance `own` with the other instances of a fleet.
-    pub fn new(endpoint: PeerEndpoint, fleet: FleetView, own: MemberRow) -> Self {
+    pub fn new(
+        endpoint: PeerEndpoint,
+        fleet: FleetView,
+        own: MemberRow,
+        stored: NoteStore,
+    ) -> Self {
         Self {
             endpoint,
             fleet,
             keepers: None,
             own,
+            stored,
         }
     }
 
@@ -41,6 +54,8 @@
         let mut jobs = jobs;
         let mut collected = BTreeMap::new();
         let mut flush_at = time::Instant::now();
+        let mut unstored = Vec::new();
+        let mut store_at = time::Instant::now();
         loop {
             let job = tokio::select! {
                 job = jobs.recv() => job,
@@ -48,6 +63,10 @@
                     self.flush(&mut collected);
                     continue;
                 }
+                () = time::sleep_until(store_at), if !unstored.is_empty() => {
+                    self.store(std::mem::take(&mut unstored));
+                    continue;
+                }
             };
             match job {
                 None => return,
@@ -67,10 +86,23 @@
                         let _ = reply.send(reports);
                     });
                 }
+                Some(NoteJob::AskStored { reply, stream }) => {
+                    let readers = self.keepers().readers(log_shard(stream));
+                    let exchange = self.clone();
+                    tokio::spawn(async move {
+                        let software = exchange.ask_stored(readers, stream).await;
+                        // Fails only when the caller has left.
+                        let _ = reply.send(software);
+                    });
+                }
                 Some(NoteJob::Tell(note)) => {
                     if collected.is_empty() {
                         flush_at = time::Instant::now() + COLLECT_PERIOD;
                     }
+                    if unstored.is_empty() {
+                        store_at = time::Instant::now() + STORE_PERIOD;
+                    }
+                    unstored.push(note.clone());
                     self.collect(note, &mut collected);
                 }
             }
@@ -115,6 +147,49 @@
         }
     }
 
+    /// Has notes written to the store.
+    fn store(&mut self, notes: Vec<SoftwareNote>) {
+        let writers = self.keepers().writers();
+        let exchange = self.clone();
+        tokio::spawn(async move {
+            for writer in writers.iter().take(MAX_TRIES) {
+                if *writer == exchange.own.instance {
+                    if exchange.stored.write(notes.clone()) {
+                        return;
+                    }
+                    continue;
+                }
+                let request = NoteRequest::Store(notes.clone());
+                let calling = time::timeout(TELL_TIMEOUT, exchange.call(writer, &request));
+                if matches!(calling.await, Ok(Some(_))) {
+                    return;
+                }
+            }
+            tracing::debug!(count = notes.len(), "notes of streams are not stored");
+        });
+    }
+
+    /// The version at which a stream began by the store's log; `None` while it is not known.
+    async fn ask_stored(
+        &self,
+        readers: Vec<InstanceId>,
+        stream: StreamKey,
+    ) -> Option<SoftwareVersion> {
+        for reader in readers.iter().take(MAX_TRIES) {
+            if *reader == self.own.instance {
+                return self.stored.find(stream).await;
+            }
+            let request = NoteRequest::AskStored(stream);
+            let asking = time::timeout(STORED_TIMEOUT, self.call(reader, &request));
+            match asking.await {
+                Ok(Some(NoteReply::Stored(software))) => return software,
+                Ok(_) => {}
+                Err(_) => return None,
+            }
+        }
+        None
+    }
+
     /// Asks keepers of a stream. Waits until one has a note of it or all have answered; after `settle` any answer suffices,
     /// and after `timeout` none is waited for.
     async fn ask(
--- a/crates/spread/src/note_message.rs
+++ b/crates/spread/src/note_message.rs
@@ -1,7 +1,7 @@
 //! Messages about the software versions at which streams began. The order of fields and variants is the wire format.
 
 use {
-    kernel::ServiceId,
+    kernel::{ServiceId, SoftwareVersion},
     peer::ProtocolTag,
     policy::{SoftwareNote, SoftwareReport, StreamKey},
     serde::{Deserialize, Serialize},
@@ -20,6 +20,10 @@
         /// The stream.
         stream: StreamKey,
     },
+    /// Asks for the version at which a stream began by the store's log.
+    AskStored(StreamKey),
+    /// Has notes written to the store's log.
+    Store(Vec<SoftwareNote>),
     /// Tells the versions at which streams began.
     Tell(Vec<SoftwareNote>),
 }
@@ -29,6 +33,8 @@
 pub enum NoteReply {
     /// What it knows of the stream.
     Report(SoftwareReport),
+    /// What the store's log has of the stream.
+    Stored(Option<SoftwareVersion>),
     /// The notes are kept.
     Told,
 }
--- a/crates/spread/src/note_server.rs
+++ b/crates/spread/src/note_server.rs
@@ -1,8 +1,8 @@
 //! Keeps the software versions at which streams of other instances began.
 
 use {
-    crate::{NoteReply, NoteRequest},
-    peer::PeerIncoming,
+    crate::{NoteReply, NoteRequest, NoteStore},
+    peer::{CallReply, PeerIncoming},
     relay::SoftwareNotes,
     tokio::sync::mpsc,
 };
@@ -12,6 +12,8 @@
 pub struct NoteServer {
     /// The notes of this instance.
     pub notes: SoftwareNotes,
+    /// The streams in the store.
+    pub stored: NoteStore,
 }
 
 impl NoteServer {
@@ -29,22 +31,39 @@
                     continue;
                 }
             };
-            // Strings and numbers always serialise.
-            if let Ok(body) = postcard::to_stdvec(&self.answer(request)) {
-                reply.send(body.into());
+            if let NoteRequest::AskStored(stream) = request {
+                let stored = self.stored.clone();
+                tokio::spawn(async move {
+                    let answer = NoteReply::Stored(stored.find(stream).await);
+                    send_reply(reply, &answer);
+                });
+                continue;
+            }
+            if let Some(answer) = self.answer(request) {
+                send_reply(reply, &answer);
             }
         }
     }
 
-    fn answer(&self, request: NoteRequest) -> NoteReply {
+    /// Answers a request; `None` for one that this instance can't carry out now.
+    fn answer(&self, request: NoteRequest) -> Option<NoteReply> {
         match request {
+            NoteRequest::AskStored(_) => None,
+            NoteRequest::Store(notes) => self.stored.write(notes).then_some(NoteReply::Told),
             NoteRequest::Ask { service, stream } => {
-                NoteReply::Report(self.notes.report(&service, stream))
+                Some(NoteReply::Report(self.notes.report(&service, stream)))
             }
             NoteRequest::Tell(notes) => {
                 self.notes.add_told(notes);
-                NoteReply::Told
+                Some(NoteReply::Told)
             }
         }
     }
 }
+
+fn send_reply(reply: CallReply, answer: &NoteReply) {
+    // Strings and numbers always serialise.
+    if let Ok(body) = postcard::to_stdvec(answer) {
+        reply.send(body.into());
+    }
+}
--- /dev/null
+++ b/crates/spread/src/note_store.rs
@@ -0,0 +1,259 @@
+//! Writes notes of streams to the store and reads them, for callers who come back after all instances are gone.
+
+use {
+    crate::log_rows::{decode_notes, encode_notes, row_key, shard_prefix},
+    kernel::{SoftwareVersion, WorkerPool, ZoneId, steady_clock},
+    plat::{PlatError, RowStore, RowWrite, Transaction, TransactionReply},
+    policy::{LogRow, LoggedNote, NoteIndex, NoteLog, SoftwareNote, StreamKey, log_shard},
+    relay::RelayCounts,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        future::Future,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinSet,
+        time,
+    },
+};
+
+/// Time from one write to the next.
+const WRITE_PERIOD: Duration = Duration::from_millis(250);
+/// How long questions are collected, so that one read answers all of them.
+const COLLECT_TIME: Duration = Duration::from_millis(30);
+/// Time from the end of one read to the next.
+const READ_PAUSE: Duration = Duration::from_millis(70);
+/// How long a call to the store may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Batches and questions that may wait; further ones are refused.
+const MAX_WAITING: usize = 1_024;
+
+/// A question for the version at which a stream began.
+#[derive(Debug)]
+struct Question {
+    reply: oneshot::Sender<Option<SoftwareVersion>>,
+    stream: StreamKey,
+}
+
+/// The log of one instance. Clones share it.
+#[derive(Clone, Debug)]
+pub struct NoteStore {
+    questions: mpsc::Sender<Question>,
+    writes: mpsc::Sender<Vec<SoftwareNote>>,
+}
+
+#[derive(Debug)]
+struct LogWriter<S> {
+    counts: RelayCounts,
+    log: NoteLog,
+    store: Arc<S>,
+    zone: ZoneId,
+}
+
+#[derive(Debug)]
+struct LogReader<S> {
+    index: NoteIndex,
+    store: Arc<S>,
+}
+
+impl NoteStore {
+    /// Opens the log of an availability zone. It makes no call until there are notes or questions.
+    pub fn open<S: RowStore + 'static>(
+        store: Arc<S>,
+        zone: ZoneId,
+        counts: RelayCounts,
+        pool: &WorkerPool,
+    ) -> Self {
+        let (writes, batches) = mpsc::channel(MAX_WAITING);
+        let (questions, asked) = mpsc::channel(MAX_WAITING);
+        let writer = LogWriter {
+            counts,
+            log: NoteLog::new(),
+            store: store.clone(),
+            zone,
+        };
+        pool.spawn(writer.run(batches));
+        let reader = LogReader {
+            index: NoteIndex::default(),
+            store,
+        };
+        pool.spawn(reader.run(asked));
+        Self { questions, writes }
+    }
+
+    /// Has notes written; whether that is possible.
+    pub fn write(&self, notes: Vec<SoftwareNote>) -> bool {
+        self.writes.try_send(notes).is_ok()
+    }
+
+    /// The version at which a stream began, by a read that begins after the call; `None` if it is not found, or the store
+    /// does not answer.
+    pub async fn find(&self, stream: StreamKey) -> Option<SoftwareVersion> {
+        let (reply, answer) = oneshot::channel();
+        self.questions.try_send(Question { reply, stream }).ok()?;
+        answer.await.ok().flatten()
+    }
+}
+
+impl<S: RowStore> LogWriter<S> {
+    async fn run(mut self, batches: mpsc::Receiver<Vec<SoftwareNote>>) {
+        let mut batches = batches;
+        loop {
+            if !self.log.is_pending() {
+                let Some(notes) = batches.recv().await else {
+                    return;
+                };
+                self.add(notes);
+            }
+            let write_at = time::Instant::now() + WRITE_PERIOD;
+            loop {
+                match time::timeout_at(write_at, batches.recv()).await {
+                    Ok(Some(notes)) => self.add(notes),
+                    Ok(None) => return,
+                    Err(_) => break,
+                }
+            }
+            if let Err(error) = self.write().await {
+                tracing::debug!(%error, "failed to write notes of streams");
+            }
+            self.counts.note_stored("dropped", self.log.take_dropped());
+        }
+    }
+
+    fn add(&mut self, notes: Vec<SoftwareNote>) {
+        let Some(clock) = self.store.clock(steady_clock::now()) else {
+            self.counts.note_stored("dropped", notes.len() as u64);
+            return;
+        };
+        for note in notes {
+            self.log.add(note, clock);
+        }
+    }
+
+    /// Writes the notes that wait. What another writer left in a row is merged: the first write of a row in each slot is on
+    /// condition that there is none, and the refusal brings it.
+    async fn write(&mut self) -> Result<(), PlatError> {
+        let Some(clock) = self.store.clock(steady_clock::now()) else {
+            return Ok(());
+        };
+        let rows = self.log.rows(clock);
+        if rows.is_empty() {
+            return Ok(());
+        }
+        let mut written = rows;
+        let reply = limited(self.store.commit(&self.changes(&written))).await?;
+        if let TransactionReply::Conflict { rows } = reply {
+            for row in &written {
+                let key = row_key(&self.zone, row);
+                let stored = rows.iter().find(|stored| stored.key == key);
+                let notes = stored.and_then(|stored| decode_notes(&stored.value));
+                self.log.merge(row.shard, notes.unwrap_or_default(), clock);
+            }
+            self.log.note_merged(&written);
+            written = self.log.rows(clock);
+            limited(self.store.commit(&self.changes(&written))).await?;
+        }
+        self.counts.note_stored("writes", 1);
+        self.log.note_written(&written);
+        Ok(())
+    }
+
+    fn changes(&self, rows: &[LogRow]) -> Transaction {
+        let mut changes = Transaction::default();
+        for row in rows {
+            let key = row_key(&self.zone, row);
+            let value = encode_notes(&row.notes);
+            if !row.is_merged {
+                changes.write(key, 0, value);
+                continue;
+            }
+            changes.writes.push(RowWrite {
+                key,
+                value: Some(value),
+            });
+        }
+        changes
+    }
+}
+
+impl<S: RowStore + 'static> LogReader<S> {
+    async fn run(mut self, questions: mpsc::Receiver<Question>) {
+        let mut questions = questions;
+        while let Some(question) = questions.recv().await {
+            let mut waiting = self.answered_now(question);
+            let read_at = time::Instant::now() + COLLECT_TIME;
+            while let Ok(Some(question)) = time::timeout_at(read_at, questions.recv()).await {
+                waiting.extend(self.answered_now(question));
+            }
+            if waiting.is_empty() {
+                continue;
+            }
+            self.read(&waiting).await;
+            for question in waiting {
+                let software = self.index.software(question.stream).cloned();
+                // Fails only when the caller has left.
+                let _ = question.reply.send(software);
+            }
+            time::sleep(READ_PAUSE).await;
+        }
+    }
+
+    /// Answers a question at once if the stream is known. Returns it otherwise.
+    fn answered_now(&self, question: Question) -> Vec<Question> {
+        match self.index.software(question.stream) {
+            Some(software) => {
+                let _ = question.reply.send(Some(software.clone()));
+                Vec::new()
+            }
+            None => vec![question],
+        }
+    }
+
+    async fn read(&mut self, waiting: &[Question]) {
+        let shards: BTreeSet<u64> = waiting
+            .iter()
+            .map(|question| log_shard(question.stream))
+            .collect();
+        let mut reading = JoinSet::new();
+        for shard in shards {
+            let store = self.store.clone();
+            reading.spawn(async move { (shard, read_shard(&*store, shard).await) });
+        }
+        while let Some(read) = reading.join_next().await {
+            match read {
+                Ok((shard, Ok(notes))) => {
+                    let clock = self.store.clock(steady_clock::now());
+                    self.index.replace(shard, notes, clock);
+                }
+                Ok((shard, Err(error))) => {
+                    tracing::info!(shard, %error, "failed to read notes of streams")
+                }
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+async fn read_shard<S: RowStore>(store: &S, shard: u64) -> Result<Vec<LoggedNote>, PlatError> {
+    let rows = limited(store.scan(&shard_prefix(shard))).await?;
+    let mut streams = BTreeMap::new();
+    for row in &rows {
+        match decode_notes(&row.value) {
+            Some(notes) => streams.extend(notes.into_iter().map(|note| (note.stream, note))),
+            None => tracing::warn!(key = %row.key, "failed to decode notes of streams"),
+        }
+    }
+    Ok(streams.into_values().collect())
+}
+
+/// Limits a call to the store to [`CALL_TIMEOUT`].
+async fn limited<T>(call: impl Future<Output = Result<T, PlatError>>) -> Result<T, PlatError> {
+    match time::timeout(CALL_TIMEOUT, call).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(PlatError::Unreachable {
+            detail: "no answer in time".to_owned(),
+        }),
+    }
+}
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -9,9 +9,9 @@
 use {
     crate::{
         DirectoryView, JournalPosition, ListMirror, ListReader, MemberDirectory, MemberRegistry,
-        MemberRow, NOTE_TAG, NoteExchange, NoteServer, PLACE_TAG, PlaceExchange, PlaceServer,
-        ReadFailure, ReadStep, ReaderElection, ReportOrigin, ReportWatcher, SPREAD_TAG,
-        SpreadServer, SpreadState, SpreadTimes, USAGE_TAG, UsageExchange, UsageServer,
+        MemberRow, NOTE_TAG, NoteExchange, NoteServer, NoteStore, PLACE_TAG, PlaceExchange,
+        PlaceServer, ReadFailure, ReadStep, ReaderElection, ReportOrigin, ReportWatcher,
+        SPREAD_TAG, SpreadServer, SpreadState, SpreadTimes, USAGE_TAG, UsageExchange, UsageServer,
     },
     kernel::{InstanceId, LockRank, RankedLock, WorkerPool, steady_clock},
     peer::{PeerEndpoint, PeerKeys},
@@ -109,6 +109,7 @@
         fleet: FleetView,
         freshness: RouteFreshness,
         keys: PeerKeys,
+        note_store: Arc<S>,
         own: MemberRow,
         places: Option<PlaceClient>,
         pool: &WorkerPool,
@@ -147,13 +148,15 @@
         let usage = UsageServer::new(endpoint.incarnation(), members.clone(), quotas);
         pool.spawn(usage.clone().serve(endpoint.register(USAGE_TAG)));
         pool.spawn(UsageExchange::new(usage, endpoint.clone()).run());
+        let stored = NoteStore::open(note_store, own.zone.clone(), counts.clone(), pool);
         let notes = NoteServer {
             notes: software.clone(),
+            stored: stored.clone(),
         };
         pool.spawn(notes.run(endpoint.register(NOTE_TAG)));
         if let Some(jobs) = software.open() {
             let fleet = members.fleet.clone();
-            let exchange = NoteExchange::new(endpoint.clone(), fleet, own.clone());
+            let exchange = NoteExchange::new(endpoint.clone(), fleet, own.clone(), stored);
             pool.spawn(exchange.run(jobs));
         }
         schedulers.begin_at(endpoint.incarnation());
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -329,6 +329,7 @@
         .fleet(core.fleet.clone())
         .freshness(core.freshness.clone())
         .keys(socket.keys)
+        .note_store(Arc::new(store.for_reason(CallReason::Notes)))
         .own(socket.row)
         .pool(pool)
         .quarantine(settings.quarantine.life)
