policy, spread: the store knows each version before its list is used, and for as long as callers wait

Causes, two of them: - A version counted for 30 s after its last upstream had left, but callers may wait for 60 s, for which notes are kept. In these tests callers come back some 36 s later. The only version of a service was not in the row at all where no member was written later.

Also by the review: a list waits 400 ms at most for that write (DRAIN); who may lack versions does not put the present era on the row; a gap of the retention between two lists begins the time anew; a time at which a version left before it came back is not kept.

Changed checks: a list of one version is now to be written at 0 s where it was not (the stated design before); the retention is 60 s in three tests where it was 30 s, and one asks in addition that a version still counts after 40 s. Callers wait that long, so the earlier bound was the fault.

--- a/crates/policy/src/software_history.rs
+++ b/crates/policy/src/software_history.rs
@@ -10,7 +10,7 @@
 };
 
 /// How long a version counts after its last upstream has left the list. Callers resume streams of that upstream meanwhile.
-const RETENTION: Duration = Duration::from_secs(30);
+const RETENTION: Duration = Duration::from_secs(60);
 
 /// The versions of each service.
 #[derive(Clone, Debug, Default)]
@@ -43,7 +43,11 @@
             versions.retain(|_, listed_at| is_recent(*listed_at, now));
         }
         self.listed_at.retain(|_, versions| !versions.is_empty());
+        let is_gap = self.applied_at.is_some_and(|at| !is_recent(at, now));
         self.applied_at = Some(now);
+        if is_gap {
+            self.followed_since = None;
+        }
         self.followed_since.get_or_insert(now);
     }
 
@@ -71,6 +75,7 @@
         clock: Option<Duration>,
         now: Instant,
     ) {
+        let applied_at = self.applied_at;
         for (service, software, gone_for) in
             memory.into_iter().flat_map(|memory| memory.rows(clock))
         {
@@ -82,7 +87,10 @@
             }
             let versions = self.listed_at.entry(service.clone()).or_default();
             let known = versions.entry(software.clone()).or_insert(listed_at);
-            *known = listed_at.max(*known);
+            // A version of the newest list is told by the time of that list.
+            if Some(*known) != applied_at {
+                *known = listed_at.max(*known);
+            }
         }
         if memory.map_or(0, |memory| memory.era) == era {
             self.remembered_at.get_or_insert(now);
--- a/crates/policy/src/software_memory.rs
+++ b/crates/policy/src/software_memory.rs
@@ -11,6 +11,10 @@
     },
 };
 
+/// Instances that saw a version leave at times closer than this, milliseconds, mean the same departure: they read the list
+/// about once a second.
+const SAME_TIME_MS: u64 = 3_000;
+
 /// The versions of each service.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SoftwareMemory {
@@ -32,18 +36,25 @@
         clock: Option<Duration>,
         now: Instant,
     ) -> Self {
+        let is_complete = history.is_complete(now);
         let mut history = history.clone();
         if let Some(records) = records {
             history.apply(records, now);
         }
+        // Who may lack versions does not vouch for a row of another era.
+        let known_era = known.filter(|_| !is_complete).map(|known| known.era);
         let mut draft = Self {
-            era,
+            era: known_era.unwrap_or(era),
             left_ms: BTreeMap::new(),
         };
         for (service, software, age) in history.ages(now) {
             let left = age.and_then(|age| {
                 let known = known.and_then(|known| *known.left_ms.get(service)?.get(software)?);
-                known.or_else(|| Some(clock?.saturating_sub(age).as_millis() as u64))
+                let own = clock.map(|clock| clock.saturating_sub(age).as_millis() as u64);
+                match (known, own) {
+                    (Some(known), Some(own)) if known.abs_diff(own) >= SAME_TIME_MS => Some(own),
+                    (known, own) => known.or(own),
+                }
             });
             let versions = draft.left_ms.entry(service.clone()).or_default();
             versions.insert(software.clone(), left);
@@ -73,16 +84,27 @@
         self.left_ms.values().any(|versions| versions.len() > 1)
     }
 
-    /// Whether this has to replace what the store keeps, by a call of its own. While every service has one version it can
-    /// wait for another write, unless the store was restored.
+    /// Whether this has to replace what the store keeps, by a call of its own: it has a version that is not kept there, or
+    /// not as listed. Other differences matter only while a service has several versions, or after a restore of the store.
     pub fn is_due(&self, known: Option<&Self>) -> bool {
-        match known {
-            None => self.is_mixed(),
-            Some(known) => {
-                let is_mixed = self.is_mixed() || known.is_mixed();
-                known != self && (is_mixed || known.era != self.era)
-            }
-        }
+        let Some(known) = known else {
+            return !self.is_empty();
+        };
+        let is_mixed = self.is_mixed() || known.is_mixed();
+        !self.is_covered_by(known) || known != self && (is_mixed || known.era != self.era)
+    }
+
+    /// Whether each version that is listed here is kept as listed in another one.
+    fn is_covered_by(&self, other: &Self) -> bool {
+        let rows = self.left_ms.iter();
+        let mut listed = rows.flat_map(|(service, rows)| {
+            let listed = rows.iter().filter(|(_, left)| left.is_none());
+            listed.map(move |(software, _)| (service, software))
+        });
+        listed.all(|(service, software)| {
+            let kept = other.left_ms.get(service);
+            kept.and_then(|kept| kept.get(software)) == Some(&None)
+        })
     }
 
     /// The versions, each with the time since its last upstream left the list, by the store's clock; zero for one that was
--- a/crates/policy/tests/software.rs
+++ b/crates/policy/tests/software.rs
@@ -87,6 +87,9 @@
     assert!(history.mixed_services(left).contains("s"));
     let later = start + 40 * SECOND;
     history.apply(&[record("b", "v2")], later);
+    assert_eq!(versions(&history, later), ["v1", "v2"]);
+    let later = start + 70 * SECOND;
+    history.apply(&[record("b", "v2")], later);
     assert_eq!(versions(&history, later), ["v2"]);
     assert!(!history.is_mixed(&"s".into(), later));
 }
@@ -222,13 +225,13 @@
     history.note_read(start);
     assert!(history.is_complete(start + SECOND));
     assert_eq!(versions(&history, start + SECOND), ["v1", "v2"]);
-    assert_eq!(versions(&history, start + SECOND * 30), ["v2"]);
+    assert_eq!(versions(&history, start + SECOND * 60), ["v2"]);
     // A restored store lacks what was written since its copy.
     for (known, era) in [(Some(memory(0)), 1), (None, 1)] {
         let mut history = started(known, era);
         history.note_read(start + SECOND);
-        assert!(!history.is_complete(start + SECOND * 30));
-        assert!(history.is_complete(start + SECOND * 31));
+        assert!(!history.is_complete(start + SECOND * 60));
+        assert!(history.is_complete(start + SECOND * 61));
     }
 }
 
@@ -238,13 +241,13 @@
     let start = Instant::now();
     let clock = Duration::from_secs(1_000);
     let lists = [
-        (0, vec!["v1"], false),
+        (0, vec!["v1"], true),
         (1, vec!["v1", "v2"], true),
         (2, vec!["v1", "v2"], false),
         (3, vec!["v2"], true),
         (4, vec!["v2"], false),
-        (34, vec!["v2"], true),
-        (35, vec!["v2"], false),
+        (64, vec!["v2"], true),
+        (65, vec!["v2"], false),
     ];
     let mut history = SoftwareHistory::default();
     let mut known: Option<SoftwareMemory> = None;
@@ -335,3 +338,30 @@
         }
     }
 }
+
+// Guards against a version that the store keeps as gone although it is listed: an instance that has just read the row
+// writes it along with its members, and later starters believe that only the newer version was there.
+#[test]
+fn a_listed_version_is_not_written_as_gone_by_who_has_read_the_row() {
+    let start = Instant::now();
+    let clock = Duration::from_secs(1_000);
+    let list = [record("a", "v1")];
+    let mut history = SoftwareHistory::default();
+    history.apply(&list, start);
+    let row = SoftwareMemory::draft(&history, Some(&list), None, 0, Some(clock), start);
+    assert!(
+        row.is_due(None),
+        "a version that the store does not know of is written"
+    );
+    let later = start + Duration::from_secs(1);
+    let clock = clock + Duration::from_secs(1);
+    history.remember(Some(&row), 0, Some(clock), later);
+    let draft = SoftwareMemory::draft(&history, None, Some(&row), 0, Some(clock), later);
+    assert_eq!(draft, row);
+    // A row that has it as gone all the same is replaced.
+    let mut wrong = row.clone();
+    for rows in wrong.left_ms.values_mut() {
+        rows.values_mut().for_each(|left| *left = Some(1));
+    }
+    assert!(row.is_due(Some(&wrong)));
+}
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -39,6 +39,9 @@
 /// Delay after an instance that did not answer.
 const NO_ANSWER_DELAY: Duration = Duration::from_millis(20);
 
+/// How long a list may wait for the write of the software versions that it names.
+const MAX_WRITE_DELAY: Duration = Duration::from_millis(400);
+
 /// A source that requests updates from the zone's reader first, and reads the store if the reader
 /// does not answer.
 #[derive(Debug)]
@@ -238,7 +241,10 @@
                 return Err(error);
             }
         };
-        self.write_versions(&snapshot.records).await;
+        let writing = self.write_versions(&snapshot.records);
+        if time::timeout(MAX_WRITE_DELAY, writing).await.is_err() {
+            tracing::info!("the software versions are not written in time");
+        }
         self.members.election.lock().record_store_read(began);
         self.members
             .state
--- a/crates/spread/src/shared_source/joining.rs
+++ b/crates/spread/src/shared_source/joining.rs
@@ -98,7 +98,14 @@
         }
         let authority = view.authority.clone().unwrap_or(known);
         let mut view = view;
-        view.draft = Some(self.draft_versions(records, view.software.as_ref()));
+        let known = view.software.as_ref();
+        let mut draft = self.draft_versions(records, known);
+        if records.is_none()
+            && let Some(known) = known
+        {
+            draft.keep_listed(known);
+        }
+        view.draft = Some(draft);
         match self
             .with_read_timeout(self.directory.write(view, members, &authority))
             .await
