peer, spread: sessions that are not read don't hold up a link, and a busy one is kept

A link that was forgotten while an attempt to connect was under way got a second attempt, so that a busy instance had several handshakes for each that asked it: the attempt goes on now. The address is read again after the wait for another attempt. Three callers gave up a link that only had too many calls.

--- a/crates/peer/src/endpoint_dial.rs
+++ b/crates/peer/src/endpoint_dial.rs
@@ -31,9 +31,11 @@
     /// The connection to a peer, a new one if there is none. An attempt goes on when the caller leaves, so that it serves
     /// the next one; those that wait for it leave with their callers.
     pub(crate) async fn connect(&self, instance: &InstanceId) -> Result<Connection, PeerError> {
-        let address = self.address(instance)?;
+        self.address(instance)?;
         let slot = self.links.slot(instance);
         let mut slot = slot.lock_owned().await;
+        // It may have changed while another attempt was waited for.
+        let address = self.address(instance)?;
         slot.touch(Instant::now());
         if let Some(connection) = slot.live(address) {
             return Ok(connection);
--- a/crates/peer/src/link_table.rs
+++ b/crates/peer/src/link_table.rs
@@ -26,13 +26,18 @@
         slots.clear();
     }
 
-    /// Drops one peer's connection.
+    /// Drops one peer's connection. An attempt to connect goes on, and serves the next caller.
     pub fn remove(&self, instance: &str) {
         let mut slots = self
             .slots
             .lock()
             .unwrap_or_else(|poison| poison.into_inner());
-        slots.remove(instance);
+        let is_connecting = slots
+            .get(instance)
+            .is_some_and(|slot| slot.try_lock().is_err());
+        if !is_connecting {
+            slots.remove(instance);
+        }
     }
 
     /// The number of peers with a slot.
--- a/crates/peer/src/peer_error.rs
+++ b/crates/peer/src/peer_error.rs
@@ -94,3 +94,10 @@
         version: u16,
     },
 }
+
+impl PeerError {
+    /// Whether the connection works and only has too many calls: there is no reason to give it up.
+    pub fn is_busy(&self) -> bool {
+        matches!(self, Self::Busy { .. })
+    }
+}
--- a/crates/peer/src/peer_settings.rs
+++ b/crates/peer/src/peer_settings.rs
@@ -41,8 +41,9 @@
     #[builder(default = Duration::from_millis(12_000))]
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub link_idle: Duration,
-    /// What a peer may send over a connection before it is read, in bytes.
-    #[builder(default = 1 << 22)]
+    /// What a peer may send over a connection before it is read, in bytes: as much as all its calls and sessions together
+    /// may, so that those which are not read don't hold up the others.
+    #[builder(default = 1 << 24)]
     pub link_window: u32,
     /// The maximum size of a message or request, in bytes.
     #[builder(default = 1 << 18)]
@@ -62,7 +63,7 @@
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub stream_wait: Duration,
     /// What a peer may send over a stream before it is read, in bytes.
-    #[builder(default = 1 << 17)]
+    #[builder(default = 1 << 16)]
     pub stream_window: u32,
 }
 
--- a/crates/spread/src/note_exchange.rs
+++ b/crates/spread/src/note_exchange.rs
@@ -233,7 +233,9 @@
             Ok(answer) => answer,
             Err(error) => {
                 tracing::debug!(%keeper, %error, "a keeper of notes did not answer");
-                self.endpoint.forget(keeper);
+                if !error.is_busy() {
+                    self.endpoint.forget(keeper);
+                }
                 return None;
             }
         };
--- a/crates/spread/src/shared_source/requesting.rs
+++ b/crates/spread/src/shared_source/requesting.rs
@@ -41,9 +41,13 @@
         let request = self.build_request(&from, is_immediate);
         let sent_at = steady_clock::now();
         let call = self.endpoint.call(&from, SPREAD_TAG, &request);
+        let mut is_busy = false;
         let answer = match time::timeout(limit, call).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(error.to_string()),
+            Ok(Err(error)) => {
+                is_busy = error.is_busy();
+                Err(error.to_string())
+            }
             Err(_) => Err("no answer in time".to_owned()),
         };
         let reply = answer.and_then(|answer| {
@@ -54,7 +58,9 @@
             Ok(reply) => reply,
             Err(detail) => {
                 self.note_no_answer(&from, &detail, now);
-                self.endpoint.forget(&from);
+                if !is_busy {
+                    self.endpoint.forget(&from);
+                }
                 self.members.election.lock().record_no_answer(&from, now);
                 return RequestOutcome::NoAnswer(silent_error(detail));
             }
--- a/crates/spread/src/usage_exchange.rs
+++ b/crates/spread/src/usage_exchange.rs
@@ -243,9 +243,13 @@
         // Strings and numbers always serialise.
         let body = postcard::to_stdvec(request).ok()?;
         let call = self.endpoint.call(to, USAGE_TAG, &body);
+        let mut is_busy = false;
         let answer = match time::timeout(CALL_TIMEOUT, call).await {
             Ok(Ok(answer)) => postcard::from_bytes(&answer).map_err(|error| error.to_string()),
-            Ok(Err(error)) => Err(error.to_string()),
+            Ok(Err(error)) => {
+                is_busy = error.is_busy();
+                Err(error.to_string())
+            }
             Err(_) => Err("no answer in time".to_owned()),
         };
         match answer {
@@ -268,7 +272,9 @@
             }
             Err(detail) => {
                 tracing::info!(instance = %to, detail, "failed to report usage to an instance");
-                self.endpoint.forget(to);
+                if !is_busy {
+                    self.endpoint.forget(to);
+                }
                 self.reported.remove(to);
                 let before = self.cooldowns.get(to).map(|cooldown| cooldown.span * 2);
                 let span = before.unwrap_or(COOLDOWN).min(MAX_COOLDOWN);
