--- a/crates/sched/src/place_scheduler.rs
+++ b/crates/sched/src/place_scheduler.rs
@@ -172,10 +172,11 @@
         }
         let outlook = self.outlook(&waiting.request, &belief, now);
         let expected = outlook.wait(&belief, ahead.tokens);
-        match refusal_rule::decide(&waiting, expected, now) {
-            WaitDecision::Wait if !has_room => {
-                self.refuse(&waiting, expected.max(refusal_rule::MIN_RETRY), now)
-            }
+        let decision = match refusal_rule::decide(&waiting, expected, now) {
+            WaitDecision::Wait if !has_room => refusal_rule::refuse(&waiting, expected, now),
+            decision => decision,
+        };
+        match decision {
             WaitDecision::Wait => {
                 self.queue.push(waiting, now);
                 PlaceReply::Queued
--- a/crates/sched/src/refusal_rule.rs
+++ b/crates/sched/src/refusal_rule.rs
@@ -31,6 +31,11 @@
     if left.is_some_and(|left| expected <= left) {
         return WaitDecision::Wait;
     }
+    refuse(waiting, expected, now)
+}
+
+/// The refusal of a request whose place is expected after `expected`.
+pub fn refuse(waiting: &WaitingRequest, expected: Duration, now: Instant) -> WaitDecision {
     let retry_after = retry_after(waiting, expected, now);
     WaitDecision::Refuse { retry_after }
 }
