relay: a silent stream is not kept once another engine may have run it

By a review: if the other engine ran the request and lost it, or answered with a failure, the engine before went on working on it (TWICE). The stream then goes on like one that broke.

--- a/crates/policy/src/stream_attempts.rs
+++ b/crates/policy/src/stream_attempts.rs
@@ -47,6 +47,11 @@
         self.runs > 0
     }
 
+    /// How often the request may have run.
+    pub fn runs(&self) -> u32 {
+        self.runs
+    }
+
     /// Whether another engine may be tried, if there is time left.
     pub fn can_continue(&self) -> bool {
         let may_run =
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -236,6 +236,11 @@
         }
     }
 
+    /// How often the request may have run.
+    pub fn runs(&self) -> u32 {
+        self.attempts.runs()
+    }
+
     /// Whether another engine may be asked.
     pub fn can_continue(&self) -> bool {
         self.attempts.can_continue() && !self.request.left().is_zero()
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -196,6 +196,7 @@
         } = self;
         let silent = answer.call.upstream.clone();
         note_cut(&flow, &silent, last_id.as_deref());
+        let runs = flow.runs();
         let mut place = flow.place.take();
         let mut kept = Some(answer);
         let wait = SlotWait::until(steady_clock::now());
@@ -222,7 +223,15 @@
             kept.into_iter().for_each(drop_call);
             return Self::go_on(flow, *stream, &silent, last_id, sender).await;
         }
+        // Two engines must not work on one stream: the other one may have run it.
+        let has_run = flow.runs() > runs;
+        let (kept, dropped) = match has_run {
+            true => (None, kept),
+            false => (kept, None),
+        };
+        dropped.into_iter().for_each(drop_call);
         let Some(answer) = kept else {
+            drop(place);
             return Self::resume_after(flow, &silent, last_id, sender).await;
         };
         let trace = &flow.request.trace;
