--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{CallReason, RouteTable},
+    plat::PlatError,
     policy::{AgedReport, CrashReport, EvacuationSet, StoreVersion, UpstreamRecord},
     snafu::Snafu,
     std::{
@@ -116,6 +117,16 @@
     },
 }
 
+impl From<SourceError> for PlatError {
+    fn from(error: SourceError) -> Self {
+        match error {
+            SourceError::Garbled { detail } => Self::Garbled { detail },
+            SourceError::Refused { status } => Self::Refused { status },
+            SourceError::Silent { detail } => Self::Unreachable { detail },
+        }
+    }
+}
+
 /// The store that operators write routes to and upstreams send heartbeats to.
 pub trait OperatorSource: Send + Sync + 'static {
     /// Deletes expired reports.
