spread: notes of streams reach the store within 0.2 s

At most seven writes a second and zone while versions are mixed, in place of four, and none otherwise.

--- a/crates/spread/src/note_exchange.rs
+++ b/crates/spread/src/note_exchange.rs
@@ -13,7 +13,7 @@
 /// How long notes for one keeper are collected. Callers take longer to come back.
 const COLLECT_PERIOD: Duration = Duration::from_millis(20);
 /// How long notes for the store are collected.
-const STORE_PERIOD: Duration = Duration::from_millis(100);
+const STORE_PERIOD: Duration = Duration::from_millis(30);
 /// How many instances are tried to write notes to the store, or to read one, each with the time limit.
 const MAX_TRIES: usize = 2;
 /// How long an instance may take to read a note from the store.
--- a/crates/spread/src/note_store.rs
+++ b/crates/spread/src/note_store.rs
@@ -20,7 +20,7 @@
 };
 
 /// Time from one write to the next.
-const WRITE_PERIOD: Duration = Duration::from_millis(250);
+const WRITE_PERIOD: Duration = Duration::from_millis(150);
 /// How long questions are collected, so that one read answers all of them.
 const COLLECT_TIME: Duration = Duration::from_millis(30);
 /// Time from the end of one read to the next.
