relay: a resumed stream waits for a slot as long as slots are usually held

Cause: a request waits for a slot for a quarter of its first-byte target, then it is refused and told to come back. A new request may go to any engine. A resumed one may go to those of one version only, often a single engine that is full for seconds, and meets a free slot in 0.15 s of polling only by chance.

Ruled out: versions that are not known (2026; 5 of the refusals, two streams), and notes that are not in the store: the version is found in all others.

It now waits as long as its caller would be told to stay away, the mean time that a slot is held, and not past the deadline.

Tests: the first of relay_resumed_slots was red before (503 instead of 200).

--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -127,12 +127,15 @@
     ///
     /// The response to the caller when no engine answered.
     pub async fn run(mut self) -> Result<Response<RelayBody>, FlowFailure> {
-        let wait = SlotWait {
+        let mut wait = SlotWait {
             by_own_view: self.request.since + self.route.first_byte.mul_f64(SLOT_WAIT_SHARE),
             in_queue: self.request.deadline,
         };
         if self.request.head.after.is_some() {
             self.find_origin().await?;
+            // Its caller has the first events already, and would have to stay away for as long.
+            let until = self.request.since + self.retry_after();
+            wait.by_own_view = self.request.deadline.min(until);
         }
         let stream = match self.start(None, None, wait).await {
             Err(error) => return Err(self.failure(error)),
