policy: new requests leave scarce versions' engines to streams that wait for them

Cause: the last engine of an old version takes new requests too, which could go anywhere, while resumed streams of that version are refused at it (trace: four new requests get its slots at 22.2 to 25.3 s, while seven streams of its version are refused there).

WantedVersions records that a resumed stream found no slot at its version, until its caller is back. Until then this instance places no new request at engines of that version, as long as the other versions have at least half of the engines, so that the start of a release does not starve new requests. Every instance goes by what it saw itself; nothing is exchanged.

Tests: wanted_versions, and the third of relay_resumed_slots, which was red without the record (200 instead of 503).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod usage_ledger;
 pub mod usage_rate;
 mod usual_time;
+pub mod wanted_versions;
 pub mod zone_filter;
 pub mod zone_refusals;
 
@@ -125,6 +126,7 @@
     upstream_table::UpstreamTable,
     usage_ledger::{UsageLedger, UsageReporter, UsageRow, UsageTotals},
     usage_rate::UsageRate,
+    wanted_versions::WantedVersions,
     zone_filter::ZoneFilter,
     zone_refusals::ZoneRefusals,
 };
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -1,17 +1,15 @@
 //! The upstreams that this instance may use, and the selection among them. Free of I/O; times are passed in.
 
+mod selection;
+
 use {
     crate::{
-        BackoffTable, CallBlock, CallVerdict, ChoiceQuery, ColdRule, DepartureTable,
-        EvacuationChange, EvacuationSet, PrefillChoice, PrefillEstimate, RateTable,
-        SoftwareHistory, UpstreamEntry, UpstreamRecord, UpstreamStage, ZoneRefusals,
-        call_cost::{COLD_COST, DUE_GAIN, call_cost},
-        evacuation_state::EvacuationState,
-        list_history::ListHistory,
-        prefill_choice::{COLD_PREFILL, with_jitter},
-        usual_time::UsualTime,
+        BackoffTable, CallBlock, CallVerdict, ColdRule, DepartureTable, EvacuationChange,
+        EvacuationSet, PrefillEstimate, RateTable, SoftwareHistory, UpstreamEntry, UpstreamRecord,
+        UpstreamStage, WantedVersions, evacuation_state::EvacuationState,
+        list_history::ListHistory, usual_time::UsualTime,
     },
-    kernel::{InstanceId, ServiceId, UpstreamId, WorkId, ZoneId, seeded_rng},
+    kernel::{InstanceId, ServiceId, UpstreamId, WorkId, ZoneId},
     std::{
         collections::BTreeMap,
         sync::Arc,
@@ -51,6 +49,8 @@
     pub is_loaded: bool,
     /// What calls to plain services usually take, by service and kind of work.
     usual_times: BTreeMap<(ServiceId, WorkId), UsualTime>,
+    /// The software versions at which resumed streams found no place.
+    pub wanted: WantedVersions,
 }
 
 impl UpstreamTable {
@@ -112,32 +112,6 @@
         self.rates.note_call(id, now);
     }
 
-    /// The time until this instance may call a cold upstream that matches the query; `None` when there is none.
-    pub fn cold_wait(&self, query: &ChoiceQuery<'_>, now: Instant) -> Option<Duration> {
-        let entries = self.entries.values();
-        let eligible = entries.filter(|entry| self.is_eligible(entry, query));
-        eligible
-            .filter_map(|entry| self.turn_wait(entry, now))
-            .min()
-    }
-
-    /// When a request may come back that no upstream took because of what they state; `None` when some upstream that matches
-    /// the query neither states a rate limit nor asked for a pause.
-    pub fn stated_wait(&self, query: &ChoiceQuery<'_>, now: Instant) -> Option<Duration> {
-        let mut earliest = None;
-        for entry in self.entries.values() {
-            if !self.is_eligible(entry, query) {
-                continue;
-            }
-            let id = &entry.record.id;
-            let rate = self.rates.retry_after(id, query.request, now);
-            let backoff = self.backoffs.retry_after(id, query.request, now);
-            let wait = rate.max(backoff)?;
-            earliest = Some(earliest.map_or(wait, |earliest: Duration| earliest.min(wait)));
-        }
-        earliest
-    }
-
     /// Records the start of a call.
     pub fn begin(&mut self, id: &UpstreamId, tokens: u64) {
         let Some(entry) = self.entries.get_mut(id) else {
@@ -147,100 +121,6 @@
         entry.in_flight_tokens += tokens;
     }
 
-    /// Selects the upstream with the lowest cost; `None` when there is none to try.
-    pub fn choose(&self, query: &ChoiceQuery<'_>, now: Instant) -> Option<Arc<UpstreamRecord>> {
-        let mut best: Option<(bool, f64, u64, &UpstreamEntry)> = None;
-        let refusals = self.refusals(query);
-        for entry in self.entries.values() {
-            if !self.is_suitable(entry, query, now) {
-                continue;
-            }
-            let in_cooldown = entry.cooldown.is_active(now);
-            let mut cost = call_cost(entry, query, now) + refusals.cost(&entry.record.zone);
-            if self.turn_wait(entry, now).is_some() {
-                cost += COLD_COST;
-            }
-            if self.rates.limit(&entry.record.id).is_some() {
-                cost -= DUE_GAIN;
-            }
-            let tie = tie_break(query.request, &entry.record.id);
-            let better = match &best {
-                Some((cooldown, lowest, lowest_tie, _)) => {
-                    (in_cooldown, cost, tie) < (*cooldown, *lowest, *lowest_tie)
-                }
-                None => true,
-            };
-            if better {
-                best = Some((in_cooldown, cost, tie, entry));
-            }
-        }
-        let (in_cooldown, _, _, entry) = best?;
-        // If all are in cooldown the refusals may be misleading. If others have been tried and are full, they are not.
-        if in_cooldown && self.any_available(query, now) {
-            return None;
-        }
-        Some(entry.record.clone())
-    }
-
-    /// Selects the prefill engine expected to finish a prompt first: one per availability zone is drawn with jitter,
-    /// and the best of these is returned.
-    pub fn choose_prefill(
-        &self,
-        query: &ChoiceQuery<'_>,
-        tokens: u64,
-        now: Instant,
-    ) -> Option<PrefillChoice> {
-        let mut drawn: BTreeMap<&ZoneId, (Duration, PrefillChoice)> = BTreeMap::new();
-        for entry in self.entries.values() {
-            if !self.is_suitable(entry, query, now) {
-                continue;
-            }
-            let mut choice = PrefillChoice::new(entry, query, tokens, now);
-            if self.turn_wait(entry, now).is_some() {
-                choice.cost += COLD_PREFILL;
-            }
-            let cost = with_jitter(choice.cost, query.request, &entry.record.id);
-            match drawn.get(&entry.record.zone) {
-                Some((lowest, _)) if *lowest <= cost => continue,
-                _ => drawn.insert(&entry.record.zone, (cost, choice)),
-            };
-        }
-        let choices = drawn.into_values().map(|(_, choice)| choice);
-        choices.min_by_key(|choice| choice.cost)
-    }
-
-    /// The choice of one prefill engine; `None` when it does not match the query or may not be called now.
-    pub fn prefill_at(
-        &self,
-        engine: &UpstreamId,
-        query: &ChoiceQuery<'_>,
-        tokens: u64,
-        now: Instant,
-    ) -> Option<PrefillChoice> {
-        let entry = self.entries.get(engine)?;
-        let is_suitable = self.is_suitable(entry, query, now);
-        is_suitable.then(|| PrefillChoice::new(entry, query, tokens, now))
-    }
-
-    /// The record of an upstream that matches the query and may be called now.
-    pub fn suitable(
-        &self,
-        id: &UpstreamId,
-        query: &ChoiceQuery<'_>,
-        now: Instant,
-    ) -> Option<Arc<UpstreamRecord>> {
-        let entry = self.entries.get(id)?;
-        let is_suitable = self.is_suitable(entry, query, now);
-        is_suitable.then(|| entry.record.clone())
-    }
-
-    /// The record of an upstream that may be called now.
-    pub fn callable(&self, id: &UpstreamId, now: Instant) -> Option<Arc<UpstreamRecord>> {
-        let entry = self.entries.get(id)?;
-        let is_open = self.entry_block(entry, now).is_none();
-        is_open.then(|| entry.record.clone())
-    }
-
     /// Records the end of a call; returns whether the upstream is still known.
     pub fn end(
         &mut self,
@@ -457,77 +337,10 @@
         gone
     }
 
-    /// Whether any suitable upstream, including those already tried, is not in cooldown.
-    fn any_available(&self, query: &ChoiceQuery<'_>, now: Instant) -> bool {
-        let unrestricted = ChoiceQuery {
-            avoid: &[],
-            ..*query
-        };
-        let mut suitable = self.entries.values();
-        suitable.any(|entry| {
-            self.is_suitable(entry, &unrestricted, now) && !entry.cooldown.is_active(now)
-        })
-    }
-
     fn is_address_reused(&self, missing: &UpstreamEntry) -> bool {
         let address = missing.record.address;
         self.entries
             .values()
             .any(|entry| entry.missing_since.is_none() && entry.record.address == address)
     }
-
-    /// The refusals of this request, by availability zone. Empty except for decode engines.
-    fn refusals(&self, query: &ChoiceQuery<'_>) -> ZoneRefusals {
-        let mut refusals = ZoneRefusals::default();
-        if query.stage != UpstreamStage::Decode {
-            return refusals;
-        }
-        for id in query.avoid {
-            if let Some(entry) = self.entries.get(id) {
-                refusals.note(entry.record.zone.clone());
-            }
-        }
-        refusals
-    }
-
-    /// Whether an upstream can be called now: it matches the query and asked for no pause, and a call is due where its rate
-    /// is limited.
-    fn is_suitable(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>, now: Instant) -> bool {
-        let is_due = |wait: Option<Duration>| wait.is_none_or(|wait| wait.is_zero());
-        self.backoffs.left(&entry.record.id, now).is_none()
-            && is_due(self.rates.wait(&entry.record.id, now))
-            && is_due(self.turn_wait(entry, now))
-            && self.is_eligible(entry, query)
-    }
-
-    /// The time until this instance may call a cold upstream; `None` when the upstream is warm or tolerates any rate.
-    fn turn_wait(&self, entry: &UpstreamEntry, now: Instant) -> Option<Duration> {
-        let phase = entry.cold?;
-        let rule = self.cold_rules.get(&entry.record.service)?;
-        let left = phase.left(now);
-        if left.is_zero() {
-            return None;
-        }
-        let Some(count) = self.instance_count else {
-            return Some(left);
-        };
-        let offset = tie_break(&self.instance, &entry.record.id) as f64 / u64::MAX as f64;
-        Some(phase.turns.wait(rule.period(count), offset, now).min(left))
-    }
-
-    fn is_eligible(&self, entry: &UpstreamEntry, query: &ChoiceQuery<'_>) -> bool {
-        let record = &entry.record;
-        record.stage == query.stage
-            && record.service == *query.service
-            && query
-                .software
-                .is_none_or(|software| record.software == *software)
-            && !query.avoid.contains(&record.id)
-            && query.filter.allows(&record.zone)
-            && self.lasting_block(entry).is_none()
-    }
-}
-
-fn tie_break(request: &str, upstream: &str) -> u64 {
-    seeded_rng::rendezvous_score(request, upstream)
 }
--- a/crates/relay/src/slot_finder.rs
+++ b/crates/relay/src/slot_finder.rs
@@ -120,6 +120,7 @@
             }
             if std::mem::take(&mut is_first_round) {
                 self.core().note_search(&self.flow.service, true);
+                self.flow.note_wanted();
             }
             if steady_clock::now() + pause > until {
                 return Err(match is_answered {
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -85,6 +85,17 @@
         self.places.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Records that a stream found no place at the only version at which it can go on.
+    pub(crate) fn note_wanted(&self) {
+        let Some(software) = &self.software else {
+            return;
+        };
+        let pause = self.retry_after();
+        let mut upstreams = self.core.upstreams.lock();
+        let wanted = &mut upstreams.wanted;
+        wanted.note(&self.service, software, pause, steady_clock::now());
+    }
+
     /// Memory to reserve at an engine, tokens. An engine that holds the prompt needs room for the output only: with a
     /// larger reservation it would evict other prompts, or this one, to make room.
     pub fn tokens_at(&self, engine: &UpstreamId) -> u64 {
--- a/crates/trestlewalk/tests/relay_resumed_slots.rs
+++ b/crates/trestlewalk/tests/relay_resumed_slots.rs
@@ -15,6 +15,9 @@
 /// A resumed stream without a slot is refused by then, on a slow machine too.
 const REFUSED_BY: Duration = Duration::from_secs(4);
 
+/// The software versions of three engines.
+const VERSIONS: [&str; 3] = ["v1.1", "v1", "v1"];
+
 /// An instance with decode engines of these versions.
 async fn start(versions: &[&str]) -> RelayRun {
     let more = json!({"TargetGapMs": 300, "Resumable": true, "MaxAttempts": 1});
@@ -64,3 +67,41 @@
     assert!(since.elapsed() < REFUSED_BY, "{:?}", since.elapsed());
     assert_eq!(run.upstream("i-redactor-d0").runs().len(), 0);
 }
+
+#[tokio::test]
+async fn new_requests_leave_the_only_engine_of_a_version_to_a_stream_that_found_it_full() {
+    let run = start(&VERSIONS).await;
+    let set = |first, others| {
+        run.upstream("i-redactor-d0").set(first);
+        for engine in ["i-redactor-d1", "i-redactor-d2"] {
+            run.upstream(engine).set(others);
+        }
+    };
+    set(UpstreamMode::CutAfter(2), UpstreamMode::Shed);
+    let began = run
+        .call_with("POST", "/note/1", "00aa", STREAM_HEADERS, "p")
+        .await;
+    assert_eq!((began.status(), began.whole), (200, false));
+
+    set(UpstreamMode::Shed, UpstreamMode::Answer);
+    let headers = format!("{}Resumes: 00aa\r\n", resume_headers());
+    let refused = run
+        .call_with("POST", "/note/1", "00bb", &headers, "p")
+        .await;
+    assert_eq!(refused.header("trestlewalk-result"), Some("2011"));
+
+    set(UpstreamMode::Answer, UpstreamMode::Shed);
+    for id in ["00c1", "00c2", "00c3"] {
+        let reply = run
+            .call_with("POST", "/note/1", id, STREAM_HEADERS, "p")
+            .await;
+        assert_eq!(reply.header("trestlewalk-result"), Some("2011"));
+    }
+    assert_eq!(run.upstream("i-redactor-d0").runs().len(), 1);
+
+    let resumed = run
+        .call_with("POST", "/note/1", "00dd", &headers, "p")
+        .await;
+    assert_eq!((resumed.status(), resumed.whole), (200, true));
+    assert_eq!(run.upstream("i-redactor-d0").runs().len(), 2);
+}
