spread: a reader of stored notes that is silent no longer uses up the whole search

A resumed stream whose version only the store knows is refused (2026) for as long as the instance that reads its shard is listed and gone, though all other keepers could read it. A shard is an eighth of the streams of a zone.

Cause: readers were asked one after the other, the first with a limit of 900 ms, after which the search ended; the caller of the search waits for 1 s. A connection attempt to an instance that was killed takes 1.5 s, so the second reader was asked only where the first failed fast.

The next reader is now asked beside the first after 250 ms without an answer, and the first version found is taken. An answer, also "not stored", ends the asking of others, so one reader still does all reads while it answers.

--- a/crates/spread/src/note_exchange.rs
+++ b/crates/spread/src/note_exchange.rs
@@ -14,9 +14,11 @@
 const COLLECT_PERIOD: Duration = Duration::from_millis(20);
 /// How long notes for the store are collected.
 const STORE_PERIOD: Duration = Duration::from_millis(30);
-/// How many instances are tried to write notes to the store, or to read one, each with the time limit.
+/// How many instances are tried to write notes to the store, or to read one.
 const MAX_TRIES: usize = 2;
-/// How long an instance may take to read a note from the store.
+/// After which time without an answer a further instance is asked to read a note from the store as well.
+const HEDGE_DELAY: Duration = Duration::from_millis(250);
+/// How long reading a note from the store may take, at all instances together.
 const STORED_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long a keeper may take to take notes.
 const TELL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -169,25 +171,55 @@
         });
     }
 
-    /// The version at which a stream began by the store's log; `None` while it is not known.
+    /// The version at which a stream began by the store's log; `None` while it is not known. A reader that is silent does not
+    /// use up the time: the next one is asked beside it.
     async fn ask_stored(
         &self,
         readers: Vec<InstanceId>,
         stream: StreamKey,
     ) -> Option<SoftwareVersion> {
-        for reader in readers.iter().take(MAX_TRIES) {
-            if *reader == self.own.instance {
-                return self.stored.find(stream).await;
+        let end = time::Instant::now() + STORED_TIMEOUT;
+        let mut readers = readers.into_iter().take(MAX_TRIES);
+        let mut asking = JoinSet::new();
+        let mut is_answered = false;
+        loop {
+            let next = match is_answered {
+                true => None,
+                false => readers.next(),
+            };
+            let mut until = end;
+            if let Some(reader) = next {
+                let exchange = self.clone();
+                asking.spawn(async move { exchange.read_at(&reader, stream).await });
+                until = end.min(time::Instant::now() + HEDGE_DELAY);
             }
-            let request = NoteRequest::AskStored(stream);
-            let asking = time::timeout(STORED_TIMEOUT, self.call(reader, &request));
-            match asking.await {
-                Ok(Some(NoteReply::Stored(software))) => return software,
-                Ok(_) => {}
-                Err(_) => return None,
+            match time::timeout_at(until, asking.join_next()).await {
+                Ok(Some(Ok(Some(Some(software))))) => return Some(software),
+                Ok(Some(Ok(Some(None)))) => is_answered = true,
+                Ok(Some(_)) => {}
+                Ok(None) => return None,
+                Err(_) if until < end => {}
+                Err(_) => {
+                    tracing::debug!("no instance read a note from the store in time");
+                    return None;
+                }
             }
         }
-        None
+    }
+
+    /// What one instance finds of a stream in the store's log; `None` without an answer.
+    async fn read_at(
+        &self,
+        reader: &InstanceId,
+        stream: StreamKey,
+    ) -> Option<Option<SoftwareVersion>> {
+        if *reader == self.own.instance {
+            return Some(self.stored.find(stream).await);
+        }
+        match self.call(reader, &NoteRequest::AskStored(stream)).await {
+            Some(NoteReply::Stored(software)) => Some(software),
+            _ => None,
+        }
     }
 
     /// Asks keepers of a stream. Waits until one has a note of it or all have answered; after `settle` any answer suffices,
