policy: rows of stored notes are only written over the version that was read

Cause: only the first write of a row in a slot of 4 s had a condition, the later ones replaced whatever was stored. Two instances that write for a zone in one slot, as those whose first writer did not answer in 500 ms have them, replaced each other's notes. One writer alone did it as well: a write without an answer may take effect after later ones, and put the older row back. The notes so lost count as written and are not written again.

Each write now names the version of the stored row that it contains, which the store counts. A refusal brings the row of others, which is merged, and the write is tried once more at once, then with the next batch. No call is added while one instance writes and the store answers. Notes are kept by stream, so merging one's own row changes nothing: after a write without an answer the row had all of its notes twice, which used up its bound.

The model of note_log has versions now, and its property a second writer that takes turns; a test without the version would not build.

--- a/crates/policy/src/note_log.rs
+++ b/crates/policy/src/note_log.rs
@@ -8,7 +8,7 @@
     crate::{SoftwareNote, StreamKey},
     kernel::SoftwareVersion,
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// How many rows the streams of a slot are spread over.
@@ -36,21 +36,22 @@
 /// The row of a shard in a slot.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogRow {
-    /// Whether what others wrote to the row in this slot is part of it. If not, the row may only be written in place of none.
-    pub is_merged: bool,
     /// Its notes.
     pub notes: Vec<LoggedNote>,
     /// The shard.
     pub shard: u64,
     /// The slot of the ring.
     pub slot: u64,
+    /// The version of the stored row whose notes are part of it, 0 for none. It may replace no other one.
+    pub version: u64,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Shard {
     is_dirty: bool,
-    is_merged: bool,
-    notes: Vec<LoggedNote>,
+    notes: BTreeMap<StreamKey, LoggedNote>,
+    /// The version of the stored row; `None` until the first write of the slot.
+    version: Option<u64>,
 }
 
 /// The log as its writer keeps it.
@@ -100,49 +101,47 @@
             for shard in &mut self.shards {
                 let unwritten = std::mem::take(shard);
                 if unwritten.is_dirty {
-                    self.queued.extend(unwritten.notes);
+                    self.queued.extend(unwritten.notes.into_values());
                 }
             }
         }
         for note in std::mem::take(&mut self.queued) {
-            self.insert(note, clock);
+            let shard = log_shard(note.stream) as usize;
+            if self.insert(note, clock) {
+                self.shards[shard].is_dirty = true;
+            }
         }
         if !self.shards.iter().any(|shard| shard.is_dirty) {
             return Vec::new();
         }
         // The first write of a slot names all rows, so that one refusal brings what others wrote to any of them.
         let shards = self.shards.iter().zip(0..);
-        let due = shards.filter(|(shard, _)| shard.is_dirty || !shard.is_merged);
+        let due = shards.filter(|(shard, _)| shard.is_dirty || shard.version.is_none());
         let rows = due.map(|(shard, number)| LogRow {
-            is_merged: shard.is_merged,
-            notes: shard.notes.clone(),
+            notes: shard.notes.values().cloned().collect(),
             shard: number,
             slot: slot % LOG_SLOTS,
+            version: shard.version.unwrap_or_default(),
         });
         rows.collect()
     }
 
-    /// Merges what others wrote to a row of the present slot.
-    pub fn merge(&mut self, shard: u64, notes: Vec<LoggedNote>, clock: Duration) {
+    /// Merges the stored row of a shard in the present slot, which has this version; 0 if there is none.
+    pub fn merge(&mut self, shard: u64, version: u64, notes: Vec<LoggedNote>, clock: Duration) {
         for note in notes {
             if log_shard(note.stream) == shard {
                 self.insert(note, clock);
             }
         }
+        self.shards[shard as usize].version = Some(version);
     }
 
-    /// Records that the rows of these shards have all that others wrote.
-    pub fn note_merged(&mut self, rows: &[LogRow]) {
-        for row in rows {
-            self.shards[row.shard as usize].is_merged = true;
-        }
-    }
-
-    /// Records that rows were written.
+    /// Records that rows were written. The store counts the writes of a row.
     pub fn note_written(&mut self, rows: &[LogRow]) {
-        self.note_merged(rows);
         for row in rows {
-            self.shards[row.shard as usize].is_dirty = false;
+            let shard = &mut self.shards[row.shard as usize];
+            shard.is_dirty = false;
+            shard.version = Some(row.version + 1);
         }
     }
 
@@ -156,17 +155,22 @@
         std::mem::take(&mut self.dropped)
     }
 
-    fn insert(&mut self, note: LoggedNote, clock: Duration) {
+    /// Adds a note to its row; whether that changed the row.
+    fn insert(&mut self, note: LoggedNote, clock: Duration) -> bool {
         if u128::from(note.expires_ms) <= clock.as_millis() {
-            return;
+            return false;
         }
-        let shard = &mut self.shards[log_shard(note.stream) as usize];
-        if shard.notes.len() >= MAX_ROW_NOTES {
-            self.dropped += 1;
-            return;
+        let notes = &mut self.shards[log_shard(note.stream) as usize].notes;
+        match notes.get(&note.stream) {
+            Some(known) if known.expires_ms >= note.expires_ms => return false,
+            None if notes.len() >= MAX_ROW_NOTES => {
+                self.dropped += 1;
+                return false;
+            }
+            _ => {}
         }
-        shard.is_dirty = true;
-        shard.notes.push(note);
+        notes.insert(note.stream, note);
+        true
     }
 }
 
--- a/crates/policy/tests/note_log.rs
+++ b/crates/policy/tests/note_log.rs
@@ -29,27 +29,31 @@
     }
 }
 
-/// The rows of the store by shard and slot.
+/// The rows of the store by shard and slot, each with the number of its writes.
 #[derive(Default)]
 struct Rows {
     calls: usize,
-    rows: BTreeMap<(u64, u64), Vec<LoggedNote>>,
+    rows: BTreeMap<(u64, u64), (u64, Vec<LoggedNote>)>,
 }
 
 impl Rows {
     fn commit(&mut self, rows: &[LogRow]) -> bool {
         self.calls += 1;
-        let is_free =
-            |row: &LogRow| row.is_merged || !self.rows.contains_key(&(row.shard, row.slot));
-        if !rows.iter().all(is_free) {
+        if rows.iter().any(|row| self.stored(row).0 != row.version) {
             return false;
         }
         for row in rows {
-            self.rows.insert((row.shard, row.slot), row.notes.clone());
+            let key = (row.shard, row.slot);
+            self.rows.insert(key, (row.version + 1, row.notes.clone()));
         }
         true
     }
 
+    fn stored(&self, row: &LogRow) -> (u64, Vec<LoggedNote>) {
+        let stored = self.rows.get(&(row.shard, row.slot));
+        stored.cloned().unwrap_or_default()
+    }
+
     /// One round of a writer.
     fn write(&mut self, log: &mut NoteLog, clock: Duration) {
         let mut rows = log.rows(clock);
@@ -58,10 +62,9 @@
         }
         if !self.commit(&rows) {
             for row in &rows {
-                let stored = self.rows.get(&(row.shard, row.slot));
-                log.merge(row.shard, stored.cloned().unwrap_or_default(), clock);
+                let (version, notes) = self.stored(row);
+                log.merge(row.shard, version, notes, clock);
             }
-            log.note_merged(&rows);
             rows = log.rows(clock);
             assert!(self.commit(&rows));
         }
@@ -72,7 +75,7 @@
         let mut index = NoteIndex::default();
         for shard in 0..LOG_SHARDS {
             let rows = self.rows.iter().filter(|((of, _), _)| *of == shard);
-            let notes = rows.flat_map(|(_, notes)| notes.clone());
+            let notes = rows.flat_map(|(_, (_, notes))| notes.clone());
             index.replace(shard, notes.collect(), Some(clock));
         }
         index
@@ -148,6 +151,8 @@
 #[derive(Clone, Debug)]
 enum Event {
     Add(usize),
+    /// Notes go to the other one of two writers, until they change back.
+    Change,
     /// Another instance writes from now on.
     Restart,
     /// Time passes and the writer writes, or the store is silent.
@@ -157,6 +162,7 @@
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         8 => (1..20_usize).prop_map(Event::Add),
+        2 => proptest::strategy::Just(Event::Change),
         1 => proptest::strategy::Just(Event::Restart),
         8 => (1..8_u32, proptest::bool::weighted(0.8)).prop_map(|(periods, answers)| Event::Write(periods, answers)),
     ]
@@ -176,6 +182,7 @@
         events in proptest::collection::vec(event(), 20..120),
     ) {
         let mut log = NoteLog::new();
+        let mut other = (NoteLog::new(), Vec::new());
         let mut rows = Rows::default();
         let mut clock = SECOND * 1_000;
         let mut waiting: Vec<(usize, Duration)> = Vec::new();
@@ -190,6 +197,10 @@
                         count += 1;
                     }
                 }
+                Event::Change => {
+                    std::mem::swap(&mut log, &mut other.0);
+                    std::mem::swap(&mut waiting, &mut other.1);
+                }
                 Event::Restart => {
                     log = NoteLog::new();
                     waiting.clear();
@@ -213,7 +224,7 @@
                 }
             }
             prop_assert!(rows.rows.keys().all(|(shard, slot)| *shard < LOG_SHARDS && *slot < LOG_SLOTS));
-            prop_assert!(rows.rows.iter().all(|((shard, _), notes)| notes.iter().all(|note| log_shard(note.stream) == *shard)));
+            prop_assert!(rows.rows.iter().all(|((shard, _), (_, notes))| notes.iter().all(|note| log_shard(note.stream) == *shard)));
         }
     }
 }
--- a/crates/spread/src/note_store.rs
+++ b/crates/spread/src/note_store.rs
@@ -3,7 +3,7 @@
 use {
     crate::log_rows::{decode_notes, encode_notes, row_key, shard_prefix},
     kernel::{SoftwareVersion, WorkerPool, ZoneId, steady_clock},
-    plat::{PlatError, RowStore, RowWrite, Transaction, TransactionReply},
+    plat::{PlatError, RowStore, StoredRow, Transaction, TransactionReply},
     policy::{LogRow, LoggedNote, NoteIndex, NoteLog, SoftwareNote, StreamKey, log_shard},
     relay::RelayCounts,
     std::{
@@ -25,6 +25,8 @@
 const COLLECT_TIME: Duration = Duration::from_millis(30);
 /// Time from the end of one read to the next.
 const READ_PAUSE: Duration = Duration::from_millis(70);
+/// How often a write is tried that others were ahead of, before it waits for the next one.
+const MAX_COMMITS: usize = 2;
 /// How long a call to the store may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Batches and questions that may wait; further ones are refused.
@@ -132,47 +134,52 @@
         }
     }
 
-    /// Writes the notes that wait. What another writer left in a row is merged: the first write of a row in each slot is on
-    /// condition that there is none, and the refusal brings it.
+    /// Writes the notes that wait. Each row is written on condition that its stored version is known: another writer's notes
+    /// are merged, and an earlier write that takes effect late changes nothing.
     async fn write(&mut self) -> Result<(), PlatError> {
         let Some(clock) = self.store.clock(steady_clock::now()) else {
             return Ok(());
         };
-        let rows = self.log.rows(clock);
-        if rows.is_empty() {
-            return Ok(());
-        }
-        let mut written = rows;
-        let reply = limited(self.store.commit(&self.changes(&written))).await?;
-        if let TransactionReply::Conflict { rows } = reply {
-            for row in &written {
-                let key = row_key(&self.zone, row);
-                let stored = rows.iter().find(|stored| stored.key == key);
-                let notes = stored.and_then(|stored| decode_notes(&stored.value));
-                self.log.merge(row.shard, notes.unwrap_or_default(), clock);
+        for _ in 0..MAX_COMMITS {
+            let rows = self.log.rows(clock);
+            if rows.is_empty() {
+                return Ok(());
+            }
+            match limited(self.store.commit(&self.changes(&rows))).await? {
+                TransactionReply::Committed => {
+                    self.counts.note_stored("writes", 1);
+                    self.log.note_written(&rows);
+                    return Ok(());
+                }
+                TransactionReply::Conflict { rows: stored } => self.merge(&rows, &stored, clock),
             }
-            self.log.note_merged(&written);
-            written = self.log.rows(clock);
-            limited(self.store.commit(&self.changes(&written))).await?;
         }
-        self.counts.note_stored("writes", 1);
-        self.log.note_written(&written);
+        tracing::debug!("others write notes of streams of this zone as well");
         Ok(())
     }
 
-    fn changes(&self, rows: &[LogRow]) -> Transaction {
-        let mut changes = Transaction::default();
+    /// Merges the stored rows that a write was refused for.
+    fn merge(&mut self, rows: &[LogRow], stored: &[StoredRow], clock: Duration) {
         for row in rows {
             let key = row_key(&self.zone, row);
-            let value = encode_notes(&row.notes);
-            if !row.is_merged {
-                changes.write(key, 0, value);
+            let Some(found) = stored.iter().find(|stored| stored.key == key) else {
+                self.log.merge(row.shard, 0, Vec::new(), clock);
                 continue;
+            };
+            let notes = decode_notes(&found.value);
+            if notes.is_none() {
+                tracing::warn!(%key, "failed to decode notes of streams");
             }
-            changes.writes.push(RowWrite {
-                key,
-                value: Some(value),
-            });
+            let notes = notes.unwrap_or_default();
+            self.log.merge(row.shard, found.version, notes, clock);
+        }
+    }
+
+    fn changes(&self, rows: &[LogRow]) -> Transaction {
+        let mut changes = Transaction::default();
+        for row in rows {
+            let key = row_key(&self.zone, row);
+            changes.write(key, row.version, encode_notes(&row.notes));
         }
         changes
     }
--- a/crates/spread/tests/note_model/mod.rs
+++ b/crates/spread/tests/note_model/mod.rs
@@ -26,10 +26,12 @@
 /// Notes are in the store by then: they are collected for 150 ms.
 const WRITTEN_BY: Duration = Duration::from_millis(400);
 
-/// The rows. Replies to commits may be lost.
+/// The rows. Commits may be late, and replies to them lost.
 #[derive(Debug)]
 pub(crate) struct MemoryRows {
     began: Instant,
+    is_late: AtomicBool,
+    late: Mutex<Option<Transaction>>,
     loses_reply: AtomicBool,
     rows: Mutex<BTreeMap<Arc<str>, StoredRow>>,
 }
@@ -38,11 +40,24 @@
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
             began: Instant::now(),
+            is_late: AtomicBool::new(false),
+            late: Mutex::default(),
             loses_reply: AtomicBool::new(false),
             rows: Mutex::default(),
         })
     }
 
+    /// Leaves the next commit without an answer until [`Self::apply_late`].
+    pub(crate) fn hold_commit(&self) {
+        self.is_late.store(true, Ordering::SeqCst);
+    }
+
+    /// Carries out the commit that was held.
+    pub(crate) fn apply_late(&self) {
+        let transaction = self.late.lock().unwrap().take().unwrap();
+        self.apply(&transaction);
+    }
+
     /// Has the next commit take effect without an answer.
     pub(crate) fn lose_reply(&self) {
         self.loses_reply.store(true, Ordering::SeqCst);
@@ -91,11 +106,16 @@
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<TransactionReply, PlatError> {
+        let lost = || PlatError::Unreachable {
+            detail: "lost".to_owned(),
+        };
+        if self.is_late.swap(false, Ordering::SeqCst) {
+            *self.late.lock().unwrap() = Some(transaction.clone());
+            return Err(lost());
+        }
         let reply = self.apply(transaction);
         match self.loses_reply.swap(false, Ordering::SeqCst) {
-            true => Err(PlatError::Unreachable {
-                detail: "lost".to_owned(),
-            }),
+            true => Err(lost()),
             false => Ok(reply),
         }
     }
