spread: notes for the store wait for its clock instead of being dropped

After a start, notes that an instance writes for its zone were lost until the store had answered it once; whoever sent them was told that they are kept.

Cause: rows are dated by the store's clock, which is not known before the first answer, and notes without a date were dropped.

Test: the third of note_store, red before (stream 0 not found).

--- a/crates/spread/src/note_store.rs
+++ b/crates/spread/src/note_store.rs
@@ -10,7 +10,7 @@
         collections::{BTreeMap, BTreeSet},
         future::Future,
         sync::Arc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{mpsc, oneshot},
@@ -29,6 +29,8 @@
 const MAX_COMMITS: usize = 2;
 /// How long a call to the store may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Notes that wait for the clock of the store; further ones are dropped.
+const MAX_UNDATED: usize = 8_192;
 /// Batches and questions that may wait; further ones are refused.
 const MAX_WAITING: usize = 1_024;
 
@@ -51,6 +53,8 @@
     counts: RelayCounts,
     log: NoteLog,
     store: Arc<S>,
+    /// Notes that came before the first answer of the store, each with the time at which it came.
+    undated: Vec<(Instant, SoftwareNote)>,
     zone: ZoneId,
 }
 
@@ -74,6 +78,7 @@
             counts,
             log: NoteLog::new(),
             store: store.clone(),
+            undated: Vec::new(),
             zone,
         };
         pool.spawn(writer.run(batches));
@@ -103,7 +108,7 @@
     async fn run(mut self, batches: mpsc::Receiver<Vec<SoftwareNote>>) {
         let mut batches = batches;
         loop {
-            if !self.log.is_pending() {
+            if !self.log.is_pending() && self.undated.is_empty() {
                 let Some(notes) = batches.recv().await else {
                     return;
                 };
@@ -125,19 +130,33 @@
     }
 
     fn add(&mut self, notes: Vec<SoftwareNote>) {
-        let Some(clock) = self.store.clock(steady_clock::now()) else {
-            self.counts.note_stored("dropped", notes.len() as u64);
+        let now = steady_clock::now();
+        let room = MAX_UNDATED.saturating_sub(self.undated.len());
+        self.counts
+            .note_stored("dropped", notes.len().saturating_sub(room) as u64);
+        let notes = notes.into_iter().take(room);
+        self.undated.extend(notes.map(|note| (now, note)));
+        self.date(now);
+    }
+
+    /// Passes the notes that wait for the clock of the store to the log, once it is known.
+    fn date(&mut self, now: Instant) {
+        let Some(clock) = self.store.clock(now) else {
             return;
         };
-        for note in notes {
-            self.log.add(note, clock);
+        for (came_at, note) in self.undated.drain(..) {
+            let waited = now.saturating_duration_since(came_at);
+            let life = note.life.saturating_sub(waited);
+            self.log.add(SoftwareNote { life, ..note }, clock);
         }
     }
 
     /// Writes the notes that wait. Each row is written on condition that its stored version is known: another writer's notes
     /// are merged, and an earlier write that takes effect late changes nothing.
     async fn write(&mut self) -> Result<(), PlatError> {
-        let Some(clock) = self.store.clock(steady_clock::now()) else {
+        let now = steady_clock::now();
+        self.date(now);
+        let Some(clock) = self.store.clock(now) else {
             return Ok(());
         };
         for _ in 0..MAX_COMMITS {
--- a/crates/spread/tests/note_model/mod.rs
+++ b/crates/spread/tests/note_model/mod.rs
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct MemoryRows {
     began: Instant,
+    has_clock: AtomicBool,
     is_late: AtomicBool,
     late: Mutex<Option<Transaction>>,
     loses_reply: AtomicBool,
@@ -40,6 +41,7 @@
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
             began: Instant::now(),
+            has_clock: AtomicBool::new(true),
             is_late: AtomicBool::new(false),
             late: Mutex::default(),
             loses_reply: AtomicBool::new(false),
@@ -47,6 +49,11 @@
         })
     }
 
+    /// Sets whether the clock of the store is known.
+    pub(crate) fn set_clock(&self, is_known: bool) {
+        self.has_clock.store(is_known, Ordering::SeqCst);
+    }
+
     /// Leaves the next commit without an answer until [`Self::apply_late`].
     pub(crate) fn hold_commit(&self) {
         self.is_late.store(true, Ordering::SeqCst);
@@ -102,7 +109,8 @@
 
 impl RowStore for MemoryRows {
     fn clock(&self, at: Instant) -> Option<Duration> {
-        Some(FIRST_CLOCK + at.saturating_duration_since(self.began))
+        let is_known = self.has_clock.load(Ordering::SeqCst);
+        is_known.then(|| FIRST_CLOCK + at.saturating_duration_since(self.began))
     }
 
     async fn commit(&self, transaction: &Transaction) -> Result<TransactionReply, PlatError> {
--- a/crates/spread/tests/note_store.rs
+++ b/crates/spread/tests/note_store.rs
@@ -46,6 +46,21 @@
     }
 }
 
+/// Guards against notes that are lost since the store has not answered yet where they are to be written.
+#[tokio::test]
+async fn notes_that_come_before_the_first_answer_of_the_store_are_written() {
+    let (rows, pool) = (MemoryRows::new(), WorkerPool::new());
+    let store = open(&rows, &pool);
+    rows.set_clock(false);
+    write(&store, &[0]).await;
+    rows.set_clock(true);
+    write(&store, &[SAME_SHARD]).await;
+    for stream in [0, SAME_SHARD] {
+        let found = store.find(stream).await;
+        assert_eq!(found, Some(note(stream).software), "stream {stream}");
+    }
+}
+
 /// Guards against rows that grow by their own notes each time a write is repeated.
 #[tokio::test]
 async fn notes_whose_write_took_effect_without_an_answer_are_stored_once() {
