policy: the test against clocks reads folders of modules too

The test read the files of src/ and failed on the folder upstream_table/ ("Is a directory"), which came with the move of the selection. It now reads all folders below src/ as well, so it checks more than before.

Test: red before (no_decision_reads_a_clock), green after; with a clock planted in upstream_table/selection.rs it is red and names the file.

--- a/crates/policy/tests/manifest.rs
+++ b/crates/policy/tests/manifest.rs
@@ -1,5 +1,10 @@
 //! Decisions are free of network access, clocks and tasks.
 
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
 const MANIFEST: &str = include_str!("../Cargo.toml");
 
 #[test]
@@ -15,12 +20,24 @@
     }
 }
 
+/// The source files in a folder and those below it.
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        match path.is_dir() {
+            true => files.extend(sources(&path)),
+            false => files.push(path),
+        }
+    }
+    files
+}
+
 #[test]
 fn no_decision_reads_a_clock() {
-    let sources = concat!(env!("CARGO_MANIFEST_DIR"), "/src");
-    for file in std::fs::read_dir(sources).unwrap() {
-        let path = file.unwrap().path();
-        let text = std::fs::read_to_string(&path).unwrap();
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    for path in sources(&folder) {
+        let text = fs::read_to_string(&path).unwrap();
         for clock in ["Instant::now", "SystemTime::now"] {
             assert!(!text.contains(clock), "{clock} in {}", path.display());
         }
