--- a/crates/spread/src/note_store.rs
+++ b/crates/spread/src/note_store.rs
@@ -3,14 +3,14 @@
 use {
     crate::log_rows::{decode_notes, encode_notes, row_key, shard_prefix},
     kernel::{SoftwareVersion, WorkerPool, ZoneId, steady_clock},
-    plat::{PlatError, RowStore, RowWrite, Transaction, TransactionReply},
+    plat::{PlatError, RowStore, StoredRow, Transaction, TransactionReply},
     policy::{LogRow, LoggedNote, NoteIndex, NoteLog, SoftwareNote, StreamKey, log_shard},
     relay::RelayCounts,
     std::{
         collections::{BTreeMap, BTreeSet},
         future::Future,
         sync::Arc,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{mpsc, oneshot},
@@ -25,8 +25,12 @@
 const COLLECT_TIME: Duration = Duration::from_millis(30);
 /// Time from the end of one read to the next.
 const READ_PAUSE: Duration = Duration::from_millis(70);
+/// How often a write is tried that others were ahead of, before it waits for the next one.
+const MAX_COMMITS: usize = 2;
 /// How long a call to the store may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Notes that wait for the clock of the store; further ones are dropped.
+const MAX_UNDATED: usize = 8_192;
 /// Batches and questions that may wait; further ones are refused.
 const MAX_WAITING: usize = 1_024;
 
@@ -49,6 +53,8 @@
     counts: RelayCounts,
     log: NoteLog,
     store: Arc<S>,
+    /// Notes that came before the first answer of the store, each with the time at which it came.
+    undated: Vec<(Instant, SoftwareNote)>,
     zone: ZoneId,
 }
 
@@ -72,6 +78,7 @@
             counts,
             log: NoteLog::new(),
             store: store.clone(),
+            undated: Vec::new(),
             zone,
         };
         pool.spawn(writer.run(batches));
@@ -101,7 +108,7 @@
     async fn run(mut self, batches: mpsc::Receiver<Vec<SoftwareNote>>) {
         let mut batches = batches;
         loop {
-            if !self.log.is_pending() {
+            if !self.log.is_pending() && self.undated.is_empty() {
                 let Some(notes) = batches.recv().await else {
                     return;
                 };
@@ -123,56 +130,75 @@
     }
 
     fn add(&mut self, notes: Vec<SoftwareNote>) {
-        let Some(clock) = self.store.clock(steady_clock::now()) else {
-            self.counts.note_stored("dropped", notes.len() as u64);
+        let now = steady_clock::now();
+        let room = MAX_UNDATED.saturating_sub(self.undated.len());
+        self.counts
+            .note_stored("dropped", notes.len().saturating_sub(room) as u64);
+        let notes = notes.into_iter().take(room);
+        self.undated.extend(notes.map(|note| (now, note)));
+        self.date(now);
+    }
+
+    /// Passes the notes that wait for the clock of the store to the log, once it is known.
+    fn date(&mut self, now: Instant) {
+        let Some(clock) = self.store.clock(now) else {
             return;
         };
-        for note in notes {
-            self.log.add(note, clock);
+        for (came_at, note) in self.undated.drain(..) {
+            let waited = now.saturating_duration_since(came_at);
+            let life = note.life.saturating_sub(waited);
+            self.log.add(SoftwareNote { life, ..note }, clock);
         }
     }
 
-    /// Writes the notes that wait. What another writer left in a row is merged: the first write of a row in each slot is on
-    /// condition that there is none, and the refusal brings it.
+    /// Writes the notes that wait. Each row is written on condition that its stored version is known: another writer's notes
+    /// are merged, and an earlier write that takes effect late changes nothing.
     async fn write(&mut self) -> Result<(), PlatError> {
-        let Some(clock) = self.store.clock(steady_clock::now()) else {
+        let now = steady_clock::now();
+        self.date(now);
+        let Some(clock) = self.store.clock(now) else {
             return Ok(());
         };
-        let rows = self.log.rows(clock);
-        if rows.is_empty() {
-            return Ok(());
-        }
-        let mut written = rows;
-        let reply = limited(self.store.commit(&self.changes(&written))).await?;
-        if let TransactionReply::Conflict { rows } = reply {
-            for row in &written {
-                let key = row_key(&self.zone, row);
-                let stored = rows.iter().find(|stored| stored.key == key);
-                let notes = stored.and_then(|stored| decode_notes(&stored.value));
-                self.log.merge(row.shard, notes.unwrap_or_default(), clock);
+        for _ in 0..MAX_COMMITS {
+            let rows = self.log.rows(clock);
+            if rows.is_empty() {
+                return Ok(());
+            }
+            match limited(self.store.commit(&self.changes(&rows))).await? {
+                TransactionReply::Committed => {
+                    self.counts.note_stored("writes", 1);
+                    self.log.note_written(&rows);
+                    return Ok(());
+                }
+                TransactionReply::Conflict { rows: stored } => self.merge(&rows, &stored, clock),
             }
-            self.log.note_merged(&written);
-            written = self.log.rows(clock);
-            limited(self.store.commit(&self.changes(&written))).await?;
         }
-        self.counts.note_stored("writes", 1);
-        self.log.note_written(&written);
+        tracing::debug!("others write notes of streams of this zone as well");
         Ok(())
     }
 
-    fn changes(&self, rows: &[LogRow]) -> Transaction {
-        let mut changes = Transaction::default();
+    /// Merges the stored rows that a write was refused for.
+    fn merge(&mut self, rows: &[LogRow], stored: &[StoredRow], clock: Duration) {
         for row in rows {
             let key = row_key(&self.zone, row);
-            let value = encode_notes(&row.notes);
-            if !row.is_merged {
-                changes.write(key, 0, value);
+            let Some(found) = stored.iter().find(|stored| stored.key == key) else {
+                self.log.merge(row.shard, 0, Vec::new(), clock);
                 continue;
+            };
+            let notes = decode_notes(&found.value);
+            if notes.is_none() {
+                tracing::warn!(%key, "failed to decode notes of streams");
             }
-            changes.writes.push(RowWrite {
-                key,
-                value: Some(value),
-            });
+            let notes = notes.unwrap_or_default();
+            self.log.merge(row.shard, found.version, notes, clock);
+        }
+    }
+
+    fn changes(&self, rows: &[LogRow]) -> Transaction {
+        let mut changes = Transaction::default();
+        for row in rows {
+            let key = row_key(&self.zone, row);
+            changes.write(key, row.version, encode_notes(&row.notes));
         }
         changes
     }
