policy: engines that fail don't count as left to new requests

While a resumed stream waits for a scarce version, new requests are sent to engines of other versions only, even where all of these can't be reached or refuse what they reserved: the request fails although a healthy engine is there.

Cause: the versions are kept while others have half of the engines that match; engines that fail match too, until they leave the list.

Only engines out of cooldown and with a failure rate below one half count now, for both halves. Full engines still count: that the others are full is what the versions are kept for.

--- a/crates/policy/src/upstream_table/selection.rs
+++ b/crates/policy/src/upstream_table/selection.rs
@@ -15,6 +15,9 @@
     },
 };
 
+/// The failure rate from which an engine is not relied on for new requests.
+const UNRELIABLE_SHARE: f64 = 0.5;
+
 impl UpstreamTable {
     /// The time until this instance may call a cold upstream that matches the query; `None` when there is none.
     pub fn cold_wait(&self, query: &ChoiceQuery<'_>, now: Instant) -> Option<Duration> {
@@ -138,7 +141,7 @@
     }
 
     /// The versions whose decode engines are left to resumed streams, which can go on nowhere else, while others have at
-    /// least half of the engines.
+    /// least half of the engines that can be relied on.
     fn kept_versions(&self, query: &ChoiceQuery<'_>, now: Instant) -> BTreeSet<&SoftwareVersion> {
         let mut kept = BTreeSet::new();
         if query.software.is_some() || query.stage != UpstreamStage::Decode {
@@ -154,7 +157,9 @@
         };
         let mut counts: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
         for entry in self.entries.values() {
-            if self.is_suitable(entry, &unrestricted, now) {
+            let is_reliable =
+                !entry.cooldown.is_active(now) && entry.failure_share(now) < UNRELIABLE_SHARE;
+            if is_reliable && self.is_suitable(entry, &unrestricted, now) {
                 *counts.entry(&entry.record.software).or_default() += 1;
             }
         }
--- a/crates/policy/tests/wanted_versions.rs
+++ b/crates/policy/tests/wanted_versions.rs
@@ -2,7 +2,7 @@
 
 use {
     kernel::{ServiceId, SoftwareVersion, ZoneId},
-    policy::{ChoiceQuery, UpstreamRecord, UpstreamStage, UpstreamTable, ZoneFilter},
+    policy::{CallVerdict, ChoiceQuery, UpstreamRecord, UpstreamStage, UpstreamTable, ZoneFilter},
     std::{
         collections::BTreeSet,
         time::{Duration, Instant},
@@ -127,3 +127,23 @@
     want(&mut table, "gone", now);
     assert_eq!(versions_asked(&table, None, now), set(&["v1"]));
 }
+
+/// Guards against new requests that fail since the engines that may take them are gone, while others are kept free.
+#[test]
+fn engines_that_cannot_be_reached_or_refuse_do_not_count_as_left_to_new_requests() {
+    let now = Instant::now();
+    for is_unreachable in [true, false] {
+        let mut table = table_of(&[("v1", 1), ("v2", 3)], now);
+        want(&mut table, "v1", now);
+        for id in ["v2-0", "v2-1", "v2-2"].map(Into::into) {
+            if !is_unreachable {
+                table.note_refusal(&id, false, now);
+                continue;
+            }
+            table.begin(&id, 0);
+            table.end(&id, 0, CallVerdict::Unreachable, now);
+        }
+        let asked = versions_asked(&table, None, now);
+        assert!(asked.contains("v1"), "unreachable: {is_unreachable}");
+    }
+}
