--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -85,11 +85,14 @@
         self.places.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Records that a stream found no place at the only version at which it can go on.
+    /// Records that a stream whose caller resumes it found no place at the only version at which it can go on.
     pub(crate) fn note_wanted(&self) {
         let Some(software) = &self.software else {
             return;
         };
+        if self.request.head.after.is_none() {
+            return;
+        }
         let pause = self.retry_after();
         let mut upstreams = self.core.upstreams.lock();
         let wanted = &mut upstreams.wanted;
@@ -145,8 +148,8 @@
         if self.request.head.after.is_some() {
             self.find_origin().await?;
             // Its caller has the first events already, and would have to stay away for as long.
-            let until = self.request.since + self.retry_after();
-            wait.by_own_view = self.request.deadline.min(until);
+            let until = steady_clock::now() + self.retry_after();
+            wait.by_own_view = wait.by_own_view.max(until).min(self.request.deadline);
         }
         let stream = match self.start(None, None, wait).await {
             Err(error) => return Err(self.failure(error)),
