spread: an instance without others keeps the software versions in the store

What callers saw: a caller that came back to an instance without listen.peers after its restart got events of another version, where all engines were replaced while the instance was away.

Cause: such an instance had no directory, so that nobody told it of the versions before its start, and it went by its own list however young that was. LoneSource reads the row of versions before its first list and writes it by the same rules as the reader of a zone; both do so through VersionKeeper. The strict check is restored: the list of an instance that has no others proves something only if it is complete. The check in policy/tests/software.rs that allowed the opposite is replaced by the one that was there before it.

Ruled out: a directory whose answer all lists wait for. Each call has the store's timeout of its own, as with other instances.

MemberDirectory::write_software and the calls around it moved to SoftwareDirectory; its test calls it there.

relay_orders counted all rows of the store's table, one, while an instance without others keeps its lease there.

--- a/crates/policy/src/software_report.rs
+++ b/crates/policy/src/software_report.rs
@@ -22,7 +22,7 @@
     ///
     /// Without a note of the stream it is known if there was a single version lately, and the list of one of them is
     /// complete: all may have just started. An instance that none of the others answers can't tell: it may be cut off, and
-    /// its list out of date. One that has no others, `is_alone`, goes by its own list.
+    /// its list out of date. One that has no others, `is_alone`, goes by its own list if that is complete.
     pub fn resolve(self, is_alone: bool, others: &[Self]) -> Option<SoftwareVersion> {
         let mut noted = others.iter().filter_map(|report| report.began.as_ref());
         if let Some(began) = self.began.as_ref().or_else(|| noted.next()) {
@@ -31,7 +31,7 @@
         let reports = std::iter::once(&self).chain(others);
         let is_complete = reports.clone().any(|report| report.is_complete);
         let versions: BTreeSet<_> = reports.flat_map(|report| &report.versions).collect();
-        let is_confirmed = is_alone || is_complete && !others.is_empty();
+        let is_confirmed = is_complete && (is_alone || !others.is_empty());
         match versions.len() {
             1 if is_confirmed => versions.first().copied().cloned(),
             _ => None,
--- a/crates/policy/tests/software.rs
+++ b/crates/policy/tests/software.rs
@@ -196,8 +196,7 @@
     assert_eq!(resolved, None);
     assert_eq!(incomplete(None).resolve(false, &[]), None);
     // An instance that has no others at all.
-    let alone = incomplete(None).resolve(true, &[]);
-    assert_eq!(alone.as_deref(), Some("v1"));
+    assert_eq!(incomplete(None).resolve(true, &[]), None);
     for began in [Some("v1"), None] {
         let others = [incomplete(None), report(began, &["v1"])];
         let resolved = incomplete(None).resolve(false, &others);
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod list_mirror;
 pub mod list_reader;
 mod log_rows;
+pub mod lone_source;
 pub mod member_directory;
 pub mod member_registry;
 pub mod member_row;
@@ -32,6 +33,7 @@
 pub mod report_watcher;
 pub mod shared_source;
 pub mod silent_schedulers;
+pub mod software_directory;
 pub mod spread_message;
 pub mod spread_server;
 pub mod spread_state;
@@ -40,6 +42,7 @@
 pub mod usage_exchange;
 pub mod usage_message;
 pub mod usage_server;
+pub mod version_keeper;
 
 pub use {
     directory_view::DirectoryView,
@@ -47,6 +50,7 @@
     list_journal::ListJournal,
     list_mirror::ListMirror,
     list_reader::ListReader,
+    lone_source::LoneSource,
     member_directory::MemberDirectory,
     member_registry::MemberRegistry,
     member_row::MemberRow,
@@ -64,6 +68,7 @@
     report_watcher::ReportWatcher,
     shared_source::SharedSource,
     silent_schedulers::SilentSchedulers,
+    software_directory::SoftwareDirectory,
     spread_message::{
         JournalPosition, ListChange, ListPart, PeerRoutes, ReportUpdate, RouteTableAge,
         RouteTableCopy, SpreadReply, SpreadRequest, SpreadUpdate, TimedReply,
@@ -75,4 +80,5 @@
     usage_exchange::UsageExchange,
     usage_message::{UsageReply, UsageRequest, UsageSummary},
     usage_server::{USAGE_TAG, UsageServer},
+    version_keeper::VersionKeeper,
 };
--- a/crates/spread/src/member_directory.rs
+++ b/crates/spread/src/member_directory.rs
@@ -11,11 +11,7 @@
         directory_view::{AUTHORITY_KEY, DIRECTORY_PREFIX, SOFTWARE_KEY, zone_key},
     },
     plat::{PlatError, RowStore, Transaction, TransactionReply},
-    policy::SoftwareMemory,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::sync::Arc,
 };
 
 /// Reads the directory and writes the row of the own zone.
@@ -36,47 +32,6 @@
         &self.own
     }
 
-    /// The store's era; 0 for a store without eras.
-    pub fn era(&self) -> u64 {
-        self.store.epoch().unwrap_or_default()
-    }
-
-    /// The store's own steady clock at a local time, if it is known.
-    pub fn clock(&self, at: Instant) -> Option<Duration> {
-        self.store.clock(at)
-    }
-
-    /// Writes the software versions, unless another instance has written them since `view` was read. Returns the resulting
-    /// view. This is a single call, which is harmless if it takes effect late.
-    ///
-    /// # Errors
-    ///
-    /// The store did not answer, or refused.
-    pub async fn write_software(
-        &self,
-        view: DirectoryView,
-        software: SoftwareMemory,
-    ) -> Result<DirectoryView, PlatError> {
-        let mut view = view;
-        let mut changes = Transaction::default();
-        // Strings and numbers always serialise.
-        let value = serde_json::to_string(&software).unwrap_or_default();
-        changes.write(
-            SOFTWARE_KEY.into(),
-            view.version(SOFTWARE_KEY),
-            value.into(),
-        );
-        match self.store.commit(&changes).await? {
-            TransactionReply::Committed => view.software = Some(software),
-            TransactionReply::Conflict { rows } => {
-                for row in &rows {
-                    view.apply(row);
-                }
-            }
-        }
-        Ok(view)
-    }
-
     /// Reads the directory with one call.
     ///
     /// # Errors
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -11,7 +11,8 @@
         DirectoryView, JournalPosition, ListMirror, ListReader, MemberDirectory, MemberRegistry,
         MemberRow, NOTE_TAG, NoteExchange, NoteServer, NoteStore, PLACE_TAG, PlaceExchange,
         PlaceServer, ReadFailure, ReadStep, ReaderElection, ReportOrigin, ReportWatcher,
-        SPREAD_TAG, SpreadServer, SpreadState, SpreadTimes, USAGE_TAG, UsageExchange, UsageServer,
+        SPREAD_TAG, SoftwareDirectory, SpreadServer, SpreadState, SpreadTimes, USAGE_TAG,
+        UsageExchange, UsageServer, VersionKeeper,
     },
     kernel::{InstanceId, LockRank, RankedLock, WorkerPool, steady_clock},
     peer::{PeerEndpoint, PeerKeys},
@@ -39,9 +40,6 @@
 /// Delay after an instance that did not answer.
 const NO_ANSWER_DELAY: Duration = Duration::from_millis(20);
 
-/// How long a list may wait for the write of the software versions that it names.
-const MAX_WRITE_DELAY: Duration = Duration::from_millis(400);
-
 /// A source that requests updates from the zone's reader first, and reads the store if the reader
 /// does not answer.
 #[derive(Debug)]
@@ -66,8 +64,6 @@
     mirror: RankedLock<ListMirror>,
     rates: RateNews,
     reader: ReaderRole,
-    /// The versions of the list in use.
-    software: SoftwareNotes,
     /// The instance that the crash reports came from, and the position in its journal. Two
     /// instances may have the same incarnation number.
     report_position: RankedLock<Option<(InstanceId, JournalPosition)>>,
@@ -75,6 +71,7 @@
     cooldown_end: RankedLock<Option<Instant>>,
     store: Arc<S>,
     times: SpreadTimes,
+    versions: VersionKeeper<S>,
 }
 
 /// How a request to another instance ended.
@@ -194,7 +191,7 @@
         Self {
             changed,
             counts,
-            directory: MemberDirectory::new(directory_store, own),
+            directory: MemberDirectory::new(directory_store.clone(), own),
             era: RankedLock::new(LockRank::Samples, None),
             endpoint,
             first_start,
@@ -207,11 +204,11 @@
             mirror: RankedLock::new(LockRank::Readings, ListMirror::default()),
             rates,
             reader,
-            software,
             report_position: RankedLock::new(LockRank::Readings, None),
             cooldown_end: RankedLock::new(LockRank::Readings, None),
             store,
             times,
+            versions: VersionKeeper::new(SoftwareDirectory::new(directory_store), software),
         }
     }
 }
@@ -241,10 +238,7 @@
                 return Err(error);
             }
         };
-        let writing = self.write_versions(&snapshot.records);
-        if time::timeout(MAX_WRITE_DELAY, writing).await.is_err() {
-            tracing::info!("the software versions are not written in time");
-        }
+        self.write_versions(&snapshot.records).await;
         self.members.election.lock().record_store_read(began);
         self.members
             .state
@@ -467,7 +461,7 @@
 }
 
 /// Limits a call to the store to `limit`.
-async fn with_timeout<T>(
+pub(crate) async fn with_timeout<T>(
     limit: Duration,
     answer: impl Future<Output = Result<T, SourceError>>,
 ) -> Result<T, SourceError> {
--- a/crates/spread/src/shared_source/joining.rs
+++ b/crates/spread/src/shared_source/joining.rs
@@ -99,7 +99,7 @@
         let authority = view.authority.clone().unwrap_or(known);
         let mut view = view;
         let known = view.software.as_ref();
-        let mut draft = self.draft_versions(records, known);
+        let mut draft = self.versions.draft(records, known);
         if records.is_none()
             && let Some(known) = known
         {
@@ -179,7 +179,7 @@
         {
             self.trust(authority);
         }
-        self.remember_versions(&view);
+        self.versions.remember(&view);
         self.members.merge(&view, silent, is_restored);
     }
 
--- a/crates/spread/tests/member_directory.rs
+++ b/crates/spread/tests/member_directory.rs
@@ -4,7 +4,7 @@
 use {
     plat::{PlatError, RowStore, StoredRow, Transaction, TransactionReply},
     policy::SoftwareMemory,
-    spread::{DirectoryView, MemberDirectory, MemberRow},
+    spread::{DirectoryView, MemberDirectory, MemberRow, SoftwareDirectory},
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex},
@@ -204,11 +204,10 @@
 #[tokio::test]
 async fn of_two_that_write_the_software_versions_the_second_learns_those_of_the_first() {
     let store = Arc::new(MemoryRows::default());
-    let own = row("a", "gijon");
-    let directory = directory(&store, &own);
+    let directory = SoftwareDirectory::new(store);
     let empty = directory.read().await.unwrap();
     for versions in [["v1", "v2"], ["v2", "v3"]] {
-        let written = directory.write_software(empty.clone(), software(&versions));
+        let written = directory.write(empty.clone(), software(&versions));
         let seen = written.await.unwrap();
         assert_eq!(seen.software, Some(software(&["v1", "v2"])));
     }
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -22,7 +22,7 @@
         WatchTimes,
     },
     snafu::ResultExt,
-    spread::{SharedSource, SpreadTimes},
+    spread::{LoneSource, SharedSource, SpreadTimes},
     std::{
         sync::Arc,
         time::{Duration, SystemTime},
@@ -44,9 +44,9 @@
 const KEYS_CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// The condition that the first read of the routes and the upstreams has succeeded.
 const START_CONDITION: &str = "routes";
-/// The timeout of a read through other instances. Each of its steps has a timeout of its own; this one covers faults
-/// in them.
-const SHARED_READ_LIMIT: Duration = Duration::from_secs(10);
+/// The timeout of a read, through other instances or alone. Each of its steps has a timeout of its own; this one covers
+/// faults in them.
+const READ_LIMIT: Duration = Duration::from_secs(10);
 /// The heartbeats after which an entry of the list lapses in an outage. Entries lapse after three heartbeats without a
 /// report, and the last report may have come up to one heartbeat before the outage.
 const LAPSE_HEARTBEATS: u32 = 2;
@@ -324,8 +324,10 @@
         pool.spawn(controller.run());
     }
     let Some(socket) = peers else {
-        let times = watch_times(settings, platform.timeout, STORE_RETRY_PAUSE);
-        return spawn_watch(core, store, times, pool);
+        let versions = Arc::new(store.for_reason(CallReason::Directory));
+        let source = LoneSource::new(versions, platform.timeout, core.software.clone(), store);
+        let times = watch_times(settings, READ_LIMIT, STORE_RETRY_PAUSE);
+        return spawn_watch(core, Arc::new(source), times, pool);
     };
     pool.spawn(CapacityReader::new(core.clone()).run());
     let times = SpreadTimes::builder()
@@ -357,7 +359,7 @@
     spawn_watch(
         core,
         Arc::new(shared),
-        watch_times(settings, SHARED_READ_LIMIT, SHARED_RETRY_PAUSE),
+        watch_times(settings, READ_LIMIT, SHARED_RETRY_PAUSE),
         pool,
     );
 }
--- a/crates/trestlewalk/tests/relay_orders.rs
+++ b/crates/trestlewalk/tests/relay_orders.rs
@@ -36,9 +36,9 @@
     assert_eq!(order["Fence"], 1);
     assert!(order["Holder"].as_str().unwrap().starts_with("front-1/"));
     let rows = run.store.rows("trestlewalk");
-    assert_eq!(rows.len(), 1);
-    assert_eq!(rows[0].0, "stages/redactor");
-    let lease: Value = serde_json::from_str(&rows[0].1).unwrap();
+    let keys: Vec<&str> = rows.iter().map(|(key, _)| &**key).collect();
+    assert_eq!(keys, ["peers/software", "stages/redactor"]);
+    let lease: Value = serde_json::from_str(&rows[1].1).unwrap();
     assert_eq!(
         (&lease["fence"], &lease["holder"]),
         (&json!(1), &order["Holder"])
