spread: a version that the store can't be told of doesn't serve yet

What callers saw: the row of versions can't be written while the list can be read, streams begin at the new version all the same, all instances are killed, and the version is taken back meanwhile. Who starts knows the older version alone, and joins events of both.

Cause: a list was passed on after a failed write as after a done one. The write was tried again with each list already.

Rule: while the write fails, upstreams of versions that this process didn't know are left out of the list, and the next list has it tried again; for 5 s at most, and only as far as other upstreams of their service and stage serve, so that nobody is refused for it. Versions in use are never left out. Both kinds of sources do so.

Ruled out: to hold the list back as a whole, which would keep upstreams that leave in service; and to leave versions out without a bound, since a release would end with no upstream that may serve.

--- a/crates/policy/src/software_history.rs
+++ b/crates/policy/src/software_history.rs
@@ -120,6 +120,29 @@
         })
     }
 
+    /// Takes upstreams of versions that are not known here out of a list that is not applied yet, as far as others of their
+    /// stage serve. Each returned row was taken out.
+    pub fn withhold_new(
+        &self,
+        records: &mut Vec<UpstreamRecord>,
+        now: Instant,
+    ) -> Vec<UpstreamRecord> {
+        let is_known = |record: &UpstreamRecord| {
+            let mut versions = self.versions(&record.service, now);
+            versions.any(|version| *version == record.software)
+        };
+        let serving = records.iter();
+        let serving = serving.filter(|record| !record.leaving && is_known(record));
+        let served: Vec<_> = serving
+            .map(|record| (record.service.clone(), record.stage))
+            .collect();
+        let is_new = |record: &mut UpstreamRecord| {
+            let stage = (record.service.clone(), record.stage);
+            !is_known(record) && served.contains(&stage)
+        };
+        records.extract_if(.., is_new).collect()
+    }
+
     /// Whether several versions of a service were listed lately.
     pub fn is_mixed(&self, service: &ServiceId, now: Instant) -> bool {
         self.versions(service, now).nth(1).is_some()
--- a/crates/policy/tests/software.rs
+++ b/crates/policy/tests/software.rs
@@ -367,3 +367,39 @@
     }
     assert!(row.is_due(Some(&wrong)));
 }
+
+/// Guards against a stage without upstreams, and against upstreams of a known version that are taken out of the list.
+#[test]
+fn upstreams_of_new_versions_are_withheld_only_where_others_of_their_stage_serve() {
+    let now = Instant::now();
+    let prefill = |id: &str, software| UpstreamRecord {
+        stage: UpstreamStage::Prefill,
+        ..record(id, software)
+    };
+    let leaving = |id: &str, software| UpstreamRecord {
+        leaving: true,
+        ..record(id, software)
+    };
+    let mut history = SoftwareHistory::default();
+    let first = [record("a", "v1"), record("b", "v2")];
+    assert!(history.withhold_new(&mut first.to_vec(), now).is_empty());
+    history.apply(&first, now);
+    let cases = [
+        (vec![record("a", "v1"), record("b", "v2")], vec![]),
+        (vec![record("a", "v1"), record("c", "v3")], vec!["c"]),
+        (vec![record("a", "v1"), prefill("c", "v3")], vec![]),
+        (vec![leaving("a", "v1"), record("c", "v3")], vec![]),
+        (vec![record("c", "v3"), record("d", "v4")], vec![]),
+        (
+            vec![prefill("c", "v3"), record("d", "v3"), prefill("e", "v2")],
+            vec!["c"],
+        ),
+    ];
+    for (list, withheld) in cases {
+        let mut records = list.clone();
+        let out = history.withhold_new(&mut records, now);
+        let ids: Vec<&str> = out.iter().map(|record| &*record.id).collect();
+        assert_eq!(ids, withheld, "{list:?}");
+        assert_eq!(records.len() + out.len(), list.len());
+    }
+}
--- a/crates/relay/src/software_notes.rs
+++ b/crates/relay/src/software_notes.rs
@@ -199,6 +199,13 @@
         }
     }
 
+    /// Takes upstreams of versions that are not known here out of a list, as far as others serve; how many there were.
+    pub fn withhold_new(&self, records: &mut Vec<UpstreamRecord>) -> usize {
+        let now = steady_clock::now();
+        let upstreams = self.upstreams.lock();
+        upstreams.software.withhold_new(records, now).len()
+    }
+
     /// The versions of each service, for the state dump.
     pub fn versions(&self) -> BTreeMap<ServiceId, Vec<SoftwareVersion>> {
         let now = steady_clock::now();
--- a/crates/spread/src/lone_source.rs
+++ b/crates/spread/src/lone_source.rs
@@ -88,9 +88,9 @@
         // The list proves that a version is the only one if it was read after the directory.
         let view = self.read_directory().await;
         let reading = self.store.read_upstreams(reason);
-        let snapshot = with_timeout(self.read_timeout, reading).await?;
+        let mut snapshot = with_timeout(self.read_timeout, reading).await?;
         if let Some(view) = view {
-            let (view, is_written) = self.versions.write(view, &snapshot.records).await;
+            let (view, is_written) = self.versions.keep(view, &mut snapshot.records).await;
             *self.view.lock() = is_written.then_some(view);
         }
         Ok(snapshot)
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -238,7 +238,7 @@
                 return Err(error);
             }
         };
-        self.write_versions(&snapshot.records).await;
+        self.write_versions(&mut snapshot.records).await;
         self.members.election.lock().record_store_read(began);
         self.members
             .state
--- a/crates/spread/src/version_keeper.rs
+++ b/crates/spread/src/version_keeper.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{DirectoryView, SoftwareDirectory},
-    kernel::steady_clock,
+    kernel::{LockRank, RankedLock, steady_clock},
     plat::RowStore,
     policy::{SoftwareMemory, UpstreamRecord},
     relay::SoftwareNotes,
-    std::time::Duration,
+    std::time::{Duration, Instant},
     tokio::time,
 };
 
@@ -15,10 +15,15 @@
 /// How long a list may wait for the write of the software versions that it names.
 const MAX_WRITE_DELAY: Duration = Duration::from_millis(400);
 
+/// How long upstreams of a new version are left out of the lists while it can't be written.
+const MAX_WITHHOLDING: Duration = Duration::from_secs(5);
+
 /// Writes the versions of the lists that an instance reads, and takes those that the directory has.
 #[derive(Debug)]
 pub struct VersionKeeper<S> {
     directory: SoftwareDirectory<S>,
+    /// Since when the versions can't be written.
+    failing_since: RankedLock<Option<Instant>>,
     /// The versions of the list in use.
     software: SoftwareNotes,
 }
@@ -44,6 +49,7 @@
     pub fn new(directory: SoftwareDirectory<S>, software: SoftwareNotes) -> Self {
         Self {
             directory,
+            failing_since: RankedLock::new(LockRank::Samples, None),
             software,
         }
     }
@@ -56,9 +62,29 @@
     }
 
     /// Writes the versions if a list that was just read changes them, before any instance uses an upstream of a new one:
-    /// streams of it must not outlast the knowledge that there were several. Returns the resulting view of the directory,
-    /// and whether the versions are in it.
-    pub async fn write(
+    /// streams of it must not outlast the knowledge that there were several. While that fails the upstreams of new versions
+    /// are left out of the list, up to [`MAX_WITHHOLDING`], and the next list has the write tried again. Returns the
+    /// resulting view of the directory, and whether the versions are in it.
+    pub async fn keep(
+        &self,
+        view: DirectoryView,
+        records: &mut Vec<UpstreamRecord>,
+    ) -> (DirectoryView, bool) {
+        let (view, is_written) = self.write(view, records).await;
+        if is_written {
+            *self.failing_since.lock() = None;
+            return (view, true);
+        }
+        let now = steady_clock::now();
+        let since = *self.failing_since.lock().get_or_insert(now);
+        if now.saturating_duration_since(since) < MAX_WITHHOLDING {
+            let count = self.software.withhold_new(records);
+            tracing::info!(count, "upstreams of unwritten versions are left out");
+        }
+        (view, false)
+    }
+
+    async fn write(
         &self,
         view: DirectoryView,
         records: &[UpstreamRecord],
--- a/crates/trestlewalk/tests/relay_lone.rs
+++ b/crates/trestlewalk/tests/relay_lone.rs
@@ -10,8 +10,9 @@
         engine_answers::event_text,
         relay_test::{STREAM_HEADERS, start_again},
     },
-    serde_json::json,
+    serde_json::{Value, json},
     std::time::Duration,
+    support::wait::wait_until,
     tokio::time,
 };
 
@@ -96,6 +97,13 @@
     }
 }
 
+/// The versions of the list in use.
+async fn versions(run: &RelayRun) -> Value {
+    let dump = run.process.get("admin", "/dump").send().await;
+    let dump: Value = serde_json::from_slice(&dump.body).unwrap();
+    dump["software"]["versions"]["redactor"].clone()
+}
+
 /// How often the versions were written.
 fn software_writes(run: &RelayRun) -> usize {
     let written = run.store.written();
@@ -126,6 +134,46 @@
     assert_eq!(resume_all(&run, &attempts).await.resumed, CALLERS);
 }
 
+/// Guards against events of two versions where the row can't be written while the list can be read, the instance is killed,
+/// and the newer version is taken back meanwhile.
+#[tokio::test]
+async fn no_stream_begins_at_a_version_that_the_store_does_not_know_of() {
+    let mut run = start().await;
+    run.store.refuse_writes(true);
+    release(&run, &run.upstreams[..1]);
+    time::sleep(WATCHED).await;
+    let attempts = begin_cut_streams(&run).await;
+    run.process.kill().await;
+    assert!(run.upstreams[0].runs().is_empty());
+    run.store.remove("servers", &run.upstreams[0].id);
+    run.store.refuse_writes(false);
+    run.process = start_again("front-1", &run.folder).await;
+    run.wait_ready().await;
+    assert_eq!(resume_all(&run, &attempts).await.resumed, CALLERS);
+    assert_eq!(run.upstreams[1].runs().len(), 2 * CALLERS);
+}
+
+/// Guards against upstreams that are left out for good, and against callers that are refused where no other ones are left.
+#[tokio::test]
+async fn a_version_that_the_store_does_not_know_of_serves_once_it_does_or_nothing_else_is_left() {
+    let run = start().await;
+    run.store.refuse_writes(true);
+    release(&run, &run.upstreams[..1]);
+    time::sleep(WATCHED).await;
+    assert_eq!(versions(&run).await, json!(["v1"]));
+    run.store.refuse_writes(false);
+    wait_until("the newer version is listed", async || {
+        versions(&run).await == json!(["v1", "v1.1"])
+    })
+    .await;
+    let run = start().await;
+    run.store.refuse_writes(true);
+    release(&run, &run.upstreams);
+    time::sleep(WATCHED).await;
+    let reply = send(&run, &fresh_id(), &patient_headers()).await;
+    assert_eq!((reply.status(), reply.whole), (200, true));
+}
+
 /// Guards against calls to the store while one version serves: the row is written as a version joins, and as one leaves.
 #[tokio::test]
 async fn the_only_instance_writes_the_versions_when_one_joins_or_leaves() {
--- a/crates/trestlewalk/tests/relay_rejoined.rs
+++ b/crates/trestlewalk/tests/relay_rejoined.rs
@@ -152,9 +152,9 @@
     tally
 }
 
-/// Replaces all engines by those of a newer version.
-fn release(run: &ZoneRun) {
-    for engine in &run.upstreams {
+/// Replaces engines by those of a newer version.
+fn release(run: &ZoneRun, engines: &[UpstreamStandIn]) {
+    for engine in engines {
         engine.state.lock().unwrap().software = "v1.1".to_owned();
         run.store
             .put("servers", &engine.id, &engine.report("ready"));
@@ -217,7 +217,7 @@
  {
     let mut run = start(ONE).await;
     let streams = begin_cut_streams(&run).await;
-    release(&run);
+    release(&run, &run.upstreams);
     wait_versions(&run, &["v1", "v1.1"]).await;
     run.restart_all().await;
     wait_ready(&run).await;
@@ -231,7 +231,7 @@
     let mut run = start(ONE).await;
     let streams = begin_cut_streams(&run).await;
     run.kill_all().await;
-    release(&run);
+    release(&run, &run.upstreams);
     run.start_all().await;
     wait_ready(&run).await;
     let tally = resume_all(&run, &streams).await;
@@ -260,6 +260,24 @@
     assert_eq!(resume_all(&run, &streams).await.other, 0);
 }
 
+/// Guards against events of two versions where the row of versions can't be written while the list can be read, and the newer
+/// version is taken back while no instance runs.
+#[tokio::test]
+async fn no_stream_begins_at_a_version_that_cannot_be_written_before_all_instances_are_killed() {
+    let mut run = start(ONE).await;
+    run.store.refuse_writes(true);
+    release(&run, &run.upstreams[..1]);
+    time::sleep(BETWEEN_STREAMS).await;
+    let streams = begin_cut_streams(&run).await;
+    run.kill_all().await;
+    run.store.remove("servers", &run.upstreams[0].id);
+    run.store.refuse_writes(false);
+    run.start_all().await;
+    wait_ready(&run).await;
+    assert!(streams.iter().all(|stream| stream.version == "v1"));
+    assert_eq!(resume_all(&run, &streams).await.same, CALLERS);
+}
+
 /// Guards against guesses, and callers that are held, by instances that have started while the store is silent.
 #[tokio::test]
 async fn callers_are_refused_at_once_by_instances_that_started_while_the_store_is_silent() {
--- a/crates/trestlewalk/tests/relay_support/store.rs
+++ b/crates/trestlewalk/tests/relay_support/store.rs
@@ -52,6 +52,8 @@
     slow: Option<(String, Duration)>,
     /// Delays all calls.
     pause: Duration,
+    /// Transactions are refused.
+    refuses_writes: bool,
     /// The table and key of each row that a transaction wrote.
     written: Vec<RowKey>,
 }
@@ -194,6 +196,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Refuses transactions with 503, or serves them again. Reads are answered.
+    pub fn refuse_writes(&self, refuses: bool) {
+        self.state.lock().unwrap().refuses_writes = refuses;
+    }
+
     /// The table and key of each row that transactions wrote, in order.
     pub fn written(&self) -> Vec<(String, String)> {
         self.state.lock().unwrap().written.clone()
@@ -340,6 +347,9 @@
         )
     };
     let mut state = store.state.lock().unwrap();
+    if state.refuses_writes {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     if let Some(denied) = body["SetKeys"]
         .as_array()
         .unwrap()
