policy: parts whose crashes came fast explain those of what they share

Cause, traced in the model: crashes 400 ms apart count as one where they come within half a second, so that neither lethal part was convicted, while their shared part had the crashes of both (five convict in any case). Only convicted suspects explained crashes; nothing with the first part ran any more, so nothing told the three apart.

A part with the score of a conviction but for that rule, all of whose crashes came early, is accused now: no request is refused for it, but accused suspects together may explain every crash of another one. Where one early crash is left, they do not.

--- a/crates/policy/src/crash_entry.rs
+++ b/crates/policy/src/crash_entry.rs
@@ -20,6 +20,9 @@
 const BURST_POINTS: u32 = 15;
 /// The least score of the crashes that no other convicted suspect explains.
 const UNEXPLAINED_POINTS: u32 = 6;
+/// The same where suspects that are accused but not convicted explain crashes too: more often than convicted ones they
+/// are bystanders.
+const UNEXPLAINED_POINTS_OF_ACCUSED: u32 = EARLY_POINTS;
 /// Upstreams that crash within this time of each other may have a common cause, such as a rack that lost power.
 const BURST: Duration = Duration::from_millis(500);
 
@@ -45,14 +48,17 @@
         }
     }
 
-    /// Whether convicted suspects whose crashes are `others` leave too few crashes to suspect this one.
-    pub(crate) fn is_explained(&self, others: &[&Self]) -> bool {
-        let is_open = |upstream: &UpstreamId| !others.iter().any(|other| other.ran_at(upstream));
-        let open = self
-            .crashes
-            .iter()
-            .filter(|(upstream, _)| is_open(upstream));
-        open.map(|(_, crash)| crash.mark.points()).sum::<u32>() < UNEXPLAINED_POINTS
+    /// Whether the score suffices for a conviction apart from upstreams that crashed together, and each crash came early.
+    /// Such a suspect may have caused them, although no request is refused for it.
+    pub(crate) fn is_accused(&self) -> bool {
+        let mut marks = self.crashes.values().map(|crash| crash.mark);
+        self.points() >= CONVICTION_POINTS && !marks.any(|mark| mark == CrashMark::Late)
+    }
+
+    /// Whether other suspects leave too few crashes to suspect this one: the convicted ones, or all that are accused.
+    pub(crate) fn is_explained(&self, convicted: &[&Self], accused: &[&Self]) -> bool {
+        self.unexplained(convicted) < UNEXPLAINED_POINTS
+            || self.unexplained(accused) < UNEXPLAINED_POINTS_OF_ACCUSED
     }
 
     /// The time until the remaining reports no longer suffice for a conviction; `None` when they do not now.
@@ -81,6 +87,16 @@
         crash.is_some_and(|crash| crash.mark != CrashMark::Cleared)
     }
 
+    /// The score of the crashes at upstreams where none of `others` ran.
+    fn unexplained(&self, others: &[&Self]) -> u32 {
+        let is_open = |upstream: &UpstreamId| !others.iter().any(|other| other.ran_at(upstream));
+        let open = self
+            .crashes
+            .iter()
+            .filter(|(upstream, _)| is_open(upstream));
+        open.map(|(_, crash)| crash.mark.points()).sum()
+    }
+
     fn points(&self) -> u32 {
         let crashes = self.crashes.values();
         crashes.map(|crash| crash.mark.points()).sum()
--- a/crates/policy/src/crash_table.rs
+++ b/crates/policy/src/crash_table.rs
@@ -29,6 +29,8 @@
 /// The suspects.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
+    /// The convicted suspects, and those that may explain the crashes of others without being convicted.
+    accused: BTreeSet<SuspectId>,
     answered: AnsweredParts,
     convicted: BTreeSet<SuspectId>,
     suspects: BTreeMap<SuspectId, CrashEntry>,
@@ -92,6 +94,7 @@
     /// Creates an empty table whose reports expire after `ttl`.
     pub fn new(ttl: Duration) -> Self {
         Self {
+            accused: BTreeSet::new(),
             answered: AnsweredParts::default(),
             convicted: BTreeSet::new(),
             suspects: BTreeMap::new(),
@@ -157,7 +160,7 @@
             entry.crashes.retain(|_, crash| is_recent(crash));
         }
         self.suspects.retain(|_, entry| !entry.crashes.is_empty());
-        for suspect in self.convicted.clone() {
+        for suspect in self.accused.clone() {
             self.reassess(suspect);
         }
     }
@@ -178,6 +181,7 @@
                 upstream: upstream.clone(),
             });
         }
+        self.accused.remove(&suspect);
         self.convicted.remove(&suspect);
         reports
     }
@@ -195,20 +199,25 @@
             return Some(remaining);
         }
         let entry = self.suspects.get(suspect)?;
-        let others = self.convicted.iter();
-        let others = others.filter(|other| !request.contains(other));
-        let others: Vec<&CrashEntry> = others
+        let convicted = self.entries(&self.convicted, request);
+        let accused = self.entries(&self.accused, request);
+        (!entry.is_explained(&convicted, &accused)).then_some(remaining)
+    }
+
+    /// The entries of those suspects that a request is not, and does not have.
+    fn entries(&self, suspects: &BTreeSet<SuspectId>, request: &SuspectSet) -> Vec<&CrashEntry> {
+        let others = suspects.iter().filter(|other| !request.contains(other));
+        others
             .filter_map(|other| self.suspects.get(other))
-            .collect();
-        (!entry.is_explained(&others)).then_some(remaining)
+            .collect()
     }
 
     fn reassess(&mut self, suspect: SuspectId) {
         let entry = self.suspects.get(&suspect);
-        match entry.is_some_and(|entry| entry.is_convicted(suspect.is_prompt_part())) {
-            true => self.convicted.insert(suspect),
-            false => self.convicted.remove(&suspect),
-        };
+        let is_convicted = entry.is_some_and(|entry| entry.is_convicted(suspect.is_prompt_part()));
+        let is_accused = is_convicted || entry.is_some_and(CrashEntry::is_accused);
+        set_member(&mut self.accused, suspect, is_accused);
+        set_member(&mut self.convicted, suspect, is_convicted);
     }
 
     fn evict_least(&mut self) {
@@ -219,7 +228,16 @@
         let least = suspects.min_by_key(|(suspect, entry)| value(suspect, entry));
         if let Some(least) = least.map(|(suspect, _)| *suspect) {
             self.suspects.remove(&least);
+            self.accused.remove(&least);
             self.convicted.remove(&least);
         }
     }
 }
+
+/// Adds a suspect to a set or removes it.
+fn set_member(set: &mut BTreeSet<SuspectId>, suspect: SuspectId, is_member: bool) {
+    match is_member {
+        true => set.insert(suspect),
+        false => set.remove(&suspect),
+    };
+}
--- a/crates/policy/tests/crash_parts.rs
+++ b/crates/policy/tests/crash_parts.rs
@@ -158,6 +158,62 @@
     assert!(is_refused(&table, &["new", "y"], now));
 }
 
+/// Crashes three upstreams by requests with each of two parts behind a shared one, both at a time, so fast that neither
+/// of the two is convicted; returns the time of the last crash.
+fn crash_by_two(table: &mut CrashTable, start: Instant) -> Instant {
+    let mut at = start;
+    for round in 0..3 {
+        at = start + Duration::from_millis(240) * round;
+        for (index, part) in ["lethal-0", "lethal-1"].into_iter().enumerate() {
+            let upstream = 2 * round + index as u32;
+            crash(
+                table,
+                &request(&["first", part, "x"], upstream),
+                upstream,
+                at,
+            );
+        }
+    }
+    at
+}
+
+// Guards against the refusal of all that begins like two lethal parts, whose crashes came too fast to convict them.
+#[test]
+fn what_two_lethal_parts_share_goes_on_although_their_crashes_came_fast() {
+    let mut table = CrashTable::new(TTL);
+    let now = crash_by_two(&mut table, Instant::now());
+    assert!(!is_refused(&table, &["first", "x"], now));
+    assert!(!is_refused(&table, &["first", "other", "x"], now));
+    assert!(is_refused(&table, &["first", "lethal-0", "x"], now));
+    assert!(is_refused(&table, &["first", "lethal-1", "x"], now));
+}
+
+// The same reports may come from a lethal first part, beside which two others stood by chance.
+#[test]
+fn a_shared_part_that_is_lethal_itself_crashes_one_more_upstream() {
+    let mut table = CrashTable::new(TTL);
+    let now = crash_by_two(&mut table, Instant::now());
+    crash(&mut table, &request(&["first", "x"], 6), 6, now + INTERVAL);
+    assert!(is_refused(&table, &["first", "x"], now + INTERVAL));
+    assert!(is_refused(&table, &["first", "other", "x"], now + INTERVAL));
+}
+
+// A bystander that was lost three times must not speak for the cause.
+#[test]
+fn parts_that_ran_late_do_not_explain_the_crashes_of_a_lethal_one() {
+    let mut table = CrashTable::new(TTL);
+    let now = crash_in_turn(&mut table, &["lethal"], 4, Instant::now());
+    for upstream in 0..4 {
+        let report = CrashReport {
+            mark: CrashMark::Late,
+            suspect: SuspectId::prompt_part("bystander"),
+            upstream: format!("i-{upstream}").into(),
+        };
+        table.merge(&report, now, now);
+    }
+    assert!(is_refused(&table, &["lethal", "x"], now));
+}
+
 #[test]
 fn a_part_counts_once_however_often_a_request_names_it() {
     let lone = request(&["a", "x"], 1);
