spread: readers remove evicted crash reports from the store

What happened: an instance keeps 16,384 crash reports and evicted the oldest beyond that, but only expired ones were removed from the store. No instance knew the evicted rows any more, so nothing bounded the table, and at each start or full reading they came back with the age 0, in the place of newer ones.

Cause, by reading: `expire` was all that named rows to remove; a removal that the store refused was not tried again. Besides, the removal of a row is read back as a cleared report of age 0, and was kept for a life of its own, to be removed once more: reports never ended, and with evictions each removal would have caused another one.

Now evicted reports wait to be removed (16,384 at most, else a log line) and go with the expired ones; what the store refuses is tried again after the next watch; removals come apart from reports, clear what is known and are no report themselves. Since a removal clears the report at instances that still have it, reports of suspects with three of them are evicted last.

Ruled out: removal as soon as a row is evicted, without the order: it would clear the reports that hold a quarantine. What stays: rows beyond 16,384 that wait (when the store refuses for long) stay until the next full reading.

The three new tests of `report_journal` use functions that were not there.

--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -91,6 +91,9 @@
     pub next: Option<ReportCursor>,
     /// The reports.
     pub reports: Vec<AgedReport>,
+    /// The reports whose rows were removed, marked as cleared: by operators, who end a quarantine this way, or by an
+    /// instance, since they are too old or too many.
+    pub removed: Vec<CrashReport>,
 }
 
 /// Why a call to the store failed.
@@ -129,7 +132,7 @@
 
 /// The store that operators write routes to and upstreams send heartbeats to.
 pub trait OperatorSource: Send + Sync + 'static {
-    /// Deletes expired reports.
+    /// Deletes reports that are too old or too many.
     fn drop_reports(
         &self,
         reports: &[CrashReport],
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -6,7 +6,7 @@
         RouteUpdate, SourceError, UpstreamDialect, UpstreamSnapshot, list_progress::ListProgress,
     },
     kernel::steady_clock,
-    policy::{EvacuationSet, StoreVersion},
+    policy::{AgedReport, EvacuationSet, StoreVersion},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -100,9 +100,9 @@
                 Ok(Ok(reading)) => {
                     after = reading.next;
                     // Merged even without reports, so that expired ones are removed.
-                    self.core
-                        .crashes
-                        .merge(&reading.reports, steady_clock::now());
+                    let mut reports = reading.reports;
+                    reports.extend(reading.removed.into_iter().map(AgedReport::new));
+                    self.core.crashes.merge(&reports, steady_clock::now());
                     continue;
                 }
                 Ok(Err(error)) => error.to_string(),
--- a/crates/spread/src/report_journal.rs
+++ b/crates/spread/src/report_journal.rs
@@ -24,10 +24,17 @@
 /// have.
 const MAX_FORWARDED: usize = 2_048;
 
-/// Maximum number of reports kept; those made longest ago are evicted first. Every instance keeps
-/// what all of them report.
+/// Maximum number of reports kept. Every instance keeps what all of them report. Reports of suspects
+/// with few of them are evicted first, and of these the ones made longest ago.
 const MAX_ROWS: usize = 16_384;
 
+/// Maximum number of reports that wait to be removed from the store. Further ones stay there until
+/// the reports are read in full.
+const MAX_SURPLUS: usize = MAX_ROWS;
+
+/// The number of reports that a suspect needs to be refused.
+const MIN_CONVICTING_REPORTS: usize = 3;
+
 /// How long a reader waits for the instance that found a crash to write the report before writing
 /// it itself.
 const WRITE_GRACE: Duration = Duration::from_millis(500);
@@ -63,21 +70,22 @@
     retention: Duration,
     position: JournalPosition,
     rows: BTreeMap<ReportKey, JournalRow>,
+    /// Evicted reports, which the store may have.
+    surplus: Vec<CrashReport>,
 }
 
 impl ReportJournal {
-    /// Removes and returns the reports that are older than the retention.
+    /// Removes and returns the reports that are older than the retention, and those evicted since the
+    /// last call.
     pub fn expire(&mut self, now: Instant) -> Vec<CrashReport> {
         let retention = self.retention;
-        let mut expired = Vec::new();
-        self.rows.retain(|(suspect, upstream), row| {
+        let mut expired = std::mem::take(&mut self.surplus);
+        // A report that was made again has to stay in the store.
+        expired.retain(|report| !self.rows.contains_key(&key_of(report)));
+        self.rows.retain(|key, row| {
             let is_expired = now.saturating_duration_since(row.since) >= retention;
             if is_expired {
-                expired.push(CrashReport {
-                    suspect: *suspect,
-                    mark: row.mark,
-                    upstream: upstream.clone(),
-                });
+                expired.push(report_of(key, row.mark));
             }
             !is_expired
         });
@@ -106,6 +114,7 @@
                 revision: 0,
             },
             rows: BTreeMap::new(),
+            surplus: Vec::new(),
         }
     }
 
@@ -128,7 +137,7 @@
                 continue;
             }
             let since = now.checked_sub(*age).unwrap_or(now);
-            let key = (report.suspect, report.upstream.clone());
+            let key = key_of(report);
             let known = self.rows.get(&key).copied();
             if let Some(known) = known.filter(|known| known.mark >= report.mark) {
                 if origin == ReportOrigin::Store && known.mark == report.mark {
@@ -147,10 +156,33 @@
             };
             self.rows.insert(key, row);
         }
-        self.evict_oldest();
+        self.evict_least();
         self.position.revision == revision
     }
 
+    /// Clears reports whose rows were removed from the store; returns whether any was known. A removal
+    /// is no report: most often an instance discarded the row.
+    pub fn apply_removed(&mut self, removed: &[CrashReport], now: Instant) -> bool {
+        let known = removed
+            .iter()
+            .filter(|report| self.rows.contains_key(&key_of(report)));
+        let known: Vec<AgedReport> = known.cloned().map(AgedReport::new).collect();
+        self.apply(&known, ReportOrigin::Store, now)
+    }
+
+    /// Takes back reports that could not be removed from the store.
+    pub fn return_surplus(&mut self, reports: &[CrashReport]) {
+        let room = MAX_SURPLUS.saturating_sub(self.surplus.len());
+        if reports.len() > room {
+            let count = reports.len() - room;
+            tracing::info!(
+                count,
+                "crash reports stay in the store until they are read in full"
+            );
+        }
+        self.surplus.extend(reports.iter().take(room).cloned());
+    }
+
     /// Recent reports that the reader may not have, to be sent with a request; of too many, those
     /// learned last.
     pub fn to_forward(&self, now: Instant) -> Vec<AgedReport> {
@@ -186,24 +218,33 @@
     /// Marks reports as stored.
     pub fn mark_stored(&mut self, reports: &[CrashReport]) {
         for report in reports {
-            self.mark_row_stored(&(report.suspect, report.upstream.clone()));
+            self.mark_row_stored(&key_of(report));
         }
     }
 
-    fn evict_oldest(&mut self) {
-        let surplus = self.rows.len().saturating_sub(MAX_ROWS);
-        if surplus == 0 {
+    fn evict_least(&mut self) {
+        let count = self.rows.len().saturating_sub(MAX_ROWS);
+        if count == 0 {
             return;
         }
+        let mut counts: BTreeMap<SuspectId, usize> = BTreeMap::new();
+        for ((suspect, _), row) in &self.rows {
+            *counts.entry(*suspect).or_default() += usize::from(row.mark != CrashMark::Cleared);
+        }
+        let is_convicting = |suspect| counts.get(suspect) >= Some(&MIN_CONVICTING_REPORTS);
         let mut rows: Vec<_> = self
             .rows
             .iter()
-            .map(|(key, row)| (row.since, key.clone()))
+            .map(|(key, row)| (is_convicting(&key.0), row.since, key.clone()))
             .collect();
-        rows.select_nth_unstable(surplus - 1);
-        for (_, key) in &rows[..surplus] {
-            self.rows.remove(key);
+        rows.select_nth_unstable(count - 1);
+        let mut evicted = Vec::new();
+        for (_, _, key) in &rows[..count] {
+            if let Some(row) = self.rows.remove(key) {
+                evicted.push(report_of(key, row.mark));
+            }
         }
+        self.return_surplus(&evicted);
     }
 
     fn mark_row_stored(&mut self, key: &ReportKey) {
@@ -220,18 +261,26 @@
     }
 }
 
+fn key_of(report: &CrashReport) -> ReportKey {
+    (report.suspect, report.upstream.clone())
+}
+
+fn report_of((suspect, upstream): &ReportKey, mark: CrashMark) -> CrashReport {
+    CrashReport {
+        suspect: *suspect,
+        mark,
+        upstream: upstream.clone(),
+    }
+}
+
 fn aged_reports<'a>(
     rows: impl IntoIterator<Item = (&'a ReportKey, &'a JournalRow)>,
     now: Instant,
 ) -> Vec<AgedReport> {
     let rows = rows.into_iter();
-    let reports = rows.map(|((suspect, upstream), row)| AgedReport {
+    let reports = rows.map(|(key, row)| AgedReport {
         age: now.saturating_duration_since(row.since),
-        report: CrashReport {
-            suspect: *suspect,
-            mark: row.mark,
-            upstream: upstream.clone(),
-        },
+        report: report_of(key, row.mark),
     });
     reports.collect()
 }
--- a/crates/spread/src/report_watcher.rs
+++ b/crates/spread/src/report_watcher.rs
@@ -86,7 +86,7 @@
             match time::timeout(self.wait + self.read_timeout, watching).await {
                 Ok(Ok(batch)) => {
                     self.apply(&batch);
-                    self.remove_expired().await;
+                    self.remove_surplus().await;
                 }
                 Ok(Err(error)) => {
                     tracing::info!(%error, "failed to read crash reports");
@@ -130,23 +130,31 @@
         });
     }
 
-    /// Discards expired reports here and in the store.
-    async fn remove_expired(&self) {
-        for reports in self.expire().chunks(MAX_TRANSACTION_ROWS) {
+    /// Removes the reports from the store that are too old or too many. What the store doesn't remove now is tried
+    /// again after the next watch.
+    async fn remove_surplus(&self) {
+        let surplus = self.expire();
+        for (index, reports) in surplus.chunks(MAX_TRANSACTION_ROWS).enumerate() {
             if let Err(error) = self.store.drop_reports(reports).await {
-                tracing::info!(%error, "failed to remove expired crash reports from the store");
+                tracing::info!(%error, "failed to remove crash reports from the store");
+                let rest = &surplus[index * MAX_TRANSACTION_ROWS..];
+                self.state.send_if_modified(|state| {
+                    state.reports.return_surplus(rest);
+                    false
+                });
+                return;
             }
         }
     }
 
-    /// Discards the expired reports and returns them.
+    /// Discards the expired reports, and returns all that were discarded and may be in the store.
     fn expire(&self) -> Vec<CrashReport> {
-        let mut expired = Vec::new();
+        let mut surplus = Vec::new();
         self.state.send_if_modified(|state| {
-            expired = state.reports.expire(steady_clock::now());
+            surplus = state.reports.expire(steady_clock::now());
             false
         });
-        expired
+        surplus
     }
 
     /// Records the epoch of reports; returns whether the store came back from an older copy since the last ones.
@@ -166,9 +174,10 @@
             if is_restored {
                 state.reports.note_restored();
             }
-            state
+            let is_new = state
                 .reports
-                .apply(&batch.reports, ReportOrigin::Store, now)
+                .apply(&batch.reports, ReportOrigin::Store, now);
+            state.reports.apply_removed(&batch.removed, now) || is_new
         });
     }
 }
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -318,6 +318,7 @@
                 position: update.position.revision,
             }),
             reports: update.reports,
+            removed: Vec::new(),
         })
     }
 
--- a/crates/spread/tests/report_journal.rs
+++ b/crates/spread/tests/report_journal.rs
@@ -162,3 +162,62 @@
     let is_old = |kept: &AgedReport| kept.report.upstream.starts_with("i-old");
     assert_eq!(kept.iter().filter(|kept| is_old(kept)).count(), 0);
 }
+
+fn suspect(number: usize) -> SuspectId {
+    SuspectId::prompt_part(&number.to_string())
+}
+
+// Guards against a store that grows without bound, and returns at a start what was evicted: nobody else knows these rows.
+#[test]
+fn evicted_reports_are_to_be_removed_from_the_store_once() {
+    let now = Instant::now();
+    let mut journal = ReportJournal::new(7, RETENTION);
+    journal.apply(&storm("old", 1_000, 300), ReportOrigin::Store, now);
+    journal.apply(&storm("new", 16_384, 0), ReportOrigin::Store, now);
+    let surplus = journal.expire(now);
+    assert_eq!(surplus.len(), 1_000);
+    assert!(
+        surplus
+            .iter()
+            .all(|report| report.upstream.starts_with("i-old"))
+    );
+    assert_eq!(journal.expire(now), []);
+    journal.return_surplus(&surplus[..10]);
+    assert_eq!(journal.expire(now), surplus[..10]);
+}
+
+// Guards against reports that never end: the removal of a row is read back, and would be a report of its own.
+#[test]
+fn the_removal_of_a_row_clears_what_is_known_and_is_no_report() {
+    let now = Instant::now();
+    let mut journal = ReportJournal::new(7, RETENTION);
+    let known = aged("i-1", CrashMark::Early, 0);
+    journal.apply(std::slice::from_ref(&known), ReportOrigin::Store, now);
+    let removed = ["i-1", "i-2"].map(|upstream| aged(upstream, CrashMark::Cleared, 0).report);
+    assert!(journal.apply_removed(&removed, now));
+    let left = journal.updates_since(None, now).reports;
+    assert_eq!(left, [aged("i-1", CrashMark::Cleared, 0)]);
+    assert_eq!(journal.expire(now + RETENTION).len(), 1);
+    assert!(!journal.apply_removed(&removed, now + RETENTION));
+    assert_eq!(journal.expire(now + 2 * RETENTION), []);
+}
+
+// The removal of an evicted report clears it elsewhere, so that those which keep a request in quarantine go last.
+#[test]
+fn the_reports_of_a_convicted_suspect_are_evicted_last() {
+    let now = Instant::now();
+    let mut journal = ReportJournal::new(7, RETENTION);
+    journal.apply(&storm("lethal", 3, 300), ReportOrigin::Store, now);
+    let mut bystanders = storm("new", 20_000, 0);
+    for (number, bystander) in bystanders.iter_mut().enumerate() {
+        bystander.report.suspect = suspect(number);
+    }
+    journal.apply(&bystanders, ReportOrigin::Store, now);
+    let surplus = journal.expire(now);
+    assert_eq!(surplus.len(), 20_003 - 16_384);
+    assert!(
+        !surplus
+            .iter()
+            .any(|report| report.upstream.starts_with("i-lethal"))
+    );
+}
