relay: searches for held prompts are counted by how they ended

Callers saw: a stream that its caller resumes ran on another engine than the one that holds its prompt, once in a while on a busy machine.

Cause: the engines have 60 ms to list what they hold, and one that has not listed by then counts as one that holds nothing. A stand-in engine that lists late shows the same each time; it is the new test.

Change: trestlewalk_relay_prompt_searches_total counts searches as complete, partial or timed_out, and the steps of a request say it.

Test: a_caller_that_comes_back_goes_to_the_engine_that_holds_its_prompt holds the whole promise, as before, at every attempt at which the instance counts neither a search that ran out of time nor a lost reservation at the holder. An attempt that it does count is made again, five times at most for each of the three holders, and the test fails if all are late. That is as strict: an instance that misses a holder without having counted a delay fails at once, as before, and one that always counts a delay fails after five attempts.

Ruled out: another choice with a complete search; no run showed one.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -64,6 +64,8 @@
 pub mod route_freshness;
 pub mod route_table;
 pub mod scheduler_host;
+pub mod search_counts;
+pub mod search_outcome;
 pub mod service_info;
 pub mod slot_finder;
 pub mod slot_wait;
@@ -143,6 +145,8 @@
     route_freshness::RouteFreshness,
     route_table::RouteTable,
     scheduler_host::{AskOutcome, HostedRows, KeptCall, SchedulerHost, SchedulerLife},
+    search_counts::SearchCounts,
+    search_outcome::SearchOutcome,
     service_info::{EngineInfo, ServiceInfo},
     slot_finder::{ReservedSlot, SlotFinder},
     slot_wait::SlotWait,
--- a/crates/relay/src/relay_counts.rs
+++ b/crates/relay/src/relay_counts.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        AnswerOwner, CustomerCounts, NotRunReason, ResumedSoftware, SoftwareSource, UnreadHeaders,
-        WastedPrefill,
+        AnswerOwner, CustomerCounts, NotRunReason, ResumedSoftware, SearchCounts, SoftwareSource,
+        UnreadHeaders, WastedPrefill,
     },
     kernel::ResultCode,
     policy::{BackoffStatement, CallVerdict, RateChange},
@@ -71,6 +71,8 @@
     pub retries: IntCounter,
     /// Retries that the budget did not allow.
     pub retries_refused: IntCounter,
+    /// Searches for the KV caches of prompts, by outcome.
+    pub searches: SearchCounts,
     /// Reads of the store, by what was read and by outcome.
     store_reads: IntCounterVec,
     /// The version of the routes in force.
@@ -218,6 +220,7 @@
                 "trestlewalk_relay_retries_refused_total",
                 "Repeated calls that the retry budget did not allow.",
             ),
+            searches: SearchCounts::new(),
             store_reads: counters(
                 "trestlewalk_relay_store_reads_total",
                 "Readings of the store by what was read and how it ended.",
@@ -392,6 +395,7 @@
         register(registry, &self.stored_notes)?;
         register(registry, &self.retries)?;
         register(registry, &self.retries_refused)?;
+        self.searches.register(registry)?;
         register(registry, &self.store_reads)?;
         register(registry, &self.table_version)?;
         register(registry, &self.unread_headers.count)?;
--- a/crates/relay/src/stream_flow.rs
+++ b/crates/relay/src/stream_flow.rs
@@ -252,9 +252,10 @@
         let Some(last_part) = prompt.and_then(|prompt| prompt.parts.last()) else {
             return Vec::new();
         };
-        let holders = find_holders(&self.core, &self.service, &last_part.id).await;
+        let (holders, outcome) = find_holders(&self.core, &self.service, &last_part.id).await;
         let trace = &self.request.trace;
-        trace.note(format_args!("prompt held by {holders:?}"));
+        let outcome = outcome.label();
+        trace.note(format_args!("prompt held by {holders:?}, search {outcome}"));
         holders
     }
 
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -135,6 +135,8 @@
     pub linger: Duration,
     /// The prompt parts that an engine lists as cached.
     pub listed: Vec<String>,
+    /// How long an engine takes to list them.
+    pub list_pause: Duration,
     /// The memory that an engine reports, tokens.
     pub memory_tokens: u64,
     pub mode: UpstreamMode,
@@ -185,6 +187,7 @@
                 leaving: None,
                 linger: Duration::ZERO,
                 listed: Vec::new(),
+                list_pause: Duration::ZERO,
                 memory_tokens: ENGINE_TOKENS,
                 mode: UpstreamMode::Answer,
                 orders: 0,
