--- a/crates/trestlewalk/tests/relay_support/mod.rs
+++ b/crates/trestlewalk/tests/relay_support/mod.rs
@@ -17,6 +17,7 @@
 pub mod direct_fleet;
 pub mod endless;
 pub mod engine_answers;
+pub mod place_zone;
 pub mod relay_test;
 pub mod store;
 pub mod unsteady_server;
