--- a/crates/spread/tests/place_exchange.rs
+++ b/crates/spread/tests/place_exchange.rs
@@ -1,9 +1,12 @@
 //! Instances that ask for decode places: schedulers that are silent, late, new or gone must cost little and lose nothing.
 
+mod place_support;
+
 use {
     bytes::Bytes,
     kernel::{InstanceId, LockRank, RankedLock, ServiceId, ZoneId, seeded_rng},
     peer::{AddressTable, CallReply, PeerEndpoint, PeerIncoming, PeerKeys, make_test_keys},
+    place_support::endpoint,
     policy::{FleetMember, FleetMembers, UpstreamTable},
     relay::{
         FleetView, HeldPlace, PlaceClient, PlaceCounts, PlaceScope, RequestTrace, SchedulerHost,
@@ -51,7 +54,7 @@
 impl FakeScheduler {
     fn start(name: &str, keys: &PeerKeys) -> Self {
         let fake = Self {
-            endpoint: endpoint(name, keys),
+            endpoint: endpoint(name, &AddressTable::new(), keys),
             state: Arc::new(Mutex::new(FakeState {
                 behaviour: Behaviour::Answers(granted()),
                 life: 1,
@@ -135,7 +138,7 @@
 impl Trial {
     async fn start() -> Self {
         let (_, keys) = make_test_keys(&NAMES).unwrap();
-        let own = endpoint(NAMES[0], &keys[0]);
+        let own = endpoint(NAMES[0], &AddressTable::new(), &keys[0]);
         let fakes = [1, 2].map(|index| FakeScheduler::start(NAMES[index], &keys[index]));
         let zone = ZoneId::from("gijon");
         let members = NAMES.map(|name| FleetMember {
@@ -202,17 +205,6 @@
     names.find(is_ordered).unwrap().into()
 }
 
-fn endpoint(name: &str, keys: &PeerKeys) -> PeerEndpoint {
-    PeerEndpoint::builder()
-        .address("127.0.0.1:0".parse().unwrap())
-        .addresses(AddressTable::new())
-        .incarnation(1)
-        .instance(name.into())
-        .keys(keys)
-        .build()
-        .unwrap()
-}
-
 fn granted() -> PlaceReply {
     PlaceReply::Granted(PlaceGrant {
         engine: "i-1".into(),
@@ -242,19 +234,8 @@
 
 fn request(key: &str) -> PlaceRequest {
     PlaceRequest {
-        avoid: Vec::new(),
-        customer: None,
-        first_event_left: LIMIT,
-        holders: Vec::new(),
-        is_foreign: false,
-        key: key.into(),
-        left: LIMIT,
-        need: need(),
-        rank: 1,
-        software: None,
         target_left: Duration::from_millis(900),
-        turn: None,
-        work: "note".into(),
+        ..place_support::request(key, need(), LIMIT)
     }
 }
 
--- a/crates/spread/tests/place_flood.rs
+++ b/crates/spread/tests/place_flood.rs
@@ -1,8 +1,11 @@
 //! A scheduler that more instances ask at once than it has room for: it keeps its bounds and answers all of them.
 
+mod place_support;
+
 use {
     kernel::{InstanceId, LockRank, RankedLock, ZoneId},
-    peer::{AddressTable, LinkLoad, PeerEndpoint, PeerKeys, make_test_keys},
+    peer::{AddressTable, LinkLoad, PeerEndpoint, make_test_keys},
+    place_support::endpoint,
     policy::{UpstreamRecord, UpstreamStage, UpstreamTable},
     relay::{PlaceScope, SchedulerHost},
     sched::{PlaceReply, PlaceRequest, StreamNeed},
@@ -24,19 +27,6 @@
 const ROOM_BYTES: usize = ROOM * 4_096;
 const WAIT: Duration = Duration::from_millis(100);
 
-fn endpoint(name: &str, addresses: &AddressTable, keys: &PeerKeys) -> PeerEndpoint {
-    let endpoint = PeerEndpoint::builder()
-        .address("127.0.0.1:0".parse().unwrap())
-        .addresses(addresses.clone())
-        .incarnation(1)
-        .instance(name.into())
-        .keys(keys)
-        .build()
-        .unwrap();
-    addresses.set(name.into(), endpoint.local_address().unwrap());
-    endpoint
-}
-
 fn host() -> SchedulerHost {
     let engine = UpstreamRecord {
         address: ([127, 0, 0, 1], 1).into(),
@@ -66,25 +56,12 @@
 }
 
 fn request(key: &str) -> PlaceRequest {
-    PlaceRequest {
-        avoid: Vec::new(),
-        customer: None,
-        first_event_left: PATIENCE,
-        holders: Vec::new(),
-        is_foreign: false,
-        key: key.into(),
-        left: PATIENCE,
-        need: StreamNeed {
-            hint: Some(4_000),
-            max_output: 8_320,
-            prompt: 5_000,
-        },
-        rank: 1,
-        software: None,
-        target_left: PATIENCE,
-        turn: None,
-        work: "note".into(),
-    }
+    let need = StreamNeed {
+        hint: Some(4_000),
+        max_output: 8_320,
+        prompt: 5_000,
+    };
+    place_support::request(key, need, PATIENCE)
 }
 
 async fn ask(endpoint: PeerEndpoint, key: String) -> Option<PlaceReply> {
