peer: what sessions received and nobody has read is bounded for all links together

What callers would see: an instance that ends for its memory, with the requests that it passed on. A link let its peer send 16 MB that nobody had read, as much as all its streams; times the links of a large zone that is more than a small machine has. A smaller window for each link alone is no way: 32 sessions that nobody reads would hold up the calls beside them, and an eighth of 88 MB over 214 links is 51 KB, less than one stream's window.

Now a session takes a place: 64 KB for its stream and a quarter more, by which it opens the window of its link while it lasts, out of an eighth of `capacity.memory_mb` for the sessions of all links. Calls and messages are read as they arrive and go by the window that every link has beside that: a further eighth by 256 links, 64 KB at least, 1 MB at most. The quarter is needed since the transport tells a sender of room that reading made only once it is an eighth of the window. One's own fails before anything is sent. A refusal that comes before a forwarded request was read to its end arrives too; before, the lost session was taken for a request that may have run.

Red as well with places without the quarter: sessions are not opened within 20 s. `link_memory` passes with its limits unchanged.

Ruled out: refusing connections beyond a number, since a caller takes that for an instance that can't be reached. Not bounded: the number of links, and the bytes of calls that wait for a handler that stands still (1,024 a tag).

--- a/crates/forward/src/forward_error.rs
+++ b/crates/forward/src/forward_error.rs
@@ -28,3 +28,21 @@
         source: PeerError,
     },
 }
+
+impl ForwardError {
+    /// Whether what was sent may not have been read.
+    pub(crate) fn is_lost(&self) -> bool {
+        let Self::Session { source } = self else {
+            return false;
+        };
+        matches!(source, PeerError::Lost { .. })
+    }
+
+    /// Whether the other instance had no room for the session: it has handled nothing of it.
+    pub fn is_declined(&self) -> bool {
+        let Self::Session { source } = self else {
+            return false;
+        };
+        matches!(source, PeerError::Declined)
+    }
+}
--- a/crates/forward/src/forward_session.rs
+++ b/crates/forward/src/forward_session.rs
@@ -34,12 +34,30 @@
         Self { receiver, sender }
     }
 
-    /// Sends the request.
+    /// Sends the request and waits for the other instance's reply, which may come before the request has been read.
     ///
     /// # Errors
     ///
-    /// The session is lost. The other instance may have received the request.
-    pub async fn send(&mut self, head: &RequestHead, body: &Bytes) -> Result<(), ForwardError> {
+    /// The session is lost or declined, or the message can't be read. Unless it was declined, the other instance may have
+    /// received the request.
+    pub async fn exchange(
+        &mut self,
+        head: &RequestHead,
+        body: &Bytes,
+    ) -> Result<ForwardReply, ForwardError> {
+        let lost = match self.send(head, body).await {
+            Ok(()) => return self.reply().await,
+            Err(error) if error.is_lost() => error,
+            Err(error) => return Err(error),
+        };
+        // It may be a refusal of a request that was not read to its end.
+        match self.reply().await {
+            Err(error) if !error.is_declined() => Err(lost),
+            reply => reply,
+        }
+    }
+
+    async fn send(&mut self, head: &RequestHead, body: &Bytes) -> Result<(), ForwardError> {
         self.sender.send(REQUEST_FRAME, &encode(head)?).await?;
         for part in body.chunks(MAX_PART_BYTES) {
             self.sender.send(BODY_FRAME, part).await?;
@@ -47,12 +65,7 @@
         Ok(())
     }
 
-    /// Waits for the other instance's reply.
-    ///
-    /// # Errors
-    ///
-    /// The session is lost, or the message can't be read.
-    pub async fn reply(&mut self) -> Result<ForwardReply, ForwardError> {
+    async fn reply(&mut self) -> Result<ForwardReply, ForwardError> {
         let Some(frame) = self.receiver.receive().await? else {
             return EndedEarlySnafu.fail();
         };
--- a/crates/forward/src/forward_task.rs
+++ b/crates/forward/src/forward_task.rs
@@ -144,6 +144,10 @@
                     retry_after: refusal.retry_after,
                 })
             }
+            Ok(Err(error)) if error.is_declined() => {
+                trace.note(format_args!("{helper} declines: {error}"));
+                Attempt::Unsent
+            }
             Ok(Err(error)) => {
                 trace.note(format_args!("{helper} lost: {error}"));
                 Attempt::Lost
@@ -190,8 +194,7 @@
             target: target.map_or("/", |target| target.as_str()).to_owned(),
             tries: self.route.tries,
         };
-        session.send(&head, &request.body).await?;
-        session.reply().await
+        session.exchange(&head, &request.body).await
     }
 
     /// Builds the response to the caller. A stream is passed on as it arrives, any other answer once it is complete.
--- a/crates/peer/src/accept_loop.rs
+++ b/crates/peer/src/accept_loop.rs
@@ -10,6 +10,7 @@
         peer_router::{PeerRouter, RouteFailure},
         peer_settings::PeerSettings,
         session_receiver::SessionReceiver,
+        session_room::SessionRoom,
         session_sender::SessionSender,
         tls_config,
         wire::{self, MessageHeader, MessageKind},
@@ -28,6 +29,7 @@
     pub(crate) metrics: PeerMetrics,
     pub(crate) pool: WorkerPool,
     pub(crate) router: PeerRouter,
+    pub(crate) room: SessionRoom,
     pub(crate) settings: Arc<PeerSettings>,
 }
 
@@ -213,11 +215,17 @@
         let _ = sender.stopped().await;
     }
 
-    fn handle_session(&self, header: MessageHeader, sender: SendStream, receiver: RecvStream) {
+    fn handle_session(&self, header: MessageHeader, mut sender: SendStream, receiver: RecvStream) {
+        let Some(place) = self.shared.room.take(&self.connection) else {
+            self.shared.metrics.refuse(RefusedCause::Overload);
+            let _ = sender.reset(SESSION_DECLINED.into());
+            return;
+        };
         let limit = self.shared.settings.frame_limit;
         let instance = &header.from.instance;
         let connection = &self.connection;
-        let receiver = SessionReceiver::new(connection.clone(), instance.clone(), limit, receiver);
+        let receiver =
+            SessionReceiver::new(connection.clone(), instance.clone(), limit, place, receiver);
         let sender = SessionSender::new(connection.clone(), instance.clone(), limit, sender);
         let incoming = PeerIncoming::Session {
             from: header.from,
@@ -228,6 +236,8 @@
     }
 }
 
+/// QUIC stream error code of a session that there is no room for.
+pub(crate) const SESSION_DECLINED: u32 = 3;
 /// QUIC stream error code of a refused call.
 pub(crate) const CALL_REFUSED: u32 = 1;
 
--- a/crates/peer/src/link_load.rs
+++ b/crates/peer/src/link_load.rs
@@ -25,6 +25,8 @@
     pub opened_links: usize,
     /// Messages, calls and sessions that were received and not taken yet.
     pub queued_messages: usize,
+    /// Sessions of both directions that have a place for what is not read yet.
+    pub open_sessions: usize,
 }
 
 /// Counts as open until it is dropped.
@@ -63,6 +65,7 @@
             ("open_calls", load.open_calls),
             ("opened_links", load.opened_links),
             ("queued_messages", load.queued_messages),
+            ("open_sessions", load.open_sessions),
         ] {
             let count = i64::try_from(count).unwrap_or(i64::MAX);
             self.parts.with_label_values(&[part]).set(count);
--- a/crates/peer/src/peer_endpoint.rs
+++ b/crates/peer/src/peer_endpoint.rs
@@ -9,13 +9,14 @@
         link_load::{LinkLoad, OpenCount},
         link_table::LinkTable,
         link_traffic::LinkTraffic,
-        peer_error::{BindSnafu, PeerError, TimeoutSnafu, TooLargeSnafu},
+        peer_error::{BindSnafu, BusySnafu, PeerError, TimeoutSnafu, TooLargeSnafu},
         peer_identity::PeerIdentity,
         peer_incoming::PeerIncoming,
         peer_metrics::PeerMetrics,
         peer_router::PeerRouter,
         peer_settings::PeerSettings,
         session_receiver::SessionReceiver,
+        session_room::SessionRoom,
         session_sender::SessionSender,
         tls_config::TlsConfig,
         wire::{self, MessageHeader, MessageKind},
@@ -26,7 +27,7 @@
     kernel::{Incarnation, InstanceId, WorkerPool},
     prometheus::IntGauge,
     quinn::{Connection, Endpoint, SendDatagramError, VarInt},
-    snafu::ResultExt,
+    snafu::{OptionExt, ResultExt},
     std::{
         net::SocketAddr,
         sync::{
@@ -52,6 +53,7 @@
     pub(crate) metrics: PeerMetrics,
     pub(crate) pool: WorkerPool,
     pub(crate) router: PeerRouter,
+    pub(crate) room: SessionRoom,
     pub(crate) settings: Arc<PeerSettings>,
     pub(crate) tls: Arc<ArcSwap<TlsConfig>>,
 }
@@ -85,6 +87,7 @@
             metrics: PeerMetrics::new(),
             pool: WorkerPool::new(),
             router: PeerRouter::default(),
+            room: SessionRoom::new(&settings),
             settings: Arc::new(settings),
             tls: Arc::new(ArcSwap::from_pointee(tls)),
         };
@@ -165,6 +168,7 @@
             open_calls: count(&self.metrics.open_calls),
             opened_links: self.links.len(),
             queued_messages: self.router.queued(),
+            open_sessions: self.room.taken(),
         }
     }
 
@@ -187,7 +191,7 @@
     ///
     /// # Errors
     ///
-    /// When the peer has no address, can't be connected, or the connection is lost.
+    /// When the peer has no address, can't be connected, there is no room, or the connection is lost.
     pub async fn open_session(
         &self,
         instance: &InstanceId,
@@ -195,9 +199,13 @@
     ) -> Result<(SessionSender, SessionReceiver), PeerError> {
         let message = self.message(MessageKind::Session, tag, &[])?;
         let connection = self.connect(instance).await?;
+        let place = self.room.take(&connection).with_context(|| BusySnafu {
+            instance: instance.clone(),
+        })?;
         let (sender, receiver) = self.start_stream(&connection, instance, &message).await?;
         let limit = self.settings.frame_limit;
-        let receiver = SessionReceiver::new(connection.clone(), instance.clone(), limit, receiver);
+        let receiver =
+            SessionReceiver::new(connection.clone(), instance.clone(), limit, place, receiver);
         let sender = SessionSender::new(connection, instance.clone(), limit, sender);
         Ok((sender, receiver))
     }
@@ -354,6 +362,7 @@
             metrics: self.metrics.clone(),
             pool: self.pool.clone(),
             router: self.router.clone(),
+            room: self.room.clone(),
             settings: self.settings.clone(),
         };
         self.pool.spawn(accept.run(self.endpoint.clone()));
--- a/crates/peer/src/peer_error.rs
+++ b/crates/peer/src/peer_error.rs
@@ -14,7 +14,8 @@
         /// The operating system's error.
         source: std::io::Error,
     },
-    /// The connection has as many calls and sessions as the peer allows; nothing was sent.
+    /// The connection has as many calls and sessions as the peer allows, or this instance has no room for another session;
+    /// nothing was sent.
     #[snafu(display("the connection to peer `{instance}` has too many calls and sessions"))]
     Busy {
         /// The peer.
@@ -31,6 +32,9 @@
         /// The peer.
         instance: InstanceId,
     },
+    /// The peer has no room for the session; nothing of it was handled.
+    #[snafu(display("the peer has no room for the session"))]
+    Declined,
     /// A message can't be read.
     #[snafu(display("a peer's message can't be read: {detail}"))]
     Garbled {
--- a/crates/peer/src/peer_settings.rs
+++ b/crates/peer/src/peer_settings.rs
@@ -41,9 +41,9 @@
     #[builder(default = Duration::from_millis(12_000))]
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub link_idle: Duration,
-    /// What a peer may send over a connection before it is read, in bytes: as much as all its calls and sessions together
-    /// may, so that those which are not read don't hold up the others.
-    #[builder(default = 1 << 24)]
+    /// What a peer may send over a connection before it is read, in bytes, without what its sessions may. Calls and messages
+    /// are read as they arrive.
+    #[builder(default = 1 << 20)]
     pub link_window: u32,
     /// The maximum size of a message or request, in bytes.
     #[builder(default = 1 << 18)]
@@ -54,6 +54,9 @@
     /// The maximum size of an answer to a call, in bytes.
     #[builder(default = 1 << 23)]
     pub reply_limit: usize,
+    /// What the sessions of all connections together may receive before it is read, in bytes. Those beyond it are declined.
+    #[builder(default = 1 << 26)]
+    pub session_memory: usize,
     /// The maximum number of concurrent calls and sessions that a peer may have open over its connection. Each end keeps
     /// tables for all of them from the start.
     #[builder(default = 256)]
--- a/crates/peer/src/session_receiver.rs
+++ b/crates/peer/src/session_receiver.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         peer_error::{GarbledSnafu, LostSnafu, PeerError, WireVersionSnafu},
+        session_place::SessionPlace,
         session_sender::{FRAME_HEADER_LENGTH, SessionFrame},
         wire::{self, WIRE_VERSION},
     },
@@ -19,6 +20,8 @@
     instance: InstanceId,
     limit: usize,
     stream: RecvStream,
+    // Given back after the stream, whose unread data then counts no more.
+    _place: SessionPlace,
 }
 
 impl SessionReceiver {
@@ -26,9 +29,11 @@
         connection: Connection,
         instance: InstanceId,
         limit: usize,
+        place: SessionPlace,
         stream: RecvStream,
     ) -> Self {
         Self {
+            _place: place,
             _connection: connection,
             instance,
             limit,
@@ -51,7 +56,7 @@
     ///
     /// # Errors
     ///
-    /// When the connection is lost, or a frame is over the limit or has another wire version.
+    /// When the peer declined the session, the connection is lost, or a frame is over the limit or has another wire version.
     pub async fn receive(&mut self) -> Result<Option<SessionFrame>, PeerError> {
         let limit = self.limit + FRAME_HEADER_LENGTH;
         let content = match wire::read_frame(&mut self.stream, limit).await {
--- a/crates/peer/src/tls_config.rs
+++ b/crates/peer/src/tls_config.rs
@@ -22,6 +22,8 @@
 /// The assumed round-trip time of a new connection: the path between zones of a region plus processing on both ends on
 /// small hosts. A first packet that is lost, or arrives before its receiver listens, is resent after three times this.
 const INITIAL_RTT: Duration = Duration::from_millis(25);
+/// What may be sent over a connection and not acknowledged, bytes. The peer's windows are the smaller bound.
+const SEND_WINDOW: u64 = 1 << 24;
 const APPLICATION_PROTOCOL: &[u8] = b"trestlewalk-peer/1";
 
 /// The QUIC configurations derived from one set of keys.
@@ -155,7 +157,7 @@
         .max_concurrent_uni_streams(settings.message_streams.into())
         .max_idle_timeout(Some(idle))
         .receive_window(settings.link_window.into())
-        .send_window(settings.link_window.into())
+        .send_window(SEND_WINDOW)
         .stream_receive_window(settings.stream_window.into());
     Ok(config)
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -6,11 +6,12 @@
 use {
     crate::{
         ProtocolTag,
+        accept_loop::SESSION_DECLINED,
         peer_error::{GarbledSnafu, PeerError, TooLargeSnafu, WireVersionSnafu},
         peer_identity::PeerIdentity,
     },
     bytes::{BufMut, Bytes, BytesMut},
-    quinn::RecvStream,
+    quinn::{ReadError, RecvStream},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
 
@@ -127,11 +128,7 @@
 /// When the length is over the limit or the stream ends early.
 pub async fn read_frame(stream: &mut RecvStream, limit: usize) -> Result<Option<Bytes>, PeerError> {
     let mut prefix = [0; 4];
-    let Some(count) = stream
-        .read(&mut prefix)
-        .await
-        .map_err(|error| garbled(&error))?
-    else {
+    let Some(count) = stream.read(&mut prefix).await.map_err(read_error)? else {
         return Ok(None);
     };
     stream
@@ -157,6 +154,13 @@
     .build()
 }
 
+fn read_error(error: ReadError) -> PeerError {
+    match error {
+        ReadError::Reset(code) if code == SESSION_DECLINED.into() => PeerError::Declined,
+        error => garbled(&error),
+    }
+}
+
 fn read_u16(message: &[u8], at: usize) -> Result<u16, PeerError> {
     let Some(bytes) = message.get(at..at + 2) else {
         return GarbledSnafu {
--- a/crates/trestlewalk/src/entry/peer_socket.rs
+++ b/crates/trestlewalk/src/entry/peer_socket.rs
@@ -2,7 +2,11 @@
 //! start of the process.
 
 use {
-    crate::{RunError, run_error::PeersSnafu, settings::RelayFile},
+    crate::{
+        RunError,
+        run_error::PeersSnafu,
+        settings::{RelayCapacity, RelayFile},
+    },
     kernel::unix_time,
     peer::{AddressTable, PeerEndpoint, PeerKeys, PeerSettings},
     snafu::ResultExt,
@@ -15,6 +19,17 @@
 /// The timeout for opening a connection: a few round trips, and the handshake at both ends on slow hosts.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 
+/// The share of the memory for what the sessions of all links have received and nobody has read yet.
+const SESSION_SHARE: f64 = 1.0 / 8.0;
+/// The share of the memory for what links receive beside that until it is read.
+const LINK_SHARE: f64 = 1.0 / 8.0;
+/// The links of both directions that this share is divided over.
+const LINK_COUNT: f64 = 256.0;
+/// The least window of a link, bytes: one stream goes at full speed.
+const MIN_LINK_WINDOW: f64 = 65_536.0;
+/// The largest window of a link, bytes.
+const MAX_LINK_WINDOW: f64 = 1_048_576.0;
+
 /// The open socket, with its keys and the member row that announces it.
 pub struct PeerSocket {
     /// The endpoint that sends and receives on the socket.
@@ -40,6 +55,8 @@
         let links = PeerSettings::builder()
             .call_timeout(call_limit)
             .connect_timeout(CONNECT_LIMIT)
+            .link_window(link_window(&settings.capacity))
+            .session_memory((settings.capacity.memory_bytes() * SESSION_SHARE) as usize)
             .build();
         let endpoint = PeerEndpoint::builder()
             .address(address)
@@ -63,3 +80,9 @@
         }))
     }
 }
+
+/// What a peer may send over a link before it is read, bytes, beside what its sessions may.
+fn link_window(capacity: &RelayCapacity) -> u32 {
+    let window = capacity.memory_bytes() * LINK_SHARE / LINK_COUNT;
+    window.clamp(MIN_LINK_WINDOW, MAX_LINK_WINDOW) as u32
+}
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -30,7 +30,6 @@
     tokio::time,
 };
 
-const BYTES_PER_MB: f64 = 1e6;
 /// The share of the memory for bodies that wait for slow readers. The list of upstreams, connections and the allocator's
 /// reserve take the rest.
 const BUFFER_SHARE: f64 = 0.25;
@@ -277,12 +276,12 @@
 
 /// The part of the memory that requests may take while they wait for the schedulers of this instance, bytes.
 fn waiting_bytes(capacity: &RelayCapacity) -> usize {
-    (capacity.memory_mb * WAITING_SHARE * BYTES_PER_MB) as usize
+    (capacity.memory_bytes() * WAITING_SHARE) as usize
 }
 
 /// The part of the memory that bodies may take while they wait for slow readers, bytes.
 fn buffer_bytes(capacity: &RelayCapacity) -> usize {
-    (capacity.memory_mb * BUFFER_SHARE * BYTES_PER_MB) as usize
+    (capacity.memory_bytes() * BUFFER_SHARE) as usize
 }
 
 fn stage_settings(settings: &RelayFile) -> StageSettings {
--- a/crates/trestlewalk/src/settings/relay_file.rs
+++ b/crates/trestlewalk/src/settings/relay_file.rs
@@ -67,6 +67,11 @@
 }
 
 impl RelayCapacity {
+    /// The memory of the host, in bytes.
+    pub fn memory_bytes(&self) -> f64 {
+        self.memory_mb * BYTES_PER_MB
+    }
+
     /// The capacity as one number, by which instances are compared. What an instance does for others takes memory as well:
     /// with less than [`AMPLE_MEMORY_MB`] it counts for less.
     pub fn weight(&self) -> u64 {
@@ -86,6 +91,7 @@
     }
 }
 
+const BYTES_PER_MB: f64 = 1e6;
 /// The memory, megabytes, beyond which more of it adds nothing to what an instance can do for others.
 const AMPLE_MEMORY_MB: f64 = 256.0;
 /// The weight of one core at one megabit per second; large enough that small capacities differ as whole numbers.
