policy: an instance carries its share of the cells of its zone, not all of them

What callers would see: the scheduler of all decode places of a zone is one machine, and all its requests go by their own views at once when that is silent. Cause: the carrier of a cell came from the greatest power of two of capacity alone. One instance whose capacity is just beyond the next power carried every cell of every service.

The cells are now shared by the strongest instances, by rendezvous hashing weighted by capacity: those of the greatest power of two, and of the next ones until they are three or more. Who is silent does not change who is among them, so the cells of a silent instance alone move, to the other strong ones. With three strong instances in a zone the same ones carry the cells as before; with equal capacities each cell stays where it was.

Ruled out: a bound on the cells of an instance by number, since instances would have to agree on the list of all cells.

Figures, 1,000 cells in a zone of 57 weak instances and none, one or three stronger ones: before, one instance of twice the capacity carried 1,000 (red), where its share is 34; now each is within four standard deviations of its share.

--- a/crates/policy/src/fleet_members.rs
+++ b/crates/policy/src/fleet_members.rs
@@ -5,6 +5,9 @@
     std::cmp::Reverse,
 };
 
+/// With fewer instances of the greatest capacity, weaker ones share the roles of an availability zone with them.
+const MIN_CARRIERS: usize = 3;
+
 /// One instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FleetMember {
@@ -16,6 +19,21 @@
     pub zone: ZoneId,
 }
 
+impl FleetMember {
+    /// Its capacity by powers of two.
+    fn class(&self) -> u32 {
+        self.capacity.max(1).ilog2()
+    }
+
+    /// Its score for a role: over many roles each of several instances is first for a share by its capacity.
+    fn share_score(&self, key: &str) -> f64 {
+        let score = seeded_rng::rendezvous_score(key, &self.instance);
+        // The upper 52 bits, as a number between 0 and 1 that is neither.
+        let uniform = ((score >> 12) as f64 + 0.5) / (1_u64 << 52) as f64;
+        self.capacity.max(1) as f64 / -uniform.ln()
+    }
+}
+
 /// The instances of all availability zones, as far as one of them knows.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct FleetMembers {
@@ -23,23 +41,37 @@
 }
 
 impl FleetMembers {
-    /// The instance that carries a role for its availability zone, of those that are not `excluded`: greater capacity comes
-    /// first, and rendezvous hashing by `key` orders instances whose capacities differ by less than a factor of two. Roles
-    /// with different keys so spread over the strongest instances.
+    /// The instance that carries a role for its availability zone, of those that are not `excluded`: one of the strongest
+    /// by rendezvous hashing with `key`, weighted by capacity, so that each of them carries its share of many roles. The
+    /// strongest are those of the greatest capacity by powers of two, and of the next ones until there are enough to share
+    /// them. Others carry a role only when all of these are excluded.
     pub fn carrier(
         &self,
         zone: &ZoneId,
         key: &str,
         excluded: impl Fn(&InstanceId) -> bool,
     ) -> Option<&InstanceId> {
-        let members = self.members.iter();
-        let candidates =
-            members.filter(|member| member.zone == *zone && !excluded(&member.instance));
-        let first = candidates.max_by_key(|member| {
-            let score = seeded_rng::rendezvous_score(key, &member.instance);
-            (member.capacity.max(1).ilog2(), score, &member.instance)
-        });
-        first.map(|member| &member.instance)
+        let members = self.members.iter().filter(|member| member.zone == *zone);
+        let mut classes: Vec<u32> = members.clone().map(FleetMember::class).collect();
+        classes.sort_unstable_by_key(|class| Reverse(*class));
+        let least = classes.get(MIN_CARRIERS - 1).or(classes.last()).copied();
+        let mut first = None;
+        for member in members {
+            if excluded(&member.instance) {
+                continue;
+            }
+            let class = member.class();
+            // The strongest are one class, before all others.
+            let class = match Some(class) >= least {
+                true => u32::MAX,
+                false => class,
+            };
+            let rank = (class, member.share_score(key), &member.instance);
+            if first.as_ref().is_none_or(|best| rank > *best) {
+                first = Some(rank);
+            }
+        }
+        first.map(|(_, _, instance)| instance)
     }
 
     /// The number of instances.
--- a/crates/policy/tests/fleet_members.rs
+++ b/crates/policy/tests/fleet_members.rs
@@ -3,15 +3,21 @@
 use {
     kernel::{InstanceId, ZoneId},
     policy::{FleetMember, FleetMembers},
-    std::collections::BTreeSet,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
+const CELLS: usize = 1_000;
 const STRONG: u64 = 100_000;
 const WEAK: u64 = 2_400;
 
 fn members() -> Vec<FleetMember> {
+    zone_of(3, STRONG)
+}
+
+/// A zone with some instances that are stronger than the others.
+fn zone_of(count: usize, capacity: u64) -> Vec<FleetMember> {
     let weak = (0..57).map(|index| (format!("weak-{index}"), WEAK));
-    let strong = (0..3).map(|index| (format!("strong-{index}"), STRONG));
+    let strong = (0..count).map(move |index| (format!("strong-{index}"), capacity));
     let member = |(name, capacity): (String, u64)| FleetMember {
         capacity,
         instance: InstanceId::from(name.as_str()),
@@ -61,3 +67,51 @@
     assert!(chosen.starts_with("weak-"), "{chosen}");
     assert_eq!(carrier(Vec::new(), "redactor/0", &[]), None);
 }
+
+/// How many of 1,000 cells each instance carries.
+fn cells(members: &[FleetMember], excluded: &[&str]) -> BTreeMap<InstanceId, usize> {
+    let mut counts = BTreeMap::new();
+    for cell in 0..CELLS {
+        let key = format!("service-{}/{}", cell % 40, cell / 40);
+        let chosen = carrier(members.to_vec(), &key, excluded).unwrap();
+        *counts.entry(chosen).or_default() += 1;
+    }
+    counts
+}
+
+// Guards against a role that one instance carries for all cells of all services of its zone.
+#[test]
+fn no_instance_carries_much_more_than_its_share_of_many_cells() {
+    for (count, capacity) in [(1, 2 * WEAK), (1, STRONG), (3, STRONG), (0, STRONG)] {
+        let members = zone_of(count, capacity);
+        let counts = cells(&members, &[]);
+        let carriers = members
+            .iter()
+            .filter(|member| count < 3 || member.capacity > WEAK);
+        let total: u64 = carriers.map(|member| member.capacity).sum();
+        for member in &members {
+            let carried = counts.get(&member.instance).copied().unwrap_or_default();
+            let share = CELLS as f64 * member.capacity as f64 / total as f64;
+            // Four standard deviations.
+            let limit = share + 4.0 * share.sqrt() + 1.0;
+            assert!(
+                (carried as f64) < limit,
+                "{}: {carried} of {CELLS}, share {share}, {count} of {capacity}",
+                member.instance
+            );
+        }
+    }
+}
+
+// Guards against cells of strong instances that move to weak ones while another strong one is silent.
+#[test]
+fn the_cells_of_a_silent_instance_alone_move() {
+    let members = members();
+    for cell in 0..CELLS {
+        let key = format!("redactor/{cell}");
+        let before = carrier(members.clone(), &key, &[]).unwrap();
+        let after = carrier(members.clone(), &key, &["strong-1"]).unwrap();
+        assert!(after.starts_with("strong-"), "{after}");
+        assert!(&*before == "strong-1" || before == after);
+    }
+}
