platform: a page without progress ends a read with an error

What callers would see: nothing for long. A read of the store that gets the same page again and again never ends, so that an instance that starts stays without its list, and the store gets a call for each answer. A page that has no rows although it says that there are more was taken for the last one: the list then lacked its end, and its upstreams got no work.

Cause: the loops trusted that each page begins behind the one before.

--- a/crates/trestlewalk/tests/relay_odd_entries.rs
+++ b/crates/trestlewalk/tests/relay_odd_entries.rs
@@ -9,12 +9,17 @@
 use {
     plat::{RowStore as _, Transaction, TransactionReply},
     platform::RowStore,
+    policy::StoreVersion,
     proptest::{collection::btree_set, prelude::*, string::string_regex, test_runner::RngSeed},
-    relay::{CallReason, ConnectionTimeouts, OperatorSource, StoreCalls},
+    relay::{CallReason, ConnectionTimeouts, OperatorSource, SourceError, StoreCalls},
     relay_support::{RelayRun, RelayTest, StoreStandIn},
     serde_json::{Value, json},
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
-    tokio::time,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        time,
+    },
 };
 
 /// Names between, before and after those of the upstreams.
@@ -54,6 +59,12 @@
 const CHANGE_BOUND: Duration = Duration::from_millis(400);
 /// Seed of the generated keys.
 const SEED: u64 = 74;
+/// Calls to a store whose pages have no end, after which a client must have given up.
+const MAX_ENDLESS_CALLS: usize = 10;
+
+/// More rows than an answer with the last changes has.
+const FULL_PAGE_ROWS: usize = 150;
+
 /// Contents that describe no upstream.
 fn odd_contents() -> Vec<String> {
     let report = json!({"Service": "carta", "Address": "127.0.0.1:1", "Zone": "gijon", "Slots": 8, "State": "ready"});
@@ -218,6 +229,58 @@
     assert_eq!(zones, ["gijón", "riga-a", "\u{7f}", "\u{10ffff}"]);
 }
 
+/// A store that answers all reads with one page, and says each time that there are more.
+async fn start_endless_store(page: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        for _ in 0..MAX_ENDLESS_CALLS {
+            let mut buffer = [0; 4096];
+            if stream.read(&mut buffer).await.unwrap() == 0 {
+                return;
+            }
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{page}",
+                page.len()
+            );
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+        panic!("a client goes on reading the same page");
+    });
+    address
+}
+
+// Guards against a read that never ends, and against a list that is taken for whole although its end is missing.
+#[tokio::test]
+async fn pages_without_progress_end_a_read_with_an_error() {
+    for page in [
+        r#"{"Rows":[{"Key":"b","Value":"","Ver":1}],"HasMore":true,"Ver":1}"#,
+        r#"{"Rows":[],"HasMore":true,"Ver":1}"#,
+    ] {
+        let client = client(start_endless_store(page.to_owned()).await);
+        let reading = client.read_upstreams(CallReason::Start);
+        let error = time::timeout(CHANGE_BOUND, reading).await.unwrap();
+        let error = error.unwrap_err();
+        assert!(matches!(error, SourceError::Garbled { .. }), "{error}");
+        assert!(error.to_string().contains("table servers"), "{error}");
+    }
+}
+
+// The same for changes, of which a full answer is followed by a further call.
+#[tokio::test]
+async fn changes_without_progress_end_a_read_with_an_error() {
+    let row = r#"{"Key":"b","Value":"","Ver":1}"#;
+    let rows = vec![row; FULL_PAGE_ROWS].join(",");
+    let page = format!(r#"{{"Rows":[{rows}],"Ver":1}}"#);
+    let client = client(start_endless_store(page).await);
+    let version = StoreVersion { era: 0, number: 1 };
+    let reading = client.read_changes(version, CallReason::Period);
+    let error = time::timeout(CHANGE_BOUND, reading).await.unwrap();
+    let error = error.unwrap_err();
+    assert!(matches!(error, SourceError::Garbled { .. }), "{error}");
+}
+
 /// Writes own rows under `keys`, and reads them again by prefix and one by one.
 async fn check_own_rows(keys: &BTreeSet<String>, prefix: &str, page_rows: usize) {
     let store = StoreStandIn::start().await;
