--- a/crates/trestlewalk/tests/relay_odd_entries.rs
+++ b/crates/trestlewalk/tests/relay_odd_entries.rs
@@ -230,6 +230,31 @@
     assert_eq!(zones, ["gijón", "riga-a", "\u{7f}", "\u{10ffff}"]);
 }
 
+// Guards against reports that are written to a page that was read already, and that the watch then leaves out.
+#[tokio::test]
+async fn a_watch_of_reports_goes_on_from_the_first_page() {
+    let store = StoreStandIn::start().await;
+    store.set_page_rows(1);
+    store.set_pause(Duration::from_millis(50));
+    let suspect = |digit: &str| format!("{}/i-1", digit.repeat(32));
+    for digit in ["3", "4", "5"] {
+        store.put("trestlewalk-crashes", &suspect(digit), &json!("early"));
+    }
+    let client = client(store.address);
+    let reading = client.watch_reports(None, Duration::ZERO);
+    let writing = async {
+        time::sleep(Duration::from_millis(125)).await;
+        store.put("trestlewalk-crashes", &suspect("1"), &json!("early"));
+    };
+    let (batch, ()) = tokio::join!(reading, writing);
+    let batch = batch.unwrap();
+    let later = client.watch_reports(batch.next, Duration::ZERO).await;
+    let mut reports = batch.reports;
+    reports.extend(later.unwrap().reports);
+    let suspects: BTreeSet<_> = reports.iter().map(|aged| aged.report.suspect).collect();
+    assert_eq!(suspects.len(), 4);
+}
+
 /// A store that answers all reads with one page, and says each time that there are more.
 async fn start_endless_store(page: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
