--- a/crates/trestlewalk/tests/relay_odd_entries.rs
+++ b/crates/trestlewalk/tests/relay_odd_entries.rs
@@ -347,3 +347,72 @@
     let keys = ['a', '\u{7f}', 'é', '\u{10ffff}'].map(longest);
     check_own_rows(&BTreeSet::from(keys), "a", 1).await;
 }
+
+/// Entries with a long text in one field.
+const LONG_ENTRIES: usize = 10;
+
+/// Names that a header can't carry, or that arrive as another name.
+const UNFIT_NAMES: [&str; 8] = [
+    "i-booking-0 ",
+    " i-booking-0",
+    "\ti-booking-0\t",
+    "i-booking-0\r\nX-More: 1",
+    "i-booking\u{1}0",
+    "i-booking-0\u{7f}",
+    "i-bóoking-0",
+    "",
+];
+
+// Guards against a call that states no upstream, or another one than its entry: any upstream at its address runs it.
+#[tokio::test]
+async fn an_entry_whose_name_no_call_can_state_gets_no_work() {
+    let run = test()
+        .plain("booking", 1)
+        .route("/b/", "unsafe", "booking", &json!({}))
+        .start_ready()
+        .await;
+    let booking = run.upstream("i-booking-0").clone();
+    for name in UNFIT_NAMES {
+        let mut report = booking.report("ready");
+        report["Service"] = json!("carta");
+        run.store.put("servers", name, &report);
+        time::sleep(CHANGE_BOUND).await;
+        for _ in 0..REQUESTS {
+            let reply = run.call("POST", "/t/1", "x").await;
+            assert_eq!(reply.status(), 200, "{name:?}");
+        }
+        assert_eq!(booking.received().len(), 0, "{name:?}");
+        run.store.remove("servers", name);
+    }
+    assert_eq!(run.call("POST", "/b/1", "x").await.status(), 200);
+}
+
+// Guards against a list that its reader can't pass on.
+#[tokio::test]
+async fn an_entry_with_very_long_texts_stops_no_other_instance() {
+    let run = test().start_zone(3).await;
+    for index in 0..3 {
+        run.wait_status(index, "/t/1", 200).await;
+    }
+    let reader = run.wait_single_reader().await;
+    for field in ["Service", "Version", "Zone"] {
+        for number in 0..LONG_ENTRIES {
+            let mut report = run.upstreams[0].report("ready");
+            report["Service"] = json!("other");
+            report[field] = json!("x".repeat(40_000));
+            run.store
+                .put("servers", &format!("i-long-{field}-{number}"), &report);
+        }
+    }
+    let report = run.upstreams[1].report("draining");
+    run.store.put("servers", "i-carta-1", &report);
+    time::sleep(CHANGE_BOUND * 3).await;
+    let before = run.upstreams[1].runs().len();
+    for index in 0..3 {
+        for _ in 0..REQUESTS * 2 {
+            let status = run.status(index, "/t/1").await;
+            assert_eq!(status, 200, "instance {index}, reader {reader}");
+        }
+    }
+    assert_eq!(run.upstreams[1].runs().len(), before, "reader {reader}");
+}
