relay: a faulty row of the list is logged once for each change

What operators saw: a line for each reading, about one a second for each row that can't be read, for as long as it stands.

Evidence: `a_faulty_entry_is_logged_once_for_each_change`, on the code before: nine lines of one row within 0.4 s, with readings each 50 ms.

Why it works: the watch keeps the faults of its last reading and logs those that are new. A reading by changes has the changed rows alone, so a row is logged again when it was written again.

--- a/crates/relay/src/list_progress.rs
+++ b/crates/relay/src/list_progress.rs
@@ -3,13 +3,18 @@
 use {
     crate::UpstreamSnapshot,
     policy::StoreVersion,
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
 };
 
 /// The progress of a watch.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ListProgress {
     failing_since: Option<Instant>,
+    /// The unreadable rows of the last reading.
+    faults: BTreeSet<String>,
     is_passed_over: bool,
     /// When the store was last read for a list that was taken; `None` before the first one.
     read_at: Option<Instant>,
@@ -33,6 +38,13 @@
         self.failing_since.take().is_some()
     }
 
+    /// Records the unreadable rows of a reading; returns those that the one before it did not have.
+    pub(crate) fn note_faults<'a>(&mut self, faults: &'a [String]) -> Vec<&'a String> {
+        let before = std::mem::replace(&mut self.faults, faults.iter().cloned().collect());
+        let new = faults.iter().filter(|fault| !before.contains(*fault));
+        new.collect()
+    }
+
     /// Records a failed reading; returns whether it is the first in a row.
     pub(crate) fn note_failure(&mut self, now: Instant) -> bool {
         let is_first = self.failing_since.is_none();
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -186,6 +186,9 @@
         if let Some(age) = step.age {
             self.note_list_age(age, reading);
         }
+        for fault in progress.note_faults(&reading.faults) {
+            tracing::warn!(fault, "a row of the list of upstreams can't be read");
+        }
         let may_lapse = step.gap.is_some_and(|gap| gap >= self.times.lapse);
         let outage_ended = (was_lost && may_lapse).then_some(now);
         self.apply_upstreams(reading, outage_ended, now);
@@ -325,9 +328,6 @@
         outage_ended: Option<Instant>,
         now: Instant,
     ) {
-        for fault in &reading.faults {
-            tracing::warn!(fault, "a row of the list of upstreams can't be read");
-        }
         let count = i64::try_from(reading.records.len()).unwrap_or(i64::MAX);
         self.core.counts.upstreams.set(count);
         let mut upstreams = self.core.upstreams.lock();
--- a/crates/trestlewalk/tests/relay_odd_entries.rs
+++ b/crates/trestlewalk/tests/relay_odd_entries.rs
@@ -15,6 +15,7 @@
     relay_support::{RelayRun, RelayTest, StoreStandIn},
     serde_json::{Value, json},
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+    support::wait::wait_until,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
@@ -416,3 +417,23 @@
     }
     assert_eq!(run.upstreams[1].runs().len(), before, "reader {reader}");
 }
+
+// Guards against a log that grows with each reading of the list.
+#[tokio::test]
+async fn a_faulty_entry_is_logged_once_for_each_change() {
+    let run = test().start_ready().await;
+    let lines = |name: &str| {
+        let log = run.process.log();
+        let lines = log.lines().filter(|line| line.contains(name));
+        lines.count()
+    };
+    run.store.put_text("servers", "i-odd", "no json");
+    run.store.put_text("servers", "i-other", "no json");
+    wait_until("the fault is logged", async || lines("i-odd") > 0).await;
+    time::sleep(CHANGE_BOUND).await;
+    assert_eq!(lines("i-odd"), 1);
+    run.store.put_text("servers", "i-odd", "[]");
+    wait_until("the change is logged", async || lines("i-odd") > 1).await;
+    time::sleep(CHANGE_BOUND).await;
+    assert_eq!((lines("i-odd"), lines("i-other")), (2, 1));
+}
