relay: an answer whose status is none of a final answer can't be read

What callers saw: status 600 or 999, or a 101 that nobody had asked for, as the answer of an upstream in trouble, with a body that no reader of HTTP can place.

Cause: the HTTP library takes any three digits from 100 on, and hands a 101 over as an answer for whoever asked to switch protocols. Nothing on this side looked at the range.

Why it works: the check stands in the connection pool, through which all answers come: of requests, of own calls and of the store.

--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -24,6 +24,7 @@
         collections::{BTreeSet, HashMap},
         io::{self, ErrorKind},
         net::SocketAddr,
+        ops::RangeInclusive,
         sync::atomic::{AtomicU64, Ordering},
         time::{Duration, Instant},
     },
@@ -38,6 +39,8 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// How long an idle connection is kept at most, whatever its server states.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
+/// The statuses of final answers. Connections switch to no other protocol, so 101 is none of them.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum number of idle connections per peer.
 const MAX_IDLE_PER_PEER: usize = 16;
 
@@ -61,6 +64,14 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
 pub enum ConnectionError {
+    /// The status of the answer is none of a final answer. The call may have been carried out.
+    #[snafu(display("{place} has status {status}"))]
+    Garbled {
+        /// The answer.
+        place: AnswerPlace,
+        /// Its status.
+        status: u16,
+    },
     /// At least a part of the call was written, and no complete response head arrived.
     #[snafu(display("the connection was lost: {detail}, {place} missing"))]
     Lost {
@@ -120,6 +131,19 @@
         Ok(response)
     }
 
+    /// Passes an answer on unless its status is none.
+    fn check(
+        self,
+        response: http::Response<Incoming>,
+    ) -> Result<(http::Response<Incoming>, Self), ConnectionError> {
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            let place = self.last_place();
+            return GarbledSnafu { place, status }.fail();
+        }
+        Ok((response, self))
+    }
+
     /// The error of a call that was written in part at least.
     fn lost(&self, error: &hyper::Error) -> ConnectionError {
         LostSnafu {
@@ -254,8 +278,7 @@
     ///
     /// # Errors
     ///
-    /// [`ConnectionError::Unsent`] when nothing was written, [`ConnectionError::Lost`] when the call may have been
-    /// carried out.
+    /// [`ConnectionError::Unsent`] when nothing was written, another error when the call may have been carried out.
     pub async fn send(
         &self,
         key: &ConnectionKey,
@@ -266,7 +289,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take_idle(key, address, avoid) {
             match connection.exchange(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => return connection.check(response),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(connection.lost(failure.error())),
@@ -275,7 +298,7 @@
         }
         let mut connection = self.connect(address).await?;
         match connection.exchange(request).await {
-            Ok(response) => Ok((response, connection)),
+            Ok(response) => connection.check(response),
             Err(mut failure) => match failure.take_message() {
                 Some(_) => UnsentSnafu {
                     detail: failure.error().to_string(),
--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -152,6 +152,11 @@
                 call.close(CallVerdict::Lost);
                 return CallEnd::Lost(ResultCode::UpstreamLost);
             }
+            Ok(Err(error @ ConnectionError::Garbled { .. })) => {
+                trace.note(format_args!("{verb} {id} garbled: {error}"));
+                call.close(CallVerdict::Lost);
+                return CallEnd::Lost(ResultCode::UpstreamGarbled);
+            }
             Err(_) => {
                 trace.note(format_args!(
                     "{verb} {id} silent for {} ms",
--- a/crates/relay/tests/connection_pool.rs
+++ b/crates/relay/tests/connection_pool.rs
@@ -180,7 +180,7 @@
                 }
                 false
             }
-            Err(ConnectionError::Lost { .. }) => false,
+            Err(ConnectionError::Garbled { .. } | ConnectionError::Lost { .. }) => false,
             Err(ConnectionError::Unsent { .. }) => true,
         }
     }
--- a/crates/trestlewalk/tests/relay_support/engine_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_answers.rs
@@ -29,6 +29,13 @@
 ) -> bool {
     let path = message.word(1).to_owned();
     let method = message.word(0).to_owned();
+    let mode = engine.state.lock().unwrap().mode;
+    if let UpstreamMode::RawToOwnCalls(text) = mode
+        && message.header("x-request-id").is_none()
+    {
+        engine.note(message, false);
+        return stream.write_all(text.as_bytes()).await.is_ok();
+    }
     match (method.as_str(), path.as_str()) {
         ("GET", "/report") => {
             let (orders, tokens) = {
@@ -116,7 +123,10 @@
             engine.note(message, false);
             return answer_json(engine, stream, "421 Misdirected Request", &json!({})).await;
         }
-        if matches!(mode, UpstreamMode::Copies(_) | UpstreamMode::LateRefusal) {
+        if matches!(
+            mode,
+            UpstreamMode::Copies(_) | UpstreamMode::LateRefusal | UpstreamMode::Raw(_)
+        ) {
             return engine.answer_plain(stream, message).await;
         }
         engine.note(message.clone(), false);
@@ -143,7 +153,10 @@
     }
     let is_poison = mode == UpstreamMode::Answer && engine.crashes_on(&message);
     match mode {
-        UpstreamMode::Answer | UpstreamMode::CutAfter(_) | UpstreamMode::PauseAfter(..) => {}
+        UpstreamMode::Answer
+        | UpstreamMode::CutAfter(_)
+        | UpstreamMode::PauseAfter(..)
+        | UpstreamMode::RawToOwnCalls(_) => {}
         UpstreamMode::Slow(pause) => tokio::time::sleep(pause).await,
         _ => return engine.answer_plain(stream, message).await,
     }
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -85,6 +85,10 @@
     Mute,
     /// A stream that pauses after this many events.
     PauseAfter(usize, Duration),
+    /// Sends this text as the answer to a request, with `{id}` for its id, and closes the connection if the text says so.
+    Raw(&'static str),
+    /// Sends this text as the answer to reservations, reports and other calls that run no request.
+    RawToOwnCalls(&'static str),
     /// Reads the request and resets the connection.
     Reset,
     /// 503 as not run; an engine refuses reservations as well.
@@ -516,6 +520,9 @@
                 time::sleep(Duration::from_secs(3600)).await;
                 return false;
             }
+            UpstreamMode::Raw(text) | UpstreamMode::RawToOwnCalls(text) => {
+                text.replace("{id}", &id)
+            }
             UpstreamMode::Reset => {
                 reset(stream);
                 return false;
@@ -543,7 +550,8 @@
             }
             UpstreamMode::Unsigned => format!("{head}{length}{body}"),
         };
-        stream.write_all(text.as_bytes()).await.is_ok()
+        let closes = matches!(mode, UpstreamMode::Raw(text) if text.contains("Connection: close"));
+        stream.write_all(text.as_bytes()).await.is_ok() && !closes
     }
 }
 
--- a/crates/trestlewalk/tests/relay_unsent.rs
+++ b/crates/trestlewalk/tests/relay_unsent.rs
@@ -91,7 +91,7 @@
             }
             CallResult::Answered
         }
-        Err(ConnectionError::Lost { .. }) => CallResult::Lost,
+        Err(ConnectionError::Garbled { .. } | ConnectionError::Lost { .. }) => CallResult::Lost,
         Err(ConnectionError::Unsent { .. }) => CallResult::Unsent,
     }
 }
