relay: a planned stop cuts no request without an answer

What callers saw: requests that came late in the grace of a planned stop were taken and passed on, and at its end their connections were cut without a word, among them requests that may not be repeated.

Cause: until `close.settle` a request was taken whatever time it might need, and at `close.limit` whatever still ran was dropped with its connection. A request that waited for an engine at the signal was held as well, until it was sent too late or cut.

Why it works: `CloseClock` says by when everything is answered, 0.2 s before the limit. A request whose deadline lies behind that is sent only while the time that all but few such requests take (`AnswerTime`, observed by route) ends before it; else, and when it is waiting as that moment passes, it is refused at once as not run (2008). `RunCount` knows whether a request may have run: only calls that may run it count, and one that is known not to have run it is taken back.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! Free of I/O, clocks and tasks: times are passed in, and the same inputs give the same decision. The `relay` crate
 //! moves the bytes and calls this one.
 
+pub mod answer_time;
 mod answered_parts;
 pub mod backoff_statement;
 pub mod backoff_table;
@@ -71,6 +72,7 @@
 pub mod zone_refusals;
 
 pub use {
+    answer_time::AnswerTime,
     backoff_statement::BackoffStatement,
     backoff_table::BackoffTable,
     cache_index::CacheIndex,
--- a/crates/relay/src/caller_request.rs
+++ b/crates/relay/src/caller_request.rs
@@ -1,7 +1,7 @@
 //! A caller's request, read in full.
 
 use {
-    crate::{CustomerAccess, QuotaCharge, RequestTrace, UsedConnections},
+    crate::{CustomerAccess, QuotaCharge, RequestTrace, RunCount, UsedConnections},
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri, header},
     kernel::{ModelId, steady_clock},
@@ -81,6 +81,8 @@
     pub rank: Rank,
     /// When the request arrived.
     pub since: Instant,
+    /// The calls that may have run it.
+    pub runs: RunCount,
     /// Computed on first use; see [`Self::suspects()`].
     pub suspects: OnceLock<SuspectSet>,
     /// Collects the steps for the log line at the end of the request.
@@ -92,6 +94,24 @@
 }
 
 impl CallerRequest {
+    /// Records that a call that may run the request is about to be sent.
+    pub fn begin_run(&self) {
+        self.runs.begin();
+        if let Some(charge) = &self.charge {
+            charge.begin_call();
+        }
+    }
+
+    /// Records the end of such a call, and whether it may have run the request.
+    pub fn end_run(&self, has_run: bool) {
+        if !has_run {
+            self.runs.take_back();
+        }
+        if let Some(charge) = &self.charge {
+            charge.end_call(has_run);
+        }
+    }
+
     /// The time left until the caller gives up, on this attempt and on those after it.
     pub fn caller_left(&self) -> Duration {
         match self.head.wait {
--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        CallerDialect, CallerLimits, ConnectionActivity, RelayCore, RequestHandler,
+        CallerDialect, CallerLimits, CloseClock, ConnectionActivity, RelayCore, RequestHandler,
         UpstreamDialect, WatchedStream, connection_pool::tune_socket,
     },
     http::{HeaderValue, Request, header},
@@ -40,19 +40,19 @@
 pub struct CallerServer {
     accepting: JoinHandle<()>,
     connections: TaskTracker,
-    /// Raised when each answer is to close its connection.
-    draining: ShutdownSignal,
+    /// While it runs, each answer closes its connection.
+    close_clock: CloseClock,
     /// Raised when idle connections are to be closed at once and new requests refused.
     stopping: ShutdownSignal,
 }
 
 impl CallerServer {
-    /// Shuts the server down. For `settle` new requests are still served while each answer closes its connection; then
-    /// new requests are refused as not run and idle connections are closed, and open requests may finish until `limit`
-    /// from now. Returns how many connections were cut.
+    /// Shuts the server down. For `settle` new requests that can end in time are still served while each answer closes its
+    /// connection; then new requests are refused as not run and idle connections are closed. Shortly before `limit` from
+    /// now open requests get their answer. Returns how many connections were cut.
     pub async fn close(self, settle: Duration, limit: Duration) -> usize {
         let end = time::Instant::now() + limit;
-        self.draining.raise();
+        self.close_clock.start(limit);
         time::sleep(settle).await;
         self.stopping.raise();
         self.connections.close();
@@ -70,19 +70,18 @@
         core: Arc<RelayCore<D>>,
     ) -> Self {
         let connections = TaskTracker::new();
-        let draining = ShutdownSignal::new();
+        let close_clock = core.close_clock.clone();
         let stopping = core.closing.clone();
         let caller = ConnectionContext {
             core: core.clone(),
             handler: RequestHandler::new(core),
-            draining: draining.clone(),
             stopping: stopping.clone(),
         };
         let accepting = tokio::spawn(accept(listener, caller, connections.clone()));
         Self {
             accepting,
+            close_clock,
             connections,
-            draining,
             stopping,
         }
     }
@@ -92,7 +91,6 @@
 struct ConnectionContext<D> {
     core: Arc<RelayCore<D>>,
     handler: RequestHandler<D>,
-    draining: ShutdownSignal,
     stopping: ShutdownSignal,
 }
 
@@ -101,7 +99,6 @@
         Self {
             core: self.core.clone(),
             handler: self.handler.clone(),
-            draining: self.draining.clone(),
             stopping: self.stopping.clone(),
         }
     }
@@ -123,16 +120,16 @@
         let service = {
             let activity = activity.clone();
             let handler = self.handler.clone();
-            let draining = self.draining.clone();
+            let close_clock = self.core.close_clock.clone();
             service_fn(move |request: Request<Incoming>| {
                 let busy = activity.clone().begin();
                 let handler = handler.clone();
-                let draining = draining.clone();
+                let close_clock = close_clock.clone();
                 async move {
                     let mut answer = handler.answer(request).await;
                     if let Ok(response) = &mut answer {
                         response.body_mut().hold(busy);
-                        if draining.is_raised() {
+                        if close_clock.has_started() {
                             let close = HeaderValue::from_static("close");
                             response.headers_mut().insert(header::CONNECTION, close);
                         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod caller_request;
 pub mod caller_server;
 pub mod capacity_reader;
+pub mod close_clock;
 pub mod connection_activity;
 pub mod connection_pool;
 pub mod counted_buffer;
@@ -63,6 +64,7 @@
 pub mod resumed_software;
 pub mod route_freshness;
 pub mod route_table;
+pub mod run_count;
 pub mod scheduler_host;
 pub mod search_counts;
 pub mod search_outcome;
@@ -98,6 +100,7 @@
     caller_request::{CallerHead, CallerRequest, PromptInfo, PromptPart, RequestId},
     caller_server::CallerServer,
     capacity_reader::CapacityReader,
+    close_clock::CloseClock,
     connection_activity::ConnectionActivity,
     connection_pool::{
         ConnectionError, ConnectionKey, ConnectionPool, ConnectionSerial, ConnectionTimeouts,
@@ -144,6 +147,7 @@
     resumed_software::ResumedSoftware,
     route_freshness::RouteFreshness,
     route_table::RouteTable,
+    run_count::RunCount,
     scheduler_host::{AskOutcome, HostedRows, KeptCall, SchedulerHost, SchedulerLife},
     search_counts::SearchCounts,
     search_outcome::SearchOutcome,
--- a/crates/relay/src/plain_flow.rs
+++ b/crates/relay/src/plain_flow.rs
@@ -203,6 +203,8 @@
                     let took = now.saturating_duration_since(call.since);
                     let mut upstreams = self.core.upstreams.lock();
                     upstreams.note_answer(&call.upstream.id, &self.route.work, took, now);
+                    drop(upstreams);
+                    self.core.note_answer_time(&self.route.work, took);
                 }
                 call.close(status_verdict(head.status));
                 if is_framed {
--- a/crates/relay/src/relay_core.rs
+++ b/crates/relay/src/relay_core.rs
@@ -6,22 +6,23 @@
 
 use {
     crate::{
-        BufferBudget, ConnectionPool, ConnectionTimeouts, CrashWatch, FleetView, ForwardQueue,
-        PlaceClient, PlaceCounts, QuotaBuckets, ReachWatch, ReaderRole, RelayCounts, RelaySettings,
-        RouteFreshness, RouteTable, SchedulerHost, SharedUpstreams, SoftwareNotes, StartGate,
-        UpstreamDialect,
+        BufferBudget, CloseClock, ConnectionPool, ConnectionTimeouts, CrashWatch, FleetView,
+        ForwardQueue, PlaceClient, PlaceCounts, QuotaBuckets, ReachWatch, ReaderRole, RelayCounts,
+        RelaySettings, RouteFreshness, RouteTable, SchedulerHost, SharedUpstreams, SoftwareNotes,
+        StartGate, UpstreamDialect,
     },
     arc_swap::{ArcSwap, ArcSwapOption},
     http::StatusCode,
     kernel::{
-        LockRank, RankedLock, ResultCode, ServiceId, ShutdownSignal, UpstreamId, steady_clock,
+        LockRank, RankedLock, ResultCode, ServiceId, ShutdownSignal, UpstreamId, WorkId,
+        steady_clock,
     },
     policy::{
-        CacheIndex, CallVerdict, FleetMember, FleetMembers, RetryWindow, SlotHoldTime,
+        AnswerTime, CacheIndex, CallVerdict, FleetMember, FleetMembers, RetryWindow, SlotHoldTime,
         StagePressure, UpstreamTable,
     },
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -41,6 +42,8 @@
     pub buffers: BufferBudget,
     /// Raised when the process shuts down and no new request can be finished.
     pub closing: ShutdownSignal,
+    /// By when requests in progress are answered once the process shuts down.
+    pub close_clock: CloseClock,
     /// The metrics.
     pub counts: RelayCounts,
     /// Tracks upstreams that crash while running requests.
@@ -53,6 +56,7 @@
     pub freshness: RouteFreshness,
     /// The prompt parts that engines recently listed as cached.
     pub parts: RankedLock<CacheIndex>,
+    answer_times: RankedLock<HashMap<WorkId, AnswerTime>>,
     hold_times: RankedLock<HashMap<ServiceId, SlotHoldTime>>,
     pressures: RankedLock<HashMap<ServiceId, StagePressure>>,
     /// Asks the schedulers for decode places.
@@ -123,11 +127,13 @@
             routes: ArcSwapOption::empty(),
             buffers: BufferBudget::new(settings.buffer_bytes),
             closing: ShutdownSignal::new(),
+            close_clock: CloseClock::default(),
             counts,
             dialect,
             forwarding: ForwardQueue::default(),
             freshness: RouteFreshness::default(),
             parts: RankedLock::new(LockRank::Services, CacheIndex::default()),
+            answer_times: RankedLock::new(LockRank::Services, HashMap::new()),
             hold_times: RankedLock::new(LockRank::Services, HashMap::new()),
             pressures: RankedLock::new(LockRank::Services, HashMap::new()),
             places: PlaceClient::new(PlaceCounts::new()),
@@ -170,6 +176,28 @@
         pressures.get(service).copied().unwrap_or_default()
     }
 
+    /// The time within which most requests of this kind of work are answered; `None` while that is not known.
+    pub fn answer_time(&self, work: &WorkId) -> Option<Duration> {
+        let times = self.answer_times.lock();
+        times.get(work).map(AnswerTime::duration)
+    }
+
+    /// Records how long a request took from its call to the end of the answer.
+    pub fn note_answer_time(&self, work: &WorkId, took: Duration) {
+        let mut times = self.answer_times.lock();
+        match times.get_mut(work) {
+            Some(time) => time.note(took),
+            None => _ = times.insert(work.clone(), AnswerTime::new(took)),
+        }
+    }
+
+    /// Forgets the kinds of work that the routes no longer have.
+    pub fn forget_works(&self, table: &RouteTable) {
+        let works: HashSet<&WorkId> = table.routes().map(|route| &route.work).collect();
+        let mut times = self.answer_times.lock();
+        times.retain(|work, _| works.contains(work));
+    }
+
     /// Records how long a slot of a service was held.
     pub fn note_slot_time(&self, service: &ServiceId, held: Duration) {
         let mut hold_times = self.hold_times.lock();
--- a/crates/relay/src/relay_core/calling.rs
+++ b/crates/relay/src/relay_core/calling.rs
@@ -91,15 +91,13 @@
     /// Calls an upstream and reads the head of its answer. The charge to the customer's quota stands unless the request
     /// is known not to have run.
     pub async fn call(&self, plan: CallPlan<'_>, upstream: Arc<UpstreamRecord>) -> CallEnd {
-        let charge = plan.request.charge.as_ref();
-        let charge = charge.filter(|_| matches!(plan.purpose, CallPurpose::Run { .. }));
-        if let Some(charge) = charge {
-            charge.begin_call();
+        if matches!(plan.purpose, CallPurpose::Prefill) {
+            return self.send(plan, upstream).await;
         }
+        plan.request.begin_run();
         let end = self.send(plan, upstream).await;
-        if let Some(charge) = charge {
-            charge.end_call(matches!(end, CallEnd::Answer(_) | CallEnd::Lost(_)));
-        }
+        let has_run = matches!(end, CallEnd::Answer(_) | CallEnd::Lost(_));
+        plan.request.end_run(has_run);
         end
     }
 
--- a/crates/relay/src/request_handler.rs
+++ b/crates/relay/src/request_handler.rs
@@ -6,8 +6,8 @@
     crate::{
         AccessRefusal, AnswerCut, BodyAllowance, BufferedBody, CallerDialect, CallerHead,
         CallerRequest, CollectError, CustomerAccess, ErrorResponse, FlowFailure, PlainFlow,
-        RefusalReason, RelayBody, RelayCore, RequestTrace, RouteTable, StreamFlow, TraceContext,
-        UpstreamDialect, UsedConnections, WorkRoute, relay_core::status_code,
+        RefusalReason, RelayBody, RelayCore, RequestTrace, RouteTable, RunCount, StreamFlow,
+        TraceContext, UpstreamDialect, UsedConnections, WorkRoute, relay_core::status_code,
         upstream_dialect::target_path,
     },
     http::{Request, Response, header, request::Parts},
@@ -128,6 +128,7 @@
             method: parts.method.clone(),
             rank: rank.unwrap_or(routed.route.rank),
             since,
+            runs: RunCount::default(),
             suspects: OnceLock::new(),
             target: parts.uri.clone(),
             zones,
@@ -161,7 +162,11 @@
             .buffers
             .collect(body, BodyAllowance::new(table.limits.body));
         let left = deadline.saturating_duration_since(steady_clock::now());
-        match time::timeout(left, reading).await {
+        let outcome = tokio::select! {
+            outcome = time::timeout(left, reading) => outcome,
+            () = self.core.close_clock.wait_over() => return Err(Some(closing())),
+        };
+        match outcome {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(CollectError::TooLarge)) => {
                 Err(Some(ErrorResponse::new(ResultCode::BodyTooLarge)))
@@ -255,9 +260,7 @@
 
     fn route(&self, parts: &Parts) -> Result<RoutedHead, HeadRefusal> {
         if self.core.closing.is_raised() {
-            return Err(
-                ErrorResponse::with_retry_after(ResultCode::Closing, CLOSING_RETRY_AFTER).into(),
-            );
+            return Err(closing().into());
         }
         let Some(table) = self.core.routes.load_full() else {
             return Err(
@@ -303,7 +306,8 @@
         service: &ServiceId,
     ) -> Result<Response<RelayBody>, ErrorResponse> {
         let request = Arc::new(request);
-        let outcome = self.serve_anywhere(&request, route, service).await;
+        let serving = self.serve_anywhere(&request, route, service);
+        let outcome = self.serve_until_close(&request, route, serving).await;
         let code = match &outcome {
             Ok(response) => status_code(response.status()),
             Err(error) => error.code,
@@ -315,6 +319,45 @@
         outcome
     }
 
+    /// Serves a request in the time that is left while this instance closes.
+    async fn serve_until_close(
+        &self,
+        request: &CallerRequest,
+        route: &WorkRoute,
+        serving: impl Future<Output = Result<Response<RelayBody>, ErrorResponse>>,
+    ) -> Result<Response<RelayBody>, ErrorResponse> {
+        tokio::select! {
+            // A request that comes too late is refused before it is sent.
+            biased;
+            error = self.wait_close(request, route) => Err(error),
+            outcome = serving => outcome,
+        }
+    }
+
+    /// Waits until this instance closes and a request can't be served any more: it has not been sent and would end too
+    /// late, or it is still in progress when the last answers are given.
+    async fn wait_close(&self, request: &CallerRequest, route: &WorkRoute) -> ErrorResponse {
+        let answer_by = self.core.close_clock.answer_by().await;
+        if request.deadline > answer_by {
+            let needed = self.core.answer_time(&route.work);
+            let left = answer_by.saturating_duration_since(steady_clock::now());
+            let pause = left.saturating_sub(needed.unwrap_or(left));
+            // Even a sleep of no time lets the request be sent before it ends.
+            if !pause.is_zero() {
+                time::sleep(pause).await;
+            }
+            if !request.runs.may_have_run() {
+                return closing();
+            }
+        }
+        self.core.close_clock.wait_over().await;
+        if !request.runs.may_have_run() {
+            return closing();
+        }
+        self.core.close_clock.note_cut();
+        ErrorResponse::new(ResultCode::CutByClose)
+    }
+
     /// Serves a request by the upstreams that this instance calls. It may have run `runs` times before.
     async fn serve_here(
         &self,
@@ -337,3 +380,8 @@
         outcome
     }
 }
+
+/// The refusal of a closing instance.
+fn closing() -> ErrorResponse {
+    ErrorResponse::with_retry_after(ResultCode::Closing, CLOSING_RETRY_AFTER)
+}
--- a/crates/relay/src/request_handler/forwarding.rs
+++ b/crates/relay/src/request_handler/forwarding.rs
@@ -3,8 +3,8 @@
 use {
     super::RequestHandler,
     crate::{
-        CallerDialect, CallerRequest, CustomerAccess, ErrorResponse, FlowFailure, ForwardEnd,
-        ForwardedRequest, RelayBody, RequestTrace, RouteTable, TraceContext, UpstreamDialect,
+        CallerDialect, CallerRequest, CustomerAccess, ErrorResponse, ForwardEnd, ForwardedRequest,
+        RelayBody, RequestTrace, RouteTable, RunCount, TraceContext, UpstreamDialect,
         UsedConnections, WorkRoute, upstream_dialect::target_path,
     },
     http::{Request, Response, header},
@@ -59,14 +59,10 @@
         {
             return Err(otherwise.merge(refusal.error, runs > 0));
         }
-        if let Some(charge) = &request.charge {
-            charge.begin_call();
-        }
+        request.begin_run();
         let queue = &self.core.forwarding;
         let end = queue.forward(request, route, service, runs).await;
-        if let Some(charge) = &request.charge {
-            charge.end_call(matches!(end, ForwardEnd::Answer(_) | ForwardEnd::Lost(_)));
-        }
+        request.end_run(matches!(end, ForwardEnd::Answer(_) | ForwardEnd::Lost(_)));
         let outcome = match end {
             ForwardEnd::Answer(response) => return Ok(response),
             ForwardEnd::Lost(code) => ErrorResponse::new(code),
@@ -95,17 +91,19 @@
             ));
         };
         let request = Arc::new(request);
-        let outcome = match self.core.reach.is_lost(&service) {
-            true => Err(FlowFailure::from(ErrorResponse::with_retry_after(
-                ResultCode::UpstreamUnreachable,
-                RETRY_AFTER,
-            ))),
-            false => self.serve_here(&request, &route, &service, runs).await,
+        let serving = async {
+            if self.core.reach.is_lost(&service) {
+                let code = ResultCode::UpstreamUnreachable;
+                return Err(ErrorResponse::with_retry_after(code, RETRY_AFTER));
+            }
+            let outcome = self.serve_here(&request, &route, &service, runs).await;
+            outcome.map_err(|failure| failure.error)
         };
-        if let Err(failure) = &outcome {
-            request.trace.end(failure.error.code);
+        let outcome = self.serve_until_close(&request, &route, serving).await;
+        if let Err(error) = &outcome {
+            request.trace.end(error.code);
         }
-        outcome.map_err(|failure| failure.error)
+        outcome
     }
 
     fn read_forwarded(
@@ -167,6 +165,7 @@
             method: parts.method,
             rank: rank.unwrap_or(route.rank),
             since,
+            runs: RunCount::default(),
             suspects: OnceLock::new(),
             target: parts.uri,
             zones,
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -314,6 +314,7 @@
         self.core.counts.table_version.set(version);
         self.core.quotas.set_customers(&table);
         self.report_unservable(&table);
+        self.core.forget_works(&table);
         self.core
             .upstreams
             .lock()
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -119,6 +119,7 @@
         }
         let held = steady_clock::elapsed(self.flow.slot_reserved_at);
         self.flow.core.note_slot_time(&self.flow.service, held);
+        self.flow.core.note_answer_time(&self.flow.route.work, held);
         let UpstreamAnswer {
             call,
             facts,
--- a/crates/relay/tests/forward_queue.rs
+++ b/crates/relay/tests/forward_queue.rs
@@ -6,7 +6,7 @@
     policy::{RepeatRule, ZoneFilter},
     relay::{
         CallerHead, CallerRequest, ErrorResponse, ForwardEnd, ForwardQueue, RequestTrace,
-        RouteTarget, TraceContext, UsedConnections, WorkRoute,
+        RouteTarget, RunCount, TraceContext, UsedConnections, WorkRoute,
     },
     std::{
         sync::{Arc, OnceLock},
@@ -52,6 +52,7 @@
         method: Method::POST,
         rank: 1,
         since,
+        runs: RunCount::default(),
         suspects: OnceLock::new(),
         trace,
         target: Uri::from_static("/b/1"),
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -108,7 +108,7 @@
             tracing::warn!("background work did not end in time");
         }
         self.admin.close(ADMIN_CLOSE_LIMIT).await;
-        cut + cut_forwarded
+        cut + cut_forwarded + self.core.close_clock.cut_requests()
     }
 
     /// Reloads the settings. Changes to sockets, the store and the log take effect at the next start only.
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -19,6 +19,7 @@
 /// Builds one run.
 #[derive(Debug)]
 pub struct RelayTest {
+    close_limit: &'static str,
     customers: Option<Value>,
     in_other_zone: Vec<String>,
     engine: Value,
@@ -51,6 +52,7 @@
 impl RelayTest {
     pub fn new() -> Self {
         Self {
+            close_limit: "20s",
             customers: None,
             in_other_zone: Vec::new(),
             engine: json!({"Slots": 64, "KvCapacityTokens": 37745, "HandleTtlS": 0.5, "HoldMs": 2000.0}),
@@ -160,6 +162,12 @@
         self
     }
 
+    /// Sets how long requests in progress get when the instance closes.
+    pub fn close_limit(mut self, time: &'static str) -> Self {
+        self.close_limit = time;
+        self
+    }
+
     /// Sets how long a closing instance serves new requests.
     pub fn settle(mut self, time: &'static str) -> Self {
         self.settle = time;
@@ -240,7 +248,7 @@
              platform: {{address: '{store}', list_poll: 50ms, poll: {}, timeout: 2s}}\n\
              placement: {{min_engines: 1}}\n\
              retries: {{ratio: {}, window: 10s}}\n\
-             close: {{settle: {}, limit: 20s}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
+             close: {{settle: {}, limit: {}}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n\
              customers: {{revoked_within: {}}}\n",
             self.regions,
@@ -248,6 +256,7 @@
             self.poll,
             self.ratio,
             self.settle,
+            self.close_limit,
             self.heartbeat,
             self.orders,
             self.revoked_within
