relay: the times of a planned stop follow the grace that the platform states

What callers would see: connections that are cut by the kill of the process, where the platform gives it less time than `close.limit` assumed (7.7 s), or requests refused early where it gives more.

Why it works: `close.grace`, which the deploy template fills in, is the time from SIGTERM to the kill; without an explicit `close.limit` requests get all of it but the last 300 ms, and `close.settle` is at most half of that. With the 8 s of before the times are as they were.

Evidence: `a_close_ends_within_the_grace_of_the_platform`, a grace of 2 s: answered with 502 and ended within it; the setting did not exist before.

--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -95,14 +95,15 @@
     pub async fn close(self) -> usize {
         self.readiness
             .block(CLOSING_CONDITION, "this instance is closing");
-        let close = &self.settings.close;
+        let settle = self.settings.close.settle();
+        let limit = self.settings.close.limit();
         let forwarding = async {
             match self.forwarding {
-                Some(forwarding) => forwarding.close(close.limit).await,
+                Some(forwarding) => forwarding.close(limit).await,
                 None => 0,
             }
         };
-        let callers = self.callers.close(close.settle, close.limit);
+        let callers = self.callers.close(settle, limit);
         let (cut, cut_forwarded) = tokio::join!(callers, forwarding);
         if !self.pool.close(POOL_CLOSE_LIMIT).await {
             tracing::warn!("background work did not end in time");
--- a/crates/trestlewalk/src/settings/relay_file.rs
+++ b/crates/trestlewalk/src/settings/relay_file.rs
@@ -102,23 +102,44 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RelayClose {
-    /// The time that open requests get in total.
+    /// The time from SIGTERM until the platform kills the process.
     #[serde_as(as = "HumanDuration")]
-    pub limit: Duration,
-    /// How long new connections are still accepted, until the balancer has noticed that the instance is not ready.
+    pub grace: Duration,
+    /// The time that open requests get in total; `None` for what the grace leaves.
+    #[serde_as(as = "Option<HumanDuration>")]
+    pub limit: Option<Duration>,
+    /// How long new connections are still accepted, until the balancer has noticed that the instance is not ready; at most
+    /// half of the limit.
     #[serde_as(as = "HumanDuration")]
     pub settle: Duration,
 }
 
+impl RelayClose {
+    /// The time that open requests get in total.
+    pub fn limit(&self) -> Duration {
+        let from_grace = self.grace.saturating_sub(EXIT_TIME);
+        self.limit.unwrap_or(from_grace)
+    }
+
+    /// How long new connections are still accepted.
+    pub fn settle(&self) -> Duration {
+        self.settle.min(self.limit() / 2)
+    }
+}
+
 impl Default for RelayClose {
     fn default() -> Self {
         Self {
-            limit: Duration::from_millis(7_700),
+            grace: Duration::from_secs(8),
+            limit: None,
             settle: Duration::from_millis(2_800),
         }
     }
 }
 
+/// The part of the grace in which the process exits after the last request has ended.
+const EXIT_TIME: Duration = Duration::from_millis(300);
+
 /// The section `customers`.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -371,6 +392,7 @@
         list.push(&path, "has to be longer than 0s");
     }
     for (field, duration) in [
+        ("close.grace", settings.close.grace),
         ("customers.window", settings.customers.window),
         ("orders.lease", settings.orders.lease),
         ("orders.pause", settings.orders.pause),
@@ -386,7 +408,8 @@
             list.push(&FieldPath::dotted(field), "has to be longer than 0s");
         }
     }
-    if settings.close.limit < settings.close.settle {
+    let close = &settings.close;
+    if close.limit.is_some_and(|limit| limit < close.settle) {
         let path = FieldPath::dotted("close.limit");
         list.push(&path, "is shorter than `close.settle`");
     }
--- a/crates/trestlewalk/tests/docs.rs
+++ b/crates/trestlewalk/tests/docs.rs
@@ -228,6 +228,10 @@
         ("{{Zones|json}}", "{\"gijon\": \"cantabrico\", \"santander\": \"cantabrico\"}"),
         ("{{PortRange.0}}", "7380"),
         ("{{Provider.Address|json}}", "\"10.200.1.7:8142\""),
+        (
+            "{{#Bounds.GraceS}}{{Bounds.GraceS}}s{{/Bounds.GraceS}}{{^Bounds.GraceS}}8s{{/Bounds.GraceS}}",
+            "7.5s",
+        ),
         ("{{Bounds.RequireFence}}", "true"),
         ("{{Bounds.LeaseMs}}", "3000"),
         ("{{Bounds.BudgetRatio}}", "0.2"),
--- a/crates/trestlewalk/tests/relay_close_limit.rs
+++ b/crates/trestlewalk/tests/relay_close_limit.rs
@@ -309,3 +309,26 @@
     );
     assert_eq!(cut, (0, 0));
 }
+
+// Guards against a close that is planned for another time than the platform gives.
+#[tokio::test]
+async fn a_close_ends_within_the_grace_of_the_platform() {
+    let mut run = RelayTest::new()
+        .plain("carta", 1)
+        .route("/t/", "unsafe", "carta", &json!({"TimeoutMs": 15_000}))
+        .settle("2800ms")
+        .grace("2s")
+        .start_ready()
+        .await;
+    set_all(&run, UpstreamMode::Mute);
+    let id = fresh_id();
+    let mut caller = run.caller().await;
+    let text = request_text("POST", "/t/1", &id, LONG_DEADLINE, "x");
+    caller.write(&text).await;
+    wait_until("the request runs", async || count_runs(&run, &id) > 0).await;
+    run.process.signal(Signal::TERM);
+    let began = Instant::now();
+    assert_eq!(caller.read().await.status(), 502);
+    run.process.wait_exit().await;
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -19,7 +19,7 @@
 /// Builds one run.
 #[derive(Debug)]
 pub struct RelayTest {
-    close_limit: &'static str,
+    close_end: String,
     customers: Option<Value>,
     in_other_zone: Vec<String>,
     engine: Value,
@@ -52,7 +52,7 @@
 impl RelayTest {
     pub fn new() -> Self {
         Self {
-            close_limit: "20s",
+            close_end: "limit: 20s".to_owned(),
             customers: None,
             in_other_zone: Vec::new(),
             engine: json!({"Slots": 64, "KvCapacityTokens": 37745, "HandleTtlS": 0.5, "HoldMs": 2000.0}),
@@ -164,7 +164,13 @@
 
     /// Sets how long requests in progress get when the instance closes.
     pub fn close_limit(mut self, time: &'static str) -> Self {
-        self.close_limit = time;
+        self.close_end = format!("limit: {time}");
+        self
+    }
+
+    /// Sets when the platform kills the process; the limit of a close follows from it.
+    pub fn grace(mut self, time: &'static str) -> Self {
+        self.close_end = format!("grace: {time}");
         self
     }
 
@@ -248,7 +254,7 @@
              platform: {{address: '{store}', list_poll: 50ms, poll: {}, timeout: 2s}}\n\
              placement: {{min_engines: 1}}\n\
              retries: {{ratio: {}, window: 10s}}\n\
-             close: {{settle: {}, limit: {}}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
+             close: {{settle: {}, {}}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
              orders: {{enabled: {}, checks_fence: true, patience: 100ms, pause: 60s}}\n\
              customers: {{revoked_within: {}}}\n",
             self.regions,
@@ -256,7 +262,7 @@
             self.poll,
             self.ratio,
             self.settle,
-            self.close_limit,
+            self.close_end,
             self.heartbeat,
             self.orders,
             self.revoked_within
