software versions: old lists don't confirm each other

While a new version joins, instances that are cut off together, as a whole availability zone is, or that stood still, list the old version alone. A caller whose stream began elsewhere at the new one and broke comes back there; nobody has a note of the stream, the others there list the old version as well, and it goes on at that.

Cause: one answer of any instance with a complete list confirmed that there is one version, however old the lists were and whoever else did not answer.

Why it works: a version is written to the store before any instance uses an upstream of it, so the store's row, read after the request came, has the version of each stream that can have begun. Where the store doesn't tell it, all that were asked have to agree: if it is away from all they do, and streams go on as before; if they are cut off some don't answer, and the request is refused as not run. An instance without others goes by its own list for 1.5 s only.

Ruled out: an age at which lists stop to count.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod replica_pace;
 pub mod retry_window;
 pub mod slot_hold_time;
+pub mod software_answers;
 pub mod software_history;
 pub mod software_memory;
 pub mod software_note;
@@ -109,6 +110,7 @@
     replica_pace::ReplicaPace,
     retry_window::{RetryBounds, RetryWindow},
     slot_hold_time::SlotHoldTime,
+    software_answers::SoftwareAnswers,
     software_history::SoftwareHistory,
     software_memory::SoftwareMemory,
     software_note::{SoftwareNote, StreamKey, stream_key},
--- /dev/null
+++ b/crates/policy/src/software_answers.rs
@@ -0,0 +1,19 @@
+//! What other instances report of the software version at which a stream began.
+
+use crate::SoftwareReport;
+
+/// The answers of the instances that were asked about one stream.
+#[derive(Clone, Debug, Default)]
+pub struct SoftwareAnswers {
+    /// How many instances were asked.
+    pub asked: usize,
+    /// The answers that came in time.
+    pub reports: Vec<SoftwareReport>,
+}
+
+impl SoftwareAnswers {
+    /// Whether there are other instances, and all of them answered.
+    pub fn is_full(&self) -> bool {
+        self.asked > 0 && self.reports.len() >= self.asked
+    }
+}
--- a/crates/policy/src/software_history.rs
+++ b/crates/policy/src/software_history.rs
@@ -12,6 +12,9 @@
 /// How long a version counts after its last upstream has left the list. Callers resume streams of that upstream meanwhile.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// The age from which on a list may lack a version that others list: more than one period of the readings.
+const MAX_CURRENT_AGE: Duration = Duration::from_millis(1_500);
+
 /// The versions of each service.
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
@@ -61,6 +64,12 @@
         is_followed || is_remembered
     }
 
+    /// Whether the list is complete and was read just now, so that no other instance has used a newer one for long.
+    pub fn is_current(&self, now: Instant) -> bool {
+        let age = self.read_at.map(|read| now.saturating_duration_since(read));
+        self.is_complete(now) && age.is_some_and(|age| age < MAX_CURRENT_AGE)
+    }
+
     /// Records when the store was read for a list.
     pub fn note_read(&mut self, read: Instant) {
         self.read_at = self.read_at.max(Some(read));
@@ -176,6 +185,11 @@
     }
 }
 
+/// Whether a version still counts so long after its last upstream has left the list.
+pub(crate) fn is_retained(gone_for: Duration) -> bool {
+    gone_for < RETENTION
+}
+
 fn is_recent(listed_at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(listed_at) < RETENTION
+    is_retained(now.saturating_duration_since(listed_at))
 }
--- a/crates/policy/src/software_memory.rs
+++ b/crates/policy/src/software_memory.rs
@@ -2,7 +2,7 @@
 //! in.
 
 use {
-    crate::{SoftwareHistory, UpstreamRecord},
+    crate::{SoftwareHistory, UpstreamRecord, software_history::is_retained},
     kernel::{ServiceId, SoftwareVersion},
     serde::{Deserialize, Serialize},
     std::{
@@ -79,6 +79,17 @@
         }
     }
 
+    /// The versions of a service that are listed, or were lately, by the store's clock.
+    pub fn recent_versions(
+        &self,
+        service: &ServiceId,
+        clock: Option<Duration>,
+    ) -> Vec<SoftwareVersion> {
+        let rows = self.rows(clock);
+        let recent = rows.filter(|(of, _, gone_for)| *of == service && is_retained(*gone_for));
+        recent.map(|(_, software, _)| software.clone()).collect()
+    }
+
     /// Whether a service has several versions.
     pub fn is_mixed(&self) -> bool {
         self.left_ms.values().any(|versions| versions.len() > 1)
--- a/crates/policy/src/software_report.rs
+++ b/crates/policy/src/software_report.rs
@@ -1,6 +1,7 @@
 //! What an instance knows of the software version at which a stream began.
 
 use {
+    crate::SoftwareAnswers,
     kernel::SoftwareVersion,
     serde::{Deserialize, Serialize},
     std::collections::BTreeSet,
@@ -20,18 +21,26 @@
 impl SoftwareReport {
     /// The version at which a stream began, by what this instance and others report; `None` while it is not known.
     ///
-    /// Without a note of the stream it is known if there was a single version lately, and the list of one of them is
-    /// complete: all may have just started. An instance that none of the others answers can't tell: it may be cut off, and
-    /// its list out of date. One that has no others, `is_alone`, goes by its own list if that is complete.
-    pub fn resolve(self, is_alone: bool, others: &[Self]) -> Option<SoftwareVersion> {
-        let mut noted = others.iter().filter_map(|report| report.began.as_ref());
+    /// Without a note of the stream it is known if there was a single version lately. `stored` are the versions that the
+    /// store keeps, which has them before they are used. Without them, all that were asked have to agree, and the list of one
+    /// of them has to be complete: instances may be cut off together with old lists, or have all just started. An instance
+    /// that has no others, with `None`, goes by its own list if that is complete.
+    pub fn resolve(
+        self,
+        others: Option<&SoftwareAnswers>,
+        stored: Option<&[SoftwareVersion]>,
+    ) -> Option<SoftwareVersion> {
+        let reports = others.map_or(&[][..], |others| &others.reports);
+        let mut noted = reports.iter().filter_map(|report| report.began.as_ref());
         if let Some(began) = self.began.as_ref().or_else(|| noted.next()) {
             return Some(began.clone());
         }
-        let reports = std::iter::once(&self).chain(others);
+        let is_agreed = others.is_none_or(SoftwareAnswers::is_full);
+        let reports = std::iter::once(&self).chain(reports);
         let is_complete = reports.clone().any(|report| report.is_complete);
-        let versions: BTreeSet<_> = reports.flat_map(|report| &report.versions).collect();
-        let is_confirmed = is_complete && (is_alone || !others.is_empty());
+        let listed = reports.flat_map(|report| &report.versions);
+        let versions: BTreeSet<_> = listed.chain(stored.into_iter().flatten()).collect();
+        let is_confirmed = stored.is_some() || is_agreed && is_complete;
         match versions.len() {
             1 if is_confirmed => versions.first().copied().cloned(),
             _ => None,
--- a/crates/policy/tests/software.rs
+++ b/crates/policy/tests/software.rs
@@ -3,8 +3,8 @@
 use {
     kernel::{InstanceId, SoftwareVersion},
     policy::{
-        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareHistory, SoftwareMemory,
-        SoftwareNote, SoftwareReport, UpstreamRecord, UpstreamStage, stream_key,
+        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareAnswers, SoftwareHistory,
+        SoftwareMemory, SoftwareNote, SoftwareReport, UpstreamRecord, UpstreamStage, stream_key,
     },
     std::{
         collections::BTreeSet,
@@ -55,6 +55,13 @@
     }
 }
 
+fn answers(reports: Vec<SoftwareReport>) -> SoftwareAnswers {
+    SoftwareAnswers {
+        asked: reports.len(),
+        reports,
+    }
+}
+
 /// `zones` availability zones with `size` instances each.
 fn fleet(zones: usize, size: usize) -> FleetMembers {
     let mut members = Vec::new();
@@ -180,7 +187,9 @@
     ];
     for (own, is_alone, others, began) in cases {
         let shown = format!("{own:?} {is_alone} {others:?}");
-        let resolved = own.resolve(is_alone, &others);
+        let answers = answers(others);
+        let others = (!is_alone || answers.asked > 0).then_some(&answers);
+        let resolved = own.resolve(others, None);
         assert_eq!(resolved.as_deref(), began, "{shown}");
     }
 }
@@ -192,18 +201,61 @@
         is_complete: false,
         ..report(began, &["v1"])
     };
-    let resolved = incomplete(None).resolve(false, &[incomplete(None)]);
-    assert_eq!(resolved, None);
-    assert_eq!(incomplete(None).resolve(false, &[]), None);
+    let resolve = |others: Option<&SoftwareAnswers>| incomplete(None).resolve(others, None);
+    let unsure = answers(vec![incomplete(None)]);
+    assert_eq!(resolve(Some(&unsure)), None);
+    assert_eq!(resolve(Some(&answers(vec![]))), None);
     // An instance that has no others at all.
-    assert_eq!(incomplete(None).resolve(true, &[]), None);
+    assert_eq!(resolve(None), None);
     for began in [Some("v1"), None] {
-        let others = [incomplete(None), report(began, &["v1"])];
-        let resolved = incomplete(None).resolve(false, &others);
-        assert_eq!(resolved.as_deref(), Some("v1"));
+        let others = answers(vec![incomplete(None), report(began, &["v1"])]);
+        assert_eq!(resolve(Some(&others)).as_deref(), Some("v1"));
     }
 }
 
+/// Guards against old lists that instances confirm to each other while they are cut off from the others, and against streams
+/// that are lost while the store is away from all.
+#[test]
+fn without_the_store_all_that_were_asked_have_to_agree_on_one_version() {
+    let v1 = report(None, &["v1"]);
+    let mixed = report(None, &["v1", "v2"]);
+    let resolve = |asked: usize, reports: &[&SoftwareReport], stored: Option<&[&str]>| {
+        let others = SoftwareAnswers {
+            asked,
+            reports: reports.iter().copied().cloned().collect(),
+        };
+        let stored = stored.map(|stored| {
+            let stored = stored.iter().copied();
+            stored.map(SoftwareVersion::from).collect::<Vec<_>>()
+        });
+        v1.clone().resolve(Some(&others), stored.as_deref())
+    };
+    let one = Some(SoftwareVersion::from("v1"));
+    assert_eq!(resolve(2, &[&v1, &v1], None), one);
+    assert_eq!(resolve(3, &[&v1, &v1], None), None);
+    assert_eq!(resolve(2, &[&v1, &mixed], None), None);
+    assert_eq!(resolve(0, &[], None), None);
+    // The store has a version before it is used.
+    assert_eq!(resolve(3, &[&v1], Some(&["v1"])), one);
+    assert_eq!(resolve(3, &[], Some(&["v1"])), one);
+    assert_eq!(resolve(2, &[&v1, &v1], Some(&["v1", "v2"])), None);
+    assert_eq!(resolve(2, &[&v1, &v1], Some(&["v2"])), None);
+}
+
+/// Guards against a list that counts as current although the instance stood still since it was read.
+#[test]
+fn a_complete_list_is_current_for_a_moment_only() {
+    let start = Instant::now();
+    let mut history = SoftwareHistory::default();
+    history.remember(None, 0, None, start);
+    assert!(!history.is_current(start));
+    history.apply(&[record("a", "v1")], start + SECOND);
+    history.note_read(start + SECOND);
+    assert!(history.is_current(start + SECOND * 2));
+    assert!(!history.is_current(start + SECOND * 4));
+    assert!(history.is_complete(start + SECOND * 4));
+}
+
 /// Guards against a list that is taken for complete by an instance that knows nothing of the time before its start.
 #[test]
 fn a_list_is_complete_with_the_stores_memory_or_after_the_retention() {
--- a/crates/policy/tests/software_fuzz.rs
+++ b/crates/policy/tests/software_fuzz.rs
@@ -3,8 +3,8 @@
 use {
     kernel::{SoftwareVersion, seeded_rng},
     policy::{
-        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareHistory, SoftwareMemory,
-        SoftwareNote, SoftwareReport, StreamKey, UpstreamRecord, UpstreamStage,
+        FleetMember, FleetMembers, KeeperTable, NoteTable, SoftwareAnswers, SoftwareHistory,
+        SoftwareMemory, SoftwareNote, SoftwareReport, StreamKey, UpstreamRecord, UpstreamStage,
     },
     proptest::{
         prelude::{ProptestConfig, Strategy, prop_assert, prop_assert_eq, prop_oneof, proptest},
@@ -39,6 +39,8 @@
     Begin(usize, usize),
     /// An instance loses all others and the store, for some steps.
     Cut(usize, u32),
+    /// The instances of a zone lose those of other zones and the store, for some steps.
+    CutZone(usize, u32),
     /// An instance restarts without its state.
     Kill(usize),
     /// All instances restart without their state.
@@ -78,6 +80,17 @@
     ]
 }
 
+/// Cuts of whole zones beside releases and traffic.
+fn zone_event() -> impl Strategy<Value = Event> {
+    let instance = 0..INSTANCES;
+    prop_oneof![
+        20 => (instance.clone(), 0..ENGINES).prop_map(|(instance, engine)| Event::Begin(instance, engine)),
+        1 => (0..ZONES, 1..240_u32).prop_map(|(zone, steps)| Event::CutZone(zone, steps)),
+        2 => (0..ENGINES).prop_map(Event::Release),
+        20 => (0..30_usize, instance).prop_map(|(stream, instance)| Event::Resume(stream, instance)),
+    ]
+}
+
 struct Instance {
     cut_until: Instant,
     is_joined: bool,
@@ -91,6 +104,8 @@
 
 struct Stream {
     began_at: Instant,
+    /// Whether the instance that began it was cut off then.
+    began_cut: bool,
     /// Whether all instances were killed before the store had answered for [`STORED_AFTER`] since others were told of it.
     is_caught: bool,
     /// When others were told of it; `None` while one version is known.
@@ -110,6 +125,8 @@
     /// The store's clock is the time since then.
     origin: Instant,
     silent_until: Instant,
+    /// Until when each zone is cut off.
+    zones_cut_until: [Instant; ZONES],
     engines: Vec<UpstreamRecord>,
     fleet: FleetMembers,
     instances: Vec<Instance>,
@@ -120,6 +137,9 @@
     /// Resumptions at instances in touch, while two engines of the version serve: at that version, and refused.
     right_in_touch: usize,
     refused_in_touch: usize,
+    /// Those of them whose streams began at instances that were not cut off.
+    right_told: usize,
+    refused_told: usize,
     /// Resumptions at that version, and refused ones, where neither the instance nor the store is cut off.
     right_with_store: usize,
     refused_with_store: usize,
@@ -163,6 +183,7 @@
             memory: (None, 0),
             origin: now,
             silent_until: now,
+            zones_cut_until: [now; ZONES],
             stored: BTreeMap::new(),
             unstored: Vec::new(),
             right_with_store: 0,
@@ -178,6 +199,8 @@
             streams: Vec::new(),
             right_in_touch: 0,
             refused_in_touch: 0,
+            right_told: 0,
+            refused_told: 0,
             right: 0,
             refused: 0,
             wrong: 0,
@@ -249,18 +272,45 @@
         }
     }
 
+    /// Whether an instance has lost the store.
     fn is_cut(&self, instance: usize) -> bool {
-        self.now < self.instances[instance].cut_until
+        self.now < self.instances[instance].cut_until || self.is_zone_cut(instance)
     }
 
-    fn is_in_touch(&self, instance: usize) -> bool {
-        let instance = &self.instances[instance];
-        let disturbed = instance.started_at.max(instance.cut_until);
+    fn is_zone_cut(&self, instance: usize) -> bool {
+        self.now < self.zones_cut_until[instance % ZONES]
+    }
+
+    /// Whether two instances reach each other.
+    fn reaches(&self, one: usize, other: usize) -> bool {
+        let is_lone = |instance: usize| self.now < self.instances[instance].cut_until;
+        if is_lone(one) || is_lone(other) {
+            return false;
+        }
+        let is_parted = self.is_zone_cut(one) || self.is_zone_cut(other);
+        !is_parted || one % ZONES == other % ZONES
+    }
+
+    fn is_in_touch(&self, index: usize) -> bool {
+        let instance = &self.instances[index];
+        let zone_cut_until = self.zones_cut_until[index % ZONES];
+        let disturbed = instance
+            .started_at
+            .max(instance.cut_until)
+            .max(zone_cut_until);
         self.now >= disturbed + STABLE_WINDOW
     }
 
     fn tell(&mut self, teller: usize, note: &SoftwareNote) {
         let keepers = self.instances[teller].keepers.told(note.stream);
+        for keeper in keepers {
+            let keeper = self.names[&*keeper];
+            if self.reaches(teller, keeper) {
+                self.instances[keeper]
+                    .notes
+                    .add_told(note.clone(), self.now);
+            }
+        }
         if self.is_cut(teller) {
             return;
         }
@@ -274,14 +324,6 @@
         let arrives_at = self.now + STORE_TIME;
         self.unstored
             .push((arrives_at, note.stream, note.software.clone()));
-        for keeper in keepers {
-            let keeper = self.names[&*keeper];
-            if !self.is_cut(keeper) {
-                self.instances[keeper]
-                    .notes
-                    .add_told(note.clone(), self.now);
-            }
-        }
     }
 
     fn read_lists(&mut self) {
@@ -312,6 +354,7 @@
 
     fn begin(&mut self, index: usize, engine: usize) {
         let now = self.now;
+        let began_cut = self.is_cut(index);
         let instance = &mut self.instances[index];
         let Some(chosen) = instance.list.get(engine).cloned() else {
             return;
@@ -327,6 +370,7 @@
         };
         self.streams.push(Stream {
             began_at: now,
+            began_cut,
             is_caught: false,
             told_at: None,
             key,
@@ -361,21 +405,26 @@
             return;
         }
         let own = self.report(index, stream.key);
-        let mut others = Vec::new();
-        if !self.is_cut(index) {
-            for keeper in self.instances[index].keepers.asked(stream.key) {
-                let keeper = self.names[&*keeper];
-                if !self.is_cut(keeper) {
-                    others.push(self.report(keeper, stream.key));
-                }
+        let keepers = self.instances[index].keepers.asked(stream.key);
+        let mut others = SoftwareAnswers {
+            asked: keepers.len(),
+            reports: Vec::new(),
+        };
+        for keeper in keepers {
+            let keeper = self.names[&*keeper];
+            if self.reaches(index, keeper) {
+                others.reports.push(self.report(keeper, stream.key));
             }
         }
         let serving = self.engines.iter();
         let serving = serving.filter(|engine| engine.software == stream.software);
         let is_cut = self.is_cut(index);
+        let is_told = !stream.began_cut;
         let counts = self.is_in_touch(index) && serving.count() >= 2;
         let has_store = !is_cut && !self.is_silent();
-        let began = own.resolve(false, &others);
+        let kept = self.memory.0.as_ref().filter(|_| has_store);
+        let kept = kept.map(|kept| kept.recent_versions(&"s".into(), Some(self.clock())));
+        let began = own.resolve(Some(&others), kept.as_deref());
         let stored = self.stored.get(&stream.key).filter(|_| has_store);
         let began = began.or_else(|| stored.cloned());
         let is_right = began.as_ref() == Some(&stream.software);
@@ -386,12 +435,14 @@
             Some(software) if software == stream.software => {
                 self.right += 1;
                 self.right_in_touch += usize::from(counts);
+                self.right_told += usize::from(counts && is_told);
             }
             Some(_) => self.wrong += 1,
             None => {
                 // An instance that is cut off can't tell.
                 self.refused += usize::from(!is_cut);
                 self.refused_in_touch += usize::from(counts);
+                self.refused_told += usize::from(counts && is_told);
             }
         }
     }
@@ -410,6 +461,9 @@
             Event::Cut(instance, steps) => {
                 self.instances[*instance].cut_until = self.now + STEP * *steps;
             }
+            Event::CutZone(zone, steps) => {
+                self.zones_cut_until[*zone] = self.now + STEP * *steps;
+            }
             Event::Kill(instance) => {
                 let member = self.fleet.iter().nth(*instance).unwrap().clone();
                 self.restart(*instance, &member);
@@ -517,3 +571,24 @@
         prop_assert!(tried < 12 || right * 2 >= tried, "{} of {}", right, tried);
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(53),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against mixed streams where the instances of a zone that is cut off confirm their old lists to each other.
+    #[test]
+    fn streams_go_on_at_their_version_while_zones_are_cut_off(
+        events in proptest::collection::vec(zone_event(), 100..400),
+    ) {
+        let model = played(&events);
+        prop_assert_eq!(model.wrong, 0);
+        let tried = model.right_told + model.refused_told;
+        let right = model.right_told;
+        prop_assert!(tried < 12 || right * 2 >= tried, "{} of {}", right, tried);
+    }
+}
--- a/crates/relay/src/software_notes.rs
+++ b/crates/relay/src/software_notes.rs
@@ -4,8 +4,8 @@
     crate::{CallerRequest, SharedUpstreams, SoftwareSource},
     kernel::{LockRank, RankedLock, ServiceId, SoftwareVersion, steady_clock},
     policy::{
-        NoteTable, SoftwareMemory, SoftwareNote, SoftwareReport, StreamKey, UpstreamRecord,
-        stream_key,
+        NoteTable, SoftwareAnswers, SoftwareMemory, SoftwareNote, SoftwareReport, StreamKey,
+        UpstreamRecord, stream_key,
     },
     std::{
         collections::BTreeMap,
@@ -25,6 +25,8 @@
 /// How long to wait for a note of the stream, or for the first answer.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long to wait for the versions in the store.
+const VERSIONS_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long to wait for what the store knows of a stream.
 const STORED_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -34,7 +36,7 @@
     /// Asks them where a stream began.
     Ask {
         /// Takes the answers, those that came in time.
-        reply: oneshot::Sender<Vec<SoftwareReport>>,
+        reply: oneshot::Sender<SoftwareAnswers>,
         /// The service of the stream.
         service: ServiceId,
         /// The stream.
@@ -44,6 +46,13 @@
         /// After which time any answer suffices.
         settle: Duration,
     },
+    /// Has the versions of a service read from the store.
+    AskVersions {
+        /// Takes the versions; `None` if the store does not tell them.
+        reply: oneshot::Sender<Option<Vec<SoftwareVersion>>>,
+        /// The service.
+        service: ServiceId,
+    },
     /// Has the stream looked up in the store.
     AskStored {
         /// Takes the version at which it began, if that is found.
@@ -116,14 +125,14 @@
             0 | 1 => CONFIRM_TIME,
             _ => SEARCH_TIMEOUT,
         };
-        let others = self.ask(service, stream, settle).await;
-        let is_alone = others.is_none();
-        let others = others.unwrap_or_default();
-        let source = match others.iter().any(|report| report.began.is_some()) {
+        let asking = self.ask(service, stream, settle);
+        let (others, stored) = tokio::join!(asking, self.ask_versions(service));
+        let mut reports = others.iter().flat_map(|others| &others.reports);
+        let source = match reports.any(|report| report.began.is_some()) {
             true => SoftwareSource::Keeper,
             false => SoftwareSource::OneVersion,
         };
-        if let Some(began) = own.resolve(is_alone, &others) {
+        if let Some(began) = own.resolve(others.as_ref(), stored.as_deref()) {
             return (Some(began), source);
         }
         let stored = match head.resumes.is_some() {
@@ -181,7 +190,11 @@
         let versions = upstreams.software.versions(service, now);
         SoftwareReport {
             began,
-            is_complete: upstreams.software.is_complete(now),
+            is_complete: match self.jobs.get() {
+                Some(_) => upstreams.software.is_complete(now),
+                // Nobody else tells whether this instance stood still.
+                None => upstreams.software.is_current(now),
+            },
             versions: versions.cloned().collect(),
         }
     }
@@ -225,7 +238,7 @@
         service: &ServiceId,
         stream: StreamKey,
         settle: Duration,
-    ) -> Option<Vec<SoftwareReport>> {
+    ) -> Option<SoftwareAnswers> {
         let jobs = self.jobs.get()?;
         let (reply, reports) = oneshot::channel();
         let job = NoteJob::Ask {
@@ -240,11 +253,20 @@
             Ok(()) => Some(reports.await.unwrap_or_default()),
             Err(error) => {
                 tracing::warn!(%error, "too many questions for the software version of a stream");
-                Some(Vec::new())
+                Some(SoftwareAnswers::default())
             }
         }
     }
 
+    /// The versions of a service by the store; `None` if it does not tell them.
+    async fn ask_versions(&self, service: &ServiceId) -> Option<Vec<SoftwareVersion>> {
+        let (reply, versions) = oneshot::channel();
+        let service = service.clone();
+        let job = NoteJob::AskVersions { reply, service };
+        self.jobs.get()?.try_send(job).ok()?;
+        time::timeout(VERSIONS_TIMEOUT, versions).await.ok()?.ok()?
+    }
+
     /// Looks a stream up in the store.
     async fn ask_stored(&self, stream: StreamKey) -> Option<SoftwareVersion> {
         let (reply, software) = oneshot::channel();
--- a/crates/spread/src/directory_view.rs
+++ b/crates/spread/src/directory_view.rs
@@ -79,7 +79,7 @@
 }
 
 /// The versions in a row. One that can't be read counts as written in an era that never is, so that it proves nothing.
-fn read_software(row: &StoredRow) -> SoftwareMemory {
+pub(crate) fn read_software(row: &StoredRow) -> SoftwareMemory {
     serde_json::from_str(&row.value).unwrap_or_else(|error| {
         tracing::warn!(key = %row.key, %error, "failed to decode the software versions");
         SoftwareMemory {
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod usage_message;
 pub mod usage_server;
 pub mod version_keeper;
+mod version_reader;
 
 pub use {
     directory_view::DirectoryView,
--- a/crates/spread/src/note_exchange.rs
+++ b/crates/spread/src/note_exchange.rs
@@ -4,7 +4,7 @@
     crate::{MemberRow, NoteReply, NoteRequest, NoteStore, note_message::NOTE_TAG},
     kernel::{InstanceId, SoftwareVersion},
     peer::PeerEndpoint,
-    policy::{FleetMembers, KeeperTable, SoftwareNote, SoftwareReport, StreamKey, log_shard},
+    policy::{FleetMembers, KeeperTable, SoftwareAnswers, SoftwareNote, StreamKey, log_shard},
     relay::{FleetView, NoteJob},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::{sync::mpsc, task::JoinSet, time},
@@ -88,6 +88,13 @@
                         let _ = reply.send(reports);
                     });
                 }
+                Some(NoteJob::AskVersions { reply, service }) => {
+                    let stored = self.stored.clone();
+                    tokio::spawn(async move {
+                        // Fails only when the caller has left.
+                        let _ = reply.send(stored.versions(service).await);
+                    });
+                }
                 Some(NoteJob::AskStored { reply, stream }) => {
                     let readers = self.keepers().readers(log_shard(stream));
                     let exchange = self.clone();
@@ -230,22 +237,25 @@
         request: NoteRequest,
         settle: Duration,
         timeout: Duration,
-    ) -> Vec<SoftwareReport> {
+    ) -> SoftwareAnswers {
         let began = time::Instant::now();
+        let mut answers = SoftwareAnswers {
+            asked: keepers.len(),
+            reports: Vec::new(),
+        };
         let mut asking = JoinSet::new();
         for keeper in keepers {
             let exchange = self.clone();
             let request = request.clone();
             asking.spawn(async move { exchange.call(&keeper, &request).await });
         }
-        let mut reports: Vec<SoftwareReport> = Vec::new();
-        while !reports.iter().any(|report| report.began.is_some()) {
-            let limit = match reports.is_empty() {
+        while !answers.reports.iter().any(|report| report.began.is_some()) {
+            let limit = match answers.reports.is_empty() {
                 true => timeout,
                 false => settle,
             };
             match time::timeout_at(began + limit, asking.join_next()).await {
-                Ok(Some(Ok(Some(NoteReply::Report(report))))) => reports.push(report),
+                Ok(Some(Ok(Some(NoteReply::Report(report))))) => answers.reports.push(report),
                 Ok(Some(_)) => {}
                 Ok(None) => break,
                 Err(_) => {
@@ -254,7 +264,7 @@
                 }
             }
         }
-        reports
+        answers
     }
 
     /// Calls a keeper; `None` without an answer.
--- a/crates/spread/src/note_store.rs
+++ b/crates/spread/src/note_store.rs
@@ -1,8 +1,11 @@
 //! Writes notes of streams to the store and reads them, for callers who come back after all instances are gone.
 
 use {
-    crate::log_rows::{decode_notes, encode_notes, row_key, shard_prefix},
-    kernel::{SoftwareVersion, WorkerPool, ZoneId, steady_clock},
+    crate::{
+        log_rows::{decode_notes, encode_notes, row_key, shard_prefix},
+        version_reader::{VersionQuestion, VersionReader},
+    },
+    kernel::{ServiceId, SoftwareVersion, WorkerPool, ZoneId, steady_clock},
     plat::{PlatError, RowStore, StoredRow, Transaction, TransactionReply},
     policy::{LogRow, LoggedNote, NoteIndex, NoteLog, SoftwareNote, StreamKey, log_shard},
     relay::RelayCounts,
@@ -45,6 +48,7 @@
 #[derive(Clone, Debug)]
 pub struct NoteStore {
     questions: mpsc::Sender<Question>,
+    versions: mpsc::Sender<VersionQuestion>,
     writes: mpsc::Sender<Vec<SoftwareNote>>,
 }
 
@@ -86,8 +90,15 @@
             index: NoteIndex::default(),
             store,
         };
+        let versions = VersionReader::new(reader.store.clone());
         pool.spawn(reader.run(asked));
-        Self { questions, writes }
+        let (version_questions, asked) = mpsc::channel(MAX_WAITING);
+        pool.spawn(versions.run(asked));
+        Self {
+            questions,
+            versions: version_questions,
+            writes,
+        }
     }
 
     /// Has notes written; whether that is possible.
@@ -95,6 +106,14 @@
         self.writes.try_send(notes).is_ok()
     }
 
+    /// The versions of a service by the store, by a read that begins after the call; `None` if the store does not tell them.
+    pub async fn versions(&self, service: ServiceId) -> Option<Vec<SoftwareVersion>> {
+        let (reply, answer) = oneshot::channel();
+        let question = VersionQuestion { reply, service };
+        self.versions.try_send(question).ok()?;
+        answer.await.ok().flatten()
+    }
+
     /// The version at which a stream began, by a read that begins after the call; `None` if it is not found, or the store
     /// does not answer.
     pub async fn find(&self, stream: StreamKey) -> Option<SoftwareVersion> {
