--- a/crates/plat/src/http_platform.rs
+++ b/crates/plat/src/http_platform.rs
@@ -5,6 +5,7 @@
         instance_record::InstanceRecord,
         object_store::ObjectStore,
         plat_error::PlatError,
+        query_text::escape,
         row_store::{InstanceList, RowStore, StoredRow, Transaction, TransactionReply},
     },
     bytes::Bytes,
@@ -14,7 +15,6 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::{TokioExecutor, TokioTimer},
     },
-    percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode},
     serde::de::DeserializeOwned,
     std::{error::Error, sync::Arc, time::Duration},
 };
@@ -25,12 +25,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The default time that an idle connection stays in the pool.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// The characters of a key that are percent-encoded in a path or a query.
-const KEY_ESCAPE_SET: AsciiSet = NON_ALPHANUMERIC
-    .remove(b'-')
-    .remove(b'.')
-    .remove(b'_')
-    .remove(b'~');
 
 /// A client of the platform's table service, object store and instance list. Clones share their connections.
 /// Every call has a timeout. A write is sent only once; the caller decides what to do after a lost reply.
@@ -142,11 +136,11 @@
 
 impl ObjectStore for HttpPlatform {
     async fn get_object(&self, key: &str) -> Result<Option<Bytes>, PlatError> {
-        self.read(&format!("/objects/{}", encode(key))).await
+        self.read(&format!("/objects/{}", escape(key))).await
     }
 
     async fn put_object(&self, key: &str, content: Bytes) -> Result<(), PlatError> {
-        let path = format!("/objects/{}", encode(key));
+        let path = format!("/objects/{}", escape(key));
         let answer = self.call(Method::PUT, &path, content).await?;
         match answer.status.is_success() {
             true => Ok(()),
@@ -166,11 +160,11 @@
     }
 
     async fn get(&self, key: &str) -> Result<Option<StoredRow>, PlatError> {
-        self.read_json(&format!("/rows/{}", encode(key))).await
+        self.read_json(&format!("/rows/{}", escape(key))).await
     }
 
     async fn scan(&self, prefix: &str) -> Result<Vec<StoredRow>, PlatError> {
-        self.read_list(&format!("/rows?prefix={}", encode(prefix)))
+        self.read_list(&format!("/rows?prefix={}", escape(prefix)))
             .await
     }
 }
@@ -201,10 +195,6 @@
     serde_json::from_slice(body).map_err(|error| garbled(&error))
 }
 
-fn encode(key: &str) -> String {
-    utf8_percent_encode(key, &KEY_ESCAPE_SET).to_string()
-}
-
 fn garbled(error: &dyn Error) -> PlatError {
     PlatError::Garbled {
         detail: error.to_string(),
--- a/platform/src/row_store/key_range.rs
+++ b/crates/plat/src/key_range.rs
@@ -1,20 +1,20 @@
-//! Ranges of keys of the store.
+//! Ranges of keys.
 
 /// Maximum length of a key, and so of the ends of a range, bytes.
 const MAX_KEY_BYTES: usize = 200;
 
 /// Keys in ascending byte order, whatever characters they hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct KeyRange {
+pub struct KeyRange {
     /// The first key.
-    pub(super) from: String,
+    pub from: String,
     /// The first key after the range; `None` for all keys from `from` on.
-    pub(super) to: Option<String>,
+    pub to: Option<String>,
 }
 
 impl KeyRange {
     /// All keys.
-    pub(super) fn all() -> Self {
+    pub fn all() -> Self {
         Self {
             from: String::new(),
             to: None,
@@ -22,7 +22,7 @@
     }
 
     /// One key.
-    pub(super) fn one(key: &str) -> Self {
+    pub fn one(key: &str) -> Self {
         Self {
             from: key.to_owned(),
             to: next_key(key),
@@ -30,7 +30,7 @@
     }
 
     /// The keys from `first` up to the last one that starts with `prefix`.
-    pub(super) fn up_to(first: &str, prefix: &str) -> Self {
+    pub fn up_to(first: &str, prefix: &str) -> Self {
         Self {
             from: first.to_owned(),
             to: next_prefix(prefix),
@@ -38,12 +38,12 @@
     }
 
     /// The keys that start with a prefix.
-    pub(super) fn with_prefix(prefix: &str) -> Self {
+    pub fn with_prefix(prefix: &str) -> Self {
         Self::up_to(prefix, prefix)
     }
 
     /// The part of the range after a key; `None` if it is empty.
-    pub(super) fn after(&self, key: &str) -> Option<Self> {
+    pub fn after(&self, key: &str) -> Option<Self> {
         let from = next_key(key)?;
         let is_empty = self.to.as_ref().is_some_and(|to| from >= *to);
         (!is_empty).then(|| Self {
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -13,10 +13,13 @@
 pub mod head_row;
 pub mod http_platform;
 pub mod instance_record;
+pub mod key_range;
 pub mod keyed_rows;
 pub mod object_store;
+pub mod page_cursor;
 pub mod plat_error;
 pub mod poll_plan;
+pub mod query_text;
 pub mod row_store;
 pub mod stored_table;
 pub mod table_keys;
@@ -33,8 +36,10 @@
     head_row::HeadRow,
     http_platform::HttpPlatform,
     instance_record::{InstanceKind, InstanceRecord, InstanceState},
+    key_range::KeyRange,
     keyed_rows::{InsertOutcome, insert_once},
     object_store::ObjectStore,
+    page_cursor::{PageCursor, PageEnd, PageFault},
     plat_error::PlatError,
     poll_plan::{PollAction, PollEvent, PollPlan, PollSettings},
     row_store::{
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod table_age;
 pub mod turn_clock;
 pub mod upstream_entry;
+pub mod upstream_name;
 pub mod upstream_record;
 pub mod upstream_statement;
 pub mod upstream_table;
@@ -125,6 +126,7 @@
     table_age::TableAge,
     turn_clock::TurnClock,
     upstream_entry::{CallVerdict, UpstreamEntry},
+    upstream_name::name_fault,
     upstream_record::{UpstreamRecord, UpstreamStage},
     upstream_statement::UpstreamStatement,
     upstream_table::UpstreamTable,
--- a/crates/relay/src/store_calls.rs
+++ b/crates/relay/src/store_calls.rs
@@ -66,6 +66,22 @@
     counts: IntCounterVec,
 }
 
+/// Counts a call when it ends, including one that is cancelled.
+#[derive(Debug)]
+pub struct StoreCall<'a> {
+    calls: &'a StoreCalls,
+    kind: CallKind,
+    /// Its outcome so far.
+    pub outcome: CallOutcome,
+    reason: CallReason,
+}
+
+impl Drop for StoreCall<'_> {
+    fn drop(&mut self) {
+        self.calls.note(self.kind, self.reason, self.outcome);
+    }
+}
+
 /// One row of the state dump.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct StoreCallRow {
@@ -144,6 +160,16 @@
         }
     }
 
+    /// Starts a call, which is silent until its outcome is set.
+    pub fn start(&self, kind: CallKind, reason: CallReason) -> StoreCall<'_> {
+        StoreCall {
+            calls: self,
+            kind,
+            outcome: CallOutcome::Silent,
+            reason,
+        }
+    }
+
     /// Counts a call.
     pub fn note(&self, kind: CallKind, reason: CallReason, outcome: CallOutcome) {
         let values = [kind.label(), reason.label(), outcome.label()];
