platform: a customer whose name no header can carry is none

What callers would see: requests that upstreams run without the name of their customer. A name with a control byte was left out of the call.

--- a/crates/trestlewalk/tests/relay_odd_values.rs
+++ b/crates/trestlewalk/tests/relay_odd_values.rs
@@ -2,11 +2,16 @@
 //!
 //! Guards against a value that is left out of a call since no header can carry it, or that changes the path it is put into.
 
+mod relay_support;
+mod support;
+
 use {
     http::{Method, Request},
     platform::HttpDialect,
     policy::{UpstreamRecord, UpstreamStage},
     relay::{EngineResource, KvHandle, UpstreamDialect},
+    relay_support::{RelayTest, caller::fresh_id},
+    serde_json::json,
     std::time::Duration,
 };
 
@@ -52,3 +57,25 @@
         }
     }
 }
+
+// Guards against a request that runs without the name of its customer, since no header can carry it.
+#[tokio::test]
+async fn a_customer_with_any_name_is_named_to_upstreams() {
+    let customers = json!([{"Name": "Māla Krāsns", "ApiKeys": ["k-1"]}, {"Name": "a\u{1}b", "ApiKeys": ["k-2"]}]);
+    let run = RelayTest::new()
+        .plain("carta", 1)
+        .customers(customers)
+        .route("/t/", "unsafe", "carta", &json!({}))
+        .start_ready()
+        .await;
+    let send = async |key: &str| {
+        let more = format!("Authorization: Token {key}\r\n");
+        run.call_with("POST", "/t/1", &fresh_id(), &more, "x").await
+    };
+    assert_eq!(send("k-1").await.status(), 200);
+    let runs = run.upstreams[0].runs();
+    assert_eq!(runs[0].message.header("x-tenant"), Some("Māla Krāsns"));
+    // A name that no header can carry is no customer, so that nothing runs without one.
+    assert_eq!(send("k-2").await.status(), 401);
+    assert_eq!(run.upstreams[0].runs().len(), 1);
+}
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -60,6 +60,8 @@
     Copies(CopyPlan),
     /// A stream that stops in the middle of an event, after this many events.
     CutAfter(usize),
+    /// A stream that breaks after this one event, which need not be valid.
+    CutAfterEvent(&'static [u8]),
     /// A truncated answer.
     CutBody,
     /// An encoding that was not requested.
@@ -469,6 +471,17 @@
             UpstreamMode::Contradicts(_) | UpstreamMode::Copies(_) => {
                 unreachable!("answered above")
             }
+            UpstreamMode::CutAfterEvent(event) => {
+                let head = format!(
+                    "{signed}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n",
+                    event.len()
+                );
+                let text = [head.as_bytes(), event, b"\r\n"].concat();
+                stream.write_all(&text).await.unwrap();
+                // The caller has to read the event before the connection ends.
+                time::sleep(Duration::from_millis(50)).await;
+                return false;
+            }
             UpstreamMode::CutAfter(_) | UpstreamMode::CutBody => {
                 let text = format!("{signed}{length}{}", &body[..4]);
                 stream.write_all(text.as_bytes()).await.unwrap();
