relay: a stream goes on only after an event that a call can name

A resumable stream breaks after an event whose id has a control byte or isn't text; the id was left out of the call to the next engine, or the one before it was taken, and the stream began anew or repeated events. A caller that came back after such an event got the stream from its start.

Evidence: `a_stream_whose_last_event_no_call_can_name_is_cut`, on the code before: the first event twice in one answer for the first of three ids. After: the stream is cut behind it, and doesn't look complete.

Why it works: the splitter says whether the last id can be carried by a header; if not, the stream neither resumes nor leaves a silent engine.

--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -3,6 +3,7 @@
 use {
     crate::{BodyAllowance, BufferBudget, CollectError, CountedBuffer},
     bytes::Bytes,
+    http::HeaderValue,
     std::sync::Arc,
 };
 
@@ -23,7 +24,9 @@
     pub bytes: Bytes,
     /// How many events they are.
     pub count: u64,
-    /// The id of the last event that has one.
+    /// Whether no call can name the last event that has an id, so that a stream can't go on after it.
+    pub has_unfit_id: bool,
+    /// The id of the last event that has one; `None` if no call can name it.
     pub last_id: Option<Arc<str>>,
 }
 
@@ -74,9 +77,12 @@
     /// Takes the first `end` bytes, which are complete events, in memory of their own size.
     fn take_events(&mut self, end: usize) -> EventBatch {
         let bytes = self.buffer.take_front(end);
+        let id = last_id(&bytes);
+        let last_id = id.and_then(fit_id);
         EventBatch {
             count: event_count(&bytes),
-            last_id: last_id(&bytes),
+            has_unfit_id: id.is_some() && last_id.is_none(),
+            last_id,
             bytes,
         }
     }
@@ -104,13 +110,14 @@
     count
 }
 
-fn last_id(bytes: &[u8]) -> Option<Arc<str>> {
-    let mut last = None;
-    for line in bytes.split(|byte| *byte == b'\n') {
-        let Some(value) = line.strip_prefix(ID_FIELD) else {
-            continue;
-        };
-        last = std::str::from_utf8(value.trim_ascii()).ok();
-    }
-    last.map(Arc::from)
+fn last_id(bytes: &[u8]) -> Option<&[u8]> {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    ids.last().map(<[u8]>::trim_ascii)
+}
+
+/// An id that a header can carry.
+fn fit_id(id: &[u8]) -> Option<Arc<str>> {
+    HeaderValue::from_bytes(id).ok()?;
+    std::str::from_utf8(id).ok().map(Arc::from)
 }
--- a/crates/relay/src/stream_pump.rs
+++ b/crates/relay/src/stream_pump.rs
@@ -27,6 +27,8 @@
     answer: UpstreamAnswer,
     first: Option<Bytes>,
     flow: StreamFlow<D>,
+    /// Whether no call can name the last event, so that the stream can't resume.
+    has_unfit_id: bool,
     last_id: Option<Arc<str>>,
     sender: PieceSender,
     splitter: EventSplitter,
@@ -50,6 +52,10 @@
         flow.software = Some(stream.answer.call.upstream.software.clone());
         flow.request.trace.note_piece();
         flow.gap_since = steady_clock::now();
+        let has_unfit_id = stream
+            .first
+            .as_ref()
+            .is_some_and(|batch| batch.has_unfit_id);
         let last_id = stream
             .first
             .as_ref()
@@ -58,6 +64,7 @@
             answer: stream.answer,
             first: stream.first.map(|batch| batch.bytes),
             flow,
+            has_unfit_id,
             last_id,
             sender,
             splitter: stream.splitter,
@@ -151,6 +158,7 @@
         let Self {
             answer,
             mut flow,
+            has_unfit_id,
             last_id,
             sender,
             ..
@@ -159,6 +167,10 @@
         note_cut(&flow, &broken, last_id.as_deref());
         drop(flow.place.take());
         drop_call(answer);
+        if has_unfit_id {
+            end_cut(&flow, sender);
+            return None;
+        }
         Self::resume_after(flow, &broken, last_id, sender).await
     }
 
@@ -179,8 +191,7 @@
                 return Self::go_on(flow, *stream, broken, last_id, sender).await;
             }
         }
-        flow.request.trace.end(ResultCode::StreamCut);
-        sender.cut();
+        end_cut(&flow, sender);
         None
     }
 
@@ -242,6 +253,7 @@
             answer,
             first: None,
             flow,
+            has_unfit_id: false,
             last_id,
             sender,
             splitter,
@@ -296,7 +308,10 @@
                     if let Some(place) = &self.flow.place {
                         place.note_events(batch.count);
                     }
-                    self.last_id = batch.last_id.or(self.last_id.take());
+                    if batch.has_unfit_id || batch.last_id.is_some() {
+                        self.has_unfit_id = batch.has_unfit_id;
+                        self.last_id = batch.last_id;
+                    }
                     return PumpStep::Piece(batch.bytes);
                 }
                 Ok(None) => {}
@@ -314,7 +329,8 @@
     /// A stream that may not resume elsewhere is waited for until its deadline: silence alone is no reason to cut it.
     fn longest_wait(&self) -> Duration {
         let left = self.flow.request.left();
-        let may_leave = self.flow.route.repeat == RepeatRule::Resumable && self.flow.can_continue();
+        let is_resumable = self.flow.route.repeat == RepeatRule::Resumable && !self.has_unfit_id;
+        let may_leave = is_resumable && self.flow.can_continue();
         match self.flow.route.between_events {
             Some(pause) if may_leave => left.min(pause * SILENCE_FACTOR),
             _ => left,
@@ -330,6 +346,12 @@
     ));
 }
 
+/// Ends a stream that can't go on, so that it does not look complete.
+fn end_cut<D: UpstreamDialect>(flow: &StreamFlow<D>, sender: PieceSender) {
+    flow.request.trace.end(ResultCode::StreamCut);
+    sender.cut();
+}
+
 /// Ends a call whose answer is not read any further.
 fn drop_call(answer: UpstreamAnswer) {
     answer.call.close(CallVerdict::Lost);
--- a/crates/trestlewalk/tests/relay_odd_values.rs
+++ b/crates/trestlewalk/tests/relay_odd_values.rs
@@ -10,7 +10,11 @@
     platform::HttpDialect,
     policy::{UpstreamRecord, UpstreamStage},
     relay::{EngineResource, KvHandle, UpstreamDialect},
-    relay_support::{RelayTest, caller::fresh_id},
+    relay_support::{
+        RelayTest, UpstreamMode,
+        caller::{fresh_id, request_text},
+        relay_test::STREAM_HEADERS,
+    },
     serde_json::json,
     std::time::Duration,
 };
@@ -79,3 +83,29 @@
     assert_eq!(send("k-2").await.status(), 401);
     assert_eq!(run.upstreams[0].runs().len(), 1);
 }
+
+/// Ids of events that no call can name, so that a stream can't go on after them.
+const UNFIT_IDS: [&[u8]; 3] = [b"a\x01b", b"a\x7fb", b"\xff"];
+
+// Guards against a stream that begins anew in the middle of an answer: the id of its last event was left out of the call.
+#[tokio::test]
+async fn a_stream_whose_last_event_no_call_can_name_is_cut() {
+    let more = json!({"TargetGapMs": 300, "Resumable": true, "MaxAttempts": 2});
+    let run = RelayTest::new()
+        .engines("redactor", 2, 0)
+        .route("/note/", "streaming", "redactor", &more)
+        .start_ready()
+        .await;
+    for id in UNFIT_IDS {
+        let event = [b"id: ", id, b"\ndata: token-1\n\n"].concat();
+        for engine in &run.upstreams {
+            engine.set(UpstreamMode::CutAfterEvent(event.clone().leak()));
+        }
+        let mut caller = run.caller().await;
+        let text = request_text("POST", "/note/1", &fresh_id(), STREAM_HEADERS, "p");
+        caller.write(&text).await;
+        let reply = caller.read().await;
+        assert_eq!((reply.status(), reply.whole), (200, false), "{id:?}");
+        assert_eq!(reply.message.body, event, "{id:?}");
+    }
+}
