software notes: a note or the store alone ends the search

Now the first note or a single version in the store ends the search, and without either all answers are waited for, at most 250 ms. An instance that lists several versions asks the store for none.

--- a/crates/policy/src/software_answers.rs
+++ b/crates/policy/src/software_answers.rs
@@ -12,6 +12,11 @@
 }
 
 impl SoftwareAnswers {
+    /// Whether one of the instances has a note of the stream.
+    pub fn has_note(&self) -> bool {
+        self.reports.iter().any(|report| report.began.is_some())
+    }
+
     /// Whether there are other instances, and all of them answered.
     pub fn is_full(&self) -> bool {
         self.asked > 0 && self.reports.len() >= self.asked
--- a/crates/relay/src/software_notes.rs
+++ b/crates/relay/src/software_notes.rs
@@ -9,6 +9,7 @@
     },
     std::{
         collections::BTreeMap,
+        pin::pin,
         sync::{Arc, OnceLock},
         time::Duration,
     },
@@ -20,9 +21,7 @@
 
 /// Jobs that may wait to be taken; further ones are dropped, and their streams are not resumed elsewhere.
 const MAX_WAITING: usize = 1_024;
-/// How long to wait for all other instances where one version is known: usually nobody contradicts, and an answer suffices.
-const CONFIRM_TIME: Duration = Duration::from_millis(40);
-/// How long to wait for a note of the stream, or for the first answer.
+/// How long to wait for a note of the stream, or for all answers.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How long to wait for the versions in the store.
@@ -41,10 +40,8 @@
         service: ServiceId,
         /// The stream.
         stream: StreamKey,
-        /// How long to wait for a note of the stream or the first answer.
+        /// How long to wait for a note of the stream, or for all answers.
         timeout: Duration,
-        /// After which time any answer suffices.
-        settle: Duration,
     },
     /// Has the versions of a service read from the store.
     AskVersions {
@@ -121,14 +118,8 @@
         if own.began.is_some() {
             return (own.began, SoftwareSource::Own);
         }
-        let settle = match own.versions.len() {
-            0 | 1 => CONFIRM_TIME,
-            _ => SEARCH_TIMEOUT,
-        };
-        let asking = self.ask(service, stream, settle);
-        let (others, stored) = tokio::join!(asking, self.ask_versions(service));
-        let mut reports = others.iter().flat_map(|others| &others.reports);
-        let source = match reports.any(|report| report.began.is_some()) {
+        let (others, stored) = self.search(service, stream, &own).await;
+        let source = match others.as_ref().is_some_and(SoftwareAnswers::has_note) {
             true => SoftwareSource::Keeper,
             false => SoftwareSource::OneVersion,
         };
@@ -232,13 +223,42 @@
         rows.collect()
     }
 
-    /// Asks other instances where a stream began; `None` when there are no other instances.
-    async fn ask(
+    /// Asks other instances where a stream began, and the store for the versions of its service unless a note or several
+    /// versions make them needless.
+    async fn search(
         &self,
         service: &ServiceId,
         stream: StreamKey,
-        settle: Duration,
-    ) -> Option<SoftwareAnswers> {
+        own: &SoftwareReport,
+    ) -> (Option<SoftwareAnswers>, Option<Vec<SoftwareVersion>>) {
+        let mut asking = pin!(self.ask(service, stream));
+        if own.versions.len() > 1 {
+            return (asking.await, None);
+        }
+        let mut reading = pin!(self.ask_versions(service));
+        tokio::select! {
+            others = asking.as_mut() => {
+                let has_note = others.as_ref().is_some_and(SoftwareAnswers::has_note);
+                let stored = match has_note || others.is_none() {
+                    true => None,
+                    false => reading.await,
+                };
+                (others, stored)
+            }
+            stored = reading.as_mut() => {
+                // A note could say nothing else than a single version.
+                let is_single = stored.as_ref().is_some_and(|stored| stored.len() == 1);
+                let others = match is_single {
+                    true => Some(SoftwareAnswers::default()),
+                    false => asking.await,
+                };
+                (others, stored)
+            }
+        }
+    }
+
+    /// Asks other instances where a stream began; `None` when there are no other instances.
+    async fn ask(&self, service: &ServiceId, stream: StreamKey) -> Option<SoftwareAnswers> {
         let jobs = self.jobs.get()?;
         let (reply, reports) = oneshot::channel();
         let job = NoteJob::Ask {
@@ -246,7 +266,6 @@
             service: service.clone(),
             stream,
             timeout: SEARCH_TIMEOUT,
-            settle,
         };
         match jobs.try_send(job) {
             // The job is dropped without an answer only when the process ends.
--- a/crates/spread/src/note_exchange.rs
+++ b/crates/spread/src/note_exchange.rs
@@ -77,13 +77,12 @@
                     service,
                     stream,
                     timeout,
-                    settle,
                 }) => {
                     let keepers = self.keepers().asked(stream);
                     let request = NoteRequest::Ask { service, stream };
                     let exchange = self.clone();
                     tokio::spawn(async move {
-                        let reports = exchange.ask(keepers, request, settle, timeout).await;
+                        let reports = exchange.ask(keepers, request, timeout).await;
                         // Fails only when the caller has left.
                         let _ = reply.send(reports);
                     });
@@ -229,16 +228,14 @@
         }
     }
 
-    /// Asks keepers of a stream. Waits until one has a note of it or all have answered; after `settle` any answer suffices,
-    /// and after `timeout` none is waited for.
+    /// Asks keepers of a stream. Waits until one has a note of it or all have answered, at most for `timeout`.
     async fn ask(
         &self,
         keepers: Vec<InstanceId>,
         request: NoteRequest,
-        settle: Duration,
         timeout: Duration,
     ) -> SoftwareAnswers {
-        let began = time::Instant::now();
+        let end = time::Instant::now() + timeout;
         let mut answers = SoftwareAnswers {
             asked: keepers.len(),
             reports: Vec::new(),
@@ -249,12 +246,8 @@
             let request = request.clone();
             asking.spawn(async move { exchange.call(&keeper, &request).await });
         }
-        while !answers.reports.iter().any(|report| report.began.is_some()) {
-            let limit = match answers.reports.is_empty() {
-                true => timeout,
-                false => settle,
-            };
-            match time::timeout_at(began + limit, asking.join_next()).await {
+        while !answers.has_note() {
+            match time::timeout_at(end, asking.join_next()).await {
                 Ok(Some(Ok(Some(NoteReply::Report(report))))) => answers.reports.push(report),
                 Ok(Some(_)) => {}
                 Ok(None) => break,
