--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CallerDialect, CallerLimits, CloseClock, ConnectionActivity, RelayCore, RequestHandler,
-        UpstreamDialect, WatchedStream, connection_pool::tune_socket,
+        UpstreamDialect, WatchedStream, socket_options::tune_socket,
     },
     http::{HeaderValue, Request, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -4,7 +4,7 @@
 //! and it is not reused after any irregularity in an answer.
 
 use {
-    crate::{AnswerPlace, HeadMeter, WatchedStream},
+    crate::{AnswerPlace, HeadMeter, WatchedStream, socket_options::tune_socket},
     bytes::Bytes,
     http::Request,
     http_body_util::Full,
@@ -19,7 +19,6 @@
     kernel::{LockRank, RankedLock, steady_clock},
     policy::ProbeOutcome,
     snafu::Snafu,
-    socket2::{SockRef, TcpKeepalive},
     std::{
         collections::{BTreeSet, HashMap},
         io::{self, ErrorKind},
@@ -64,7 +63,7 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
 pub enum ConnectionError {
-    /// The status of the answer is none of a final answer. The call may have been carried out.
+    /// The answer has a status that no final answer has. The call may have been carried out.
     #[snafu(display("{place} has status {status}"))]
     Garbled {
         /// The answer.
@@ -131,8 +130,8 @@
         Ok(response)
     }
 
-    /// Passes an answer on unless its status is none.
-    fn check(
+    /// Checks the status of an answer.
+    fn check_status(
         self,
         response: http::Response<Incoming>,
     ) -> Result<(http::Response<Incoming>, Self), ConnectionError> {
@@ -289,7 +288,7 @@
         let mut request = request;
         while let Some(mut connection) = self.take_idle(key, address, avoid) {
             match connection.exchange(request).await {
-                Ok(response) => return connection.check(response),
+                Ok(response) => return connection.check_status(response),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(connection.lost(failure.error())),
@@ -298,7 +297,7 @@
         }
         let mut connection = self.connect(address).await?;
         match connection.exchange(request).await {
-            Ok(response) => connection.check(response),
+            Ok(response) => connection.check_status(response),
             Err(mut failure) => match failure.take_message() {
                 Some(_) => UnsentSnafu {
                     detail: failure.error().to_string(),
@@ -396,19 +395,3 @@
         None
     }
 }
-
-/// Sets socket options that detect a lost peer within `peer_timeout` and send small writes without delay.
-pub fn tune_socket(stream: &TcpStream, peer_timeout: Duration) {
-    let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(peer_timeout / 2)
-        .with_interval(peer_timeout / 4)
-        .with_retries(2);
-    let outcome = socket
-        .set_tcp_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(peer_timeout)))
-        .and_then(|()| socket.set_tcp_keepalive(&probes));
-    if let Err(error) = outcome {
-        tracing::debug!(%error, "could not set a socket option; a lost peer is noticed later");
-    }
-}
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -112,12 +112,13 @@
 
 fn last_id(bytes: &[u8]) -> Option<&[u8]> {
     let lines = bytes.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
-    ids.last().map(<[u8]>::trim_ascii)
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    ids.next_back().map(<[u8]>::trim_ascii)
 }
 
-/// An id that a header can carry.
+/// An id that names an event in a header; `None` for one that no header can carry.
 fn fit_id(id: &[u8]) -> Option<Arc<str>> {
     HeaderValue::from_bytes(id).ok()?;
-    std::str::from_utf8(id).ok().map(Arc::from)
+    let text = std::str::from_utf8(id).ok();
+    text.filter(|text| !text.is_empty()).map(Arc::from)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod service_info;
 pub mod slot_finder;
 pub mod slot_wait;
+pub mod socket_options;
 pub mod software_notes;
 pub mod software_plugin;
 pub mod software_source;
--- a/crates/trestlewalk/tests/relay_odd_values.rs
+++ b/crates/trestlewalk/tests/relay_odd_values.rs
@@ -85,7 +85,7 @@
 }
 
 /// Ids of events that no call can name, so that a stream can't go on after them.
-const UNFIT_IDS: [&[u8]; 3] = [b"a\x01b", b"a\x7fb", b"\xff"];
+const UNFIT_IDS: [&[u8]; 4] = [b"a\x01b", b"a\x7fb", b"\xff", b""];
 
 // Guards against a stream that begins anew in the middle of an answer: the id of its last event was left out of the call.
 #[tokio::test]
