Review: a script in which a late heartbeat brings back a replica that leaves

Cause: the number of an entry in the list of upstreams isn't read, so an older entry replaces a newer one.

--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -750,8 +750,14 @@
         if !self.listed.load(SeqCst) || store.down.load(SeqCst) {
             return;
         }
-        let n = self.seq.fetch_add(1, SeqCst);
-        store.put("servers", &self.id, &format!("{{\"Service\":{},\"Address\":\"{}\",\"Zone\":{},\"Version\":\"v1\",\"Slots\":16,\"State\":{},\"ColdRemainingMs\":0,\"Sequence\":{n}}}", q(&self.service), self.addr, q(&self.zone), q(*self.state.lock().unwrap())));
+        store.put("servers", &self.id, &self.next_entry());
+    }
+    /// The entry as the next heartbeat writes it.
+    pub fn next_entry(&self) -> String {
+        let number = self.seq.fetch_add(1, SeqCst);
+        let (service, zone, state) = (q(&self.service), q(&self.zone), q(*self.state.lock().unwrap()));
+        let rest = format!("\"Zone\":{zone},\"Version\":\"v1\",\"Slots\":16,\"State\":{state},\"ColdRemainingMs\":0,\"Sequence\":{number}");
+        format!("{{\"Service\":{service},\"Address\":\"{}\",{rest}}}", self.addr)
     }
     /// Ends at once, as a process that exits.
     pub fn end(&self) {
