relay: who is kept after an outage of the store is kept for a bounded time

Cause: the grace period of 1.9 s ran from the list that an instance got first. An attempt to read a silent store takes 0.7 s and the next one began up to 1 s after its end (1.65 s between starts in the model), and the period ended with the first list after it, up to 0.9 s later. Ruled out: older lists taken after newer ones (lists are ordered by the store's version).

Now attempts begin at most 0.9 s apart, the period runs from the latest moment at which the outage can have ended, told along with updates (wire version 17), and ends by itself: at most 2.8 s after the store's return, where 3.0 are allowed. With an old list it ends with the next one, since the store may be away again.

Calls of 60 instances of three zones to a store that refuses all stay within the bound of 108 in 9 s (110 with the earlier jitter of 0.3, so it is 0.2).

--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -17,7 +17,7 @@
 
 /// The version of the wire format. Any change of a message's fields raises it, including added fields, because the codec
 /// does not write field names. Version 2 added `platform_age` to heartbeats.
-pub const WIRE_VERSION: u16 = 16;
+pub const WIRE_VERSION: u16 = 17;
 
 const HEADER_LENGTH_OFFSET: usize = 2;
 const HEADER_OFFSET: usize = 4;
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -25,6 +25,8 @@
 /// How long upstreams whose records expired during an outage of the store are kept after it: by then those alive have
 /// reported again.
 const EXPIRY_GRACE: Duration = Duration::from_millis(1_900);
+/// The age up to which a list shows, at the end of the grace period, who has not reported again.
+const MAX_ABSENCE_AGE: Duration = Duration::from_millis(1_300);
 
 /// The known upstreams, by id.
 #[derive(Clone, Debug, Default)]
@@ -271,9 +273,36 @@
         self.history.note_restored(now);
     }
 
-    /// Applies a new list and returns the upstreams removed. `outage_ended` is when an outage of the store ended, if
-    /// one did since the last list: upstreams missing from the list are kept for a grace period, since they may have
-    /// been unable to report.
+    /// When the grace period of the upstreams that the list lacks ends; `None` if it lacks none that are kept.
+    pub fn grace_end(&self) -> Option<Instant> {
+        self.grace_until.filter(|_| self.missing().next().is_some())
+    }
+
+    /// The upstreams that the list lacks and that are kept for a grace period.
+    pub fn missing(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        let entries = self.entries.values();
+        entries.filter(|entry| entry.missing_since.is_some())
+    }
+
+    /// Removes the upstreams that the list still lacks at the end of their grace period, and returns them. Those that
+    /// an old list lacks may have reported since, and are kept until the next one.
+    pub fn end_grace(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let is_over = self.grace_end().is_some_and(|end| now >= end);
+        if !is_over || self.list_age(now) > MAX_ABSENCE_AGE {
+            return Vec::new();
+        }
+        let gone = self.missing().map(|entry| entry.record.id.clone());
+        let gone: Vec<_> = gone.collect();
+        for id in &gone {
+            self.entries.remove(id);
+            self.history.note_left(id, now);
+        }
+        gone
+    }
+
+    /// Applies a new list and returns the upstreams removed. `outage_ended` is the latest time at which an outage of the
+    /// store can have ended, if one did since the last list: upstreams missing from the list are kept for a grace
+    /// period, since they may have been unable to report.
     pub fn replace(
         &mut self,
         records: &[UpstreamRecord],
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -168,6 +168,39 @@
     assert_eq!(chosen(&table, UpstreamStage::Plain, late), None);
 }
 
+/// Guards against work for upstreams that have left, from the end of their grace period to the next list.
+#[test]
+fn what_a_fresh_list_lacks_is_gone_as_soon_as_its_grace_period_ends() {
+    let start = Instant::now();
+    let mut table = UpstreamTable::default();
+    let record_a = record("a", "near", UpstreamStage::Plain);
+    table.replace(std::slice::from_ref(&record_a), None, start);
+    table.replace(&[], Some(start), start);
+    assert!(table.end_grace(start + SECOND).is_empty());
+    let read = start + Duration::from_millis(1_800);
+    table.replace(&[], None, read);
+    let end = table.grace_end().expect("a grace period");
+    assert!(chosen(&table, UpstreamStage::Plain, end).is_some());
+    assert_eq!(table.end_grace(end), [record_a.id]);
+    assert_eq!(chosen(&table, UpstreamStage::Plain, end), None);
+    assert_eq!(table.grace_end(), None);
+}
+
+/// Guards against the loss of all upstreams when the store is away again before they could report.
+#[test]
+fn what_an_old_list_lacks_is_kept_until_the_next_one() {
+    let start = Instant::now();
+    let mut table = UpstreamTable::default();
+    let record_a = record("a", "near", UpstreamStage::Plain);
+    table.replace(std::slice::from_ref(&record_a), None, start);
+    table.replace(&[], Some(start), start);
+    let late = start + 5 * SECOND;
+    assert!(table.end_grace(late).is_empty());
+    assert!(chosen(&table, UpstreamStage::Plain, late).is_some());
+    table.replace(&[], None, late);
+    assert_eq!(chosen(&table, UpstreamStage::Plain, late), None);
+}
+
 #[test]
 fn what_lapsed_during_an_outage_is_gone_when_its_address_has_another_upstream() {
     let now = Instant::now();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -159,7 +159,7 @@
     slot_wait::SlotWait,
     software_notes::{NoteJob, SoftwareNotes},
     software_source::SoftwareSource,
-    source_watch::{SourceWatch, WatchTimes},
+    source_watch::{RECOVERY_NOTICE, SourceWatch, WatchTimes},
     stage_controller::{StageController, StageSettings},
     start_gate::StartGate,
     store_calls::{CallKind, CallOutcome, CallReason, StoreCallRow, StoreCalls},
--- a/crates/relay/src/list_progress.rs
+++ b/crates/relay/src/list_progress.rs
@@ -1,7 +1,7 @@
 //! What a watch of the list of upstreams remembers of its readings. Free of I/O; times are passed in.
 
 use {
-    crate::UpstreamSnapshot,
+    crate::{RECOVERY_NOTICE, UpstreamSnapshot},
     policy::StoreVersion,
     std::{
         collections::BTreeSet,
@@ -12,6 +12,8 @@
 /// The progress of a watch.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ListProgress {
+    /// When the last failed reading began.
+    failed_at: Option<Instant>,
     failing_since: Option<Instant>,
     /// The unreadable rows of the last reading.
     faults: BTreeSet<String>,
@@ -45,13 +47,24 @@
         new.collect()
     }
 
-    /// Records a failed reading; returns whether it is the first in a row.
-    pub(crate) fn note_failure(&mut self, now: Instant) -> bool {
+    /// Records a failed reading that began at `began`; returns whether it is the first in a row.
+    pub(crate) fn note_failure(&mut self, began: Instant, now: Instant) -> bool {
         let is_first = self.failing_since.is_none();
+        self.failed_at = Some(began);
         self.failing_since.get_or_insert(now);
         is_first
     }
 
+    /// The latest time at which an outage before a reading can have ended: the store was read for it then, and the next
+    /// attempt follows a failed one within [`RECOVERY_NOTICE`].
+    pub(crate) fn outage_end(&self, reading: &UpstreamSnapshot, now: Instant) -> Instant {
+        let read_at = reading.as_of.unwrap_or(now);
+        let failed_at = self.failed_at.max(reading.failed_at);
+        failed_at.map_or(read_at, |failed_at| {
+            read_at.min(failed_at + RECOVERY_NOTICE)
+        })
+    }
+
     /// Takes a list; `None` if it is older than the last one.
     pub(crate) fn advance(&mut self, reading: &UpstreamSnapshot, now: Instant) -> Option<ListStep> {
         if reading.version < self.version {
--- a/crates/relay/src/source_watch.rs
+++ b/crates/relay/src/source_watch.rs
@@ -5,7 +5,7 @@
         CallReason, OperatorSource, RelayCore, ReportCursor, RouteSnapshot, RouteTable,
         RouteUpdate, SourceError, UpstreamDialect, UpstreamSnapshot, list_progress::ListProgress,
     },
-    kernel::steady_clock,
+    kernel::{UpstreamId, steady_clock},
     policy::{AgedReport, EvacuationSet, StoreVersion},
     std::{
         sync::Arc,
@@ -18,6 +18,10 @@
 /// the bound within which an edit takes effect.
 const EDIT_PAUSE: Duration = Duration::from_millis(200);
 
+/// The interval within which an attempt to read a store that does not answer follows the one before, counted between
+/// their starts. The recovery of the store is noticed within it.
+pub const RECOVERY_NOTICE: Duration = Duration::from_millis(900);
+
 /// A list that gets this many poll periods old before it is replaced is logged.
 const LATE_PERIODS: u32 = 2;
 
@@ -46,6 +50,8 @@
 #[derive(Debug)]
 pub struct SourceWatch<D, S> {
     core: Arc<RelayCore<D>>,
+    /// Notified when upstreams that the list lacks are kept for a grace period.
+    grace_began: Notify,
     /// Notified when the store recovers after an outage, so that the routes are read at once.
     store_recovered: Notify,
     source: Arc<S>,
@@ -57,6 +63,7 @@
     pub fn new(core: Arc<RelayCore<D>>, source: Arc<S>, times: WatchTimes) -> Self {
         Self {
             core,
+            grace_began: Notify::new(),
             store_recovered: Notify::new(),
             source,
             times,
@@ -141,6 +148,7 @@
         let mut reason = CallReason::Start;
         loop {
             clock.tick().await;
+            let began = steady_clock::now();
             let reading = self.source.read_upstreams(reason);
             let reading = time::timeout(self.times.read_limit, reading).await;
             let now = steady_clock::now();
@@ -158,10 +166,41 @@
             };
             self.core.counts.note_read("upstreams", "failed");
             reason = CallReason::Retry;
-            if progress.note_failure(now) {
+            if progress.note_failure(began, now) {
                 tracing::warn!(error, "the list of upstreams can't be read");
             }
-            clock.reset_after(self.times.list_retry);
+            clock.reset_after(self.next_attempt(began, now));
+        }
+    }
+
+    /// The pause after a failed reading.
+    fn next_attempt(&self, began: Instant, now: Instant) -> Duration {
+        let left = (began + RECOVERY_NOTICE).saturating_duration_since(now);
+        self.times.list_retry.min(left)
+    }
+
+    /// Removes the upstreams that the list still lacks when their grace period ends.
+    pub async fn end_graces(&self) {
+        loop {
+            self.grace_began.notified().await;
+            loop {
+                let end = self.core.upstreams.lock().grace_end();
+                let left = end.map(|end| end.saturating_duration_since(steady_clock::now()));
+                let Some(left) = left.filter(|left| !left.is_zero()) else {
+                    break;
+                };
+                time::sleep(left).await;
+            }
+            let now = steady_clock::now();
+            let gone = self.core.upstreams.lock().end_grace(now);
+            if gone.is_empty() {
+                continue;
+            }
+            tracing::info!(
+                gone = gone.len(),
+                "upstreams have not reported again after the outage"
+            );
+            self.forget_upstreams(&gone, now);
         }
     }
 
@@ -180,8 +219,9 @@
         let Some(step) = progress.advance(reading, now) else {
             return;
         };
+        let outage_end = progress.outage_end(reading, now);
         if step.is_restored {
-            self.core.upstreams.lock().note_restored(now);
+            self.core.upstreams.lock().note_restored(outage_end);
         }
         if let Some(age) = step.age {
             self.note_list_age(age, reading);
@@ -190,7 +230,7 @@
             tracing::warn!(fault, "a row of the list of upstreams can't be read");
         }
         let may_lapse = step.gap.is_some_and(|gap| gap >= self.times.lapse);
-        let outage_ended = (was_lost && may_lapse).then_some(now);
+        let outage_ended = (was_lost && may_lapse).then_some(outage_end);
         self.apply_upstreams(reading, outage_ended, now);
     }
 
@@ -334,12 +374,27 @@
         let mut upstreams = self.core.upstreams.lock();
         let gone = upstreams.replace(&reading.records, outage_ended, now);
         upstreams.set_list_time(reading.as_of.unwrap_or(now));
+        let missing = upstreams.missing().count();
         drop(upstreams);
+        if outage_ended.is_some() && missing > 0 {
+            tracing::info!(
+                missing,
+                "upstreams that the list lacks are kept after the outage"
+            );
+        }
+        if missing > 0 {
+            self.grace_began.notify_one();
+        }
         self.core.software.tell_untold();
-        for upstream in &gone {
+        self.forget_upstreams(&gone, now);
+        self.core.open_when_ready();
+    }
+
+    /// Drops what is kept about upstreams that are gone.
+    fn forget_upstreams(&self, gone: &[UpstreamId], now: Instant) {
+        for upstream in gone {
             self.core.counts.forget_upstream(upstream);
         }
-        self.core.open_when_ready();
         self.core.pool.sweep(now);
     }
 }
--- a/crates/spread/src/reader_election.rs
+++ b/crates/spread/src/reader_election.rs
@@ -339,9 +339,9 @@
         self.probe.next_due()
     }
 
-    /// Records that the store did not answer this instance.
-    pub fn record_store_failure(&mut self, now: Instant) {
-        self.probe.record_failure(now);
+    /// Records that the store did not answer a call of this instance that began at `began`.
+    pub fn record_store_failure(&mut self, began: Instant, now: Instant) {
+        self.probe.record_failure(began, now);
         self.own_read_at = None;
         self.unavailable_since.get_or_insert(now);
     }
--- a/crates/spread/src/reader_election/zone_reader.rs
+++ b/crates/spread/src/reader_election/zone_reader.rs
@@ -52,9 +52,23 @@
         });
         let mut helpers = standbys.chain(zone_readers);
         let helper = helpers.find(|helper| self.is_available(helper, now));
-        match helper {
-            Some(helper) => self.ask_peer(helper.clone(), now),
-            None => ReadStep::Wait(due),
+        let Some(helper) = helper.cloned() else {
+            return ReadStep::Wait(due);
+        };
+        // A request that the helper holds back delays no probe of the store.
+        match self.ask_peer(helper, now) {
+            ReadStep::AskPeer {
+                is_immediate,
+                limit,
+                peer,
+                turn: _,
+            } => ReadStep::AskPeer {
+                is_immediate,
+                limit,
+                peer,
+                turn: Some(due),
+            },
+            step => step,
         }
     }
 }
--- a/crates/spread/src/shared_source.rs
+++ b/crates/spread/src/shared_source.rs
@@ -230,7 +230,11 @@
         let mut snapshot = match snapshot {
             Ok(snapshot) => snapshot,
             Err(error) => {
-                self.members.election.lock().record_store_failure(now);
+                let mut election = self.members.election.lock();
+                election.record_store_failure(began, now);
+                drop(election);
+                let state = &self.members.state;
+                state.send_modify(|state| state.note_failed_read(began));
                 self.record_failure(match now >= began + self.times.read_timeout {
                     true => ReadFailure::TimedOut,
                     false => ReadFailure::Refused,
@@ -245,6 +249,7 @@
             .send_modify(|state| state.apply_store_list(&snapshot, began));
         self.note_era(snapshot.version);
         snapshot.as_of = Some(began);
+        snapshot.failed_at = self.members.state.borrow().failed_at();
         snapshot.waited = true;
         self.refresh(now, true, Some(&snapshot.records)).await;
         Ok(snapshot)
--- a/crates/spread/src/shared_source/joining.rs
+++ b/crates/spread/src/shared_source/joining.rs
@@ -29,11 +29,12 @@
         if let Some(due) = due {
             time::sleep(due.saturating_duration_since(steady_clock::now())).await;
         }
+        let began = steady_clock::now();
         let joined = self.join().await;
         let mut election = self.members.election.lock();
         match joined {
             Ok(()) => election.record_joined(),
-            Err(_) => election.record_store_failure(steady_clock::now()),
+            Err(_) => election.record_store_failure(began, steady_clock::now()),
         }
         drop(election);
         joined
--- a/crates/spread/src/shared_source/requesting.rs
+++ b/crates/spread/src/shared_source/requesting.rs
@@ -173,8 +173,17 @@
             election.record_reader_refused(&from, age, now);
         }
         drop(election);
+        if let Some(began) = update
+            .failed_for
+            .and_then(|age| now.checked_sub(age + transit))
+        {
+            let state = &self.members.state;
+            state.send_modify(|state| state.note_failed_read(began));
+        }
+        let failed_at = self.members.state.borrow().failed_at();
         let snapshot = UpstreamSnapshot {
             as_of: Some(read),
+            failed_at,
             faults: Vec::new(),
             first_page: None,
             passed_on: true,
--- a/crates/spread/src/spread_message.rs
+++ b/crates/spread/src/spread_message.rs
@@ -142,6 +142,8 @@
     pub list: ListChange,
     /// Position of the list after the change, or after its last part.
     pub position: JournalPosition,
+    /// How long ago the last read that the store did not answer began; `None` if all were answered.
+    pub failed_for: Option<Duration>,
     /// Members of all zones, if the requester's differ.
     pub members: Option<Vec<MemberRow>>,
     /// How long the store has refused the answering instance, the reader, without any newer read by
--- a/crates/spread/src/spread_state.rs
+++ b/crates/spread/src/spread_state.rs
@@ -46,6 +46,9 @@
     pub routes: Option<(Arc<RouteTable>, StoreVersion)>,
     /// Latest time at which these routes were known to be the newest.
     routes_as_of: Option<Instant>,
+    /// When the last read that the store did not answer began, here or at an instance that passed
+    /// its list on; `None` before the first one.
+    failed_at: Option<Instant>,
     /// Number of consecutive failures of the store for this instance. A refusal counts as several
     /// timeouts.
     failures: u32,
@@ -93,6 +96,9 @@
                 .journal
                 .change_since(request.list, &request.list_digests),
             position: self.journal.position(),
+            failed_for: self
+                .failed_at
+                .map(|began| now.saturating_duration_since(began)),
             members: (request.members_digest != self.members_digest).then(|| self.members.clone()),
             refused_for: self.refused_for(now),
             reports,
@@ -160,6 +166,7 @@
             update_count: 0,
             reads_store: false,
             refused_since: None,
+            failed_at: None,
             failures: 0,
             reports: ReportJournal::new(incarnation, quarantine),
             is_unavailable: false,
@@ -187,6 +194,16 @@
         }
     }
 
+    /// Records when a read that the store did not answer began.
+    pub fn note_failed_read(&mut self, began: Instant) {
+        self.failed_at = self.failed_at.max(Some(began));
+    }
+
+    /// When the last read that the store did not answer began; `None` before the first one.
+    pub fn failed_at(&self) -> Option<Instant> {
+        self.failed_at
+    }
+
     /// Applies a list that this instance read from the store.
     pub fn apply_store_list(&mut self, snapshot: &UpstreamSnapshot, began: Instant) {
         self.reads_store = true;
--- a/crates/spread/src/store_probe.rs
+++ b/crates/spread/src/store_probe.rs
@@ -6,17 +6,19 @@
 
 use {
     kernel::{InstanceId, seeded_rng},
+    relay::RECOVERY_NOTICE,
     std::time::{Duration, Instant},
 };
 
 /// Backoff after the first failure; it doubles with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(300);
-/// Upper limit of the backoff. The recovery of the store is noticed within this time and its
-/// jitter, which is part of the bound on how soon configuration takes effect.
+/// Upper limit of the backoff before its jitter.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
+/// Minimum pause after a call that took as long as the interval between two calls.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Fraction of the backoff that is randomised, so that instances that failed together do not retry
 /// together.
-const JITTER_FRACTION: f64 = 0.3;
+const JITTER_FRACTION: f64 = 0.2;
 /// Seed of the jitter.
 const JITTER_SEED: u64 = 6;
 
@@ -32,15 +34,17 @@
 }
 
 impl StoreProbe {
-    /// Records a failed call and backs off.
-    pub fn record_failure(&mut self, now: Instant) {
+    /// Records a failed call that began at `began`, and backs off. The next call begins within [`RECOVERY_NOTICE`] of
+    /// that, however long the failed one took.
+    pub fn record_failure(&mut self, began: Instant, now: Instant) {
         let doubled = INITIAL_BACKOFF * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
         self.failed = Some(now);
         let key = format!("{} {}", self.own, self.failures);
         let fraction = seeded_rng::mix(JITTER_SEED, key.as_bytes()) as f64 / u64::MAX as f64;
         let backoff = doubled.min(MAX_BACKOFF);
-        self.due = Some(now + backoff.mul_f64(1.0 - JITTER_FRACTION * fraction));
+        let due = now + backoff.mul_f64(1.0 - JITTER_FRACTION * fraction);
+        self.due = Some(due.min(began + RECOVERY_NOTICE).max(now + MIN_PAUSE));
     }
 
     /// Ends the backoff growth after the store answered another instance's read that began after
--- a/crates/spread/tests/fleet_model/mod.rs
+++ b/crates/spread/tests/fleet_model/mod.rs
@@ -520,7 +520,7 @@
         let now = self.now;
         let node = &mut self.nodes[index];
         if !is_read {
-            node.election.record_store_failure(now);
+            node.election.record_store_failure(began, now);
             let failure = match now >= began + self.times.read_timeout {
                 true => ReadFailure::TimedOut,
                 false => ReadFailure::Refused,
--- a/crates/spread/tests/reader_plan.rs
+++ b/crates/spread/tests/reader_plan.rs
@@ -4,6 +4,7 @@
 use {
     kernel::{InstanceId, ZoneId},
     proptest::{prelude::*, test_runner::RngSeed},
+    relay::RECOVERY_NOTICE,
     spread::{MemberRow, ReadStep, ReaderElection, RequesterState, SpreadTimes},
     std::time::{Duration, Instant},
 };
@@ -382,7 +383,7 @@
             }
             ReadStep::Wait(until) => now = until,
             ReadStep::ReadStore => {
-                election.record_store_failure(now);
+                election.record_store_failure(now, now);
                 probes += 1;
             }
         }
@@ -411,7 +412,7 @@
                 }
                 ReadStep::Wait(_) => {}
                 ReadStep::ReadStore => {
-                    election.record_store_failure(now);
+                    election.record_store_failure(now, now);
                     tries.push(now - start);
                 }
             }
@@ -433,7 +434,7 @@
     let (mut standby, reader, own) = second_of(&members, now);
     let mut election = election(&reader, &members, now);
     assert_eq!(election.choose(now), ReadStep::ReadStore);
-    election.record_store_failure(now);
+    election.record_store_failure(now, now);
     assert!(matches!(election.choose(now), ReadStep::Wait(_)));
     standby.record_update(&reader, now);
     standby.record_store_read(now);
@@ -561,3 +562,30 @@
         );
     }
 }
+
+/// Guards against a return of the store that is noticed so late that upstreams that have left are kept for too long.
+#[test]
+fn a_silent_store_is_tried_again_within_its_notice_however_long_each_call_takes() {
+    let start = Instant::now();
+    let (mut election, elsewhere) = election_with_other_zone(start);
+    let mut began = Vec::new();
+    let mut now = start;
+    while now < start + 10 * SECOND {
+        match election.choose(now) {
+            ReadStep::AskPeer { peer, turn, .. } => {
+                assert_eq!(peer, elsewhere);
+                now = turn.map_or(now + times().max_hold, |turn| turn.max(now));
+                let _ = election.record_no_update(&peer, now - start, now);
+            }
+            ReadStep::Wait(until) => now = until,
+            ReadStep::ReadStore => {
+                began.push(now);
+                let call = now;
+                now += times().read_timeout;
+                election.record_store_failure(call, now);
+            }
+        }
+    }
+    let longest = began.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(longest <= Some(RECOVERY_NOTICE), "{longest:?}");
+}
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -214,6 +214,24 @@
     assert_eq!(update.read_at(transit, start + second + transit), start);
 }
 
+/// Guards against instances that count the grace period after an outage from the list that they happen to get first.
+#[test]
+fn an_update_says_when_the_store_was_last_out_of_reach_of_any_instance_on_its_way() {
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut state = SpreadState::new(1, "gijon".into(), Duration::from_secs(600));
+    let failed_for = |state: &SpreadState, now| match state.answer(&request(), 9 * second, now) {
+        SpreadReply::Update(update) => update.failed_for,
+        SpreadReply::NoUpdate { .. } => panic!("no update"),
+    };
+    state.apply_store_list(&UpstreamSnapshot::default(), start);
+    assert_eq!(failed_for(&state, start), None);
+    state.note_failed_read(start + 2 * second);
+    state.note_failed_read(start + second);
+    state.apply_store_list(&UpstreamSnapshot::default(), start + 3 * second);
+    assert_eq!(failed_for(&state, start + 4 * second), Some(2 * second));
+}
+
 // A restored store gives its versions out again, so that a number by itself says nothing.
 #[test]
 fn what_a_restored_store_says_is_newer_than_all_before() {
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -383,6 +383,10 @@
         let watch = watch.clone();
         async move { watch.write_reports().await }
     });
+    pool.spawn({
+        let watch = watch.clone();
+        async move { watch.end_graces().await }
+    });
     pool.spawn(async move { watch.watch_upstreams().await });
 }
 
--- a/crates/trestlewalk/tests/relay_support/relay_test.rs
+++ b/crates/trestlewalk/tests/relay_support/relay_test.rs
@@ -35,6 +35,7 @@
     services: Vec<Value>,
     settle: &'static str,
     software: Vec<(String, String)>,
+    store_times: &'static str,
     upstreams: Vec<(String, String, UpstreamKind)>,
 }
 
@@ -68,6 +69,7 @@
             services: Vec::new(),
             settle: "50ms",
             software: Vec::new(),
+            store_times: "list_poll: 50ms, timeout: 2s",
             upstreams: Vec::new(),
         }
     }
@@ -125,6 +127,12 @@
         self
     }
 
+    /// Sets the poll interval of the list of upstreams and the timeout of calls to the store, as settings.
+    pub fn store_times(mut self, times: &'static str) -> Self {
+        self.store_times = times;
+        self
+    }
+
     /// Adds a plain service.
     pub fn plain(mut self, service: &str, count: usize) -> Self {
         self.services
@@ -251,7 +259,7 @@
     fn settings(&self, name: &str, store: SocketAddr, listen: &str) -> String {
         format!(
             "instance: {name}\nzone: gijon\nregions: {}\ncapacity: {{memory_mb: {}}}\nlisten: {{admin: '127.0.0.1:0', callers: '127.0.0.1:0'{listen}}}\n\
-             platform: {{address: '{store}', list_poll: 50ms, poll: {}, timeout: 2s}}\n\
+             platform: {{address: '{store}', poll: {}, {}}}\n\
              placement: {{min_engines: 1}}\n\
              retries: {{ratio: {}, window: 10s}}\n\
              close: {{settle: {}, {}}}\nupstreams: {{connect: 2s, heartbeat: {}, unheard: 10s}}\n\
@@ -260,6 +268,7 @@
             self.regions,
             self.memory_mb,
             self.poll,
+            self.store_times,
             self.ratio,
             self.settle,
             self.close_end,
