policy: reports of upstreams are ordered by their numbers

Cause: nothing read the number of an entry, so the last writing counted. Ruled out: older lists; the late writing is the newest version.

--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod instance_record;
 pub mod key_range;
 pub mod keyed_rows;
+pub mod number_field;
 pub mod object_store;
 pub mod page_cursor;
 pub mod plat_error;
@@ -38,6 +39,7 @@
     instance_record::{InstanceKind, InstanceRecord, InstanceState},
     key_range::KeyRange,
     keyed_rows::{InsertOutcome, insert_once},
+    number_field::number_field,
     object_store::ObjectStore,
     page_cursor::{PageCursor, PageEnd, PageFault},
     plat_error::PlatError,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,8 @@
 mod remote_usage;
 pub mod repeat_rule;
 pub mod replica_pace;
+mod report_mark;
+mod report_order;
 pub mod retry_window;
 pub mod slot_hold_time;
 pub mod software_answers;
--- a/crates/policy/src/upstream_entry.rs
+++ b/crates/policy/src/upstream_entry.rs
@@ -149,7 +149,7 @@
 
     /// Replaces the record by a newer one.
     pub fn set_record(&mut self, record: &UpstreamRecord, now: Instant) {
-        if *self.record == *record {
+        if self.record.is_alike(record) {
             return;
         }
         self.record = Arc::new(record.clone());
--- a/crates/policy/src/upstream_record.rs
+++ b/crates/policy/src/upstream_record.rs
@@ -19,6 +19,9 @@
     pub leaving: bool,
     /// The name that it uses for itself and that calls to it state. Restarts of one upstream may share it.
     pub name: Arc<str>,
+    /// The number of the report, which rises with each one of a process; `None` when it states none. The list may have
+    /// the number of an earlier report with the same content.
+    pub report_number: Option<u64>,
     /// The service it belongs to.
     pub service: ServiceId,
     /// How many requests it can run concurrently.
@@ -31,6 +34,35 @@
     pub zone: ZoneId,
 }
 
+impl UpstreamRecord {
+    /// Whether two reports describe an upstream alike, whatever their numbers.
+    pub fn is_alike(&self, other: &Self) -> bool {
+        let Self {
+            address,
+            cold_for,
+            id,
+            leaving,
+            name,
+            report_number: _,
+            service,
+            slots,
+            software,
+            stage,
+            zone,
+        } = self;
+        *address == other.address
+            && *cold_for == other.cold_for
+            && *id == other.id
+            && *leaving == other.leaving
+            && *name == other.name
+            && *service == other.service
+            && *slots == other.slots
+            && *software == other.software
+            && *stage == other.stage
+            && *zone == other.zone
+    }
+}
+
 /// The stage of a request that an upstream serves.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum UpstreamStage {
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -7,7 +7,7 @@
         BackoffTable, CallBlock, CallVerdict, ColdRule, DepartureTable, EvacuationChange,
         EvacuationSet, PrefillEstimate, RateTable, SoftwareHistory, UpstreamEntry, UpstreamRecord,
         UpstreamStage, WantedVersions, evacuation_state::EvacuationState,
-        list_history::ListHistory, usual_time::UsualTime,
+        list_history::ListHistory, report_order::ReportOrder, usual_time::UsualTime,
     },
     kernel::{InstanceId, ServiceId, UpstreamId, WorkId, ZoneId},
     std::{
@@ -45,6 +45,7 @@
     /// The rate limits that upstreams state.
     pub rates: RateTable,
     read_at: Option<Instant>,
+    reports: ReportOrder,
     /// The software versions that the list named lately.
     pub software: SoftwareHistory,
     /// Whether a list has been received.
@@ -70,6 +71,11 @@
         self.cold_rules = rules;
     }
 
+    /// Sets the interval at which upstreams report.
+    pub fn set_heartbeat(&mut self, heartbeat: Duration) {
+        self.reports.set_heartbeat(heartbeat);
+    }
+
     /// Sets how many instances share the calls to cold upstreams; `None` while unknown, when this one makes none.
     pub fn set_instance_count(&mut self, count: Option<usize>) {
         self.instance_count = count;
@@ -294,8 +300,9 @@
         let gone = self.missing().map(|entry| entry.record.id.clone());
         let gone: Vec<_> = gone.collect();
         for id in &gone {
-            self.entries.remove(id);
-            self.history.note_left(id, now);
+            if let Some(entry) = self.entries.remove(id) {
+                self.note_gone(&entry, now);
+            }
         }
         gone
     }
@@ -317,6 +324,16 @@
         let in_grace = self.grace_until.is_some_and(|until| now < until);
         let mut before = std::mem::take(&mut self.entries);
         for record in records {
+            if let Some(last) = self.reports.superseding(record, now) {
+                // What the last list said goes on, also that the upstream is missing or gone.
+                let is_listed = |entry: &UpstreamEntry| entry.missing_since.is_none();
+                if before.get(&last).is_some_and(is_listed)
+                    && let Some(entry) = before.remove(&last)
+                {
+                    self.entries.insert(last, entry);
+                }
+                continue;
+            }
             let departed = self
                 .history
                 .has_left(&record.id, now)
@@ -340,7 +357,7 @@
         }
         for (id, mut entry) in before {
             if !in_grace || self.is_address_reused(&entry) {
-                self.history.note_left(&id, now);
+                self.note_gone(&entry, now);
                 gone.push(id);
                 continue;
             }
@@ -348,6 +365,7 @@
             self.entries.insert(id, entry);
         }
         self.history.expire(now);
+        self.reports.expire(now);
         let entries = &self.entries;
         self.usual_times.retain(|(service, _), _| {
             let mut entries = entries.values();
@@ -366,6 +384,11 @@
         gone
     }
 
+    fn note_gone(&mut self, entry: &UpstreamEntry, now: Instant) {
+        self.history.note_left(&entry.record.id, now);
+        self.reports.note_left(&entry.record, now);
+    }
+
     fn is_address_reused(&self, missing: &UpstreamEntry) -> bool {
         let address = missing.record.address;
         self.entries
--- a/crates/policy/tests/cold_upstreams.rs
+++ b/crates/policy/tests/cold_upstreams.rs
@@ -25,6 +25,7 @@
         id: id.into(),
         leaving: false,
         name: id.into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: "v1".into(),
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -20,6 +20,7 @@
         id: id.as_str().into(),
         leaving: false,
         name: id.as_str().into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: "v1".into(),
--- a/crates/policy/tests/part_table.rs
+++ b/crates/policy/tests/part_table.rs
@@ -59,6 +59,7 @@
             id: id.clone(),
             leaving: false,
             name: id,
+            report_number: None,
             service: "s".into(),
             slots: 12,
             software: "v1".into(),
--- a/crates/policy/tests/plain_choice.rs
+++ b/crates/policy/tests/plain_choice.rs
@@ -57,6 +57,7 @@
         id: zone.into(),
         leaving: false,
         name: zone.into(),
+        report_number: None,
         service: "s".into(),
         slots: SLOTS as u32,
         software: "v1".into(),
--- a/crates/policy/tests/restored_list.rs
+++ b/crates/policy/tests/restored_list.rs
@@ -21,6 +21,7 @@
         id: name.clone(),
         leaving,
         name,
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: "v1".into(),
--- a/crates/policy/tests/software.rs
+++ b/crates/policy/tests/software.rs
@@ -21,6 +21,7 @@
         id: id.into(),
         leaving: false,
         name: id.into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: software.into(),
--- a/crates/policy/tests/software_fuzz.rs
+++ b/crates/policy/tests/software_fuzz.rs
@@ -157,6 +157,7 @@
         id: format!("engine-{number}-{release}").into(),
         leaving: false,
         name: format!("engine-{number}-{release}").into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: format!("v{}", release / ENGINES).into(),
--- a/crates/policy/tests/stage_plan.rs
+++ b/crates/policy/tests/stage_plan.rs
@@ -36,6 +36,7 @@
                 id: format!("{stage:?}-{index}").into(),
                 leaving: false,
                 name: format!("{stage:?}-{index}").into(),
+                report_number: None,
                 service: "s".into(),
                 slots: 64,
                 software: "v1".into(),
--- a/crates/policy/tests/upstream_table.rs
+++ b/crates/policy/tests/upstream_table.rs
@@ -22,6 +22,7 @@
         id: id.into(),
         leaving: false,
         name: id.into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: "v1".into(),
--- a/crates/policy/tests/wanted_versions.rs
+++ b/crates/policy/tests/wanted_versions.rs
@@ -19,6 +19,7 @@
         id: format!("{software}-{number}").into(),
         leaving: false,
         name: "engine".into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: software.into(),
--- a/crates/relay/tests/open_call.rs
+++ b/crates/relay/tests/open_call.rs
@@ -19,6 +19,7 @@
         id: "i-1".into(),
         leaving: false,
         name: "i-1".into(),
+        report_number: None,
         service: "carta".into(),
         slots: 8,
         software: "v1".into(),
--- a/crates/spread/src/list_digest.rs
+++ b/crates/spread/src/list_digest.rs
@@ -62,7 +62,12 @@
 }
 
 fn row_digest(record: &UpstreamRecord) -> u64 {
+    // Readers may have listed the same content at different numbers.
+    let content = UpstreamRecord {
+        report_number: None,
+        ..record.clone()
+    };
     // Strings, numbers and addresses always serialise.
-    let row = postcard::to_stdvec(record).unwrap_or_default();
+    let row = postcard::to_stdvec(&content).unwrap_or_default();
     seeded_rng::mix(ROW_SEED, &row)
 }
--- a/crates/spread/src/list_journal.rs
+++ b/crates/spread/src/list_journal.rs
@@ -21,13 +21,43 @@
 /// update waits only 0.2 s.
 const MAX_REPLY_ROWS: usize = 64;
 
+/// Number of readings in which an upstream that is listed again has its numbers passed on: it reports more often.
+const NUMBERED_READINGS: u8 = 4;
+
 #[derive(Clone, Debug)]
 struct JournalRow {
     /// `None` is a tombstone: the upstream is no longer listed.
     record: Option<UpstreamRecord>,
+    /// The number of readings for which the number of a report is passed on alone, after the upstream was listed again.
+    numbered_readings: u8,
     revision: u64,
 }
 
+impl JournalRow {
+    /// The row of a record that replaces another one, or a tombstone.
+    fn following(replaced: Option<&Self>, record: &UpstreamRecord, revision: u64) -> Self {
+        let numbered_readings = match replaced {
+            Some(Self { record: None, .. }) => NUMBERED_READINGS,
+            Some(replaced) => replaced.numbered_readings.saturating_sub(1),
+            None => 0,
+        };
+        Self {
+            record: Some(record.clone()),
+            numbered_readings,
+            revision,
+        }
+    }
+
+    /// Whether the upstream is listed alike. A number alone is passed on only for a while after the upstream was listed
+    /// again, as a sign of life.
+    fn has(&self, record: &UpstreamRecord) -> bool {
+        self.record.as_ref().is_some_and(|known| {
+            let is_same_number = known.report_number == record.report_number;
+            known.is_alike(record) && (is_same_number || self.numbered_readings == 0)
+        })
+    }
+}
+
 /// The list by part and id; each row has the revision of its last change.
 #[derive(Clone, Debug)]
 pub struct ListJournal {
@@ -100,17 +130,15 @@
         for record in records {
             let key = (part_of(&record.id), record.id.clone());
             let row = match before.remove(&key) {
-                Some(row) if row.record.as_ref() == Some(record) => row,
+                Some(row) if row.has(record) => row,
                 replaced => {
                     differs = true;
+                    let row = JournalRow::following(replaced.as_ref(), record, revision);
                     if let Some(record) = replaced.and_then(|row| row.record) {
                         self.digest.remove(&record);
                     }
                     self.digest.add(record);
-                    JournalRow {
-                        record: Some(record.clone()),
-                        revision,
-                    }
+                    row
                 }
             };
             self.rows.insert(key, row);
--- a/crates/spread/tests/list_journal.rs
+++ b/crates/spread/tests/list_journal.rs
@@ -18,6 +18,7 @@
         id: format!("i-{number}").into(),
         leaving,
         name: format!("i-{number}").into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: "v1".into(),
@@ -52,6 +53,35 @@
     records
 }
 
+/// Guards against changes of all rows in each period, and against the loss of the sign that an upstream is back.
+#[test]
+fn a_number_alone_is_passed_on_only_after_an_upstream_is_listed_again() {
+    let numbered = |number| UpstreamRecord {
+        report_number: Some(number),
+        ..record(0, false)
+    };
+    let mut journal = ListJournal::new(1);
+    journal.apply(&[numbered(1)]);
+    let position = journal.position();
+    journal.apply(&[numbered(2)]);
+    assert_eq!(journal.position(), position);
+    journal.apply(&[]);
+    journal.apply(&[numbered(6)]);
+    let position = journal.position();
+    journal.apply(&[numbered(7)]);
+    let changed = match journal.change_since(Some(position), &[]) {
+        ListChange::Changes { changed, .. } => changed,
+        parts @ ListChange::Parts { .. } => panic!("{parts:?}"),
+    };
+    assert_eq!(changed, [numbered(7)]);
+    for number in 8..12 {
+        journal.apply(&[numbered(number)]);
+    }
+    let position = journal.position();
+    journal.apply(&[numbered(12)]);
+    assert_eq!(journal.position(), position);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// A follower requests changes and gets the answer.
--- a/crates/spread/tests/list_reader.rs
+++ b/crates/spread/tests/list_reader.rs
@@ -24,6 +24,7 @@
         id: name.clone(),
         leaving,
         name,
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: "v1".into(),
--- a/crates/spread/tests/place_flood.rs
+++ b/crates/spread/tests/place_flood.rs
@@ -34,6 +34,7 @@
         id: "i-1".into(),
         leaving: false,
         name: "i-1".into(),
+        report_number: None,
         service: "redactor".into(),
         slots: 64,
         software: "v1".into(),
--- a/crates/spread/tests/spread_state.rs
+++ b/crates/spread/tests/spread_state.rs
@@ -157,6 +157,7 @@
         id: "i-1".into(),
         leaving,
         name: "i-1".into(),
+        report_number: None,
         service: "s".into(),
         slots: 6,
         software: "v1".into(),
--- a/crates/trestlewalk/src/entry/relay_process.rs
+++ b/crates/trestlewalk/src/entry/relay_process.rs
@@ -312,6 +312,9 @@
     peers: Option<PeerSocket>,
     calls: StoreCalls,
 ) {
+    let mut upstreams = core.upstreams.lock();
+    upstreams.set_heartbeat(settings.upstreams.heartbeat);
+    drop(upstreams);
     let platform = &settings.platform;
     let links = ConnectionTimeouts::builder()
         .connect(platform.timeout)
--- a/crates/trestlewalk/tests/relay_odd_values.rs
+++ b/crates/trestlewalk/tests/relay_odd_values.rs
@@ -36,6 +36,7 @@
         id: "i-1".into(),
         leaving: false,
         name: "i-1".into(),
+        report_number: None,
         service: "redactor".into(),
         slots: 8,
         software: "v1".into(),
--- a/crates/trestlewalk/tests/relay_support/direct_fleet.rs
+++ b/crates/trestlewalk/tests/relay_support/direct_fleet.rs
@@ -125,6 +125,7 @@
             id: upstream.id.as_str().into(),
             leaving: false,
             name: upstream.id.as_str().into(),
+            report_number: None,
             service: upstream.service.as_str().into(),
             slots: 8,
             software: "v1".into(),
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -224,6 +224,10 @@
         report
     }
 
+    pub fn kind(&self) -> UpstreamKind {
+        self.state.lock().unwrap().kind
+    }
+
     pub fn software(&self) -> String {
         self.state.lock().unwrap().software.clone()
     }
