--- a/crates/trestlewalk/tests/relay_support/engine_answers.rs
+++ b/crates/trestlewalk/tests/relay_support/engine_answers.rs
@@ -21,6 +21,9 @@
     format!("id: {index}\ndata: token-{index}\n\n")
 }
 
+/// A whole answer to a reservation.
+pub const OWN_ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"Hold\":\"h\"}";
+
 /// Answers one call; returns whether the connection continues.
 pub async fn answer_engine(
     engine: &UpstreamStandIn,
@@ -36,6 +39,13 @@
         engine.note(message, false);
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
+    if let UpstreamMode::Cut(cut) = mode
+        && cut.of_own_calls
+        && message.header("x-request-id").is_none()
+    {
+        engine.note(message, false);
+        return cut.send(stream, OWN_ANSWER).await;
+    }
     match (method.as_str(), path.as_str()) {
         ("GET", "/report") => {
             let (orders, tokens) = {
@@ -145,6 +155,9 @@
             engine.statement_lines(),
             reply.len()
         );
+        if let UpstreamMode::Cut(cut) = mode {
+            return cut.send(stream, &text).await;
+        }
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
     if let UpstreamMode::Flood(bytes) = mode {
--- a/crates/trestlewalk/tests/relay_support/upstream.rs
+++ b/crates/trestlewalk/tests/relay_support/upstream.rs
@@ -58,6 +58,8 @@
     Contradicts(Contradiction),
     /// Answers that come twice, or as often as the plan says.
     Copies(CopyPlan),
+    /// The first part of a whole answer. The connection ends with it.
+    Cut(AnswerCut),
     /// A stream that stops in the middle of an event, after this many events.
     CutAfter(usize),
     /// A stream that breaks after this one event, which need not be valid.
@@ -109,6 +111,31 @@
     Unsigned,
 }
 
+/// Where an answer ends too early, and how.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerCut {
+    /// How much of the answer is sent.
+    pub bytes: usize,
+    /// Whether calls that run no request are answered so; requests otherwise.
+    pub of_own_calls: bool,
+    /// Whether the connection is reset; it is closed in order otherwise.
+    pub resets: bool,
+}
+
+impl AnswerCut {
+    /// Sends the part; returns whether the connection continues.
+    pub async fn send(self, stream: &mut TcpStream, answer: &str) -> bool {
+        let part = &answer.as_bytes()[..self.bytes.min(answer.len())];
+        let is_sent = stream.write_all(part).await.is_ok();
+        if is_sent && self.resets {
+            // The part has to be read before the reset discards it.
+            time::sleep(Duration::from_millis(5)).await;
+            reset(stream);
+        }
+        false
+    }
+}
+
 /// A call as the upstream received it.
 #[derive(Clone, Debug)]
 pub struct ReceivedCall {
@@ -475,6 +502,10 @@
             UpstreamMode::Contradicts(_) | UpstreamMode::Copies(_) => {
                 unreachable!("answered above")
             }
+            UpstreamMode::Cut(cut) => {
+                let text = format!("{signed}{length}{body}");
+                return cut.send(stream, &text).await;
+            }
             UpstreamMode::CutAfterEvent(event) => {
                 let head = format!(
                     "{signed}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n",
