--- a/crates/trestlewalk/tests/relay_uploads.rs
+++ b/crates/trestlewalk/tests/relay_uploads.rs
@@ -7,8 +7,12 @@
 
 use {
     futures_util::future::join_all,
+    kernel::ServiceId,
     relay_support::{
-        RelayRun, RelayTest, caller::fresh_id, relay_test::STREAM_HEADERS, upstream::reset,
+        Caller, DirectFleet, RelayRun, RelayTest,
+        caller::{fresh_id, request_text},
+        relay_test::STREAM_HEADERS,
+        upstream::reset,
         wire_text::read_head,
     },
     serde_json::{Value, json},
@@ -29,6 +33,8 @@
     Duration::from_millis(20),
     Duration::from_millis(200),
 ];
+/// The size of an upload that is forwarded, bytes.
+const FORWARDED_BYTES: usize = 50_000;
 /// How often each case is tried.
 const ROUNDS: usize = 3;
 
@@ -158,3 +164,55 @@
 async fn an_answer_of_an_engine_that_is_reset_beside_an_upload_is_not_complete() {
     check_all("redactor", "/w/1", Some("decode"), STREAM_HEADERS).await;
 }
+
+#[tokio::test]
+async fn an_answer_that_is_reset_beside_an_upload_through_another_instance_is_not_complete() {
+    let fleet = DirectFleet::start(2).await;
+    fleet.cut(0);
+    let services = ["carta", "redactor"].map(ServiceId::from);
+    wait_until("the cut is noticed", async || {
+        fleet.send(0, "POST", "/b/1", "").await;
+        fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
+        let reach = &fleet.instances[0].core.reach;
+        services.iter().all(|service| reach.is_lost(service))
+    })
+    .await;
+    let upload = "u".repeat(FORWARDED_BYTES);
+    for sent_bytes in SENT_BYTES {
+        for (pause, is_chunked) in PAUSES
+            .into_iter()
+            .flat_map(|pause| [(pause, false), (pause, true)])
+        {
+            let answer = EarlyAnswer {
+                is_chunked,
+                is_stream: false,
+                pause,
+                sent_bytes,
+            };
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::spawn(answer.serve(listener));
+            fleet.list(1, |_| address);
+            for _ in 0..ROUNDS {
+                let mut caller = Caller::connect(fleet.instances[0].callers).await;
+                let text = request_text("POST", "/b/1", &fresh_id(), "", &upload);
+                caller.write(&text).await;
+                let reply = caller.read().await;
+                let is_cut = reply.status() == 200 && !reply.whole;
+                assert!(
+                    reply.status() == 502 || is_cut,
+                    "{answer:?}: {} {}",
+                    reply.status(),
+                    reply.whole
+                );
+            }
+        }
+    }
+    // The way through the other instance was open all the while.
+    fleet.heal(1);
+    wait_until(
+        "a request is served through the other instance",
+        async || fleet.send(0, "POST", "/b/1", "").await.status() == 200,
+    )
+    .await;
+}
