--- a/crates/policy/src/report_mark.rs
+++ b/crates/policy/src/report_mark.rs
@@ -45,8 +45,8 @@
         self.id == record.id && self.address == record.address
     }
 
-    /// Whether a report of this process was written before what is known of it. One whose number is so far behind that
-    /// no write is delayed for as long belongs to another process at the same address, which counts anew.
+    /// Whether a report of this process was written before its last one, or before it left. A number that is behind by
+    /// more than a write can be delayed belongs to a new process at the same address.
     pub(crate) fn is_late(&self, number: u64, heartbeat: Duration, now: Instant) -> bool {
         if number < self.number {
             let behind = span(self.number - number, heartbeat);
@@ -83,7 +83,7 @@
     }
 }
 
-/// How long an upstream takes for so many reports; bounded, so that it can be added to any time.
+/// The time between two reports whose numbers differ by `reports`; at most [`MAX_SPAN`], so that it can be added to a time.
 fn span(reports: u64, heartbeat: Duration) -> Duration {
     let reports = u32::try_from(reports).unwrap_or(u32::MAX);
     heartbeat.saturating_mul(reports).min(MAX_SPAN)
--- a/crates/policy/src/report_order.rs
+++ b/crates/policy/src/report_order.rs
@@ -3,9 +3,9 @@
 //!
 //! The reports of a process are numbered. A report with a lower number than the last one is late, and so is one of a
 //! process that has left, if by its number it was written before. A process at another address or with another id counts
-//! anew. When a report was written follows from its number only roughly: some upstreams don't count reports that fail. So a
-//! process that has left is believed to be back as soon as its number rises further, and any report that is taken for a
-//! late one once it has stood for longer than late reports do: nobody stays out for good.
+//! anew. The time of a report is estimated from its number and the heartbeat interval, which is wrong for upstreams that
+//! don't count failed reports. Therefore a process that has left counts as back once its number rises further, and a
+//! report that stays in the list for longer than a late one can counts as current.
 
 use {
     crate::{
@@ -58,7 +58,7 @@
         self.heartbeat = heartbeat;
     }
 
-    /// Checks a report of the list. Returns the process whose last report goes on counting if this one is late.
+    /// Checks a report of the list. Returns the process whose last report stays in force if this one is late.
     pub(crate) fn superseding(
         &mut self,
         record: &UpstreamRecord,
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -325,7 +325,7 @@
         let mut before = std::mem::take(&mut self.entries);
         for record in records {
             if let Some(last) = self.reports.superseding(record, now) {
-                // What the last list said goes on, also that the upstream is missing or gone.
+                // The entry stays as it is; one that is missing or gone does so too.
                 let is_listed = |entry: &UpstreamEntry| entry.missing_since.is_none();
                 if before.get(&last).is_some_and(is_listed)
                     && let Some(entry) = before.remove(&last)
--- a/crates/relay/src/list_progress.rs
+++ b/crates/relay/src/list_progress.rs
@@ -55,8 +55,8 @@
         is_first
     }
 
-    /// The latest time at which an outage before a reading can have ended: the store was read for it then, and the next
-    /// attempt follows a failed one within [`RECOVERY_NOTICE`].
+    /// The latest time at which an outage before a reading can have ended: when the store was read, or the time within
+    /// which an attempt follows the last failed one, whichever is sooner.
     pub(crate) fn outage_end(&self, reading: &UpstreamSnapshot, now: Instant) -> Instant {
         let read_at = reading.as_of.unwrap_or(now);
         let failed_at = self.failed_at.max(reading.failed_at);
--- a/crates/relay/src/operator_source.rs
+++ b/crates/relay/src/operator_source.rs
@@ -41,10 +41,11 @@
 pub struct UpstreamSnapshot {
     /// When the store was read; `None` for just now.
     pub as_of: Option<Instant>,
+    /// When the last read that the store did not answer began, here or at an instance that passed the list on; `None`
+    /// when unknown.
+    pub failed_at: Option<Instant>,
     /// Unreadable rows, with the reason.
     pub faults: Vec<String>,
-    /// When the last read that the store did not answer began, at the instance that read this list; `None` when unknown.
-    pub failed_at: Option<Instant>,
     /// The version of the store at which the first page was read, if it returned the list in several pages.
     pub first_page: Option<StoreVersion>,
     /// Whether another instance read it and passed it on.
--- a/crates/spread/src/reader_election/zone_reader.rs
+++ b/crates/spread/src/reader_election/zone_reader.rs
@@ -55,21 +55,12 @@
         let Some(helper) = helper.cloned() else {
             return ReadStep::Wait(due);
         };
-        // A request that the helper holds back delays no probe of the store.
-        match self.ask_peer(helper, now) {
-            ReadStep::AskPeer {
-                is_immediate,
-                limit,
-                peer,
-                turn: _,
-            } => ReadStep::AskPeer {
-                is_immediate,
-                limit,
-                peer,
-                turn: Some(due),
-            },
-            step => step,
+        let mut step = self.ask_peer(helper, now);
+        if let ReadStep::AskPeer { turn, .. } = &mut step {
+            // A request that the helper holds back delays no probe of the store.
+            *turn = Some(due);
         }
+        step
     }
 }
 
