tests: outages of the store are played over connections that callers keep

Each request had a connection of its own. A test that plays eight systems at once in the same way ran out of local ports: 13,419 of them were in TIME_WAIT after two runs of it and one of `relay_outage`.

--- a/crates/trestlewalk/tests/relay_outage.rs
+++ b/crates/trestlewalk/tests/relay_outage.rs
@@ -46,16 +46,6 @@
     Instant::now()
 }
 
-/// Sends requests to all instances until `end`.
-async fn send_until(run: &ZoneRun, end: Instant) {
-    while Instant::now() < end {
-        for index in 0..ZONES.len() {
-            assert_eq!(run.status(index, "/t/1").await, 200);
-        }
-        time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 /// Guards against work for an upstream that was removed just before an outage, once the store is stable again.
 #[tokio::test]
 async fn what_was_removed_before_an_outage_gets_no_work_once_the_store_is_stable_again() {
@@ -68,9 +58,9 @@
         .await;
         run.store.remove("servers", "i-carta-0");
         let back = take_store_away(&run, outage).await;
-        send_until(&run, back + STABLE_AFTER).await;
+        run.send_until("/t/1", back + STABLE_AFTER).await;
         let before = run.upstreams[0].runs().len();
-        send_until(&run, back + 2 * STABLE_AFTER).await;
+        run.send_until("/t/1", back + 2 * STABLE_AFTER).await;
         (outage, run.upstreams[0].runs().len() - before)
     }))
     .await;
@@ -89,11 +79,12 @@
         }
         run.store.set_silent(false);
         let back = Instant::now();
-        send_until(&run, back + Duration::from_millis(1_200)).await;
+        run.send_until("/t/1", back + Duration::from_millis(1_200))
+            .await;
         for upstream in &run.upstreams {
             run.store
                 .put("servers", &upstream.id, &upstream.report("ready"));
         }
-        send_until(&run, back + 2 * STABLE_AFTER).await;
+        run.send_until("/t/1", back + 2 * STABLE_AFTER).await;
     }
 }
--- a/crates/trestlewalk/tests/relay_support/zone_run.rs
+++ b/crates/trestlewalk/tests/relay_support/zone_run.rs
@@ -12,10 +12,17 @@
     },
     hyper::Method,
     serde_json::Value,
-    std::net::Ipv4Addr,
+    std::{
+        net::Ipv4Addr,
+        time::{Duration, Instant},
+    },
     tempfile::TempDir,
+    tokio::time,
 };
 
+/// Between two requests to each instance.
+const SENDING_PAUSE: Duration = Duration::from_millis(10);
+
 /// One process with the proxy through which it reaches the store.
 #[derive(Debug)]
 pub struct ZoneInstance {
@@ -106,6 +113,22 @@
         caller.read().await
     }
 
+    /// Sends requests to all instances until `end`, over one connection each, and expects 200 for all of them.
+    pub async fn send_until(&self, path: &str, end: Instant) {
+        let mut callers = Vec::new();
+        for instance in &self.instances {
+            callers.push(Caller::connect(instance.process.address("callers")).await);
+        }
+        while Instant::now() < end {
+            for caller in &mut callers {
+                let text = request_text("GET", path, &fresh_id(), "X-Deadline-Ms: 4000\r\n", "");
+                caller.write(&text).await;
+                assert_eq!(caller.read().await.status(), 200);
+            }
+            time::sleep(SENDING_PAUSE).await;
+        }
+    }
+
     /// Sends one request with a body and a given id to an instance.
     pub async fn send_as(&self, id: &str, index: usize, path: &str, more: &str) -> CallerReply {
         let mut caller = Caller::connect(self.instances[index].process.address("callers")).await;
@@ -138,7 +161,7 @@
             let mut readers = Vec::new();
             for index in 0..self.instances.len() {
                 let before = self.passed_on(index).await;
-                tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+                time::sleep(Duration::from_millis(150)).await;
                 if self.passed_on(index).await == before {
                     readers.push(index);
                 }
