--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -4,7 +4,10 @@
 //! and it is not reused after any irregularity in an answer.
 
 use {
-    crate::{AnswerPlace, HeadMeter, WatchedStream, socket_options::tune_socket},
+    crate::{
+        AnswerPlace, HeadMeter, WatchedStream, silence_guard::SilenceGuard,
+        socket_options::tune_socket,
+    },
     bytes::Bytes,
     http::Request,
     http_body_util::Full,
@@ -159,6 +162,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: OpenConnection,
+    /// When it delivered its last answer, or was established.
+    since: Instant,
     until: Instant,
 }
 
@@ -176,6 +181,8 @@
 pub struct ConnectionPool {
     idle: RankedLock<HashMap<ConnectionKey, Vec<IdleConnection>>>,
     next_serial: AtomicU64,
+    /// Whether a call without an answer casts doubt on the idle connections to the same peer.
+    doubts_idle: bool,
     /// Limit of the read buffer of each connection, bytes; `None` for the limit of the library.
     read_buffer: Option<usize>,
     times: ConnectionTimeouts,
@@ -199,11 +206,16 @@
         if idle.is_zero() {
             return;
         }
-        let until = steady_clock::now() + idle.min(MAX_IDLE_TIME);
+        let since = steady_clock::now();
+        let until = since + idle.min(MAX_IDLE_TIME);
         let mut table = self.idle.lock();
         let connections = table.entry(key.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_PEER {
-            connections.push(IdleConnection { connection, until });
+            connections.push(IdleConnection {
+                connection,
+                since,
+                until,
+            });
         }
     }
 
@@ -222,11 +234,21 @@
         Self {
             idle: RankedLock::new(LockRank::Links, HashMap::new()),
             next_serial: AtomicU64::new(1),
+            doubts_idle: false,
             read_buffer: None,
             times,
         }
     }
 
+    /// Closes idle connections once a call that began after their last answer ends without one: all open connections may
+    /// have gone silent at once. For peers whose calls are given up only because of their silence.
+    pub fn with_idle_doubts(self) -> Self {
+        Self {
+            doubts_idle: true,
+            ..self
+        }
+    }
+
     /// Limits what each connection reads ahead, for peers whose answers may be passed on to slow readers.
     pub fn with_read_buffer(self, bytes: usize) -> Self {
         Self {
@@ -287,7 +309,7 @@
     ) -> Result<(http::Response<Incoming>, OpenConnection), ConnectionError> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(key, address, avoid) {
-            match connection.exchange(request).await {
+            match self.exchange(key, &mut connection, request).await {
                 Ok(response) => return connection.check_status(response),
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) => request = unsent,
@@ -296,7 +318,7 @@
             }
         }
         let mut connection = self.connect(address).await?;
-        match connection.exchange(request).await {
+        match self.exchange(key, &mut connection, request).await {
             Ok(response) => connection.check_status(response),
             Err(mut failure) => match failure.take_message() {
                 Some(_) => UnsentSnafu {
@@ -308,6 +330,20 @@
         }
     }
 
+    /// Closes the idle connections to a peer that have delivered nothing since `moment`.
+    pub(crate) fn close_idle_before(&self, key: &ConnectionKey, moment: Instant) {
+        let mut table = self.idle.lock();
+        let Some(connections) = table.get_mut(key) else {
+            return;
+        };
+        let before = connections.len();
+        connections.retain(|idle| idle.since >= moment);
+        let closed = before - connections.len();
+        if closed > 0 {
+            tracing::info!(peer = %key, closed, "idle connections were closed after a call without an answer");
+        }
+    }
+
     /// Closes idle connections past their timeout.
     pub fn sweep(&self, now: Instant) {
         let mut table = self.idle.lock();
@@ -333,6 +369,24 @@
         connecting.map_err(late)?
     }
 
+    /// Sends a call over a connection and waits for the head of the answer.
+    async fn exchange(
+        &self,
+        key: &ConnectionKey,
+        connection: &mut OpenConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let guard = self.doubts_idle.then(|| SilenceGuard::new(self, key));
+        let outcome = connection.exchange(request).await;
+        let is_unsent = |failure: &TrySendError<_>| failure.message().is_some();
+        if let Some(guard) = guard
+            && outcome.as_ref().err().is_none_or(is_unsent)
+        {
+            guard.close();
+        }
+        outcome
+    }
+
     async fn handshake(
         &self,
         stream: TcpStream,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod search_counts;
 pub mod search_outcome;
 pub mod service_info;
+pub mod silence_guard;
 pub mod slot_finder;
 pub mod slot_wait;
 pub mod socket_options;
--- a/crates/trestlewalk/tests/support/relay_mode.rs
+++ b/crates/trestlewalk/tests/support/relay_mode.rs
@@ -8,7 +8,7 @@
         },
         time::Duration,
     },
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
 };
 
 /// Start of a call to a model engine.
@@ -33,6 +33,7 @@
 pub struct RelaySwitch {
     held: Arc<AtomicUsize>,
     sender: watch::Sender<RelayMode>,
+    silence: Arc<Notify>,
     silenced_calls: Arc<AtomicUsize>,
 }
 
@@ -52,6 +53,7 @@
         Self {
             held: Arc::default(),
             sender: watch::Sender::new(RelayMode::Open),
+            silence: Arc::default(),
             silenced_calls: Arc::default(),
         }
     }
@@ -88,6 +90,16 @@
         }
     }
 
+    /// Ends what waits in [`Self::wait_silence`] now.
+    pub fn silence_open(&self) {
+        self.silence.notify_waiters();
+    }
+
+    /// Waits until the open connections are silenced.
+    pub async fn wait_silence(&self) {
+        self.silence.notified().await;
+    }
+
     /// Sets the mode.
     pub fn set(&self, mode: RelayMode) {
         self.sender.send_replace(mode);
--- a/crates/trestlewalk/tests/support/tcp_relay.rs
+++ b/crates/trestlewalk/tests/support/tcp_relay.rs
@@ -8,10 +8,10 @@
         sync::{Arc, Mutex},
     },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::{self, AsyncReadExt, AsyncWriteExt},
         net::{
             TcpListener, TcpStream,
-            tcp::{OwnedReadHalf, OwnedWriteHalf},
+            tcp::{ReadHalf, WriteHalf},
         },
         task::JoinHandle,
     },
@@ -49,6 +49,11 @@
         self.switch.set(mode);
     }
 
+    /// Silences all open connections for good: they stay open, and nothing that is written to them arrives. New ones work.
+    pub fn silence_open(&self) {
+        self.switch.silence_open();
+    }
+
     /// Number of calls to a model engine that have reached the relay while it was silent. Unlike [`Self::held`] it
     /// leaves out load reports and cancels.
     pub fn silenced_calls(&self) -> usize {
@@ -84,21 +89,25 @@
     }
 }
 
-async fn forward_connection(inbound: TcpStream, target: SocketAddr, switch: RelaySwitch) {
+async fn forward_connection(mut inbound: TcpStream, target: SocketAddr, switch: RelaySwitch) {
     if !pass_connection(&inbound, &switch).await {
         return;
     }
-    let Ok(outbound) = TcpStream::connect(target).await else {
+    let Ok(mut outbound) = TcpStream::connect(target).await else {
         return;
     };
-    let (inbound_read, inbound_write) = inbound.into_split();
-    let (outbound_read, outbound_write) = outbound.into_split();
+    let (inbound_read, inbound_write) = inbound.split();
+    let (outbound_read, outbound_write) = outbound.split();
     let forward = copy(inbound_read, outbound_write, &switch);
     let backward = copy(outbound_read, inbound_write, &switch);
     tokio::select! {
-        () = switch.wait_reset() => {}
-        () = async { tokio::join!(forward, backward); } => {}
+        biased;
+        () = switch.wait_silence() => {}
+        () = switch.wait_reset() => return,
+        () = async { tokio::join!(forward, backward); } => return,
     }
+    // What is written after the silence ends here.
+    let _ = io::copy(&mut inbound, &mut io::sink()).await;
 }
 
 /// Waits until a new connection may be forwarded, and notes the call that arrives on it meanwhile.
@@ -117,7 +126,7 @@
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, switch: &RelaySwitch) {
+async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, switch: &RelaySwitch) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length) = from.read(&mut buffer).await {
         switch.note(&buffer[..length]);
