--- a/crates/relay/src/connection_pool.rs
+++ b/crates/relay/src/connection_pool.rs
@@ -1,11 +1,11 @@
 //! A pool of connections to upstreams and to the store.
 //!
-//! A connection carries one call at a time. It is closed when a call is dropped before its answer was read to the end,
-//! and it is not reused after any irregularity in an answer.
+//! A connection carries one call at a time. It is reset when a call is dropped before its answer was read to the end, so
+//! that what was written of the call and has not arrived is lost, and it is not reused after any irregularity in an answer.
 
 use {
     crate::{
-        AnswerPlace, HeadMeter, WatchedStream, silence_guard::SilenceGuard,
+        AnswerPlace, CallWatch, WatchedStream, silence_guard::SilenceGuard,
         socket_options::tune_socket,
     },
     bytes::Bytes,
@@ -96,10 +96,10 @@
     address: SocketAddr,
     /// How many answers it has delivered.
     answers: u64,
-    meter: HeadMeter,
     sender: SendRequest<Full<Bytes>>,
     serial: ConnectionSerial,
     task: AbortOnDropHandle<()>,
+    watch: CallWatch,
 }
 
 impl OpenConnection {
@@ -126,9 +126,9 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.meter.begin_head();
+        self.watch.begin_call();
         let response = self.sender.try_send_request(request).await?;
-        self.meter.end_head();
+        self.watch.end_head();
         self.answers += 1;
         Ok(response)
     }
@@ -196,6 +196,7 @@
         connection: OpenConnection,
         idle_timeout: Option<Duration>,
     ) {
+        connection.watch.end_call();
         if connection.sender.is_closed() {
             return;
         }
@@ -397,8 +398,8 @@
         if let Some(bytes) = self.read_buffer {
             builder.max_buf_size(bytes);
         }
-        let meter = HeadMeter::default();
-        let stream = WatchedStream::new(stream, meter.clone());
+        let watch = CallWatch::default();
+        let stream = WatchedStream::new(stream, watch.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| {
             UnsentSnafu {
@@ -414,10 +415,10 @@
         Ok(OpenConnection {
             address,
             answers: 0,
-            meter,
             sender,
             serial: self.next_serial.fetch_add(1, Ordering::Relaxed),
             task: AbortOnDropHandle::new(task),
+            watch,
         })
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod body_allowance;
 pub mod buffer_budget;
 pub mod call_end;
+pub mod call_watch;
 pub mod caller_limits;
 pub mod caller_request;
 pub mod caller_server;
@@ -100,6 +101,7 @@
     body_allowance::BodyAllowance,
     buffer_budget::{BufferBudget, BufferedBody, CollectError},
     call_end::{CallEnd, UpstreamAnswer},
+    call_watch::CallWatch,
     caller_limits::CallerLimits,
     caller_request::{CallerHead, CallerRequest, PromptInfo, PromptPart, RequestId},
     caller_server::CallerServer,
--- a/crates/relay/src/socket_options.rs
+++ b/crates/relay/src/socket_options.rs
@@ -6,6 +6,13 @@
     tokio::net::TcpStream,
 };
 
+/// Has the connection reset once the stream is dropped.
+pub fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::debug!(%error, "could not set a socket option; what was written may still arrive");
+    }
+}
+
 /// Sets socket options that detect a lost peer within `peer_timeout` and send small writes without delay.
 pub fn tune_socket(stream: &TcpStream, peer_timeout: Duration) {
     let socket = SockRef::from(stream);
--- a/crates/relay/src/watched_stream.rs
+++ b/crates/relay/src/watched_stream.rs
@@ -1,6 +1,7 @@
 //! A TCP connection whose reads and flushes are watched.
 
 use {
+    crate::socket_options::reset_on_close,
     std::{
         io::{self, IoSlice},
         pin::Pin,
@@ -14,6 +15,11 @@
 
 /// Watches a connection.
 pub trait StreamWatch: Unpin {
+    /// Whether a connection that is dropped now is to be reset, so that what was written and has not arrived is lost.
+    fn is_cut_short(&self) -> bool {
+        false
+    }
+
     /// All that the HTTP library had to write is written: it flushes once its own buffers are empty.
     fn note_flush(&self) {}
 
@@ -29,7 +35,7 @@
 
 /// The connection.
 #[derive(Debug)]
-pub struct WatchedStream<W> {
+pub struct WatchedStream<W: StreamWatch> {
     stream: TcpStream,
     watch: W,
 }
@@ -41,6 +47,14 @@
     }
 }
 
+impl<W: StreamWatch> Drop for WatchedStream<W> {
+    fn drop(&mut self) {
+        if self.watch.is_cut_short() {
+            reset_on_close(&self.stream);
+        }
+    }
+}
+
 impl<W: StreamWatch> AsyncRead for WatchedStream<W> {
     fn poll_read(
         mut self: Pin<&mut Self>,
