--- a/crates/trestlewalk/tests/relay_cut_heads.rs
+++ b/crates/trestlewalk/tests/relay_cut_heads.rs
@@ -6,7 +6,6 @@
 mod support;
 
 use {
-    kernel::ServiceId,
     platform::RowStore,
     relay::{CallReason, ConnectionTimeouts, OperatorSource, StoreCalls},
     relay_support::{
@@ -148,15 +147,7 @@
 #[tokio::test]
 async fn no_cut_answer_is_complete_through_another_instance() {
     let fleet = DirectFleet::start(2).await;
-    fleet.cut(0);
-    let services = ["carta", "redactor"].map(ServiceId::from);
-    wait_until("the cut is noticed", async || {
-        fleet.send(0, "POST", "/b/1", "").await;
-        fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
-        let reach = &fleet.instances[0].core.reach;
-        services.iter().all(|service| reach.is_lost(service))
-    })
-    .await;
+    fleet.cut_noticed(0).await;
     for cut in cuts(PART_BYTES).step_by(3) {
         set_cut(&fleet.upstreams, cut);
         let plain = fleet.send(0, "POST", "/b/1", "").await;
--- a/crates/trestlewalk/tests/relay_forward.rs
+++ b/crates/trestlewalk/tests/relay_forward.rs
@@ -109,22 +109,6 @@
     }
 }
 
-/// Cuts an instance off and waits until it knows.
-async fn cut_and_wait(fleet: &DirectFleet, index: usize) {
-    fleet.cut(index);
-    let reach = &fleet.instances[index].core.reach;
-    let services = ["carta", "redactor"].map(ServiceId::from);
-    wait_until("the cut is noticed", async || {
-        let requests = tokio::join!(
-            fleet.send(index, "GET", "/t/1", DEADLINE),
-            fleet.send(index, "POST", "/s/1", STREAM_HEADERS)
-        );
-        drop(requests);
-        services.iter().all(|service| reach.is_lost(service))
-    })
-    .await;
-}
-
 /// The instance other than the first that has a call to an upstream in progress.
 fn busy_helper(fleet: &DirectFleet) -> Option<usize> {
     let is_busy = |index: &usize| {
@@ -139,7 +123,7 @@
 async fn when_no_instance_reaches_the_upstreams_requests_are_refused_soon_and_as_not_run() {
     let fleet = DirectFleet::start(3).await;
     for index in 0..3 {
-        cut_and_wait(&fleet, index).await;
+        fleet.cut_noticed(index).await;
     }
     for (path, more) in [("/b/1", DEADLINE), ("/s/1", STREAM_HEADERS)] {
         let began = tokio::time::Instant::now();
@@ -161,7 +145,7 @@
 #[tokio::test]
 async fn a_request_whose_helper_is_lost_runs_once_and_is_not_promised_to_have_not_run() {
     let fleet = DirectFleet::start(2).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     for upstream in &fleet.upstreams {
         upstream.set(UpstreamMode::Mute);
     }
@@ -179,7 +163,7 @@
 #[tokio::test]
 async fn a_refusal_after_a_lost_helper_is_no_promise() {
     let fleet = DirectFleet::start(3).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     for upstream in &fleet.upstreams {
         upstream.set(UpstreamMode::Mute);
     }
@@ -217,7 +201,7 @@
 #[tokio::test]
 async fn a_helper_whose_routes_say_otherwise_runs_no_request_twice_that_may_run_once() {
     let fleet = DirectFleet::start(2).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     // Its own requests fund the retries of an instance that has just started.
     for _ in 0..40 {
         let reply = fleet.send(1, "GET", "/t/1", DEADLINE).await;
@@ -282,7 +266,7 @@
 #[tokio::test]
 async fn the_run_of_a_caller_that_leaves_ends_behind_the_helper() {
     let fleet = DirectFleet::start(2).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     for upstream in &fleet.upstreams {
         upstream.set(UpstreamMode::PauseAfter(2, Duration::from_secs(3_600)));
     }
@@ -308,7 +292,7 @@
 #[tokio::test]
 async fn an_answer_that_is_cut_at_the_helper_is_cut_for_the_caller() {
     let fleet = DirectFleet::start(2).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     for upstream in &fleet.upstreams {
         upstream.set(UpstreamMode::CutAfter(2));
     }
@@ -322,7 +306,7 @@
 #[tokio::test]
 async fn a_helper_that_closes_finishes_what_it_was_handed_and_takes_no_more() {
     let mut fleet = DirectFleet::start(3).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     for upstream in &fleet.upstreams {
         upstream.set(UpstreamMode::PauseAfter(2, Duration::from_millis(1_500)));
     }
@@ -360,7 +344,7 @@
 #[tokio::test]
 async fn an_instance_that_closes_waits_for_what_it_has_forwarded() {
     let mut fleet = DirectFleet::start(3).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     let pause = Duration::from_millis(1_500);
     for upstream in &fleet.upstreams {
         upstream.set(match upstream.service.as_str() {
@@ -399,7 +383,7 @@
 #[tokio::test]
 async fn requests_are_spread_over_the_instances_that_reach_the_service() {
     let fleet = DirectFleet::start(6).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     for upstream in &fleet.upstreams {
         upstream.set(UpstreamMode::Slow(Duration::from_secs(1)));
     }
@@ -432,7 +416,7 @@
 #[tokio::test]
 async fn a_forwarded_request_carries_its_customer_and_not_its_key() {
     let fleet = DirectFleet::start(2).await;
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     for index in 0..2 {
         fleet.declare_customer(index, 8, "harbour", "k-1");
     }
@@ -462,7 +446,7 @@
         fleet.upstream(engine).state.lock().unwrap().kind = UpstreamKind::Prefill;
     }
     fleet.heal(1);
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     let stream = fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
     assert_eq!((stream.status(), stream.whole), (200, true));
 }
@@ -507,7 +491,7 @@
         fleet.upstream(engine).state.lock().unwrap().kind = UpstreamKind::Prefill;
     }
     fleet.heal(1);
-    cut_and_wait(&fleet, 0).await;
+    fleet.cut_noticed(0).await;
     let (cut, other) = tokio::join!(leases_of(&fleet, 0), leases_of(&fleet, 1));
     assert_eq!(cut, Vec::<String>::new());
     assert_eq!(other, ["stages/redactor"]);
--- a/crates/trestlewalk/tests/relay_odd_heads.rs
+++ b/crates/trestlewalk/tests/relay_odd_heads.rs
@@ -7,7 +7,6 @@
 mod support;
 
 use {
-    kernel::ServiceId,
     platform::RowStore,
     relay::{CallReason, ConnectionTimeouts, OperatorSource, StoreCalls},
     relay_support::{
@@ -157,15 +156,7 @@
 #[tokio::test]
 async fn no_odd_head_reaches_a_caller_through_another_instance() {
     let fleet = DirectFleet::start(2).await;
-    fleet.cut(0);
-    let services = ["carta", "redactor"].map(ServiceId::from);
-    wait_until("the cut is noticed", async || {
-        fleet.send(0, "POST", "/b/1", "").await;
-        fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
-        let reach = &fleet.instances[0].core.reach;
-        services.iter().all(|service| reach.is_lost(service))
-    })
-    .await;
+    fleet.cut_noticed(0).await;
     for head in ODD_HEADS {
         for upstream in &fleet.upstreams {
             let is_prefill = upstream.state.lock().unwrap().kind == UpstreamKind::Prefill;
--- a/crates/trestlewalk/tests/relay_support/direct_fleet.rs
+++ b/crates/trestlewalk/tests/relay_support/direct_fleet.rs
@@ -4,8 +4,10 @@
     super::{
         caller::{Caller, CallerReply, fresh_id, request_text},
         dead_port::DeadPort,
+        relay_test::STREAM_HEADERS,
         upstream::{UpstreamKind, UpstreamStandIn},
     },
+    crate::support::wait::wait_until,
     forward::Forwarding,
     kernel::{InstanceId, ServiceId, TableVersion, WorkerPool, ZoneId},
     peer::{AddressTable, PeerEndpoint, PeerKeys, make_test_keys},
@@ -29,6 +31,7 @@
 
 /// A retry budget in retries per request.
 const AMPLE_RATIO: f64 = 100.0;
+const DEADLINE: &str = "X-Deadline-Ms: 4000\r\n";
 /// How long engines keep a reservation.
 const HOLD_LIFE: Duration = Duration::from_secs(2);
 
@@ -98,6 +101,21 @@
         self.list(index, |_| self.dead.address);
     }
 
+    /// Cuts an instance off from all upstreams, and waits until it goes through another instance to all services.
+    pub async fn cut_noticed(&self, index: usize) {
+        self.cut(index);
+        let services = ["carta", "redactor"].map(ServiceId::from);
+        wait_until("the cut is noticed", async || {
+            tokio::join!(
+                self.send(index, "GET", "/t/1", DEADLINE),
+                self.send(index, "POST", "/s/1", STREAM_HEADERS)
+            );
+            let reach = &self.instances[index].core.reach;
+            services.iter().all(|service| reach.is_lost(service))
+        })
+        .await;
+    }
+
     /// Gives an instance a retry budget that no test uses up.
     pub fn allow_retries(&self, index: usize) {
         let core = &self.instances[index].core;
--- a/crates/trestlewalk/tests/relay_uploads.rs
+++ b/crates/trestlewalk/tests/relay_uploads.rs
@@ -7,7 +7,6 @@
 
 use {
     futures_util::future::join_all,
-    kernel::ServiceId,
     relay_support::{
         Caller, DirectFleet, RelayRun, RelayTest,
         caller::{fresh_id, request_text},
@@ -168,15 +167,7 @@
 #[tokio::test]
 async fn an_answer_that_is_reset_beside_an_upload_through_another_instance_is_not_complete() {
     let fleet = DirectFleet::start(2).await;
-    fleet.cut(0);
-    let services = ["carta", "redactor"].map(ServiceId::from);
-    wait_until("the cut is noticed", async || {
-        fleet.send(0, "POST", "/b/1", "").await;
-        fleet.send(0, "POST", "/s/1", STREAM_HEADERS).await;
-        let reach = &fleet.instances[0].core.reach;
-        services.iter().all(|service| reach.is_lost(service))
-    })
-    .await;
+    fleet.cut_noticed(0).await;
     let upload = "u".repeat(FORWARDED_BYTES);
     for sent_bytes in SENT_BYTES {
         for (pause, is_chunked) in PAUSES
