--- a/crates/relay/src/socket_options.rs
+++ b/crates/relay/src/socket_options.rs
@@ -13,13 +13,12 @@
     }
 }
 
-/// Sets socket options that detect a lost peer within `peer_timeout`, on an idle connection after 2 s at the earliest, and
-/// send small writes without delay.
+/// Sets socket options that detect a lost peer within `peer_timeout` and send small writes without delay.
 pub fn tune_socket(stream: &TcpStream, peer_timeout: Duration) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
-        .with_time(whole_seconds(peer_timeout / 2))
-        .with_interval(whole_seconds(peer_timeout / 4))
+        .with_time(peer_timeout / 2)
+        .with_interval(peer_timeout / 4)
         .with_retries(2);
     let outcome = socket
         .set_tcp_nodelay(true)
@@ -29,8 +28,3 @@
         tracing::debug!(%error, "could not set a socket option; a lost peer is noticed later");
     }
 }
-
-/// The kernel refuses keep-alive times below a second, and takes no fractions.
-fn whole_seconds(time: Duration) -> Duration {
-    Duration::from_secs(time.as_secs().max(1))
-}
