tests: the relay passes the end of one direction on again

Since both directions borrow their connection, so that the end of one was not passed on before the other had ended. The halves own their connection again, and a silent one drops what comes.

--- a/crates/trestlewalk/tests/support/tcp_relay.rs
+++ b/crates/trestlewalk/tests/support/tcp_relay.rs
@@ -5,13 +5,16 @@
     std::{
         future,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
     },
     tokio::{
-        io::{self, AsyncReadExt, AsyncWriteExt},
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{
             TcpListener, TcpStream,
-            tcp::{ReadHalf, WriteHalf},
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
         task::JoinHandle,
     },
@@ -89,25 +92,29 @@
     }
 }
 
-async fn forward_connection(mut inbound: TcpStream, target: SocketAddr, switch: RelaySwitch) {
+async fn forward_connection(inbound: TcpStream, target: SocketAddr, switch: RelaySwitch) {
     if !pass_connection(&inbound, &switch).await {
         return;
     }
-    let Ok(mut outbound) = TcpStream::connect(target).await else {
+    let Ok(outbound) = TcpStream::connect(target).await else {
         return;
     };
-    let (inbound_read, inbound_write) = inbound.split();
-    let (outbound_read, outbound_write) = outbound.split();
-    let forward = copy(inbound_read, outbound_write, &switch);
-    let backward = copy(outbound_read, inbound_write, &switch);
+    let (inbound_read, inbound_write) = inbound.into_split();
+    let (outbound_read, outbound_write) = outbound.into_split();
+    let is_silent = AtomicBool::new(false);
+    let forward = copy(inbound_read, outbound_write, &switch, &is_silent);
+    let backward = copy(outbound_read, inbound_write, &switch, &is_silent);
+    let silence = async {
+        switch.wait_silence().await;
+        is_silent.store(true, Ordering::SeqCst);
+        future::pending().await
+    };
     tokio::select! {
         biased;
-        () = switch.wait_silence() => {}
-        () = switch.wait_reset() => return,
-        () = async { tokio::join!(forward, backward); } => return,
+        () = silence => {}
+        () = switch.wait_reset() => {}
+        () = async { tokio::join!(forward, backward); } => {}
     }
-    // What is written after the silence ends here.
-    let _ = io::copy(&mut inbound, &mut io::sink()).await;
 }
 
 /// Waits until a new connection may be forwarded, and notes the call that arrives on it meanwhile.
@@ -126,13 +133,22 @@
     }
 }
 
-async fn copy(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, switch: &RelaySwitch) {
+/// Forwards one direction; what comes on a silent connection is dropped.
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    switch: &RelaySwitch,
+    is_silent: &AtomicBool,
+) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length) = from.read(&mut buffer).await {
         switch.note(&buffer[..length]);
         if length == 0 || !switch.pass().await {
             return;
         }
+        if is_silent.load(Ordering::SeqCst) {
+            continue;
+        }
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
