--- a/crates/trestlewalk/tests/relay_given_up.rs
+++ b/crates/trestlewalk/tests/relay_given_up.rs
@@ -21,7 +21,7 @@
 /// When a caller leaves: its request is at the upstream.
 const LEAVE_AFTER: Duration = Duration::from_millis(300);
 const LONG_DEADLINE: &str = "X-Deadline-Ms: 4000\r\n";
-/// The statuses of requests that may have run.
+/// The statuses of requests that may have run. Neither promises anything to callers.
 const UNKNOWN_OUTCOMES: [u16; 2] = [502, 504];
 const SHORT_DEADLINE: &str = "X-Deadline-Ms: 400\r\n";
 
