--- a/crates/relay/tests/connection_pool.rs
+++ b/crates/relay/tests/connection_pool.rs
@@ -1,12 +1,14 @@
 //! A call that counts as not sent has not reached the server, and none reaches it twice.
 
+mod support;
+
 use {
     bytes::Bytes,
     engine::HttpPool,
     http::{Method, Request},
     http_body_util::{BodyExt, Full},
     kernel::seeded_rng,
-    relay::{ConnectionError, ConnectionPool, ConnectionTimeouts},
+    relay::{ConnectionError, ConnectionPool},
     socket2::SockRef,
     std::{
         collections::BTreeMap,
@@ -14,6 +16,7 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
+    support::ample_timeouts,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -186,11 +189,7 @@
     }
 
     fn new_pool() -> Self {
-        let times = ConnectionTimeouts::builder()
-            .connect(Duration::from_secs(5))
-            .peer_timeout(Duration::from_secs(5))
-            .build();
-        Self::new(times)
+        Self::new(ample_timeouts())
     }
 }
 
--- a/crates/relay/tests/connection_reset.rs
+++ b/crates/relay/tests/connection_reset.rs
@@ -1,15 +1,18 @@
 //! How the connections to an upstream end.
 
+mod support;
+
 use {
     bytes::Bytes,
     http::Request,
     http_body_util::{BodyExt, Full},
-    relay::{ConnectionKey, ConnectionPool, ConnectionTimeouts},
+    relay::{ConnectionKey, ConnectionPool},
     std::{
         io::{self, ErrorKind},
         net::SocketAddr,
         time::Duration,
     },
+    support::ample_timeouts,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -112,11 +115,7 @@
 }
 
 fn new_pool() -> ConnectionPool {
-    let times = ConnectionTimeouts::builder()
-        .connect(Duration::from_secs(5))
-        .peer_timeout(Duration::from_secs(5))
-        .build();
-    ConnectionPool::new(times)
+    ConnectionPool::new(ample_timeouts())
 }
 
 /// Guards against calls that arrive long after they were given up: an ordinary close delivers what was written, the end of
--- a/crates/relay/tests/connection_silence.rs
+++ b/crates/relay/tests/connection_silence.rs
@@ -1,10 +1,12 @@
 //! Connections that go silent for good while new ones work.
 
+mod support;
+
 use {
     bytes::Bytes,
     http::Request,
     http_body_util::{BodyExt, Full},
-    relay::{ConnectionKey, ConnectionPool, ConnectionTimeouts},
+    relay::{ConnectionKey, ConnectionPool},
     std::{
         net::SocketAddr,
         sync::{
@@ -13,6 +15,7 @@
         },
         time::Duration,
     },
+    support::ample_timeouts,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -82,11 +85,7 @@
 }
 
 fn new_pool() -> ConnectionPool {
-    let times = ConnectionTimeouts::builder()
-        .connect(Duration::from_secs(5))
-        .peer_timeout(Duration::from_secs(5))
-        .build();
-    ConnectionPool::new(times)
+    ConnectionPool::new(ample_timeouts())
 }
 
 /// Makes one call; returns whether it was answered.
